--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+TOOL := go tool -modfile=tools/go.mod
+BUF := go tool -modfile=tools/buf/go.mod buf
+HAND := $(shell git ls-files '*.go' | grep -v -e '^gen/' -e '\.pb\.go$$')
+
+.PHONY: all build test race lint format format-check vet generate generate-check bench bench-check fuzz demo
+
+all: format-check lint vet test
+
+build:
+	go build ./...
+
+test:
+	go test ./...
+
+race:
+	go test -race ./...
+
+lint:
+	$(TOOL) revive -config revive.toml -set_exit_status -exclude ./gen/... -exclude ./peer/wire/... ./...
+
+format:
+	$(TOOL) gofumpt -w $(HAND)
+
+format-check:
+	@out=$$($(TOOL) gofumpt -l $(HAND)); test -z "$$out" || { echo "not formatted:"; echo "$$out"; exit 1; }
+
+vet:
+	go vet ./...
+
+generate:
+	$(BUF) generate
+	$(TOOL) goa gen github.com/parsleydeal/parsleydeal/design
+
+generate-check: generate
+	@test -z "$$(git status --porcelain gen peer/wire)" || { git status --porcelain gen peer/wire; echo "generated code is not current"; exit 1; }
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
+
+demo:
+	go run ./cmd/parsleydeal demo
--- /dev/null
+++ b/cli/daemon.go
@@ -0,0 +1,135 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/charmbracelet/log"
+	"github.com/jessevdk/go-flags"
+	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/endpoint"
+	"github.com/parsleydeal/parsleydeal/entry"
+	"github.com/parsleydeal/parsleydeal/node"
+	"github.com/parsleydeal/parsleydeal/peer"
+	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/settings"
+)
+
+type daemonOptions struct {
+	Settings string `long:"settings" short:"s" description:"file of settings in TOML"`
+	Check    bool   `long:"check" description:"check the settings and exit"`
+	Version  bool   `long:"version" description:"print the version and exit"`
+}
+
+// Entry runs parsleydeal-entry and returns its exit code.
+func Entry(args []string) int {
+	return exitOf(daemon("parsleydeal-entry", args, RunEntry))
+}
+
+// Endpoint runs parsleydeal-endpoint and returns its exit code.
+func Endpoint(args []string) int {
+	return exitOf(daemon("parsleydeal-endpoint", args, RunEndpoint))
+}
+
+type runFunc func(ctx context.Context, s settings.Settings, l *log.Logger) error
+
+func daemon(name string, args []string, run runFunc) (err error) {
+	var o daemonOptions
+	p := flags.NewNamedParser(name, flags.HelpFlag|flags.PassDoubleDash)
+	if _, err = p.AddGroup("Options", "", &o); err != nil {
+		return err
+	}
+	if _, err = p.ParseArgs(args); err != nil {
+		return err
+	}
+	if o.Version {
+		fmt.Println(name, version())
+		return nil
+	}
+	if o.Settings == "" {
+		return fmt.Errorf("%s: --settings is needed: %w", name, errUsage)
+	}
+	s, err := settings.Read(o.Settings)
+	if err != nil || o.Check {
+		return err
+	}
+	l, err := newLogger(s.Log)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return run(ctx, s, l)
+}
+
+// newNode makes a node that speaks to the platform in the settings.
+func newNode(s settings.Settings, l *log.Logger) *node.Node {
+	h := platform.NewHTTP(s.Platform, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}})
+	return node.New(node.Config{
+		Settings: s,
+		Clock:    clock.System(),
+		Log:      l.With("vm", s.VM),
+		Store:    h.Log(),
+		VMs:      h.VMList(),
+		Rater:    h.Rater(),
+		Weights:  h.WeightStore(),
+		Peers:    peer.NewPool(),
+	})
+}
+
+// RunEntry serves as an entry until the context ends, then drains.
+func RunEntry(ctx context.Context, s settings.Settings, l *log.Logger) (err error) {
+	peers, err := net.Listen("tcp", s.Peer)
+	if err != nil {
+		return err
+	}
+	callers, err := net.Listen("tcp", s.Entry.Callers)
+	if err != nil {
+		return err
+	}
+	n := newNode(s, l)
+	e := entry.New(n)
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	n.Start(inner)
+	go func() { _ = e.ServePeers(inner, peers) }()
+	go func() {
+		<-ctx.Done()
+		n.Drain(inner)
+	}()
+	l.Info("Entry serves callers", "vm", s.VM, "address", callers.Addr())
+	err = e.Serve(ctx, callers)
+	l.Info("Entry stopped", "vm", s.VM)
+	return err
+}
+
+// RunEndpoint serves as an endpoint until the context ends, then drains.
+func RunEndpoint(ctx context.Context, s settings.Settings, l *log.Logger) (err error) {
+	peers, err := net.Listen("tcp", s.Peer)
+	if err != nil {
+		return err
+	}
+	n := newNode(s, l)
+	e := endpoint.New(n)
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	n.Start(inner)
+	served := make(chan error, 1)
+	go func() { served <- e.Serve(inner, peers) }()
+	l.Info("Endpoint serves entries", "vm", s.VM, "address", peers.Addr())
+	select {
+	case err = <-served:
+		return err
+	case <-ctx.Done():
+	}
+	n.Drain(inner)
+	e.WaitIdle(inner)
+	cancel()
+	l.Info("Endpoint stopped", "vm", s.VM)
+	return <-served
+}
--- /dev/null
+++ b/cli/demo_test.go
@@ -0,0 +1,18 @@
+package cli
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestDemoServesEachRouteWithOneBill(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	is.NoErr(Demo(t.Context(), &out))
+	is.Equal(strings.Count(out.String(), "bill "), 2)
+	is.True(strings.Contains(out.String(), "version small@1"))
+	is.True(strings.Contains(out.String(), "version large@1"))
+}
--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,89 @@
+// Package control composes the reducers of all control state into one and runs
+// them on a single goroutine.
+package control
+
+import (
+	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/event"
+	"github.com/parsleydeal/parsleydeal/membership"
+	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/table"
+	"github.com/parsleydeal/parsleydeal/view"
+)
+
+// State is everything control knows. It is owned by one goroutine.
+type State struct {
+	// self is this process's VM.
+	self        string
+	now         clock.Millis
+	tables      table.State
+	members     membership.State
+	confirmedAt clock.Millis
+	draining    bool
+}
+
+// NewState returns the state of a process that knows nothing yet.
+func NewState(self string) *State {
+	return &State{self: self}
+}
+
+// View returns an immutable picture of the state.
+func (s *State) View() *view.View {
+	return view.New(s.tables.Tables(), s.tables.Revision(), s.confirmedAt, s.members.Members(), s.draining)
+}
+
+// Reduce takes one event into the state and returns the effects in order. It
+// reads no clock and does no I/O: the same events give the same effects. The
+// state passed in is consumed.
+func Reduce(s *State, e event.Event) (next *State, effects []event.Effect) {
+	s.time(e)
+	changed := s.members.Reduce(e)
+	switch e := e.(type) {
+	case event.LogRead:
+		more, tableChanged := s.logRead(e)
+		effects = append(effects, more...)
+		changed = changed || tableChanged
+	case event.Draining:
+		s.draining = true
+		changed = true
+	}
+	if changed {
+		effects = append(effects, event.Publish{})
+	}
+	return s, effects
+}
+
+func (s *State) time(e event.Event) {
+	switch e := e.(type) {
+	case event.Tick:
+		s.now = e.Now
+	case event.LogRead:
+		s.now = e.Now
+	}
+}
+
+func (s *State) logRead(e event.LogRead) (effects []event.Effect, changed bool) {
+	if e.Stream != platform.ConfigStream {
+		return nil, false
+	}
+	for _, r := range e.Page.Records {
+		o, ok := s.tables.Apply(r.Offset, r.Data)
+		if !ok {
+			continue
+		}
+		changed = changed || o.Accepted
+		effects = append(effects, report(o))
+	}
+	if s.tables.Offset() >= e.Page.Head {
+		s.confirmedAt = e.Now
+		changed = true
+	}
+	return effects, changed
+}
+
+func report(o table.Outcome) event.Report {
+	if o.Accepted {
+		return event.Report{Message: "Change accepted", Fields: []any{"change", o.ID, "author", o.Author, "revision", o.Revision}}
+	}
+	return event.Report{Message: "Change rejected", Fields: []any{"change", o.ID, "author", o.Author, "offset", o.Revision, "reason", o.Reason}}
+}
--- /dev/null
+++ b/control/loop.go
@@ -0,0 +1,82 @@
+package control
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/parsleydeal/parsleydeal/event"
+	"github.com/parsleydeal/parsleydeal/view"
+)
+
+// queueLength bounds the events that wait for the control goroutine.
+const queueLength = 4096
+
+// Loop runs the reducer on one goroutine and publishes views to traffic.
+type Loop struct {
+	state  *State
+	events chan event.Event
+	// perform carries out an effect; it must not block.
+	perform func(event.Effect)
+	view    atomic.Pointer[view.View]
+	dropped atomic.Int64
+}
+
+// NewLoop makes a loop over a state. Perform is called on the control
+// goroutine for every effect but Publish and must not block.
+func NewLoop(state *State, perform func(event.Effect)) *Loop {
+	l := &Loop{state: state, events: make(chan event.Event, queueLength), perform: perform}
+	l.view.Store(state.View())
+	return l
+}
+
+// View returns the newest published view. It never blocks.
+func (l *Loop) View() *view.View { return l.view.Load() }
+
+// Dropped counts the events that found the queue full.
+func (l *Loop) Dropped() int64 { return l.dropped.Load() }
+
+// Post hands over an event that must not be lost, waiting for room.
+func (l *Loop) Post(ctx context.Context, e event.Event) {
+	select {
+	case l.events <- e:
+	case <-ctx.Done():
+	}
+}
+
+// Offer hands over an event that a later one makes good, such as a load
+// report. A full queue drops it, so that traffic never waits for control.
+func (l *Loop) Offer(e event.Event) {
+	select {
+	case l.events <- e:
+	default:
+		l.dropped.Add(1)
+	}
+}
+
+// Run reduces events until the context ends.
+func (l *Loop) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-l.events:
+			l.step(e)
+		}
+	}
+}
+
+func (l *Loop) step(e event.Event) {
+	next, effects := Reduce(l.state, e)
+	l.state = next
+	publish := false
+	for _, f := range effects {
+		if _, ok := f.(event.Publish); ok {
+			publish = true
+			continue
+		}
+		l.perform(f)
+	}
+	if publish {
+		l.view.Store(l.state.View())
+	}
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,92 @@
+// Package entry is the process that takes callers' requests, chooses version
+// and endpoint, and streams the answers back.
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"strings"
+
+	"github.com/parsleydeal/parsleydeal/choice"
+	"github.com/parsleydeal/parsleydeal/node"
+	"github.com/parsleydeal/parsleydeal/peer"
+	"github.com/parsleydeal/parsleydeal/refusal"
+	"github.com/parsleydeal/parsleydeal/session"
+	"github.com/parsleydeal/parsleydeal/table"
+	"github.com/parsleydeal/parsleydeal/view"
+)
+
+// Entry is one entry process.
+type Entry struct {
+	node     *node.Node
+	inflight *choice.Inflight
+	sessions *session.Keys
+}
+
+// New makes an entry over a node; ServePeers and Handler run it.
+func New(n *node.Node) *Entry {
+	s := n.Settings().Session
+	return &Entry{node: n, inflight: choice.NewInflight(), sessions: session.NewKeys(s.Keys, s.Current)}
+}
+
+// ServePeers answers peers on a listener until the context ends.
+func (e *Entry) ServePeers(ctx context.Context, lis net.Listener) error {
+	return peer.Serve(ctx, lis, e.node, nil)
+}
+
+// Serve answers callers on a listener until the context ends, then lets the
+// requests in flight finish.
+func (e *Entry) Serve(ctx context.Context, lis net.Listener) (err error) {
+	srv := &http.Server{Handler: e.Handler(), ReadHeaderTimeout: headerTimeout.Duration()}
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		<-ctx.Done()
+		_ = srv.Shutdown(context.WithoutCancel(ctx))
+	}()
+	err = srv.Serve(lis)
+	<-stopped
+	if err == http.ErrServerClosed {
+		return nil
+	}
+	return err
+}
+
+// caller finds the organisation that a bearer key belongs to.
+func (e *Entry) caller(v *view.View, authorization string) (name string, err error) {
+	key, ok := strings.CutPrefix(authorization, "Bearer ")
+	if !ok || key == "" {
+		return "", refusal.New(refusal.Unauthorised, "a bearer key is needed")
+	}
+	sum := sha256.Sum256([]byte(key))
+	name, ok = v.Tables().OrganisationOf(hex.EncodeToString(sum[:]))
+	if !ok {
+		return "", refusal.New(refusal.Unauthorised, "the bearer key is unknown")
+	}
+	return name, nil
+}
+
+// current returns the view on which a request is decided.
+func (e *Entry) current() (v *view.View, err error) {
+	v = e.node.View()
+	if v.Tables() == nil {
+		return nil, refusal.New(refusal.Starting, "entry has no tables yet").WithRetryAfter(startingRetry)
+	}
+	if v.Draining() {
+		return nil, refusal.New(refusal.Leaving, "entry is leaving").WithRetryAfter(leavingRetry)
+	}
+	return v, nil
+}
+
+// fresh refuses work of a route that must not run on tables too long
+// unconfirmed.
+func (e *Entry) fresh(v *view.View, rule table.StaleRule, after int64) error {
+	staleness := int64(e.node.Clock().Since(v.ConfirmedAt()))
+	if rule == table.RefuseWhenStale && after > 0 && staleness > after {
+		return refusal.New(refusal.Stale, "tables are not confirmed").WithRetryAfter(staleRetry)
+	}
+	return nil
+}
--- /dev/null
+++ b/refusal/refusal.go
@@ -0,0 +1,151 @@
+// Package refusal holds the typed answer to a request that did not get a whole
+// answer: why, and whether it ran.
+package refusal
+
+import (
+	"errors"
+	"net/http"
+
+	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/peer/wire"
+)
+
+// Run says whether a refused request ran, as far as it can be proved.
+type Run string
+
+// The run states, as callers see them in the Parsleydeal-Run header.
+const (
+	NotRun  Run = "not-run"
+	Ran     Run = "ran"
+	Unknown Run = "unknown"
+)
+
+// Code names the cause of a refusal. Codes are stable; OPERATORS.md lists them.
+type Code string
+
+// The codes.
+const (
+	Unauthorised    Code = "unauthorised"
+	NoRoute         Code = "no-route"
+	NotAllowed      Code = "not-allowed"
+	Malformed       Code = "malformed"
+	TooLarge        Code = "too-large"
+	Stale           Code = "stale"
+	NoEndpoint      Code = "no-endpoint"
+	Saturated       Code = "saturated"
+	Withdrawn       Code = "withdrawn"
+	ZoneOut         Code = "zone-out"
+	Leaving         Code = "leaving"
+	Behind          Code = "behind"
+	Cancelled       Code = "cancelled"
+	DeadlinePassed  Code = "deadline-passed"
+	EngineFailed    Code = "engine-failed"
+	EndpointLost    Code = "endpoint-lost"
+	BillingFull     Code = "billing-full"
+	LogDown         Code = "log-down"
+	AlreadyRunning  Code = "already-running"
+	AlreadyRan      Code = "already-ran"
+	Tombstoned      Code = "tombstoned"
+	SessionRejected Code = "session-rejected"
+	Starting        Code = "starting"
+)
+
+var statusOf = map[Code]int{
+	Unauthorised:    http.StatusUnauthorized,
+	NoRoute:         http.StatusNotFound,
+	NotAllowed:      http.StatusForbidden,
+	Malformed:       http.StatusBadRequest,
+	TooLarge:        http.StatusRequestEntityTooLarge,
+	Saturated:       http.StatusTooManyRequests,
+	SessionRejected: http.StatusBadRequest,
+	AlreadyRunning:  http.StatusConflict,
+	AlreadyRan:      http.StatusConflict,
+	Cancelled:       499,
+	DeadlinePassed:  http.StatusGatewayTimeout,
+	EngineFailed:    http.StatusBadGateway,
+	EndpointLost:    http.StatusBadGateway,
+}
+
+// Refusal is an error with a cause, a run state and a time to come back.
+type Refusal struct {
+	code       Code
+	message    string
+	run        Run
+	retryAfter clock.Millis
+}
+
+// New makes a refusal of a request that did not run.
+func New(code Code, message string) *Refusal {
+	return &Refusal{code: code, message: message, run: NotRun}
+}
+
+// WithRun returns a copy with another run state.
+func (r *Refusal) WithRun(run Run) *Refusal {
+	c := *r
+	c.run = run
+	return &c
+}
+
+// WithRetryAfter returns a copy that tells the caller when to come back.
+func (r *Refusal) WithRetryAfter(d clock.Millis) *Refusal {
+	c := *r
+	c.retryAfter = d
+	return &c
+}
+
+// Error formats the refusal for logs.
+func (r *Refusal) Error() string {
+	return string(r.code) + " (" + string(r.run) + "): " + r.message
+}
+
+// Code returns the cause.
+func (r *Refusal) Code() Code { return r.code }
+
+// Message returns the text for the caller.
+func (r *Refusal) Message() string { return r.message }
+
+// Run returns the run state.
+func (r *Refusal) Run() Run { return r.run }
+
+// RetryAfter returns when the caller may come back; 0 when it makes no
+// difference.
+func (r *Refusal) RetryAfter() clock.Millis { return r.retryAfter }
+
+// Status returns the HTTP status, 503 for codes without one of their own.
+func (r *Refusal) Status() int {
+	if s, ok := statusOf[r.code]; ok {
+		return s
+	}
+	return http.StatusServiceUnavailable
+}
+
+// As finds a refusal in an error chain.
+func As(err error) (r *Refusal, ok bool) {
+	ok = errors.As(err, &r)
+	return r, ok
+}
+
+// FromWire reads a refusal from a peer's message; a state that the peer left
+// out counts as unknown.
+func FromWire(m *wire.Refusal) *Refusal {
+	run := Unknown
+	switch m.GetRun() {
+	case wire.RunState_RUN_NOT_RUN:
+		run = NotRun
+	case wire.RunState_RUN_RAN:
+		run = Ran
+	}
+	return &Refusal{code: Code(m.GetCode()), message: m.GetMessage(), run: run, retryAfter: clock.Millis(m.GetRetryAfterMillis())}
+}
+
+// Wire writes the refusal as a peer's message.
+func (r *Refusal) Wire() *wire.Refusal {
+	state := wire.RunState_RUN_UNKNOWN
+	switch r.run {
+	case NotRun:
+		state = wire.RunState_RUN_NOT_RUN
+	case Ran:
+		state = wire.RunState_RUN_RAN
+	}
+	return &wire.Refusal{Code: string(r.code), Message: r.message, Run: state, RetryAfterMillis: int64(r.retryAfter), Status: int32(r.Status())}
+}
--- /dev/null
+++ b/view/view.go
@@ -0,0 +1,42 @@
+// Package view holds the immutable picture of the control state on which
+// traffic decides. Control publishes a new one; nothing in it ever changes.
+package view
+
+import (
+	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/membership"
+	"github.com/parsleydeal/parsleydeal/table"
+)
+
+// View is what a process knows at one instant.
+type View struct {
+	tables      *table.Tables
+	revision    int64
+	confirmedAt clock.Millis
+	members     *membership.Members
+	draining    bool
+}
+
+// New makes a view.
+func New(tables *table.Tables, revision int64, confirmedAt clock.Millis, members *membership.Members, draining bool) *View {
+	return &View{tables: tables, revision: revision, confirmedAt: confirmedAt, members: members, draining: draining}
+}
+
+// Tables returns the configuration in force; nil before the first one.
+func (v *View) Tables() *table.Tables { return v.tables }
+
+// Revision returns the log offset of the configuration; -1 before the first.
+func (v *View) Revision() int64 { return v.revision }
+
+// ConfirmedAt returns when the revision was last known to be current, on this
+// process's clock.
+func (v *View) ConfirmedAt() clock.Millis { return v.confirmedAt }
+
+// Members returns the VMs.
+func (v *View) Members() *membership.Members { return v.members }
+
+// Draining reports whether this process takes no new work.
+func (v *View) Draining() bool { return v.draining }
+
+// Ready reports whether the process may receive work.
+func (v *View) Ready() bool { return v.tables != nil && !v.draining }
