Entry: one path for chat completions and plain services

Cause: calls of plain services had a retry path and pieces of their own. Change: work carries both kinds; run, attempt and finish serve both; control composes its reducers from one list. Conclusion: one layer retries, and each file of entry has one owner.

--- a/control/control.go
+++ b/control/control.go
@@ -37,15 +37,11 @@
 // state passed in is consumed.
 func Reduce(s *State, e event.Event) (next *State, effects []event.Effect) {
 	s.time(e)
-	changed := s.members.Reduce(e)
-	switch e := e.(type) {
-	case event.LogRead:
-		more, tableChanged := s.logRead(e)
+	changed := false
+	for _, part := range s.parts() {
+		more, partChanged := part(e)
 		effects = append(effects, more...)
-		changed = changed || tableChanged
-	case event.Draining:
-		s.draining = true
-		changed = true
+		changed = changed || partChanged
 	}
 	if changed {
 		effects = append(effects, event.Publish{})
@@ -53,6 +49,27 @@
 	return s, effects
 }
 
+// part is one reducer among those composed here. It reports whether the view
+// changed.
+type part func(event.Event) (effects []event.Effect, changed bool)
+
+// parts lists the reducers in the order in which they see each event.
+func (s *State) parts() []part {
+	return []part{s.reduceTables, s.reduceMembers, s.reduceDrain}
+}
+
+func (s *State) reduceMembers(e event.Event) (effects []event.Effect, changed bool) {
+	return nil, s.members.Reduce(e)
+}
+
+func (s *State) reduceDrain(e event.Event) (effects []event.Effect, changed bool) {
+	if _, ok := e.(event.Draining); !ok {
+		return nil, false
+	}
+	s.draining = true
+	return nil, true
+}
+
 func (s *State) time(e event.Event) {
 	switch e := e.(type) {
 	case event.Tick:
@@ -62,8 +79,9 @@
 	}
 }
 
-func (s *State) logRead(e event.LogRead) (effects []event.Effect, changed bool) {
-	if e.Stream != platform.ConfigStream {
+func (s *State) reduceTables(ev event.Event) (effects []event.Effect, changed bool) {
+	e, ok := ev.(event.LogRead)
+	if !ok || e.Stream != platform.ConfigStream {
 		return nil, false
 	}
 	for _, r := range e.Page.Records {
--- /dev/null
+++ b/entry/plan.go
@@ -0,0 +1,55 @@
+package entry
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/parsleydeal/parsleydeal/choice"
+	"github.com/parsleydeal/parsleydeal/refusal"
+	"github.com/parsleydeal/parsleydeal/session"
+)
+
+// admit checks that the organisation may use the route now.
+func (e *Entry) admit(req *work) (err error) {
+	route, ok := req.view.Tables().Routes[req.routeName]
+	if !ok {
+		return refusal.New(refusal.NoRoute, "no model "+req.routeName)
+	}
+	if !slices.Contains(route.Organisations, req.organisation) {
+		return refusal.New(refusal.NoRoute, "no model "+req.routeName)
+	}
+	req.route = route
+	req.deadline = route.Deadline
+	if req.deadline == 0 {
+		req.deadline = defaultDeadline
+	}
+	return e.fresh(req.view, route.WhenStale, int64(route.StaleAfter))
+}
+
+// plan chooses the version: the session's own, or the one its hash falls on.
+func (e *Entry) plan(req *work, token string) (err error) {
+	if token != "" {
+		if req.session, err = e.sessions.Verify(token); err != nil {
+			return refusal.New(refusal.SessionRejected, err.Error())
+		}
+		if req.session.Organisation != req.organisation || req.session.Route != req.routeName {
+			return refusal.New(refusal.SessionRejected, "session belongs to another organisation or model")
+		}
+	}
+	t := req.view.Tables()
+	if kept := req.session.Version; kept != "" && req.route.Allows(kept) && !t.Versions[kept].Withdrawn {
+		req.version = kept
+		return nil
+	}
+	if req.session.ID == "" {
+		req.session = session.Token{ID: req.id, Organisation: req.organisation, Route: req.routeName}
+	}
+	version, ok := choice.Version(t, req.route, xxhash.Sum64String(req.session.ID))
+	if !ok {
+		return refusal.New(refusal.NoEndpoint, "no version meets the quality target").WithRetryAfter(startingRetry)
+	}
+	req.version = version
+	req.session.Version = version
+	return nil
+}
+
--- a/entry/run.go
+++ b/entry/run.go
@@ -2,37 +2,26 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/joomcode/errorx"
-	"github.com/parsleydeal/parsleydeal/bill"
 	"github.com/parsleydeal/parsleydeal/choice"
-	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/event"
-	"github.com/parsleydeal/parsleydeal/peer"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
 	"github.com/parsleydeal/parsleydeal/refusal"
 )
 
 // maxAttempts bounds the attempts of one request.
 const maxAttempts = 4
 
-// run makes attempts until one gives a whole answer. Emit gets the pieces of
-// the answer in order; the last one only when the bill is safe.
+// run makes attempts until one gives a whole answer. This is the only layer
+// that retries. Emit gets the pieces of the answer in order; the last one only
+// when the bill is safe.
 func (e *Entry) run(ctx context.Context, req *work, emit func(*wire.Piece) error) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, req.deadline.Duration())
 	defer cancel()
 	avoid := make(map[string]bool)
 	err = refusal.New(refusal.NoEndpoint, "no endpoint can take the request").WithRetryAfter(startingRetry)
 	for range maxAttempts {
-		vm, ok := choice.Endpoint(req.view, e.inflight, choice.Query{
-			Pools: req.view.Tables().PoolsOf(req.version),
-			Avoid: avoid,
-			Seed:  xxhash.Sum64String(req.id),
-		})
+		vm, ok := choice.Endpoint(req.view, e.inflight, choice.Query{Pools: req.pools(), Avoid: avoid, Seed: xxhash.Sum64String(req.id)})
 		if !ok {
 			return err
 		}
@@ -42,121 +31,16 @@
 			delivered = true
 			return emit(p)
 		})
-		if err == nil || delivered || !mayRetry(err) {
+		if err == nil || delivered || !mayRetry(req, err) {
 			return err
 		}
 	}
 	return err
 }
 
-// mayRetry reports whether a failed attempt provably did not run.
-func mayRetry(err error) bool {
+// mayRetry reports whether a failed attempt provably did not run and its body
+// can be sent again.
+func mayRetry(req *work, err error) bool {
 	r, ok := refusal.As(err)
-	return ok && r.Run() == refusal.NotRun
-}
-
-// attempt runs the request once on one endpoint.
-func (e *Entry) attempt(ctx context.Context, req *work, vm platform.VM, emit func(*wire.Piece) error) (err error) {
-	req.attempts++
-	e.inflight.Add(vm.ID, 1)
-	defer e.inflight.Add(vm.ID, -1)
-	stream, err := e.node.Peers().Gate(ctx, vm.Address).Run(ctx)
-	if err != nil {
-		return lost(ctx, err)
-	}
-	defer stream.Close()
-	if err = stream.Send(&wire.RunFrame{Head: e.head(ctx, req), Body: req.body, Last: true}); err != nil {
-		return lost(ctx, err)
-	}
-	return e.receive(ctx, req, stream, emit)
-}
-
-func (e *Entry) head(ctx context.Context, req *work) *wire.RunHead {
-	return &wire.RunHead{
-		Request:        req.id,
-		Attempt:        req.attempts,
-		Revision:       req.view.Revision(),
-		Organisation:   req.organisation,
-		Route:          req.routeName,
-		Version:        req.version,
-		Priority:       req.priority,
-		Session:        req.session.ID,
-		IdempotencyKey: req.key,
-		Repeatable:     true,
-		DeadlineMillis: int64(remaining(ctx)),
-		PrefixHash:     req.chat.PrefixHash(),
-		Entry:          e.node.Settings().VM,
-		Stream:         req.chat.Stream,
-	}
-}
-
-// receive hands pieces on in order. Pieces of another attempt are dropped, and
-// a gap ends the attempt: the caller would get an answer that is not whole.
-func (e *Entry) receive(ctx context.Context, req *work, stream wire.DRPCGate_RunClient, emit func(*wire.Piece) error) (err error) {
-	next := uint32(0)
-	for {
-		p, err := stream.Recv()
-		if err != nil {
-			return lost(ctx, err)
-		}
-		if p.GetRequest() != req.id || p.GetAttempt() != req.attempts {
-			continue
-		}
-		if p.GetLoad() != nil {
-			e.node.Loop().Offer(event.LoadReceived{Now: e.node.Clock().Now(), Load: p.GetLoad()})
-		}
-		if r := p.GetRefusal(); r != nil {
-			return refusal.FromWire(r)
-		}
-		if p.GetNumber() != next {
-			return refusal.New(refusal.EndpointLost, "a piece of the answer is missing").WithRun(refusal.Unknown)
-		}
-		next++
-		if !p.GetLast() {
-			if err = emit(p); err != nil {
-				return err
-			}
-			continue
-		}
-		return e.finish(ctx, req, p, emit)
-	}
-}
-
-// finish puts the bill on the log before the last piece is released.
-func (e *Entry) finish(ctx context.Context, req *work, p *wire.Piece, emit func(*wire.Piece) error) (err error) {
-	req.steps = append(req.steps, p.GetStep())
-	b := &wire.Bill{Request: req.id, Organisation: req.organisation, Route: req.routeName, Steps: req.steps, IdempotencyKey: req.key}
-	data, err := bill.Encode([]*wire.Bill{b})
-	if err != nil {
-		return refusal.New(refusal.BillingFull, err.Error()).WithRun(refusal.Ran)
-	}
-	if _, err = e.node.Store().Append(ctx, platform.BillStream, data); err != nil {
-		return refusal.New(refusal.LogDown, err.Error()).WithRun(refusal.Ran)
-	}
-	return emit(p)
-}
-
-// lost names a broken connection. Only a failed dial proves that nothing ran.
-func lost(ctx context.Context, err error) error {
-	switch {
-	case errorx.IsOfType(err, peer.ErrNotReached):
-		return refusal.New(refusal.EndpointLost, "endpoint cannot be reached")
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return refusal.New(refusal.DeadlinePassed, "deadline passed").WithRun(refusal.Unknown)
-	case ctx.Err() != nil:
-		return refusal.New(refusal.Cancelled, "cancelled by the caller").WithRun(refusal.Unknown)
-	case errors.Is(err, io.EOF):
-		return refusal.New(refusal.EndpointLost, "endpoint ended the stream early").WithRun(refusal.Unknown)
-	default:
-		return refusal.New(refusal.EndpointLost, err.Error()).WithRun(refusal.Unknown)
-	}
-}
-
-// remaining is how long the request's context still lasts.
-func remaining(ctx context.Context) clock.Millis {
-	d, ok := ctx.Deadline()
-	if !ok {
-		return defaultDeadline
-	}
-	return clock.Until(d)
+	return ok && r.Run() == refusal.NotRun && !req.bodySpent
 }
--- a/entry/service.go
+++ b/entry/service.go
@@ -1,40 +1,33 @@
 package entry
 
 import (
-	"context"
 	"io"
 	"net/http"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
-	"github.com/parsleydeal/parsleydeal/choice"
-	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/refusal"
-	"github.com/parsleydeal/parsleydeal/table"
 )
 
 // servicePiece is how much of a caller's body one frame carries at most.
 const servicePiece = 32 << 10
 
-// call is one call of a plain service.
+// call is one call of a plain service and its response.
 type call struct {
 	work
-	name    string
-	service table.Service
-	path    string
-	r       *http.Request
-	w       http.ResponseWriter
+	r *http.Request
+	w http.ResponseWriter
+	// started is true when the status has been sent and cannot change.
 	started bool
 }
 
 // service answers one call of a plain service. Bodies stream both ways.
 func (e *Entry) service(w http.ResponseWriter, r *http.Request, name, path string) {
-	c := &call{work: work{id: uuid.NewString()}, name: name, path: path, r: r, w: w}
+	c := &call{work: work{id: uuid.NewString(), service: name, path: path, method: r.Method}, r: r, w: w}
 	err := e.openCall(c)
 	if err == nil {
-		err = e.runCall(c)
+		err = e.run(r.Context(), &c.work, c.take)
 	}
 	if err == nil {
 		return
@@ -55,80 +48,58 @@
 	if c.organisation, err = e.caller(c.view, c.r.Header.Get("Authorization")); err != nil {
 		return err
 	}
-	s, ok := c.view.Tables().Services[c.name]
-	if !ok || !contains(s.Organisations, c.organisation) {
-		return refusal.New(refusal.NoRoute, "no service "+c.name)
+	s, ok := c.view.Tables().Services[c.service]
+	if !ok || !slices.Contains(s.Organisations, c.organisation) {
+		return refusal.New(refusal.NoRoute, "no service "+c.service)
 	}
-	c.service = s
+	c.pool = s.Pool
+	c.repeatable = slices.Contains(s.Repeatable, c.method)
 	c.key = c.r.Header.Get("Idempotency-Key")
 	c.deadline = s.Deadline
 	if c.deadline == 0 {
 		c.deadline = defaultDeadline
 	}
-	return e.fresh(c.view, s.WhenStale, int64(s.StaleAfter))
-}
-
-func (e *Entry) runCall(c *call) (err error) {
-	ctx, cancel := context.WithTimeout(c.r.Context(), c.deadline.Duration())
-	defer cancel()
-	vm, ok := choice.Endpoint(c.view, e.inflight, choice.Query{Pools: []string{c.service.Pool}, Seed: xxhash.Sum64String(c.id)})
-	if !ok {
-		return refusal.New(refusal.NoEndpoint, "no endpoint can take the call").WithRetryAfter(startingRetry)
-	}
-	c.attempts++
-	e.inflight.Add(vm.ID, 1)
-	defer e.inflight.Add(vm.ID, -1)
-	stream, err := e.node.Peers().Gate(ctx, vm.Address).Run(ctx)
-	if err != nil {
-		return lost(ctx, err)
-	}
-	defer stream.Close()
-	if err = e.sendCall(ctx, c, stream); err != nil {
-		return lost(ctx, err)
+	if q := c.r.URL.RawQuery; q != "" {
+		c.path += "?" + q
 	}
-	return e.receiveCall(ctx, c, stream)
+	c.headers = headersOf(c.r.Header)
+	c.send = c.sendBody
+	return e.fresh(c.view, s.WhenStale, int64(s.StaleAfter))
 }
 
 // hopHeaders are meant for one connection only and are not passed on, nor is
 // the caller's key.
 var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Authorization"}
 
-func (e *Entry) sendCall(ctx context.Context, c *call, stream wire.DRPCGate_RunClient) (err error) {
-	head := &wire.RunHead{
-		Request:        c.id,
-		Attempt:        c.attempts,
-		Revision:       c.view.Revision(),
-		Organisation:   c.organisation,
-		Service:        c.name,
-		Method:         c.r.Method,
-		Path:           c.path,
-		IdempotencyKey: c.key,
-		Repeatable:     slices.Contains(c.service.Repeatable, c.r.Method),
-		DeadlineMillis: int64(remaining(ctx)),
-		Entry:          e.node.Settings().VM,
-	}
-	if q := c.r.URL.RawQuery; q != "" {
-		head.Path += "?" + q
-	}
-	for name, values := range c.r.Header {
+func headersOf(h http.Header) (out []*wire.Header) {
+	for name, values := range h {
 		for _, v := range values {
 			if !slices.Contains(hopHeaders, name) {
-				head.Headers = append(head.Headers, &wire.Header{Name: name, Value: v})
+				out = append(out, &wire.Header{Name: name, Value: v})
 			}
 		}
 	}
-	return sendBody(stream, head, c.r.Body)
+	return out
 }
 
-// sendBody sends the head with the first part of the body, then the rest.
-func sendBody(stream wire.DRPCGate_RunClient, head *wire.RunHead, body io.Reader) (err error) {
+// sendBody sends the head with the first part of the body, then the rest. A
+// body that fits the first frame is kept and can be sent again.
+func (c *call) sendBody(stream wire.DRPCGate_RunClient, head *wire.RunHead) (err error) {
+	if c.body != nil {
+		return stream.Send(&wire.RunFrame{Head: head, Body: c.body, Last: true})
+	}
 	buf := make([]byte, servicePiece)
 	for {
-		n, readErr := io.ReadFull(body, buf)
+		n, readErr := io.ReadFull(c.r.Body, buf)
 		last := readErr == io.EOF || readErr == io.ErrUnexpectedEOF
 		if readErr != nil && !last {
 			return readErr
 		}
+		if last && head != nil {
+			c.body = buf[:n]
+		} else {
+			c.bodySpent = true
+		}
 		if err = stream.Send(&wire.RunFrame{Head: head, Body: buf[:n], Last: last}); err != nil || last {
 			return err
 		}
@@ -136,44 +107,10 @@
 	}
 }
 
-func (e *Entry) receiveCall(ctx context.Context, c *call, stream wire.DRPCGate_RunClient) (err error) {
-	next := uint32(0)
-	for {
-		p, err := stream.Recv()
-		if err != nil {
-			return lost(ctx, err)
-		}
-		if p.GetLoad() != nil {
-			e.node.Loop().Offer(event.LoadReceived{Now: e.node.Clock().Now(), Load: p.GetLoad()})
-		}
-		if r := p.GetRefusal(); r != nil {
-			return refusal.FromWire(r)
-		}
-		if p.GetNumber() != next {
-			return refusal.New(refusal.EndpointLost, "a piece of the answer is missing").WithRun(refusal.Unknown)
-		}
-		next++
-		if p.GetLast() {
-			return e.finish(ctx, &c.work, p, func(*wire.Piece) error { return nil })
-		}
-		if err = c.take(p); err != nil {
-			return err
-		}
-	}
-}
-
+// take handles the next piece in order.
 func (c *call) take(p *wire.Piece) (err error) {
 	if p.GetStatus() != 0 {
-		h := c.w.Header()
-		for _, x := range p.GetHeaders() {
-			if !slices.Contains(hopHeaders, x.GetName()) {
-				h.Add(x.GetName(), x.GetValue())
-			}
-		}
-		h.Set(requestHeader, c.id)
-		h.Set(runHeader, string(refusal.Ran))
-		c.w.WriteHeader(int(p.GetStatus()))
-		c.started = true
+		c.start(p)
 	}
 	if len(p.GetData()) == 0 {
 		return nil
@@ -183,3 +120,16 @@
 	}
 	return http.NewResponseController(c.w).Flush()
 }
+
+func (c *call) start(p *wire.Piece) {
+	h := c.w.Header()
+	for _, x := range p.GetHeaders() {
+		if !slices.Contains(hopHeaders, x.GetName()) {
+			h.Add(x.GetName(), x.GetValue())
+		}
+	}
+	h.Set(requestHeader, c.id)
+	h.Set(runHeader, string(refusal.Ran))
+	c.w.WriteHeader(int(p.GetStatus()))
+	c.started = true
+}
--- /dev/null
+++ b/entry/work.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"github.com/parsleydeal/parsleydeal/chat"
+	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/peer/wire"
+	"github.com/parsleydeal/parsleydeal/session"
+	"github.com/parsleydeal/parsleydeal/table"
+	"github.com/parsleydeal/parsleydeal/view"
+)
+
+// work is one request on its way through the entry: a chat completion or a call
+// of a plain service. One goroutine owns it.
+type work struct {
+	// id names the request everywhere; it is new for each request.
+	id           string
+	view         *view.View
+	organisation string
+	deadline     clock.Millis
+	priority     int32
+	// key is the caller's idempotency key, or empty.
+	key string
+	// repeatable requests may run again elsewhere after a failure.
+	repeatable bool
+	// attempts counts the attempts so far; attempt numbers begin at 1.
+	attempts uint32
+	// steps holds what the bill shall list, one a finished attempt.
+	steps []*wire.Step
+	// send sends the head and the body to a gate.
+	send func(stream wire.DRPCGate_RunClient, head *wire.RunHead) error
+	// bodySpent is true once a body that cannot be read again has been read.
+	bodySpent bool
+
+	// routeName and the fields to prefix belong to chat completions.
+	routeName string
+	route     table.Route
+	chat      *chat.Request
+	body      []byte
+	session   session.Token
+	// token is the signed session handed back to the caller.
+	token   string
+	version string
+	stream  bool
+	prefix  uint64
+
+	// service and the fields below it belong to calls of plain services.
+	service string
+	pool    string
+	method  string
+	path    string
+	headers []*wire.Header
+}
+
+// pools returns the names of the pools that may serve the request.
+func (r *work) pools() []string {
+	if r.service != "" {
+		return []string{r.pool}
+	}
+	return r.view.Tables().PoolsOf(r.version)
+}
--- a/event/event.go
+++ b/event/event.go
@@ -62,6 +62,31 @@
 	Load *wire.Load
 }
 
+// Observed tells the end of one attempt on a version, as traffic saw it.
+type Observed struct {
+	Now          clock.Millis
+	Route        string
+	Version      string
+	Organisation string
+	VM           string
+	// Failed attempts ended without a whole answer through the version's fault.
+	Failed bool
+	// FirstToken and TokenGap are the spans before the first token and the mean
+	// between tokens.
+	FirstToken clock.Millis
+	TokenGap   clock.Millis
+}
+
+// Rated brings a late rating of an answer.
+type Rated struct {
+	Now          clock.Millis
+	Route        string
+	Version      string
+	Organisation string
+	// Score is between 0 and 1.
+	Score float64
+}
+
 // Draining tells that this process has been asked to stop.
 type Draining struct{ Now clock.Millis }
 
@@ -82,6 +107,8 @@
 func (PeerFailed) isEvent()      {}
 func (RecordsReceived) isEvent() {}
 func (LoadReceived) isEvent()    {}
+func (Observed) isEvent()        {}
+func (Rated) isEvent()           {}
 func (Draining) isEvent()        {}
 func (AppendDone) isEvent()      {}
 
