Rollout: evidence merged over processes, a sequential test, holds on the log

Cause: a bad version got work until an operator noticed; nothing counted what it did. Change: packages evidence and rollout, wired into control, both daemons and the gate; entries observe attempts and submit samples; choice leaves out held versions; sessions move and say so; make bench-check with baselines.

--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,9 @@
 generate-check: generate
 	@test -z "$$(git status --porcelain gen peer/wire)" || { git status --porcelain gen peer/wire; echo "generated code is not current"; exit 1; }
 
+bench-check:
+	go run ./bench
+
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
 
--- /dev/null
+++ b/bench/main.go
@@ -0,0 +1,77 @@
+// Command bench runs the benchmarks of the decisions in virtual time. They use
+// fixed seeds and the functions that the daemons call, so that the figures
+// repeat to the digit. It compares them with the committed baselines and exits
+// with 1 when one is worse than its bound allows.
+package main
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/jessevdk/go-flags"
+)
+
+type options struct {
+	Baselines string `long:"baselines" default:"bench/baselines.toml" description:"file of the baselines"`
+	Write     bool   `long:"write" description:"write the measured values into the file, keeping the bounds"`
+	Only      string `long:"only" description:"run only benchmarks whose name begins so"`
+}
+
+// benchmark measures one decision.
+type benchmark struct {
+	name string
+	run  func() []Figure
+}
+
+// benchmarks lists all of them in the order in which they run.
+func benchmarks() []benchmark {
+	return []benchmark{
+		{"rollout", benchRollout},
+	}
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(2)
+	}
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(o options) (err error) {
+	var figures []Figure
+	for _, b := range benchmarks() {
+		if !strings.HasPrefix(b.name, o.Only) {
+			continue
+		}
+		figures = append(figures, b.run()...)
+	}
+	for _, f := range figures {
+		fmt.Printf("%-60s %14s\n", f.Name, format(f.Value))
+	}
+	base, err := readBaselines(o.Baselines)
+	if err != nil {
+		return err
+	}
+	if o.Write {
+		return writeBaselines(o.Baselines, base, figures)
+	}
+	faults := compare(base, figures, o.Only)
+	if len(faults) > 0 {
+		return fmt.Errorf("bench: %d figures break their bounds:\n%s", len(faults), strings.Join(faults, "\n"))
+	}
+	return nil
+}
+
+func sortedNames(base map[string]Baseline) (names []string) {
+	for name := range base {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- a/choice/version.go
+++ b/choice/version.go
@@ -3,21 +3,26 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/parsleydeal/parsleydeal/rollout"
 	"github.com/parsleydeal/parsleydeal/table"
+	"github.com/parsleydeal/parsleydeal/view"
 )
 
 // Version picks the cheapest model of a route whose quality meets the target
 // and, within it, the version that the request's hash falls on. Ok is false
 // when nothing meets the target.
-func Version(t *table.Tables, r table.Route, hash uint64) (version string, ok bool) {
+func Version(v *view.View, r table.Route, organisation string, hash uint64) (version string, ok bool) {
+	t := v.Tables()
 	models := slices.Clone(r.Models)
 	slices.SortStableFunc(models, func(a, b table.RouteModel) int {
 		return cmp.Compare(costOf(t, a), costOf(t, b))
 	})
 	for _, m := range models {
-		version = Share(t, m, hash)
+		version = Share(t, v.Holds(), m, organisation, hash)
 		if version != "" && t.Versions[version].Quality >= r.QualityTarget {
 			return version, true
 		}
@@ -34,13 +39,34 @@
 }
 
 // Share picks the version of a model on which a hash falls, so that shares hold
-// over all processes without shared state. Withdrawn versions are left out. It
-// returns "" when none is left.
-func Share(t *table.Tables, m table.RouteModel, hash uint64) (version string) {
+// over all processes without shared state. A hash that falls on a version that
+// is withdrawn or held for the organisation falls a second time, on the others
+// alone; all other hashes stay where they were. Share returns "" when no version
+// is left.
+func Share(t *table.Tables, holds *rollout.Holds, m table.RouteModel, organisation string, hash uint64) (version string) {
+	usable := func(version string) bool {
+		return !t.Versions[version].Withdrawn && !holds.Held(version, organisation)
+	}
+	version = fall(m, hash, func(string) bool { return true })
+	if version != "" && usable(version) {
+		return version
+	}
+	return fall(m, again(hash), usable)
+}
+
+// again makes a second hash that does not follow from the first one's place.
+func again(hash uint64) uint64 {
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], hash)
+	return xxhash.Sum64(b[:])
+}
+
+// fall returns the version on whose share a hash falls among those that pass.
+func fall(m table.RouteModel, hash uint64, pass func(version string) bool) (version string) {
 	numbers := make([]string, 0, len(m.Shares))
 	sum := 0.0
 	for number, share := range m.Shares {
-		if share > 0 && !t.Versions[table.VersionName(m.Model, number)].Withdrawn {
+		if share > 0 && pass(table.VersionName(m.Model, number)) {
 			numbers = append(numbers, number)
 			sum += share
 		}
--- a/control/control.go
+++ b/control/control.go
@@ -5,8 +5,10 @@
 import (
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/event"
+	"github.com/parsleydeal/parsleydeal/evidence"
 	"github.com/parsleydeal/parsleydeal/membership"
 	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/rollout"
 	"github.com/parsleydeal/parsleydeal/table"
 	"github.com/parsleydeal/parsleydeal/view"
 )
@@ -20,16 +22,26 @@
 	members     membership.State
 	confirmedAt clock.Millis
 	draining    bool
+	evidence    evidence.State
+	rollout     rollout.State
 }
 
 // NewState returns the state of a process that knows nothing yet.
 func NewState(self string) *State {
-	return &State{self: self}
+	return &State{self: self, evidence: evidence.NewState(self, 0), rollout: rollout.NewState()}
+}
+
+// WithEpoch sets the number that tells this life of the process from earlier
+// ones; its evidence is counted under it.
+func (s *State) WithEpoch(epoch uint64) *State {
+	s.evidence = evidence.NewState(s.self, epoch)
+	return s
 }
 
 // View returns an immutable picture of the state.
 func (s *State) View() *view.View {
-	return view.New(s.tables.Tables(), s.tables.Revision(), s.confirmedAt, s.members.Members(), s.draining)
+	return view.New(s.tables.Tables(), s.tables.Revision(), s.confirmedAt, s.members.Members(), s.draining).
+		WithEvidence(s.rollout.Holds(s.tables.Tables()), s.evidence.Report())
 }
 
 // Reduce takes one event into the state and returns the effects in order. It
@@ -55,13 +67,21 @@
 
 // parts lists the reducers in the order in which they see each event.
 func (s *State) parts() []part {
-	return []part{s.reduceTables, s.reduceMembers, s.reduceDrain}
+	return []part{s.reduceTables, s.reduceMembers, s.reduceDrain, s.reduceEvidence}
 }
 
 func (s *State) reduceMembers(e event.Event) (effects []event.Effect, changed bool) {
 	return nil, s.members.Reduce(e)
 }
 
+// reduceEvidence counts what was seen and judges the versions by it.
+func (s *State) reduceEvidence(e event.Event) (effects []event.Effect, changed bool) {
+	deltas, told := s.evidence.Reduce(e)
+	known := rollout.Known{Self: s.self, Now: s.now, Tables: s.tables.Tables(), VMs: s.members.VMs()}
+	effects, changed = s.rollout.Reduce(e, deltas, known)
+	return effects, changed || told
+}
+
 func (s *State) reduceDrain(e event.Event) (effects []event.Effect, changed bool) {
 	if _, ok := e.(event.Draining); !ok {
 		return nil, false
--- a/endpoint/admit.go
+++ b/endpoint/admit.go
@@ -58,6 +58,9 @@
 	if t.Versions[head.GetVersion()].Withdrawn {
 		return refusal.New(refusal.Withdrawn, "version is withdrawn")
 	}
+	if e.node.View().Holds().Held(head.GetVersion(), head.GetOrganisation()) {
+		return refusal.New(refusal.Held, "version is held back")
+	}
 	if !slices.Contains(versions, head.GetVersion()) {
 		return refusal.New(refusal.NoEndpoint, "pool does not serve this version")
 	}
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -18,6 +18,8 @@
 	versionHeader = "Parsleydeal-Version"
 	sessionHeader = "Parsleydeal-Session"
 	runHeader     = "Parsleydeal-Run"
+	// movedHeader says why the session got another version.
+	movedHeader = "Parsleydeal-Session-Moved"
 )
 
 // answer writes the pieces of one chat answer as JSON or as server-sent events.
@@ -42,6 +44,9 @@
 	h.Set(requestHeader, a.req.id)
 	h.Set(versionHeader, a.req.version)
 	h.Set(runHeader, string(refusal.Ran))
+	if a.req.moved != "" {
+		h.Set(movedHeader, a.req.moved)
+	}
 	if a.req.token != "" {
 		h.Set(sessionHeader, a.req.token)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -24,12 +24,13 @@
 	node     *node.Node
 	inflight *choice.Inflight
 	sessions *session.Keys
+	raters   *raters
 }
 
 // New makes an entry over a node; ServePeers and Handler run it.
 func New(n *node.Node) *Entry {
 	s := n.Settings().Session
-	return &Entry{node: n, inflight: choice.NewInflight(), sessions: session.NewKeys(s.Keys, s.Current)}
+	return &Entry{node: n, inflight: choice.NewInflight(), sessions: session.NewKeys(s.Keys, s.Current), raters: newRaters()}
 }
 
 // ServePeers answers peers on a listener until the context ends.
@@ -41,6 +42,7 @@
 // requests in flight finish.
 func (e *Entry) Serve(ctx context.Context, lis net.Listener) (err error) {
 	srv := &http.Server{Handler: e.Handler(), ReadHeaderTimeout: headerTimeout.Duration()}
+	go e.rate(ctx)
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
--- a/entry/plan.go
+++ b/entry/plan.go
@@ -36,15 +36,22 @@
 			return refusal.New(refusal.SessionRejected, "session belongs to another organisation or model")
 		}
 	}
-	t := req.view.Tables()
-	if kept := req.session.Version; kept != "" && req.route.Allows(kept) && !t.Versions[kept].Withdrawn {
+	return e.choose(req)
+}
+
+// choose keeps the session's version, or gives it one when it has none or its
+// own gets no new work any more.
+func (e *Entry) choose(req *work) (err error) {
+	kept := req.session.Version
+	req.moved = movedBecause(req, kept)
+	if kept != "" && req.moved == "" {
 		req.version = kept
 		return nil
 	}
 	if req.session.ID == "" {
 		req.session = session.Token{ID: req.id, Organisation: req.organisation, Route: req.routeName}
 	}
-	version, ok := choice.Version(t, req.route, xxhash.Sum64String(req.session.ID))
+	version, ok := choice.Version(req.view, req.route, req.organisation, xxhash.Sum64String(req.session.ID))
 	if !ok {
 		return refusal.New(refusal.NoEndpoint, "no version meets the quality target").WithRetryAfter(startingRetry)
 	}
@@ -53,3 +60,19 @@
 	return nil
 }
 
+// movedBecause says why a session cannot keep its version, or "" when it can.
+// Withdrawn and held beat the session.
+func movedBecause(req *work, kept string) string {
+	switch {
+	case kept == "":
+		return ""
+	case req.view.Tables().Versions[kept].Withdrawn:
+		return "withdrawn"
+	case req.view.Holds().Held(kept, req.organisation):
+		return "held"
+	case !req.route.Allows(kept):
+		return "not-allowed"
+	default:
+		return ""
+	}
+}
--- a/entry/run.go
+++ b/entry/run.go
@@ -27,14 +27,38 @@
 		}
 		avoid[vm.ID] = true
 		delivered := false
+		seen := e.observe(req, vm.ID)
 		err = e.attempt(ctx, req, vm, func(p *wire.Piece) error {
 			delivered = true
+			seen.piece(p)
 			return emit(p)
 		})
+		seen.end(err)
 		if err == nil || delivered || !mayRetry(req, err) {
 			return err
 		}
+		if moved := e.move(req, err); moved != nil {
+			return moved
+		}
+	}
+	return err
+}
+
+// move gives the request another version after a gate refused its own, knowing
+// of a hold or withdrawal that this entry had not heard of when it chose.
+func (e *Entry) move(req *work, cause error) (err error) {
+	r, ok := refusal.As(cause)
+	if !ok || req.service != "" || r.Code() != refusal.Held && r.Code() != refusal.Withdrawn {
+		return nil
+	}
+	req.view = e.node.View()
+	if movedBecause(req, req.version) == "" {
+		return cause
+	}
+	if err = e.choose(req); err != nil {
+		return err
 	}
+	req.token, err = e.sessions.Sign(req.session)
 	return err
 }
 
--- a/entry/work.go
+++ b/entry/work.go
@@ -40,8 +40,10 @@
 	// token is the signed session handed back to the caller.
 	token   string
 	version string
-	stream  bool
-	prefix  uint64
+	// moved says why the session lost its version; empty when it kept it.
+	moved  string
+	stream bool
+	prefix uint64
 
 	// service and the fields below it belong to calls of plain services.
 	service string
--- a/event/event.go
+++ b/event/event.go
@@ -75,6 +75,8 @@
 	// between tokens.
 	FirstToken clock.Millis
 	TokenGap   clock.Millis
+	// Slow says that the answer missed its route's objective for either.
+	Slow bool
 }
 
 // Rated brings a late rating of an answer.
--- /dev/null
+++ b/evidence/state_test.go
@@ -0,0 +1,69 @@
+package evidence
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/event"
+	"github.com/parsleydeal/parsleydeal/peer/wire"
+	"pgregory.net/rapid"
+)
+
+// Reports from three processes, one of which restarts, arrive in any order, some
+// twice and some never. If a repeated or late one counted again, a good version
+// would be held for errors that never were; so the sum must always be that of
+// the newest report of each life of each process.
+func TestReportsCountOnceInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		s := NewState("judge", 1)
+		newest := make(map[source]int64)
+		sum := Tally{}
+		for range rapid.IntRange(1, 60).Draw(t, "reports") {
+			src := source{rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "vm"), rapid.Uint64Range(1, 2).Draw(t, "epoch")}
+			n := rapid.Int64Range(1, 20).Draw(t, "count")
+			newest[src] = max(newest[src], n)
+			d, _ := s.Merge(&wire.Count{Vm: src.vm, Epoch: src.epoch, Version: "m@1", Started: 2 * n, Errors: n})
+			sum = sum.Plus(d.Tally)
+		}
+		want := int64(0)
+		for _, n := range newest {
+			want += n
+		}
+		is.Equal(sum.Errors, want)
+		is.Equal(sum.Started, 2*want)
+	})
+}
+
+// A process's own counts come back to it through a peer, or a broken peer sends
+// counts that cannot be. Neither may change what is known.
+func TestEchoAndNonsenseAreIgnored(t *testing.T) {
+	is := is.New(t)
+	s := NewState("judge", 7)
+	for _, c := range []*wire.Count{
+		{Vm: "judge", Epoch: 7, Version: "m@1", Errors: 5},
+		{Vm: "a", Epoch: 1, Version: "m@1", Errors: -1},
+		{Vm: "a", Epoch: 1, Version: "m@1", Ratings: 1, RatingSum: 9},
+		{Vm: "a", Epoch: 1, Errors: 5},
+	} {
+		_, ok := s.Merge(c)
+		is.True(!ok) // tells nothing
+	}
+	_, ok := s.Merge(&wire.Count{Vm: "judge", Epoch: 6, Version: "m@1", Errors: 5})
+	is.True(ok) // an earlier life of this process counts
+}
+
+// One report is lost. What it told must come again in later ones, or the judge
+// would never learn of it once traffic has stopped.
+func TestLostReportIsMadeGood(t *testing.T) {
+	is := is.New(t)
+	s := NewState("a", 1)
+	s.Reduce(event.Tick{Now: 1})
+	s.Reduce(event.Observed{Version: "m@1", Failed: true})
+	for _, now := range []clock.Millis{reportEvery, 2 * reportEvery, 10 * reportSpan} {
+		_, changed := s.Reduce(event.Tick{Now: now + 1})
+		is.True(changed)
+		is.Equal(s.Report()[0].GetErrors(), int64(1))
+	}
+}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -109,6 +109,9 @@
 	return true
 }
 
+// VMs returns the last list, sorted by ID. Callers may not change it.
+func (s *State) VMs() []platform.VM { return s.vms }
+
 // Members is an immutable picture of the VMs for traffic.
 type Members struct {
 	vms     []platform.VM
--- a/node/node.go
+++ b/node/node.go
@@ -44,12 +44,16 @@
 	// epoch is new at each start of the process.
 	epoch uint64
 	wg    sync.WaitGroup
+	// appends holds a place for each append under way.
+	appends chan struct{}
 }
 
+var errAppendsFull = platform.ErrBusy.New("too many appends under way")
+
 // New makes a node; Start runs it.
 func New(cfg Config) *Node {
-	n := &Node{cfg: cfg, epoch: rand.Uint64()}
-	n.loop = control.NewLoop(control.NewState(cfg.Settings.VM), n.perform)
+	n := &Node{cfg: cfg, epoch: rand.Uint64(), appends: make(chan struct{}, maxAppends)}
+	n.loop = control.NewLoop(control.NewState(cfg.Settings.VM).WithEpoch(n.epoch), n.perform)
 	return n
 }
 
@@ -83,6 +87,7 @@
 	n.run(func() { n.every(ctx, tickEvery, func() { n.loop.Post(ctx, event.Tick{Now: n.cfg.Clock.Now()}) }) })
 	n.run(func() { n.every(ctx, n.cfg.Settings.VMListEvery, func() { n.listVMs(ctx) }) })
 	n.run(func() { n.tail(ctx, platform.ConfigStream) })
+	n.run(func() { n.tail(ctx, platform.HoldStream) })
 }
 
 // Wait waits for the goroutines to end.
@@ -138,7 +143,10 @@
 // perform carries out one effect. It runs on the control goroutine, so all I/O
 // goes to goroutines of its own.
 func (n *Node) perform(e event.Effect) {
-	if e, ok := e.(event.Report); ok {
+	switch e := e.(type) {
+	case event.Report:
 		n.cfg.Log.Info(e.Message, e.Fields...)
+	case event.Append:
+		n.append(e)
 	}
 }
--- a/node/peer.go
+++ b/node/peer.go
@@ -23,6 +23,7 @@
 		Revision:        v.Revision(),
 		Leaving:         v.Draining(),
 		StalenessMillis: int64(n.cfg.Clock.Since(v.ConfirmedAt())),
+		Counts:          v.Counts(),
 	}
 }
 
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -34,6 +34,7 @@
 	NoEndpoint      Code = "no-endpoint"
 	Saturated       Code = "saturated"
 	Withdrawn       Code = "withdrawn"
+	Held            Code = "held"
 	ZoneOut         Code = "zone-out"
 	Leaving         Code = "leaving"
 	Behind          Code = "behind"
--- a/table/check.go
+++ b/table/check.go
@@ -83,6 +83,7 @@
 		key := "routes." + name
 		t.checkCallers(key, r.Organisations, add)
 		checkStale(key, r.WhenStale, add)
+		checkHold(key, r.Hold, add)
 		if len(r.Models) == 0 {
 			add("%s.models: at least one model is needed", key)
 		}
@@ -152,6 +153,15 @@
 	}
 }
 
+func checkHold(key string, h HoldLimits, add faultFunc) {
+	limits := map[string]float64{"errors": h.Errors, "slow": h.Slow, "rating-loss": h.RatingLoss}
+	for name, limit := range limits {
+		if limit < 0 || limit > 0.9 {
+			add("%s.hold.%s: is %v, between 0 (the default) and 0.9 is allowed", key, name, limit)
+		}
+	}
+}
+
 func checkStale(key string, rule StaleRule, add faultFunc) {
 	switch rule {
 	case "", ServeWhenStale, RefuseWhenStale:
--- a/table/table.go
+++ b/table/table.go
@@ -71,6 +71,39 @@
 	Availability float64 `toml:"availability"`
 }
 
+// HoldLimits say from when on a version is held back. Zero fields take the
+// defaults beside them.
+type HoldLimits struct {
+	// Errors is the part of attempts that may fail through the version's fault.
+	Errors float64 `toml:"errors"`
+	// Slow is the part of answers that may miss the route's objective.
+	Slow float64 `toml:"slow"`
+	// RatingLoss is how far the mean rating may lie below the version's quality
+	// in the tables.
+	RatingLoss float64 `toml:"rating-loss"`
+}
+
+// Defaults of HoldLimits.
+const (
+	DefaultHoldErrors     = 0.02
+	DefaultHoldSlow       = 0.2
+	DefaultHoldRatingLoss = 0.1
+)
+
+// WithDefaults returns the limits with zero fields filled.
+func (h HoldLimits) WithDefaults() HoldLimits {
+	if h.Errors == 0 {
+		h.Errors = DefaultHoldErrors
+	}
+	if h.Slow == 0 {
+		h.Slow = DefaultHoldSlow
+	}
+	if h.RatingLoss == 0 {
+		h.RatingLoss = DefaultHoldRatingLoss
+	}
+	return h
+}
+
 // Route says which models and versions organisations may reach under a name.
 type Route struct {
 	// Organisations lists who may use the route.
@@ -90,6 +123,7 @@
 	// Deadline bounds a whole request.
 	Deadline  clock.Millis `toml:"deadline"`
 	Objective Objective    `toml:"objective"`
+	Hold      HoldLimits   `toml:"hold"`
 }
 
 // Service is a plain service reached under /v1/services/{name}.
--- a/view/view.go
+++ b/view/view.go
@@ -5,6 +5,8 @@
 import (
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/membership"
+	"github.com/parsleydeal/parsleydeal/peer/wire"
+	"github.com/parsleydeal/parsleydeal/rollout"
 	"github.com/parsleydeal/parsleydeal/table"
 )
 
@@ -15,6 +17,10 @@
 	confirmedAt clock.Millis
 	members     *membership.Members
 	draining    bool
+	// holds is nil in a view made for a test.
+	holds *rollout.Holds
+	// counts is the report of evidence to other processes.
+	counts []*wire.Count
 }
 
 // New makes a view.
@@ -22,6 +28,21 @@
 	return &View{tables: tables, revision: revision, confirmedAt: confirmedAt, members: members, draining: draining}
 }
 
+// WithEvidence returns a view that also knows the holds in force and this
+// process's report of evidence.
+func (v *View) WithEvidence(holds *rollout.Holds, counts []*wire.Count) *View {
+	c := *v
+	c.holds = holds
+	c.counts = counts
+	return &c
+}
+
+// Holds returns the versions held back from new work.
+func (v *View) Holds() *rollout.Holds { return v.holds }
+
+// Counts returns what this process tells others of the versions it used.
+func (v *View) Counts() []*wire.Count { return v.counts }
+
 // Tables returns the configuration in force; nil before the first one.
 func (v *View) Tables() *table.Tables { return v.tables }
 
