--- a/entry/entry.go
+++ b/entry/entry.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"net"
 	"net/http"
 	"strings"
@@ -61,8 +59,7 @@
 	if !ok || key == "" {
 		return "", refusal.New(refusal.Unauthorised, "a bearer key is needed")
 	}
-	sum := sha256.Sum256([]byte(key))
-	name, ok = v.Tables().OrganisationOf(hex.EncodeToString(sum[:]))
+	name, ok = v.Tables().OrganisationOf(table.HashKey(key))
 	if !ok {
 		return "", refusal.New(refusal.Unauthorised, "the bearer key is unknown")
 	}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -55,6 +55,19 @@
 	return e.runs[request]
 }
 
+// Running returns how many requests the engine is answering.
+func (e *Engine) Running() int64 { return e.running.Load() }
+
+// Started returns how many requests the engine has started.
+func (e *Engine) Started() (n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, runs := range e.runs {
+		n += runs
+	}
+	return n
+}
+
 // Handler returns the engine's interface.
 func (e *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
--- /dev/null
+++ b/system/cluster_test.go
@@ -0,0 +1,369 @@
+package system
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/parsleydeal/parsleydeal/bill"
+	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/peer/wire"
+	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/standin"
+	"github.com/parsleydeal/parsleydeal/table"
+)
+
+// patience bounds the wait for a condition that a healthy system reaches in a
+// moment; it is long so that a busy machine gives the same verdict.
+const patience = 60 * time.Second
+
+const callerKey = "system-key"
+
+// binaries builds the daemons once for all tests of the package.
+var binaries = sync.OnceValues(func() (dir string, err error) {
+	dir, err = os.MkdirTemp("", "parsleydeal-system")
+	if err != nil {
+		return "", err
+	}
+	out, err := exec.Command("go", "build", "-o", dir, "../cmd/...").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("build daemons: %w: %s", err, out)
+	}
+	return dir, nil
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if dir, err := binaries(); err == nil {
+		_ = os.RemoveAll(dir)
+	}
+	os.Exit(code)
+}
+
+// process is one daemon that the test started.
+type process struct {
+	vm       platform.VM
+	callers  string
+	settings string
+	program  string
+	cmd      *exec.Cmd
+	done     chan struct{}
+	output   *bytes.Buffer
+}
+
+// cluster is a whole system: daemons as processes, stand-ins in the test.
+type cluster struct {
+	t         *testing.T
+	platform  *standin.Platform
+	url       string
+	engines   map[string]*standin.Engine
+	plain     map[string]*standin.Plain
+	entries   []*process
+	endpoints []*process
+}
+
+// shape says what a cluster is made of.
+type shape struct {
+	entries   int
+	endpoints int
+	plain     int
+	zones     int
+	// first, gap and tokens describe the engines' answers.
+	first, gap clock.Millis
+	tokens     int
+}
+
+func newCluster(t *testing.T, s shape) *cluster {
+	t.Helper()
+	c := &cluster{t: t, platform: standin.NewPlatform(), engines: make(map[string]*standin.Engine), plain: make(map[string]*standin.Plain)}
+	srv := httptest.NewServer(c.platform.Handler())
+	t.Cleanup(srv.Close)
+	c.url = srv.URL
+	c.platform.SetQuality("small@1", 1)
+	for i := range s.endpoints {
+		c.addEndpoint(i, s)
+	}
+	for i := range s.plain {
+		c.addPlain(i, s)
+	}
+	for i := range s.entries {
+		c.addEntry(i, s)
+	}
+	c.list()
+	c.publish(tables)
+	for _, p := range append(append([]*process{}, c.endpoints...), c.entries...) {
+		c.start(p)
+	}
+	for _, p := range c.entries {
+		c.waitModels(p)
+	}
+	return c
+}
+
+const tables = `
+id = "system-1"
+author = "test"
+kind = "whole"
+base = -1
+[tables.organisations.desk]
+key-hashes = ["%HASH%"]
+weight = 1
+[tables.versions."small@1"]
+input-cost = 100
+output-cost = 300
+quality = 0.9
+[tables.pools.small]
+versions = ["small@1"]
+cold-window = 8
+full-window = 64
+resumes = true
+[tables.pools.records]
+cold-window = 8
+full-window = 64
+[tables.routes.quick]
+organisations = ["desk"]
+models = [{ model = "small", shares = { 1 = 1.0 } }]
+quality-target = 0.5
+[tables.services.records]
+pool = "records"
+organisations = ["desk"]
+repeatable = ["GET"]
+fee = 5
+`
+
+func (c *cluster) publish(text string) {
+	c.t.Helper()
+	text = strings.ReplaceAll(text, "%HASH%", table.HashKey(callerKey))
+	if _, err := platform.NewHTTP(c.url, http.DefaultClient).Log().Append(c.t.Context(), platform.ConfigStream, []byte(text)); err != nil {
+		c.t.Fatalf("publish: %v", err)
+	}
+}
+
+func (c *cluster) list() {
+	var vms []platform.VM
+	for _, p := range append(append([]*process{}, c.endpoints...), c.entries...) {
+		vms = append(vms, p.vm)
+	}
+	c.platform.SetVMs(vms)
+}
+
+func zone(i int, s shape) string { return fmt.Sprintf("zone-%c", 'a'+i%max(s.zones, 1)) }
+
+func (c *cluster) addEndpoint(i int, s shape) {
+	id := fmt.Sprintf("endpoint-%d", i)
+	e := standin.NewEngine(s.first, s.gap, s.tokens)
+	c.engines[id] = e
+	c.addGate(id, zone(i, s), "small", e.Handler(), false)
+}
+
+func (c *cluster) addPlain(i int, s shape) {
+	id := fmt.Sprintf("records-%d", i)
+	e := standin.NewPlain()
+	c.plain[id] = e
+	c.addGate(id, zone(i, s), "records", e.Handler(), true)
+}
+
+func (c *cluster) addGate(id, zone, pool string, h http.Handler, plain bool) {
+	srv := httptest.NewServer(h)
+	c.t.Cleanup(srv.Close)
+	p := &process{program: "parsleydeal-endpoint", vm: platform.VM{ID: id, Role: platform.EndpointRole, Pool: pool, Zone: zone, Region: "here", Address: freeAddress(c.t)}}
+	p.settings = c.common(p) + fmt.Sprintf("[endpoint]\npool = %q\nengine = %q\nplain = %v\n", pool, srv.URL, plain)
+	c.endpoints = append(c.endpoints, p)
+}
+
+func (c *cluster) addEntry(i int, s shape) {
+	p := &process{program: "parsleydeal-entry", callers: freeAddress(c.t), vm: platform.VM{ID: fmt.Sprintf("entry-%d", i), Role: platform.EntryRole, Zone: zone(i, s), Region: "here", Address: freeAddress(c.t)}}
+	p.settings = c.common(p) + fmt.Sprintf("[entry]\ncallers = %q\n", p.callers)
+	c.entries = append(c.entries, p)
+}
+
+func (c *cluster) common(p *process) string {
+	return fmt.Sprintf(`vm = %q
+zone = %q
+region = "here"
+peer = %q
+operators = %q
+platform = %q
+vm-list-every = "100ms"
+[session]
+current = "k"
+[session.keys]
+k = "system test secret of enough bytes"
+`, p.vm.ID, p.vm.Zone, p.vm.Address, freeAddress(c.t), c.url)
+}
+
+func freeAddress(t *testing.T) string {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lis.Close()
+	return lis.Addr().String()
+}
+
+func (c *cluster) start(p *process) {
+	c.t.Helper()
+	dir, err := binaries()
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	file := filepath.Join(c.t.TempDir(), p.vm.ID+".toml")
+	if err = os.WriteFile(file, []byte(p.settings), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+	p.output = &bytes.Buffer{}
+	p.done = make(chan struct{})
+	p.cmd = exec.Command(filepath.Join(dir, p.program), "--settings", file)
+	p.cmd.Stdout, p.cmd.Stderr = p.output, p.output
+	if err = p.cmd.Start(); err != nil {
+		c.t.Fatal(err)
+	}
+	cmd, done := p.cmd, p.done
+	go func() {
+		_ = cmd.Wait()
+		close(done)
+	}()
+	c.t.Cleanup(func() {
+		p.kill()
+		if c.t.Failed() {
+			c.t.Logf("%s:\n%s", p.vm.ID, p.output)
+		}
+	})
+}
+
+// kill ends the process at once, as the loss of its VM does.
+func (p *process) kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// stop asks the process to stop and waits until it has.
+func (p *process) stop(t *testing.T) {
+	t.Helper()
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-p.done:
+	case <-time.After(patience):
+		t.Fatalf("%s did not stop", p.vm.ID)
+	}
+}
+
+func (c *cluster) waitModels(p *process) {
+	c.t.Helper()
+	c.eventually("models at "+p.vm.ID, func() bool {
+		status, _, body := c.call(c.t.Context(), p, http.MethodGet, "/v1/models", "", nil)
+		return status == http.StatusOK && strings.Contains(body, "quick")
+	})
+}
+
+func (c *cluster) eventually(what string, ok func() bool) {
+	c.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	c.t.Fatalf("%s: not reached", what)
+}
+
+// call does one exchange with an entry. Status is 0 when the connection broke.
+func (c *cluster) call(ctx context.Context, p *process, method, path, body string, h http.Header) (status int, header http.Header, text string) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+p.callers+path, strings.NewReader(body))
+	if err != nil {
+		c.t.Error(err)
+		return 0, nil, ""
+	}
+	for name, values := range h {
+		req.Header[name] = values
+	}
+	req.Header.Set("Authorization", "Bearer "+callerKey)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil, err.Error()
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, resp.Header, err.Error()
+	}
+	return resp.StatusCode, resp.Header, string(data)
+}
+
+// result is one chat answer as the caller sees it.
+type result struct {
+	status  int
+	request string
+	run     string
+	text    string
+	whole   bool
+}
+
+// ask streams one chat completion.
+func (c *cluster) ask(p *process, h http.Header) (r result) {
+	const body = `{"model":"quick","stream":true,"messages":[{"role":"user","content":"When is the renewal due?"}]}`
+	status, header, text := c.call(context.Background(), p, http.MethodPost, "/v1/chat/completions", body, h)
+	r.status = status
+	if header != nil {
+		r.request = header.Get("Parsleydeal-Request")
+		r.run = header.Get("Parsleydeal-Run")
+	}
+	for line := range strings.SplitSeq(text, "\n") {
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			r.whole = true
+			continue
+		}
+		var chunk struct {
+			Choices []struct {
+				Delta struct{ Content string }
+			}
+		}
+		if json.Unmarshal([]byte(data), &chunk) == nil && len(chunk.Choices) > 0 {
+			r.text += chunk.Choices[0].Delta.Content
+		}
+	}
+	return r
+}
+
+// wholeText is what an engine of the shape answers.
+func wholeText(s shape) string {
+	var b strings.Builder
+	for i := range s.tokens {
+		fmt.Fprintf(&b, "w%d ", i)
+	}
+	return b.String()
+}
+
+// bills reduces the log's bills to one a request.
+func (c *cluster) bills() map[string]*wire.Bill {
+	c.t.Helper()
+	out := make(map[string]*wire.Bill)
+	for _, data := range c.platform.Records(platform.BillStream) {
+		bills, err := bill.Decode(data)
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		for _, b := range bills {
+			out[b.GetRequest()] = bill.Merge(out[b.GetRequest()], b)
+		}
+	}
+	return out
+}
--- a/table/table.go
+++ b/table/table.go
@@ -4,6 +4,8 @@
 package table
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"slices"
 	"strings"
 
@@ -225,3 +227,9 @@
 	slices.Sort(names)
 	return names
 }
+
+// HashKey returns the digest under which a bearer key stands in the tables.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
