Bills held in two zones, combined appends, claims of keyed calls

Cause: each answer waited for an append of its own; the log takes several hundred a second and its outage refused work that had run. A keyed call that may not run twice had no claim. Change: bill.Ledger (pure) reserves a place before dispatch, asks a holder in another zone, takes over when it goes or is late, hands on at a stop;

The proof package drives fleets of ledgers in virtual time.

--- a/cli/daemon.go
+++ b/cli/daemon.go
@@ -104,6 +104,7 @@
 	}()
 	l.Info("Entry serves callers", "vm", s.VM, "address", callers.Addr())
 	err = e.Serve(ctx, callers)
+	settle(inner, n, l)
 	l.Info("Entry stopped", "vm", s.VM)
 	return err
 }
@@ -129,7 +130,23 @@
 	}
 	n.Drain(inner)
 	e.WaitIdle(inner)
+	settle(inner, n, l)
 	cancel()
 	l.Info("Endpoint stopped", "vm", s.VM)
 	return <-served
 }
+
+// settleLimit bounds how long a stopping process waits for its bills. The
+// platform ends it sooner or later, and waiting longer saves no bill that a
+// holder has.
+const settleLimit = 20 * clock.Second
+
+// settle waits until the process's bills are safe without it.
+func settle(ctx context.Context, n *node.Node, l *log.Logger) {
+	ctx, cancel := context.WithTimeout(ctx, settleLimit.Duration())
+	defer cancel()
+	if n.Billing().Settled(ctx) != nil {
+		own, held := n.Billing().Waiting()
+		l.Warn("Process stops with bills that only one other process has", "own", own, "held", held)
+	}
+}
--- a/cli/operator.go
+++ b/cli/operator.go
@@ -37,7 +37,7 @@
 	if _, err := p.AddGroup("Options", "", &o); err != nil {
 		return exitOf(err)
 	}
-	for _, add := range []func(*flags.Parser) error{addDemo} {
+	for _, add := range []func(*flags.Parser) error{addDemo, addBills} {
 		if err := add(p); err != nil {
 			return exitOf(err)
 		}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -17,6 +17,9 @@
 // attempt runs the request once on one endpoint.
 func (e *Entry) attempt(ctx context.Context, req *work, vm platform.VM, emit func(*wire.Piece) error) (err error) {
 	req.attempts++
+	if done, err := e.claimed(ctx, req, vm, emit); done || err != nil {
+		return err
+	}
 	e.inflight.Add(vm.ID, 1)
 	defer e.inflight.Add(vm.ID, -1)
 	stream, err := e.node.Peers().Gate(ctx, vm.Address).Run(ctx)
@@ -51,6 +54,7 @@
 		PrefixHash:     req.prefix,
 		Entry:          e.node.Settings().VM,
 		Stream:         req.stream,
+		Claim:          req.claim,
 	}
 }
 
--- a/entry/service.go
+++ b/entry/service.go
@@ -20,6 +20,8 @@
 	w http.ResponseWriter
 	// started is true when the status has been sent and cannot change.
 	started bool
+	// printed is the call's fingerprint once it was made.
+	printed []byte
 }
 
 // service answers one call of a plain service. Bodies stream both ways.
@@ -27,7 +29,7 @@
 	c := &call{work: work{id: uuid.NewString(), service: name, path: path, method: r.Method}, r: r, w: w}
 	err := e.openCall(c)
 	if err == nil {
-		err = e.run(r.Context(), &c.work, c.take)
+		err = e.billed(r.Context(), &c.work, c.take)
 	}
 	if err == nil {
 		return
@@ -64,6 +66,7 @@
 	}
 	c.headers = headersOf(c.r.Header)
 	c.send = c.sendBody
+	c.fingerprint = c.print
 	return e.fresh(c.view, s.WhenStale, int64(s.StaleAfter))
 }
 
--- a/entry/work.go
+++ b/entry/work.go
@@ -26,6 +26,14 @@
 	attempts uint32
 	// steps holds what the bill shall list, one a finished attempt.
 	steps []*wire.Step
+	// placed is true once the ledger has the bill and the place taken for it.
+	placed bool
+	// round and claim are the round and log offset of the claim that this
+	// request last held; round is 0 while it held none.
+	round uint32
+	claim int64
+	// fingerprint digests the call for its claim; only plain services set it.
+	fingerprint func() (sum []byte, err error)
 	// send sends the head and the body to a gate.
 	send func(stream wire.DRPCGate_RunClient, head *wire.RunHead) error
 	// bodySpent is true once a body that cannot be read again has been read.
--- a/node/node.go
+++ b/node/node.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"github.com/charmbracelet/log"
+	"github.com/parsleydeal/parsleydeal/claim"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/control"
 	"github.com/parsleydeal/parsleydeal/event"
@@ -42,14 +43,18 @@
 	cfg  Config
 	loop *control.Loop
 	// epoch is new at each start of the process.
-	epoch uint64
-	wg    sync.WaitGroup
+	epoch   uint64
+	wg      sync.WaitGroup
+	billing *Billing
+	claims  claims
 }
 
 // New makes a node; Start runs it.
 func New(cfg Config) *Node {
 	n := &Node{cfg: cfg, epoch: rand.Uint64()}
 	n.loop = control.NewLoop(control.NewState(cfg.Settings.VM), n.perform)
+	n.billing = newBilling(n)
+	n.claims = claims{books: make(map[string]*claim.Book), ctx: context.Background()}
 	return n
 }
 
@@ -83,6 +88,10 @@
 	n.run(func() { n.every(ctx, tickEvery, func() { n.loop.Post(ctx, event.Tick{Now: n.cfg.Clock.Now()}) }) })
 	n.run(func() { n.every(ctx, n.cfg.Settings.VMListEvery, func() { n.listVMs(ctx) }) })
 	n.run(func() { n.tail(ctx, platform.ConfigStream) })
+	n.claims.mu.Lock()
+	n.claims.ctx = ctx
+	n.claims.mu.Unlock()
+	n.billing.run(ctx)
 }
 
 // Wait waits for the goroutines to end.
@@ -91,6 +100,7 @@
 // Drain tells control that this process has been asked to stop.
 func (n *Node) Drain(ctx context.Context) {
 	n.loop.Post(ctx, event.Draining{Now: n.cfg.Clock.Now()})
+	n.billing.Drain()
 }
 
 func (n *Node) run(f func()) {
--- a/node/peer.go
+++ b/node/peer.go
@@ -30,13 +30,3 @@
 func (n *Node) Records(context.Context, *wire.RecordsRequest) (out *wire.RecordsReply, err error) {
 	return &wire.RecordsReply{}, nil
 }
-
-// HoldBills takes bills of another process.
-func (n *Node) HoldBills(context.Context, *wire.HoldBillsRequest) (out *wire.HoldBillsReply, err error) {
-	return &wire.HoldBillsReply{Reason: "not kept here"}, nil
-}
-
-// ReleaseBills drops bills that are on the log.
-func (n *Node) ReleaseBills(context.Context, *wire.ReleaseBillsRequest) (out *wire.ReleaseBillsReply, err error) {
-	return &wire.ReleaseBillsReply{}, nil
-}
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -47,6 +47,7 @@
 	AlreadyRan      Code = "already-ran"
 	Tombstoned      Code = "tombstoned"
 	SessionRejected Code = "session-rejected"
+	KeyReused       Code = "key-reused"
 	Starting        Code = "starting"
 )
 
@@ -60,6 +61,7 @@
 	SessionRejected: http.StatusBadRequest,
 	AlreadyRunning:  http.StatusConflict,
 	AlreadyRan:      http.StatusConflict,
+	KeyReused:       http.StatusUnprocessableEntity,
 	Cancelled:       499,
 	DeadlinePassed:  http.StatusGatewayTimeout,
 	EngineFailed:    http.StatusBadGateway,
