--- a/bill/event.go
+++ b/bill/event.go
@@ -105,4 +105,3 @@
 func (Safe) isEffect()     {}
 func (Release) isEffect()  {}
 func (Accept) isEffect()   {}
-
--- a/bill/ledger.go
+++ b/bill/ledger.go
@@ -47,7 +47,6 @@
 
 func (x *entry) id() string { return x.bill.GetRequest() + "/" + strconv.Itoa(x.edition) }
 
-
 // Ledger keeps bills until they stand on the log. It is a reducer: no clock, no
 // I/O, no random source. One bill is kept by the process that made it and by a
 // holder in another availability zone, which appends it; the keeper appends it
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -73,7 +73,7 @@
 	// next is the offset of the next record to reduce.
 	next int64
 	// keys holds at most bound keys.
-	keys map[string]standing
+	keys  map[string]standing
 	bound int
 	// order holds the keys by their claims, oldest first; a key with a later
 	// claim stands in it again and its earlier places are skipped.
