--- a/node/node.go
+++ b/node/node.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"github.com/charmbracelet/log"
+	"github.com/parsleydeal/parsleydeal/claim"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/control"
 	"github.com/parsleydeal/parsleydeal/event"
@@ -46,6 +47,8 @@
 	wg    sync.WaitGroup
 	// appends holds a place for each append under way.
 	appends chan struct{}
+	billing *Billing
+	claims  claims
 }
 
 var errAppendsFull = platform.ErrBusy.New("too many appends under way")
@@ -54,6 +57,8 @@
 func New(cfg Config) *Node {
 	n := &Node{cfg: cfg, epoch: rand.Uint64(), appends: make(chan struct{}, maxAppends)}
 	n.loop = control.NewLoop(control.NewState(cfg.Settings.VM).WithEpoch(n.epoch), n.perform)
+	n.billing = newBilling(n)
+	n.claims = claims{books: make(map[string]*claim.Book), ctx: context.Background()}
 	return n
 }
 
@@ -88,6 +93,10 @@
 	n.run(func() { n.every(ctx, n.cfg.Settings.VMListEvery, func() { n.listVMs(ctx) }) })
 	n.run(func() { n.tail(ctx, platform.ConfigStream) })
 	n.run(func() { n.tail(ctx, platform.HoldStream) })
+	n.claims.mu.Lock()
+	n.claims.ctx = ctx
+	n.claims.mu.Unlock()
+	n.billing.run(ctx)
 }
 
 // Wait waits for the goroutines to end.
@@ -96,6 +105,7 @@
 // Drain tells control that this process has been asked to stop.
 func (n *Node) Drain(ctx context.Context) {
 	n.loop.Post(ctx, event.Draining{Now: n.cfg.Clock.Now()})
+	n.billing.Drain()
 }
 
 func (n *Node) run(f func()) {
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -114,7 +114,7 @@
 	all := s.control(evidence.Key{Route: k.Route, Version: k.Version}, r)
 	besides := sharesWithAnother(known.Tables, r, Scope{k.Version, k.Organisation}, s.Holds(known.Tables))
 	for i := range signals {
-		if !t[i].Crossed(limits[i], control[i], besides && all[i].N > 0, i == slowing) {
+		if !t[i].Crossed(control[i], besides && all[i].N > 0, i == slowing) {
 			continue
 		}
 		scope := Scope{Version: k.Version, Organisation: k.Organisation}
@@ -221,4 +221,3 @@
 	}
 	return false
 }
-
--- a/rollout/state.go
+++ b/rollout/state.go
@@ -217,4 +217,3 @@
 		}
 	}
 }
-
--- a/rollout/test.go
+++ b/rollout/test.go
@@ -86,7 +86,7 @@
 // overload or a rater gone wrong, from holding whichever version is new.
 // Compared says that versions to compare with are in use at all. With relative set there must be such versions: lateness alone, for one, may
 // as well be the load's fault.
-func (t *Test) Crossed(limit float64, control Sample, compared, relative bool) bool {
+func (t *Test) Crossed(control Sample, compared, relative bool) bool {
 	if t.evidence() < threshold {
 		return false
 	}
