Operations: one operators' port in both daemons

Cause: the designed operators' interface was generated but no daemon served it, so a balancer could not tell a starting or stopping process from a ready one. Change: package operations serves health, readiness, metrics, status and the burn slot on settings.operators; packages add sections and metrics to the node's own set; peers get the same reports by Inspect. A stopping entry is not ready for entry.leave-delay before it drains.

--- a/cli/daemon.go
+++ b/cli/daemon.go
@@ -7,7 +7,9 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/jessevdk/go-flags"
@@ -15,6 +17,7 @@
 	"github.com/parsleydeal/parsleydeal/endpoint"
 	"github.com/parsleydeal/parsleydeal/entry"
 	"github.com/parsleydeal/parsleydeal/node"
+	"github.com/parsleydeal/parsleydeal/operations"
 	"github.com/parsleydeal/parsleydeal/peer"
 	"github.com/parsleydeal/parsleydeal/platform"
 	"github.com/parsleydeal/parsleydeal/settings"
@@ -82,7 +85,45 @@
 	})
 }
 
-// RunEntry serves as an entry until the context ends, then drains.
+// process is what both daemons run around their own part.
+type process struct {
+	settings settings.Settings
+	node     *node.Node
+	log      *log.Logger
+	port     *operations.Port
+	// leaving is set when the process was asked to stop.
+	leaving atomic.Bool
+}
+
+func newProcess(program string, s settings.Settings, l *log.Logger) *process {
+	p := &process{settings: s, node: newNode(s, l), log: l}
+	p.port = operations.New(program, version(), p.node)
+	p.port.SetLeaving(p.leaving.Load)
+	return p
+}
+
+// start runs the node and the operators' interface until the context ends.
+func (p *process) start(ctx context.Context) (err error) {
+	p.node.Start(ctx)
+	if p.settings.Operators == "" {
+		return nil
+	}
+	lis, err := net.Listen("tcp", p.settings.Operators)
+	if err != nil {
+		return err
+	}
+	p.log.Info("Operators' interface is open", "vm", p.settings.VM, "address", lis.Addr())
+	go func() {
+		if err := p.port.Serve(ctx, lis); err != nil {
+			p.log.Error("Operators' interface failed", "vm", p.settings.VM, "error", err)
+		}
+	}()
+	return nil
+}
+
+// RunEntry serves as an entry until the context ends, then drains: it is not
+// ready for the leave delay while it still serves, then takes no new work and
+// lets the requests in flight finish.
 func RunEntry(ctx context.Context, s settings.Settings, l *log.Logger) (err error) {
 	peers, err := net.Listen("tcp", s.Peer)
 	if err != nil {
@@ -92,18 +133,26 @@
 	if err != nil {
 		return err
 	}
-	n := newNode(s, l)
-	e := entry.New(n)
+	p := newProcess("parsleydeal-entry", s, l)
+	e := entry.New(p.node)
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	n.Start(inner)
+	if err = p.start(inner); err != nil {
+		return err
+	}
 	go func() { _ = e.ServePeers(inner, peers) }()
+	serving, stopServing := context.WithCancel(inner)
+	defer stopServing()
 	go func() {
+		defer stopServing()
 		<-ctx.Done()
-		n.Drain(inner)
+		p.leaving.Store(true)
+		l.Info("Entry leaves", "vm", s.VM, "delay", s.Entry.LeaveDelay)
+		time.Sleep(s.Entry.LeaveDelay.Duration())
+		p.node.Drain(inner)
 	}()
 	l.Info("Entry serves callers", "vm", s.VM, "address", callers.Addr())
-	err = e.Serve(ctx, callers)
+	err = e.Serve(serving, callers)
 	l.Info("Entry stopped", "vm", s.VM)
 	return err
 }
@@ -114,11 +163,15 @@
 	if err != nil {
 		return err
 	}
-	n := newNode(s, l)
-	e := endpoint.New(n)
+	p := newProcess("parsleydeal-endpoint", s, l)
+	e := endpoint.New(p.node)
+	e.Measure()
+	p.port.Add(operations.Section{Name: "window", Read: e.WindowStatus})
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	n.Start(inner)
+	if err = p.start(inner); err != nil {
+		return err
+	}
 	served := make(chan error, 1)
 	go func() { served <- e.Serve(inner, peers) }()
 	l.Info("Endpoint serves entries", "vm", s.VM, "address", peers.Addr())
@@ -127,7 +180,8 @@
 		return err
 	case <-ctx.Done():
 	}
-	n.Drain(inner)
+	p.leaving.Store(true)
+	p.node.Drain(inner)
 	e.WaitIdle(inner)
 	cancel()
 	l.Info("Endpoint stopped", "vm", s.VM)
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -35,13 +35,17 @@
 func (c *completion) WriteTo(w io.Writer) (n int64, err error) {
 	rw := w.(http.ResponseWriter)
 	request := uuid.NewString()
+	end := c.entry.meter.begin()
 	req, err := c.parse(request)
 	if err != nil {
+		end("", 0, err)
 		writeRefusal(rw, request, err)
 		return 0, nil
 	}
 	answer := newAnswer(rw, req)
-	if err = c.entry.run(c.ctx, req, answer.take); err != nil {
+	err = c.entry.run(c.ctx, req, answer.take)
+	end(req.routeName, req.attempts, err)
+	if err != nil {
 		answer.fail(err)
 		return 0, nil
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -24,12 +24,13 @@
 	node     *node.Node
 	inflight *choice.Inflight
 	sessions *session.Keys
+	meter    *meter
 }
 
 // New makes an entry over a node; ServePeers and Handler run it.
 func New(n *node.Node) *Entry {
 	s := n.Settings().Session
-	return &Entry{node: n, inflight: choice.NewInflight(), sessions: session.NewKeys(s.Keys, s.Current)}
+	return &Entry{node: n, inflight: choice.NewInflight(), sessions: session.NewKeys(s.Keys, s.Current), meter: newMeter(n.Metrics())}
 }
 
 // ServePeers answers peers on a listener until the context ends.
--- /dev/null
+++ b/entry/meter.go
@@ -0,0 +1,106 @@
+package entry
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/parsleydeal/parsleydeal/refusal"
+)
+
+// maxSeries bounds the series that callers' requests can make; later ones are
+// counted under the route "other". Routes come from the tables only, never
+// from what callers send.
+const maxSeries = 2048
+
+// whole is the code of a request that got its whole answer.
+const whole = "whole"
+
+// meter counts requests by route and code.
+type meter struct {
+	set *metrics.Set
+	mu  sync.Mutex
+	// requests holds at most maxSeries counters.
+	requests map[seriesKey]*metrics.Counter
+	// durations holds at most maxSeries histograms.
+	durations map[string]*metrics.Histogram
+	attempts  *metrics.Counter
+	active    *metrics.Gauge
+}
+
+type seriesKey struct{ route, code, run string }
+
+func newMeter(set *metrics.Set) *meter {
+	return &meter{
+		set: set, requests: make(map[seriesKey]*metrics.Counter), durations: make(map[string]*metrics.Histogram),
+		attempts: set.GetOrCreateCounter("parsleydeal_attempts_total"),
+		active:   set.GetOrCreateGauge("parsleydeal_requests_active", nil),
+	}
+}
+
+// begin counts a request as active until the function it returns is called
+// with the request's end. Route is empty while none was admitted.
+func (m *meter) begin() (end func(route string, attempts uint32, err error)) {
+	start := time.Now()
+	m.active.Inc()
+	return func(route string, attempts uint32, err error) {
+		m.active.Dec()
+		m.attempts.Add(int(attempts))
+		if route == "" {
+			route = "none"
+		}
+		code, run := whole, string(refusal.Ran)
+		if err != nil {
+			r := refusalOf(err)
+			code, run = string(r.Code()), string(r.Run())
+		}
+		m.counter(seriesKey{route, code, run}).Inc()
+		if err == nil {
+			m.duration(route).Update(time.Since(start).Seconds())
+		}
+	}
+}
+
+func (m *meter) counter(k seriesKey) *metrics.Counter {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c, ok := m.requests[k]
+	if ok {
+		return c
+	}
+	if len(m.requests) >= maxSeries {
+		k.route = "other"
+	}
+	c = m.set.GetOrCreateCounter(fmt.Sprintf("parsleydeal_requests_total{route=%q,code=%q,run=%q}", k.route, k.code, k.run))
+	if len(m.requests) < maxSeries {
+		m.requests[k] = c
+	}
+	return c
+}
+
+func (m *meter) duration(route string) *metrics.Histogram {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h, ok := m.durations[route]
+	if ok {
+		return h
+	}
+	if len(m.durations) >= maxSeries {
+		route = "other"
+	}
+	h = m.set.GetOrCreateHistogram(fmt.Sprintf("parsleydeal_request_duration_seconds{route=%q}", route))
+	if len(m.durations) < maxSeries {
+		m.durations[route] = h
+	}
+	return h
+}
+
+// refusalOf returns the refusal in an error. An error of any other kind leaves
+// open whether the request ran.
+func refusalOf(err error) *refusal.Refusal {
+	if r, ok := refusal.As(err); ok {
+		return r
+	}
+	return refusal.New(refusal.EngineFailed, err.Error()).WithRun(refusal.Unknown)
+}
--- a/entry/service.go
+++ b/entry/service.go
@@ -25,10 +25,12 @@
 // service answers one call of a plain service. Bodies stream both ways.
 func (e *Entry) service(w http.ResponseWriter, r *http.Request, name, path string) {
 	c := &call{work: work{id: uuid.NewString(), service: name, path: path, method: r.Method}, r: r, w: w}
+	end := e.meter.begin()
 	err := e.openCall(c)
 	if err == nil {
 		err = e.run(r.Context(), &c.work, c.take)
 	}
+	end(c.label(), c.attempts, err)
 	if err == nil {
 		return
 	}
@@ -41,6 +43,14 @@
 	panic(http.ErrAbortHandler)
 }
 
+// label names the service in metrics, once the call was admitted.
+func (c *call) label() string {
+	if c.pool == "" {
+		return ""
+	}
+	return "services/" + c.service
+}
+
 func (e *Entry) openCall(c *call) (err error) {
 	if c.view, err = e.current(); err != nil {
 		return err
--- a/node/node.go
+++ b/node/node.go
@@ -6,7 +6,9 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/control"
@@ -44,11 +46,15 @@
 	// epoch is new at each start of the process.
 	epoch uint64
 	wg    sync.WaitGroup
+	// metrics holds this process's own metrics, so that several nodes in one
+	// process keep theirs apart.
+	metrics *metrics.Set
+	reports atomic.Pointer[ReportFunc]
 }
 
 // New makes a node; Start runs it.
 func New(cfg Config) *Node {
-	n := &Node{cfg: cfg, epoch: rand.Uint64()}
+	n := &Node{cfg: cfg, epoch: rand.Uint64(), metrics: metrics.NewSet()}
 	n.loop = control.NewLoop(control.NewState(cfg.Settings.VM), n.perform)
 	return n
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -54,6 +54,9 @@
 	Callers string `toml:"callers"`
 	// MaxBody bounds a chat request's body, in bytes.
 	MaxBody int64 `toml:"max-body"`
+	// LeaveDelay is how long the entry is not ready but still serves before it
+	// drains, so that the balancer stops sending first.
+	LeaveDelay clock.Millis `toml:"leave-delay"`
 }
 
 // Endpoint configures an endpoint.
