Settings: one table of options, every fault with its line

Cause: the decoder stopped at the first wrong type, and nothing but types and unknown keys was checked; a daemon could start with a session key that does not exist or a certificate without its key. Change: settings.Options is the one table of keys, defaults, allowed values and meaning. Check reports unknown keys, wrong types, values and combinations that cannot take effect, all at once with line and key. New settings for limits and TLS stand in it. OPERATORS.md shows the table and a test compares them. A setting without a row fails TestTableHasEveryOption.

--- a/cli/daemon.go
+++ b/cli/daemon.go
@@ -31,17 +31,17 @@
 
 // Entry runs parsleydeal-entry and returns its exit code.
 func Entry(args []string) int {
-	return exitOf(daemon("parsleydeal-entry", args, RunEntry))
+	return exitOf(daemon("parsleydeal-entry", settings.EntryProgram, args, RunEntry))
 }
 
 // Endpoint runs parsleydeal-endpoint and returns its exit code.
 func Endpoint(args []string) int {
-	return exitOf(daemon("parsleydeal-endpoint", args, RunEndpoint))
+	return exitOf(daemon("parsleydeal-endpoint", settings.EndpointProgram, args, RunEndpoint))
 }
 
 type runFunc func(ctx context.Context, s settings.Settings, l *log.Logger) error
 
-func daemon(name string, args []string, run runFunc) (err error) {
+func daemon(name string, kind settings.Program, args []string, run runFunc) (err error) {
 	var o daemonOptions
 	p := flags.NewNamedParser(name, flags.HelpFlag|flags.PassDoubleDash)
 	if _, err = p.AddGroup("Options", "", &o); err != nil {
@@ -57,7 +57,7 @@
 	if o.Settings == "" {
 		return fmt.Errorf("%s: --settings is needed: %w", name, errUsage)
 	}
-	s, err := settings.Read(o.Settings)
+	s, err := settings.ReadFor(o.Settings, kind)
 	if err != nil || o.Check {
 		return err
 	}
--- /dev/null
+++ b/settings/check_test.go
@@ -0,0 +1,62 @@
+package settings
+
+import (
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+)
+
+// An operator writes a file with several slips. A daemon that named only the
+// first, or ran on a default in place of a misspelt key, would cost a start for
+// each slip, or serve for weeks without the limit that was meant.
+func TestCheckNamesEveryFault(t *testing.T) {
+	programs := map[string]Program{"entry": EntryProgram, "endpoint": EndpointProgram, "any": AnyProgram}
+	datadriven.RunTest(t, "testdata/check", func(_ *testing.T, d *datadriven.TestData) string {
+		_, faults := Check([]byte(d.Input), programs[d.Cmd])
+		var b strings.Builder
+		for _, f := range faults {
+			b.WriteString(strings.TrimPrefix(f.String(), ":") + "\n")
+		}
+		if len(faults) == 0 {
+			return "no faults\n"
+		}
+		return b.String()
+	})
+}
+
+// A setting that is read but stands in no table has no check and no page.
+func TestTableHasEveryOption(t *testing.T) {
+	is := is.New(t)
+	var inTable []string
+	for _, o := range Options {
+		inTable = append(inTable, o.Key)
+		is.True(o.Doc != "" && o.Allowed != "")
+	}
+	keys := Keys()
+	slices.Sort(keys)
+	slices.Sort(inTable)
+	is.Equal(inTable, keys)
+}
+
+func TestPageShowsTheTable(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../docs/OPERATORS.md")
+	is.NoErr(err)
+	is.True(strings.Contains(string(page), Markdown())) // `parsleydeal check --options` prints the table
+}
+
+func FuzzCheck(f *testing.F) {
+	f.Add([]byte("vm = \"a\"\n[session.keys]\nk = 3\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		_, faults := Check(data, EntryProgram)
+		if len(faults) == 0 {
+			if _, err := Parse(data); err != nil {
+				t.Fatalf("no faults, yet it does not parse: %v", err)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/settings/options.go
@@ -0,0 +1,201 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"slices"
+
+	"github.com/parsleydeal/parsleydeal/clock"
+)
+
+// Program is the program that settings are written for.
+type Program int
+
+// The programs. AnyProgram stands for the one whose section the file has.
+const (
+	AnyProgram Program = iota
+	EntryProgram
+	EndpointProgram
+	OperatorProgram
+)
+
+// Option is one row of the table of options.
+type Option struct {
+	// Key is the dotted key. A last part of "*" stands for names that operators
+	// choose.
+	Key string
+	// Allowed says which values may stand here, for faults and for the page.
+	Allowed string
+	// Doc says what the option does.
+	Doc string
+	// needed lists the programs that cannot run without the option.
+	needed []Program
+	// ok judges the value; nil allows every value of the right type.
+	ok func(s *Settings) bool
+}
+
+const (
+	minBody     = 1 << 10
+	maxBody     = 256 << 20
+	minHeaders  = 4 << 10
+	maxHeaders  = 1 << 20
+	minSecret   = 32
+	maxTimeout  = clock.Hour
+	spanAllowed = "a span such as \"250ms\" or \"6s\""
+)
+
+var (
+	daemons      = []Program{EntryProgram, EndpointProgram}
+	everyProgram = []Program{EntryProgram, EndpointProgram, OperatorProgram}
+	entryOnly    = []Program{EntryProgram}
+	endpointOnly = []Program{EndpointProgram}
+)
+
+// Options is the table of all options. OPERATORS.md shows it.
+var Options = slices.Concat(commonOptions, tlsOptions, entryOptions, endpointOptions)
+
+var commonOptions = []Option{
+	{Key: "vm", Allowed: "a name", Doc: "name of this VM, as in the platform's VM list", needed: daemons},
+	{Key: "zone", Allowed: "a name", Doc: "availability zone of this VM", needed: daemons},
+	{Key: "region", Allowed: "a name", Doc: "region of this VM", needed: daemons},
+	{
+		Key: "peer", Allowed: "an IP number and port", Doc: "address of the interface for the system's own processes", needed: daemons,
+		ok: func(s *Settings) bool { return isAddress(s.Peer) },
+	},
+	{
+		Key: "operators", Allowed: "an IP number and port that no other interface has", Doc: "address of the operators' interface; without it there is none",
+		ok: func(s *Settings) bool {
+			return isAddress(s.Operators) && s.Operators != s.Peer && s.Operators != s.Entry.Callers
+		},
+	},
+	{
+		Key: "platform", Allowed: "an http or https URL", Doc: "base URL of the platform's services", needed: everyProgram,
+		ok: func(s *Settings) bool { return isURL(s.Platform) },
+	},
+	{
+		Key: "vm-list-every", Allowed: "50ms to 1m", Doc: "span between two readings of the VM list",
+		ok: func(s *Settings) bool { return between(s.VMListEvery, 50, clock.Minute) },
+	},
+	{
+		Key: "log.level", Allowed: "\"debug\", \"info\", \"warn\" or \"error\"", Doc: "lowest level that is logged",
+		ok: func(s *Settings) bool { return oneOf(s.Log.Level, "debug", "info", "warn", "error") },
+	},
+	{
+		Key: "log.format", Allowed: "\"text\" or \"json\"", Doc: "form of the log lines on standard error",
+		ok: func(s *Settings) bool { return oneOf(s.Log.Format, "text", "json") },
+	},
+	{
+		Key: "session.keys.*", Allowed: fmt.Sprintf("a secret of at least %d bytes", minSecret), Doc: "secrets that sign session tokens, by key name; the same in all entries", needed: entryOnly,
+		ok: func(s *Settings) bool {
+			for _, secret := range s.Session.Keys {
+				if len(secret) < minSecret {
+					return false
+				}
+			}
+			return len(s.Session.Keys) > 0
+		},
+	},
+	{
+		Key: "session.current", Allowed: "the name of one of session.keys", Doc: "key that signs new tokens; the others still verify", needed: entryOnly,
+		ok: func(s *Settings) bool { return s.Session.Keys[s.Session.Current] != "" },
+	},
+}
+
+var tlsOptions = slices.Concat(
+	[]Option{{
+		Key: "tls.reload-every", Allowed: "100ms to 1h", Doc: "span between two looks at the certificate files",
+		ok: func(s *Settings) bool { return between(s.TLS.ReloadEvery, 100, clock.Hour) },
+	}},
+	certificateOptions("callers", "the callers' interface", func(s *Settings) Certificate { return s.TLS.Callers }, false),
+	certificateOptions("operators", "the operators' interface", func(s *Settings) Certificate { return s.TLS.Operators }, false),
+	certificateOptions("peers", "the interface for the system's own processes", func(s *Settings) Certificate { return s.TLS.Peers }, true),
+)
+
+// certificateOptions returns the rows of one interface. Mutual TLS needs
+// authorities wherever there is a certificate.
+func certificateOptions(name, what string, of func(s *Settings) Certificate, mutual bool) []Option {
+	beside, verified := "key", "callers of "+what
+	if mutual {
+		beside, verified = "key and authorities", "both sides of "+what
+	}
+	return []Option{
+		{
+			Key: "tls." + name + ".certificate", Allowed: "a file, beside " + beside, Doc: "PEM file of the certificate of " + what + "; without it there is no TLS",
+			ok: func(s *Settings) bool {
+				c := of(s)
+				return c.Certificate == "" || c.Key != "" && (c.Authorities != "" || !mutual)
+			},
+		},
+		{
+			Key: "tls." + name + ".key", Allowed: "a file, beside certificate", Doc: "PEM file of the certificate's private key",
+			ok: func(s *Settings) bool { c := of(s); return c.Key == "" || c.Certificate != "" },
+		},
+		{
+			Key: "tls." + name + ".authorities", Allowed: "a file, beside certificate and key", Doc: "PEM file of the authorities of which " + verified + " must have a certificate",
+			ok: func(s *Settings) bool { c := of(s); return c.Authorities == "" || c.Certificate != "" },
+		},
+	}
+}
+
+var entryOptions = []Option{
+	{
+		Key: "entry.callers", Allowed: "an IP number and port that no other interface has", Doc: "address of the callers' interface", needed: entryOnly,
+		ok: func(s *Settings) bool { return isAddress(s.Entry.Callers) && s.Entry.Callers != s.Peer },
+	},
+	{
+		Key: "entry.max-body", Allowed: fmt.Sprintf("%d to %d bytes", minBody, maxBody), Doc: "largest body of a chat request, in bytes; bodies of plain services stream and have no limit",
+		ok: func(s *Settings) bool { return between(s.Entry.MaxBody, minBody, maxBody) },
+	},
+	{
+		Key: "entry.max-headers", Allowed: fmt.Sprintf("%d to %d bytes", minHeaders, maxHeaders), Doc: "largest headers of a request, in bytes",
+		ok: func(s *Settings) bool { return between(s.Entry.MaxHeaders, minHeaders, maxHeaders) },
+	},
+	{
+		Key: "entry.max-connections", Allowed: "1 to 1000000", Doc: "most connections callers may hold open; further ones wait in the system's backlog",
+		ok: func(s *Settings) bool { return between(s.Entry.MaxConnections, 1, 1000000) },
+	},
+	{
+		Key: "entry.header-timeout", Allowed: "100ms to 1h", Doc: "longest time a request's headers may take to arrive",
+		ok: func(s *Settings) bool { return between(s.Entry.HeaderTimeout, 100, maxTimeout) },
+	},
+	{
+		Key: "entry.body-timeout", Allowed: "100ms to 1h", Doc: "longest pause in which a request's body does not grow",
+		ok: func(s *Settings) bool { return between(s.Entry.BodyTimeout, 100, maxTimeout) },
+	},
+	{
+		Key: "entry.write-timeout", Allowed: "100ms to 1h", Doc: "longest pause in which a caller takes nothing of its answer",
+		ok: func(s *Settings) bool { return between(s.Entry.WriteTimeout, 100, maxTimeout) },
+	},
+	{
+		Key: "entry.idle-timeout", Allowed: "100ms to 1h", Doc: "longest life of a connection without a request",
+		ok: func(s *Settings) bool { return between(s.Entry.IdleTimeout, 100, maxTimeout) },
+	},
+	{
+		Key: "entry.leave-delay", Allowed: "0s to 1m", Doc: "how long a stopping entry is not ready but still serves, so that the balancer stops sending first",
+		ok: func(s *Settings) bool { return between(s.Entry.LeaveDelay, 0, clock.Minute) },
+	},
+}
+
+var endpointOptions = []Option{
+	{Key: "endpoint.pool", Allowed: "the name of a pool", Doc: "pool that this endpoint belongs to", needed: endpointOnly},
+	{
+		Key: "endpoint.engine", Allowed: "an http or https URL", Doc: "base URL of the engine or plain service on this VM", needed: endpointOnly,
+		ok: func(s *Settings) bool { return isURL(s.Endpoint.Engine) },
+	},
+	{Key: "endpoint.plain", Allowed: "true or false", Doc: "true before a plain service, false before a model engine"},
+}
+
+func isAddress(text string) bool {
+	_, err := netip.ParseAddrPort(text)
+	return err == nil
+}
+
+func isURL(text string) bool {
+	u, err := url.Parse(text)
+	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
+}
+
+func oneOf(text string, allowed ...string) bool { return slices.Contains(allowed, text) }
+
+func between[N ~int | ~int64](n, low, high N) bool { return low <= n && n <= high }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -1,9 +1,11 @@
-// Package settings reads and checks the TOML settings of the daemons.
+// Package settings reads and checks the TOML settings of the daemons and of the
+// operators' program.
 package settings
 
 import (
 	"bytes"
 	"os"
+	"strings"
 
 	"github.com/joomcode/errorx"
 	"github.com/parsleydeal/parsleydeal/clock"
@@ -17,7 +19,8 @@
 var ErrInvalid = Errors.NewType("invalid")
 
 // Settings configures one process. Every process has the common part; the entry
-// and endpoint parts belong to their daemons.
+// and endpoint parts belong to their daemons. Each field has its row in the
+// table of options.
 type Settings struct {
 	VM     string `toml:"vm"`
 	Zone   string `toml:"zone"`
@@ -28,6 +31,7 @@
 	Operators string   `toml:"operators"`
 	Platform  string   `toml:"platform"`
 	Log       Log      `toml:"log"`
+	TLS       TLS      `toml:"tls"`
 	Session   Session  `toml:"session"`
 	Entry     Entry    `toml:"entry"`
 	Endpoint  Endpoint `toml:"endpoint"`
@@ -41,6 +45,25 @@
 	Format string `toml:"format"`
 }
 
+// TLS configures certificates by interface. An interface without a certificate
+// speaks plain TCP.
+type TLS struct {
+	// ReloadEvery is the span between two looks at the files.
+	ReloadEvery clock.Millis `toml:"reload-every"`
+	Callers     Certificate  `toml:"callers"`
+	Operators   Certificate  `toml:"operators"`
+	Peers       Certificate  `toml:"peers"`
+}
+
+// Certificate names the PEM files of one interface.
+type Certificate struct {
+	Certificate string `toml:"certificate"`
+	Key         string `toml:"key"`
+	// Authorities verify the other side. Set, the other side must show a
+	// certificate.
+	Authorities string `toml:"authorities"`
+}
+
 // Session configures the signing of session tokens.
 type Session struct {
 	// Keys are secrets by key name; the first in order of Current signs.
@@ -54,6 +77,19 @@
 	Callers string `toml:"callers"`
 	// MaxBody bounds a chat request's body, in bytes.
 	MaxBody int64 `toml:"max-body"`
+	// MaxHeaders bounds a request's headers, in bytes.
+	MaxHeaders int `toml:"max-headers"`
+	// MaxConnections bounds the callers' open connections.
+	MaxConnections int `toml:"max-connections"`
+	// HeaderTimeout bounds the arrival of a request's headers.
+	HeaderTimeout clock.Millis `toml:"header-timeout"`
+	// BodyTimeout bounds the pause in which a request's body does not grow.
+	BodyTimeout clock.Millis `toml:"body-timeout"`
+	// WriteTimeout bounds the pause in which a caller takes nothing of its
+	// answer.
+	WriteTimeout clock.Millis `toml:"write-timeout"`
+	// IdleTimeout bounds an open connection without a request.
+	IdleTimeout clock.Millis `toml:"idle-timeout"`
 	// LeaveDelay is how long the entry is not ready but still serves before it
 	// drains, so that the balancer stops sending first.
 	LeaveDelay clock.Millis `toml:"leave-delay"`
@@ -70,24 +106,36 @@
 // Default returns the settings before a file is read.
 func Default() Settings {
 	return Settings{
-		Log:         Log{Level: "info", Format: "text"},
-		Entry:       Entry{MaxBody: 4 << 20},
+		Log: Log{Level: "info", Format: "text"},
+		TLS: TLS{ReloadEvery: 10 * clock.Second},
+		Entry: Entry{
+			MaxBody: 4 << 20, MaxHeaders: 64 << 10, MaxConnections: 20000,
+			HeaderTimeout: 10 * clock.Second, BodyTimeout: 30 * clock.Second, WriteTimeout: 30 * clock.Second, IdleTimeout: 2 * clock.Minute,
+		},
 		VMListEvery: clock.Second,
 	}
 }
 
-// Read reads a file of settings over the defaults.
-func Read(path string) (s Settings, err error) {
-	defer func() {
-		if err != nil {
-			err = ErrInvalid.Wrap(err, "read %s", path)
-		}
-	}()
+// Read reads and checks a file of settings over the defaults, for whichever
+// program the file is written for.
+func Read(path string) (s Settings, err error) { return ReadFor(path, AnyProgram) }
+
+// ReadFor reads and checks a file of settings for one program. ErrInvalid lists
+// every fault with its line.
+func ReadFor(path string, p Program) (s Settings, err error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return s, err
+		return s, ErrInvalid.Wrap(err, "read settings")
+	}
+	s, faults := Check(data, p)
+	if len(faults) == 0 {
+		return s, nil
+	}
+	lines := make([]string, len(faults))
+	for i, f := range faults {
+		lines[i] = path + f.String()
 	}
-	return Parse(data)
+	return s, ErrInvalid.New("%s", strings.Join(lines, "\n"))
 }
 
 // Parse reads settings over the defaults; unknown keys are errors.
