--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,12 +23,19 @@
 	inflight *choice.Inflight
 	sessions *session.Keys
 	raters   *raters
+	meter    *meter
 }
 
 // New makes an entry over a node; ServePeers and Handler run it.
 func New(n *node.Node) *Entry {
 	s := n.Settings().Session
-	return &Entry{node: n, inflight: choice.NewInflight(), sessions: session.NewKeys(s.Keys, s.Current), raters: newRaters()}
+	return &Entry{
+		node:     n,
+		inflight: choice.NewInflight(),
+		sessions: session.NewKeys(s.Keys, s.Current),
+		raters:   newRaters(),
+		meter:    newMeter(n.Metrics()),
+	}
 }
 
 // ServePeers answers peers on a listener until the context ends.
--- a/node/node.go
+++ b/node/node.go
@@ -6,7 +6,9 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 	"github.com/parsleydeal/parsleydeal/claim"
 	"github.com/parsleydeal/parsleydeal/clock"
@@ -47,6 +49,10 @@
 	wg    sync.WaitGroup
 	// appends holds a place for each append under way.
 	appends chan struct{}
+	// metrics holds this process's own metrics, so that several nodes in one
+	// process keep theirs apart.
+	metrics *metrics.Set
+	reports atomic.Pointer[ReportFunc]
 	billing *Billing
 	claims  claims
 }
@@ -55,7 +61,8 @@
 
 // New makes a node; Start runs it.
 func New(cfg Config) *Node {
-	n := &Node{cfg: cfg, epoch: rand.Uint64(), appends: make(chan struct{}, maxAppends)}
+	n := &Node{cfg: cfg, epoch: rand.Uint64(), metrics: metrics.NewSet()}
+	n.appends = make(chan struct{}, maxAppends)
 	n.loop = control.NewLoop(control.NewState(cfg.Settings.VM).WithEpoch(n.epoch), n.perform)
 	n.billing = newBilling(n)
 	n.claims = claims{books: make(map[string]*claim.Book), ctx: context.Background()}
