Quality: cheapest plan whose lower bound meets the target, cascades under one bill

Cause: the choice believed the tables' quality for ever and never used a cascade. Change: package quality (estimates from merged sums, plans, sampler), choice.Plans, entry runs cascades with the rater's word; demo starts its processes when the VM list is complete (an entry that read an empty list first refused the first request).

--- a/bench/rollout.go
+++ b/bench/rollout.go
@@ -196,7 +196,7 @@
 	if version == oldVersion {
 		known = 1 << 20
 	}
-	if e.sampler.Take(r.now, known) && r.rng.Float64() > ratingLoss {
+	if e.sampler.Take(r.now, known, false) && r.rng.Float64() > ratingLoss {
 		score := 0.0
 		if r.rng.Float64() < rating {
 			score = 1
--- a/choice/version.go
+++ b/choice/version.go
@@ -2,42 +2,14 @@
 package choice
 
 import (
-	"cmp"
 	"encoding/binary"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/parsleydeal/parsleydeal/rollout"
 	"github.com/parsleydeal/parsleydeal/table"
-	"github.com/parsleydeal/parsleydeal/view"
 )
 
-// Version picks the cheapest model of a route whose quality meets the target
-// and, within it, the version that the request's hash falls on. Ok is false
-// when nothing meets the target.
-func Version(v *view.View, r table.Route, organisation string, hash uint64) (version string, ok bool) {
-	t := v.Tables()
-	models := slices.Clone(r.Models)
-	slices.SortStableFunc(models, func(a, b table.RouteModel) int {
-		return cmp.Compare(costOf(t, a), costOf(t, b))
-	})
-	for _, m := range models {
-		version = Share(t, v.Holds(), m, organisation, hash)
-		if version != "" && t.Versions[version].Quality >= r.QualityTarget {
-			return version, true
-		}
-	}
-	return "", false
-}
-
-func costOf(t *table.Tables, m table.RouteModel) (cost float64) {
-	for number, share := range m.Shares {
-		v := t.Versions[table.VersionName(m.Model, number)]
-		cost += share * float64(v.InputCost+v.OutputCost)
-	}
-	return cost
-}
-
 // Share picks the version of a model on which a hash falls, so that shares hold
 // over all processes without shared state. A hash that falls on a version that
 // is withdrawn or held for the organisation falls a second time, on the others
--- a/cli/demo.go
+++ b/cli/demo.go
@@ -43,7 +43,11 @@
 	vms      []platform.VM
 	base     string
 	callers  []string
-	log      *log.Logger
+	engines  []*standin.Engine
+	// processes start when the VM list is complete, so that none reads an empty
+	// one first.
+	processes []func() error
+	log       *log.Logger
 }
 
 // Demo runs the whole system in this process, serves requests and prints what
@@ -79,26 +83,31 @@
 		}
 	}
 	d.platform.SetVMs(d.vms)
+	for _, f := range d.processes {
+		d.spawn(f)
+	}
 	return nil
 }
 
 func (d *demo) startZone(ctx context.Context, zone string, number int) (err error) {
 	const first, gap, tokens = 20, 5, 12
 	for i, pool := range []string{"small", "large"} {
-		url, err := serve(ctx, standin.NewEngine(first, gap, tokens).Handler())
+		engine := standin.NewEngine(first, gap, tokens)
+		d.engines = append(d.engines, engine)
+		url, err := serve(ctx, engine.Handler())
 		if err != nil {
 			return err
 		}
 		s := d.settings(fmt.Sprintf("endpoint-%d-%d", number, i), zone)
 		s.Endpoint = settings.Endpoint{Pool: pool, Engine: url}
 		d.vms = append(d.vms, platform.VM{ID: s.VM, Role: platform.EndpointRole, Pool: pool, Zone: zone, Region: s.Region, Address: s.Peer})
-		d.spawn(func() error { return RunEndpoint(ctx, s, d.log) })
+		d.processes = append(d.processes, func() error { return RunEndpoint(ctx, s, d.log) })
 	}
 	s := d.settings(fmt.Sprintf("entry-%d", number), zone)
 	s.Entry.Callers = freeAddress()
 	d.vms = append(d.vms, platform.VM{ID: s.VM, Role: platform.EntryRole, Zone: zone, Region: s.Region, Address: s.Peer})
 	d.callers = append(d.callers, s.Entry.Callers)
-	d.spawn(func() error { return RunEntry(ctx, s, d.log) })
+	d.processes = append(d.processes, func() error { return RunEntry(ctx, s, d.log) })
 	return nil
 }
 
--- a/control/control.go
+++ b/control/control.go
@@ -8,6 +8,7 @@
 	"github.com/parsleydeal/parsleydeal/evidence"
 	"github.com/parsleydeal/parsleydeal/membership"
 	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/quality"
 	"github.com/parsleydeal/parsleydeal/rollout"
 	"github.com/parsleydeal/parsleydeal/table"
 	"github.com/parsleydeal/parsleydeal/view"
@@ -24,11 +25,12 @@
 	draining    bool
 	evidence    evidence.State
 	rollout     rollout.State
+	quality     quality.State
 }
 
 // NewState returns the state of a process that knows nothing yet.
 func NewState(self string) *State {
-	return &State{self: self, evidence: evidence.NewState(self, 0), rollout: rollout.NewState()}
+	return &State{self: self, evidence: evidence.NewState(self, 0), rollout: rollout.NewState(), quality: quality.NewState()}
 }
 
 // WithEpoch sets the number that tells this life of the process from earlier
@@ -41,7 +43,7 @@
 // View returns an immutable picture of the state.
 func (s *State) View() *view.View {
 	return view.New(s.tables.Tables(), s.tables.Revision(), s.confirmedAt, s.members.Members(), s.draining).
-		WithEvidence(s.rollout.Holds(s.tables.Tables()), s.evidence.Report())
+		WithEvidence(s.rollout.Holds(s.tables.Tables()), s.evidence.Report(), s.quality.Book())
 }
 
 // Reduce takes one event into the state and returns the effects in order. It
@@ -77,6 +79,7 @@
 // reduceEvidence counts what was seen and judges the versions by it.
 func (s *State) reduceEvidence(e event.Event) (effects []event.Effect, changed bool) {
 	deltas, told := s.evidence.Reduce(e)
+	s.quality.Reduce(e, deltas)
 	known := rollout.Known{Self: s.self, Now: s.now, Tables: s.tables.Tables(), VMs: s.members.VMs()}
 	effects, changed = s.rollout.Reduce(e, deltas, known)
 	return effects, changed || told
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,6 +23,7 @@
 	inflight *choice.Inflight
 	sessions *session.Keys
 	raters   *raters
+	judge    judge
 	meter    *meter
 }
 
--- a/entry/finish.go
+++ b/entry/finish.go
@@ -24,6 +24,9 @@
 // finish makes the bill safe before the last piece is released. Without it an
 // entry lost right after the answer would take the only bill along.
 func (e *Entry) finish(ctx context.Context, req *work, p *wire.Piece, emit func(*wire.Piece) error) (err error) {
+	if req.judging {
+		return emit(p)
+	}
 	if p.GetStep() != nil {
 		req.steps = append(req.steps, p.GetStep())
 	}
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -26,7 +26,7 @@
 // services have no version to judge.
 func (e *Entry) observe(req *work, vm string) *observer {
 	o := &observer{entry: e, req: req, vm: vm, sentAt: e.node.Clock().Now()}
-	if req.service == "" && e.raters.sampler.Take(o.sentAt, 0) {
+	if req.service == "" && !req.judging && e.raters.sampler.Take(o.sentAt, req.ratingsOf(), req.trial) {
 		o.sample = &sampled{}
 	}
 	return o
--- a/entry/plan.go
+++ b/entry/plan.go
@@ -35,31 +35,40 @@
 		if req.session.Organisation != req.organisation || req.session.Route != req.routeName {
 			return refusal.New(refusal.SessionRejected, "session belongs to another organisation or model")
 		}
+		req.pinned = true
 	}
 	return e.choose(req)
 }
 
-// choose keeps the session's version, or gives it one when it has none or its
-// own gets no new work any more.
+// choose keeps the session's version, or makes plans for a new one when it has
+// none or its own gets no new work any more.
 func (e *Entry) choose(req *work) (err error) {
 	kept := req.session.Version
-	req.moved = movedBecause(req, kept)
-	if kept != "" && req.moved == "" {
-		req.version = kept
-		return nil
+	lost := movedBecause(req, kept)
+	if req.pinned {
+		req.moved = lost
 	}
 	if req.session.ID == "" {
 		req.session = session.Token{ID: req.id, Organisation: req.organisation, Route: req.routeName}
 	}
-	version, ok := choice.Version(req.view, req.route, req.organisation, xxhash.Sum64String(req.session.ID))
-	if !ok {
+	q := choice.PlanQuery{
+		Route: req.routeName, Organisation: req.organisation,
+		Hash: xxhash.Sum64String(req.session.ID), InputTokens: int64(len(req.body) / bytesPerToken),
+	}
+	if kept != "" && lost == "" {
+		req.plans = choice.Kept(req.view, req.route, q, kept)
+	} else {
+		req.plans = choice.Plans(req.view, req.route, q)
+	}
+	if len(req.plans) == 0 {
 		return refusal.New(refusal.NoEndpoint, "no version meets the quality target").WithRetryAfter(startingRetry)
 	}
-	req.version = version
-	req.session.Version = version
-	return nil
+	return e.adopt(req, req.plans[0].First)
 }
 
+// bytesPerToken is about how long a token is, to price a prompt.
+const bytesPerToken = 4
+
 // movedBecause says why a session cannot keep its version, or "" when it can.
 // Withdrawn and held beat the session.
 func movedBecause(req *work, kept string) string {
--- a/entry/run.go
+++ b/entry/run.go
@@ -6,18 +6,79 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/parsleydeal/parsleydeal/choice"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
+	"github.com/parsleydeal/parsleydeal/quality"
 	"github.com/parsleydeal/parsleydeal/refusal"
 )
 
-// maxAttempts bounds the attempts of one request.
-const maxAttempts = 4
+const (
+	// maxAttempts bounds the attempts of one request on one version.
+	maxAttempts = 4
+	// maxMoves bounds how often a request gets another version because a gate
+	// knew of a hold or withdrawal first.
+	maxMoves = 2
+)
 
-// run makes attempts until one gives a whole answer. This is the only layer
-// that retries. Emit gets the pieces of the answer in order; the last one only
-// when the bill is safe.
+// run serves a request under its deadline. This is the only layer that retries.
+// Emit gets the pieces of the answer in order; the last one only when the bill
+// is safe.
 func (e *Entry) run(ctx context.Context, req *work, emit func(*wire.Piece) error) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, req.deadline.Duration())
 	defer cancel()
+	if req.service != "" {
+		return e.tries(ctx, req, emit)
+	}
+	for range maxMoves + 1 {
+		err = e.runPlans(ctx, req, emit)
+		if !e.lostVersion(req, err) {
+			return err
+		}
+		if err = e.choose(req); err != nil {
+			return err
+		}
+	}
+	return err
+}
+
+// runPlans goes through the request's plans, all of which meet the quality
+// target, until one finds an endpoint.
+func (e *Entry) runPlans(ctx context.Context, req *work, emit func(*wire.Piece) error) (err error) {
+	for i, p := range req.plans {
+		req.trial = p.Trial
+		if err = e.adopt(req, p.First); err != nil {
+			return err
+		}
+		if p.Cascade() {
+			err = e.cascade(ctx, req, p, emit)
+		} else {
+			err = e.tries(ctx, req, emit)
+		}
+		if err == nil || i == len(req.plans)-1 || !full(err) {
+			return err
+		}
+	}
+	return err
+}
+
+// full reports whether a request did not run because no endpoint of its version
+// can take it now, so that the next plan may.
+func full(err error) bool {
+	r, ok := refusal.As(err)
+	return ok && r.Run() == refusal.NotRun && (r.Code() == refusal.NoEndpoint || r.Code() == refusal.Saturated)
+}
+
+// adopt makes a version the request's and the session's.
+func (e *Entry) adopt(req *work, version string) (err error) {
+	req.version = version
+	if req.session.Version == version && req.token != "" {
+		return nil
+	}
+	req.session.Version = version
+	req.token, err = e.sessions.Sign(req.session)
+	return err
+}
+
+// tries makes attempts on the request's version until one gives a whole answer.
+func (e *Entry) tries(ctx context.Context, req *work, emit func(*wire.Piece) error) (err error) {
 	avoid := make(map[string]bool)
 	err = refusal.New(refusal.NoEndpoint, "no endpoint can take the request").WithRetryAfter(startingRetry)
 	for range maxAttempts {
@@ -37,34 +98,33 @@
 		if err == nil || delivered || !mayRetry(req, err) {
 			return err
 		}
-		if moved := e.move(req, err); moved != nil {
-			return moved
-		}
 	}
 	return err
 }
 
-// move gives the request another version after a gate refused its own, knowing
-// of a hold or withdrawal that this entry had not heard of when it chose.
-func (e *Entry) move(req *work, cause error) (err error) {
-	r, ok := refusal.As(cause)
-	if !ok || req.service != "" || r.Code() != refusal.Held && r.Code() != refusal.Withdrawn {
-		return nil
+// lostVersion reports whether a gate refused the request's version, knowing of
+// a hold or withdrawal that this entry had not heard of when it chose, and this
+// entry knows of it now.
+func (e *Entry) lostVersion(req *work, err error) bool {
+	r, ok := refusal.As(err)
+	if !ok || r.Run() != refusal.NotRun || r.Code() != refusal.Held && r.Code() != refusal.Withdrawn {
+		return false
 	}
 	req.view = e.node.View()
-	if movedBecause(req, req.version) == "" {
-		return cause
-	}
-	if err = e.choose(req); err != nil {
-		return err
-	}
-	req.token, err = e.sessions.Sign(req.session)
-	return err
+	return movedBecause(req, req.version) != ""
 }
 
 // mayRetry reports whether a failed attempt provably did not run and its body
 // can be sent again.
 func mayRetry(req *work, err error) bool {
 	r, ok := refusal.As(err)
-	return ok && r.Run() == refusal.NotRun && !req.bodySpent
+	if !ok || r.Code() == refusal.Held || r.Code() == refusal.Withdrawn {
+		return false
+	}
+	return r.Run() == refusal.NotRun && !req.bodySpent
+}
+
+// ratingsOf returns how many ratings the request's version has.
+func (r *work) ratingsOf() int64 {
+	return r.view.Quality().Sum(quality.Key{Route: r.routeName, Version: r.version}).Ratings
 }
--- a/entry/work.go
+++ b/entry/work.go
@@ -4,6 +4,7 @@
 	"github.com/parsleydeal/parsleydeal/chat"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
+	"github.com/parsleydeal/parsleydeal/quality"
 	"github.com/parsleydeal/parsleydeal/session"
 	"github.com/parsleydeal/parsleydeal/table"
 	"github.com/parsleydeal/parsleydeal/view"
@@ -48,6 +49,15 @@
 	// token is the signed session handed back to the caller.
 	token   string
 	version string
+	// plans are the ways to answer that meet the target, the best first.
+	plans []quality.Plan
+	// trial says that the plan under way was chosen to learn of it.
+	trial bool
+	// judging is true while the answer under way is held back for the rater; its
+	// step is billed with the steps that follow.
+	judging bool
+	// pinned is true when the caller brought a session.
+	pinned bool
 	// moved says why the session lost its version; empty when it kept it.
 	moved  string
 	stream bool
--- a/evidence/state.go
+++ b/evidence/state.go
@@ -127,7 +127,7 @@
 }
 
 func judged(e event.Judged) Tally {
-	t := Tally{Judged: 1}
+	t := Tally{Judged: 1, Ratings: 1, RatingSum: e.Score}
 	if e.Passed {
 		t.Passed = 1
 		t.PassedSum = e.Score
--- a/node/peer.go
+++ b/node/peer.go
@@ -24,6 +24,7 @@
 		Leaving:         v.Draining(),
 		StalenessMillis: int64(n.cfg.Clock.Since(v.ConfirmedAt())),
 		Counts:          v.Counts(),
+		Estimates:       v.Quality().Wire(),
 	}
 }
 
--- a/quality/sampler.go
+++ b/quality/sampler.go
@@ -37,14 +37,14 @@
 func NewSampler() *Sampler { return &Sampler{tokens: sampleBurst} }
 
 // Take reports whether the answer about to be made is sampled. Ratings is how
-// many ratings the version has.
-func (s *Sampler) Take(now clock.Millis, ratings int64) bool {
+// many ratings the version has; a version on trial is sampled like a young one.
+func (s *Sampler) Take(now clock.Millis, ratings int64, trial bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.tokens = min(s.tokens+samplesPerSecond*float64(now-s.last)/float64(clock.Second), sampleBurst)
 	s.last = now
 	least := 1.0
-	if ratings >= youngRatings {
+	if ratings >= youngRatings && !trial {
 		s.turn++
 		least += knownReserve * sampleBurst
 		if s.turn%knownEvery != 0 {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -19,6 +19,8 @@
 	BreakAfter int
 	// Refuse answers every request with 503.
 	Refuse bool
+	// BreakVersion cuts every stream of one version at its first token.
+	BreakVersion string
 }
 
 // Engine is the stand-in of a model engine.
@@ -101,7 +103,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	time.Sleep(e.first.Duration())
 	for i := range e.tokens {
-		if faults.BreakAfter > 0 && i == faults.BreakAfter {
+		if faults.BreakAfter > 0 && i == faults.BreakAfter || faults.BreakVersion == req.Model {
 			panic(http.ErrAbortHandler)
 		}
 		if i > 0 {
--- a/view/view.go
+++ b/view/view.go
@@ -6,6 +6,7 @@
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/membership"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
+	"github.com/parsleydeal/parsleydeal/quality"
 	"github.com/parsleydeal/parsleydeal/rollout"
 	"github.com/parsleydeal/parsleydeal/table"
 )
@@ -21,6 +22,8 @@
 	holds *rollout.Holds
 	// counts is the report of evidence to other processes.
 	counts []*wire.Count
+	// quality is nil in a view made for a test.
+	quality *quality.Book
 }
 
 // New makes a view.
@@ -28,18 +31,22 @@
 	return &View{tables: tables, revision: revision, confirmedAt: confirmedAt, members: members, draining: draining}
 }
 
-// WithEvidence returns a view that also knows the holds in force and this
-// process's report of evidence.
-func (v *View) WithEvidence(holds *rollout.Holds, counts []*wire.Count) *View {
+// WithEvidence returns a view that also knows the holds in force, this process's
+// report of evidence and what raters said of the versions.
+func (v *View) WithEvidence(holds *rollout.Holds, counts []*wire.Count, q *quality.Book) *View {
 	c := *v
 	c.holds = holds
 	c.counts = counts
+	c.quality = q
 	return &c
 }
 
 // Holds returns the versions held back from new work.
 func (v *View) Holds() *rollout.Holds { return v.holds }
 
+// Quality returns what raters said of the versions.
+func (v *View) Quality() *quality.Book { return v.quality }
+
 // Counts returns what this process tells others of the versions it used.
 func (v *View) Counts() []*wire.Count { return v.counts }
 
