--- a/node/node.go
+++ b/node/node.go
@@ -6,8 +6,11 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
+	"github.com/parsleydeal/parsleydeal/claim"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/control"
 	"github.com/parsleydeal/parsleydeal/event"
@@ -44,12 +47,20 @@
 	// epoch is new at each start of the process.
 	epoch uint64
 	wg    sync.WaitGroup
+	// metrics holds this process's own metrics, so that several nodes in one
+	// process keep theirs apart.
+	metrics *metrics.Set
+	reports atomic.Pointer[ReportFunc]
+	billing *Billing
+	claims  claims
 }
 
 // New makes a node; Start runs it.
 func New(cfg Config) *Node {
-	n := &Node{cfg: cfg, epoch: rand.Uint64()}
+	n := &Node{cfg: cfg, epoch: rand.Uint64(), metrics: metrics.NewSet()}
 	n.loop = control.NewLoop(control.NewState(cfg.Settings.VM), n.perform)
+	n.billing = newBilling(n)
+	n.claims = claims{books: make(map[string]*claim.Book), ctx: context.Background()}
 	return n
 }
 
@@ -83,6 +94,10 @@
 	n.run(func() { n.every(ctx, tickEvery, func() { n.loop.Post(ctx, event.Tick{Now: n.cfg.Clock.Now()}) }) })
 	n.run(func() { n.every(ctx, n.cfg.Settings.VMListEvery, func() { n.listVMs(ctx) }) })
 	n.run(func() { n.tail(ctx, platform.ConfigStream) })
+	n.claims.mu.Lock()
+	n.claims.ctx = ctx
+	n.claims.mu.Unlock()
+	n.billing.run(ctx)
 }
 
 // Wait waits for the goroutines to end.
@@ -91,6 +106,7 @@
 // Drain tells control that this process has been asked to stop.
 func (n *Node) Drain(ctx context.Context) {
 	n.loop.Post(ctx, event.Draining{Now: n.cfg.Clock.Now()})
+	n.billing.Drain()
 }
 
 func (n *Node) run(f func()) {
