--- a/node/node.go
+++ b/node/node.go
@@ -47,6 +47,8 @@
 	// epoch is new at each start of the process.
 	epoch uint64
 	wg    sync.WaitGroup
+	// appends holds a place for each append under way.
+	appends chan struct{}
 	// metrics holds this process's own metrics, so that several nodes in one
 	// process keep theirs apart.
 	metrics *metrics.Set
@@ -55,10 +57,13 @@
 	claims  claims
 }
 
+var errAppendsFull = platform.ErrBusy.New("too many appends under way")
+
 // New makes a node; Start runs it.
 func New(cfg Config) *Node {
 	n := &Node{cfg: cfg, epoch: rand.Uint64(), metrics: metrics.NewSet()}
-	n.loop = control.NewLoop(control.NewState(cfg.Settings.VM), n.perform)
+	n.appends = make(chan struct{}, maxAppends)
+	n.loop = control.NewLoop(control.NewState(cfg.Settings.VM).WithEpoch(n.epoch), n.perform)
 	n.billing = newBilling(n)
 	n.claims = claims{books: make(map[string]*claim.Book), ctx: context.Background()}
 	return n
@@ -94,6 +99,7 @@
 	n.run(func() { n.every(ctx, tickEvery, func() { n.loop.Post(ctx, event.Tick{Now: n.cfg.Clock.Now()}) }) })
 	n.run(func() { n.every(ctx, n.cfg.Settings.VMListEvery, func() { n.listVMs(ctx) }) })
 	n.run(func() { n.tail(ctx, platform.ConfigStream) })
+	n.run(func() { n.tail(ctx, platform.HoldStream) })
 	n.claims.mu.Lock()
 	n.claims.ctx = ctx
 	n.claims.mu.Unlock()
@@ -154,7 +160,10 @@
 // perform carries out one effect. It runs on the control goroutine, so all I/O
 // goes to goroutines of its own.
 func (n *Node) perform(e event.Effect) {
-	if e, ok := e.(event.Report); ok {
+	switch e := e.(type) {
+	case event.Report:
 		n.cfg.Log.Info(e.Message, e.Fields...)
+	case event.Append:
+		n.append(e)
 	}
 }
