--- a/cli/demo.go
+++ b/cli/demo.go
@@ -95,7 +95,7 @@
 		d.spawn(func() error { return RunEndpoint(ctx, s, d.log) })
 	}
 	s := d.settings(fmt.Sprintf("entry-%d", number), zone)
-	s.Entry.Callers = freeAddress()
+	s.Entry.Callers = standin.FreeAddress()
 	d.vms = append(d.vms, platform.VM{ID: s.VM, Role: platform.EntryRole, Zone: zone, Region: s.Region, Address: s.Peer})
 	d.callers = append(d.callers, s.Entry.Callers)
 	d.spawn(func() error { return RunEntry(ctx, s, d.log) })
@@ -113,7 +113,7 @@
 func (d *demo) settings(vm, zone string) settings.Settings {
 	s := settings.Default()
 	s.VM, s.Zone, s.Region = vm, zone, "demo"
-	s.Peer = freeAddress()
+	s.Peer = standin.FreeAddress()
 	s.Platform = d.base
 	s.VMListEvery = 100
 	s.Session = settings.Session{Keys: map[string]string{"demo": "not a secret"}, Current: "demo"}
@@ -132,16 +132,6 @@
 	return "http://" + lis.Addr().String(), nil
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
-func freeAddress() string {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "127.0.0.1:0"
-	}
-	defer lis.Close()
-	return lis.Addr().String()
-}
-
 func (d *demo) publish(ctx context.Context) (err error) {
 	c, err := table.ParseChange(demoTables)
 	if err != nil {
--- a/system/cluster_test.go
+++ b/system/cluster_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -179,13 +178,13 @@
 func (c *cluster) addGate(id, zone, pool string, h http.Handler, plain bool) {
 	srv := httptest.NewServer(h)
 	c.t.Cleanup(srv.Close)
-	p := &process{program: "parsleydeal-endpoint", vm: platform.VM{ID: id, Role: platform.EndpointRole, Pool: pool, Zone: zone, Region: "here", Address: freeAddress(c.t)}}
+	p := &process{program: "parsleydeal-endpoint", vm: platform.VM{ID: id, Role: platform.EndpointRole, Pool: pool, Zone: zone, Region: "here", Address: standin.FreeAddress()}}
 	p.settings = c.common(p) + fmt.Sprintf("[endpoint]\npool = %q\nengine = %q\nplain = %v\n", pool, srv.URL, plain)
 	c.endpoints = append(c.endpoints, p)
 }
 
 func (c *cluster) addEntry(i int, s shape) {
-	p := &process{program: "parsleydeal-entry", callers: freeAddress(c.t), vm: platform.VM{ID: fmt.Sprintf("entry-%d", i), Role: platform.EntryRole, Zone: zone(i, s), Region: "here", Address: freeAddress(c.t)}}
+	p := &process{program: "parsleydeal-entry", callers: standin.FreeAddress(), vm: platform.VM{ID: fmt.Sprintf("entry-%d", i), Role: platform.EntryRole, Zone: zone(i, s), Region: "here", Address: standin.FreeAddress()}}
 	p.settings = c.common(p) + fmt.Sprintf("[entry]\ncallers = %q\n", p.callers)
 	c.entries = append(c.entries, p)
 }
@@ -202,16 +201,7 @@
 current = "k"
 [session.keys]
 k = "system test secret of enough bytes"
-`, p.vm.ID, p.vm.Zone, p.vm.Address, freeAddress(c.t), c.url)
-}
-
-func freeAddress(t *testing.T) string {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer lis.Close()
-	return lis.Addr().String()
+`, p.vm.ID, p.vm.Zone, p.vm.Address, standin.FreeAddress(), c.url)
 }
 
 func (c *cluster) start(p *process) {
