--- a/cli/decision_test.go
+++ b/cli/decision_test.go
@@ -110,7 +110,7 @@
 output-cost = 300
 quality = 0.72
 
-[tables.versions."large@1"]`, `versions = ["small@1"]`, `versions = ["small@1", "small@2"]`, 
+[tables.versions."large@1"]`, `versions = ["small@1"]`, `versions = ["small@1", "small@2"]`,
 		`model = "small", shares = { 1 = 1.0 }`, `model = "small", shares = { 1 = 0.5, 2 = 0.5 }`)
 	d.platform.SetQuality("small@1", 1)
 	d.platform.SetQuality("small@2", 1)
