Limit: fair share of organisations, queues with deadlines, a retry budget

Cause: every request could make four tries, and nothing kept a large organisation from taking all of a pool. Change: package limit; entry/run.go takes a place before it tries and a token before it tries again. Conclusion: the bound of 1.1 holds beside a burst of 10.

--- a/bench/main.go
+++ b/bench/main.go
@@ -30,6 +30,7 @@
 	return []benchmark{
 		{"rollout", benchRollout},
 		{"quality", benchQuality},
+		{"limit", benchLimit},
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"github.com/parsleydeal/parsleydeal/choice"
+	"github.com/parsleydeal/parsleydeal/limit"
 	"github.com/parsleydeal/parsleydeal/node"
 	"github.com/parsleydeal/parsleydeal/peer"
 	"github.com/parsleydeal/parsleydeal/refusal"
@@ -24,6 +25,8 @@
 	sessions *session.Keys
 	raters   *raters
 	judge    judge
+	retries  *limit.Retries
+	queues   *limit.Queues
 	meter    *meter
 }
 
@@ -35,6 +38,8 @@
 		inflight: choice.NewInflight(),
 		sessions: session.NewKeys(s.Keys, s.Current),
 		raters:   newRaters(),
+		retries:  limit.NewRetries(),
+		queues:   limit.NewQueues(n.Clock()),
 		meter:    newMeter(n.Metrics()),
 	}
 }
--- a/entry/run.go
+++ b/entry/run.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/parsleydeal/parsleydeal/choice"
+	"github.com/parsleydeal/parsleydeal/limit"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/quality"
 	"github.com/parsleydeal/parsleydeal/refusal"
@@ -24,12 +25,13 @@
 func (e *Entry) run(ctx context.Context, req *work, emit func(*wire.Piece) error) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, req.deadline.Duration())
 	defer cancel()
+	e.retries.Earn()
 	if req.service != "" {
 		return e.tries(ctx, req, emit)
 	}
 	for range maxMoves + 1 {
 		err = e.runPlans(ctx, req, emit)
-		if !e.lostVersion(req, err) {
+		if !e.lostVersion(req, err) || !e.retries.Take() {
 			return err
 		}
 		if err = e.choose(req); err != nil {
@@ -52,7 +54,7 @@
 		} else {
 			err = e.tries(ctx, req, emit)
 		}
-		if err == nil || i == len(req.plans)-1 || !full(err) {
+		if err == nil || i == len(req.plans)-1 || !full(err) || !e.retries.Take() {
 			return err
 		}
 	}
@@ -77,14 +79,20 @@
 	return err
 }
 
-// tries makes attempts on the request's version until one gives a whole answer.
+// tries waits for a place and makes attempts on the request's version until one
+// gives a whole answer.
 func (e *Entry) tries(ctx context.Context, req *work, emit func(*wire.Piece) error) (err error) {
+	queue := e.queues.For(req.target())
+	if err = queue.Enter(ctx, e.item(ctx, req)); err != nil {
+		return err
+	}
+	defer func() { queue.Leave(outcomeOf(err)) }()
 	avoid := make(map[string]bool)
 	err = refusal.New(refusal.NoEndpoint, "no endpoint can take the request").WithRetryAfter(startingRetry)
-	for range maxAttempts {
+	for i := range maxAttempts {
 		vm, ok := choice.Endpoint(req.view, e.inflight, choice.Query{Pools: req.pools(), Avoid: avoid, Seed: xxhash.Sum64String(req.id)})
-		if !ok {
-			return err
+		if !ok || i > 0 && !e.retries.Take() {
+			return comeBack(err)
 		}
 		avoid[vm.ID] = true
 		delivered := false
@@ -99,7 +107,35 @@
 			return err
 		}
 	}
-	return err
+	return comeBack(err)
+}
+
+// item describes the request to its queue.
+func (e *Entry) item(ctx context.Context, req *work) limit.Item {
+	return limit.Item{
+		ID: req.id, Organisation: req.organisation, Weight: req.view.Tables().Organisations[req.organisation].Weight,
+		Priority: req.priority, Deadline: e.node.Clock().Now() + remaining(ctx),
+	}
+}
+
+// outcomeOf says what the end of a request tells of its pool's room.
+func outcomeOf(err error) limit.Outcome {
+	if err == nil {
+		return limit.Served
+	}
+	if r, ok := refusal.As(err); ok && r.Run() == refusal.NotRun && r.Code() == refusal.Saturated {
+		return limit.Refused
+	}
+	return limit.Neutral
+}
+
+// comeBack tells the caller of a request that did not run when to come again.
+func comeBack(err error) error {
+	r, ok := refusal.As(err)
+	if !ok || r.Run() != refusal.NotRun || r.RetryAfter() > 0 {
+		return err
+	}
+	return r.WithRetryAfter(startingRetry)
 }
 
 // lostVersion reports whether a gate refused the request's version, knowing of
--- a/entry/work.go
+++ b/entry/work.go
@@ -71,6 +71,14 @@
 	headers []*wire.Header
 }
 
+// target names what the request asks for, a version or a plain service.
+func (r *work) target() string {
+	if r.service != "" {
+		return servicePrefix + r.service
+	}
+	return r.version
+}
+
 // pools returns the names of the pools that may serve the request.
 func (r *work) pools() []string {
 	if r.service != "" {
--- /dev/null
+++ b/limit/core.go
@@ -0,0 +1,113 @@
+package limit
+
+import "github.com/parsleydeal/parsleydeal/clock"
+
+const (
+	// maxWait is how long a request may wait for a place.
+	maxWait = 10 * clock.Second
+	// leastRetry and mostRetry bound the time at which a refused caller is told
+	// to come back.
+	leastRetry = 200 * clock.Millis(1)
+	mostRetry  = 30 * clock.Second
+	// rateSpan is the span over which the rate of ended requests is smoothed.
+	rateSpan = 2 * clock.Second
+)
+
+// Verdict is what becomes of a request that asks for a place.
+type Verdict int
+
+// The verdicts.
+const (
+	Start Verdict = iota
+	Wait
+	Refuse
+)
+
+// Core decides who may start at one pool. It reads no clock and waits for
+// nothing; Queue runs it for requests.
+type Core struct {
+	window window
+	fair   fair
+	// rate is how many requests end in a millisecond, 0 while unknown.
+	rate    float64
+	endedAt clock.Millis
+}
+
+// NewCore makes an idle core.
+func NewCore() *Core {
+	return &Core{window: window{size: firstWindow}, fair: newFair()}
+}
+
+// Arrive takes a request in. A request that could only give up waiting is
+// refused at once, with the time at which to come back. Dropped lists others
+// that had to make room; they are refused too.
+func (c *Core) Arrive(now clock.Millis, it Item) (v Verdict, retry clock.Millis, dropped []Item) {
+	if c.fair.size == 0 && c.window.room() {
+		c.window.used++
+		return Start, 0, nil
+	}
+	wait := c.expected(it)
+	if wait > maxWait || now+wait > it.Deadline {
+		return Refuse, bounded(wait), nil
+	}
+	out, full := c.fair.push(it)
+	if !full {
+		return Wait, 0, nil
+	}
+	if out.ID == it.ID {
+		return Refuse, bounded(wait), nil
+	}
+	return Wait, 0, []Item{out}
+}
+
+// expected is about how long a request would wait.
+func (c *Core) expected(it Item) clock.Millis {
+	if c.rate == 0 {
+		return 0
+	}
+	share, ahead := c.fair.share(it)
+	return clock.Millis(float64(ahead+1) / (c.rate * share))
+}
+
+// Retry is when a request refused now is told to come back.
+func (c *Core) Retry(it Item) clock.Millis { return bounded(c.expected(it)) }
+
+func bounded(d clock.Millis) clock.Millis { return min(max(d, leastRetry), mostRetry) }
+
+// End gives a place back and returns who may start now. Expired lists waiting
+// requests whose callers have given up by now.
+func (c *Core) End(now clock.Millis, o Outcome) (started, expired []Item) {
+	c.window.end(now, o)
+	if o != Refused {
+		c.count(now)
+	}
+	return c.next(now)
+}
+
+func (c *Core) next(now clock.Millis) (started, expired []Item) {
+	for c.window.room() {
+		it, ok := c.fair.pop()
+		if !ok {
+			break
+		}
+		if it.Deadline <= now {
+			expired = append(expired, it)
+			continue
+		}
+		c.window.used++
+		started = append(started, it)
+	}
+	return started, expired
+}
+
+// count smooths the rate of ended requests.
+func (c *Core) count(now clock.Millis) {
+	span := max(now-c.endedAt, 0)
+	c.endedAt = now
+	keep := max(1-float64(span)/float64(rateSpan), 0)
+	c.rate = c.rate*keep + 1/float64(rateSpan)
+}
+
+// Leave takes out a request that no longer waits; found is false when it has
+// started or was dropped.
+func (c *Core) Leave(it Item) (found bool) { return c.fair.remove(it) }
--- /dev/null
+++ b/limit/retries.go
@@ -0,0 +1,44 @@
+// Package limit keeps load in bounds at an entry: a budget of retries, and a
+// queue that shares what a pool can take fairly among organisations.
+package limit
+
+import "sync"
+
+const (
+	// retryRatio is how many retries a request earns.
+	retryRatio = 0.1
+	// retryBurst is how many may be saved up, so that a site with little traffic
+	// can leave a lost endpoint too.
+	retryBurst = 10.0
+)
+
+// Retries is the budget of one entry. When a pool runs dry every attempt fails
+// and asks for another one; without a budget the load on what is left would
+// multiply by the attempts allowed (a retry storm), and the pool could not come
+// back. Over n requests there are at most n*retryRatio + retryBurst retries.
+type Retries struct {
+	mu sync.Mutex
+	// tokens is between 0 and retryBurst.
+	tokens float64
+}
+
+// NewRetries makes a full budget.
+func NewRetries() *Retries { return &Retries{tokens: retryBurst} }
+
+// Earn counts a request.
+func (r *Retries) Earn() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tokens = min(r.tokens+retryRatio, retryBurst)
+}
+
+// Take reports whether one more attempt is allowed.
+func (r *Retries) Take() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.tokens < 1 {
+		return false
+	}
+	r.tokens--
+	return true
+}
