Choice: balanced subsets, two drawn on corrected load, sessions home, prefixes

Cause: an endpoint was drawn by own requests alone over the whole pool; home and prefix were not used, and a VM that was gone took a try from each request. Change: choice.Subsets (computed by control), Inflight with others' smoothed load, Affinity, Lost; entry sets the session's home.

--- a/bench/main.go
+++ b/bench/main.go
@@ -31,6 +31,7 @@
 		{"rollout", benchRollout},
 		{"quality", benchQuality},
 		{"limit", benchLimit},
+		{"choice", benchChoice},
 	}
 }
 
--- a/bench/queue.go
+++ b/bench/queue.go
@@ -1,6 +1,5 @@
 package main
 
-
 import (
 	"container/heap"
 
--- a/choice/endpoint.go
+++ b/choice/endpoint.go
@@ -1,42 +1,18 @@
 package choice
 
 import (
-	"sync"
+	"math"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/platform"
 	"github.com/parsleydeal/parsleydeal/table"
 	"github.com/parsleydeal/parsleydeal/view"
 )
 
-// Inflight counts this process's own requests by VM.
-type Inflight struct {
-	mu sync.Mutex
-	// counts holds only VMs with requests in flight.
-	counts map[string]int
-}
-
-// NewInflight makes an empty count.
-func NewInflight() *Inflight {
-	return &Inflight{counts: make(map[string]int)}
-}
-
-// Add counts one request more (1) or less (-1).
-func (f *Inflight) Add(vm string, n int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.counts[vm] += n
-	if f.counts[vm] == 0 {
-		delete(f.counts, vm)
-	}
-}
-
-// Count returns the requests in flight to a VM.
-func (f *Inflight) Count(vm string) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.counts[vm]
-}
+// affinitySlack is how much fuller, in parts of its window, an endpoint may be
+// that probably has the prompt's prefix in its cache.
+const affinitySlack = 0.5
 
 // Query asks for an endpoint.
 type Query struct {
@@ -44,37 +20,129 @@
 	Pools []string
 	// Avoid holds VMs that this request has tried.
 	Avoid map[string]bool
-	// Seed decides between equals.
+	// Seed draws the endpoints that are compared.
 	Seed uint64
+	Now  clock.Millis
+	// Home is the VM that ran the session before, and Prefix names the prompt's
+	// prefix; "" and 0 when there is none.
+	Home   string
+	Prefix uint64
+}
+
+// open is an endpoint that may receive new work.
+type open struct {
+	vm platform.VM
+	// window is what an endpoint is taken to hold before its own word came.
+	window int
+	// heard is its word by way of control, or nil.
+	heard *wire.Load
 }
 
-// Endpoint picks the less loaded of two endpoints drawn from those that may
-// receive new work.
-func Endpoint(v *view.View, f *Inflight, q Query) (vm platform.VM, ok bool) {
-	open := candidates(v, q)
-	if len(open) == 0 {
+// Endpoint picks the endpoint of a request: its session's home, or the one that
+// ran its prefix last, unless that is much fuller than the emptier of two drawn
+// by the seed; else that one. Two drawn ones are compared rather than all, since
+// loads are known late: all entries would rush to the same emptiest endpoint.
+func Endpoint(v *view.View, f *Inflight, a *Affinity, q Query) (vm platform.VM, ok bool) {
+	all := candidates(v, q)
+	if len(all) == 0 {
 		return vm, false
 	}
-	n := uint64(len(open))
-	a := open[q.Seed%n]
-	b := open[xxhash.Sum64String(a.ID+"/"+string(rune(q.Seed%n)))%n]
-	if f.Count(b.ID) < f.Count(a.ID) {
-		return b, true
+	best, load := drawTwo(all, f, q)
+	if load >= 1 {
+		best, load = emptiest(all, f, q.Now)
 	}
-	return a, true
+	for _, id := range [...]string{q.Home, a.find(q)} {
+		kept, found := find(v, q, id)
+		if part := loadOf(kept, f, q.Now); found && part < 1 && part <= load+affinitySlack {
+			best = kept
+			break
+		}
+	}
+	if q.Prefix != 0 {
+		a.Used(q.Prefix, best.vm.ID, q.Now)
+	}
+	return best.vm, true
 }
 
-func candidates(v *view.View, q Query) (open []platform.VM) {
-	t := v.Tables()
+func (a *Affinity) find(q Query) string {
+	if q.Prefix == 0 {
+		return ""
+	}
+	return a.Find(q.Prefix, q.Now)
+}
+
+// loadOf is the load by which endpoints are compared; one that could not be
+// reached lately comes after all others.
+func loadOf(o open, f *Inflight, now clock.Millis) float64 {
+	part, ok := f.load(o.vm.ID, o.window, o.heard, now)
+	if !ok {
+		return math.Inf(1)
+	}
+	return part
+}
+
+func drawTwo(all []open, f *Inflight, q Query) (best open, load float64) {
+	n := uint64(len(all))
+	first := mix(q.Seed) % n
+	second := (first + 1 + mix(q.Seed+1)%max(n-1, 1)) % n
+	a, b := all[first], all[second]
+	la, lb := loadOf(a, f, q.Now), loadOf(b, f, q.Now)
+	if lb < la {
+		return b, lb
+	}
+	return a, la
+}
+
+func emptiest(all []open, f *Inflight, now clock.Millis) (best open, load float64) {
+	best, load = all[0], math.Inf(1)
+	for _, o := range all {
+		if part := loadOf(o, f, now); part < load {
+			best, load = o, part
+		}
+	}
+	return best, load
+}
+
+// find returns a usable endpoint by its VM, also one outside the subset: the
+// balancer may hand a session from entry to entry.
+func find(v *view.View, q Query, id string) (o open, found bool) {
+	if id == "" || q.Avoid[id] {
+		return o, false
+	}
 	for _, name := range q.Pools {
-		pool := t.Pools[name]
+		pool := v.Tables().Pools[name]
 		for _, vm := range v.Members().Pool(name) {
-			if usable(v, pool, vm) && !q.Avoid[vm.ID] {
-				open = append(open, vm)
+			if vm.ID == id {
+				return open{vm: vm, window: pool.ColdWindow, heard: v.Members().Load(vm.ID)}, usable(v, pool, vm)
 			}
 		}
 	}
-	return open
+	return o, false
+}
+
+// candidates lists the endpoints of the entry's subsets that may receive new
+// work; when there are none, those of the whole pools.
+func candidates(v *view.View, q Query) (all []open) {
+	t := v.Tables()
+	for _, whole := range []bool{false, true} {
+		for _, name := range q.Pools {
+			all = usables(all, v, t.Pools[name], q, v.Subset(name, whole))
+		}
+		if len(all) > 0 {
+			break
+		}
+	}
+	return all
+}
+
+func usables(all []open, v *view.View, pool table.Pool, q Query, vms []platform.VM) []open {
+	for _, vm := range vms {
+		if !usable(v, pool, vm) || q.Avoid[vm.ID] {
+			continue
+		}
+		all = append(all, open{vm: vm, window: pool.ColdWindow, heard: v.Members().Load(vm.ID)})
+	}
+	return all
 }
 
 func usable(v *view.View, pool table.Pool, vm platform.VM) bool {
--- a/control/control.go
+++ b/control/control.go
@@ -3,6 +3,9 @@
 package control
 
 import (
+	"slices"
+
+	"github.com/parsleydeal/parsleydeal/choice"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/evidence"
@@ -26,6 +29,8 @@
 	evidence    evidence.State
 	rollout     rollout.State
 	quality     quality.State
+	// subsets follow from the VM list alone.
+	subsets map[string][]platform.VM
 }
 
 // NewState returns the state of a process that knows nothing yet.
@@ -43,7 +48,8 @@
 // View returns an immutable picture of the state.
 func (s *State) View() *view.View {
 	return view.New(s.tables.Tables(), s.tables.Revision(), s.confirmedAt, s.members.Members(), s.draining).
-		WithEvidence(s.rollout.Holds(s.tables.Tables()), s.evidence.Report(), s.quality.Book())
+		WithEvidence(s.rollout.Holds(s.tables.Tables()), s.evidence.Report(), s.quality.Book()).
+		WithSubsets(s.subsets)
 }
 
 // Reduce takes one event into the state and returns the effects in order. It
@@ -73,7 +79,12 @@
 }
 
 func (s *State) reduceMembers(e event.Event) (effects []event.Effect, changed bool) {
-	return nil, s.members.Reduce(e)
+	before := s.members.VMs()
+	changed = s.members.Reduce(e)
+	if _, listed := e.(event.VMsListed); listed && !slices.Equal(before, s.members.VMs()) {
+		s.subsets = choice.SubsetsOf(s.self, s.members.VMs())
+	}
+	return nil, changed
 }
 
 // reduceEvidence counts what was seen and judges the versions by it.
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -71,6 +71,7 @@
 			continue
 		}
 		if p.GetLoad() != nil {
+			e.inflight.Report(p.GetLoad(), e.node.Clock().Now())
 			e.node.Loop().Offer(event.LoadReceived{Now: e.node.Clock().Now(), Load: p.GetLoad()})
 		}
 		if r := p.GetRefusal(); r != nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,6 +22,7 @@
 type Entry struct {
 	node     *node.Node
 	inflight *choice.Inflight
+	affinity *choice.Affinity
 	sessions *session.Keys
 	raters   *raters
 	judge    judge
@@ -36,6 +37,7 @@
 	return &Entry{
 		node:     n,
 		inflight: choice.NewInflight(),
+		affinity: choice.NewAffinity(),
 		sessions: session.NewKeys(s.Keys, s.Current),
 		raters:   newRaters(),
 		retries:  limit.NewRetries(),
--- a/entry/run.go
+++ b/entry/run.go
@@ -90,11 +90,14 @@
 	avoid := make(map[string]bool)
 	err = refusal.New(refusal.NoEndpoint, "no endpoint can take the request").WithRetryAfter(startingRetry)
 	for i := range maxAttempts {
-		vm, ok := choice.Endpoint(req.view, e.inflight, choice.Query{Pools: req.pools(), Avoid: avoid, Seed: xxhash.Sum64String(req.id)})
+		vm, ok := choice.Endpoint(req.view, e.inflight, e.affinity, e.query(req, avoid))
 		if !ok || i > 0 && !e.retries.Take() {
 			return comeBack(err)
 		}
 		avoid[vm.ID] = true
+		if err := e.settleHome(req, vm.ID); err != nil {
+			return err
+		}
 		delivered := false
 		seen := e.observe(req, vm.ID)
 		err = e.attempt(ctx, req, vm, func(p *wire.Piece) error {
@@ -103,6 +106,9 @@
 			return emit(p)
 		})
 		seen.end(err)
+		if unreached(err) {
+			e.inflight.Lost(vm.ID, e.node.Clock().Now())
+		}
 		if err == nil || delivered || !mayRetry(req, err) {
 			return err
 		}
@@ -110,6 +116,30 @@
 	return comeBack(err)
 }
 
+// query asks for an endpoint for the request.
+func (e *Entry) query(req *work, avoid map[string]bool) choice.Query {
+	return choice.Query{
+		Pools: req.pools(), Avoid: avoid, Seed: xxhash.Sum64String(req.id), Now: e.node.Clock().Now(),
+		Home: req.session.Home, Prefix: req.prefix,
+	}
+}
+
+// settleHome makes the endpoint that gets the request the session's home.
+func (e *Entry) settleHome(req *work, vm string) (err error) {
+	if req.service != "" || req.session.Home == vm {
+		return nil
+	}
+	req.session.Home = vm
+	req.token, err = e.sessions.Sign(req.session)
+	return err
+}
+
+// unreached reports whether an attempt failed before it reached its endpoint.
+func unreached(err error) bool {
+	r, ok := refusal.As(err)
+	return ok && r.Code() == refusal.EndpointLost && r.Run() == refusal.NotRun
+}
+
 // item describes the request to its queue.
 func (e *Entry) item(ctx context.Context, req *work) limit.Item {
 	return limit.Item{
--- a/view/view.go
+++ b/view/view.go
@@ -6,6 +6,7 @@
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/membership"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
+	"github.com/parsleydeal/parsleydeal/platform"
 	"github.com/parsleydeal/parsleydeal/quality"
 	"github.com/parsleydeal/parsleydeal/rollout"
 	"github.com/parsleydeal/parsleydeal/table"
@@ -24,6 +25,8 @@
 	counts []*wire.Count
 	// quality is nil in a view made for a test.
 	quality *quality.Book
+	// subsets holds the endpoints this entry works with by pool; nil elsewhere.
+	subsets map[string][]platform.VM
 }
 
 // New makes a view.
@@ -41,6 +44,23 @@
 	return &c
 }
 
+// WithSubsets returns a view that also knows which endpoints of each pool this
+// entry works with.
+func (v *View) WithSubsets(subsets map[string][]platform.VM) *View {
+	c := *v
+	c.subsets = subsets
+	return &c
+}
+
+// Subset returns the endpoints of a pool that this entry works with, or the
+// whole pool. Callers may not change it.
+func (v *View) Subset(pool string, whole bool) []platform.VM {
+	if vms, ok := v.subsets[pool]; ok && !whole {
+		return vms
+	}
+	return v.members.Pool(pool)
+}
+
 // Holds returns the versions held back from new work.
 func (v *View) Holds() *rollout.Holds { return v.holds }
 
