Ledger: late answers of holders count for nothing, lone bills seek another holder

Change: an answer older than HoldLimit on the asker's own clock is a no; a bill without a live holder asks on, at most 64 a round and 8 processes a bill.

--- a/bill/due.go
+++ b/bill/due.go
@@ -28,7 +28,7 @@
 		return true
 	}
 	if x.queued {
-		return x.keeper == "" && l.others(x) == 0 && len(x.asked) < maxTries+len(x.holders)
+		return l.others(x) == 0 && len(x.asked) < maxAsked
 	}
 	return now-x.since >= lateAfter || l.others(x) == 0
 }
--- a/bill/event.go
+++ b/bill/event.go
@@ -59,7 +59,8 @@
 type Hold struct {
 	VM      string
 	Address string
-	// Zone is where the other copy stands, Keeper who has it.
+	// Zone is where the other copy stands. Keeper has it; it is this process
+	// when Keeper is empty.
 	Zone   string
 	Keeper string
 	Bill   *wire.Bill
--- a/bill/ledger.go
+++ b/bill/ledger.go
@@ -17,6 +17,13 @@
 	// maxTries bounds the processes asked to hold one bill before the log
 	// itself is the only way left.
 	maxTries = 2
+	// maxAsked bounds the processes asked for a bill that lost its holder, and
+	// maxSeeks how many such bills ask in one round: in a long outage all books
+	// are full, and asking without a bound would be most of the traffic.
+	maxAsked = 8
+	maxSeeks = 64
+	// HoldLimit is how long an answer of a holder is good.
+	HoldLimit = 400 * clock.Millis(1)
 	// lateAfter is when the keeper of a bill appends it itself, because the
 	// holder has not told that it did.
 	lateAfter = 10 * clock.Second
@@ -35,6 +42,8 @@
 	holders []string
 	// pending is the process asked last that has not answered.
 	pending string
+	// askedAt is when it was asked.
+	askedAt clock.Millis
 	// since is when the bill came or was last held anew.
 	since clock.Millis
 	// waiting is true while a last piece waits for Safe.
@@ -162,7 +171,7 @@
 	x := &entry{bill: e.Bill, since: e.Now, waiting: true}
 	l.entries[e.Bill.GetRequest()] = x
 	l.own++
-	return l.seek(x)
+	return l.seek(x, maxTries, e.Now)
 }
 
 // finishAgain finishes a bill of which a copy is kept here already: it came
@@ -190,10 +199,10 @@
 }
 
 // seek asks the next process to hold a bill, or hands the bill to the journal
-// when none is left to ask. The first to be asked is an appender; the next is
-// any process, since full appenders are all full.
-func (l *Ledger) seek(x *entry) (effects []Effect) {
-	if l.place == nil || len(x.asked) >= maxTries+len(x.holders) {
+// when as many as allowed have been asked. The first to be asked is an
+// appender; the next is any process, since full appenders are all full.
+func (l *Ledger) seek(x *entry, most int, now clock.Millis) (effects []Effect) {
+	if l.place == nil || len(x.asked) >= most {
 		return l.queue(x)
 	}
 	zones, not := l.avoid(x)
@@ -207,7 +216,11 @@
 	}
 	x.asked = append(x.asked, m.ID)
 	x.pending = m.ID
-	h := Hold{VM: m.ID, Address: m.Address, Keeper: x.keeper, Bill: x.bill, Zone: l.zone}
+	x.askedAt = now
+	h := Hold{VM: m.ID, Address: m.Address, Bill: x.bill, Zone: l.zone}
+	if l.live(x.keeper) {
+		h.Keeper = x.keeper
+	}
 	if l.handsOn(x) {
 		h.Zone = strings.Join(x.zones, " ")
 	}
@@ -245,8 +258,11 @@
 		return nil
 	}
 	x.pending = ""
-	if !e.Held {
-		return l.seek(x)
+	// An answer that this process took in late, because it was paused, says
+	// nothing: the holder may be gone since, and the caller would get the last
+	// piece while one process alone has the bill.
+	if !e.Held || e.Now-x.askedAt > HoldLimit {
+		return l.seek(x, maxTries+len(x.holders), e.Now)
 	}
 	x.holders = append(x.holders, e.VM)
 	x.since = e.Now
@@ -352,11 +368,13 @@
 // look takes over bills whose holder went or is late, seeks another holder for
 // those that are alone, and hands bills on while this process drains.
 func (l *Ledger) look(now clock.Millis) (effects []Effect) {
+	seeks := 0
 	for _, request := range l.due(now) {
 		x := l.entries[request]
 		effects = append(effects, l.queue(x)...)
-		if l.others(x) == 0 || l.draining {
-			effects = append(effects, l.seek(x)...)
+		if seeks < maxSeeks && (l.others(x) == 0 || l.draining) {
+			seeks++
+			effects = append(effects, l.seek(x, maxAsked, now)...)
 		}
 	}
 	return effects
--- /dev/null
+++ b/bill/ledger_test.go
@@ -0,0 +1,86 @@
+package bill
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/journal"
+	"github.com/parsleydeal/parsleydeal/peer/wire"
+)
+
+// The scripts under testdata/ledger drive one ledger and print its effects.
+func TestLedger(t *testing.T) {
+	datadriven.Walk(t, "testdata/ledger", func(t *testing.T, path string) {
+		l := NewLedger("zone-a", 2)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var now int64
+			d.MaybeScanArgs(t, "now", &now)
+			if d.Cmd == "reserve" {
+				return fmt.Sprintln(l.Reserve())
+			}
+			effects := l.Reduce(eventOf(t, d, clock.Millis(now)))
+			return effectsOf(effects) + fmt.Sprintf("secure=%v\n", l.Secure())
+		})
+	})
+}
+
+func eventOf(t *testing.T, d *datadriven.TestData, now clock.Millis) Event {
+	var vm, zone, request string
+	d.MaybeScanArgs(t, "vm", &vm)
+	d.MaybeScanArgs(t, "zone", &zone)
+	d.MaybeScanArgs(t, "request", &request)
+	b := &wire.Bill{Request: request, Steps: []*wire.Step{{Attempt: 1, Cost: 5, Whole: true}}}
+	switch d.Cmd {
+	case "place":
+		return Placed{Now: now, Place: placeOf(d.Input)}
+	case "finish":
+		return Finish{Now: now, Bill: b, Reserved: true}
+	case "orphan":
+		return Finish{Now: now, Bill: &wire.Bill{Request: request, Steps: []*wire.Step{{Attempt: 2, Cost: 3, Whole: true}}}}
+	case "held", "refused":
+		return Answered{Now: now, Request: request, VM: vm, Held: d.Cmd == "held"}
+	case "take":
+		return Taken{Now: now, Zone: zone, Keeper: vm, Bills: []*wire.Bill{b}}
+	case "stored":
+		return Stored{IDs: []string{request}}
+	case "released":
+		return Released{Requests: []string{request}}
+	case "drain":
+		return Drain{Now: now}
+	}
+	return Tick{Now: now}
+}
+
+// placeOf reads lines "vm zone".
+func placeOf(input string) *journal.Place {
+	var members []journal.Member
+	for line := range strings.Lines(input) {
+		f := strings.Fields(line)
+		members = append(members, journal.Member{ID: f[0], Zone: f[1], Entry: true})
+	}
+	return journal.NewPlace(journal.Member{ID: "self", Zone: "zone-a"}, members)
+}
+
+func effectsOf(effects []Effect) string {
+	var b strings.Builder
+	for _, x := range effects {
+		switch x := x.(type) {
+		case Hold:
+			fmt.Fprintf(&b, "hold %s at %s\n", x.Bill.GetRequest(), x.VM)
+		case Append:
+			fmt.Fprintf(&b, "append %s cost %d\n", x.ID, Cost(x.Bill))
+		case Safe:
+			fmt.Fprintf(&b, "safe %s\n", x.Request)
+		case Release:
+			fmt.Fprintf(&b, "release %v at %s\n", x.Requests, x.VM)
+		case Withdraw:
+			fmt.Fprintf(&b, "withdraw %v\n", x.IDs)
+		case Accept:
+			fmt.Fprintf(&b, "accept %v %s\n", x.Held, x.Reason)
+		}
+	}
+	return b.String()
+}
--- a/node/billing.go
+++ b/node/billing.go
@@ -15,8 +15,6 @@
 
 const (
 	placeEvery = 500 * clock.Millis(1)
-	// holdTimeout bounds one question to a holder: an answer waits for it.
-	holdTimeout = 400 * clock.Millis(1)
 	// fullRetry is when a caller may come back after a refusal for full books.
 	fullRetry = 5 * clock.Second
 	// settlePoll is how often a stopping process looks at its bills.
@@ -212,7 +210,7 @@
 }
 
 func (b *Billing) hold(f bill.Hold) {
-	ctx, cancel := context.WithTimeout(context.Background(), holdTimeout.Duration())
+	ctx, cancel := context.WithTimeout(context.Background(), bill.HoldLimit.Duration())
 	defer cancel()
 	out, err := b.n.cfg.Peers.Peer(ctx, f.Address).HoldBills(ctx, &wire.HoldBillsRequest{
 		From: b.n.cfg.Settings.VM, Zone: f.Zone, Bills: []*wire.Bill{f.Bill}, Revision: b.n.View().Revision(), Keeper: f.Keeper,
@@ -232,7 +230,7 @@
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), holdTimeout.Duration())
+	ctx, cancel := context.WithTimeout(context.Background(), bill.HoldLimit.Duration())
 	defer cancel()
 	_, err := b.n.cfg.Peers.Peer(ctx, vm.Address).ReleaseBills(ctx, &wire.ReleaseBillsRequest{Requests: f.Requests, From: b.n.cfg.Settings.VM})
 	if err != nil {
