--- a/bill/event.go
+++ b/bill/event.go
@@ -106,4 +106,3 @@
 func (Safe) isEffect()     {}
 func (Release) isEffect()  {}
 func (Accept) isEffect()   {}
-
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -49,7 +49,7 @@
 		}
 		c.Round = s.GetRound() + 1
 	}
-	return false, refusalOf(claim.Open)
+	return false, claimRefusal(claim.Open)
 }
 
 // newClaim names this attempt as the one that may run the call.
@@ -80,7 +80,7 @@
 func (e *Entry) settleClaim(ctx context.Context, req *work, c, s *wire.Claim, emit func(*wire.Piece) error) (done bool, err error) {
 	verdict := claim.Judge(c, s, req.round > 0)
 	if verdict != claim.Ask {
-		return false, refusalOf(verdict)
+		return false, claimRefusal(verdict)
 	}
 	vm, ok := req.view.Members().Find(s.GetVm())
 	if !ok {
@@ -92,17 +92,17 @@
 		Request: s.GetRequest(), Attempt: s.GetAttempt(), IdempotencyKey: req.key,
 	})
 	if err != nil {
-		return false, refusalOf(claim.Open)
+		return false, claimRefusal(claim.Open)
 	}
 	verdict = claim.Weigh(out)
 	if verdict == claim.Replay {
 		return true, e.replay(ctx, req, vm, s, emit)
 	}
-	return false, refusalOf(verdict)
+	return false, claimRefusal(verdict)
 }
 
-// refusalOf words a verdict for the caller; Next is no refusal.
-func refusalOf(v claim.Verdict) error {
+// claimRefusal words a verdict for the caller; Next is no refusal.
+func claimRefusal(v claim.Verdict) error {
 	switch v {
 	case claim.Next:
 		return nil
