--- a/bench/main.go
+++ b/bench/main.go
@@ -29,6 +29,7 @@
 func benchmarks() []benchmark {
 	return []benchmark{
 		{"rollout", benchRollout},
+		{"billing", benchBilling},
 	}
 }
 
--- a/bill/ledger_test.go
+++ b/bill/ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -84,3 +85,26 @@
 	}
 	return b.String()
 }
+
+// BenchmarkWaitingBill tells the memory of one bill that waits for the log with
+// a holder, its place in the journal left out.
+func BenchmarkWaitingBill(b *testing.B) {
+	l := NewLedger("zone-a", b.N)
+	l.Reduce(Placed{Place: placeOf("vm-b zone-b")})
+	b.ReportAllocs()
+	for i := range b.N {
+		if err := l.Reserve(); err != nil {
+			b.Fatal(err)
+		}
+		id := fmt.Sprintf("%08x-0000-4000-8000-%012x", i, i)
+		step := &wire.Step{Attempt: 1, Version: "large@12", Vm: "endpoint-0417", Usage: &wire.Usage{InputTokens: 2100, OutputTokens: 270}, Cost: 2619, Whole: true}
+		l.Reduce(Finish{Reserved: true, Bill: &wire.Bill{Request: id, Organisation: "registry-desk", Route: "dossier", Steps: []*wire.Step{step}}})
+		l.Reduce(Answered{Request: id, VM: "vm-b", Held: true})
+	}
+	b.StopTimer()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	b.ReportMetric(float64(m.HeapAlloc)/float64(b.N), "heap-B/bill")
+	runtime.KeepAlive(l)
+}
--- a/cli/daemon.go
+++ b/cli/daemon.go
@@ -99,6 +99,7 @@
 	p := &process{settings: s, node: newNode(s, l), log: l}
 	p.port = operations.New(program, version(), p.node)
 	p.port.SetLeaving(p.leaving.Load)
+	p.port.Add(operations.Section{Name: "bills", Read: p.node.Billing().Status})
 	return p
 }
 
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -71,6 +71,13 @@
 	return w.b.Waiting()
 }
 
+// Appends counts the appends tried.
+func (w *Writer) Appends() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.b.Appends()
+}
+
 // Failing reports whether the log failed last.
 func (w *Writer) Failing() bool {
 	w.mu.Lock()
--- a/node/billing.go
+++ b/node/billing.go
@@ -19,6 +19,9 @@
 	fullRetry = 5 * clock.Second
 	// settlePoll is how often a stopping process looks at its bills.
 	settlePoll = 20 * clock.Millis(1)
+	// safeWait bounds how long a last piece waits for its bill when no process
+	// holds it and the log is out.
+	safeWait = 5 * clock.Second
 )
 
 // Billing is the shell of the ledger of bills: it asks holders, appends and
@@ -39,6 +42,7 @@
 	b.writer = journal.NewWriter(n.cfg.Store, platform.BillStream, n.batchPrefix(), 1, n.cfg.Clock, func(ids []string, _ int64) {
 		b.post(bill.Stored{IDs: ids})
 	})
+	b.measure()
 	return b
 }
 
@@ -51,6 +55,41 @@
 // Billing returns the process's bills.
 func (n *Node) Billing() *Billing { return n.billing }
 
+// BillingStatus is what operators see of a process's bills.
+type BillingStatus struct {
+	// Own and Held are the bills that wait for the log, of this process and of
+	// others; Reserved are places of requests under way.
+	Own      int  `json:"own"`
+	Held     int  `json:"held"`
+	Reserved int  `json:"reserved"`
+	Bound    int  `json:"bound"`
+	LogFails bool `json:"log-fails"`
+	// Appends counts the appends of bills that this process tried.
+	Appends int64 `json:"appends"`
+}
+
+// Status returns the state of the process's bills.
+func (b *Billing) Status() any {
+	own, held := b.Waiting()
+	b.mu.Lock()
+	reserved := b.ledger.Reserved()
+	b.mu.Unlock()
+	return BillingStatus{Own: own, Held: held, Reserved: reserved, Bound: bill.DefaultBound, LogFails: b.writer.Failing(), Appends: b.writer.Appends()}
+}
+
+func (b *Billing) measure() {
+	set := b.n.metrics
+	set.NewGauge("parsleydeal_bills_own", func() float64 { own, _ := b.Waiting(); return float64(own) })
+	set.NewGauge("parsleydeal_bills_held", func() float64 { _, held := b.Waiting(); return float64(held) })
+	set.NewGauge("parsleydeal_bill_appends", func() float64 { return float64(b.writer.Appends()) })
+	set.NewGauge("parsleydeal_bill_log_failing", func() float64 {
+		if b.writer.Failing() {
+			return 1
+		}
+		return 0
+	})
+}
+
 func (b *Billing) run(ctx context.Context) {
 	b.n.run(func() { b.writer.Run(ctx) })
 	b.n.run(func() { b.n.every(ctx, placeEvery, b.place) })
@@ -99,8 +138,10 @@
 
 // Finish hands over a bill, and waits until it is held in two availability
 // zones or stands on the log. Reserved says that Reserve took its place. When
-// the context ends first the bill is kept all the same.
+// the wait takes too long or the context ends, the bill is kept all the same.
 func (b *Billing) Finish(ctx context.Context, x *wire.Bill, reserved bool) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, safeWait.Duration())
+	defer cancel()
 	safe := make(chan struct{})
 	b.mu.Lock()
 	b.waiters[x.GetRequest()] = safe
@@ -136,9 +177,6 @@
 	return b.ledger.Waiting()
 }
 
-// LogFailing reports whether the last append of bills failed.
-func (b *Billing) LogFailing() bool { return b.writer.Failing() }
-
 // Drain begins to hand on what is kept and refuses to hold more.
 func (b *Billing) Drain() { b.post(bill.Drain{Now: b.n.cfg.Clock.Now()}) }
 
