--- a/bench/main.go
+++ b/bench/main.go
@@ -30,6 +30,8 @@
 	return []benchmark{
 		{"rollout", benchRollout},
 		{"billing", benchBilling},
+		{"quality", benchQuality},
+		{"limit", benchLimit},
 	}
 }
 
