Configuration in force everywhere by digests among peers; membership by list, own word and evidence

Cause: every process read the log itself, knew only the VM list and made a new view for each load report; one that could not read the log stood still for good, and one restarted in an outage never started. Change: package spread (readers by rendezvous, digests, fetch from who is ahead, start by voices, staleness as spans), membership with epochs, suspicion, bounded polls, list faults; loads read in place; both wired through node's effects; gate and entry call node.Behind.

--- a/control/control.go
+++ b/control/control.go
@@ -6,7 +6,9 @@
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/membership"
+	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/spread"
 	"github.com/parsleydeal/parsleydeal/table"
 	"github.com/parsleydeal/parsleydeal/view"
 )
@@ -14,22 +16,34 @@
 // State is everything control knows. It is owned by one goroutine.
 type State struct {
 	// self is this process's VM.
-	self        string
-	now         clock.Millis
-	tables      table.State
-	members     membership.State
-	confirmedAt clock.Millis
-	draining    bool
+	self     string
+	zone     string
+	epoch    uint64
+	now      clock.Millis
+	tables   table.State
+	tail     spread.Tail
+	members  membership.State
+	spread   spread.State
+	draining bool
+	// logCut is true while the log shows less than was reduced.
+	logCut bool
 }
 
 // NewState returns the state of a process that knows nothing yet.
 func NewState(self string) *State {
-	return &State{self: self}
+	return NewStateAt(self, "", 0)
+}
+
+// NewStateAt is NewState for a process in an availability zone; epoch is new at
+// each start of the process.
+func NewStateAt(self, zone string, epoch uint64) *State {
+	return &State{self: self, zone: zone, epoch: epoch, members: membership.New(self), spread: spread.New(self, zone)}
 }
 
 // View returns an immutable picture of the state.
 func (s *State) View() *view.View {
-	return view.New(s.tables.Tables(), s.tables.Revision(), s.confirmedAt, s.members.Members(), s.draining)
+	v := view.New(s.tables.Tables(), s.tables.Revision(), s.spread.ConfirmedAt(), s.members.Members(), s.draining)
+	return v.WithSpread(spread.Picture{VM: s.self, Zone: s.zone, Epoch: s.epoch, Tail: s.tail, Starting: !s.spread.Started()})
 }
 
 // Reduce takes one event into the state and returns the effects in order. It
@@ -55,11 +69,16 @@
 
 // parts lists the reducers in the order in which they see each event.
 func (s *State) parts() []part {
-	return []part{s.reduceTables, s.reduceMembers, s.reduceDrain}
+	return []part{s.reduceTables, s.reduceMembers, s.reduceDrain, s.reduceSpread}
 }
 
 func (s *State) reduceMembers(e event.Event) (effects []event.Effect, changed bool) {
-	return nil, s.members.Reduce(e)
+	return s.members.Reduce(e)
+}
+
+func (s *State) reduceSpread(e event.Event) (effects []event.Effect, changed bool) {
+	local := spread.Local{Offset: s.tables.Offset(), Tables: s.tables.Tables() != nil}
+	return s.spread.Reduce(e, local, s.members.Members())
 }
 
 func (s *State) reduceDrain(e event.Event) (effects []event.Effect, changed bool) {
@@ -79,24 +98,50 @@
 	}
 }
 
+// reduceTables applies records of the configuration from the log or from a
+// peer. Records of a peer are taken only when they are complete from this
+// process's offset on: with one missing, a change that was made on it would be
+// rejected here and accepted everywhere else.
 func (s *State) reduceTables(ev event.Event) (effects []event.Effect, changed bool) {
-	e, ok := ev.(event.LogRead)
-	if !ok || e.Stream != platform.ConfigStream {
-		return nil, false
-	}
-	for _, r := range e.Page.Records {
-		o, ok := s.tables.Apply(r.Offset, r.Data)
-		if !ok {
-			continue
+	switch e := ev.(type) {
+	case event.LogRead:
+		if e.Stream != platform.ConfigStream {
+			return nil, false
+		}
+		for _, r := range e.Page.Records {
+			effects = append(effects, s.apply(r.Offset, r.Data)...)
+		}
+		effects = append(effects, s.noteCut(e.Page.Head)...)
+	case event.RecordsReceived:
+		if e.Reply.GetFrom() > s.tables.Offset() {
+			return nil, false
+		}
+		for _, r := range e.Reply.GetRecords() {
+			effects = append(effects, s.apply(r.GetOffset(), r.GetData())...)
 		}
-		changed = changed || o.Accepted
-		effects = append(effects, report(o))
 	}
-	if s.tables.Offset() >= e.Page.Head {
-		s.confirmedAt = e.Now
-		changed = true
+	return effects, len(effects) > 0
+}
+
+// noteCut reports, once, a log that shows less than this process has reduced.
+// What is appended next gets offsets that were used before, which processes
+// that have reduced them ignore until the log has passed them.
+func (s *State) noteCut(head int64) (effects []event.Effect) {
+	cut := head < s.tables.Offset()
+	if cut && !s.logCut {
+		effects = append(effects, event.Report{Message: "Log shows less than was read", Fields: []any{"stream", platform.ConfigStream, "head", head, "reduced", s.tables.Offset()}})
+	}
+	s.logCut = cut
+	return effects
+}
+
+func (s *State) apply(offset int64, data []byte) (effects []event.Effect) {
+	o, ok := s.tables.Apply(offset, data)
+	if !ok {
+		return nil
 	}
-	return effects, changed
+	s.tail = s.tail.Add(&wire.Record{Offset: offset, Data: data})
+	return []event.Effect{report(o)}
 }
 
 func report(o table.Outcome) event.Report {
--- a/endpoint/admit.go
+++ b/endpoint/admit.go
@@ -11,13 +11,14 @@
 // comes before dispatch, so "not run" is true.
 func (e *Endpoint) admit(head *wire.RunHead) (err error) {
 	v := e.node.View()
-	if v.Tables() == nil {
+	if !v.Started() {
 		return refusal.New(refusal.Starting, "endpoint has no tables yet")
 	}
 	if v.Draining() {
 		return refusal.New(refusal.Leaving, "endpoint is leaving")
 	}
 	if v.Revision() < head.GetRevision() {
+		e.node.Behind(head.GetEntry(), "", head.GetRevision())
 		return refusal.New(refusal.Behind, "endpoint's tables are behind the entry's")
 	}
 	s := e.node.Settings()
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -25,12 +25,14 @@
 // New makes an endpoint over a node; Serve runs it.
 func New(n *node.Node) *Endpoint {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
-	return &Endpoint{
+	e := &Endpoint{
 		node:   n,
 		engine: engine.New(n.Settings().Endpoint.Engine, client),
 		plain:  client,
 		window: gate.NewWindow(1, 1),
 	}
+	n.SetLoad(e.load)
+	return e
 }
 
 // Serve answers peers on a listener until the context ends.
--- a/endpoint/run.go
+++ b/endpoint/run.go
@@ -55,7 +55,9 @@
 // load is the endpoint's own view of itself.
 func (e *Endpoint) load() *wire.Load {
 	held, size := e.window.Held()
-	return &wire.Load{Vm: e.node.Settings().VM, Held: int32(held), Window: int32(size), Leaving: e.node.View().Draining()}
+	l := &wire.Load{Held: int32(held), Window: int32(size), Leaving: e.node.View().Draining()}
+	e.node.StampLoad(l)
+	return l
 }
 
 func (e *Endpoint) runChat(ctx context.Context, stream wire.DRPCGate_RunStream, first *wire.RunFrame) (err error) {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -21,6 +21,9 @@
 	defer e.inflight.Add(vm.ID, -1)
 	stream, err := e.node.Peers().Gate(ctx, vm.Address).Run(ctx)
 	if err != nil {
+		if ctx.Err() == nil {
+			e.node.NotReached(vm.ID)
+		}
 		return lost(ctx, err)
 	}
 	defer stream.Close()
@@ -66,6 +69,7 @@
 		if p.GetRequest() != req.id || p.GetAttempt() != req.attempts {
 			continue
 		}
+		e.node.Behind(p.GetLoad().GetVm(), "", p.GetRevision())
 		if p.GetLoad() != nil {
 			e.node.Loop().Offer(event.LoadReceived{Now: e.node.Clock().Now(), Load: p.GetLoad()})
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -72,7 +72,7 @@
 // current returns the view on which a request is decided.
 func (e *Entry) current() (v *view.View, err error) {
 	v = e.node.View()
-	if v.Tables() == nil {
+	if !v.Started() {
 		return nil, refusal.New(refusal.Starting, "entry has no tables yet").WithRetryAfter(startingRetry)
 	}
 	if v.Draining() {
--- a/entry/finish.go
+++ b/entry/finish.go
@@ -22,4 +22,3 @@
 	}
 	return emit(p)
 }
-
--- a/entry/plan.go
+++ b/entry/plan.go
@@ -52,4 +52,3 @@
 	req.session.Version = version
 	return nil
 }
-
--- a/event/event.go
+++ b/event/event.go
@@ -41,6 +41,10 @@
 type DigestReceived struct {
 	Now    clock.Millis
 	Digest *wire.Digest
+	// Reply is true when the digest answers an exchange that this process began
+	// at Sent, on its own clock.
+	Reply bool
+	Sent  clock.Millis
 }
 
 // PeerFailed tells that a peer could not be reached.
--- /dev/null
+++ b/event/spread.go
@@ -0,0 +1,21 @@
+package event
+
+import "github.com/parsleydeal/parsleydeal/clock"
+
+// Behind tells that a peer decides on a higher revision than this process.
+type Behind struct {
+	Now clock.Millis
+	VM  string
+	// Address is the peer's; empty asks membership.
+	Address  string
+	Revision int64
+}
+
+// Follow asks the shell to begin or end reading a stream of the log.
+type Follow struct {
+	Stream string
+	On     bool
+}
+
+func (Behind) isEvent()  {}
+func (Follow) isEffect() {}
--- a/node/node.go
+++ b/node/node.go
@@ -6,12 +6,14 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 
 	"github.com/charmbracelet/log"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/control"
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/peer"
+	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/platform"
 	"github.com/parsleydeal/parsleydeal/settings"
 	"github.com/parsleydeal/parsleydeal/view"
@@ -44,12 +46,22 @@
 	// epoch is new at each start of the process.
 	epoch uint64
 	wg    sync.WaitGroup
+	// ctx ends with the node; it is set by Start before any goroutine runs.
+	ctx context.Context
+	// calls holds a place for each call to a peer under way.
+	calls chan struct{}
+	// follows ends the reading of a stream; only the control goroutine uses it.
+	follows map[string]context.CancelFunc
+	// loads numbers the loads told.
+	loads atomic.Uint64
+	// load reports the endpoint's own load; nil in an entry.
+	load atomic.Pointer[func() *wire.Load]
 }
 
 // New makes a node; Start runs it.
 func New(cfg Config) *Node {
-	n := &Node{cfg: cfg, epoch: rand.Uint64()}
-	n.loop = control.NewLoop(control.NewState(cfg.Settings.VM), n.perform)
+	n := &Node{cfg: cfg, epoch: rand.Uint64(), calls: make(chan struct{}, maxCalls), follows: make(map[string]context.CancelFunc)}
+	n.loop = control.NewLoop(control.NewStateAt(cfg.Settings.VM, cfg.Settings.Zone, n.epoch), n.perform)
 	return n
 }
 
@@ -79,10 +91,10 @@
 
 // Start runs the node's goroutines until the context ends.
 func (n *Node) Start(ctx context.Context) {
+	n.ctx = ctx
 	n.run(func() { n.loop.Run(ctx) })
 	n.run(func() { n.every(ctx, tickEvery, func() { n.loop.Post(ctx, event.Tick{Now: n.cfg.Clock.Now()}) }) })
-	n.run(func() { n.every(ctx, n.cfg.Settings.VMListEvery, func() { n.listVMs(ctx) }) })
-	n.run(func() { n.tail(ctx, platform.ConfigStream) })
+	n.run(func() { n.readVMs(ctx) })
 }
 
 // Wait waits for the goroutines to end.
@@ -110,18 +122,12 @@
 	}
 }
 
-func (n *Node) listVMs(ctx context.Context) {
-	vms, err := n.cfg.VMs.List(ctx)
-	if err != nil {
-		n.cfg.Log.Debug("VM list could not be read", "error", err)
-		return
-	}
-	n.loop.Post(ctx, event.VMsListed{Now: n.cfg.Clock.Now(), VMs: vms})
-}
-
 func (n *Node) tail(ctx context.Context, stream string) {
 	from := int64(0)
 	for ctx.Err() == nil {
+		if stream == platform.ConfigStream {
+			from = max(from, n.View().Tail().End())
+		}
 		page, err := n.cfg.Store.Read(ctx, stream, from, logWait)
 		if err != nil {
 			n.loop.Post(ctx, event.LogFailed{Now: n.cfg.Clock.Now(), Stream: stream, Err: err})
@@ -138,7 +144,14 @@
 // perform carries out one effect. It runs on the control goroutine, so all I/O
 // goes to goroutines of its own.
 func (n *Node) perform(e event.Effect) {
-	if e, ok := e.(event.Report); ok {
+	switch e := e.(type) {
+	case event.Report:
 		n.cfg.Log.Info(e.Message, e.Fields...)
+	case event.Exchange:
+		n.exchange(e)
+	case event.FetchRecords:
+		n.fetch(e)
+	case event.Follow:
+		n.follow(e)
 	}
 }
--- a/node/peer.go
+++ b/node/peer.go
@@ -15,20 +15,37 @@
 
 // Digest returns what this process tells its peers.
 func (n *Node) Digest() *wire.Digest {
-	v := n.View()
-	return &wire.Digest{
-		Vm:              n.cfg.Settings.VM,
-		Zone:            n.cfg.Settings.Zone,
-		Epoch:           n.epoch,
-		Revision:        v.Revision(),
-		Leaving:         v.Draining(),
-		StalenessMillis: int64(n.cfg.Clock.Since(v.ConfirmedAt())),
+	d := n.View().Digest(n.cfg.Clock.Now())
+	if load := n.load.Load(); load != nil {
+		d.Loads = append(d.Loads, (*load)())
 	}
+	return d
+}
+
+// SetLoad gives the function that reports an endpoint's own load in digests.
+func (n *Node) SetLoad(f func() *wire.Load) { n.load.Store(&f) }
+
+// StampLoad names the process in a load and orders it after all before it.
+func (n *Node) StampLoad(l *wire.Load) {
+	l.Vm, l.Epoch, l.Sequence = n.cfg.Settings.VM, n.epoch, n.loads.Add(1)
+}
+
+// Behind tells control that a peer decides on a higher revision; records are
+// fetched from it at once. An empty address asks the VM list. It never blocks.
+func (n *Node) Behind(vm, address string, revision int64) {
+	if revision > n.View().Revision() {
+		n.loop.Offer(event.Behind{Now: n.cfg.Clock.Now(), VM: vm, Address: address, Revision: revision})
+	}
+}
+
+// NotReached tells control that a call to a VM failed before it got there.
+func (n *Node) NotReached(vm string) {
+	n.loop.Offer(event.PeerFailed{Now: n.cfg.Clock.Now(), VM: vm})
 }
 
 // Records returns configuration records that this process still keeps.
-func (n *Node) Records(context.Context, *wire.RecordsRequest) (out *wire.RecordsReply, err error) {
-	return &wire.RecordsReply{}, nil
+func (n *Node) Records(_ context.Context, in *wire.RecordsRequest) (out *wire.RecordsReply, err error) {
+	return n.View().Tail().Reply(in.GetFrom()), nil
 }
 
 // HoldBills takes bills of another process.
--- a/view/view.go
+++ b/view/view.go
@@ -5,6 +5,8 @@
 import (
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/membership"
+	"github.com/parsleydeal/parsleydeal/peer/wire"
+	"github.com/parsleydeal/parsleydeal/spread"
 	"github.com/parsleydeal/parsleydeal/table"
 )
 
@@ -15,6 +17,7 @@
 	confirmedAt clock.Millis
 	members     *membership.Members
 	draining    bool
+	spread      spread.Picture
 }
 
 // New makes a view.
@@ -38,5 +41,24 @@
 // Draining reports whether this process takes no new work.
 func (v *View) Draining() bool { return v.draining }
 
+// WithSpread adds what peers are told.
+func (v *View) WithSpread(p spread.Picture) *View {
+	next := *v
+	next.spread = p
+	return &next
+}
+
+// Tail returns the configuration's last records, for peers that are behind.
+func (v *View) Tail() spread.Tail { return v.spread.Tail }
+
+// Digest returns what this process tells its peers at an instant.
+func (v *View) Digest(now clock.Millis) *wire.Digest {
+	return v.spread.Digest(v.revision, now-v.confirmedAt, v.draining, v.members)
+}
+
+// Started reports whether the process knows the tables in force, so far as the
+// log or several peers could tell.
+func (v *View) Started() bool { return v.tables != nil && !v.spread.Starting }
+
 // Ready reports whether the process may receive work.
-func (v *View) Ready() bool { return v.tables != nil && !v.draining }
+func (v *View) Ready() bool { return v.Started() && !v.draining }
