--- a/control/control.go
+++ b/control/control.go
@@ -5,9 +5,11 @@
 import (
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/event"
+	"github.com/parsleydeal/parsleydeal/evidence"
 	"github.com/parsleydeal/parsleydeal/membership"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/rollout"
 	"github.com/parsleydeal/parsleydeal/spread"
 	"github.com/parsleydeal/parsleydeal/table"
 	"github.com/parsleydeal/parsleydeal/view"
@@ -25,6 +27,8 @@
 	members  membership.State
 	spread   spread.State
 	draining bool
+	evidence evidence.State
+	rollout  rollout.State
 	// logCut is true while the log shows less than was reduced.
 	logCut bool
 }
@@ -35,15 +39,19 @@
 }
 
 // NewStateAt is NewState for a process in an availability zone; epoch is new at
-// each start of the process.
+// each start of the process, and its evidence is counted under it.
 func NewStateAt(self, zone string, epoch uint64) *State {
-	return &State{self: self, zone: zone, epoch: epoch, members: membership.New(self), spread: spread.New(self, zone)}
+	return &State{
+		self: self, zone: zone, epoch: epoch, members: membership.New(self), spread: spread.New(self, zone),
+		evidence: evidence.NewState(self, epoch), rollout: rollout.NewState(),
+	}
 }
 
 // View returns an immutable picture of the state.
 func (s *State) View() *view.View {
 	v := view.New(s.tables.Tables(), s.tables.Revision(), s.spread.ConfirmedAt(), s.members.Members(), s.draining)
-	return v.WithSpread(spread.Picture{VM: s.self, Zone: s.zone, Epoch: s.epoch, Tail: s.tail, Starting: !s.spread.Started()})
+	return v.WithEvidence(s.rollout.Holds(s.tables.Tables()), s.evidence.Report()).
+		WithSpread(spread.Picture{VM: s.self, Zone: s.zone, Epoch: s.epoch, Tail: s.tail, Starting: !s.spread.Started()})
 }
 
 // Reduce takes one event into the state and returns the effects in order. It
@@ -69,7 +77,7 @@
 
 // parts lists the reducers in the order in which they see each event.
 func (s *State) parts() []part {
-	return []part{s.reduceTables, s.reduceMembers, s.reduceDrain, s.reduceSpread}
+	return []part{s.reduceTables, s.reduceMembers, s.reduceDrain, s.reduceSpread, s.reduceEvidence}
 }
 
 func (s *State) reduceMembers(e event.Event) (effects []event.Effect, changed bool) {
@@ -81,6 +89,14 @@
 	return s.spread.Reduce(e, local, s.members.Members())
 }
 
+// reduceEvidence counts what was seen and judges the versions by it.
+func (s *State) reduceEvidence(e event.Event) (effects []event.Effect, changed bool) {
+	deltas, told := s.evidence.Reduce(e)
+	known := rollout.Known{Self: s.self, Now: s.now, Tables: s.tables.Tables(), VMs: s.members.Members().VMs()}
+	effects, changed = s.rollout.Reduce(e, deltas, known)
+	return effects, changed || told
+}
+
 func (s *State) reduceDrain(e event.Event) (effects []event.Effect, changed bool) {
 	if _, ok := e.(event.Draining); !ok {
 		return nil, false
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"net"
 	"net/http"
 	"strings"
@@ -24,12 +22,20 @@
 	node     *node.Node
 	inflight *choice.Inflight
 	sessions *session.Keys
+	raters   *raters
+	meter    *meter
 }
 
 // New makes an entry over a node; ServePeers and Handler run it.
 func New(n *node.Node) *Entry {
 	s := n.Settings().Session
-	return &Entry{node: n, inflight: choice.NewInflight(), sessions: session.NewKeys(s.Keys, s.Current)}
+	return &Entry{
+		node:     n,
+		inflight: choice.NewInflight(),
+		sessions: session.NewKeys(s.Keys, s.Current),
+		raters:   newRaters(),
+		meter:    newMeter(n.Metrics()),
+	}
 }
 
 // ServePeers answers peers on a listener until the context ends.
@@ -41,6 +47,7 @@
 // requests in flight finish.
 func (e *Entry) Serve(ctx context.Context, lis net.Listener) (err error) {
 	srv := &http.Server{Handler: e.Handler(), ReadHeaderTimeout: headerTimeout.Duration()}
+	go e.rate(ctx)
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
@@ -61,8 +68,7 @@
 	if !ok || key == "" {
 		return "", refusal.New(refusal.Unauthorised, "a bearer key is needed")
 	}
-	sum := sha256.Sum256([]byte(key))
-	name, ok = v.Tables().OrganisationOf(hex.EncodeToString(sum[:]))
+	name, ok = v.Tables().OrganisationOf(table.HashKey(key))
 	if !ok {
 		return "", refusal.New(refusal.Unauthorised, "the bearer key is unknown")
 	}
--- a/entry/service.go
+++ b/entry/service.go
@@ -20,15 +20,19 @@
 	w http.ResponseWriter
 	// started is true when the status has been sent and cannot change.
 	started bool
+	// printed is the call's fingerprint once it was made.
+	printed []byte
 }
 
 // service answers one call of a plain service. Bodies stream both ways.
 func (e *Entry) service(w http.ResponseWriter, r *http.Request, name, path string) {
 	c := &call{work: work{id: uuid.NewString(), service: name, path: path, method: r.Method}, r: r, w: w}
+	end := e.meter.begin()
 	err := e.openCall(c)
 	if err == nil {
-		err = e.run(r.Context(), &c.work, c.take)
+		err = e.billed(r.Context(), &c.work, c.take)
 	}
+	end(c.label(), c.attempts, err)
 	if err == nil {
 		return
 	}
@@ -41,6 +45,14 @@
 	panic(http.ErrAbortHandler)
 }
 
+// label names the service in metrics, once the call was admitted.
+func (c *call) label() string {
+	if c.pool == "" {
+		return ""
+	}
+	return "services/" + c.service
+}
+
 func (e *Entry) openCall(c *call) (err error) {
 	if c.view, err = e.current(); err != nil {
 		return err
@@ -64,6 +76,7 @@
 	}
 	c.headers = headersOf(c.r.Header)
 	c.send = c.sendBody
+	c.fingerprint = c.print
 	return e.fresh(c.view, s.WhenStale, int64(s.StaleAfter))
 }
 
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -141,11 +141,13 @@
 	load := &wire.Load{Vm: "vm-0007", Epoch: 1}
 	now := clock.Millis(0)
 	for name, e := range map[string]func() event.Event{
-		"load":   func() event.Event { load.Sequence++; return event.LoadReceived{Now: now, Load: load} },
-		"tick":   func() event.Event { now += 200; return event.Tick{Now: now} },
-		"digest": func() event.Event { return event.DigestReceived{Now: now, Digest: &wire.Digest{Vm: "vm-0008", Epoch: 2}} },
-		"list":   func() event.Event { return event.VMsListed{Now: now, VMs: vms} },
-		"fail":   func() event.Event { now += 2000; return event.PeerFailed{Now: now, VM: "vm-0009"} },
+		"load": func() event.Event { load.Sequence++; return event.LoadReceived{Now: now, Load: load} },
+		"tick": func() event.Event { now += 200; return event.Tick{Now: now} },
+		"digest": func() event.Event {
+			return event.DigestReceived{Now: now, Digest: &wire.Digest{Vm: "vm-0008", Epoch: 2}}
+		},
+		"list": func() event.Event { return event.VMsListed{Now: now, VMs: vms} },
+		"fail": func() event.Event { now += 2000; return event.PeerFailed{Now: now, VM: "vm-0009"} },
 	} {
 		b.Run(name, func(b *testing.B) {
 			b.ReportAllocs()
--- a/node/node.go
+++ b/node/node.go
@@ -8,7 +8,9 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
+	"github.com/parsleydeal/parsleydeal/claim"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/control"
 	"github.com/parsleydeal/parsleydeal/event"
@@ -56,12 +58,25 @@
 	loads atomic.Uint64
 	// load reports the endpoint's own load; nil in an entry.
 	load atomic.Pointer[func() *wire.Load]
+	// appends holds a place for each append under way.
+	appends chan struct{}
+	// metrics holds this process's own metrics, so that several nodes in one
+	// process keep theirs apart.
+	metrics *metrics.Set
+	reports atomic.Pointer[ReportFunc]
+	billing *Billing
+	claims  claims
 }
 
+var errAppendsFull = platform.ErrBusy.New("too many appends under way")
+
 // New makes a node; Start runs it.
 func New(cfg Config) *Node {
-	n := &Node{cfg: cfg, epoch: rand.Uint64(), calls: make(chan struct{}, maxCalls), follows: make(map[string]context.CancelFunc)}
+	n := &Node{cfg: cfg, epoch: rand.Uint64(), metrics: metrics.NewSet(), calls: make(chan struct{}, maxCalls), follows: make(map[string]context.CancelFunc)}
+	n.appends = make(chan struct{}, maxAppends)
 	n.loop = control.NewLoop(control.NewStateAt(cfg.Settings.VM, cfg.Settings.Zone, n.epoch), n.perform)
+	n.billing = newBilling(n)
+	n.claims = claims{books: make(map[string]*claim.Book), ctx: context.Background()}
 	return n
 }
 
@@ -95,6 +110,11 @@
 	n.run(func() { n.loop.Run(ctx) })
 	n.run(func() { n.every(ctx, tickEvery, func() { n.loop.Post(ctx, event.Tick{Now: n.cfg.Clock.Now()}) }) })
 	n.run(func() { n.readVMs(ctx) })
+	n.run(func() { n.tail(ctx, platform.HoldStream) })
+	n.claims.mu.Lock()
+	n.claims.ctx = ctx
+	n.claims.mu.Unlock()
+	n.billing.run(ctx)
 }
 
 // Wait waits for the goroutines to end.
@@ -103,6 +123,7 @@
 // Drain tells control that this process has been asked to stop.
 func (n *Node) Drain(ctx context.Context) {
 	n.loop.Post(ctx, event.Draining{Now: n.cfg.Clock.Now()})
+	n.billing.Drain()
 }
 
 func (n *Node) run(f func()) {
@@ -153,5 +174,7 @@
 		n.fetch(e)
 	case event.Follow:
 		n.follow(e)
+	case event.Append:
+		n.append(e)
 	}
 }
--- a/node/peer.go
+++ b/node/peer.go
@@ -19,6 +19,7 @@
 	if load := n.load.Load(); load != nil {
 		d.Loads = append(d.Loads, (*load)())
 	}
+	d.Counts = n.View().Counts()
 	return d
 }
 
@@ -47,13 +48,3 @@
 func (n *Node) Records(_ context.Context, in *wire.RecordsRequest) (out *wire.RecordsReply, err error) {
 	return n.View().Tail().Reply(in.GetFrom()), nil
 }
-
-// HoldBills takes bills of another process.
-func (n *Node) HoldBills(context.Context, *wire.HoldBillsRequest) (out *wire.HoldBillsReply, err error) {
-	return &wire.HoldBillsReply{Reason: "not kept here"}, nil
-}
-
-// ReleaseBills drops bills that are on the log.
-func (n *Node) ReleaseBills(context.Context, *wire.ReleaseBillsRequest) (out *wire.ReleaseBillsReply, err error) {
-	return &wire.ReleaseBillsReply{}, nil
-}
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -34,6 +34,7 @@
 	NoEndpoint      Code = "no-endpoint"
 	Saturated       Code = "saturated"
 	Withdrawn       Code = "withdrawn"
+	Held            Code = "held"
 	ZoneOut         Code = "zone-out"
 	Leaving         Code = "leaving"
 	Behind          Code = "behind"
@@ -47,6 +48,7 @@
 	AlreadyRan      Code = "already-ran"
 	Tombstoned      Code = "tombstoned"
 	SessionRejected Code = "session-rejected"
+	KeyReused       Code = "key-reused"
 	Starting        Code = "starting"
 )
 
@@ -60,6 +62,7 @@
 	SessionRejected: http.StatusBadRequest,
 	AlreadyRunning:  http.StatusConflict,
 	AlreadyRan:      http.StatusConflict,
+	KeyReused:       http.StatusUnprocessableEntity,
 	Cancelled:       499,
 	DeadlinePassed:  http.StatusGatewayTimeout,
 	EngineFailed:    http.StatusBadGateway,
