--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,7 @@
 
 bench-check:
 	go run ./bench
+	BENCH_CHECK=1 go test -run Baseline ./control
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
