--- a/node/node.go
+++ b/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/parsleydeal/parsleydeal/control"
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/peer"
+	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/platform"
 	"github.com/parsleydeal/parsleydeal/settings"
 	"github.com/parsleydeal/parsleydeal/view"
@@ -47,6 +48,16 @@
 	// epoch is new at each start of the process.
 	epoch uint64
 	wg    sync.WaitGroup
+	// ctx ends with the node; it is set by Start before any goroutine runs.
+	ctx context.Context
+	// calls holds a place for each call to a peer under way.
+	calls chan struct{}
+	// follows ends the reading of a stream; only the control goroutine uses it.
+	follows map[string]context.CancelFunc
+	// loads numbers the loads told.
+	loads atomic.Uint64
+	// load reports the endpoint's own load; nil in an entry.
+	load atomic.Pointer[func() *wire.Load]
 	// appends holds a place for each append under way.
 	appends chan struct{}
 	// metrics holds this process's own metrics, so that several nodes in one
@@ -61,9 +72,9 @@
 
 // New makes a node; Start runs it.
 func New(cfg Config) *Node {
-	n := &Node{cfg: cfg, epoch: rand.Uint64(), metrics: metrics.NewSet()}
+	n := &Node{cfg: cfg, epoch: rand.Uint64(), metrics: metrics.NewSet(), calls: make(chan struct{}, maxCalls), follows: make(map[string]context.CancelFunc)}
 	n.appends = make(chan struct{}, maxAppends)
-	n.loop = control.NewLoop(control.NewState(cfg.Settings.VM).WithEpoch(n.epoch), n.perform)
+	n.loop = control.NewLoop(control.NewStateAt(cfg.Settings.VM, cfg.Settings.Zone, n.epoch), n.perform)
 	n.billing = newBilling(n)
 	n.claims = claims{books: make(map[string]*claim.Book), ctx: context.Background()}
 	return n
@@ -95,10 +106,10 @@
 
 // Start runs the node's goroutines until the context ends.
 func (n *Node) Start(ctx context.Context) {
+	n.ctx = ctx
 	n.run(func() { n.loop.Run(ctx) })
 	n.run(func() { n.every(ctx, tickEvery, func() { n.loop.Post(ctx, event.Tick{Now: n.cfg.Clock.Now()}) }) })
-	n.run(func() { n.every(ctx, n.cfg.Settings.VMListEvery, func() { n.listVMs(ctx) }) })
-	n.run(func() { n.tail(ctx, platform.ConfigStream) })
+	n.run(func() { n.readVMs(ctx) })
 	n.run(func() { n.tail(ctx, platform.HoldStream) })
 	n.claims.mu.Lock()
 	n.claims.ctx = ctx
@@ -132,18 +143,12 @@
 	}
 }
 
-func (n *Node) listVMs(ctx context.Context) {
-	vms, err := n.cfg.VMs.List(ctx)
-	if err != nil {
-		n.cfg.Log.Debug("VM list could not be read", "error", err)
-		return
-	}
-	n.loop.Post(ctx, event.VMsListed{Now: n.cfg.Clock.Now(), VMs: vms})
-}
-
 func (n *Node) tail(ctx context.Context, stream string) {
 	from := int64(0)
 	for ctx.Err() == nil {
+		if stream == platform.ConfigStream {
+			from = max(from, n.View().Tail().End())
+		}
 		page, err := n.cfg.Store.Read(ctx, stream, from, logWait)
 		if err != nil {
 			n.loop.Post(ctx, event.LogFailed{Now: n.cfg.Clock.Now(), Stream: stream, Err: err})
@@ -163,6 +168,12 @@
 	switch e := e.(type) {
 	case event.Report:
 		n.cfg.Log.Info(e.Message, e.Fields...)
+	case event.Exchange:
+		n.exchange(e)
+	case event.FetchRecords:
+		n.fetch(e)
+	case event.Follow:
+		n.follow(e)
 	case event.Append:
 		n.append(e)
 	}
