--- a/bench/choice.go
+++ b/bench/choice.go
@@ -115,7 +115,7 @@
 }
 
 func membersOf(vms []platform.VM) *membership.Members {
-	var s membership.State
+	s := membership.New("test")
 	s.Reduce(event.VMsListed{VMs: vms})
 	return s.Members()
 }
--- a/choice/endpoint.go
+++ b/choice/endpoint.go
@@ -36,6 +36,12 @@
 	window int
 	// heard is its word by way of control, or nil.
 	heard *wire.Load
+	// suspected says that control could not reach it lately.
+	suspected bool
+}
+
+func openOf(v *view.View, pool table.Pool, vm platform.VM) open {
+	return open{vm: vm, window: pool.ColdWindow, heard: v.Members().Load(vm.ID), suspected: v.Members().Suspected(vm.ID)}
 }
 
 // Endpoint picks the endpoint of a request: its session's home, or the one that
@@ -74,6 +80,9 @@
 // loadOf is the load by which endpoints are compared; one that could not be
 // reached lately comes after all others.
 func loadOf(o open, f *Inflight, now clock.Millis) float64 {
+	if o.suspected {
+		return math.Inf(1)
+	}
 	part, ok := f.load(o.vm.ID, o.window, o.heard, now)
 	if !ok {
 		return math.Inf(1)
@@ -113,7 +122,7 @@
 		pool := v.Tables().Pools[name]
 		for _, vm := range v.Members().Pool(name) {
 			if vm.ID == id {
-				return open{vm: vm, window: pool.ColdWindow, heard: v.Members().Load(vm.ID)}, usable(v, pool, vm)
+				return openOf(v, pool, vm), usable(v, pool, vm)
 			}
 		}
 	}
@@ -140,7 +149,7 @@
 		if !usable(v, pool, vm) || q.Avoid[vm.ID] {
 			continue
 		}
-		all = append(all, open{vm: vm, window: pool.ColdWindow, heard: v.Members().Load(vm.ID)})
+		all = append(all, openOf(v, pool, vm))
 	}
 	return all
 }
--- a/choice/endpoint_test.go
+++ b/choice/endpoint_test.go
@@ -23,7 +23,7 @@
 }
 
 func viewOf(endpoints []platform.VM, out ...string) *view.View {
-	var s membership.State
+	s := membership.New("test")
 	s.Reduce(event.VMsListed{VMs: endpoints})
 	t := &table.Tables{Pools: map[string]table.Pool{"p": {ColdWindow: 2, FullWindow: 10}}, Zones: map[string]table.Site{}}
 	for _, z := range out {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -24,6 +24,9 @@
 	defer e.inflight.Add(vm.ID, -1)
 	stream, err := e.node.Peers().Gate(ctx, vm.Address).Run(ctx)
 	if err != nil {
+		if ctx.Err() == nil {
+			e.node.NotReached(vm.ID)
+		}
 		return lost(ctx, err)
 	}
 	defer stream.Close()
@@ -70,6 +73,7 @@
 		if p.GetRequest() != req.id || p.GetAttempt() != req.attempts {
 			continue
 		}
+		e.node.Behind(p.GetLoad().GetVm(), "", p.GetRevision())
 		if p.GetLoad() != nil {
 			e.inflight.Report(p.GetLoad(), e.node.Clock().Now())
 			e.node.Loop().Offer(event.LoadReceived{Now: e.node.Clock().Now(), Load: p.GetLoad()})
