Zone: a returning zone takes its share step by step

Cause: a zone taken in again got its whole share at once while its engines were cold. Change: package zone (ramps from tables and members), choice draws by it and lifts it when the others are full.

--- a/bench/main.go
+++ b/bench/main.go
@@ -33,6 +33,7 @@
 		{"quality", benchQuality},
 		{"limit", benchLimit},
 		{"choice", benchChoice},
+		{"zone", benchZone},
 	}
 }
 
--- a/choice/endpoint.go
+++ b/choice/endpoint.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/platform"
@@ -55,7 +56,7 @@
 	}
 	best, load := drawTwo(all, f, q)
 	if load >= 1 {
-		best, load = emptiest(all, f, q.Now)
+		best, load = emptiest(reachable(v, q), f, q.Now)
 	}
 	for _, id := range [...]string{q.Home, a.find(q)} {
 		kept, found := find(v, q, id)
@@ -122,7 +123,7 @@
 		pool := v.Tables().Pools[name]
 		for _, vm := range v.Members().Pool(name) {
 			if vm.ID == id {
-				return openOf(v, pool, vm), usable(v, pool, vm)
+				return openOf(v, pool, vm), usable(v, pool, vm) && inShare(v, vm.Zone, q)
 			}
 		}
 	}
@@ -130,12 +131,13 @@
 }
 
 // candidates lists the endpoints of the entry's subsets that may receive new
-// work; when there are none, those of the whole pools.
+// work; when there are none, those of the whole pools, and then also those of
+// zones that came back and whose share the request is not in.
 func candidates(v *view.View, q Query) (all []open) {
 	t := v.Tables()
-	for _, whole := range []bool{false, true} {
+	for _, reach := range [...]struct{ whole, ramping bool }{{false, false}, {true, false}, {true, true}} {
 		for _, name := range q.Pools {
-			all = usables(all, v, t.Pools[name], q, v.Subset(name, whole))
+			all = usables(all, v, t.Pools[name], q, v.Subset(name, reach.whole), reach.ramping)
 		}
 		if len(all) > 0 {
 			break
@@ -144,9 +146,27 @@
 	return all
 }
 
-func usables(all []open, v *view.View, pool table.Pool, q Query, vms []platform.VM) []open {
+// reachable lists the endpoints of the subsets in all zones. When the drawn ones
+// are full, holding work back from a zone that came back would overrun those
+// that stayed; its gates say what it can take.
+func reachable(v *view.View, q Query) (all []open) {
+	for _, name := range q.Pools {
+		all = usables(all, v, v.Tables().Pools[name], q, v.Subset(name, false), true)
+	}
+	return all
+}
+
+// inShare reports whether a request may go to a zone that came back: it does
+// when its draw for that zone lies within the part the zone gets by now.
+func inShare(v *view.View, zone string, q Query) bool {
+	const fraction = 1 << 53
+	draw := float64(mix(q.Seed^xxhash.Sum64String(zone))>>11) / fraction
+	return draw < v.Zones().Part(zone, q.Now)
+}
+
+func usables(all []open, v *view.View, pool table.Pool, q Query, vms []platform.VM, ramping bool) []open {
 	for _, vm := range vms {
-		if !usable(v, pool, vm) || q.Avoid[vm.ID] {
+		if !usable(v, pool, vm) || q.Avoid[vm.ID] || !ramping && len(q.Avoid) == 0 && !inShare(v, vm.Zone, q) {
 			continue
 		}
 		all = append(all, openOf(v, pool, vm))
--- a/choice/endpoint_test.go
+++ b/choice/endpoint_test.go
@@ -12,6 +12,7 @@
 	"github.com/parsleydeal/parsleydeal/platform"
 	"github.com/parsleydeal/parsleydeal/table"
 	"github.com/parsleydeal/parsleydeal/view"
+	"github.com/parsleydeal/parsleydeal/zone"
 	"pgregory.net/rapid"
 )
 
@@ -178,3 +179,25 @@
 	part, _ = f.load("e", 2, heard, 10*clock.Second+1)
 	is.Equal(part, 0.0)
 }
+
+// A zone came back a moment ago. New work must go there only in part, though its
+// endpoints look emptiest; yet when the others are full its gates decide, or the
+// zones that stayed would be overrun.
+func TestReturningZoneGetsPart(t *testing.T) {
+	is := is.New(t)
+	s := membership.New("test")
+	s.Reduce(event.VMsListed{VMs: vms(platform.EndpointRole, 4, 2)})
+	in := &table.Tables{Pools: map[string]table.Pool{"p": {ColdWindow: 2, FullWindow: 10}}}
+	out := &table.Tables{Pools: in.Pools, Zones: map[string]table.Site{"z1": {State: table.Out}}}
+	zones := zone.NewState()
+	zones.Reduce(event.Tick{}, 0, out, s.Members())
+	zones.Reduce(event.Tick{}, 1, in, s.Members())
+	v := view.New(in, 0, 0, s.Members(), false).WithZones(zones.Ramps())
+	f := NewInflight()
+	got := picks(v, f, NewAffinity(), Query{Now: 1})
+	is.True(got["endpoint-1"]+got["endpoint-3"] < 60)
+	f.Report(&wire.Load{Vm: "endpoint-0", Held: 10, Window: 10}, 1)
+	f.Report(&wire.Load{Vm: "endpoint-2", Held: 10, Window: 10}, 1)
+	got = picks(v, f, NewAffinity(), Query{Now: 1})
+	is.Equal(got["endpoint-1"]+got["endpoint-3"], 400)
+}
--- a/control/control.go
+++ b/control/control.go
@@ -17,6 +17,7 @@
 	"github.com/parsleydeal/parsleydeal/spread"
 	"github.com/parsleydeal/parsleydeal/table"
 	"github.com/parsleydeal/parsleydeal/view"
+	"github.com/parsleydeal/parsleydeal/zone"
 )
 
 // State is everything control knows. It is owned by one goroutine.
@@ -34,6 +35,7 @@
 	evidence evidence.State
 	rollout  rollout.State
 	quality  quality.State
+	zones    zone.State
 	// subsets follow from the VM list alone.
 	subsets map[string][]platform.VM
 	// logCut is true while the log shows less than was reduced.
@@ -47,10 +49,10 @@
 
 // NewStateAt is NewState for a process in an availability zone; epoch is new at
 // each start of the process, and its evidence is counted under it.
-func NewStateAt(self, zone string, epoch uint64) *State {
+func NewStateAt(self, place string, epoch uint64) *State {
 	return &State{
-		self: self, zone: zone, epoch: epoch, members: membership.New(self), spread: spread.New(self, zone),
-		evidence: evidence.NewState(self, epoch), rollout: rollout.NewState(), quality: quality.NewState(),
+		self: self, zone: place, epoch: epoch, members: membership.New(self), spread: spread.New(self, place),
+		evidence: evidence.NewState(self, epoch), rollout: rollout.NewState(), quality: quality.NewState(), zones: zone.NewState(),
 	}
 }
 
@@ -59,6 +61,7 @@
 	v := view.New(s.tables.Tables(), s.tables.Revision(), s.spread.ConfirmedAt(), s.members.Members(), s.draining)
 	return v.WithEvidence(s.rollout.Holds(s.tables.Tables()), s.evidence.Report(), s.quality.Book()).
 		WithSubsets(s.subsets).
+		WithZones(s.zones.Ramps()).
 		WithSpread(spread.Picture{VM: s.self, Zone: s.zone, Epoch: s.epoch, Tail: s.tail, Starting: !s.spread.Started()})
 }
 
@@ -85,7 +88,7 @@
 
 // parts lists the reducers in the order in which they see each event.
 func (s *State) parts() []part {
-	return []part{s.reduceTables, s.reduceMembers, s.reduceDrain, s.reduceSpread, s.reduceEvidence}
+	return []part{s.reduceTables, s.reduceMembers, s.reduceDrain, s.reduceSpread, s.reduceEvidence, s.reduceZones}
 }
 
 func (s *State) reduceMembers(e event.Event) (effects []event.Effect, changed bool) {
@@ -102,6 +105,11 @@
 	return s.spread.Reduce(e, local, s.members.Members())
 }
 
+// reduceZones comes after the tables and members that it looks at.
+func (s *State) reduceZones(e event.Event) (effects []event.Effect, changed bool) {
+	return nil, s.zones.Reduce(e, s.now, s.tables.Tables(), s.members.Members())
+}
+
 // reduceEvidence counts what was seen and judges the versions by it.
 func (s *State) reduceEvidence(e event.Event) (effects []event.Effect, changed bool) {
 	deltas, told := s.evidence.Reduce(e)
--- a/view/view.go
+++ b/view/view.go
@@ -11,6 +11,7 @@
 	"github.com/parsleydeal/parsleydeal/rollout"
 	"github.com/parsleydeal/parsleydeal/spread"
 	"github.com/parsleydeal/parsleydeal/table"
+	"github.com/parsleydeal/parsleydeal/zone"
 )
 
 // View is what a process knows at one instant.
@@ -28,7 +29,9 @@
 	quality *quality.Book
 	// subsets holds the endpoints this entry works with by pool; nil elsewhere.
 	subsets map[string][]platform.VM
-	spread  spread.Picture
+	// zones is nil in a view made for a test.
+	zones  *zone.Ramps
+	spread spread.Picture
 }
 
 // New makes a view.
@@ -54,6 +57,16 @@
 	return &c
 }
 
+// WithZones returns a view that also knows the zones that came back lately.
+func (v *View) WithZones(ramps *zone.Ramps) *View {
+	c := *v
+	c.zones = ramps
+	return &c
+}
+
+// Zones returns the zones that came back lately.
+func (v *View) Zones() *zone.Ramps { return v.zones }
+
 // Subset returns the endpoints of a pool that this entry works with, or the
 // whole pool. Callers may not change it.
 func (v *View) Subset(pool string, whole bool) []platform.VM {
