Commands: check, publish, tables, status, standin and a fuller demo

Cause: operators could only run the demo. Change: package client finds processes by the VM list and asks them over the peer interface; publish previews a change, fills id, author and base, looks on the log after a lost answer, and reports where the change is in force; tables prints a change to edit; check names file, line and key and compares settings with tables. The demo has a plain service and shows cost and bill a request.

--- /dev/null
+++ b/cli/check.go
@@ -0,0 +1,190 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/joomcode/errorx"
+	"github.com/parsleydeal/parsleydeal/settings"
+	"github.com/parsleydeal/parsleydeal/table"
+	"github.com/pelletier/go-toml/v2"
+)
+
+type checkCommand struct {
+	command
+	Settings []string `long:"settings" short:"s" description:"file of settings in TOML; may be repeated"`
+	Tables   []string `long:"tables" short:"t" description:"file of a change in TOML; may be repeated, and then each is applied to what the earlier ones made"`
+	Options  bool     `long:"options" description:"print the table of all settings and exit"`
+}
+
+func addCheck(p *flags.Parser) error {
+	c := &checkCommand{}
+	c.run = func(context.Context, []string) error { return c.check() }
+	_, err := p.AddCommand("check", "Check settings and tables",
+		"Check reports every fault of settings and tables with its file, line and key and what is allowed, and checks them against each other. It talks to nobody.", c)
+	return err
+}
+
+func (c *checkCommand) check() (err error) {
+	if c.Options {
+		fmt.Print(settings.Markdown())
+		return nil
+	}
+	if len(c.Settings)+len(c.Tables) == 0 {
+		return fmt.Errorf("check: --settings or --tables is needed: %w", errUsage)
+	}
+	t, err := c.tables()
+	errs := []error{err}
+	for _, path := range c.Settings {
+		s, err := settings.Read(path)
+		if err == nil && t != nil {
+			err = against(path, s, t)
+		}
+		errs = append(errs, err)
+	}
+	if err = joinFaults(errs); err != nil {
+		return err
+	}
+	fmt.Println("no faults")
+	return nil
+}
+
+// joinFaults makes one error of several, each on lines of its own.
+func joinFaults(errs []error) error {
+	var lines []string
+	for _, err := range errs {
+		if err != nil {
+			lines = append(lines, messageOf(err))
+		}
+	}
+	if len(lines) == 0 {
+		return nil
+	}
+	return settings.ErrInvalid.New("%s", strings.Join(lines, "\n"))
+}
+
+// tables applies the files of tables one after the other.
+func (c *checkCommand) tables() (t *table.Tables, err error) {
+	var state table.State
+	for i, path := range c.Tables {
+		change, err := readChange(path)
+		if err != nil {
+			return nil, err
+		}
+		change.ID, change.Base = fmt.Sprint(i), state.Revision()
+		if err = preview(path, &state, change); err != nil {
+			return nil, err
+		}
+	}
+	return state.Tables(), nil
+}
+
+// preview applies a change to a state as the log's readers will.
+func preview(path string, state *table.State, c *table.Change) (err error) {
+	data, err := c.Encode()
+	if err != nil {
+		return err
+	}
+	o, _ := state.Apply(state.Offset(), data)
+	if o.Accepted {
+		return nil
+	}
+	return settings.ErrInvalid.New("%s", withLines(path, o.Reason))
+}
+
+// withLines sets file and line before each fault of tables, whose first word
+// is the key.
+func withLines(path, reason string) string {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return path + ": " + reason
+	}
+	at := settings.Lines(data)
+	faults := strings.Split(strings.TrimPrefix(reason, table.ErrInvalid.FullName()+": "), "\n")
+	for i, f := range faults {
+		key, _, _ := strings.Cut(f, ": ")
+		faults[i] = fmt.Sprintf("%s:%d: %s", path, lineOf(at, "tables."+key), f)
+	}
+	return strings.Join(faults, "\n")
+}
+
+// lineOf finds the line of a key or of the nearest table above it.
+func lineOf(at map[string]int, key string) int {
+	for key != "" {
+		if line := at[key]; line > 0 {
+			return line
+		}
+		key = key[:max(strings.LastIndex(key, "."), 0)]
+	}
+	return 1
+}
+
+// readChange reads a file of tables. Its id, author and base may be left out;
+// base is -2 then, which no revision has.
+func readChange(path string) (c *table.Change, err error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, settings.ErrInvalid.Wrap(err, "read tables")
+	}
+	c, err = table.ParseChange(data)
+	if err != nil {
+		return nil, settings.ErrInvalid.New("%s", parseFaults(path, err))
+	}
+	if settings.Lines(data)["base"] == 0 {
+		c.Base = noBase
+	}
+	if c.Kind != table.Whole && c.Kind != table.Patch {
+		return nil, settings.ErrInvalid.New("%s:%d: kind: is %q, \"whole\" or \"patch\" is allowed", path, max(settings.Lines(data)["kind"], 1), c.Kind)
+	}
+	return c, nil
+}
+
+const noBase = -2
+
+// parseFaults formats what the TOML library found, with file and line.
+func parseFaults(path string, err error) string {
+	var strict *toml.StrictMissingError
+	var decode *toml.DecodeError
+	if e := errorx.Cast(err); e != nil && e.Cause() != nil {
+		err = e.Cause()
+	}
+	switch {
+	case errors.As(err, &strict):
+		var lines []string
+		for i := range strict.Errors {
+			e := &strict.Errors[i]
+			row, _ := e.Position()
+			lines = append(lines, fmt.Sprintf("%s:%d: %s: is not known", path, row, strings.Join(e.Key(), ".")))
+		}
+		return strings.Join(lines, "\n")
+	case errors.As(err, &decode):
+		row, _ := decode.Position()
+		return fmt.Sprintf("%s:%d: %s: %s", path, row, strings.Join(decode.Key(), "."), decode.Error())
+	}
+	return path + ": " + err.Error()
+}
+
+// against checks settings against tables: an endpoint of a pool that the tables
+// do not have, or have for another kind of endpoint, would never get work.
+func against(path string, s settings.Settings, t *table.Tables) error {
+	if s.Endpoint.Pool == "" {
+		return nil
+	}
+	pool, ok := t.Pools[s.Endpoint.Pool]
+	switch {
+	case !ok:
+		return settings.ErrInvalid.New("%s: endpoint.pool: no pool %q in the tables", path, s.Endpoint.Pool)
+	case s.Endpoint.Plain && len(pool.Versions) > 0:
+		return settings.ErrInvalid.New("%s: endpoint.plain: is true, yet pool %q serves versions", path, s.Endpoint.Pool)
+	case !s.Endpoint.Plain && len(pool.Versions) == 0:
+		return settings.ErrInvalid.New("%s: endpoint.plain: is false, yet pool %q serves no versions", path, s.Endpoint.Pool)
+	case len(pool.Zones) > 0 && !slices.Contains(pool.Zones, s.Zone):
+		return settings.ErrInvalid.New("%s: zone: is %q, pool %q allows %v", path, s.Zone, s.Endpoint.Pool, pool.Zones)
+	}
+	return nil
+}
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -10,7 +10,9 @@
 	"github.com/charmbracelet/log"
 	"github.com/jessevdk/go-flags"
 	"github.com/joomcode/errorx"
+	"github.com/parsleydeal/parsleydeal/client"
 	"github.com/parsleydeal/parsleydeal/settings"
+	"github.com/parsleydeal/parsleydeal/table"
 )
 
 // Exit codes of all programs.
@@ -19,8 +21,14 @@
 	ExitOK = 0
 	// ExitFailed means that the command ran and failed.
 	ExitFailed = 1
-	// ExitUsage means that the command line or the settings are wrong.
+	// ExitUsage means that the command line, settings or tables given are
+	// wrong, and that nothing was done.
 	ExitUsage = 2
+	// ExitRejected means that a change stands on the log and was rejected.
+	ExitRejected = 3
+	// ExitUncertain means that a change was not seen in force everywhere, or
+	// that it is not known whether it stands on the log.
+	ExitUncertain = 4
 )
 
 // errUsage marks errors of the command line.
@@ -35,13 +43,32 @@
 	case errors.As(err, &f) && f.Type == flags.ErrHelp:
 		fmt.Println(f.Message)
 		return ExitOK
-	case errors.As(err, &f), errors.Is(err, errUsage), errorx.IsOfType(err, settings.ErrInvalid):
-		fmt.Fprintln(os.Stderr, err)
+	}
+	fmt.Fprintln(os.Stderr, messageOf(err))
+	return codeOf(err)
+}
+
+func codeOf(err error) int {
+	var f *flags.Error
+	switch {
+	case errors.As(err, &f), errors.Is(err, errUsage),
+		errorx.IsOfType(err, settings.ErrInvalid), errorx.IsOfType(err, table.ErrInvalid), errorx.IsOfType(err, table.ErrMalformed):
 		return ExitUsage
-	default:
-		fmt.Fprintln(os.Stderr, err)
-		return ExitFailed
+	case errorx.IsOfType(err, client.ErrRejected):
+		return ExitRejected
+	case errorx.IsOfType(err, client.ErrNoVerdict), errorx.IsOfType(err, client.ErrNotInForce):
+		return ExitUncertain
+	}
+	return ExitFailed
+}
+
+// messageOf leaves out the name of the error's type where the message lists
+// faults by file and line.
+func messageOf(err error) string {
+	if e := errorx.Cast(err); e != nil && e.Cause() == nil && errorx.IsOfType(err, settings.ErrInvalid) {
+		return e.Message()
 	}
+	return err.Error()
 }
 
 // version returns the module version that the program was built from.
--- a/cli/demo.go
+++ b/cli/demo.go
@@ -5,19 +5,18 @@
 	_ "embed"
 	"fmt"
 	"io"
-	"net"
+	"maps"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
-	"github.com/charmbracelet/log"
 	"github.com/jessevdk/go-flags"
 	"github.com/parsleydeal/parsleydeal/bill"
-	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/client"
+	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/platform"
-	"github.com/parsleydeal/parsleydeal/settings"
-	"github.com/parsleydeal/parsleydeal/standin"
 	"github.com/parsleydeal/parsleydeal/table"
 )
 
@@ -27,209 +26,141 @@
 // demoKey is the bearer key whose hash stands in the demo's tables.
 const demoKey = "demo-key"
 
-type demoCommand struct{ command }
-
 func addDemo(p *flags.Parser) error {
-	c := &demoCommand{}
-	c.run = func(ctx context.Context, _ []string) error { return Demo(ctx, os.Stdout) }
+	c := &command{run: func(ctx context.Context, _ []string) error { return Demo(ctx, os.Stdout) }}
 	_, err := p.AddCommand("demo", "Run the whole system on this machine with stand-ins",
-		"Demo runs two entries and four endpoints in two availability zones over stand-ins of the platform and the engines, and serves a few requests.", c)
+		"Demo runs two entries, four model endpoints and a plain service in two availability zones over stand-ins of the platform and the engines, serves a few requests and shows what became of them.", c)
 	return err
 }
 
-// demo is a whole system in one process.
-type demo struct {
-	platform *standin.Platform
-	vms      []platform.VM
-	base     string
-	callers  []string
-	log      *log.Logger
-}
-
 // Demo runs the whole system in this process, serves requests and prints what
 // became of them.
 func Demo(ctx context.Context, w io.Writer) (err error) {
 	ctx, cancel := context.WithCancel(ctx)
+	l := newLocal()
+	defer l.wg.Wait()
 	defer cancel()
-	d := &demo{platform: standin.NewPlatform(), log: log.NewWithOptions(os.Stderr, log.Options{Level: log.WarnLevel})}
-	if err = d.start(ctx); err != nil {
+	l.platform.SetQuality("small@1", 0.72)
+	l.platform.SetQuality("large@1", 0.95)
+	if err = l.start(ctx, localShape{first: 20, gap: 5, tokens: 12}); err != nil {
 		return err
 	}
-	if err = d.publish(ctx); err != nil {
+	if err = l.publishDemo(ctx); err != nil {
 		return err
 	}
-	if err = d.waitReady(ctx); err != nil {
+	if err = l.waitReady(ctx, demoKey); err != nil {
 		return err
 	}
-	for _, route := range []string{"quick", "dossier"} {
-		if err = d.ask(ctx, w, route); err != nil {
-			return err
-		}
-	}
-	return d.bills(w)
-}
-
-func (d *demo) start(ctx context.Context) (err error) {
-	if d.base, err = serve(ctx, d.platform.Handler()); err != nil {
+	served, err := l.serveDemo(ctx)
+	if err != nil {
 		return err
 	}
-	for i, zone := range []string{"zone-a", "zone-b"} {
-		if err = d.startZone(ctx, zone, i); err != nil {
-			return err
-		}
-	}
-	d.platform.SetVMs(d.vms)
-	return nil
+	return l.printDemo(ctx, w, served)
 }
 
-func (d *demo) startZone(ctx context.Context, zone string, number int) (err error) {
-	const first, gap, tokens = 20, 5, 12
-	for i, pool := range []string{"small", "large"} {
-		url, err := serve(ctx, standin.NewEngine(first, gap, tokens).Handler())
-		if err != nil {
-			return err
-		}
-		s := d.settings(fmt.Sprintf("endpoint-%d-%d", number, i), zone)
-		s.Endpoint = settings.Endpoint{Pool: pool, Engine: url}
-		d.vms = append(d.vms, platform.VM{ID: s.VM, Role: platform.EndpointRole, Pool: pool, Zone: zone, Region: s.Region, Address: s.Peer})
-		d.spawn(func() error { return RunEndpoint(ctx, s, d.log) })
-	}
-	s := d.settings(fmt.Sprintf("entry-%d", number), zone)
-	s.Entry.Callers = freeAddress()
-	d.vms = append(d.vms, platform.VM{ID: s.VM, Role: platform.EntryRole, Zone: zone, Region: s.Region, Address: s.Peer})
-	d.callers = append(d.callers, s.Entry.Callers)
-	d.spawn(func() error { return RunEntry(ctx, s, d.log) })
-	return nil
-}
-
-func (d *demo) spawn(f func() error) {
-	go func() {
-		if err := f(); err != nil {
-			d.log.Error("Process of the demo failed", "error", err)
-		}
-	}()
-}
-
-func (d *demo) settings(vm, zone string) settings.Settings {
-	s := settings.Default()
-	s.VM, s.Zone, s.Region = vm, zone, "demo"
-	s.Peer = freeAddress()
-	s.Platform = d.base
-	s.VMListEvery = 100
-	s.Session = settings.Session{Keys: map[string]string{"demo": "not a secret"}, Current: "demo"}
-	return s
-}
-
-// serve runs a handler on a free port until the context ends.
-func serve(ctx context.Context, h http.Handler) (url string, err error) {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
+func (l *local) publishDemo(ctx context.Context) (err error) {
+	change, err := table.ParseChange(demoTables)
 	if err != nil {
-		return "", err
+		return err
 	}
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: clock.Millis(clock.Second).Duration()}
-	go func() { _ = srv.Serve(lis) }()
-	context.AfterFunc(ctx, func() { _ = srv.Close() })
-	return "http://" + lis.Addr().String(), nil
-}
-
-// freeAddress returns a loopback address that was free a moment ago.
-func freeAddress() string {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "127.0.0.1:0"
-	}
-	defer lis.Close()
-	return lis.Addr().String()
-}
-
-func (d *demo) publish(ctx context.Context) (err error) {
-	c, err := table.ParseChange(demoTables)
+	op, err := l.operator()
 	if err != nil {
 		return err
 	}
-	if err = c.Tables.Check(); err != nil {
+	verdict, err := op.Publish(ctx, change)
+	if err != nil {
 		return err
 	}
-	_, err = platform.NewHTTP(d.base, http.DefaultClient).Log().Append(ctx, platform.ConfigStream, demoTables)
+	_, err = op.WaitInForce(ctx, verdict.Revision)
 	return err
 }
 
-// waitReady asks for the models until the entries know the tables.
-func (d *demo) waitReady(ctx context.Context) (err error) {
-	const tries, pause = 200, 50 * time.Millisecond
-	for range tries {
-		ready := true
-		for _, address := range d.callers {
-			body, err := get(ctx, "http://"+address+"/v1/models")
-			ready = ready && err == nil && strings.Contains(body, "dossier")
+// servedRequest is one request of the demo.
+type servedRequest struct {
+	id, route, version, entry string
+	first, total              time.Duration
+}
+
+// serveDemo sends a request over each route and service to each entry.
+func (l *local) serveDemo(ctx context.Context) (served []servedRequest, err error) {
+	for i := range l.callers {
+		for _, route := range []string{"quick", "dossier"} {
+			s, err := l.askDemo(ctx, i, route)
+			if err != nil {
+				return nil, fmt.Errorf("cli: demo: route %s: %w", route, err)
+			}
+			served = append(served, s)
 		}
-		if ready {
-			return nil
+		s, err := l.callDemo(ctx, i)
+		if err != nil {
+			return nil, fmt.Errorf("cli: demo: service records: %w", err)
 		}
-		time.Sleep(pause)
+		served = append(served, s)
 	}
-	return fmt.Errorf("cli: demo did not get ready")
+	return served, nil
 }
 
-func get(ctx context.Context, url string) (body string, err error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return "", err
-	}
-	req.Header.Set("Authorization", "Bearer "+demoKey)
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return "", err
-	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
-	return string(data), err
+func (l *local) askDemo(ctx context.Context, entry int, route string) (s servedRequest, err error) {
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"messages":[{"role":"user","content":"When is my licence due for renewal?"}]}`, route)
+	start := time.Now()
+	first := time.Duration(0)
+	a, err := l.caller(entry, demoKey).Complete(ctx, []byte(body), client.Options{}, func(string) {
+		if first == 0 {
+			first = time.Since(start)
+		}
+	})
+	return servedRequest{id: a.Request, route: route, version: a.Version, entry: fmt.Sprint("entry-", entry), first: first, total: time.Since(start)}, err
 }
 
-// ask streams one chat completion and prints what came of it.
-func (d *demo) ask(ctx context.Context, w io.Writer, route string) (err error) {
-	body := fmt.Sprintf(`{"model":%q,"stream":true,"messages":[{"role":"user","content":"When is my licence due for renewal?"}]}`, route)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.callers[0]+"/v1/chat/completions", strings.NewReader(body))
-	if err != nil {
-		return err
-	}
-	req.Header.Set("Authorization", "Bearer "+demoKey)
+func (l *local) callDemo(ctx context.Context, entry int) (s servedRequest, err error) {
 	start := time.Now()
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := l.caller(entry, demoKey).Do(ctx, http.MethodPost, "/v1/services/records/renewals", strings.NewReader("renew"), client.Options{})
 	if err != nil {
-		return err
+		return s, err
 	}
 	defer resp.Body.Close()
 	first := time.Since(start)
-	data, err := io.ReadAll(resp.Body)
+	if _, err = io.Copy(io.Discard, resp.Body); err != nil {
+		return s, err
+	}
+	return servedRequest{id: resp.Header.Get("Parsleydeal-Request"), route: "records", version: "-", entry: fmt.Sprint("entry-", entry), first: first, total: time.Since(start)}, nil
+}
+
+// printDemo shows each request with its one bill.
+func (l *local) printDemo(ctx context.Context, w io.Writer, served []servedRequest) (err error) {
+	var bills map[string]*wire.Bill
+	err = until(ctx, func() bool {
+		bills, err = l.bills()
+		return err != nil || len(bills) >= len(served)
+	})
 	if err != nil {
 		return err
 	}
-	if resp.StatusCode != http.StatusOK || !strings.Contains(string(data), "[DONE]") {
-		return fmt.Errorf("cli: demo: route %s: status %d: %s", route, resp.StatusCode, data)
+	for _, s := range served {
+		b, ok := bills[s.id]
+		if !ok {
+			return fmt.Errorf("cli: demo: request %s has no bill; billed are %v", s.id, slices.Sorted(maps.Keys(bills)))
+		}
+		if _, err = fmt.Fprintf(w, "route %-8s %s version %-8s cost %5d micro-units, first token %4d ms, whole after %4d ms, 1 bill of %d step\n",
+			s.route, s.entry, s.version, bill.Cost(b), s.first.Milliseconds(), s.total.Milliseconds(), len(b.GetSteps())); err != nil {
+			return err
+		}
 	}
-	_, err = fmt.Fprintf(w, "route %-8s version %-10s first token %4d ms, whole after %4d ms\n",
-		route, resp.Header.Get("Parsleydeal-Version"), first.Milliseconds(), time.Since(start).Milliseconds())
+	_, err = fmt.Fprintf(w, "%d requests, %d bills\n", len(served), len(bills))
 	return err
 }
 
-// bills prints the bills on the log and fails when a request has two.
-func (d *demo) bills(w io.Writer) (err error) {
-	seen := make(map[string]bool)
-	for _, data := range d.platform.Records(platform.BillStream) {
+// bills reduces the log's bills to one a request.
+func (l *local) bills() (out map[string]*wire.Bill, err error) {
+	out = make(map[string]*wire.Bill)
+	for _, data := range l.platform.Records(platform.BillStream) {
 		bills, err := bill.Decode(data)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		for _, b := range bills {
-			if seen[b.GetRequest()] {
-				return fmt.Errorf("cli: demo: request %s has two bills", b.GetRequest())
-			}
-			seen[b.GetRequest()] = true
-			if _, err = fmt.Fprintf(w, "bill %s route %-8s steps %d cost %d micro-units\n", b.GetRequest(), b.GetRoute(), len(b.GetSteps()), bill.Cost(b)); err != nil {
-				return err
-			}
+			out[b.GetRequest()] = bill.Merge(out[b.GetRequest()], b)
 		}
 	}
-	return nil
+	return out, nil
 }
--- /dev/null
+++ b/cli/local.go
@@ -0,0 +1,180 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/parsleydeal/parsleydeal/client"
+	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/settings"
+	"github.com/parsleydeal/parsleydeal/standin"
+)
+
+// localPatience bounds the wait for a condition that a healthy system reaches
+// in a moment.
+const localPatience = 60 * clock.Second
+
+// local is a whole system in one process over loopback: stand-ins of the
+// platform, engines and a plain service, and the daemons' own code.
+type local struct {
+	platform *standin.Platform
+	engines  map[string]*standin.Engine
+	plain    *standin.Plain
+	vms      []platform.VM
+	base     string
+	callers  []string
+	log      *log.Logger
+	// adjust changes each process's settings before it starts.
+	adjust func(s *settings.Settings)
+	// stops ends one process each, by VM.
+	stops map[string]context.CancelFunc
+	wg    sync.WaitGroup
+}
+
+// localShape says what the engines answer.
+type localShape struct {
+	first, gap clock.Millis
+	tokens     int
+}
+
+func newLocal() *local {
+	return &local{
+		platform: standin.NewPlatform(), engines: make(map[string]*standin.Engine), plain: standin.NewPlain(),
+		log: log.NewWithOptions(os.Stderr, log.Options{Level: log.WarnLevel}), adjust: func(*settings.Settings) {}, stops: make(map[string]context.CancelFunc),
+	}
+}
+
+// start runs two availability zones with an entry and two model endpoints
+// each, and a plain service in the first.
+func (l *local) start(ctx context.Context, shape localShape) (err error) {
+	if l.base, err = serve(ctx, l.platform.Handler()); err != nil {
+		return err
+	}
+	for i, zone := range []string{"zone-a", "zone-b"} {
+		if err = l.startZone(ctx, zone, i, shape); err != nil {
+			return err
+		}
+	}
+	if err = l.startGate(ctx, "records-0", "zone-a", settings.Endpoint{Pool: "records", Plain: true}, l.plain.Handler()); err != nil {
+		return err
+	}
+	l.platform.SetVMs(l.vms)
+	return nil
+}
+
+func (l *local) startZone(ctx context.Context, zone string, number int, shape localShape) (err error) {
+	for i, pool := range []string{"small", "large"} {
+		vm := fmt.Sprintf("endpoint-%d-%d", number, i)
+		l.engines[vm] = standin.NewEngine(shape.first, shape.gap, shape.tokens)
+		if err = l.startGate(ctx, vm, zone, settings.Endpoint{Pool: pool}, l.engines[vm].Handler()); err != nil {
+			return err
+		}
+	}
+	s := l.settings(fmt.Sprintf("entry-%d", number), zone)
+	s.Entry.Callers = freeAddress()
+	l.adjust(&s)
+	l.vms = append(l.vms, platform.VM{ID: s.VM, Role: platform.EntryRole, Zone: zone, Region: s.Region, Address: s.Peer})
+	l.callers = append(l.callers, s.Entry.Callers)
+	l.spawn(ctx, s, RunEntry)
+	return nil
+}
+
+func (l *local) startGate(ctx context.Context, vm, zone string, e settings.Endpoint, engine http.Handler) (err error) {
+	s := l.settings(vm, zone)
+	s.Endpoint = e
+	if s.Endpoint.Engine, err = serve(ctx, engine); err != nil {
+		return err
+	}
+	l.adjust(&s)
+	l.vms = append(l.vms, platform.VM{ID: s.VM, Role: platform.EndpointRole, Pool: e.Pool, Zone: zone, Region: s.Region, Address: s.Peer})
+	l.spawn(ctx, s, RunEndpoint)
+	return nil
+}
+
+func (l *local) spawn(ctx context.Context, s settings.Settings, run runFunc) {
+	ctx, l.stops[s.VM] = context.WithCancel(ctx)
+	l.wg.Go(func() {
+		if err := run(ctx, s, l.log); err != nil {
+			l.log.Error("Process failed", "vm", s.VM, "error", err)
+		}
+	})
+}
+
+func (l *local) settings(vm, zone string) settings.Settings {
+	s := settings.Default()
+	s.VM, s.Zone, s.Region = vm, zone, "demo"
+	s.Peer, s.Operators = freeAddress(), freeAddress()
+	s.Platform = l.base
+	s.VMListEvery = 100
+	s.Session = settings.Session{Keys: map[string]string{"demo": "no secret, for the demo alone does it stand"}, Current: "demo"}
+	return s
+}
+
+// operator returns the operators' client of the system.
+func (l *local) operator() (*client.Operator, error) {
+	s := settings.Default()
+	s.Platform = l.base
+	return newOperator(s)
+}
+
+// caller returns a callers' client of one entry.
+func (l *local) caller(entry int, key string) *client.Caller {
+	return &client.Caller{Base: "http://" + l.callers[entry], Key: key, HTTP: http.DefaultClient}
+}
+
+// waitReady waits until a route can be named at every entry.
+func (l *local) waitReady(ctx context.Context, key string) (err error) {
+	for i := range l.callers {
+		c := l.caller(i, key)
+		err = until(ctx, func() bool {
+			names, err := c.Models(ctx)
+			return err == nil && len(names) > 0
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// until polls for a condition.
+func until(ctx context.Context, ok func() bool) (err error) {
+	const every = 20 * clock.Millis(1)
+	end := time.Now().Add(localPatience.Duration())
+	for !ok() {
+		if time.Now().After(end) || !pause(ctx, every) {
+			return errors.New("cli: the system did not get ready")
+		}
+	}
+	return nil
+}
+
+// serve runs a handler on a free port until the context ends.
+func serve(ctx context.Context, h http.Handler) (url string, err error) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: clock.Millis(clock.Second).Duration()}
+	go func() { _ = srv.Serve(lis) }()
+	context.AfterFunc(ctx, func() { _ = srv.Close() })
+	return "http://" + lis.Addr().String(), nil
+}
+
+// freeAddress returns a loopback address that was free a moment ago.
+func freeAddress() string {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "127.0.0.1:0"
+	}
+	defer lis.Close()
+	return lis.Addr().String()
+}
--- a/cli/operator.go
+++ b/cli/operator.go
@@ -3,11 +3,18 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/jessevdk/go-flags"
+	"github.com/parsleydeal/parsleydeal/client"
+	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/peer"
+	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/settings"
 )
 
 // command is one subcommand of the operators' program.
@@ -27,21 +34,77 @@
 	Version func() `long:"version" description:"print the version and exit"`
 }
 
-// Operator runs parsleydeal, the operators' program, and returns its exit code.
-func Operator(args []string) int {
-	o := operatorOptions{Version: func() {
+// commands lists what adds the subcommands of the operators' program.
+var commands = []func(*flags.Parser) error{
+	addCheck, addPublish, addTables, addStatus, addStandin, addDemo,
+}
+
+// newOperatorParser makes the parser of the operators' program.
+func newOperatorParser() (p *flags.Parser, err error) {
+	o := &operatorOptions{Version: func() {
 		fmt.Println("parsleydeal", version())
 		os.Exit(ExitOK)
 	}}
-	p := flags.NewNamedParser("parsleydeal", flags.HelpFlag|flags.PassDoubleDash)
-	if _, err := p.AddGroup("Options", "", &o); err != nil {
-		return exitOf(err)
+	p = flags.NewNamedParser("parsleydeal", flags.HelpFlag|flags.PassDoubleDash)
+	p.LongDescription = "Exit codes: 0 done; 1 failed; 2 the command line, settings or tables given are wrong and nothing was done; " +
+		"3 a change stands on the log and was rejected; 4 a change is not known to be in force everywhere, or whether it stands on the log."
+	if _, err = p.AddGroup("Options", "", o); err != nil {
+		return nil, err
 	}
-	for _, add := range []func(*flags.Parser) error{addDemo} {
-		if err := add(p); err != nil {
-			return exitOf(err)
+	for _, add := range commands {
+		if err = add(p); err != nil {
+			return nil, err
 		}
 	}
-	_, err := p.ParseArgs(args)
+	return p, nil
+}
+
+// Operator runs parsleydeal, the operators' program, and returns its exit code.
+func Operator(args []string) int {
+	p, err := newOperatorParser()
+	if err != nil {
+		return exitOf(err)
+	}
+	_, err = p.ParseArgs(args)
 	return exitOf(err)
 }
+
+// site tells a command where the system is.
+type site struct {
+	Settings string `long:"settings" short:"s" description:"file of settings in TOML, of which platform and tls.peers are used"`
+	Platform string `long:"platform" short:"p" env:"PARSLEYDEAL_PLATFORM" description:"base URL of the platform's services, in place of settings"`
+}
+
+// operator makes the client that the command works through.
+func (o *site) operator() (op *client.Operator, err error) {
+	s := settings.Default()
+	if o.Settings != "" {
+		if s, err = settings.Read(o.Settings); err != nil {
+			return nil, err
+		}
+	}
+	if o.Platform != "" {
+		s.Platform = o.Platform
+	}
+	if s.Platform == "" {
+		return nil, fmt.Errorf("cli: --platform or --settings is needed: %w", errUsage)
+	}
+	return newOperator(s)
+}
+
+func newOperator(s settings.Settings) (op *client.Operator, err error) {
+	h := platform.NewHTTP(s.Platform, http.DefaultClient)
+	return &client.Operator{Log: h.Log(), VMs: h.VMList(), Peers: peer.NewPool(), Clock: clock.System(), Pause: pause}, nil
+}
+
+// pause waits for a span and reports false when the context ended first.
+func pause(ctx context.Context, span clock.Millis) bool {
+	t := time.NewTimer(span.Duration())
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/client/operator.go
@@ -0,0 +1,146 @@
+package client
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"math"
+	"slices"
+	"sync"
+
+	"github.com/joomcode/errorx"
+	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/operations"
+	"github.com/parsleydeal/parsleydeal/peer"
+	"github.com/parsleydeal/parsleydeal/peer/wire"
+	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/table"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// inspectTimeout bounds the question to one process.
+	inspectTimeout = 2 * clock.Second
+	// inspectAtOnce bounds the processes asked at the same time.
+	inspectAtOnce = 64
+)
+
+// Operator reads and publishes tables and asks processes for reports. It needs
+// only the platform; processes are found by the VM list.
+type Operator struct {
+	Log   platform.Log
+	VMs   platform.VMList
+	Peers *peer.Pool
+	Clock clock.Clock
+	// Pause waits for a span and reports false when the context ended first.
+	Pause func(ctx context.Context, span clock.Millis) bool
+}
+
+// Report is one process's report, or why there is none.
+type Report struct {
+	VM   platform.VM
+	JSON []byte
+	Err  error
+}
+
+// Reports asks every listed VM for a report. The result is sorted by VM.
+func (o *Operator) Reports(ctx context.Context, report string) (out []Report, err error) {
+	defer func() {
+		if err != nil {
+			err = errorx.Decorate(err, "client: ask for %s", report)
+		}
+	}()
+	vms, err := o.VMs.List(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var mu sync.Mutex
+	var g errgroup.Group
+	g.SetLimit(inspectAtOnce)
+	for _, vm := range vms {
+		g.Go(func() error {
+			r := o.report(ctx, vm, report)
+			mu.Lock()
+			defer mu.Unlock()
+			out = append(out, r)
+			return nil
+		})
+	}
+	_ = g.Wait()
+	slices.SortFunc(out, func(a, b Report) int { return cmp.Compare(a.VM.ID, b.VM.ID) })
+	return out, nil
+}
+
+func (o *Operator) report(ctx context.Context, vm platform.VM, report string) Report {
+	ctx, cancel := context.WithTimeout(ctx, inspectTimeout.Duration())
+	defer cancel()
+	reply, err := o.Peers.Peer(ctx, vm.Address).Inspect(ctx, &wire.InspectRequest{Report: report})
+	return Report{VM: vm, JSON: reply.GetJson(), Err: err}
+}
+
+// VMStatus is one process's status, or why there is none.
+type VMStatus struct {
+	VM     platform.VM
+	Status operations.Status
+	Err    error
+}
+
+// Status asks every listed VM for its status.
+func (o *Operator) Status(ctx context.Context) (out []VMStatus, err error) {
+	reports, err := o.Reports(ctx, operations.StatusReport)
+	if err != nil {
+		return nil, err
+	}
+	for _, r := range reports {
+		s := VMStatus{VM: r.VM, Err: r.Err}
+		if r.Err == nil {
+			s.Err = json.Unmarshal(r.JSON, &s.Status)
+		}
+		out = append(out, s)
+	}
+	return out, nil
+}
+
+// History is the configuration stream as the log keeps it.
+type History struct {
+	State table.State
+	// Verdicts holds the verdict on each record, oldest first.
+	Verdicts []table.Outcome
+}
+
+// History reads the configuration stream to its head.
+func (o *Operator) History(ctx context.Context) (h *History, err error) {
+	h = &History{}
+	from, err := o.first(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for {
+		more, err := o.follow(ctx, h, &from, 0)
+		if err != nil || !more {
+			return h, err
+		}
+	}
+}
+
+// first returns the lowest offset the log keeps: a read beyond the head returns
+// no records, only the bounds.
+func (o *Operator) first(ctx context.Context) (offset int64, err error) {
+	p, err := o.Log.Read(ctx, platform.ConfigStream, math.MaxInt64, 0)
+	return p.First, err
+}
+
+// follow reads one page and reports whether there is more.
+func (o *Operator) follow(ctx context.Context, h *History, from *int64, wait clock.Millis) (more bool, err error) {
+	p, err := o.Log.Read(ctx, platform.ConfigStream, *from, wait)
+	if err != nil {
+		return false, err
+	}
+	for _, r := range p.Records {
+		if v, ok := h.State.Apply(r.Offset, r.Data); ok {
+			h.Verdicts = append(h.Verdicts, v)
+		}
+		*from = r.Offset + 1
+	}
+	return len(p.Records) > 0 && *from < p.Head, nil
+}
