Local system: processes take listeners that stay open

Cause: an address found free and closed again was taken by another test before the process listened (log: bind: address already in use); publishing then waited for that VM without end, and a test hung for 600 s. Ruled out: drain, reducer (all other processes idle in their loops). Change: the daemons' listen function is a seam; the local system hands out listeners it holds. Publishing the demo's tables is bounded in time.

--- a/cli/daemon.go
+++ b/cli/daemon.go
@@ -91,12 +91,16 @@
 	node     *node.Node
 	log      *log.Logger
 	port     *operations.Port
+	listen   listenFunc
 	// leaving is set when the process was asked to stop.
 	leaving atomic.Bool
 }
 
-func newProcess(program string, s settings.Settings, l *log.Logger) *process {
-	p := &process{settings: s, node: newNode(s, l), log: l}
+// listenFunc opens a listener, as net.Listen does.
+type listenFunc func(network, address string) (lis net.Listener, err error)
+
+func newProcess(program string, s settings.Settings, l *log.Logger, listen listenFunc) *process {
+	p := &process{settings: s, node: newNode(s, l), log: l, listen: listen}
 	p.port = operations.New(program, version(), p.node)
 	p.port.SetLeaving(p.leaving.Load)
 	return p
@@ -108,7 +112,7 @@
 	if p.settings.Operators == "" {
 		return nil
 	}
-	lis, err := net.Listen("tcp", p.settings.Operators)
+	lis, err := p.listen("tcp", p.settings.Operators)
 	if err != nil {
 		return err
 	}
@@ -125,15 +129,19 @@
 // ready for the leave delay while it still serves, then takes no new work and
 // lets the requests in flight finish.
 func RunEntry(ctx context.Context, s settings.Settings, l *log.Logger) (err error) {
-	peers, err := net.Listen("tcp", s.Peer)
+	return runEntry(ctx, s, l, net.Listen)
+}
+
+func runEntry(ctx context.Context, s settings.Settings, l *log.Logger, listen listenFunc) (err error) {
+	peers, err := listen("tcp", s.Peer)
 	if err != nil {
 		return err
 	}
-	callers, err := net.Listen("tcp", s.Entry.Callers)
+	callers, err := listen("tcp", s.Entry.Callers)
 	if err != nil {
 		return err
 	}
-	p := newProcess("parsleydeal-entry", s, l)
+	p := newProcess("parsleydeal-entry", s, l, listen)
 	e := entry.New(p.node)
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -159,11 +167,15 @@
 
 // RunEndpoint serves as an endpoint until the context ends, then drains.
 func RunEndpoint(ctx context.Context, s settings.Settings, l *log.Logger) (err error) {
-	peers, err := net.Listen("tcp", s.Peer)
+	return runEndpoint(ctx, s, l, net.Listen)
+}
+
+func runEndpoint(ctx context.Context, s settings.Settings, l *log.Logger, listen listenFunc) (err error) {
+	peers, err := listen("tcp", s.Peer)
 	if err != nil {
 		return err
 	}
-	p := newProcess("parsleydeal-endpoint", s, l)
+	p := newProcess("parsleydeal-endpoint", s, l, listen)
 	e := endpoint.New(p.node)
 	e.Measure()
 	p.port.Add(operations.Section{Name: "window", Read: e.WindowStatus})
--- a/cli/demo.go
+++ b/cli/demo.go
@@ -67,6 +67,8 @@
 	if err != nil {
 		return err
 	}
+	ctx, cancel := context.WithTimeout(ctx, localPatience.Duration())
+	defer cancel()
 	verdict, err := op.Publish(ctx, change)
 	if err != nil {
 		return err
--- a/cli/local.go
+++ b/cli/local.go
@@ -37,8 +37,14 @@
 	// stops ends one process each, by VM.
 	stops map[string]context.CancelFunc
 	wg    sync.WaitGroup
+	mu    sync.Mutex
+	// reserved holds listeners by address until their process takes them.
+	reserved map[string]net.Listener
 }
 
+// localFunc runs a daemon over listeners that are already open.
+type localFunc func(ctx context.Context, s settings.Settings, l *log.Logger, listen listenFunc) (err error)
+
 // localShape says what the engines answer.
 type localShape struct {
 	first, gap clock.Millis
@@ -48,7 +54,7 @@
 func newLocal() *local {
 	return &local{
 		platform: standin.NewPlatform(), engines: make(map[string]*standin.Engine), plain: standin.NewPlain(),
-		log: log.NewWithOptions(os.Stderr, log.Options{Level: log.WarnLevel}), adjust: func(*settings.Settings) {}, stops: make(map[string]context.CancelFunc),
+		log: log.NewWithOptions(os.Stderr, log.Options{Level: log.WarnLevel}), adjust: func(*settings.Settings) {}, stops: make(map[string]context.CancelFunc), reserved: make(map[string]net.Listener),
 	}
 }
 
@@ -79,11 +85,11 @@
 		}
 	}
 	s := l.settings(fmt.Sprintf("entry-%d", number), zone)
-	s.Entry.Callers = freeAddress()
+	s.Entry.Callers = l.reserve()
 	l.adjust(&s)
 	l.vms = append(l.vms, platform.VM{ID: s.VM, Role: platform.EntryRole, Zone: zone, Region: s.Region, Address: s.Peer})
 	l.callers = append(l.callers, s.Entry.Callers)
-	l.spawn(ctx, s, RunEntry)
+	l.spawn(ctx, s, runEntry)
 	return nil
 }
 
@@ -95,14 +101,14 @@
 	}
 	l.adjust(&s)
 	l.vms = append(l.vms, platform.VM{ID: s.VM, Role: platform.EndpointRole, Pool: e.Pool, Zone: zone, Region: s.Region, Address: s.Peer})
-	l.spawn(ctx, s, RunEndpoint)
+	l.spawn(ctx, s, runEndpoint)
 	return nil
 }
 
-func (l *local) spawn(ctx context.Context, s settings.Settings, run runFunc) {
+func (l *local) spawn(ctx context.Context, s settings.Settings, run localFunc) {
 	ctx, l.stops[s.VM] = context.WithCancel(ctx)
 	l.wg.Go(func() {
-		if err := run(ctx, s, l.log); err != nil {
+		if err := run(ctx, s, l.log, l.listen); err != nil {
 			l.log.Error("Process failed", "vm", s.VM, "error", err)
 		}
 	})
@@ -111,7 +117,7 @@
 func (l *local) settings(vm, zone string) settings.Settings {
 	s := settings.Default()
 	s.VM, s.Zone, s.Region = vm, zone, "demo"
-	s.Peer, s.Operators = freeAddress(), freeAddress()
+	s.Peer, s.Operators = l.reserve(), l.reserve()
 	s.Platform = l.base
 	s.VMListEvery = 100
 	s.Session = settings.Session{Keys: map[string]string{"demo": "no secret, for the demo alone does it stand"}, Current: "demo"}
@@ -169,12 +175,30 @@
 	return "http://" + lis.Addr().String(), nil
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
-func freeAddress() string {
+// reserve opens a listener on a free port and keeps it for the process that
+// will listen there. An address that is only found free and closed again may be
+// taken by another program before the process starts.
+func (l *local) reserve() (address string) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return "127.0.0.1:0"
+		l.log.Error("No address is free", "error", err)
+		return ""
+	}
+	address = lis.Addr().String()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reserved[address] = lis
+	return address
+}
+
+// listen hands out a reserved listener.
+func (l *local) listen(network, address string) (lis net.Listener, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	lis, ok := l.reserved[address]
+	if !ok {
+		return net.Listen(network, address)
 	}
-	defer lis.Close()
-	return lis.Addr().String()
+	delete(l.reserved, address)
+	return lis, nil
 }
