--- a/cli/daemon.go
+++ b/cli/daemon.go
@@ -103,6 +103,7 @@
 	p := &process{settings: s, node: newNode(s, l), log: l, listen: listen}
 	p.port = operations.New(program, version(), p.node)
 	p.port.SetLeaving(p.leaving.Load)
+	p.port.Add(operations.Section{Name: "bills", Read: p.node.Billing().Status})
 	return p
 }
 
@@ -161,6 +162,7 @@
 	}()
 	l.Info("Entry serves callers", "vm", s.VM, "address", callers.Addr())
 	err = e.Serve(serving, callers)
+	settle(inner, p.node, l)
 	l.Info("Entry stopped", "vm", s.VM)
 	return err
 }
@@ -195,7 +197,23 @@
 	p.leaving.Store(true)
 	p.node.Drain(inner)
 	e.WaitIdle(inner)
+	settle(inner, p.node, l)
 	cancel()
 	l.Info("Endpoint stopped", "vm", s.VM)
 	return <-served
 }
+
+// settleLimit bounds how long a stopping process waits for its bills. The
+// platform ends it sooner or later, and waiting longer saves no bill that a
+// holder has.
+const settleLimit = 20 * clock.Second
+
+// settle waits until the process's bills are safe without it.
+func settle(ctx context.Context, n *node.Node, l *log.Logger) {
+	ctx, cancel := context.WithTimeout(ctx, settleLimit.Duration())
+	defer cancel()
+	if n.Billing().Settled(ctx) != nil {
+		own, held := n.Billing().Waiting()
+		l.Warn("Process stops with bills that only one other process has", "own", own, "held", held)
+	}
+}
--- a/cli/local.go
+++ b/cli/local.go
@@ -35,9 +35,10 @@
 	// adjust changes each process's settings before it starts.
 	adjust func(s *settings.Settings)
 	// stops ends one process each, by VM.
-	stops map[string]context.CancelFunc
-	wg    sync.WaitGroup
-	mu    sync.Mutex
+	stops     map[string]context.CancelFunc
+	processes []func()
+	wg        sync.WaitGroup
+	mu        sync.Mutex
 	// reserved holds listeners by address until their process takes them.
 	reserved map[string]net.Listener
 }
@@ -73,6 +74,9 @@
 		return err
 	}
 	l.platform.SetVMs(l.vms)
+	for _, run := range l.processes {
+		l.wg.Go(run)
+	}
 	return nil
 }
 
@@ -105,9 +109,11 @@
 	return nil
 }
 
+// spawn keeps a process until the VM list is complete, so that none reads an
+// empty one first.
 func (l *local) spawn(ctx context.Context, s settings.Settings, run localFunc) {
 	ctx, l.stops[s.VM] = context.WithCancel(ctx)
-	l.wg.Go(func() {
+	l.processes = append(l.processes, func() {
 		if err := run(ctx, s, l.log, l.listen); err != nil {
 			l.log.Error("Process failed", "vm", s.VM, "error", err)
 		}
--- a/endpoint/admit.go
+++ b/endpoint/admit.go
@@ -11,13 +11,14 @@
 // comes before dispatch, so "not run" is true.
 func (e *Endpoint) admit(head *wire.RunHead) (err error) {
 	v := e.node.View()
-	if v.Tables() == nil {
+	if !v.Started() {
 		return refusal.New(refusal.Starting, "endpoint has no tables yet")
 	}
 	if v.Draining() {
 		return refusal.New(refusal.Leaving, "endpoint is leaving")
 	}
 	if v.Revision() < head.GetRevision() {
+		e.node.Behind(head.GetEntry(), "", head.GetRevision())
 		return refusal.New(refusal.Behind, "endpoint's tables are behind the entry's")
 	}
 	s := e.node.Settings()
@@ -58,6 +59,9 @@
 	if t.Versions[head.GetVersion()].Withdrawn {
 		return refusal.New(refusal.Withdrawn, "version is withdrawn")
 	}
+	if e.node.View().Holds().Held(head.GetVersion(), head.GetOrganisation()) {
+		return refusal.New(refusal.Held, "version is held back")
+	}
 	if !slices.Contains(versions, head.GetVersion()) {
 		return refusal.New(refusal.NoEndpoint, "pool does not serve this version")
 	}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -17,10 +17,16 @@
 // attempt runs the request once on one endpoint.
 func (e *Entry) attempt(ctx context.Context, req *work, vm platform.VM, emit func(*wire.Piece) error) (err error) {
 	req.attempts++
+	if done, err := e.claimed(ctx, req, vm, emit); done || err != nil {
+		return err
+	}
 	e.inflight.Add(vm.ID, 1)
 	defer e.inflight.Add(vm.ID, -1)
 	stream, err := e.node.Peers().Gate(ctx, vm.Address).Run(ctx)
 	if err != nil {
+		if ctx.Err() == nil {
+			e.node.NotReached(vm.ID)
+		}
 		return lost(ctx, err)
 	}
 	defer stream.Close()
@@ -51,6 +57,7 @@
 		PrefixHash:     req.prefix,
 		Entry:          e.node.Settings().VM,
 		Stream:         req.stream,
+		Claim:          req.claim,
 	}
 }
 
@@ -66,6 +73,7 @@
 		if p.GetRequest() != req.id || p.GetAttempt() != req.attempts {
 			continue
 		}
+		e.node.Behind(p.GetLoad().GetVm(), "", p.GetRevision())
 		if p.GetLoad() != nil {
 			e.node.Loop().Offer(event.LoadReceived{Now: e.node.Clock().Now(), Load: p.GetLoad()})
 		}
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -43,7 +43,7 @@
 		return 0, nil
 	}
 	answer := newAnswer(rw, req)
-	err = c.entry.run(c.ctx, req, answer.take)
+	err = c.entry.billed(c.ctx, req, answer.take)
 	end(req.routeName, req.attempts, err)
 	if err != nil {
 		answer.fail(err)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"github.com/parsleydeal/parsleydeal/choice"
+	"github.com/parsleydeal/parsleydeal/limit"
 	"github.com/parsleydeal/parsleydeal/node"
 	"github.com/parsleydeal/parsleydeal/peer"
 	"github.com/parsleydeal/parsleydeal/refusal"
@@ -22,13 +23,25 @@
 	node     *node.Node
 	inflight *choice.Inflight
 	sessions *session.Keys
+	raters   *raters
+	judge    judge
+	retries  *limit.Retries
+	queues   *limit.Queues
 	meter    *meter
 }
 
 // New makes an entry over a node; ServePeers and Handler run it.
 func New(n *node.Node) *Entry {
 	s := n.Settings().Session
-	return &Entry{node: n, inflight: choice.NewInflight(), sessions: session.NewKeys(s.Keys, s.Current), meter: newMeter(n.Metrics())}
+	return &Entry{
+		node:     n,
+		inflight: choice.NewInflight(),
+		sessions: session.NewKeys(s.Keys, s.Current),
+		raters:   newRaters(),
+		retries:  limit.NewRetries(),
+		queues:   limit.NewQueues(n.Clock()),
+		meter:    newMeter(n.Metrics()),
+	}
 }
 
 // ServePeers answers peers on a listener until the context ends.
@@ -40,6 +53,7 @@
 // requests in flight finish.
 func (e *Entry) Serve(ctx context.Context, lis net.Listener) (err error) {
 	srv := &http.Server{Handler: e.Handler(), ReadHeaderTimeout: headerTimeout.Duration()}
+	go e.rate(ctx)
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
@@ -70,7 +84,7 @@
 // current returns the view on which a request is decided.
 func (e *Entry) current() (v *view.View, err error) {
 	v = e.node.View()
-	if v.Tables() == nil {
+	if !v.Started() {
 		return nil, refusal.New(refusal.Starting, "entry has no tables yet").WithRetryAfter(startingRetry)
 	}
 	if v.Draining() {
--- a/entry/work.go
+++ b/entry/work.go
@@ -4,6 +4,7 @@
 	"github.com/parsleydeal/parsleydeal/chat"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
+	"github.com/parsleydeal/parsleydeal/quality"
 	"github.com/parsleydeal/parsleydeal/session"
 	"github.com/parsleydeal/parsleydeal/table"
 	"github.com/parsleydeal/parsleydeal/view"
@@ -26,6 +27,14 @@
 	attempts uint32
 	// steps holds what the bill shall list, one a finished attempt.
 	steps []*wire.Step
+	// placed is true once the ledger has the bill and the place taken for it.
+	placed bool
+	// round and claim are the round and log offset of the claim that this
+	// request last held; round is 0 while it held none.
+	round uint32
+	claim int64
+	// fingerprint digests the call for its claim; only plain services set it.
+	fingerprint func() (sum []byte, err error)
 	// send sends the head and the body to a gate.
 	send func(stream wire.DRPCGate_RunClient, head *wire.RunHead) error
 	// bodySpent is true once a body that cannot be read again has been read.
@@ -40,8 +49,19 @@
 	// token is the signed session handed back to the caller.
 	token   string
 	version string
-	stream  bool
-	prefix  uint64
+	// plans are the ways to answer that meet the target, the best first.
+	plans []quality.Plan
+	// trial says that the plan under way was chosen to learn of it.
+	trial bool
+	// judging is true while the answer under way is held back for the rater; its
+	// step is billed with the steps that follow.
+	judging bool
+	// pinned is true when the caller brought a session.
+	pinned bool
+	// moved says why the session lost its version; empty when it kept it.
+	moved  string
+	stream bool
+	prefix uint64
 
 	// service and the fields below it belong to calls of plain services.
 	service string
@@ -51,6 +71,14 @@
 	headers []*wire.Header
 }
 
+// target names what the request asks for, a version or a plain service.
+func (r *work) target() string {
+	if r.service != "" {
+		return servicePrefix + r.service
+	}
+	return r.version
+}
+
 // pools returns the names of the pools that may serve the request.
 func (r *work) pools() []string {
 	if r.service != "" {
