--- a/cli/status.go
+++ b/cli/status.go
@@ -76,7 +76,7 @@
 
 func printStatus(w io.Writer, all []client.VMStatus) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "VM\tROLE\tPOOL\tZONE\tREADY\tREVISION\tSTALENESS\tOUT\tSECTIONS")
+	fmt.Fprintln(t, "VM\tROLE\tPOOL\tZONE\tREADY\tREVISION\tSTALENESS\tOUT\tHELD/WINDOW")
 	for _, s := range all {
 		fmt.Fprintln(t, strings.Join(statusCells(s), "\t"))
 	}
@@ -93,11 +93,16 @@
 		ready = s.Status.Reason
 	}
 	out := strings.Join(append(s.Status.ZonesOut, s.Status.VMsOut...), " ")
-	sections, err := json.Marshal(s.Status.Sections)
-	if err != nil || len(s.Status.Sections) == 0 {
-		sections = []byte("-")
+	return append(cells, ready, fmt.Sprint(s.Status.Revision), clock.Millis(s.Status.StalenessMillis).String(), dash(out), window(s.Status.Sections))
+}
+
+// window shows what an endpoint holds and may hold.
+func window(sections map[string]any) string {
+	w, ok := sections["window"].(map[string]any)
+	if !ok {
+		return "-"
 	}
-	return append(cells, ready, fmt.Sprint(s.Status.Revision), clock.Millis(s.Status.StalenessMillis).String(), dash(out), string(sections))
+	return fmt.Sprintf("%v/%v", w["held"], w["size"])
 }
 
 func dash(text string) string {
