Evidence goes to the judges of its model at a bounded pace, not in every digest

Cause: each digest carried the whole report, up to 136 counts, to processes that judge nothing, and no digest was sent to the judges. Change: spread.Counts plans messages to the three judges; nodes fill in the digest.

--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -75,7 +75,10 @@
 }
 
 // newCluster makes n processes over so many zones, three zones a region.
-func newCluster(n, zones int) *cluster {
+func newCluster(n, zones int) *cluster { return newClusterOf(n, zones, 4) }
+
+// newClusterOf makes one entry out of so many processes; the rest are endpoints.
+func newClusterOf(n, zones, entryOf int) *cluster {
 	c := &cluster{
 		byVM:     make(map[string]*proc),
 		readable: func(*proc) bool { return true },
@@ -83,7 +86,7 @@
 	}
 	for i := range n {
 		role := platform.EndpointRole
-		if i%4 == 0 {
+		if i%entryOf == 0 {
 			role = platform.EntryRole
 		}
 		zone := i % zones
@@ -169,6 +172,7 @@
 	switch f := f.(type) {
 	case event.Exchange:
 		digest := p.state.View().Digest(c.at(p))
+		digest.Counts = f.Digest.GetCounts()
 		sent := c.at(p)
 		c.call(p, f.VM, digest, func(to *proc) proto.Message {
 			reply := to.state.View().Digest(c.at(to))
--- a/control/control.go
+++ b/control/control.go
@@ -28,6 +28,7 @@
 	spread   spread.State
 	draining bool
 	evidence evidence.State
+	counts   spread.Counts
 	rollout  rollout.State
 	// logCut is true while the log shows less than was reduced.
 	logCut bool
@@ -43,7 +44,7 @@
 func NewStateAt(self, zone string, epoch uint64) *State {
 	return &State{
 		self: self, zone: zone, epoch: epoch, members: membership.New(self), spread: spread.New(self, zone),
-		evidence: evidence.NewState(self, epoch), rollout: rollout.NewState(),
+		evidence: evidence.NewState(self, epoch), counts: spread.NewCounts(self), rollout: rollout.NewState(),
 	}
 }
 
@@ -94,6 +95,7 @@
 	deltas, told := s.evidence.Reduce(e)
 	known := rollout.Known{Self: s.self, Now: s.now, Tables: s.tables.Tables(), VMs: s.members.Members().VMs()}
 	effects, changed = s.rollout.Reduce(e, deltas, known)
+	effects = append(effects, s.counts.Reduce(e, s.evidence.Report(), s.members.Members())...)
 	return effects, changed || told
 }
 
--- a/event/event.go
+++ b/event/event.go
@@ -125,7 +125,8 @@
 	Data   []byte
 }
 
-// Exchange asks for a digest exchange with a peer.
+// Exchange asks for a digest exchange with a peer. The shell fills the digest in
+// with what the process knows at that instant; Digest adds the counts.
 type Exchange struct {
 	VM      string
 	Address string
--- a/evidence/state.go
+++ b/evidence/state.go
@@ -253,3 +253,17 @@
 	})
 	return keys
 }
+
+// Totals sums, by key, what this process saw and what others told it.
+func (s *State) Totals() map[Key]Tally {
+	sums := make(map[Key]Tally)
+	for k, c := range s.own {
+		sums[k] = sums[k].Plus(c.tally)
+	}
+	for _, o := range s.others {
+		for k, t := range o.tallies {
+			sums[k] = sums[k].Plus(t)
+		}
+	}
+	return sums
+}
--- a/node/peer.go
+++ b/node/peer.go
@@ -19,7 +19,6 @@
 	if load := n.load.Load(); load != nil {
 		d.Loads = append(d.Loads, (*load)())
 	}
-	d.Counts = n.View().Counts()
 	return d
 }
 
--- a/node/spread.go
+++ b/node/spread.go
@@ -34,7 +34,9 @@
 func (n *Node) exchange(e event.Exchange) {
 	n.call(exchangeTimeout, func(ctx context.Context) {
 		sent := n.cfg.Clock.Now()
-		reply, err := n.cfg.Peers.Peer(ctx, e.Address).Exchange(ctx, n.Digest())
+		d := n.Digest()
+		d.Counts = e.Digest.GetCounts()
+		reply, err := n.cfg.Peers.Peer(ctx, e.Address).Exchange(ctx, d)
 		if err != nil {
 			n.NotReached(e.VM)
 			return
