--- a/control/control.go
+++ b/control/control.go
@@ -9,6 +9,7 @@
 	"github.com/parsleydeal/parsleydeal/membership"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/quality"
 	"github.com/parsleydeal/parsleydeal/rollout"
 	"github.com/parsleydeal/parsleydeal/spread"
 	"github.com/parsleydeal/parsleydeal/table"
@@ -30,6 +31,7 @@
 	evidence evidence.State
 	counts   spread.Counts
 	rollout  rollout.State
+	quality  quality.State
 	// logCut is true while the log shows less than was reduced.
 	logCut bool
 }
@@ -44,14 +46,14 @@
 func NewStateAt(self, zone string, epoch uint64) *State {
 	return &State{
 		self: self, zone: zone, epoch: epoch, members: membership.New(self), spread: spread.New(self, zone),
-		evidence: evidence.NewState(self, epoch), counts: spread.NewCounts(self), rollout: rollout.NewState(),
+		evidence: evidence.NewState(self, epoch), counts: spread.NewCounts(self), rollout: rollout.NewState(), quality: quality.NewState(),
 	}
 }
 
 // View returns an immutable picture of the state.
 func (s *State) View() *view.View {
 	v := view.New(s.tables.Tables(), s.tables.Revision(), s.spread.ConfirmedAt(), s.members.Members(), s.draining)
-	return v.WithEvidence(s.rollout.Holds(s.tables.Tables()), s.evidence.Report()).
+	return v.WithEvidence(s.rollout.Holds(s.tables.Tables()), s.evidence.Report(), s.quality.Book()).
 		WithSpread(spread.Picture{VM: s.self, Zone: s.zone, Epoch: s.epoch, Tail: s.tail, Starting: !s.spread.Started()})
 }
 
@@ -93,6 +95,7 @@
 // reduceEvidence counts what was seen and judges the versions by it.
 func (s *State) reduceEvidence(e event.Event) (effects []event.Effect, changed bool) {
 	deltas, told := s.evidence.Reduce(e)
+	s.quality.Reduce(e, deltas)
 	known := rollout.Known{Self: s.self, Now: s.now, Tables: s.tables.Tables(), VMs: s.members.Members().VMs()}
 	effects, changed = s.rollout.Reduce(e, deltas, known)
 	effects = append(effects, s.counts.Reduce(e, s.evidence.Report(), s.members.Members())...)
--- a/node/spread.go
+++ b/node/spread.go
@@ -11,6 +11,8 @@
 const (
 	exchangeTimeout = clock.Second
 	recordsTimeout  = 3 * clock.Second
+	// estimatesEvery is the least span between two digests that carry estimates.
+	estimatesEvery = 3 * clock.Second
 	// maxCalls bounds the calls to peers under way; a further one is dropped
 	// and made good by a later exchange.
 	maxCalls = 64
