--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 TOOL := go tool -modfile=tools/go.mod
 BUF := go tool -modfile=tools/buf/go.mod buf
-HAND := $(shell git ls-files '*.go' | grep -v -e '^gen/' -e '\.pb\.go$$')
+HAND := $(shell git ls-files '*.go' | sort -u | grep -v -e '^gen/' -e '\.pb\.go$$')
 
 .PHONY: all build test race lint format format-check vet generate generate-check bench bench-check fuzz demo
 
--- a/cli/daemon.go
+++ b/cli/daemon.go
@@ -136,6 +136,7 @@
 	}
 	p := newProcess("parsleydeal-entry", s, l)
 	e := entry.New(p.node)
+	p.port.SetBurn(e.BurnReport)
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	if err = p.start(inner); err != nil {
