--- a/cli/burn_test.go
+++ b/cli/burn_test.go
@@ -20,7 +20,7 @@
 		is.NoErr(err)
 		is.Equal(status, http.StatusOK)
 	}
-	gone := platform.VM{ID: "entry-gone", Role: platform.EntryRole, Zone: "zone-a", Address: freeAddress()}
+	gone := platform.VM{ID: "entry-gone", Role: platform.EntryRole, Zone: "zone-a", Address: "127.0.0.1:1"}
 	d.platform.SetVMs(append(d.vms, gone))
 	v, err := Burn(t.Context(), platform.NewHTTP(d.base, http.DefaultClient).VMList(), peer.NewPool())
 	is.NoErr(err)
