--- a/node/spread.go
+++ b/node/spread.go
@@ -11,6 +11,8 @@
 const (
 	exchangeTimeout = clock.Second
 	recordsTimeout  = 3 * clock.Second
+	// estimatesEvery is the least span between two digests that carry estimates.
+	estimatesEvery = 3 * clock.Second
 	// maxCalls bounds the calls to peers under way; a further one is dropped
 	// and made good by a later exchange.
 	maxCalls = 64
@@ -34,7 +36,9 @@
 func (n *Node) exchange(e event.Exchange) {
 	n.call(exchangeTimeout, func(ctx context.Context) {
 		sent := n.cfg.Clock.Now()
-		reply, err := n.cfg.Peers.Peer(ctx, e.Address).Exchange(ctx, n.Digest())
+		d := n.Digest()
+		d.Counts = e.Digest.GetCounts()
+		reply, err := n.cfg.Peers.Peer(ctx, e.Address).Exchange(ctx, d)
 		if err != nil {
 			n.NotReached(e.VM)
 			return
