System tests depend on the daemons' code

Cause: go test took a cached result of package system after the daemons had changed, since it builds them by a command that the cache does not follow. Change: the package imports cli, which holds all daemon code. Conclusion: a changed daemon runs the tests again.

--- a/system/cluster_test.go
+++ b/system/cluster_test.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/parsleydeal/parsleydeal/bill"
+	_ "github.com/parsleydeal/parsleydeal/cli" // the daemons' code, so that a cached result is never that of older daemons
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/platform"
