--- a/system/cluster_test.go
+++ b/system/cluster_test.go
@@ -274,6 +274,8 @@
 
 // call does one exchange with an entry. Status is 0 when the connection broke.
 func (c *cluster) call(ctx context.Context, p *process, method, path, body string, h http.Header) (status int, header http.Header, text string) {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+p.callers+path, strings.NewReader(body))
 	if err != nil {
 		c.t.Error(err)
