--- a/bench/zone.go
+++ b/bench/zone.go
@@ -22,7 +22,7 @@
 	zoneReplicas  = 30
 	zoneCount     = 3
 	zonePlaces    = 16
-	zoneCold      = 2 // places of a cold engine's gate
+	zoneCold      = 2   // places of a cold engine's gate
 	zoneUse       = 0.5 // part of all places in use on average
 	zoneFlapUse   = 0.3 // the same while two of three zones flap
 	zoneService   = 1500 * clock.Millis(1)
--- a/control/control.go
+++ b/control/control.go
@@ -33,6 +33,7 @@
 	spread   spread.State
 	draining bool
 	evidence evidence.State
+	counts   spread.Counts
 	rollout  rollout.State
 	quality  quality.State
 	zones    zone.State
@@ -52,7 +53,8 @@
 func NewStateAt(self, place string, epoch uint64) *State {
 	return &State{
 		self: self, zone: place, epoch: epoch, members: membership.New(self), spread: spread.New(self, place),
-		evidence: evidence.NewState(self, epoch), rollout: rollout.NewState(), quality: quality.NewState(), zones: zone.NewState(),
+		evidence: evidence.NewState(self, epoch), counts: spread.NewCounts(self),
+		rollout: rollout.NewState(), quality: quality.NewState(), zones: zone.NewState(),
 	}
 }
 
@@ -116,6 +118,7 @@
 	s.quality.Reduce(e, deltas)
 	known := rollout.Known{Self: s.self, Now: s.now, Tables: s.tables.Tables(), VMs: s.members.Members().VMs()}
 	effects, changed = s.rollout.Reduce(e, deltas, known)
+	effects = append(effects, s.counts.Reduce(e, s.evidence.Report(), s.members.Members())...)
 	return effects, changed || told
 }
 
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -45,6 +45,7 @@
 	answer := newAnswer(rw, req)
 	err = c.entry.billed(c.ctx, req, answer.take)
 	end(req.routeName, req.attempts, err)
+	c.entry.burnRequest(req, req.routeName, err)
 	if err != nil {
 		answer.fail(err)
 		return 0, nil
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 
+	"github.com/parsleydeal/parsleydeal/burn"
 	"github.com/parsleydeal/parsleydeal/choice"
 	"github.com/parsleydeal/parsleydeal/limit"
 	"github.com/parsleydeal/parsleydeal/node"
@@ -29,6 +30,7 @@
 	retries  *limit.Retries
 	queues   *limit.Queues
 	meter    *meter
+	burn     *burn.Recorder
 }
 
 // New makes an entry over a node; ServePeers and Handler run it.
@@ -43,6 +45,7 @@
 		retries:  limit.NewRetries(),
 		queues:   limit.NewQueues(n.Clock()),
 		meter:    newMeter(n.Metrics()),
+		burn:     burn.NewRecorder(n.Clock()),
 	}
 }
 
--- a/entry/service.go
+++ b/entry/service.go
@@ -33,6 +33,7 @@
 		err = e.billed(r.Context(), &c.work, c.take)
 	}
 	end(c.label(), c.attempts, err)
+	e.burnRequest(&c.work, c.label(), err)
 	if err == nil {
 		return
 	}
