--- /dev/null
+++ b/answer/keeping.go
@@ -0,0 +1,232 @@
+package answer
+
+import (
+	"context"
+	"sync"
+
+	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/peer/wire"
+)
+
+// pieceOverhead is about what a piece takes beside its text and data.
+const pieceOverhead = 160
+
+// KeepLimits bound what is kept.
+type KeepLimits struct {
+	// Answers and Bytes bound all answers together, One the bytes of a single
+	// one. Beyond them the oldest finished answer falls out first.
+	Answers int
+	Bytes   int
+	One     int
+	// For is how long a finished answer is kept.
+	For clock.Millis
+}
+
+// Owner says whose answer it is and under which key it can be asked for again.
+type Owner struct {
+	Request      string
+	Organisation string
+	// Key is the caller's idempotency key, or empty.
+	Key string
+}
+
+type ownerKey struct {
+	organisation string
+	key          string
+}
+
+// Keeping keeps answers while they are made and for a time after, so that a
+// caller whose entry vanished gets the whole answer on its retry.
+type Keeping struct {
+	mu     sync.Mutex
+	limits KeepLimits
+	// byRequest and byKey hold the same answers; order lists them by start and
+	// has at most limits.Answers.
+	byRequest map[string]*Kept
+	byKey     map[ownerKey]*Kept
+	order     []*Kept
+	bytes     int
+}
+
+// Kept is one answer being kept.
+type Kept struct {
+	keeping *Keeping
+	owner   Owner
+	pieces  []*wire.Piece
+	bytes   int
+	// ended is when the last piece came; it counts once done is true.
+	ended clock.Millis
+	done  bool
+	// lost is true once the answer is not kept any more.
+	lost bool
+	// grown is closed and replaced when a piece is added or the answer ends.
+	grown chan struct{}
+}
+
+// NewKeeping makes an empty keeping.
+func NewKeeping(l KeepLimits) *Keeping {
+	return &Keeping{limits: l, byRequest: make(map[string]*Kept), byKey: make(map[ownerKey]*Kept)}
+}
+
+// Start begins to keep an answer.
+func (k *Keeping) Start(o Owner) *Kept {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	a := &Kept{keeping: k, owner: o, grown: make(chan struct{})}
+	k.byRequest[o.Request] = a
+	if o.Key != "" {
+		k.byKey[ownerKey{o.Organisation, o.Key}] = a
+	}
+	k.order = append(k.order, a)
+	k.trim()
+	return a
+}
+
+// Find returns the answer of a request, or of an organisation's key. An answer
+// is found only by the organisation it belongs to.
+func (k *Keeping) Find(o Owner) (a *Kept, ok bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	a, ok = k.byRequest[o.Request]
+	if !ok && o.Key != "" {
+		a, ok = k.byKey[ownerKey{o.Organisation, o.Key}]
+	}
+	if !ok || a.lost || a.owner.Organisation != o.Organisation {
+		return nil, false
+	}
+	return a, true
+}
+
+// Expire drops answers that have been kept long enough.
+func (k *Keeping) Expire(now clock.Millis) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for i := 0; i < len(k.order); {
+		a := k.order[i]
+		if a.done && now-a.ended > k.limits.For {
+			k.drop(i)
+			continue
+		}
+		i++
+	}
+}
+
+// Size returns how many answers are kept and their bytes.
+func (k *Keeping) Size() (answers, bytes int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.order), k.bytes
+}
+
+// trim drops the oldest finished answers, and unfinished ones only when there is
+// no other, until the bounds hold.
+func (k *Keeping) trim() {
+	for len(k.order) > k.limits.Answers || k.bytes > k.limits.Bytes {
+		oldest := 0
+		for i, a := range k.order {
+			if a.done {
+				oldest = i
+				break
+			}
+		}
+		k.drop(oldest)
+	}
+}
+
+func (k *Keeping) drop(i int) {
+	a := k.order[i]
+	k.order = append(k.order[:i], k.order[i+1:]...)
+	k.bytes -= a.bytes
+	a.lost = true
+	a.pieces = nil
+	a.wake()
+	if k.byRequest[a.owner.Request] == a {
+		delete(k.byRequest, a.owner.Request)
+	}
+	name := ownerKey{a.owner.Organisation, a.owner.Key}
+	if k.byKey[name] == a {
+		delete(k.byKey, name)
+	}
+}
+
+// Add keeps the next piece. The piece may not change afterwards.
+func (a *Kept) Add(p *wire.Piece) {
+	k := a.keeping
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if a.lost {
+		return
+	}
+	n := pieceOverhead + len(p.GetText()) + len(p.GetData())
+	a.pieces = append(a.pieces, p)
+	a.bytes += n
+	k.bytes += n
+	a.wake()
+	if a.bytes > k.limits.One {
+		k.dropAnswer(a)
+		return
+	}
+	k.trim()
+}
+
+func (k *Keeping) dropAnswer(a *Kept) {
+	for i, o := range k.order {
+		if o == a {
+			k.drop(i)
+			return
+		}
+	}
+}
+
+// End tells that the answer has all its pieces.
+func (a *Kept) End(now clock.Millis) {
+	k := a.keeping
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	a.done = true
+	a.ended = now
+	a.wake()
+}
+
+func (a *Kept) wake() {
+	close(a.grown)
+	a.grown = make(chan struct{})
+}
+
+// From hands on the pieces from a number on, waiting for those to come until the
+// answer ends. It fails when the answer falls out before its end.
+func (a *Kept) From(ctx context.Context, number uint32, emit func(*wire.Piece) error) (err error) {
+	for {
+		p, grown, err := a.piece(number)
+		if err != nil {
+			return err
+		}
+		if p != nil {
+			if err = emit(p); err != nil || p.GetLast() {
+				return err
+			}
+			number++
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-grown:
+		}
+	}
+}
+
+func (a *Kept) piece(number uint32) (p *wire.Piece, grown chan struct{}, err error) {
+	a.keeping.mu.Lock()
+	defer a.keeping.mu.Unlock()
+	if a.lost {
+		return nil, nil, ErrNotKept.New("the answer is no longer kept")
+	}
+	if int(number) < len(a.pieces) {
+		return a.pieces[number], nil, nil
+	}
+	if a.done {
+		return nil, nil, ErrNotKept.New("the answer ended at piece %d", len(a.pieces))
+	}
+	return nil, a.grown, nil
+}
--- a/control/loop.go
+++ b/control/loop.go
@@ -19,6 +19,8 @@
 	perform func(event.Effect)
 	view    atomic.Pointer[view.View]
 	dropped atomic.Int64
+	// changed is closed and replaced when a view is published.
+	changed atomic.Pointer[chan struct{}]
 }
 
 // NewLoop makes a loop over a state. Perform is called on the control
@@ -26,6 +28,8 @@
 func NewLoop(state *State, perform func(event.Effect)) *Loop {
 	l := &Loop{state: state, events: make(chan event.Event, queueLength), perform: perform}
 	l.view.Store(state.View())
+	changed := make(chan struct{})
+	l.changed.Store(&changed)
 	return l
 }
 
@@ -78,5 +82,6 @@
 	}
 	if publish {
 		l.view.Store(l.state.View())
+		l.announce()
 	}
 }
--- a/endpoint/plain.go
+++ b/endpoint/plain.go
@@ -5,8 +5,8 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptrace"
 
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/refusal"
@@ -16,44 +16,61 @@
 const plainPiece = 32 << 10
 
 // runPlain carries one call to a plain service. The body streams through; it
-// is never held whole.
-func (e *Endpoint) runPlain(ctx context.Context, stream wire.DRPCGate_RunStream, first *wire.RunFrame) (err error) {
-	head := first.GetHead()
-	body := &frameReader{stream: stream, rest: first.GetBody(), last: first.GetLast()}
-	req, err := http.NewRequestWithContext(ctx, head.GetMethod(), e.node.Settings().Endpoint.Engine+"/"+head.GetPath(), body)
+// is never held whole. The call is dispatched at most once: the body of the
+// request given to net/http can be read only once, so its transport never sends
+// the call again on another connection.
+func (e *Endpoint) runPlain(ctx context.Context, a *attempt, first *wire.RunFrame) (err error) {
+	body := &frameReader{a: a, rest: first.GetBody()}
+	connected := false
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	url := e.node.Settings().Endpoint.Engine + "/" + a.head.GetPath()
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), a.head.GetMethod(), url, body)
 	if err != nil {
 		return refusal.New(refusal.Malformed, err.Error())
 	}
 	if first.GetLast() {
-		req.Body = io.NopCloser(bytes.NewReader(first.GetBody()))
 		req.ContentLength = int64(len(first.GetBody()))
 	}
-	for _, h := range head.GetHeaders() {
+	for _, h := range a.head.GetHeaders() {
 		req.Header.Add(h.GetName(), h.GetValue())
 	}
 	resp, err := e.plain.Do(req)
 	if err != nil {
-		return plainRefusal(err)
+		return a.plainRefusal(ctx, err, connected)
 	}
 	defer resp.Body.Close()
-	a := &attempt{head: head, stream: stream}
+	a.firstToken()
 	if err = a.send(&wire.Piece{Status: int32(resp.StatusCode), Headers: headersOf(resp.Header)}); err != nil {
 		return err
 	}
 	if err = a.copy(resp.Body); err != nil {
-		return refusal.New(refusal.EngineFailed, err.Error()).WithRun(refusal.Ran)
+		return a.brokenAnswer(ctx, err)
 	}
-	return a.finishPlain(e)
+	return a.lastOfPlain()
 }
 
-func plainRefusal(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return refusal.New(refusal.EngineFailed, "service cannot be reached")
+// plainRefusal says "not run" only of a call for which no connection to the
+// service was had: then no byte of it can have left.
+func (a *attempt) plainRefusal(ctx context.Context, err error, connected bool) error {
+	if !connected {
+		if ctx.Err() != nil {
+			return refusal.New(refusal.DeadlinePassed, "deadline passed before dispatch")
+		}
+		return refusal.New(refusal.EngineUnreachable, "service cannot be reached")
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return refusal.New(refusal.DeadlinePassed, "deadline passed").WithRun(refusal.Unknown)
 	}
 	return refusal.New(refusal.EngineFailed, err.Error()).WithRun(refusal.Unknown)
 }
 
+func (a *attempt) brokenAnswer(ctx context.Context, err error) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return refusal.New(refusal.DeadlinePassed, "deadline passed").WithRun(refusal.Ran)
+	}
+	return refusal.New(refusal.EngineFailed, err.Error()).WithRun(refusal.Ran)
+}
+
 func headersOf(h http.Header) (out []*wire.Header) {
 	for name, values := range h {
 		for _, v := range values {
@@ -63,12 +80,20 @@
 	return out
 }
 
+// own copies data that is kept beyond the piece's sending.
+func (a *attempt) own(data []byte) []byte {
+	if a.kept == nil {
+		return data
+	}
+	return bytes.Clone(data)
+}
+
 func (a *attempt) copy(r io.Reader) (err error) {
 	buf := make([]byte, plainPiece)
 	for {
 		n, err := r.Read(buf)
 		if n > 0 {
-			if sendErr := a.send(&wire.Piece{Data: buf[:n]}); sendErr != nil {
+			if sendErr := a.send(&wire.Piece{Data: a.own(buf[:n])}); sendErr != nil {
 				return sendErr
 			}
 		}
@@ -81,35 +106,29 @@
 	}
 }
 
-func (a *attempt) finishPlain(e *Endpoint) error {
-	v := e.node.View()
-	fee := v.Tables().Services[a.head.GetService()].Fee
-	return a.send(&wire.Piece{
-		Last:     true,
-		Step:     &wire.Step{Attempt: a.head.GetAttempt(), Service: a.head.GetService(), Vm: e.node.Settings().VM, Cost: fee, Whole: true},
-		Load:     e.load(),
-		Revision: v.Revision(),
-	})
+func (a *attempt) lastOfPlain() error {
+	fee := a.e.node.View().Tables().Services[a.head.GetService()].Fee
+	step := &wire.Step{Attempt: a.head.GetAttempt(), Service: a.head.GetService(), Vm: a.e.node.Settings().VM, Cost: fee, Whole: true}
+	return a.last(step, &wire.Piece{})
 }
 
 // frameReader reads a request's body from the frames of a stream.
 type frameReader struct {
-	stream wire.DRPCGate_RunStream
-	rest   []byte
-	last   bool
+	a    *attempt
+	rest []byte
 }
 
 func (f *frameReader) Read(p []byte) (n int, err error) {
 	for len(f.rest) == 0 {
-		if f.last {
+		if f.a.bodyRead.Load() {
 			return 0, io.EOF
 		}
-		frame, err := f.stream.Recv()
+		frame, err := f.a.stream.Recv()
 		if err != nil {
 			return 0, io.ErrUnexpectedEOF
 		}
 		f.rest = frame.GetBody()
-		f.last = frame.GetLast()
+		f.a.bodyRead.Store(frame.GetLast())
 	}
 	n = copy(p, f.rest)
 	f.rest = f.rest[n:]
--- a/endpoint/run.go
+++ b/endpoint/run.go
@@ -2,140 +2,129 @@
 
 import (
 	"context"
-	"errors"
+	"io"
 
-	"github.com/joomcode/errorx"
-	"github.com/parsleydeal/parsleydeal/chat"
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/engine"
+	"github.com/parsleydeal/parsleydeal/gate"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/refusal"
 )
 
 // Run carries one attempt from an entry to the engine and the pieces back.
 func (e *Endpoint) Run(stream wire.DRPCGate_RunStream) (err error) {
+	e.active.Add(1)
+	defer e.active.Add(-1)
 	first, err := stream.Recv()
 	if err != nil {
 		return err
 	}
-	head := first.GetHead()
-	if err = e.admit(head); err != nil {
-		return e.refuse(stream, head, err)
+	a := newAttempt(e, stream, first)
+	if err = e.open(a); err != nil {
+		return a.refuse(err)
 	}
-	good := false
-	defer func() { e.window.Release(good) }()
-	ctx, cancel := context.WithTimeout(stream.Context(), clock.Millis(head.GetDeadlineMillis()).Duration())
+	defer e.close(a)
+	if err = e.admit(stream.Context(), a); err != nil {
+		return a.refuse(err)
+	}
+	ctx, cancel := a.context()
 	defer cancel()
-	if head.GetService() != "" {
-		err = e.runPlain(ctx, stream, first)
+	if err = a.dispatch(); err != nil {
+		return a.refuse(err)
+	}
+	if a.head.GetService() != "" {
+		err = e.runPlain(ctx, a, first)
 	} else {
-		err = e.runChat(ctx, stream, first)
+		err = e.runChat(ctx, a, first.GetBody())
 	}
-	good = err == nil
 	if err != nil {
-		return e.refuse(stream, head, err)
+		return a.refuse(err)
 	}
-	return nil
+	return a.settle()
 }
 
-func (e *Endpoint) refuse(stream wire.DRPCGate_RunStream, head *wire.RunHead, cause error) error {
-	r, ok := refusal.As(cause)
-	if !ok {
-		r = refusal.New(refusal.EngineFailed, cause.Error()).WithRun(refusal.Unknown)
-	}
-	return stream.Send(&wire.Piece{
-		Request: head.GetRequest(),
-		Attempt: head.GetAttempt(),
-		Last:    true,
-		Refusal: r.Wire(),
-		Load:    e.load(),
-	})
-}
-
-// load is the endpoint's own view of itself.
-func (e *Endpoint) load() *wire.Load {
-	held, size := e.window.Held()
-	return &wire.Load{Vm: e.node.Settings().VM, Held: int32(held), Window: int32(size), Leaving: e.node.View().Draining()}
-}
-
-func (e *Endpoint) runChat(ctx context.Context, stream wire.DRPCGate_RunStream, first *wire.RunFrame) (err error) {
-	head := first.GetHead()
-	body, err := chat.ForEngine(first.GetBody(), head.GetVersion())
-	if err != nil {
-		return refusal.New(refusal.Malformed, err.Error())
+// open checks that an attempt may be begun at all.
+func (e *Endpoint) open(a *attempt) (err error) {
+	switch {
+	case a.head == nil || a.head.GetRequest() == "":
+		return refusal.New(refusal.Malformed, "attempt has no head")
+	case a.head.GetDeadlineMillis() <= 0:
+		return refusal.New(refusal.DeadlinePassed, "deadline passed")
+	case a.head.GetGateEpoch() != 0 && a.head.GetGateEpoch() != e.load().GetEpoch():
+		// The attempt was meant for this VM's process before its restart. That
+		// one may have said that the attempt will never run.
+		return refusal.New(refusal.Restarted, "endpoint has restarted since")
 	}
-	a := &attempt{head: head, stream: stream}
-	order := engine.Order{Request: head.GetRequest(), Body: body, Priority: head.GetPriority()}
-	if err = e.engine.Chat(ctx, order, a.chunk); err != nil {
-		return engineRefusal(ctx, err)
+	if !a.once() {
+		return nil
+	}
+	if run, ok := e.memory.Arrive(a.id(), a.claim()); !ok {
+		code := refusal.AlreadyRan
+		if run == refusal.NotRun {
+			code = refusal.Tombstoned
+		}
+		return refusal.New(code, "attempt was refused or seen before").WithRun(run)
 	}
-	return a.finish(e)
+	a.remembered = true
+	return nil
 }
 
-func engineRefusal(ctx context.Context, err error) error {
-	switch {
-	case errorx.IsOfType(err, engine.ErrNotStarted):
-		return refusal.New(refusal.EngineFailed, err.Error())
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return refusal.New(refusal.DeadlinePassed, "deadline passed").WithRun(refusal.Ran)
-	case ctx.Err() != nil:
-		return refusal.New(refusal.Cancelled, "cancelled").WithRun(refusal.Ran)
-	default:
-		return refusal.New(refusal.EngineFailed, err.Error()).WithRun(refusal.Unknown)
+// close gives back whatever the attempt still has.
+func (e *Endpoint) close(a *attempt) {
+	a.release(gate.Dropped)
+	if a.remembered {
+		e.memory.End(a.id())
+	}
+	if a.kept != nil {
+		a.kept.End(e.node.Clock().Now())
 	}
 }
 
-// attempt numbers the pieces of one attempt.
-type attempt struct {
-	head   *wire.RunHead
-	stream wire.DRPCGate_RunStream
-	number uint32
-	reason string
-	usage  wire.Usage
+// context bounds a run by its deadline. A run that is kept goes on when its
+// entry's connection is cut: it may not be repeated, or its caller can come back
+// with its key. Any other run ends with the connection, which also is how a
+// cancel reaches the engine.
+func (a *attempt) context() (ctx context.Context, cancel context.CancelFunc) {
+	ctx = a.stream.Context()
+	if a.once() {
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, stop := context.WithTimeout(ctx, clock.Millis(a.head.GetDeadlineMillis()).Duration())
+	detach := context.AfterFunc(a.e.aborted, stop)
+	return ctx, func() {
+		detach()
+		stop()
+	}
 }
 
-func (a *attempt) chunk(c *chat.Chunk) error {
-	if c.Usage != nil {
-		a.usage.InputTokens = c.Usage.PromptTokens
-		a.usage.OutputTokens = c.Usage.CompletionTokens
-	}
-	if len(c.Choices) == 0 {
+// settle waits until the entry has taken the last piece and billed it: it closes
+// the stream then. When it went before, the step is billed from here. Should
+// both bill it, the two bills merge into one, since they name the same attempt.
+func (a *attempt) settle() (err error) {
+	if a.kept == nil {
 		return nil
 	}
-	choice := c.Choices[0]
-	if choice.FinishReason != nil {
-		a.reason = *choice.FinishReason
-	}
-	if choice.Delta.Content == "" {
+	if !a.cut && a.acknowledged() {
 		return nil
 	}
-	return a.send(&wire.Piece{Text: choice.Delta.Content, Tokens: 1})
-}
-
-func (a *attempt) send(p *wire.Piece) error {
-	p.Request = a.head.GetRequest()
-	p.Attempt = a.head.GetAttempt()
-	p.Number = a.number
-	a.number++
-	return a.stream.Send(p)
+	a.e.orphan(&wire.Bill{
+		Request:        a.head.GetRequest(),
+		Organisation:   a.head.GetOrganisation(),
+		Route:          a.head.GetRoute(),
+		Steps:          []*wire.Step{a.step},
+		IdempotencyKey: a.head.GetIdempotencyKey(),
+	})
+	return nil
 }
 
-func (a *attempt) finish(e *Endpoint) error {
-	v := e.node.View()
-	version := v.Tables().Versions[a.head.GetVersion()]
-	return a.send(&wire.Piece{
-		Last:         true,
-		FinishReason: a.reason,
-		Usage:        &a.usage,
-		Step: &wire.Step{
-			Attempt: a.head.GetAttempt(),
-			Version: a.head.GetVersion(),
-			Vm:      e.node.Settings().VM,
-			Usage:   &a.usage,
-			Cost:    version.Cost(a.usage.InputTokens, a.usage.OutputTokens),
-			Whole:   true,
-		},
-		Load:     e.load(),
-		Revision: v.Revision(),
-	})
+// acknowledged reports whether the entry ended the stream by its own word. A
+// connection that breaks gives another error.
+func (a *attempt) acknowledged() bool {
+	if !a.bodyRead.Load() {
+		return false
+	}
+	for {
+		if _, err := a.stream.Recv(); err != nil {
+			return err == io.EOF
+		}
+	}
 }
--- /dev/null
+++ b/endpoint/watch.go
@@ -0,0 +1,58 @@
+package endpoint
+
+import (
+	"context"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/engine"
+)
+
+const (
+	watchEvery = 100 * clock.Millis(1)
+	// pollEvery is the span between two readings of the engine's load, in watches.
+	pollEvery   = 5
+	pollTimeout = 2 * clock.Second
+)
+
+// watch looks after the gate until the context ends: stalled requests, kept
+// answers that have lapsed, and the engine's own word.
+func (e *Endpoint) watch(ctx context.Context) {
+	t := time.NewTicker(watchEvery.Duration())
+	defer t.Stop()
+	reached := true
+	for n := 0; ; n++ {
+		now := e.node.Clock().Now()
+		e.gate.Tick(now)
+		e.keeping.Expire(now)
+		if n%pollEvery == 0 && !e.node.Settings().Endpoint.Plain {
+			reached = e.poll(ctx, reached)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// poll reads the engine's load. An engine with another generation, or one that
+// takes no connection any more, has restarted and is cold.
+func (e *Endpoint) poll(ctx context.Context, before bool) (reached bool) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout.Duration())
+	defer cancel()
+	l, err := e.engine.Load(ctx)
+	if err != nil {
+		if before && errorx.IsOfType(err, engine.ErrNotStarted) {
+			e.gate.Close()
+			e.node.Log().Warn("Engine takes no connection; the window is closed.", "error", err)
+		}
+		return !errorx.IsOfType(err, engine.ErrNotStarted)
+	}
+	e.status.Store(&l)
+	if e.gate.Generation(l.Generation) {
+		e.node.Log().Warn("Engine has restarted; the window is closed.", "generation", l.Generation)
+	}
+	return true
+}
--- /dev/null
+++ b/engine/chunk.go
@@ -0,0 +1,115 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+)
+
+// Chunk is one part of an engine's stream.
+type Chunk struct {
+	Text string
+	// Raw is the delta as the engine wrote it, when it holds more than text.
+	Raw []byte
+	// FinishReason is empty before the end.
+	FinishReason string
+	// Usage is nil before the end.
+	Usage *Usage
+}
+
+// Usage counts the tokens of an answer.
+type Usage struct {
+	PromptTokens     int64 `json:"prompt_tokens"`
+	CompletionTokens int64 `json:"completion_tokens"`
+	Details          struct {
+		CachedTokens int64 `json:"cached_tokens"`
+	} `json:"prompt_tokens_details"`
+}
+
+type rawChunk struct {
+	Choices []struct {
+		Delta        json.RawMessage `json:"delta"`
+		FinishReason *string         `json:"finish_reason"`
+	} `json:"choices"`
+	Usage *Usage `json:"usage"`
+}
+
+func readStream(r io.Reader, emit func(Chunk) error) (err error) {
+	sc := bufio.NewScanner(r)
+	sc.Buffer(make([]byte, 0, 4096), maxLineBytes)
+	for sc.Scan() {
+		data, ok := bytes.CutPrefix(sc.Bytes(), []byte("data:"))
+		if !ok {
+			continue
+		}
+		data = bytes.TrimSpace(data)
+		if string(data) == "[DONE]" {
+			return nil
+		}
+		c, err := parseChunk(data)
+		if err != nil {
+			return ErrBroken.Wrap(err, "read chunk")
+		}
+		if err = emit(c); err != nil {
+			return err
+		}
+	}
+	if err = sc.Err(); err != nil {
+		return ErrBroken.Wrap(err, "read stream")
+	}
+	return ErrBroken.Wrap(fmt.Errorf("no end mark"), "read stream")
+}
+
+func parseChunk(data []byte) (c Chunk, err error) {
+	var raw rawChunk
+	if err = json.Unmarshal(data, &raw); err != nil {
+		return c, err
+	}
+	c.Usage = raw.Usage
+	if len(raw.Choices) == 0 {
+		return c, nil
+	}
+	choice := raw.Choices[0]
+	if choice.FinishReason != nil {
+		c.FinishReason = *choice.FinishReason
+	}
+	err = c.delta(choice.Delta)
+	return c, err
+}
+
+// delta reads a delta. Most hold a text alone, which is read without a map.
+func (c *Chunk) delta(raw json.RawMessage) (err error) {
+	if len(raw) == 0 {
+		return nil
+	}
+	inner, ok := bytes.CutPrefix(raw, []byte(`{"content":`))
+	if ok && json.Unmarshal(bytes.TrimSuffix(inner, []byte("}")), &c.Text) == nil {
+		return nil
+	}
+	c.Text = ""
+	var fields map[string]json.RawMessage
+	if err = json.Unmarshal(raw, &fields); err != nil {
+		return err
+	}
+	if text, ok := fields["content"]; ok {
+		if err = json.Unmarshal(text, &c.Text); err != nil {
+			return err
+		}
+	}
+	if opaque(fields) {
+		c.Raw = raw
+	}
+	return nil
+}
+
+// opaque reports whether a delta holds more than text and the constant role.
+func opaque(fields map[string]json.RawMessage) bool {
+	for name, value := range fields {
+		if name != "content" && name != "role" && string(value) != "null" {
+			return true
+		}
+	}
+	return false
+}
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -69,6 +69,9 @@
 	return a.event(a.chunk(chat.Delta{Content: p.GetText()}, nil))
 }
 
+// drop forgets what was taken, for an answer that starts again.
+func (a *answer) drop() { a.text.Reset() }
+
 func (a *answer) chunk(d chat.Delta, reason *string) *chat.Chunk {
 	return &chat.Chunk{
 		ID: a.req.id, Object: "chat.completion.chunk", Created: a.created, Model: a.req.version,
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 
 	"github.com/joomcode/errorx"
+	answers "github.com/parsleydeal/parsleydeal/answer"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/peer"
@@ -19,20 +20,84 @@
 	req.attempts++
 	e.inflight.Add(vm.ID, 1)
 	defer e.inflight.Add(vm.ID, -1)
+	seq := answers.NewSequence(req.id, req.attempts)
+	err, cut := e.open(ctx, req, vm, seq, emit)
+	if cut && req.kept() && ctx.Err() == nil {
+		return e.reattach(ctx, req, vm, seq, emit, err)
+	}
+	return err
+}
+
+// open sends the attempt and takes its pieces. Cut is true when the connection
+// broke after the attempt may have arrived.
+func (e *Entry) open(ctx context.Context, req *work, vm platform.VM, seq *answers.Sequence, emit func(*wire.Piece) error) (err error, cut bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	stream, err := e.node.Peers().Gate(ctx, vm.Address).Run(ctx)
 	if err != nil {
-		return lost(ctx, err)
+		return lost(ctx, err), false
+	}
+	defer stream.Close()
+	head := e.head(ctx, req, vm)
+	if req.service == "" {
+		if err = req.send(stream, head); err != nil {
+			return lost(ctx, err), true
+		}
+		return e.receive(ctx, req, seq, stream.Recv, emit)
+	}
+	stop := sendAside(req, func() error { return req.send(stream, head) }, cancel)
+	defer stop()
+	return e.receive(ctx, req, seq, stream.Recv, emit)
+}
+
+// errBody marks a caller's body that broke off.
+var errBody = errors.New("entry: caller's body broke off")
+
+// sendAside sends a service's body while its answer comes back. Sending it first
+// would lock up on a service that answers before it has read all: it waits for
+// its answer to be taken, and the answer would wait for the body to be sent.
+// Stop ends the sending, also one that waits for the caller or for the gate.
+func sendAside(req *work, send func() error, cancel func()) (stop func()) {
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		// Only a body that broke off ends the attempt: a gate that refused it early
+		// takes no more of the body either, and its refusal must still be read.
+		if errors.Is(send(), errBody) {
+			cancel()
+		}
+	}()
+	return func() {
+		select {
+		case <-sent:
+			return
+		default:
+		}
+		req.stopBody()
+		cancel()
+		<-sent
+	}
+}
+
+// reattach asks the endpoint for the rest of an answer after the connection to it
+// broke. The run goes on there and may not be repeated, or need not be.
+func (e *Entry) reattach(ctx context.Context, req *work, vm platform.VM, seq *answers.Sequence, emit func(*wire.Piece) error, cause error) (err error) {
+	in := &wire.KeptRequest{Request: req.id, Organisation: req.organisation, After: seq.Next()}
+	stream, err := e.node.Peers().Gate(ctx, vm.Address).Kept(ctx, in)
+	if err != nil {
+		return cause
 	}
 	defer stream.Close()
-	if err = req.send(stream, e.head(ctx, req)); err != nil {
-		return lost(ctx, err)
+	err, cut := e.receive(ctx, req, seq, stream.Recv, emit)
+	if r, ok := refusal.As(err); cut || ok && r.Code() == refusal.NotKept {
+		return cause
 	}
-	return e.receive(ctx, req, stream, emit)
+	return err
 }
 
 // head describes the attempt to the gate.
-func (e *Entry) head(ctx context.Context, req *work) *wire.RunHead {
-	return &wire.RunHead{
+func (e *Entry) head(ctx context.Context, req *work, vm platform.VM) *wire.RunHead {
+	h := &wire.RunHead{
 		Request:        req.id,
 		Attempt:        req.attempts,
 		Revision:       req.view.Revision(),
@@ -51,38 +116,53 @@
 		PrefixHash:     req.prefix,
 		Entry:          e.node.Settings().VM,
 		Stream:         req.stream,
+		GateEpoch:      req.view.Members().Load(vm.ID).GetEpoch(),
+	}
+	if req.way == answers.Resume {
+		h.ResumeAfter = req.progress.Tokens()
+		h.ResumeText = req.progress.Text()
 	}
+	return h
 }
 
-// receive hands pieces on in order. Pieces of another attempt are dropped, and
-// a gap ends the attempt: the caller would get an answer that is not whole.
-func (e *Entry) receive(ctx context.Context, req *work, stream wire.DRPCGate_RunClient, emit func(*wire.Piece) error) (err error) {
-	next := uint32(0)
+// receive hands pieces on in order. Pieces of another attempt and repeated ones
+// are dropped. A gap ends the attempt: the caller would get an answer that is
+// not whole.
+func (e *Entry) receive(ctx context.Context, req *work, seq *answers.Sequence, recv func() (*wire.Piece, error), emit func(*wire.Piece) error) (err error, cut bool) {
 	for {
-		p, err := stream.Recv()
+		p, err := recv()
 		if err != nil {
-			return lost(ctx, err)
+			return lost(ctx, err), true
 		}
-		if p.GetRequest() != req.id || p.GetAttempt() != req.attempts {
+		if !seq.Own(p) {
 			continue
 		}
-		if p.GetLoad() != nil {
-			e.node.Loop().Offer(event.LoadReceived{Now: e.node.Clock().Now(), Load: p.GetLoad()})
-		}
+		e.note(p)
 		if r := p.GetRefusal(); r != nil {
-			return refusal.FromWire(r)
+			return refusal.FromWire(r), false
 		}
-		if p.GetNumber() != next {
-			return refusal.New(refusal.EndpointLost, "a piece of the answer is missing").WithRun(refusal.Unknown)
+		ok, err := seq.Take(p)
+		if err != nil {
+			return refusal.New(refusal.EndpointLost, err.Error()).WithRun(refusal.Unknown), false
 		}
-		next++
-		if !p.GetLast() {
-			if err = emit(p); err != nil {
-				return err
-			}
+		if !ok {
 			continue
 		}
-		return e.finish(ctx, req, p, emit)
+		req.progress.Add(p)
+		if p.GetLast() {
+			return e.finish(ctx, req, p, emit), false
+		}
+		if err = emit(p); err != nil {
+			return err, false
+		}
+	}
+}
+
+// note tells control what a piece says beside the answer.
+func (e *Entry) note(p *wire.Piece) {
+	e.node.Behind(p.GetLoad().GetVm(), "", p.GetRevision())
+	if p.GetLoad() != nil {
+		e.node.Loop().Offer(event.LoadReceived{Now: e.node.Clock().Now(), Load: p.GetLoad()})
 	}
 }
 
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -41,6 +41,7 @@
 		return 0, nil
 	}
 	answer := newAnswer(rw, req)
+	req.drop = answer.drop
 	if err = c.entry.run(c.ctx, req, answer.take); err != nil {
 		answer.fail(err)
 		return 0, nil
--- a/entry/run.go
+++ b/entry/run.go
@@ -23,24 +23,16 @@
 	for range maxAttempts {
 		vm, ok := choice.Endpoint(req.view, e.inflight, choice.Query{Pools: req.pools(), Avoid: avoid, Seed: xxhash.Sum64String(req.id)})
 		if !ok {
-			return err
+			return req.truth(err)
 		}
 		avoid[vm.ID] = true
-		delivered := false
-		err = e.attempt(ctx, req, vm, func(p *wire.Piece) error {
-			delivered = true
-			return emit(p)
-		})
-		if err == nil || delivered || !mayRetry(req, err) {
-			return err
+		err = e.attempt(ctx, req, vm, emit)
+		if err == nil {
+			return nil
+		}
+		if !req.goOn(err) {
+			return req.truth(err)
 		}
 	}
-	return err
-}
-
-// mayRetry reports whether a failed attempt provably did not run and its body
-// can be sent again.
-func mayRetry(req *work, err error) bool {
-	r, ok := refusal.As(err)
-	return ok && r.Run() == refusal.NotRun && !req.bodySpent
+	return req.truth(err)
 }
--- a/entry/service.go
+++ b/entry/service.go
@@ -1,9 +1,11 @@
 package entry
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
@@ -64,6 +66,11 @@
 	}
 	c.headers = headersOf(c.r.Header)
 	c.send = c.sendBody
+	rc := http.NewResponseController(c.w)
+	// Without full duplex net/http reads the whole body before it writes the
+	// first byte of the answer.
+	_ = rc.EnableFullDuplex()
+	c.stopBody = func() { _ = rc.SetReadDeadline(time.Now()) }
 	return e.fresh(c.view, s.WhenStale, int64(s.StaleAfter))
 }
 
@@ -93,7 +100,7 @@
 		n, readErr := io.ReadFull(c.r.Body, buf)
 		last := readErr == io.EOF || readErr == io.ErrUnexpectedEOF
 		if readErr != nil && !last {
-			return readErr
+			return fmt.Errorf("%w: %w", errBody, readErr)
 		}
 		if last && head != nil {
 			c.body = buf[:n]
--- a/entry/work.go
+++ b/entry/work.go
@@ -1,6 +1,9 @@
 package entry
 
 import (
+	"slices"
+
+	answers "github.com/parsleydeal/parsleydeal/answer"
 	"github.com/parsleydeal/parsleydeal/chat"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
@@ -28,6 +31,12 @@
 	steps []*wire.Step
 	// send sends the head and the body to a gate.
 	send func(stream wire.DRPCGate_RunClient, head *wire.RunHead) error
+	// progress is what was taken of the answer over all attempts, and way how the
+	// next attempt goes on from it.
+	progress answers.Progress
+	way      answers.Way
+	// drop forgets the parts of an answer that starts again.
+	drop func()
 	// bodySpent is true once a body that cannot be read again has been read.
 	bodySpent bool
 
@@ -49,6 +58,8 @@
 	method  string
 	path    string
 	headers []*wire.Header
+	// stopBody makes a waiting read of the caller's body fail.
+	stopBody func()
 }
 
 // pools returns the names of the pools that may serve the request.
@@ -56,5 +67,10 @@
 	if r.service != "" {
 		return []string{r.pool}
 	}
-	return r.view.Tables().PoolsOf(r.version)
+	t := r.view.Tables()
+	names := t.PoolsOf(r.version)
+	if r.way == answers.Resume {
+		names = slices.DeleteFunc(names, func(name string) bool { return !t.Pools[name].Resumes })
+	}
+	return names
 }
--- /dev/null
+++ b/gate/gate_test.go
@@ -0,0 +1,140 @@
+package gate
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/parsleydeal/parsleydeal/clock"
+	"pgregory.net/rapid"
+)
+
+// A small office gets no answers while a large one keeps the endpoint busy: the
+// large one's requests stand before it in the queue whenever a place comes free.
+// Places go to whoever holds least for its weight, so the small one is next.
+func TestLargeOrganisationCannotStarveSmallOne(t *testing.T) {
+	is := is.New(t)
+	g := New(Limits{Cold: 2, Full: 2, Queue: 4})
+	large := Request{Organisation: "large", Weight: 1}
+	first := g.Arrive(0, large)
+	g.Arrive(0, large)
+	for range 4 {
+		g.Arrive(0, large)
+	}
+	small := g.Arrive(1, Request{Organisation: "small", Weight: 1})
+	is.Equal(g.State(small), Waiting) // a full queue turns away the one that asks most
+	is.Equal(g.Load().Waiting, 4)
+	g.Finish(2, first, Served)
+	is.Equal(g.State(small), Admitted)
+}
+
+// A high-priority bulletin is refused while low-priority drafts wait in the full
+// queue. The queue turns away the lowest priority first.
+func TestPriorityGoesFirst(t *testing.T) {
+	is := is.New(t)
+	g := New(Limits{Cold: 1, Full: 1, Queue: 1})
+	held := g.Arrive(0, Request{Organisation: "a"})
+	low := g.Arrive(0, Request{Organisation: "b", Priority: -1})
+	high := g.Arrive(0, Request{Organisation: "a", Priority: 1})
+	is.Equal(g.State(low), Refused)
+	g.Finish(1, held, Served)
+	is.Equal(g.State(high), Admitted)
+}
+
+// An engine stalls and sends nothing more, so no first-token time tells that it
+// turned cold. Requests that wait four times the usual time close the window.
+func TestStalledEngineClosesWindow(t *testing.T) {
+	is := is.New(t)
+	g := New(Limits{Cold: 1, Full: 8})
+	now := clock.Millis(0)
+	for range 40 {
+		tickets := []*Ticket{g.Arrive(now, Request{}), g.Arrive(now, Request{}), g.Arrive(now, Request{})}
+		now += 100
+		for _, x := range tickets {
+			g.FirstToken(now, x)
+			g.Finish(now, x, Served)
+		}
+	}
+	is.True(g.Load().Window > 1)
+	for range 3 {
+		g.Arrive(now, Request{})
+	}
+	g.Tick(now + 300)
+	is.Equal(g.Load().Closed, 0)
+	g.Tick(now + 500)
+	is.Equal(g.Load().Closed, 1)
+	is.Equal(g.Load().Window, 1)
+}
+
+// An idle endpoint that serves one request at a time has not shown that it can
+// bear more, so its window stays where it is.
+func TestTrickleDoesNotOpenWindow(t *testing.T) {
+	is := is.New(t)
+	g := New(Limits{Cold: 4, Full: 32})
+	for now := clock.Millis(0); now < 100; now++ {
+		x := g.Arrive(now, Request{})
+		g.FirstToken(now, x)
+		g.Finish(now, x, Served)
+	}
+	is.Equal(g.Load().Window, 4)
+}
+
+// Whatever happens in whatever order, an endpoint is given no more than its
+// window, no place is lost, and every wait ends.
+func TestGateInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cold := rapid.IntRange(1, 4).Draw(t, "cold")
+		l := Limits{Cold: cold, Full: cold + rapid.IntRange(0, 8).Draw(t, "more"), Queue: rapid.IntRange(0, 6).Draw(t, "queue")}
+		g := New(l)
+		now := clock.Millis(0)
+		var tickets []*Ticket
+		pick := func(t *rapid.T) *Ticket {
+			if len(tickets) == 0 {
+				t.Skip()
+			}
+			return rapid.SampledFrom(tickets).Draw(t, "ticket")
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"arrive": func(t *rapid.T) {
+				before := g.Load()
+				x := g.Arrive(now, Request{
+					Organisation: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "organisation"),
+					Weight:       rapid.IntRange(1, 3).Draw(t, "weight"), Priority: int32(rapid.IntRange(-1, 1).Draw(t, "priority")),
+				})
+				tickets = append(tickets, x)
+				if g.State(x) == Admitted && before.Held >= before.Window {
+					t.Fatal("admitted beyond the window")
+				}
+			},
+			"first":      func(t *rapid.T) { g.FirstToken(now, pick(t)) },
+			"finish":     func(t *rapid.T) { g.Finish(now, pick(t), Outcome(rapid.IntRange(0, 3).Draw(t, "outcome"))) },
+			"withdraw":   func(t *rapid.T) { g.Withdraw(pick(t)) },
+			"generation": func(t *rapid.T) { g.Generation(rapid.Uint64Range(1, 3).Draw(t, "generation")) },
+			"time":       func(t *rapid.T) { now += clock.Millis(rapid.IntRange(1, 1000).Draw(t, "span")); g.Tick(now) },
+			"": func(t *rapid.T) {
+				held, waiting := 0, 0
+				for _, x := range tickets {
+					switch g.State(x) {
+					case Admitted:
+						held++
+					case Waiting:
+						waiting++
+					}
+				}
+				load := g.Load()
+				if load.Held != held || load.Waiting != waiting || load.Waiting > l.Queue {
+					t.Fatalf("load %+v, but %d held and %d waiting", load, held, waiting)
+				}
+				if load.Window < l.Cold || load.Window > l.Full || (waiting > 0 && held < load.Window) {
+					t.Fatalf("load %+v with limits %+v", load, l)
+				}
+			},
+		})
+		for _, x := range tickets {
+			g.Withdraw(x)
+			g.Finish(now, x, Dropped)
+		}
+		if load := g.Load(); load.Held != 0 || len(g.byOrganisation) != 0 {
+			t.Fatalf("places lost: %+v %v", load, g.byOrganisation)
+		}
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -6,12 +6,14 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 
 	"github.com/charmbracelet/log"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/control"
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/peer"
+	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/platform"
 	"github.com/parsleydeal/parsleydeal/settings"
 	"github.com/parsleydeal/parsleydeal/view"
@@ -44,6 +46,10 @@
 	// epoch is new at each start of the process.
 	epoch uint64
 	wg    sync.WaitGroup
+	// loads numbers the loads told.
+	loads atomic.Uint64
+	// load reports the endpoint's own load; nil in an entry.
+	load atomic.Pointer[func() *wire.Load]
 }
 
 // New makes a node; Start runs it.
--- a/node/peer.go
+++ b/node/peer.go
@@ -26,6 +26,20 @@
 	}
 }
 
+// SetLoad gives the function that reports an endpoint's own load in digests.
+func (n *Node) SetLoad(f func() *wire.Load) { n.load.Store(&f) }
+
+// StampLoad names the process in a load and orders it after all before it.
+func (n *Node) StampLoad(l *wire.Load) {
+	l.Vm, l.Epoch, l.Sequence = n.cfg.Settings.VM, n.epoch, n.loads.Add(1)
+}
+
+// Behind tells control that a peer decides on a higher revision; records are
+// fetched from it at once. An empty address asks the VM list. It never blocks.
+func (n *Node) Behind(vm, address string, revision int64) {
+	_, _, _ = vm, address, revision
+}
+
 // Records returns configuration records that this process still keeps.
 func (n *Node) Records(context.Context, *wire.RecordsRequest) (out *wire.RecordsReply, err error) {
 	return &wire.RecordsReply{}, nil
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -48,6 +48,12 @@
 	Tombstoned      Code = "tombstoned"
 	SessionRejected Code = "session-rejected"
 	Starting        Code = "starting"
+	// EngineUnreachable engines took no connection, so nothing ran.
+	EngineUnreachable Code = "engine-unreachable"
+	// Restarted endpoints are not those that the attempt was meant for.
+	Restarted Code = "restarted"
+	// NotKept answers are not kept at the endpoint that was asked.
+	NotKept Code = "not-kept"
 )
 
 var statusOf = map[Code]int{
@@ -64,6 +70,8 @@
 	DeadlinePassed:  http.StatusGatewayTimeout,
 	EngineFailed:    http.StatusBadGateway,
 	EndpointLost:    http.StatusBadGateway,
+
+	EngineUnreachable: http.StatusBadGateway,
 }
 
 // Refusal is an error with a cause, a run state and a time to come back.
--- a/standin/plain.go
+++ b/standin/plain.go
@@ -7,10 +7,19 @@
 	"sync"
 )
 
+// PlainFaults tells a plain service how to fail.
+type PlainFaults struct {
+	// Vanish takes a call and closes the connection without an answer.
+	Vanish bool
+	// BreakAfter breaks an answer off after so many bytes of the echo; 0 never.
+	BreakAfter int64
+}
+
 // Plain is the stand-in of a plain service. It echoes bodies and counts calls.
 type Plain struct {
-	mu    sync.Mutex
-	calls map[string]int
+	mu     sync.Mutex
+	calls  map[string]int
+	faults PlainFaults
 }
 
 // NewPlain makes a plain service.
@@ -18,6 +27,13 @@
 	return &Plain{calls: make(map[string]int)}
 }
 
+// SetFaults replaces the faults.
+func (p *Plain) SetFaults(f PlainFaults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
+}
+
 // Calls returns how often a path was called with a method.
 func (p *Plain) Calls(method, path string) int {
 	p.mu.Lock()
@@ -25,14 +41,29 @@
 	return p.calls[method+" "+path]
 }
 
+func (p *Plain) count(r *http.Request) PlainFaults {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls[r.Method+" "+r.URL.Path]++
+	return p.faults
+}
+
 // Handler returns the service's interface.
 func (p *Plain) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		p.mu.Lock()
-		p.calls[r.Method+" "+r.URL.Path]++
-		p.mu.Unlock()
+		faults := p.count(r)
+		if faults.Vanish {
+			panic(http.ErrAbortHandler)
+		}
+		rc := http.NewResponseController(w)
+		_ = rc.EnableFullDuplex()
 		w.Header().Set("X-Service", "standin")
 		fmt.Fprintf(w, "%s %s\n", r.Method, r.URL.Path)
+		if faults.BreakAfter > 0 {
+			_, _ = io.CopyN(w, r.Body, faults.BreakAfter)
+			_ = rc.Flush()
+			panic(http.ErrAbortHandler)
+		}
 		_, _ = io.Copy(w, r.Body)
 	})
 }
--- a/table/check.go
+++ b/table/check.go
@@ -75,6 +75,9 @@
 		if p.FullWindow < p.ColdWindow {
 			add("pools.%s.full-window: is %d, at least cold-window is allowed", name, p.FullWindow)
 		}
+		if p.Queue < 0 || p.QueueWait < 0 {
+			add("pools.%s.queue: queue and queue-wait may not be negative", name)
+		}
 	}
 }
 
--- a/table/table.go
+++ b/table/table.go
@@ -123,6 +123,11 @@
 	ColdWindow int `toml:"cold-window"`
 	// FullWindow is how many a warm endpoint may hold.
 	FullWindow int `toml:"full-window"`
+	// Queue is how many requests may wait for a place at one endpoint; 0 allows
+	// as many as full-window.
+	Queue int `toml:"queue"`
+	// QueueWait is how long a request may wait for a place; 0 means 250 ms.
+	QueueWait clock.Millis `toml:"queue-wait"`
 	// ChecksFencing says that the engines refuse an order carrying an old
 	// fencing number.
 	ChecksFencing bool `toml:"checks-fencing"`
