--- a/answer/progress.go
+++ b/answer/progress.go
@@ -74,6 +74,9 @@
 // Next decides how a request goes on after a failed attempt.
 func (p *Progress) Next(cause *refusal.Refusal, r Rules) Way {
 	p.note(cause.Run())
+	if p.Taken() {
+		p.note(refusal.Ran)
+	}
 	if r.Spent || final(cause.Code()) {
 		return GiveUp
 	}
--- /dev/null
+++ b/answer/sequence_test.go
@@ -0,0 +1,70 @@
+package answer
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/parsleydeal/parsleydeal/peer/wire"
+	"github.com/parsleydeal/parsleydeal/refusal"
+)
+
+// Each line of a script is one piece as an entry receives it. The caller must get
+// its own answer whole and in order, or be told that it is not whole.
+func TestSequence(t *testing.T) {
+	datadriven.RunTest(t, "testdata/sequence", func(_ *testing.T, d *datadriven.TestData) string {
+		s := NewSequence("r1", 1)
+		var out strings.Builder
+		for line := range strings.Lines(d.Input) {
+			p := &wire.Piece{Tokens: 1}
+			var last string
+			_, _ = fmt.Sscanf(line, "%s %d %d %s %s", &p.Request, &p.Attempt, &p.Number, &p.Text, &last)
+			if last != "" {
+				p.Last = true
+				_, _ = fmt.Sscanf(last, "of=%d/%d", &p.TotalPieces, &p.TotalTokens)
+			}
+			if !s.Own(p) {
+				continue
+			}
+			ok, err := s.Take(p)
+			if err != nil {
+				fmt.Fprintln(&out, err)
+				break
+			}
+			if ok {
+				fmt.Fprintln(&out, p.GetText())
+			}
+		}
+		return out.String()
+	})
+}
+
+var wayNames = map[Way]string{GiveUp: "give up", Restart: "restart", Resume: "resume"}
+
+// Each script is what became of one request's attempts and how it goes on.
+func TestProgress(t *testing.T) {
+	datadriven.RunTest(t, "testdata/progress", func(_ *testing.T, d *datadriven.TestData) string {
+		var out strings.Builder
+		p := &Progress{}
+		r := Rules{Repeatable: d.HasArg("repeatable"), Resumes: d.HasArg("resumes"), Spent: d.HasArg("spent")}
+		for line := range strings.Lines(d.Input) {
+			f := strings.Fields(line)
+			switch f[0] {
+			case "text":
+				p.Add(&wire.Piece{Text: f[1], Tokens: 1})
+			case "tool":
+				p.Add(&wire.Piece{Data: []byte("{}"), Tokens: 1})
+			case "fails":
+				r.Shown = p.Taken() && d.HasArg("stream")
+				cause := refusal.New(refusal.Code(f[1]), "").WithRun(refusal.Run(f[2]))
+				way := p.Next(cause, r)
+				fmt.Fprintf(&out, "%s after %q, caller would hear %s\n", wayNames[way], p.Text(), p.Truth(cause).Run())
+				if way == Restart {
+					p.Reset()
+				}
+			}
+		}
+		return out.String()
+	})
+}
--- /dev/null
+++ b/endpoint/rig_test.go
@@ -0,0 +1,210 @@
+package endpoint
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/event"
+	"github.com/parsleydeal/parsleydeal/node"
+	"github.com/parsleydeal/parsleydeal/peer"
+	"github.com/parsleydeal/parsleydeal/peer/wire"
+	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/refusal"
+	"github.com/parsleydeal/parsleydeal/settings"
+	"github.com/parsleydeal/parsleydeal/standin"
+)
+
+// patience is long, so that a busy machine gives the same verdict.
+const patience = 30 * time.Second
+
+const rigTables = `
+id = "1"
+author = "test"
+kind = "whole"
+base = -1
+[tables.organisations.desk]
+weight = 1
+[tables.versions."small@1"]
+input-cost = 100
+output-cost = 300
+quality = 0.9
+[tables.pools.small]
+versions = ["small@1"]
+cold-window = 1
+full-window = 8
+queue-wait = "20s"
+[tables.routes.quick]
+organisations = ["desk"]
+models = [{ model = "small", shares = { 1 = 1.0 } }]
+quality-target = 0.5
+[tables.services.records]
+pool = "small"
+organisations = ["desk"]
+repeatable = ["GET"]
+fee = 5
+`
+
+// rig is one endpoint process's code with a stand-in behind it, whose control
+// gets just the events that the test gives it.
+type rig struct {
+	t       *testing.T
+	is      *is.I
+	e       *Endpoint
+	n       *node.Node
+	engine  *standin.Engine
+	plain   *standin.Plain
+	address string
+	peers   *peer.Pool
+	offset  int64
+}
+
+func newRig(t *testing.T, tokens int) *rig {
+	r := &rig{t: t, is: is.New(t), engine: standin.NewEngine(1, 1, tokens), plain: standin.NewPlain(), peers: peer.NewPool()}
+	srv := httptest.NewServer(r.engine.Handler())
+	t.Cleanup(srv.Close)
+	r.start(srv.URL, false)
+	return r
+}
+
+func newPlainRig(t *testing.T) *rig {
+	r := &rig{t: t, is: is.New(t), plain: standin.NewPlain(), peers: peer.NewPool()}
+	srv := httptest.NewServer(r.plain.Handler())
+	t.Cleanup(srv.Close)
+	r.start(srv.URL, true)
+	return r
+}
+
+func (r *rig) start(url string, plain bool) {
+	s := settings.Default()
+	s.VM, s.Zone, s.Region = "endpoint-1", "zone-a", "test"
+	s.Endpoint = settings.Endpoint{Pool: "small", Engine: url, Plain: plain}
+	r.n = node.New(node.Config{
+		Settings: s, Clock: clock.System(), Log: log.New(io.Discard), Peers: r.peers,
+		Store: platform.Log{
+			Append: func(context.Context, string, []byte) (int64, error) { return 0, platform.ErrUnavailable.New("no log") },
+			Read: func(ctx context.Context, _ string, _ int64, _ clock.Millis) (platform.Page, error) {
+				<-ctx.Done()
+				return platform.Page{}, ctx.Err()
+			},
+		},
+		VMs: platform.VMList{List: func(context.Context) ([]platform.VM, error) { return nil, platform.ErrUnavailable.New("no list") }},
+	})
+	r.e = New(r.n)
+	r.n.Start(r.t.Context())
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	r.is.NoErr(err)
+	r.address = lis.Addr().String()
+	go func() { _ = r.e.Serve(r.t.Context(), lis) }()
+	r.publish(rigTables)
+}
+
+// publish gives control the next record of the configuration.
+func (r *rig) publish(text string) {
+	r.t.Helper()
+	page := platform.Page{Head: r.offset + 1, Records: []platform.Record{{Offset: r.offset, Data: []byte(text)}}}
+	r.offset++
+	r.n.Loop().Post(r.t.Context(), event.LogRead{Now: r.n.Clock().Now(), Stream: platform.ConfigStream, Page: page})
+	r.eventually("tables in force", func() bool { return r.n.View().Revision() == r.offset-1 })
+}
+
+func (r *rig) patch(text string) {
+	r.publish(fmt.Sprintf("id = \"%d\"\nauthor = \"test\"\nkind = \"patch\"\nbase = %d\n%s", r.offset+1, r.offset-1, text))
+}
+
+func (r *rig) eventually(what string, met func() bool) {
+	r.t.Helper()
+	for deadline := time.Now().Add(patience); !met(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			r.t.Fatalf("waited too long for: %s", what)
+		}
+	}
+}
+
+func (r *rig) gate() wire.DRPCGateClient { return r.peers.Gate(r.t.Context(), r.address) }
+
+// head is an unkeyed chat request's first attempt.
+func (r *rig) head(request string) *wire.RunHead {
+	return &wire.RunHead{
+		Request: request, Attempt: 1, Revision: 0, Organisation: "desk", Route: "quick", Version: "small@1",
+		Repeatable: true, DeadlineMillis: 60_000, Stream: true,
+	}
+}
+
+func (r *rig) call(request, method, path string) *wire.RunHead {
+	return &wire.RunHead{
+		Request: request, Attempt: 1, Organisation: "desk", Service: "records", Method: method, Path: path, DeadlineMillis: 60_000,
+	}
+}
+
+// got is what came of one attempt.
+type got struct {
+	text    string
+	data    string
+	raw     []string
+	pieces  int
+	last    *wire.Piece
+	refusal *refusal.Refusal
+	err     error
+}
+
+const chatBody = `{"model":"quick","messages":[{"role":"user","content":"when"}]}`
+
+// run sends an attempt and takes all its pieces.
+func (r *rig) run(ctx context.Context, head *wire.RunHead, body string) (g got) {
+	stream, err := r.gate().Run(ctx)
+	if err != nil {
+		return got{err: err}
+	}
+	defer stream.Close()
+	if err = stream.Send(&wire.RunFrame{Head: head, Body: []byte(body), Last: true}); err != nil {
+		return got{err: err}
+	}
+	return take(stream.Recv)
+}
+
+func take(recv func() (*wire.Piece, error)) (g got) {
+	var text, data strings.Builder
+	for {
+		p, err := recv()
+		if err != nil {
+			g.err = err
+			break
+		}
+		g.pieces++
+		text.WriteString(p.GetText())
+		data.Write(p.GetData())
+		if p.GetRefusal() != nil {
+			g.refusal = refusal.FromWire(p.GetRefusal())
+		}
+		if p.GetLast() {
+			g.last = p
+			break
+		}
+	}
+	g.text, g.data = text.String(), data.String()
+	return g
+}
+
+// begin runs an attempt aside.
+func (r *rig) begin(ctx context.Context, head *wire.RunHead, body string) chan got {
+	out := make(chan got, 1)
+	go func() { out <- r.run(ctx, head, body) }()
+	return out
+}
+
+func (r *rig) refused(g got, code refusal.Code, run refusal.Run) {
+	r.t.Helper()
+	r.is.NoErr(g.err)
+	r.is.True(g.refusal != nil)
+	r.is.Equal(g.refusal.Code(), code)
+	r.is.Equal(g.refusal.Run(), run)
+}
--- /dev/null
+++ b/endpoint/run_test.go
@@ -0,0 +1,213 @@
+package endpoint
+
+import (
+	"context"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/parsleydeal/parsleydeal/peer/wire"
+	"github.com/parsleydeal/parsleydeal/refusal"
+	"github.com/parsleydeal/parsleydeal/standin"
+)
+
+// idle waits until the endpoint has neither places taken nor calls under way.
+func (r *rig) idle() {
+	r.t.Helper()
+	r.eventually("places and calls given back", func() bool { return r.e.gate.Load().Held == 0 && r.e.active.Load() == 0 })
+}
+
+// A caller disconnects in the middle of a stream. The engine must hear of it, and
+// the place must come free.
+func TestCancelReachesEngine(t *testing.T) {
+	r := newRig(t, 3)
+	r.engine.SetFaults(standin.EngineFaults{Stall: true})
+	ctx, cancel := context.WithCancel(t.Context())
+	answered := r.begin(ctx, r.head("r1"), chatBody)
+	r.eventually("run begun", func() bool { return r.engine.Running() == 1 })
+	cancel()
+	<-answered
+	r.eventually("engine told", func() bool { return r.engine.Cancelled() == 1 })
+	r.idle()
+}
+
+// An entry vanishes in the middle of a keyed request. The run goes on, its step
+// is billed, and the caller's retry through another entry gets the whole answer.
+func TestKeyedRunOutlivesItsEntry(t *testing.T) {
+	r := newRig(t, 5)
+	orphans := make(chan *wire.Bill, 1)
+	r.e.orphan = func(b *wire.Bill) { orphans <- b }
+	r.engine.SetFaults(standin.EngineFaults{Stall: true})
+	head := r.head("r1")
+	head.IdempotencyKey = "k"
+	ctx, cancel := context.WithCancel(t.Context())
+	answered := r.begin(ctx, head, chatBody)
+	r.eventually("run begun", func() bool { return r.engine.Running() == 1 })
+	cancel()
+	<-answered
+	r.engine.SetFaults(standin.EngineFaults{})
+	r.eventually("step billed", func() bool { return len(orphans) == 1 })
+	b := <-orphans
+	r.is.Equal(b.GetRequest(), "r1")
+	r.is.Equal(b.GetSteps()[0].GetUsage().GetOutputTokens(), int64(5))
+	kept, err := r.gate().Kept(t.Context(), &wire.KeptRequest{IdempotencyKey: "k", Organisation: "desk"})
+	r.is.NoErr(err)
+	g := take(kept.Recv)
+	r.is.Equal(g.text, standin.Text(5))
+	r.is.Equal(r.engine.Cancelled(), 0)
+	r.idle()
+}
+
+// An entry that took the last piece has billed the step; the endpoint must not.
+func TestTakenAnswerIsNoOrphan(t *testing.T) {
+	r := newRig(t, 2)
+	orphaned := false
+	r.e.orphan = func(*wire.Bill) { orphaned = true }
+	head := r.head("r1")
+	head.IdempotencyKey = "k"
+	r.is.Equal(r.run(t.Context(), head, chatBody).text, standin.Text(2))
+	r.idle()
+	r.is.True(!orphaned)
+}
+
+func (r *rig) refuse(head *wire.RunHead, epoch uint64) *wire.RefuseReply {
+	r.t.Helper()
+	out, err := r.gate().Refuse(r.t.Context(), &wire.RefuseRequest{
+		Request: head.GetRequest(), Attempt: head.GetAttempt(), Organisation: head.GetOrganisation(),
+		GateEpoch: epoch, Claim: head.GetClaim(), ClaimStream: head.GetClaimStream(),
+	})
+	r.is.NoErr(err)
+	return out
+}
+
+// A caller's second try asks the endpoint to refuse the first attempt, which is
+// still on its way, and tells its caller "not run". When the first attempt
+// arrives after all it must not run.
+func TestTombstoneComesBeforeAttempt(t *testing.T) {
+	r := newPlainRig(t)
+	head := r.call("r1", "POST", "fees")
+	head.ClaimStream = "claims-0"
+	epoch := r.e.load().GetEpoch()
+	r.is.Equal(r.refuse(head, epoch).GetRun(), wire.RunState_RUN_NOT_RUN)
+	r.refused(r.run(t.Context(), head, "fee"), refusal.Tombstoned, refusal.NotRun)
+	r.is.Equal(r.plain.Calls("POST", "/fees"), 0)
+}
+
+// An attempt ran, and its endpoint is asked to refuse it. Saying "not run" would
+// charge a fee twice.
+func TestTombstoneComesTooLate(t *testing.T) {
+	r := newPlainRig(t)
+	head := r.call("r1", "POST", "fees")
+	head.ClaimStream = "claims-0"
+	r.is.NoErr(r.run(t.Context(), head, "fee").err)
+	out := r.refuse(head, r.e.load().GetEpoch())
+	r.is.Equal(out.GetRun(), wire.RunState_RUN_RAN)
+	r.is.True(out.GetKept())
+	r.refused(r.run(t.Context(), head, "fee"), refusal.AlreadyRan, refusal.Ran)
+	r.is.Equal(r.plain.Calls("POST", "/fees"), 1)
+}
+
+// The endpoint's process restarted since the attempt was sent and remembers
+// nothing. It may not say "not run" of what its predecessor did, nor run an
+// attempt that its predecessor refused.
+func TestRestartedEndpointKnowsNothing(t *testing.T) {
+	r := newPlainRig(t)
+	head := r.call("r1", "POST", "fees")
+	head.ClaimStream = "claims-0"
+	head.GateEpoch = r.e.load().GetEpoch() + 1
+	r.is.Equal(r.refuse(head, head.GetGateEpoch()).GetRun(), wire.RunState_RUN_UNKNOWN)
+	r.refused(r.run(t.Context(), head, "fee"), refusal.Restarted, refusal.NotRun)
+	r.is.Equal(r.plain.Calls("POST", "/fees"), 0)
+}
+
+// A service takes a call on a connection used before and closes it without an
+// answer. HTTP clients like to send such calls again by themselves; a call that
+// may not be repeated would then run twice.
+func TestPlainCallIsSentOnce(t *testing.T) {
+	r := newPlainRig(t)
+	for _, method := range []string{"GET", "POST"} {
+		r.plain.SetFaults(standin.PlainFaults{})
+		r.is.NoErr(r.run(t.Context(), r.call("warm-"+method, method, "warm"), "").err)
+		r.plain.SetFaults(standin.PlainFaults{Vanish: true})
+		head := r.call("r-"+method, method, "fees")
+		head.Headers = []*wire.Header{{Name: "Idempotency-Key", Value: "k"}}
+		r.refused(r.run(t.Context(), head, ""), refusal.EngineFailed, refusal.Unknown)
+		r.is.Equal(r.plain.Calls(method, "/fees"), 1)
+	}
+	r.idle()
+}
+
+// A service breaks off in the middle of its answer: the call ran.
+func TestPlainAnswerBreaksOff(t *testing.T) {
+	r := newPlainRig(t)
+	r.plain.SetFaults(standin.PlainFaults{BreakAfter: 4})
+	g := r.run(t.Context(), r.call("r1", "PUT", "fees"), "long body")
+	r.refused(g, refusal.EngineFailed, refusal.Ran)
+	r.is.True(strings.HasPrefix(g.data, "PUT /fees\nlong"))
+}
+
+// Nothing listens where the service should be. No byte of the call left, so "not
+// run" is true.
+func TestPlainServiceUnreachable(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	url := "http://" + lis.Addr().String()
+	_ = lis.Close()
+	r := newPlainRig(t)
+	r.e.plain.CloseIdleConnections()
+	s := r.rigAt(url)
+	s.refused(s.run(t.Context(), s.call("r1", "POST", "fees"), "fee"), refusal.EngineUnreachable, refusal.NotRun)
+}
+
+func (r *rig) rigAt(url string) *rig {
+	s := &rig{t: r.t, is: r.is, peers: r.peers}
+	s.start(url, true)
+	return s
+}
+
+// A second SIGTERM cuts off what is held: the caller is told that it ran.
+func TestAbortTellsTheTruth(t *testing.T) {
+	r := newRig(t, 3)
+	r.engine.SetFaults(standin.EngineFaults{Stall: true})
+	answered := r.begin(t.Context(), r.head("r1"), chatBody)
+	r.eventually("run begun", func() bool { return r.engine.Running() == 1 })
+	r.e.Abort()
+	r.refused(<-answered, refusal.Leaving, refusal.Ran)
+	r.idle()
+}
+
+// A model calls a tool in the middle of its answer. The delta passes through as
+// the engine wrote it.
+func TestToolCallPassesThrough(t *testing.T) {
+	r := newRig(t, 3)
+	r.engine.SetFaults(standin.EngineFaults{ToolCall: true})
+	g := r.run(t.Context(), r.head("r1"), chatBody)
+	r.is.NoErr(g.err)
+	r.is.Equal(g.text, standin.Token(0)+standin.Token(2))
+	r.is.True(strings.Contains(g.data, `"tool_calls":[{"index":0,"id":"call-1"`))
+	r.is.Equal(g.last.GetTotalPieces(), uint32(g.pieces))
+}
+
+// An engine goes on after the tokens that an earlier attempt delivered. The bill
+// counts the answer as one.
+func TestResumedRun(t *testing.T) {
+	r := newRig(t, 5)
+	head := r.head("r1")
+	head.ResumeAfter, head.ResumeText = 2, standin.Text(2)
+	g := r.run(t.Context(), head, chatBody)
+	r.is.NoErr(g.err)
+	r.is.Equal(standin.Text(2)+g.text, standin.Text(5))
+	r.is.Equal(g.last.GetStep().GetUsage().GetOutputTokens(), int64(5))
+}
+
+// An engine refuses a request for its content. Other engines would do the same,
+// so the caller gets the engine's word and nothing is tried again.
+func TestEngineRejectsRequest(t *testing.T) {
+	r := newRig(t, 5)
+	r.engine.SetFaults(standin.EngineFaults{Reject: true})
+	g := r.run(t.Context(), r.head("r1"), chatBody)
+	r.refused(g, refusal.Malformed, refusal.NotRun)
+	r.is.True(strings.Contains(g.refusal.Message(), "takes no such request"))
+}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -21,7 +21,7 @@
 	e.inflight.Add(vm.ID, 1)
 	defer e.inflight.Add(vm.ID, -1)
 	seq := answers.NewSequence(req.id, req.attempts)
-	err, cut := e.open(ctx, req, vm, seq, emit)
+	cut, err := e.open(ctx, req, vm, seq, emit)
 	if cut && req.kept() && ctx.Err() == nil {
 		return e.reattach(ctx, req, vm, seq, emit, err)
 	}
@@ -30,18 +30,18 @@
 
 // open sends the attempt and takes its pieces. Cut is true when the connection
 // broke after the attempt may have arrived.
-func (e *Entry) open(ctx context.Context, req *work, vm platform.VM, seq *answers.Sequence, emit func(*wire.Piece) error) (err error, cut bool) {
+func (e *Entry) open(ctx context.Context, req *work, vm platform.VM, seq *answers.Sequence, emit func(*wire.Piece) error) (cut bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stream, err := e.node.Peers().Gate(ctx, vm.Address).Run(ctx)
 	if err != nil {
-		return lost(ctx, err), false
+		return false, lost(ctx, err)
 	}
 	defer stream.Close()
 	head := e.head(ctx, req, vm)
 	if req.service == "" {
 		if err = req.send(stream, head); err != nil {
-			return lost(ctx, err), true
+			return true, lost(ctx, err)
 		}
 		return e.receive(ctx, req, seq, stream.Recv, emit)
 	}
@@ -88,7 +88,7 @@
 		return cause
 	}
 	defer stream.Close()
-	err, cut := e.receive(ctx, req, seq, stream.Recv, emit)
+	cut, err := e.receive(ctx, req, seq, stream.Recv, emit)
 	if r, ok := refusal.As(err); cut || ok && r.Code() == refusal.NotKept {
 		return cause
 	}
@@ -128,32 +128,32 @@
 // receive hands pieces on in order. Pieces of another attempt and repeated ones
 // are dropped. A gap ends the attempt: the caller would get an answer that is
 // not whole.
-func (e *Entry) receive(ctx context.Context, req *work, seq *answers.Sequence, recv func() (*wire.Piece, error), emit func(*wire.Piece) error) (err error, cut bool) {
+func (e *Entry) receive(ctx context.Context, req *work, seq *answers.Sequence, recv func() (*wire.Piece, error), emit func(*wire.Piece) error) (cut bool, err error) {
 	for {
 		p, err := recv()
 		if err != nil {
-			return lost(ctx, err), true
+			return true, lost(ctx, err)
 		}
 		if !seq.Own(p) {
 			continue
 		}
 		e.note(p)
 		if r := p.GetRefusal(); r != nil {
-			return refusal.FromWire(r), false
+			return false, refusal.FromWire(r)
 		}
 		ok, err := seq.Take(p)
 		if err != nil {
-			return refusal.New(refusal.EndpointLost, err.Error()).WithRun(refusal.Unknown), false
+			return false, refusal.New(refusal.EndpointLost, err.Error()).WithRun(refusal.Unknown)
 		}
 		if !ok {
 			continue
 		}
 		req.progress.Add(p)
 		if p.GetLast() {
-			return e.finish(ctx, req, p, emit), false
+			return false, e.finish(ctx, req, p, emit)
 		}
 		if err = emit(p); err != nil {
-			return err, false
+			return false, err
 		}
 	}
 }
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -84,7 +84,7 @@
 }
 
 // Running returns how many requests the engine holds.
-func (e *Engine) Running() int { return int(e.running.Load()) }
+func (e *Engine) Running() int64 { return e.running.Load() }
 
 // Most returns the most requests that the engine held at once.
 func (e *Engine) Most() int { return int(e.most.Load()) }
