--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 TOOL := go tool -modfile=tools/go.mod
 BUF := go tool -modfile=tools/buf/go.mod buf
-HAND := $(shell git ls-files '*.go' | grep -v -e '^gen/' -e '\.pb\.go$$')
+HAND := $(shell git ls-files '*.go' | sort -u | grep -v -e '^gen/' -e '\.pb\.go$$')
 
 .PHONY: all build test race lint format format-check vet generate generate-check bench bench-check fuzz demo
 
@@ -38,6 +38,10 @@
 generate-check: generate
 	@test -z "$$(git status --porcelain gen peer/wire)" || { git status --porcelain gen peer/wire; echo "generated code is not current"; exit 1; }
 
+bench-check:
+	go run ./bench
+	BENCH_CHECK=1 go test -run Baseline ./control
+
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
 
--- a/answer/progress.go
+++ b/answer/progress.go
@@ -119,7 +119,8 @@
 func final(c refusal.Code) bool {
 	switch c {
 	case refusal.Cancelled, refusal.DeadlinePassed, refusal.Malformed, refusal.TooLarge, refusal.NotAllowed,
-		refusal.AlreadyRan, refusal.AlreadyRunning, refusal.LogDown, refusal.BillingFull, refusal.Unauthorised:
+		refusal.AlreadyRan, refusal.AlreadyRunning, refusal.LogDown, refusal.BillingFull, refusal.Unauthorised,
+		refusal.KeyReused, refusal.Held, refusal.Withdrawn:
 		return true
 	}
 	return false
--- a/cli/daemon.go
+++ b/cli/daemon.go
@@ -7,7 +7,9 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/jessevdk/go-flags"
@@ -15,6 +17,7 @@
 	"github.com/parsleydeal/parsleydeal/endpoint"
 	"github.com/parsleydeal/parsleydeal/entry"
 	"github.com/parsleydeal/parsleydeal/node"
+	"github.com/parsleydeal/parsleydeal/operations"
 	"github.com/parsleydeal/parsleydeal/peer"
 	"github.com/parsleydeal/parsleydeal/platform"
 	"github.com/parsleydeal/parsleydeal/settings"
@@ -28,17 +31,17 @@
 
 // Entry runs parsleydeal-entry and returns its exit code.
 func Entry(args []string) int {
-	return exitOf(daemon("parsleydeal-entry", args, RunEntry))
+	return exitOf(daemon("parsleydeal-entry", settings.EntryProgram, args, RunEntry))
 }
 
 // Endpoint runs parsleydeal-endpoint and returns its exit code.
 func Endpoint(args []string) int {
-	return exitOf(daemon("parsleydeal-endpoint", args, RunEndpoint))
+	return exitOf(daemon("parsleydeal-endpoint", settings.EndpointProgram, args, RunEndpoint))
 }
 
 type runFunc func(ctx context.Context, s settings.Settings, l *log.Logger) error
 
-func daemon(name string, args []string, run runFunc) (err error) {
+func daemon(name string, kind settings.Program, args []string, run runFunc) (err error) {
 	var o daemonOptions
 	p := flags.NewNamedParser(name, flags.HelpFlag|flags.PassDoubleDash)
 	if _, err = p.AddGroup("Options", "", &o); err != nil {
@@ -54,7 +57,7 @@
 	if o.Settings == "" {
 		return fmt.Errorf("%s: --settings is needed: %w", name, errUsage)
 	}
-	s, err := settings.Read(o.Settings)
+	s, err := settings.ReadFor(o.Settings, kind)
 	if err != nil || o.Check {
 		return err
 	}
@@ -82,43 +85,108 @@
 	})
 }
 
-// RunEntry serves as an entry until the context ends, then drains.
+// process is what both daemons run around their own part.
+type process struct {
+	settings settings.Settings
+	node     *node.Node
+	log      *log.Logger
+	port     *operations.Port
+	listen   listenFunc
+	// leaving is set when the process was asked to stop.
+	leaving atomic.Bool
+}
+
+// listenFunc opens a listener, as net.Listen does.
+type listenFunc func(network, address string) (lis net.Listener, err error)
+
+func newProcess(program string, s settings.Settings, l *log.Logger, listen listenFunc) *process {
+	p := &process{settings: s, node: newNode(s, l), log: l, listen: listen}
+	p.port = operations.New(program, version(), p.node)
+	p.port.SetLeaving(p.leaving.Load)
+	p.port.Add(operations.Section{Name: "bills", Read: p.node.Billing().Status})
+	return p
+}
+
+// start runs the node and the operators' interface until the context ends.
+func (p *process) start(ctx context.Context) (err error) {
+	p.node.Start(ctx)
+	if p.settings.Operators == "" {
+		return nil
+	}
+	lis, err := p.listen("tcp", p.settings.Operators)
+	if err != nil {
+		return err
+	}
+	p.log.Info("Operators' interface is open", "vm", p.settings.VM, "address", lis.Addr())
+	go func() {
+		if err := p.port.Serve(ctx, lis); err != nil {
+			p.log.Error("Operators' interface failed", "vm", p.settings.VM, "error", err)
+		}
+	}()
+	return nil
+}
+
+// RunEntry serves as an entry until the context ends, then drains: it is not
+// ready for the leave delay while it still serves, then takes no new work and
+// lets the requests in flight finish.
 func RunEntry(ctx context.Context, s settings.Settings, l *log.Logger) (err error) {
-	peers, err := net.Listen("tcp", s.Peer)
+	return runEntry(ctx, s, l, net.Listen)
+}
+
+func runEntry(ctx context.Context, s settings.Settings, l *log.Logger, listen listenFunc) (err error) {
+	peers, err := listen("tcp", s.Peer)
 	if err != nil {
 		return err
 	}
-	callers, err := net.Listen("tcp", s.Entry.Callers)
+	callers, err := listen("tcp", s.Entry.Callers)
 	if err != nil {
 		return err
 	}
-	n := newNode(s, l)
-	e := entry.New(n)
+	p := newProcess("parsleydeal-entry", s, l, listen)
+	e := entry.New(p.node)
+	p.port.SetBurn(e.BurnReport)
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	n.Start(inner)
+	if err = p.start(inner); err != nil {
+		return err
+	}
 	go func() { _ = e.ServePeers(inner, peers) }()
+	serving, stopServing := context.WithCancel(inner)
+	defer stopServing()
 	go func() {
+		defer stopServing()
 		<-ctx.Done()
-		n.Drain(inner)
+		p.leaving.Store(true)
+		l.Info("Entry leaves", "vm", s.VM, "delay", s.Entry.LeaveDelay)
+		time.Sleep(s.Entry.LeaveDelay.Duration())
+		p.node.Drain(inner)
 	}()
 	l.Info("Entry serves callers", "vm", s.VM, "address", callers.Addr())
-	err = e.Serve(ctx, callers)
+	err = e.Serve(serving, callers)
+	settle(inner, p.node, l)
 	l.Info("Entry stopped", "vm", s.VM)
 	return err
 }
 
 // RunEndpoint serves as an endpoint until the context ends, then drains.
 func RunEndpoint(ctx context.Context, s settings.Settings, l *log.Logger) (err error) {
-	peers, err := net.Listen("tcp", s.Peer)
+	return runEndpoint(ctx, s, l, net.Listen)
+}
+
+func runEndpoint(ctx context.Context, s settings.Settings, l *log.Logger, listen listenFunc) (err error) {
+	peers, err := listen("tcp", s.Peer)
 	if err != nil {
 		return err
 	}
-	n := newNode(s, l)
-	e := endpoint.New(n)
+	p := newProcess("parsleydeal-endpoint", s, l, listen)
+	e := endpoint.New(p.node)
+	e.Measure()
+	p.port.Add(operations.Section{Name: "window", Read: e.WindowStatus})
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	n.Start(inner)
+	if err = p.start(inner); err != nil {
+		return err
+	}
 	served := make(chan error, 1)
 	go func() { served <- e.Serve(inner, peers) }()
 	l.Info("Endpoint serves entries", "vm", s.VM, "address", peers.Addr())
@@ -127,9 +195,26 @@
 		return err
 	case <-ctx.Done():
 	}
-	n.Drain(inner)
+	p.leaving.Store(true)
+	p.node.Drain(inner)
 	e.WaitIdle(inner)
+	settle(inner, p.node, l)
 	cancel()
 	l.Info("Endpoint stopped", "vm", s.VM)
 	return <-served
 }
+
+// settleLimit bounds how long a stopping process waits for its bills. The
+// platform ends it sooner or later, and waiting longer saves no bill that a
+// holder has.
+const settleLimit = 20 * clock.Second
+
+// settle waits until the process's bills are safe without it.
+func settle(ctx context.Context, n *node.Node, l *log.Logger) {
+	ctx, cancel := context.WithTimeout(ctx, settleLimit.Duration())
+	defer cancel()
+	if n.Billing().Settled(ctx) != nil {
+		own, held := n.Billing().Waiting()
+		l.Warn("Process stops with bills that only one other process has", "own", own, "held", held)
+	}
+}
--- a/endpoint/admit.go
+++ b/endpoint/admit.go
@@ -62,7 +62,7 @@
 // check holds an attempt against one view.
 func (e *Endpoint) check(v *view.View, head *wire.RunHead) (err error) {
 	t := v.Tables()
-	if t == nil {
+	if !v.Started() {
 		return refusal.New(refusal.Starting, "endpoint has no tables yet").WithRetryAfter(behindRetry)
 	}
 	if v.Draining() {
@@ -82,7 +82,7 @@
 	if head.GetService() != "" {
 		return checkService(t, head, s.Endpoint.Pool)
 	}
-	if err = checkRoute(t, head, pool); err != nil {
+	if err = checkRoute(v, head, pool); err != nil {
 		return err
 	}
 	return e.checkEngine(head.GetVersion())
@@ -99,7 +99,8 @@
 	return nil
 }
 
-func checkRoute(t *table.Tables, head *wire.RunHead, pool table.Pool) error {
+func checkRoute(v *view.View, head *wire.RunHead, pool table.Pool) error {
+	t := v.Tables()
 	r, ok := t.Routes[head.GetRoute()]
 	if !ok || !slices.Contains(r.Organisations, head.GetOrganisation()) {
 		return refusal.New(refusal.NotAllowed, "organisation may not reach this route")
@@ -110,6 +111,9 @@
 	if t.Versions[head.GetVersion()].Withdrawn {
 		return refusal.New(refusal.Withdrawn, "version is withdrawn")
 	}
+	if v.Holds().Held(head.GetVersion(), head.GetOrganisation()) {
+		return refusal.New(refusal.Held, "version is held back")
+	}
 	if !slices.Contains(pool.Versions, head.GetVersion()) {
 		return refusal.New(refusal.NoEndpoint, "pool does not serve this version")
 	}
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -62,9 +62,7 @@
 		keeping: answer.NewKeeping(answer.KeepLimits{Answers: keptAnswers, Bytes: keptBytes, One: keptBytesOfOne, For: keptFor}),
 	}
 	e.aborted, e.abort = context.WithCancel(context.Background())
-	e.orphan = func(b *wire.Bill) {
-		n.Log().Warn("Entry went before it billed a step.", "request", b.GetRequest())
-	}
+	e.orphan = n.Billing().Orphan
 	n.SetLoad(e.load)
 	return e
 }
--- a/endpoint/kept.go
+++ b/endpoint/kept.go
@@ -19,9 +19,9 @@
 		answer.Claim{Stream: in.GetClaimStream(), Offset: in.GetClaim()},
 	)
 	out.Running = running
-	_, out.Kept = e.keeping.Find(answer.Owner{Request: in.GetRequest(), Organisation: in.GetOrganisation(), Key: in.GetIdempotencyKey()})
 	switch {
 	case run == refusal.Ran:
+		_, out.Kept = e.keeping.Find(answer.Owner{Request: in.GetRequest(), Organisation: in.GetOrganisation()})
 		out.Run = wire.RunState_RUN_RAN
 	case run == refusal.NotRun && in.GetGateEpoch() == epoch:
 		out.Run = wire.RunState_RUN_NOT_RUN
--- a/endpoint/run.go
+++ b/endpoint/run.go
@@ -109,13 +109,21 @@
 	a.e.orphan(&wire.Bill{
 		Request:        a.head.GetRequest(),
 		Organisation:   a.head.GetOrganisation(),
-		Route:          a.head.GetRoute(),
+		Route:          a.route(),
 		Steps:          []*wire.Step{a.step},
 		IdempotencyKey: a.head.GetIdempotencyKey(),
 	})
 	return nil
 }
 
+// route names the route or service in a bill, as the entry does.
+func (a *attempt) route() string {
+	if s := a.head.GetService(); s != "" {
+		return "services/" + s
+	}
+	return a.head.GetRoute()
+}
+
 // acknowledged reports whether the entry ended the stream by its own word. A
 // connection that breaks gives another error.
 func (a *attempt) acknowledged() bool {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -18,6 +18,10 @@
 // attempt runs the request once on one endpoint.
 func (e *Entry) attempt(ctx context.Context, req *work, vm platform.VM, emit func(*wire.Piece) error) (err error) {
 	req.attempts++
+	req.gateEpoch = req.view.Members().Load(vm.ID).GetEpoch()
+	if done, err := e.claimed(ctx, req, vm, emit); done || err != nil {
+		return err
+	}
 	e.inflight.Add(vm.ID, 1)
 	defer e.inflight.Add(vm.ID, -1)
 	seq := answers.NewSequence(req.id, req.attempts)
@@ -35,10 +39,13 @@
 	defer cancel()
 	stream, err := e.node.Peers().Gate(ctx, vm.Address).Run(ctx)
 	if err != nil {
+		if ctx.Err() == nil {
+			e.node.NotReached(vm.ID)
+		}
 		return false, lost(ctx, err)
 	}
 	defer stream.Close()
-	head := e.head(ctx, req, vm)
+	head := e.head(ctx, req)
 	if req.service == "" {
 		if err = req.send(stream, head); err != nil {
 			return true, lost(ctx, err)
@@ -96,7 +103,7 @@
 }
 
 // head describes the attempt to the gate.
-func (e *Entry) head(ctx context.Context, req *work, vm platform.VM) *wire.RunHead {
+func (e *Entry) head(ctx context.Context, req *work) *wire.RunHead {
 	h := &wire.RunHead{
 		Request:        req.id,
 		Attempt:        req.attempts,
@@ -116,7 +123,9 @@
 		PrefixHash:     req.prefix,
 		Entry:          e.node.Settings().VM,
 		Stream:         req.stream,
-		GateEpoch:      req.view.Members().Load(vm.ID).GetEpoch(),
+		GateEpoch:      req.gateEpoch,
+		Claim:          req.claim,
+		ClaimStream:    req.claimStream(),
 	}
 	if req.way == answers.Resume {
 		h.ResumeAfter = req.progress.Tokens()
--- a/entry/goon.go
+++ b/entry/goon.go
@@ -7,6 +7,13 @@
 	"github.com/parsleydeal/parsleydeal/refusal"
 )
 
+// begin starts an answer anew, on whatever version. What earlier versions ran
+// still counts when the caller is told whether the request ran.
+func (r *work) begin() {
+	r.progress.Reset()
+	r.way = answers.Restart
+}
+
 // goOn decides after a failed attempt whether and how the request is tried
 // again, and prepares it: from the start, or after the last token taken.
 func (r *work) goOn(err error) bool {
@@ -18,8 +25,8 @@
 		Repeatable: r.repeatable,
 		Resumes:    r.resumes(),
 		// A stream's pieces and a service's status are sent as they come; the
-		// parts of an answer in JSON wait for the last one.
-		Shown: r.progress.Taken() && (r.stream || r.service != ""),
+		// parts of an answer in JSON, or of one held back for the rater, wait.
+		Shown: r.progress.Taken() && !r.judging && (r.stream || r.service != ""),
 		Spent: r.bodySpent,
 	})
 	if r.way == answers.Restart && r.progress.Taken() {
--- a/entry/service.go
+++ b/entry/service.go
@@ -22,15 +22,20 @@
 	w http.ResponseWriter
 	// started is true when the status has been sent and cannot change.
 	started bool
+	// printed is the call's fingerprint once it was made.
+	printed []byte
 }
 
 // service answers one call of a plain service. Bodies stream both ways.
 func (e *Entry) service(w http.ResponseWriter, r *http.Request, name, path string) {
 	c := &call{work: work{id: uuid.NewString(), service: name, path: path, method: r.Method}, r: r, w: w}
+	end := e.meter.begin()
 	err := e.openCall(c)
 	if err == nil {
-		err = e.run(r.Context(), &c.work, c.take)
+		err = e.billed(r.Context(), &c.work, c.take)
 	}
+	end(c.label(), c.attempts, err)
+	e.burnRequest(&c.work, c.label(), err)
 	if err == nil {
 		return
 	}
@@ -43,6 +48,14 @@
 	panic(http.ErrAbortHandler)
 }
 
+// label names the service in metrics, once the call was admitted.
+func (c *call) label() string {
+	if c.pool == "" {
+		return ""
+	}
+	return "services/" + c.service
+}
+
 func (e *Entry) openCall(c *call) (err error) {
 	if c.view, err = e.current(); err != nil {
 		return err
@@ -71,6 +84,7 @@
 	// first byte of the answer.
 	_ = rc.EnableFullDuplex()
 	c.stopBody = func() { _ = rc.SetReadDeadline(time.Now()) }
+	c.fingerprint = c.print
 	return e.fresh(c.view, s.WhenStale, int64(s.StaleAfter))
 }
 
--- a/node/peer.go
+++ b/node/peer.go
@@ -15,15 +15,23 @@
 
 // Digest returns what this process tells its peers.
 func (n *Node) Digest() *wire.Digest {
-	v := n.View()
-	return &wire.Digest{
-		Vm:              n.cfg.Settings.VM,
-		Zone:            n.cfg.Settings.Zone,
-		Epoch:           n.epoch,
-		Revision:        v.Revision(),
-		Leaving:         v.Draining(),
-		StalenessMillis: int64(n.cfg.Clock.Since(v.ConfirmedAt())),
+	d := n.View().Digest(n.cfg.Clock.Now())
+	if load := n.load.Load(); load != nil {
+		d.Loads = append(d.Loads, (*load)())
 	}
+	if n.estimatesDue() {
+		d.Estimates = n.View().Quality().Wire()
+	}
+	return d
+}
+
+// estimatesDue is true at most once every estimatesEvery. A digest that always
+// carried the estimates of all versions would take a node that many ask over its
+// share of the network.
+func (n *Node) estimatesDue() bool {
+	now := int64(n.cfg.Clock.Now())
+	last := n.estimatesAt.Load()
+	return now-last >= int64(estimatesEvery) && n.estimatesAt.CompareAndSwap(last, now)
 }
 
 // SetLoad gives the function that reports an endpoint's own load in digests.
@@ -37,20 +45,17 @@
 // Behind tells control that a peer decides on a higher revision; records are
 // fetched from it at once. An empty address asks the VM list. It never blocks.
 func (n *Node) Behind(vm, address string, revision int64) {
-	_, _, _ = vm, address, revision
-}
-
-// Records returns configuration records that this process still keeps.
-func (n *Node) Records(context.Context, *wire.RecordsRequest) (out *wire.RecordsReply, err error) {
-	return &wire.RecordsReply{}, nil
+	if revision > n.View().Revision() {
+		n.loop.Offer(event.Behind{Now: n.cfg.Clock.Now(), VM: vm, Address: address, Revision: revision})
+	}
 }
 
-// HoldBills takes bills of another process.
-func (n *Node) HoldBills(context.Context, *wire.HoldBillsRequest) (out *wire.HoldBillsReply, err error) {
-	return &wire.HoldBillsReply{Reason: "not kept here"}, nil
+// NotReached tells control that a call to a VM failed before it got there.
+func (n *Node) NotReached(vm string) {
+	n.loop.Offer(event.PeerFailed{Now: n.cfg.Clock.Now(), VM: vm})
 }
 
-// ReleaseBills drops bills that are on the log.
-func (n *Node) ReleaseBills(context.Context, *wire.ReleaseBillsRequest) (out *wire.ReleaseBillsReply, err error) {
-	return &wire.ReleaseBillsReply{}, nil
+// Records returns configuration records that this process still keeps.
+func (n *Node) Records(_ context.Context, in *wire.RecordsRequest) (out *wire.RecordsReply, err error) {
+	return n.View().Tail().Reply(in.GetFrom()), nil
 }
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -26,6 +26,8 @@
 	Stall bool
 	// ToolCall adds a tool call to the answer's second token.
 	ToolCall bool
+	// BreakVersion cuts every stream of one version at its first token.
+	BreakVersion string
 }
 
 // Engine is the stand-in of a model engine.
@@ -185,7 +187,7 @@
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, req *engineRequest) (whole bool) {
 	for i := req.ResumeAfter; i < e.tokens; i++ {
 		faults := e.currentFaults()
-		if faults.BreakAfter > 0 && i == faults.BreakAfter {
+		if faults.BreakAfter > 0 && i == faults.BreakAfter || faults.BreakVersion == req.Model {
 			panic(http.ErrAbortHandler)
 		}
 		if i > req.ResumeAfter && !e.wait(r, e.gap) {
--- a/system/cluster_test.go
+++ b/system/cluster_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -19,6 +18,7 @@
 	"time"
 
 	"github.com/parsleydeal/parsleydeal/bill"
+	_ "github.com/parsleydeal/parsleydeal/cli" // the daemons' code, so that a cached result is never that of older daemons
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/platform"
@@ -179,13 +179,13 @@
 func (c *cluster) addGate(id, zone, pool string, h http.Handler, plain bool) {
 	srv := httptest.NewServer(h)
 	c.t.Cleanup(srv.Close)
-	p := &process{program: "parsleydeal-endpoint", vm: platform.VM{ID: id, Role: platform.EndpointRole, Pool: pool, Zone: zone, Region: "here", Address: freeAddress(c.t)}}
+	p := &process{program: "parsleydeal-endpoint", vm: platform.VM{ID: id, Role: platform.EndpointRole, Pool: pool, Zone: zone, Region: "here", Address: standin.FreeAddress()}}
 	p.settings = c.common(p) + fmt.Sprintf("[endpoint]\npool = %q\nengine = %q\nplain = %v\n", pool, srv.URL, plain)
 	c.endpoints = append(c.endpoints, p)
 }
 
 func (c *cluster) addEntry(i int, s shape) {
-	p := &process{program: "parsleydeal-entry", callers: freeAddress(c.t), vm: platform.VM{ID: fmt.Sprintf("entry-%d", i), Role: platform.EntryRole, Zone: zone(i, s), Region: "here", Address: freeAddress(c.t)}}
+	p := &process{program: "parsleydeal-entry", callers: standin.FreeAddress(), vm: platform.VM{ID: fmt.Sprintf("entry-%d", i), Role: platform.EntryRole, Zone: zone(i, s), Region: "here", Address: standin.FreeAddress()}}
 	p.settings = c.common(p) + fmt.Sprintf("[entry]\ncallers = %q\n", p.callers)
 	c.entries = append(c.entries, p)
 }
@@ -202,16 +202,7 @@
 current = "k"
 [session.keys]
 k = "system test secret of enough bytes"
-`, p.vm.ID, p.vm.Zone, p.vm.Address, freeAddress(c.t), c.url)
-}
-
-func freeAddress(t *testing.T) string {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer lis.Close()
-	return lis.Addr().String()
+`, p.vm.ID, p.vm.Zone, p.vm.Address, standin.FreeAddress(), c.url)
 }
 
 func (c *cluster) start(p *process) {
@@ -283,6 +274,8 @@
 
 // call does one exchange with an entry. Status is 0 when the connection broke.
 func (c *cluster) call(ctx context.Context, p *process, method, path, body string, h http.Header) (status int, header http.Header, text string) {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+p.callers+path, strings.NewReader(body))
 	if err != nil {
 		c.t.Error(err)
--- a/view/view.go
+++ b/view/view.go
@@ -5,6 +5,10 @@
 import (
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/membership"
+	"github.com/parsleydeal/parsleydeal/peer/wire"
+	"github.com/parsleydeal/parsleydeal/quality"
+	"github.com/parsleydeal/parsleydeal/rollout"
+	"github.com/parsleydeal/parsleydeal/spread"
 	"github.com/parsleydeal/parsleydeal/table"
 )
 
@@ -15,6 +19,13 @@
 	confirmedAt clock.Millis
 	members     *membership.Members
 	draining    bool
+	// holds is nil in a view made for a test.
+	holds *rollout.Holds
+	// counts is the report of evidence to other processes.
+	counts []*wire.Count
+	// quality is nil in a view made for a test.
+	quality *quality.Book
+	spread  spread.Picture
 }
 
 // New makes a view.
@@ -22,6 +33,25 @@
 	return &View{tables: tables, revision: revision, confirmedAt: confirmedAt, members: members, draining: draining}
 }
 
+// WithEvidence returns a view that also knows the holds in force, this process's
+// report of evidence and what raters said of the versions.
+func (v *View) WithEvidence(holds *rollout.Holds, counts []*wire.Count, q *quality.Book) *View {
+	c := *v
+	c.holds = holds
+	c.counts = counts
+	c.quality = q
+	return &c
+}
+
+// Holds returns the versions held back from new work.
+func (v *View) Holds() *rollout.Holds { return v.holds }
+
+// Quality returns what raters said of the versions.
+func (v *View) Quality() *quality.Book { return v.quality }
+
+// Counts returns what this process tells others of the versions it used.
+func (v *View) Counts() []*wire.Count { return v.counts }
+
 // Tables returns the configuration in force; nil before the first one.
 func (v *View) Tables() *table.Tables { return v.tables }
 
@@ -38,5 +68,24 @@
 // Draining reports whether this process takes no new work.
 func (v *View) Draining() bool { return v.draining }
 
+// WithSpread adds what peers are told.
+func (v *View) WithSpread(p spread.Picture) *View {
+	next := *v
+	next.spread = p
+	return &next
+}
+
+// Tail returns the configuration's last records, for peers that are behind.
+func (v *View) Tail() spread.Tail { return v.spread.Tail }
+
+// Digest returns what this process tells its peers at an instant.
+func (v *View) Digest(now clock.Millis) *wire.Digest {
+	return v.spread.Digest(v.revision, now-v.confirmedAt, v.draining, v.members)
+}
+
+// Started reports whether the process knows the tables in force, so far as the
+// log or several peers could tell.
+func (v *View) Started() bool { return v.tables != nil && !v.spread.Starting }
+
 // Ready reports whether the process may receive work.
-func (v *View) Ready() bool { return v.tables != nil && !v.draining }
+func (v *View) Ready() bool { return v.Started() && !v.draining }
