--- a/entry/claim.go
+++ b/entry/claim.go
@@ -44,7 +44,7 @@
 			req.round, req.claim = c.GetRound(), offset
 			return false, nil
 		}
-		if done, err = e.settleClaim(ctx, req, c, s, emit); done || err != nil {
+		if done, err = e.settleClaim(ctx, req, c, s, offset, emit); done || err != nil {
 			return done, err
 		}
 		c.Round = s.GetRound() + 1
@@ -60,10 +60,19 @@
 	}
 	return &wire.Claim{
 		Key: claim.Key(r.organisation, r.service, r.key), Body: body,
-		Round: r.round + 1, Request: r.id, Attempt: r.attempts, Vm: vm.ID,
+		Round: r.round + 1, Request: r.id, Attempt: r.attempts, Vm: vm.ID, GateEpoch: r.gateEpoch,
 	}, nil
 }
 
+// claimStream returns the stream of the claim that the request holds; empty
+// without one.
+func (r *work) claimStream() string {
+	if r.round == 0 {
+		return ""
+	}
+	return claim.Stream(claim.Key(r.organisation, r.service, r.key))
+}
+
 // unclaimed decides a call whose claim could not be settled. Nothing has been
 // dispatched, so "not run" is true; a claim that stands after all names an
 // attempt that its endpoint can still refuse.
@@ -77,7 +86,7 @@
 // settleClaim finds out what became of the attempt that holds the key. It
 // returns without an error only when that attempt can never run, or with done
 // when its answer has been given.
-func (e *Entry) settleClaim(ctx context.Context, req *work, c, s *wire.Claim, emit func(*wire.Piece) error) (done bool, err error) {
+func (e *Entry) settleClaim(ctx context.Context, req *work, c, s *wire.Claim, offset int64, emit func(*wire.Piece) error) (done bool, err error) {
 	verdict := claim.Judge(c, s, req.round > 0)
 	if verdict != claim.Ask {
 		return false, claimRefusal(verdict)
@@ -89,7 +98,8 @@
 	refuseCtx, cancel := context.WithTimeout(ctx, refuseTimeout.Duration())
 	defer cancel()
 	out, err := e.node.Peers().Gate(refuseCtx, vm.Address).Refuse(refuseCtx, &wire.RefuseRequest{
-		Request: s.GetRequest(), Attempt: s.GetAttempt(), IdempotencyKey: req.key,
+		Request: s.GetRequest(), Attempt: s.GetAttempt(), IdempotencyKey: req.key, Organisation: req.organisation,
+		GateEpoch: s.GetGateEpoch(), Claim: offset, ClaimStream: claim.Stream(s.GetKey()),
 	})
 	if err != nil {
 		return false, claimRefusal(claim.Open)
@@ -119,7 +129,7 @@
 // replay gives the kept answer of an earlier attempt. Its step is billed under
 // the earlier request, where it merges with whatever bill was made of it.
 func (e *Entry) replay(ctx context.Context, req *work, vm platform.VM, s *wire.Claim, emit func(*wire.Piece) error) (err error) {
-	stream, err := e.node.Peers().Gate(ctx, vm.Address).Kept(ctx, &wire.KeptRequest{Request: s.GetRequest(), IdempotencyKey: req.key})
+	stream, err := e.node.Peers().Gate(ctx, vm.Address).Kept(ctx, &wire.KeptRequest{Request: s.GetRequest(), IdempotencyKey: req.key, Organisation: req.organisation})
 	if err != nil {
 		return lost(ctx, err)
 	}
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -43,6 +43,7 @@
 		return 0, nil
 	}
 	answer := newAnswer(rw, req)
+	req.drop = answer.drop
 	err = c.entry.billed(c.ctx, req, answer.take)
 	end(req.routeName, req.attempts, err)
 	c.entry.burnRequest(req, req.routeName, err)
--- a/entry/run.go
+++ b/entry/run.go
@@ -87,21 +87,20 @@
 		return err
 	}
 	defer func() { queue.Leave(outcomeOf(err)) }()
+	req.begin()
 	avoid := make(map[string]bool)
 	err = refusal.New(refusal.NoEndpoint, "no endpoint can take the request").WithRetryAfter(startingRetry)
 	for i := range maxAttempts {
 		vm, ok := choice.Endpoint(req.view, e.inflight, e.affinity, e.query(req, avoid))
 		if !ok || i > 0 && !e.retries.Take() {
-			return comeBack(err)
+			return comeBack(req.truth(err))
 		}
 		avoid[vm.ID] = true
 		if err := e.settleHome(req, vm.ID); err != nil {
 			return err
 		}
-		delivered := false
 		seen := e.observe(req, vm.ID)
 		err = e.attempt(ctx, req, vm, func(p *wire.Piece) error {
-			delivered = true
 			seen.piece(p)
 			return emit(p)
 		})
@@ -109,11 +108,14 @@
 		if unreached(err) {
 			e.inflight.Lost(vm.ID, e.node.Clock().Now())
 		}
-		if err == nil || delivered || !mayRetry(req, err) {
-			return err
+		if err == nil {
+			return nil
+		}
+		if versionRefused(err) || !req.goOn(err) {
+			return req.truth(err)
 		}
 	}
-	return comeBack(err)
+	return comeBack(req.truth(err))
 }
 
 // query asks for an endpoint for the request.
@@ -172,22 +174,18 @@
 // a hold or withdrawal that this entry had not heard of when it chose, and this
 // entry knows of it now.
 func (e *Entry) lostVersion(req *work, err error) bool {
-	r, ok := refusal.As(err)
-	if !ok || r.Run() != refusal.NotRun || r.Code() != refusal.Held && r.Code() != refusal.Withdrawn {
+	if r, ok := refusal.As(err); !ok || r.Run() != refusal.NotRun || !versionRefused(err) {
 		return false
 	}
 	req.view = e.node.View()
 	return movedBecause(req, req.version) != ""
 }
 
-// mayRetry reports whether a failed attempt provably did not run and its body
-// can be sent again.
-func mayRetry(req *work, err error) bool {
+// versionRefused reports whether a gate refused the version itself; all others
+// would do the same.
+func versionRefused(err error) bool {
 	r, ok := refusal.As(err)
-	if !ok || r.Code() == refusal.Held || r.Code() == refusal.Withdrawn {
-		return false
-	}
-	return r.Run() == refusal.NotRun && !req.bodySpent
+	return ok && (r.Code() == refusal.Held || r.Code() == refusal.Withdrawn)
 }
 
 // ratingsOf returns how many ratings the request's version has.
