Rollout: holds travel in digests, gates read the stream seldom, readers survive expiry

Cause: a reader whose offset the log no longer kept stopped for good, so a process started later knew no hold; and 1,000 gates waiting on the stream would read it 500 times a second. Change: node.tailHolds, Digest.holds. Proof: TestHoldsAreReadAfterTheFirstExpired and TestHoldTravelsInDigests fail without the guards.

--- /dev/null
+++ b/node/holds_test.go
@@ -0,0 +1,45 @@
+package node
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/peer/wire"
+	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/rollout"
+)
+
+// The log has dropped the first holds. An entry that starts now and stopped at
+// the expired offset would never learn of the hold that was written again after
+// them, and go on using a bad version.
+func TestHoldsAreReadAfterTheFirstExpired(t *testing.T) {
+	is := is.New(t)
+	data, err := rollout.Encode(&wire.Hold{Version: "m@2"})
+	is.NoErr(err)
+	read := func(_ context.Context, _ string, from int64, _ clock.Millis) (p platform.Page, err error) {
+		if from < 7 {
+			return p, platform.ErrExpired.New("records no longer kept")
+		}
+		p = platform.Page{First: 7, Head: 8}
+		if from == 7 {
+			p.Records = []platform.Record{{Offset: 7, Data: data}}
+		}
+		return p, nil
+	}
+	n := New(Config{Clock: clock.System(), Log: log.New(io.Discard), Store: platform.Log{Read: read}})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go n.loop.Run(ctx)
+	go n.tailHolds(ctx)
+	const patience = 30 * time.Second
+	for deadline := time.Now().Add(patience); !n.View().Holds().Held("m@2", "o"); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the hold was never read")
+		}
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -112,7 +112,7 @@
 	n.run(func() { n.loop.Run(ctx) })
 	n.run(func() { n.every(ctx, tickEvery, func() { n.loop.Post(ctx, event.Tick{Now: n.cfg.Clock.Now()}) }) })
 	n.run(func() { n.readVMs(ctx) })
-	n.run(func() { n.tail(ctx, platform.HoldStream) })
+	n.run(func() { n.tailHolds(ctx) })
 	n.claims.mu.Lock()
 	n.claims.ctx = ctx
 	n.claims.mu.Unlock()
--- a/rollout/hold.go
+++ b/rollout/hold.go
@@ -87,6 +87,20 @@
 	return one
 }
 
+// MostTold bounds the holds in one message to a peer; a reader of the log knows
+// them all.
+const MostTold = 64
+
+// Told lists the holds that stand on the log, for peers.
+func (h *Holds) Told() (out []*wire.Hold) {
+	for _, x := range h.List() {
+		if x.GetOffset() >= 0 && len(out) < MostTold {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
 func (h *Holds) has(scope Scope) bool {
 	_, ok := h.holds[scope]
 	return ok
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -124,7 +124,7 @@
 		hold := &wire.Hold{
 			Version: scope.Version, Organisation: scope.Organisation,
 			Released: int64(known.Tables.Versions[k.Version].Released),
-			Signal:   i.String(), Route: k.Route, Seen: t[i].since.N, Bad: t[i].since.Bad, Limit: limits[i], Judge: known.Self,
+			Signal:   i.String(), Route: k.Route, Seen: t[i].since.N, Bad: t[i].since.Bad, Limit: limits[i], Judge: known.Self, Offset: -1,
 		}
 		return s.find(scope, hold, known)
 	}
--- a/rollout/state.go
+++ b/rollout/state.go
@@ -10,6 +10,7 @@
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/platform"
 	"github.com/parsleydeal/parsleydeal/table"
+	"google.golang.org/protobuf/proto"
 )
 
 const (
@@ -65,9 +66,7 @@
 }
 
 type logged struct {
-	hold *wire.Hold
-	// offset is that of the first record of this release.
-	offset int64
+	hold   *wire.Hold
 	readAt clock.Millis
 }
 
@@ -126,7 +125,7 @@
 
 func (s *State) inLogOrder() []Scope {
 	scopes := sortedScopes(s.logged)
-	slices.SortStableFunc(scopes, func(a, b Scope) int { return cmp.Compare(s.logged[a].offset, s.logged[b].offset) })
+	slices.SortStableFunc(scopes, func(a, b Scope) int { return cmp.Compare(s.logged[a].hold.GetOffset(), s.logged[b].hold.GetOffset()) })
 	return scopes
 }
 
@@ -143,6 +142,8 @@
 		if e.Stream == platform.HoldStream {
 			effects, changed = s.read(e, known)
 		}
+	case event.DigestReceived:
+		changed = s.hear(e.Digest.GetHolds(), known)
 	case event.AppendDone:
 		s.appended(e, known)
 	case event.Tick:
@@ -163,7 +164,8 @@
 			effects = append(effects, event.Report{Message: "Hold skipped", Fields: []any{"offset", r.Offset, "reason", err}})
 			continue
 		}
-		fresh := s.log(r.Offset, h, known)
+		h.Offset = r.Offset
+		fresh := s.log(h, known)
 		changed = changed || fresh
 		if fresh {
 			effects = append(effects, report("Version held", h))
@@ -172,9 +174,25 @@
 	return effects, changed
 }
 
+// hear takes holds that a peer knows from the log, so that processes which read
+// it seldom, or can't, know them too. One already known is left alone: hearing
+// of it again says nothing of whether the log still has it.
+func (s *State) hear(holds []*wire.Hold, known Known) (changed bool) {
+	for _, h := range holds[:min(len(holds), MostTold)] {
+		old, seen := s.logged[scopeOf(h)]
+		if _, _, ok := table.SplitVersion(h.GetVersion()); !ok || h.GetOffset() < 0 {
+			continue
+		}
+		if !seen || old.hold.GetReleased() < h.GetReleased() {
+			changed = s.log(proto.Clone(h).(*wire.Hold), known) || changed
+		}
+	}
+	return changed
+}
+
 // log takes a hold from the log and reports whether it is a new one. A second
 // record of the same hold, from another judge or a retry, changes nothing.
-func (s *State) log(offset int64, h *wire.Hold, known Known) (fresh bool) {
+func (s *State) log(h *wire.Hold, known Known) (fresh bool) {
 	scope := scopeOf(h)
 	old, seen := s.logged[scope]
 	if seen && old.hold.GetReleased() > h.GetReleased() {
@@ -185,9 +203,9 @@
 	}
 	fresh = !seen || old.hold.GetReleased() < h.GetReleased()
 	if !fresh {
-		offset = old.offset
+		h.Offset = old.hold.GetOffset()
 	}
-	s.logged[scope] = logged{hold: h, offset: offset, readAt: known.Now}
+	s.logged[scope] = logged{hold: h, readAt: known.Now}
 	delete(s.pending, scope)
 	s.current = nil
 	s.reset(scope)
--- a/rollout/state_test.go
+++ b/rollout/state_test.go
@@ -207,3 +207,27 @@
 	is.True(s.Holds(tables(0)).Held("m@2", "o"))
 	is.True(!s.Holds(tables(0)).Held("m@1", "o"))
 }
+
+// A gate reads the log seldom. It must learn of a hold from any peer that knows
+// it from the log, and not from one that only found it due itself; and a judge
+// that keeps hearing of its hold must still renew it on the log.
+func TestHoldTravelsInDigests(t *testing.T) {
+	is := is.New(t)
+	first, _ := judges()
+	s, gate := NewState(), NewState()
+	tell := func(now clock.Millis) event.DigestReceived {
+		return event.DigestReceived{Now: now, Digest: &wire.Digest{Holds: s.Holds(tables(0)).Told()}}
+	}
+	effects, _ := s.Reduce(event.Observed{}, seen("m@2", "o", bad), known(first, 0, tables(0)))
+	gate.Reduce(tell(0), nil, known("z", 0, tables(0)))
+	is.True(!gate.Holds(tables(0)).Held("m@2", "o")) // the log does not have it yet
+	s.Reduce(page(appends(effects)[0].Data), nil, known(first, 0, tables(0)))
+	_, changed := gate.Reduce(tell(0), nil, known("z", 0, tables(0)))
+	is.True(changed)
+	is.True(gate.Holds(tables(0)).Held("m@2", "o"))
+	_, changed = gate.Reduce(tell(0), nil, known("z", 0, tables(0)))
+	is.True(!changed)
+	s.Reduce(tell(renewEvery-1), nil, known(first, renewEvery-1, tables(0)))
+	effects, _ = s.Reduce(event.Tick{}, nil, known(first, renewEvery, tables(0)))
+	is.Equal(len(appends(effects)), 1)
+}
--- a/view/view.go
+++ b/view/view.go
@@ -113,7 +113,9 @@
 
 // Digest returns what this process tells its peers at an instant.
 func (v *View) Digest(now clock.Millis) *wire.Digest {
-	return v.spread.Digest(v.revision, now-v.confirmedAt, v.draining, v.members)
+	d := v.spread.Digest(v.revision, now-v.confirmedAt, v.draining, v.members)
+	d.Holds = v.holds.Told()
+	return d
 }
 
 // Started reports whether the process knows the tables in force, so far as the
