Limit: the window opens with what gates take, and rests after a refusal; status shows holds

Cause: the window grew with ended requests only: an entry that starts before a large pool with minute-long answers would have held back all above 64 for minutes. And each refusal pulled the next request out of the queue into the same one. Change: Core.Taken, cut to what is held, a second's rest; status sections holds, ratings, ramping-zones.

--- a/bench/limit.go
+++ b/bench/limit.go
@@ -107,6 +107,7 @@
 	if r.held < r.places {
 		r.held++
 		r.waits[q.org] = append(r.waits[q.org], r.now-q.at)
+		r.pass(r.core.Taken(r.now))
 		r.after(limitService+clock.Millis(r.rng.IntN(100)), func() {
 			r.held--
 			r.served[q.org]++
@@ -126,7 +127,10 @@
 }
 
 func (r *limitRun) end(o limit.Outcome) {
-	started, expired := r.core.End(r.now, o)
+	r.pass(r.core.End(r.now, o))
+}
+
+func (r *limitRun) pass(started, expired []limit.Item) {
 	for _, it := range expired {
 		delete(r.waiting, it.ID)
 	}
--- a/bench/zone.go
+++ b/bench/zone.go
@@ -198,6 +198,7 @@
 
 func (r *zoneRun) start(e *zoneEntry, q zoneRequest, x *coldReplica) {
 	x.held++
+	r.pass(e, e.core.Taken)
 	span := zoneWarmToken
 	if x.served < warmAfter {
 		span = zoneColdToken
@@ -222,7 +223,11 @@
 }
 
 func (r *zoneRun) end(e *zoneEntry, o limit.Outcome) {
-	started, expired := e.core.End(r.now, o)
+	r.pass(e, func(now clock.Millis) (started, expired []limit.Item) { return e.core.End(now, o) })
+}
+
+func (r *zoneRun) pass(e *zoneEntry, step func(clock.Millis) (started, expired []limit.Item)) {
+	started, expired := step(r.now)
 	r.refuse(e, expired)
 	for _, it := range started {
 		q := e.waiting[it.ID]
--- a/cli/daemon.go
+++ b/cli/daemon.go
@@ -104,6 +104,9 @@
 	p.port = operations.New(program, version(), p.node)
 	p.port.SetLeaving(p.leaving.Load)
 	p.port.Add(operations.Section{Name: "bills", Read: p.node.Billing().Status})
+	p.port.Add(operations.Section{Name: "holds", Read: func() any { return p.node.View().HoldsStatus() }})
+	p.port.Add(operations.Section{Name: "ramping-zones", Read: func() any { return p.node.View().RampsStatus(p.node.Clock().Now()) }})
+	p.port.Add(operations.Section{Name: "ratings", Read: func() any { return p.node.View().RatingsStatus() }})
 	return p
 }
 
--- a/entry/run.go
+++ b/entry/run.go
@@ -100,7 +100,12 @@
 			return err
 		}
 		seen := e.observe(req, vm.ID)
+		taken := false
 		err = e.attempt(ctx, req, vm, func(p *wire.Piece) error {
+			if !taken {
+				taken = true
+				queue.Taken()
+			}
 			seen.piece(p)
 			return emit(p)
 		})
--- a/limit/core.go
+++ b/limit/core.go
@@ -74,6 +74,12 @@
 
 func bounded(d clock.Millis) clock.Millis { return min(max(d, leastRetry), mostRetry) }
 
+// Taken tells that a gate took a started request, and returns who may start now.
+func (c *Core) Taken(now clock.Millis) (started, expired []Item) {
+	c.window.grow(now)
+	return c.next(now)
+}
+
 // End gives a place back and returns who may start now. Expired lists waiting
 // requests whose callers have given up by now.
 func (c *Core) End(now clock.Millis, o Outcome) (started, expired []Item) {
--- a/limit/queue.go
+++ b/limit/queue.go
@@ -122,11 +122,21 @@
 	return full("no place was free in time", retry)
 }
 
+// Taken tells that a gate took a request which entered.
+func (q *Queue) Taken() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.pass(q.core.Taken(q.clock.Now()))
+}
+
 // Leave gives a place back.
 func (q *Queue) Leave(o Outcome) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	started, expired := q.core.End(q.clock.Now(), o)
+	q.pass(q.core.End(q.clock.Now(), o))
+}
+
+func (q *Queue) pass(started, expired []Item) {
 	q.refuse(expired, "no place was free in time")
 	for _, it := range started {
 		q.tell(it, nil)
--- a/limit/window.go
+++ b/limit/window.go
@@ -6,12 +6,14 @@
 	firstWindow = 64.0
 	leastWindow = 2.0
 	mostWindow  = 4096.0
-	// windowCut is what a refusal for want of room leaves of the window.
-	windowCut = 0.85
-	// cutEvery is the span within which refusals count as one.
-	cutEvery = 100 * clock.Millis(1)
-	// rowOfCuts is the longest span between two cuts of the same row.
-	rowOfCuts = 2 * clock.Second
+	// windowCut is what a refusal for want of room leaves of the window, at most
+	// once in cutEvery.
+	windowCut = 0.95
+	cutEvery  = 100 * clock.Millis(1)
+	// afterCut is how long the window rests after a refusal. Growing at once would
+	// find the gates full at each turn, and what they refuse is lost to its caller,
+	// whoever's turn it was.
+	afterCut = clock.Second
 )
 
 // Outcome is how a started request ended.
@@ -19,7 +21,7 @@
 
 // The outcomes.
 const (
-	// Served requests show that the pool had room.
+	// Served requests ended after they were taken.
 	Served Outcome = iota
 	// Refused requests found no room at the gates.
 	Refused
@@ -31,46 +33,42 @@
 // take the work and shrinks when they refuse it, so that all entries together
 // settle at what the gates' own windows allow.
 type window struct {
-	size  float64
-	used  int
-	cutAt clock.Millis
-	// goal is the size before the last row of cuts; up to near it the window
-	// grows fast again, so that a pool that was dry for a while fills at once.
-	goal float64
+	size float64
+	used int
+	// cutAt is the last cut by a part, refusedAt the last refusal.
+	cutAt     clock.Millis
+	refusedAt clock.Millis
 }
 
 func (w *window) room() bool { return float64(w.used) < w.size }
 
 func (w *window) end(now clock.Millis, o Outcome) {
-	switch o {
-	case Served:
-		w.grow()
-	case Refused:
+	if o == Refused {
 		w.cut(now)
 	}
 	w.used--
 }
 
-func (w *window) grow() {
-	const busy, near = 0.5, 0.9
-	if float64(w.used) <= busy*w.size {
+// grow widens the window for a request that a gate took. Counting taken rather
+// than ended requests lets an entry that just started widen it as fast as
+// requests come, also when each runs for a minute.
+func (w *window) grow(now clock.Millis) {
+	const busy = 0.5
+	if float64(w.used) <= busy*w.size || w.refusedAt > 0 && now-w.refusedAt <= afterCut {
 		return
 	}
-	step := 1 / w.size
-	if w.size < near*w.goal {
-		step = 1
-	}
-	w.size = min(w.size+step, mostWindow)
+	w.size = min(w.size+1, mostWindow)
 }
 
+// cut narrows the window to what the gates hold without the refused request, so
+// that its place does not pull the next one out of the queue and into the same
+// refusal; and once in cutEvery by a part, so that entries that share a pool
+// come to share it evenly.
 func (w *window) cut(now clock.Millis) {
-	since := now - w.cutAt
-	if since < cutEvery {
-		return
-	}
-	if since > rowOfCuts {
-		w.goal = w.size
+	w.refusedAt = now
+	w.size = max(min(w.size, float64(w.used-1)), leastWindow)
+	if now-w.cutAt >= cutEvery {
+		w.size = max(w.size*windowCut, leastWindow)
+		w.cutAt = now
 	}
-	w.size = max(min(w.size, float64(w.used))*windowCut, leastWindow)
-	w.cutAt = now
 }
--- /dev/null
+++ b/view/status.go
@@ -0,0 +1,60 @@
+package view
+
+import "github.com/parsleydeal/parsleydeal/clock"
+
+// HoldStatus is one hold as operators see it.
+type HoldStatus struct {
+	Version string `json:"version"`
+	// Organisation is empty when the version is held for all.
+	Organisation string  `json:"organisation,omitempty"`
+	Released     int64   `json:"released"`
+	Signal       string  `json:"signal"`
+	Route        string  `json:"route"`
+	Seen         float64 `json:"seen"`
+	Bad          float64 `json:"bad"`
+	Limit        float64 `json:"limit"`
+	Judge        string  `json:"judge"`
+	// Logged is false while only this process knows of the hold.
+	Logged bool `json:"logged"`
+}
+
+// HoldsStatus lists the holds in force.
+func (v *View) HoldsStatus() (out []HoldStatus) {
+	out = []HoldStatus{}
+	for _, h := range v.holds.List() {
+		out = append(out, HoldStatus{
+			Version: h.GetVersion(), Organisation: h.GetOrganisation(), Released: h.GetReleased(), Signal: h.GetSignal(), Route: h.GetRoute(),
+			Seen: h.GetSeen(), Bad: h.GetBad(), Limit: h.GetLimit(), Judge: h.GetJudge(), Logged: h.GetOffset() >= 0,
+		})
+	}
+	return out
+}
+
+// RampsStatus lists the parts of their share that zones get which came back and
+// don't get all of it yet.
+func (v *View) RampsStatus(now clock.Millis) map[string]float64 {
+	out := make(map[string]float64)
+	for _, name := range v.zones.Names() {
+		if part := v.zones.Part(name, now); part < 1 {
+			out[name] = part
+		}
+	}
+	return out
+}
+
+// RatingStatus is what raters said of a version on a route.
+type RatingStatus struct {
+	Route   string  `json:"route"`
+	Version string  `json:"version"`
+	Ratings int64   `json:"ratings"`
+	Mean    float64 `json:"mean"`
+}
+
+// RatingsStatus lists what is known of versions' quality.
+func (v *View) RatingsStatus() (out []RatingStatus) {
+	out = []RatingStatus{}
+	for _, e := range v.quality.Wire() {
+		out = append(out, RatingStatus{e.GetRoute(), e.GetVersion(), e.GetRatings(), e.GetRatingSum() / float64(max(e.GetRatings(), 1))})
+	}
+	return out
+}
--- a/zone/zone.go
+++ b/zone/zone.go
@@ -142,3 +142,11 @@
 	done := float64(max(now-z.from, 0)) / float64(z.span)
 	return min(rampFirst+(1-rampFirst)*done, 1)
 }
+
+// Names lists the zones that ever came back, sorted.
+func (r *Ramps) Names() []string {
+	if r == nil {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(r.ramps))
+}
