Rollout: a hold leaves each route a version that meets its target; retry storm tested end to end

Cause: a hold of a route's only version good enough would have left versions in the route and none that may answer. Proof: TestHoldLeavesAVersionThatMeetsTheTarget, TestDryPoolGetsNoRetryStorm fail without the guards.

--- a/cli/decision_test.go
+++ b/cli/decision_test.go
@@ -146,3 +146,28 @@
 	}
 	t.Fatal("the session of the held version was never moved")
 }
+
+// All engines refuse. Each request could try four times, and the engines would
+// get four times the load while they are down. Callers must hear at once that
+// nothing ran and when to come back, after no more tries than the budget allows.
+func TestDryPoolGetsNoRetryStorm(t *testing.T) {
+	is := is.New(t)
+	d := startDemo(t)
+	for _, e := range d.engines {
+		e.SetFaults(standin.EngineFaults{Refuse: true})
+	}
+	const requests, burst = 60, 10
+	for range requests {
+		h, status, err := d.answerTo(t.Context(), "dossier", "")
+		is.NoErr(err)
+		is.True(status >= http.StatusInternalServerError || status == http.StatusTooManyRequests)
+		is.Equal(h.Get("Parsleydeal-Run"), "not-run")
+		is.True(h.Get("Retry-After") != "")
+	}
+	tries := 0
+	for _, e := range d.engines {
+		tries += e.Refused()
+	}
+	is.True(tries > 0)
+	is.True(tries <= requests+requests/10+burst)
+}
--- a/entry/run.go
+++ b/entry/run.go
@@ -25,6 +25,7 @@
 func (e *Entry) run(ctx context.Context, req *work, emit func(*wire.Piece) error) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, req.deadline.Duration())
 	defer cancel()
+	defer func() { err = comeBack(err) }()
 	e.retries.Earn()
 	if req.service != "" {
 		return e.tries(ctx, req, emit)
@@ -93,7 +94,7 @@
 	for i := range maxAttempts {
 		vm, ok := choice.Endpoint(req.view, e.inflight, e.affinity, e.query(req, avoid))
 		if !ok || i > 0 && !e.retries.Take() {
-			return comeBack(req.truth(err))
+			return req.truth(err)
 		}
 		avoid[vm.ID] = true
 		if err := e.settleHome(req, vm.ID); err != nil {
@@ -120,7 +121,7 @@
 			return req.truth(err)
 		}
 	}
-	return comeBack(req.truth(err))
+	return req.truth(err)
 }
 
 // query asks for an endpoint for the request.
--- a/rollout/state_test.go
+++ b/rollout/state_test.go
@@ -155,6 +155,22 @@
 	is.Equal(len(effects), 1) // the report
 }
 
+// The dear model fails on a route whose target the cheap one does not reach.
+// Holding it would leave versions in the route and none that may answer.
+func TestHoldLeavesAVersionThatMeetsTheTarget(t *testing.T) {
+	is := is.New(t)
+	target := tables(0)
+	target.Versions["m@1"] = table.Version{Quality: 0.5}
+	r := target.Routes["r"]
+	r.QualityTarget = 0.8
+	target.Routes["r"] = r
+	s := NewState()
+	for range 200 {
+		s.Reduce(event.Observed{}, seen("m@2", "o", bad), known("a", 0, target))
+	}
+	is.Equal(len(s.Holds(target).List()), 0)
+}
+
 // A bad rating is worth as much as what lacks to 1: the mean falls from 0.9 to
 // 0.6 while no request fails.
 func TestPoorRatingsHold(t *testing.T) {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -41,6 +41,7 @@
 	// most is the most requests held at once.
 	most      atomic.Int64
 	cancelled atomic.Int64
+	refused   atomic.Int64
 	mu        sync.Mutex
 	faults    EngineFaults
 	// runs counts how often each request was started.
@@ -94,6 +95,9 @@
 // Cancelled returns how many requests ended because their caller went.
 func (e *Engine) Cancelled() int { return int(e.cancelled.Load()) }
 
+// Refused returns how many requests were answered with 503 by a fault.
+func (e *Engine) Refused() int { return int(e.refused.Load()) }
+
 // Handler returns the engine's interface.
 func (e *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -134,6 +138,7 @@
 	}
 	faults := e.currentFaults()
 	if faults.Refuse {
+		e.refused.Add(1)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
