Zone and subsets: looked at only when tables or members change, subsets when asked for

Change: zone.Reduce returns at once for the same tables and members; subsets are computed when traffic first asks.

--- a/bench/choice.go
+++ b/bench/choice.go
@@ -127,7 +127,7 @@
 	tables := &table.Tables{Pools: map[string]table.Pool{choicePool: {ColdWindow: replicaPlaces, FullWindow: replicaPlaces}}}
 	subsets := choice.Subsets(vms[:entries], vms[entries:])
 	for _, vm := range vms[:entries] {
-		v := view.New(tables, 0, 0, members, false).WithSubsets(map[string][]platform.VM{choicePool: subsets[vm.ID]})
+		v := view.New(tables, 0, 0, members, false).WithSubsets(func() map[string][]platform.VM { return map[string][]platform.VM{choicePool: subsets[vm.ID]} })
 		r.entries = append(r.entries, &choiceEntry{view: v, inflight: choice.NewInflight(), affinity: choice.NewAffinity(), retries: limit.NewRetries(), reported: map[string]int{}})
 	}
 	for _, vm := range vms[entries:] {
--- a/bench/zone.go
+++ b/bench/zone.go
@@ -113,7 +113,7 @@
 		}
 	}
 	m := r.members.Members()
-	e.zones.Reduce(event.Tick{Now: r.now}, r.now, t, m)
+	e.zones.Reduce(r.now, t, m)
 	v := view.New(t, 0, 0, m, false)
 	if r.ramp {
 		v = v.WithZones(e.zones.Ramps())
--- a/choice/endpoint_test.go
+++ b/choice/endpoint_test.go
@@ -190,8 +190,8 @@
 	in := &table.Tables{Pools: map[string]table.Pool{"p": {ColdWindow: 2, FullWindow: 10}}}
 	out := &table.Tables{Pools: in.Pools, Zones: map[string]table.Site{"z1": {State: table.Out}}}
 	zones := zone.NewState()
-	zones.Reduce(event.Tick{}, 0, out, s.Members())
-	zones.Reduce(event.Tick{}, 1, in, s.Members())
+	zones.Reduce(0, out, s.Members())
+	zones.Reduce(1, in, s.Members())
 	v := view.New(in, 0, 0, s.Members(), false).WithZones(zones.Ramps())
 	f := NewInflight()
 	got := picks(v, f, NewAffinity(), Query{Now: 1})
--- a/control/control.go
+++ b/control/control.go
@@ -4,6 +4,7 @@
 
 import (
 	"slices"
+	"sync"
 
 	"github.com/parsleydeal/parsleydeal/choice"
 	"github.com/parsleydeal/parsleydeal/clock"
@@ -37,8 +38,9 @@
 	rollout  rollout.State
 	quality  quality.State
 	zones    zone.State
-	// subsets follow from the VM list alone.
-	subsets map[string][]platform.VM
+	// subsets follow from the VM list alone. They are computed when traffic first
+	// asks for them: most lists are never asked about, and no gate asks.
+	subsets func() map[string][]platform.VM
 	// logCut is true while the log shows less than was reduced.
 	logCut bool
 }
@@ -97,7 +99,7 @@
 	before := s.members.Members().VMs()
 	effects, changed = s.members.Reduce(e)
 	if now := s.members.Members().VMs(); changed && !slices.Equal(before, now) {
-		s.subsets = choice.SubsetsOf(s.self, now)
+		s.subsets = sync.OnceValue(func() map[string][]platform.VM { return choice.SubsetsOf(s.self, now) })
 	}
 	return effects, changed
 }
@@ -108,8 +110,8 @@
 }
 
 // reduceZones comes after the tables and members that it looks at.
-func (s *State) reduceZones(e event.Event) (effects []event.Effect, changed bool) {
-	return nil, s.zones.Reduce(e, s.now, s.tables.Tables(), s.members.Members())
+func (s *State) reduceZones(event.Event) (effects []event.Effect, changed bool) {
+	return nil, s.zones.Reduce(s.now, s.tables.Tables(), s.members.Members())
 }
 
 // reduceEvidence counts what was seen and judges the versions by it.
--- a/view/view.go
+++ b/view/view.go
@@ -28,7 +28,7 @@
 	// quality is nil in a view made for a test.
 	quality *quality.Book
 	// subsets holds the endpoints this entry works with by pool; nil elsewhere.
-	subsets map[string][]platform.VM
+	subsets func() map[string][]platform.VM
 	// zones is nil in a view made for a test.
 	zones  *zone.Ramps
 	spread spread.Picture
@@ -51,7 +51,7 @@
 
 // WithSubsets returns a view that also knows which endpoints of each pool this
 // entry works with.
-func (v *View) WithSubsets(subsets map[string][]platform.VM) *View {
+func (v *View) WithSubsets(subsets func() map[string][]platform.VM) *View {
 	c := *v
 	c.subsets = subsets
 	return &c
@@ -70,8 +70,10 @@
 // Subset returns the endpoints of a pool that this entry works with, or the
 // whole pool. Callers may not change it.
 func (v *View) Subset(pool string, whole bool) []platform.VM {
-	if vms, ok := v.subsets[pool]; ok && !whole {
-		return vms
+	if v.subsets != nil && !whole {
+		if vms, ok := v.subsets()[pool]; ok {
+			return vms
+		}
 	}
 	return v.members.Pool(pool)
 }
--- a/zone/zone.go
+++ b/zone/zone.go
@@ -7,7 +7,6 @@
 	"slices"
 
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/membership"
 	"github.com/parsleydeal/parsleydeal/platform"
 	"github.com/parsleydeal/parsleydeal/table"
@@ -42,6 +41,10 @@
 	// sites holds at most maxZones zones.
 	sites map[string]*site
 	ramps *Ramps
+	// tables and members are those last looked at; both are replaced when they
+	// change, never changed in place.
+	tables  *table.Tables
+	members *membership.Members
 }
 
 // NewState returns the state of a process that knows no zone. Zones that it
@@ -50,18 +53,15 @@
 	return State{sites: make(map[string]*site), ramps: &Ramps{}}
 }
 
-// Reduce looks at all zones after an event that may have changed them, and
-// reports whether a ramp changed. It must run before the tables that the event
+// Reduce looks at all zones when the tables or members are new ones, and reports
+// whether a ramp changed. It must run before the tables that the event
 // brought are published: otherwise a zone taken in again would get its whole
 // share until the next look.
-func (s *State) Reduce(e event.Event, now clock.Millis, t *table.Tables, m *membership.Members) (changed bool) {
-	switch e.(type) {
-	case event.Begun, event.Observed, event.Rated, event.Judged, event.LoadReceived, event.AppendDone:
-		return false
-	}
-	if t == nil {
+func (s *State) Reduce(now clock.Millis, t *table.Tables, m *membership.Members) (changed bool) {
+	if t == nil || t == s.tables && m == s.members {
 		return false
 	}
+	s.tables, s.members = t, m
 	for _, vm := range m.VMs() {
 		if _, known := s.sites[vm.Zone]; !known && len(s.sites) < maxZones {
 			s.sites[vm.Zone] = &site{down: down(vm.Zone, t, m)}
--- a/zone/zone_test.go
+++ b/zone/zone_test.go
@@ -30,7 +30,7 @@
 }
 
 func (f *fixture) at(now clock.Millis) (changed bool) {
-	return f.state.Reduce(event.Tick{Now: now}, now, f.tables, f.members.Members())
+	return f.state.Reduce(now, f.tables, f.members.Members())
 }
 
 func (f *fixture) place(zone string, p table.Placement, now clock.Millis) {
