--- a/bench/main.go
+++ b/bench/main.go
@@ -32,6 +32,8 @@
 		{"billing", benchBilling},
 		{"quality", benchQuality},
 		{"limit", benchLimit},
+		{"choice", benchChoice},
+		{"zone", benchZone},
 	}
 }
 
