Endpoint stops: a second signal or a limit cuts off what is left

Cause: a stopping endpoint waited without bound and could not be hurried. Change: endpoint.stop-limit, second SIGTERM, Abort tells each caller. Conclusion: planned stops cut nothing; a forced one is told truly.

--- a/cli/daemon.go
+++ b/cli/daemon.go
@@ -197,13 +197,43 @@
 	}
 	p.leaving.Store(true)
 	p.node.Drain(inner)
-	e.WaitIdle(inner)
+	finishWork(inner, e, s, l)
 	settle(inner, p.node, l)
 	cancel()
 	l.Info("Endpoint stopped", "vm", s.VM)
 	return <-served
 }
 
+// abortLimit bounds how long a stopping endpoint waits until callers have been
+// told of the answers it cut off.
+const abortLimit = 5 * clock.Second
+
+// finishWork waits until everything that a stopping endpoint holds has ended. A
+// second signal, or the limit in the settings, cuts off what is left.
+func finishWork(ctx context.Context, e *endpoint.Endpoint, s settings.Settings, l *log.Logger) {
+	ctx, cancel := context.WithTimeout(ctx, s.Endpoint.StopLimit.Duration())
+	defer cancel()
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(again)
+	go func() {
+		select {
+		case <-again:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	left := e.WaitIdle(ctx)
+	if left == 0 {
+		return
+	}
+	l.Warn("Endpoint cuts off what it still holds", "vm", s.VM, "held", left)
+	e.Abort()
+	ctx, cancelAbort := context.WithTimeout(context.WithoutCancel(ctx), abortLimit.Duration())
+	defer cancelAbort()
+	e.WaitIdle(ctx)
+}
+
 // settleLimit bounds how long a stopping process waits for its bills. The
 // platform ends it sooner or later, and waiting longer saves no bill that a
 // holder has.
--- a/settings/options.go
+++ b/settings/options.go
@@ -184,6 +184,10 @@
 		ok: func(s *Settings) bool { return isURL(s.Endpoint.Engine) },
 	},
 	{Key: "endpoint.plain", Allowed: "true or false", Doc: "true before a plain service, false before a model engine"},
+	{
+		Key: "endpoint.stop-limit", Allowed: "1s to 1h", Doc: "how long a stopping endpoint lets its answers go on before it cuts them off",
+		ok: func(s *Settings) bool { return between(s.Endpoint.StopLimit, clock.Second, maxTimeout) },
+	},
 }
 
 func isAddress(text string) bool {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -101,6 +101,8 @@
 	// Engine is the URL of the engine or plain service on this VM.
 	Engine string `toml:"engine"`
 	Plain  bool   `toml:"plain"`
+	// StopLimit bounds how long a stopping endpoint lets its answers go on.
+	StopLimit clock.Millis `toml:"stop-limit"`
 }
 
 // Default returns the settings before a file is read.
@@ -112,6 +114,7 @@
 			MaxBody: 4 << 20, MaxHeaders: 64 << 10, MaxConnections: 20000,
 			HeaderTimeout: 10 * clock.Second, BodyTimeout: 30 * clock.Second, WriteTimeout: 30 * clock.Second, IdleTimeout: 2 * clock.Minute,
 		},
+		Endpoint:    Endpoint{StopLimit: 10 * clock.Minute},
 		VMListEvery: clock.Second,
 	}
 }
--- /dev/null
+++ b/system/stop_test.go
@@ -0,0 +1,78 @@
+package system
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Operators replace all endpoints under load, one after the other and then all
+// over again. Every stop is a planned one, so no caller may see any of it.
+func TestEndpointsReplacedTwiceUnderLoad(t *testing.T) {
+	is := is.New(t)
+	s := shape{entries: 2, endpoints: 3, zones: 2, first: 5, gap: 2, tokens: 30}
+	c := newCluster(t, s)
+	var stop atomic.Bool
+	var served atomic.Int64
+	var wg sync.WaitGroup
+	for i := range 6 {
+		wg.Go(func() {
+			for !stop.Load() {
+				r := c.ask(c.entries[i%2], nil)
+				if r.status != http.StatusOK || !r.whole || r.text != wholeText(s) {
+					t.Errorf("status %d, whole %v, run %q", r.status, r.whole, r.run)
+				}
+				served.Add(1)
+			}
+		})
+	}
+	for range 2 {
+		for _, p := range c.endpoints {
+			c.eventually("load goes on", func() bool { return served.Swap(0) > 0 })
+			p.stop(t)
+			c.start(p)
+			before := c.engines[p.vm.ID].Started()
+			c.eventually("replacement serves", func() bool { return c.engines[p.vm.ID].Started() > before })
+		}
+	}
+	stop.Store(true)
+	wg.Wait()
+	is.True(!t.Failed())
+}
+
+// An operator loses patience and stops an endpoint a second time while a stream
+// goes on. The process ends at once, and the caller's stream goes on elsewhere.
+func TestSecondStopCutsOffAndStreamResumes(t *testing.T) {
+	is := is.New(t)
+	s := shape{entries: 1, endpoints: 2, zones: 1, first: 5, gap: 20, tokens: 150}
+	c := newCluster(t, s)
+	answered := make(chan result, 1)
+	go func() { answered <- c.ask(c.entries[0], nil) }()
+	var busy *process
+	c.eventually("stream under way", func() bool {
+		for _, p := range c.endpoints {
+			if c.engines[p.vm.ID].Running() == 1 {
+				busy = p
+			}
+		}
+		return busy != nil
+	})
+	c.eventually("process ended", func() bool {
+		_ = busy.cmd.Process.Signal(syscall.SIGTERM)
+		select {
+		case <-busy.done:
+			return true
+		default:
+			return false
+		}
+	})
+	r := <-answered
+	is.Equal(r.status, http.StatusOK)
+	is.True(r.whole)
+	is.Equal(r.text, wholeText(s))
+	is.Equal(c.engines[busy.vm.ID].Cancelled(), 1)
+}
