--- a/control/control.go
+++ b/control/control.go
@@ -6,6 +6,7 @@
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/evidence"
+	"github.com/parsleydeal/parsleydeal/lease"
 	"github.com/parsleydeal/parsleydeal/membership"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/platform"
@@ -32,6 +33,9 @@
 	counts   spread.Counts
 	rollout  rollout.State
 	quality  quality.State
+	// pool is that of this endpoint; empty in an entry.
+	pool  string
+	lease lease.State
 	// logCut is true while the log shows less than was reduced.
 	logCut bool
 }
@@ -80,7 +84,7 @@
 
 // parts lists the reducers in the order in which they see each event.
 func (s *State) parts() []part {
-	return []part{s.reduceTables, s.reduceMembers, s.reduceDrain, s.reduceSpread, s.reduceEvidence}
+	return []part{s.reduceTables, s.reduceMembers, s.reduceDrain, s.reduceSpread, s.reduceEvidence, s.reduceLease}
 }
 
 func (s *State) reduceMembers(e event.Event) (effects []event.Effect, changed bool) {
--- /dev/null
+++ b/control/lease.go
@@ -0,0 +1,33 @@
+package control
+
+import (
+	"github.com/parsleydeal/parsleydeal/event"
+	"github.com/parsleydeal/parsleydeal/lease"
+)
+
+// WithPool names the pool of the endpoint whose engine this process orders.
+func (s *State) WithPool(pool string) *State {
+	s.pool = pool
+	return s
+}
+
+// reduceLease drives the engine beside this process to what the tables say.
+func (s *State) reduceLease(e event.Event) (effects []event.Effect, changed bool) {
+	t := s.tables.Tables()
+	if s.pool == "" || t == nil || s.draining {
+		return nil, false
+	}
+	pool, ok := t.Pools[s.pool]
+	if !ok {
+		return nil, false
+	}
+	k := lease.Known{VM: s.self, Epoch: s.epoch, Role: pool.Role, ChecksFencing: pool.ChecksFencing, Revision: s.tables.Revision()}
+	for _, v := range pool.Versions {
+		if t.Versions[v].Withdrawn {
+			continue
+		}
+		k.Versions = append(k.Versions, v)
+	}
+	k.Withdrawn = func(version string) bool { return t.Versions[version].Withdrawn }
+	return s.lease.Reduce(e, k), false
+}
--- a/endpoint/admit.go
+++ b/endpoint/admit.go
@@ -40,6 +40,8 @@
 	if err = e.take(ctx, a); err != nil {
 		return err
 	}
+	a.version = a.head.GetVersion()
+	e.busy.add(a.version, 1)
 	return e.check(e.node.View(), a.head)
 }
 
--- a/endpoint/attempt.go
+++ b/endpoint/attempt.go
@@ -17,6 +17,8 @@
 	bytes  int
 	// ticket is the attempt's place at the gate; nil before it arrived there.
 	ticket *gate.Ticket
+	// version is set while the attempt counts as busy with it.
+	version string
 	// kept takes the pieces of a run that goes on without its entry.
 	kept *answer.Kept
 	// remembered is true once the memory of attempts holds this one.
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -37,6 +37,8 @@
 	keeping *answer.Keeping
 	// status is what the engine last said of itself; nil before it spoke.
 	status atomic.Pointer[engine.Load]
+	// busy counts the attempts held by version.
+	busy busy
 	// active counts the calls of peers under way.
 	active atomic.Int64
 	// aborted ends when a stop cuts off what is still held.
@@ -64,6 +66,7 @@
 	e.aborted, e.abort = context.WithCancel(context.Background())
 	e.orphan = n.Billing().Orphan
 	n.SetLoad(e.load)
+	n.SetHandler(e.perform)
 	return e
 }
 
--- a/endpoint/rig_test.go
+++ b/endpoint/rig_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -65,6 +66,10 @@
 	address string
 	peers   *peer.Pool
 	offset  int64
+	// store serves the streams but that of the configuration.
+	store platform.Log
+	// fetched lists the versions whose weights were asked for.
+	fetched chan string
 }
 
 func newRig(t *testing.T, tokens int) *rig {
@@ -87,15 +92,17 @@
 	s := settings.Default()
 	s.VM, s.Zone, s.Region = "endpoint-1", "zone-a", "test"
 	s.Endpoint = settings.Endpoint{Pool: "small", Engine: url, Plain: plain}
+	r.fetched = make(chan string, 16)
+	if r.store.Append == nil {
+		r.store = noLog()
+	}
 	r.n = node.New(node.Config{
 		Settings: s, Clock: clock.System(), Log: log.New(io.Discard), Peers: r.peers,
-		Store: platform.Log{
-			Append: func(context.Context, string, []byte) (int64, error) { return 0, platform.ErrUnavailable.New("no log") },
-			Read: func(ctx context.Context, _ string, _ int64, _ clock.Millis) (platform.Page, error) {
-				<-ctx.Done()
-				return platform.Page{}, ctx.Err()
-			},
-		},
+		Store: r.store,
+		Weights: platform.WeightStore{Fetch: func(_ context.Context, version string) error {
+			r.fetched <- version
+			return nil
+		}},
 		VMs: platform.VMList{List: func(context.Context) ([]platform.VM, error) { return nil, platform.ErrUnavailable.New("no list") }},
 	})
 	r.e = New(r.n)
@@ -107,6 +114,44 @@
 	r.publish(rigTables)
 }
 
+// noLog is a log that is down.
+func noLog() platform.Log {
+	return platform.Log{
+		Append: func(context.Context, string, []byte) (int64, error) { return 0, platform.ErrUnavailable.New("no log") },
+		Read: func(ctx context.Context, _ string, _ int64, _ clock.Millis) (platform.Page, error) {
+			<-ctx.Done()
+			return platform.Page{}, ctx.Err()
+		},
+	}
+}
+
+// leaseLog is a log that has just the lease stream.
+func leaseLog(leases *[]platform.Record) platform.Log {
+	var mu sync.Mutex
+	l := noLog()
+	down := l.Read
+	l.Append = func(_ context.Context, stream string, data []byte) (int64, error) {
+		if stream != platform.LeaseStream {
+			return 0, platform.ErrUnavailable.New("no such stream")
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		offset := int64(len(*leases))
+		*leases = append(*leases, platform.Record{Offset: offset, Data: data})
+		return offset, nil
+	}
+	l.Read = func(ctx context.Context, stream string, from int64, wait clock.Millis) (p platform.Page, err error) {
+		if stream != platform.LeaseStream {
+			return down(ctx, stream, from, wait)
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		from = min(from, int64(len(*leases)))
+		return platform.Page{Head: int64(len(*leases)), Records: append([]platform.Record{}, (*leases)[from:]...)}, nil
+	}
+	return l
+}
+
 // publish gives control the next record of the configuration.
 func (r *rig) publish(text string) {
 	r.t.Helper()
--- a/endpoint/run.go
+++ b/endpoint/run.go
@@ -71,6 +71,9 @@
 // close gives back whatever the attempt still has.
 func (e *Endpoint) close(a *attempt) {
 	a.release(gate.Dropped)
+	if a.version != "" {
+		e.busy.add(a.version, -1)
+	}
 	if a.remembered {
 		e.memory.End(a.id())
 	}
--- a/endpoint/watch.go
+++ b/endpoint/watch.go
@@ -7,6 +7,7 @@
 	"github.com/joomcode/errorx"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/engine"
+	"github.com/parsleydeal/parsleydeal/event"
 )
 
 const (
@@ -51,6 +52,12 @@
 		return !errorx.IsOfType(err, engine.ErrNotStarted)
 	}
 	e.status.Store(&l)
+	// The revision is read first: work on older tables that begins after it is
+	// seen as busy or refused by its last check.
+	revision := e.node.View().Revision()
+	e.node.Loop().Offer(event.EngineSeen{
+		Now: e.node.Clock().Now(), Generation: l.Generation, Versions: l.Versions, Role: l.Role, Busy: e.busy.versions(), Revision: revision,
+	})
 	if e.gate.Generation(l.Generation) {
 		e.node.Log().Warn("Engine has restarted; the window is closed.", "generation", l.Generation)
 	}
--- /dev/null
+++ b/engine/order.go
@@ -0,0 +1,46 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+)
+
+// Command is an order to an engine to change what it has loaded or its role.
+type Command struct {
+	Kind    string `json:"kind"`
+	Version string `json:"version,omitempty"`
+	Role    string `json:"role,omitempty"`
+	// Fence is the fencing number; engines that check it refuse older ones.
+	Fence int64 `json:"fence"`
+}
+
+// Give gives the engine an order. ErrFenced, ErrRejected and ErrNotStarted prove
+// that it had no effect; any other error leaves that open.
+func (e *Engine) Give(ctx context.Context, c Command) (err error) {
+	body, err := json.Marshal(c)
+	if err != nil {
+		return ErrRejected.Wrap(err, "write order")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, e.base+"/orders", bytes.NewReader(body))
+	if err != nil {
+		return ErrRejected.Wrap(err, "make order")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	// The order is given once: without GetBody, net/http does not send it again on
+	// another connection.
+	req.GetBody = nil
+	resp, err := e.client.Do(req)
+	if err != nil {
+		return sendError(err)
+	}
+	defer resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusOK, http.StatusAccepted:
+		return nil
+	case http.StatusPreconditionFailed:
+		return ErrFenced.New("engine has seen a newer fencing number than %d", c.Fence)
+	}
+	return statusError(resp)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -58,6 +58,8 @@
 	loads atomic.Uint64
 	// estimatesAt is the instant at which a digest last carried estimates.
 	estimatesAt atomic.Int64
+	// handler carries out the effects of the endpoint's part; nil in an entry.
+	handler atomic.Pointer[func(event.Effect)]
 	// load reports the endpoint's own load; nil in an entry.
 	load atomic.Pointer[func() *wire.Load]
 	// appends holds a place for each append under way.
@@ -76,7 +78,7 @@
 func New(cfg Config) *Node {
 	n := &Node{cfg: cfg, epoch: rand.Uint64(), metrics: metrics.NewSet(), calls: make(chan struct{}, maxCalls), follows: make(map[string]context.CancelFunc)}
 	n.appends = make(chan struct{}, maxAppends)
-	n.loop = control.NewLoop(control.NewStateAt(cfg.Settings.VM, cfg.Settings.Zone, n.epoch), n.perform)
+	n.loop = control.NewLoop(control.NewStateAt(cfg.Settings.VM, cfg.Settings.Zone, n.epoch).WithPool(cfg.Settings.Endpoint.Pool), n.perform)
 	n.billing = newBilling(n)
 	n.claims = claims{books: make(map[string]*claim.Book), ctx: context.Background()}
 	return n
@@ -178,5 +180,7 @@
 		n.follow(e)
 	case event.Append:
 		n.append(e)
+	default:
+		n.handle(e)
 	}
 }
--- a/table/table.go
+++ b/table/table.go
@@ -165,6 +165,9 @@
 	// ChecksFencing says that the engines refuse an order carrying an old
 	// fencing number.
 	ChecksFencing bool `toml:"checks-fencing"`
+	// Role is the role that the engines shall have, such as "prefill"; empty leaves
+	// it to them.
+	Role string `toml:"role"`
 	// Resumes says that the engines can resume a stream after a given token.
 	Resumes bool `toml:"resumes"`
 	// MovesCache says that the engines export and import KV cache.
