Choice: a VM that took no connection gets no attempts while suspected

Cause: with the retry budget, a killed endpoint that refuses at once used up the budget, and callers got 502 not-run while others were free.

--- a/choice/endpoint.go
+++ b/choice/endpoint.go
@@ -79,7 +79,7 @@
 
 func usable(v *view.View, pool table.Pool, vm platform.VM) bool {
 	t := v.Tables()
-	if t.ZoneOut(vm.Zone) || t.VMOut(vm.ID) || v.Members().Leaving(vm) {
+	if t.ZoneOut(vm.Zone) || t.VMOut(vm.ID) || v.Members().Leaving(vm) || v.Members().Suspected(vm.ID) {
 		return false
 	}
 	return pool.InZone(vm.Zone)
