Pieces: memory used again, stalled peers cut, chunks read apart

Cause: 14 allocations a piece; a peer that took nothing held its run's place for as long as TCP hopes.

--- a/endpoint/attempt.go
+++ b/endpoint/attempt.go
@@ -32,7 +32,9 @@
 	number uint32
 	tokens int32
 	reason string
-	usage  wire.Usage
+	// piece is used again for each piece that is not kept.
+	piece wire.Piece
+	usage wire.Usage
 	// step is set with the last piece.
 	step *wire.Step
 }
@@ -94,6 +96,16 @@
 	return err
 }
 
+// next returns an empty piece. One that is not kept has been encoded by the time
+// that send returns.
+func (a *attempt) next() *wire.Piece {
+	if a.kept != nil {
+		return &wire.Piece{}
+	}
+	a.piece.Reset()
+	return &a.piece
+}
+
 // last sends the final piece of a whole answer. The place is given back before,
 // so that the load in the piece is that without this request.
 func (a *attempt) last(step *wire.Step, p *wire.Piece) (err error) {
--- a/endpoint/chat.go
+++ b/endpoint/chat.go
@@ -60,7 +60,9 @@
 		return nil
 	}
 	a.firstToken()
-	return a.send(&wire.Piece{Text: c.Text, Data: c.Raw, Tokens: 1})
+	p := a.next()
+	p.Text, p.Data, p.Tokens = c.Text, c.Raw, 1
+	return a.send(p)
 }
 
 func (a *attempt) lastOfChat() error {
--- a/engine/chunk.go
+++ b/engine/chunk.go
@@ -29,16 +29,29 @@
 }
 
 type rawChunk struct {
-	Choices []struct {
-		Delta        json.RawMessage `json:"delta"`
-		FinishReason *string         `json:"finish_reason"`
-	} `json:"choices"`
-	Usage *Usage `json:"usage"`
+	Choices []rawChoice `json:"choices"`
+	Usage   *Usage      `json:"usage"`
+}
+
+type rawChoice struct {
+	Delta        json.RawMessage `json:"delta"`
+	FinishReason string          `json:"finish_reason"`
+}
+
+// reset empties a chunk for the next one and keeps its memory. The decoder leaves
+// what the next chunk does not name as it is: a text or a finish reason would show
+// again.
+func (r *rawChunk) reset() {
+	for i := range r.Choices {
+		r.Choices[i] = rawChoice{Delta: r.Choices[i].Delta[:0]}
+	}
+	r.Usage = nil
 }
 
 func readStream(r io.Reader, emit func(Chunk) error) (err error) {
 	sc := bufio.NewScanner(r)
 	sc.Buffer(make([]byte, 0, 4096), maxLineBytes)
+	var raw rawChunk
 	for sc.Scan() {
 		data, ok := bytes.CutPrefix(sc.Bytes(), []byte("data:"))
 		if !ok {
@@ -48,7 +61,7 @@
 		if string(data) == "[DONE]" {
 			return nil
 		}
-		c, err := parseChunk(data)
+		c, err := raw.parse(data)
 		if err != nil {
 			return ErrBroken.Wrap(err, "read chunk")
 		}
@@ -62,19 +75,17 @@
 	return ErrBroken.Wrap(fmt.Errorf("no end mark"), "read stream")
 }
 
-func parseChunk(data []byte) (c Chunk, err error) {
-	var raw rawChunk
-	if err = json.Unmarshal(data, &raw); err != nil {
+func (r *rawChunk) parse(data []byte) (c Chunk, err error) {
+	r.reset()
+	if err = json.Unmarshal(data, r); err != nil {
 		return c, err
 	}
-	c.Usage = raw.Usage
-	if len(raw.Choices) == 0 {
+	c.Usage = r.Usage
+	if len(r.Choices) == 0 {
 		return c, nil
 	}
-	choice := raw.Choices[0]
-	if choice.FinishReason != nil {
-		c.FinishReason = *choice.FinishReason
-	}
+	choice := r.Choices[0]
+	c.FinishReason = choice.FinishReason
 	err = c.delta(choice.Delta)
 	return c, err
 }
@@ -99,7 +110,7 @@
 		}
 	}
 	if opaque(fields) {
-		c.Raw = raw
+		c.Raw = bytes.Clone(raw)
 	}
 	return nil
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -12,6 +12,10 @@
 // Serve answers peers on a listener until the context ends. Gate is nil in an
 // entry.
 func Serve(ctx context.Context, lis net.Listener, p wire.DRPCPeerServer, gate wire.DRPCGateServer) (err error) {
+	return serve(ctx, stallListener{Listener: lis, limit: stallLimit}, p, gate)
+}
+
+func serve(ctx context.Context, lis net.Listener, p wire.DRPCPeerServer, gate wire.DRPCGateServer) (err error) {
 	mux := drpcmux.New()
 	if err = wire.DRPCRegisterPeer(mux, p); err != nil {
 		return Errors.NewType("register").Wrap(err, "register peer")
