--- a/endpoint/admit_test.go
+++ b/endpoint/admit_test.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -126,3 +127,23 @@
 	r.eventually("window closed", func() bool { return r.e.gate.Load().Closed > 0 })
 	r.is.Equal(r.e.gate.Load().Window, 1)
 }
+
+// A cold engine is given a burst far beyond what it bears. Without the window it
+// falls over, starts again cold and falls over again. With it every request is
+// answered in its turn, and the engine never falls.
+func TestBurstDoesNotFellColdEngine(t *testing.T) {
+	r := newRig(t, 3)
+	r.patch("[tables.pools.small]\nversions = [\"small@1\"]\ncold-window = 2\nfull-window = 64\nqueue = 400\nqueue-wait = \"30s\"\n")
+	r.engine.SetCold(2, 64)
+	const burst = 200
+	answers := make([]chan got, burst)
+	for i := range answers {
+		answers[i] = r.begin(t.Context(), r.head(fmt.Sprint(i)), chatBody)
+	}
+	for _, a := range answers {
+		r.is.Equal((<-a).text, standin.Text(3))
+	}
+	r.is.Equal(r.engine.Falls(), 0)
+	r.is.True(r.engine.Most() > 2) // the window opened
+	r.idle()
+}
--- a/endpoint/piece_test.go
+++ b/endpoint/piece_test.go
@@ -71,7 +71,6 @@
 
 // BenchmarkPiece measures a piece's way through the gate without network.
 func BenchmarkPiece(b *testing.B) {
-
 	e := engine.New("http://engine", &http.Client{Transport: source{streamOf(b.N)}})
 	a := &attempt{head: &wire.RunHead{Request: "r1", Attempt: 1}, stream: &sink{}, e: &Endpoint{}}
 	b.ReportAllocs()
@@ -85,4 +84,3 @@
 		b.Fatal(err)
 	}
 }
-
--- a/endpoint/run.go
+++ b/endpoint/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"time"
 
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/gate"
@@ -127,12 +128,30 @@
 	return a.head.GetRoute()
 }
 
+// acknowledgeLimit is how long an entry may take to bill a step before the gate
+// does so too. An entry that is paused would otherwise hold up a stop.
+const acknowledgeLimit = 10 * clock.Second
+
 // acknowledged reports whether the entry ended the stream by its own word. A
 // connection that breaks gives another error.
 func (a *attempt) acknowledged() bool {
 	if !a.bodyRead.Load() {
 		return false
 	}
+	closed := make(chan bool, 1)
+	// The goroutine ends with the stream, at the latest when Run returns.
+	go func() { closed <- a.closed() }()
+	t := time.NewTimer(acknowledgeLimit.Duration())
+	defer t.Stop()
+	select {
+	case ok := <-closed:
+		return ok
+	case <-t.C:
+		return false
+	}
+}
+
+func (a *attempt) closed() bool {
 	for {
 		if _, err := a.stream.Recv(); err != nil {
 			return err == io.EOF
--- a/peer/stall_test.go
+++ b/peer/stall_test.go
@@ -34,7 +34,9 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	g := &endless{failed: make(chan error, 1)}
-	go func() { _ = serve(ctx, stallListener{Listener: lis, limit: 50}, &wire.DRPCPeerUnimplementedServer{}, g) }()
+	go func() {
+		_ = serve(ctx, stallListener{Listener: lis, limit: 50}, &wire.DRPCPeerUnimplementedServer{}, g)
+	}()
 	stream, err := NewPool().Gate(ctx, lis.Addr().String()).Run(ctx)
 	is.NoErr(err)
 	is.NoErr(stream.Send(&wire.RunFrame{Last: true}))
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -47,6 +47,7 @@
 	runs       map[string]int
 	generation uint64
 	orders     orders
+	cold       coldStart
 }
 
 // NewEngine makes an engine whose answers have so many tokens.
@@ -143,11 +144,15 @@
 	}
 	e.begin(r.Header.Get("X-Request-Id"))
 	defer e.running.Add(-1)
+	generation, ok := e.bear()
+	if !ok {
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	if !e.wait(r, e.first) {
 		return
 	}
-	if e.stream(w, r, &req) {
+	if e.stream(w, r, &req) && e.warm(generation) {
 		fmt.Fprint(w, "data: [DONE]\n\n")
 	}
 }
--- a/system/stop_test.go
+++ b/system/stop_test.go
@@ -76,3 +76,43 @@
 	is.Equal(r.text, wholeText(s))
 	is.Equal(c.engines[busy.vm.ID].Cancelled(), 1)
 }
+
+// Operators replace all endpoints at once. What is under way ends whole; what
+// comes meanwhile is told that it did not run, and when to come back; and the new
+// endpoints serve.
+func TestAllEndpointsReplacedAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := shape{entries: 1, endpoints: 3, zones: 2, first: 5, gap: 10, tokens: 60}
+	c := newCluster(t, s)
+	const callers = 6
+	answers := make(chan result, callers)
+	for range callers {
+		go func() { answers <- c.ask(c.entries[0], nil) }()
+	}
+	c.eventually("streams under way", func() bool { return c.running() == callers })
+	var stops sync.WaitGroup
+	for _, p := range c.endpoints {
+		stops.Go(func() { p.stop(t) })
+	}
+	for range callers {
+		r := <-answers
+		is.Equal(r.status, http.StatusOK)
+		is.Equal(r.text, wholeText(s))
+	}
+	stops.Wait()
+	r := c.ask(c.entries[0], nil)
+	is.True(r.status != http.StatusOK)
+	is.Equal(r.run, "not-run")
+	for _, p := range c.endpoints {
+		c.start(p)
+	}
+	c.eventually("new endpoints serve", func() bool { return c.ask(c.entries[0], nil).whole })
+}
+
+// running returns how many requests all engines hold.
+func (c *cluster) running() (n int64) {
+	for _, e := range c.engines {
+		n += e.Running()
+	}
+	return n
+}
