--- a/control/lease.go
+++ b/control/lease.go
@@ -13,6 +13,11 @@
 
 // reduceLease drives the engine beside this process to what the tables say.
 func (s *State) reduceLease(e event.Event) (effects []event.Effect, changed bool) {
+	switch e.(type) {
+	case event.Tick, event.EngineSeen, event.AppendDone, event.WeightsDone, event.OrderDone:
+	default:
+		return nil, false
+	}
 	t := s.tables.Tables()
 	if s.pool == "" || t == nil || s.draining {
 		return nil, false
--- a/endpoint/admit_test.go
+++ b/endpoint/admit_test.go
@@ -147,3 +147,18 @@
 	r.is.True(r.engine.Most() > 2) // the window opened
 	r.idle()
 }
+
+// A caller waits for a short time only, and the endpoint's queue is slow. The
+// request must not run when nobody waits for it any more.
+func TestDeadlineCountsTheWait(t *testing.T) {
+	r := newRig(t, 3)
+	r.engine.SetFaults(standin.EngineFaults{Stall: true})
+	first := r.begin(t.Context(), r.head("r1"), chatBody)
+	r.eventually("place held", func() bool { return r.engine.Running() == 1 })
+	head := r.head("r2")
+	head.DeadlineMillis = 30
+	r.refused(r.run(t.Context(), head, chatBody), refusal.DeadlinePassed, refusal.NotRun)
+	r.engine.SetFaults(standin.EngineFaults{})
+	r.is.Equal((<-first).text, standin.Text(3))
+	r.is.Equal(r.engine.Started(), 1)
+}
--- a/endpoint/attempt.go
+++ b/endpoint/attempt.go
@@ -2,8 +2,10 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/parsleydeal/parsleydeal/answer"
+	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/gate"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/refusal"
@@ -15,6 +17,9 @@
 	head   *wire.RunHead
 	stream wire.DRPCGate_RunStream
 	bytes  int
+	// deadline is when the caller stops waiting, counted from receipt on this VM's
+	// clock.
+	deadline time.Time
 	// ticket is the attempt's place at the gate; nil before it arrived there.
 	ticket *gate.Ticket
 	// version is set while the attempt counts as busy with it.
@@ -42,6 +47,7 @@
 func newAttempt(e *Endpoint, stream wire.DRPCGate_RunStream, first *wire.RunFrame) *attempt {
 	a := &attempt{e: e, head: first.GetHead(), stream: stream, bytes: len(first.GetBody())}
 	a.bodyRead.Store(first.GetLast())
+	a.deadline = time.Now().Add(clock.Millis(a.head.GetDeadlineMillis()).Duration())
 	return a
 }
 
--- /dev/null
+++ b/endpoint/leak_test.go
@@ -0,0 +1,47 @@
+package endpoint
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/parsleydeal/parsleydeal/standin"
+)
+
+// Callers come and go in the middle of whatever happens to their requests, and
+// engines break off. A place or a goroutine that stays behind each time would
+// close the endpoint within hours.
+func TestNothingStaysBehind(t *testing.T) {
+	r := newRig(t, 4)
+	r.patch("[tables.pools.small]\nversions = [\"small@1\"]\ncold-window = 2\nfull-window = 8\nqueue = 4\nqueue-wait = \"5ms\"\n")
+	r.is.NoErr(r.run(t.Context(), r.head("first"), chatBody).err)
+	before := runtime.NumGoroutine()
+	rng := rand.New(rand.NewPCG(1, 2))
+	for round := range 10 {
+		r.engine.SetFaults(standin.EngineFaults{BreakAfter: rng.IntN(3)})
+		var wg sync.WaitGroup
+		for i := range 20 {
+			head := r.head(fmt.Sprintf("%d-%d", round, i))
+			if rng.IntN(3) == 0 {
+				head.IdempotencyKey = head.GetRequest()
+			}
+			patience := time.Duration(rng.IntN(20)) * time.Millisecond
+			wg.Go(func() {
+				ctx, cancel := context.WithTimeout(t.Context(), patience)
+				defer cancel()
+				r.run(ctx, head, chatBody)
+			})
+		}
+		wg.Wait()
+	}
+	r.idle()
+	r.is.NoErr(r.peers.Close())
+	r.e.plain.CloseIdleConnections()
+	r.eventually("goroutines ended", func() bool { return runtime.NumGoroutine() <= before })
+	r.is.Equal(len(r.e.busy.versions()), 0)
+	r.is.Equal(r.e.gate.Load().Waiting, 0)
+}
--- a/endpoint/order.go
+++ b/endpoint/order.go
@@ -22,7 +22,9 @@
 }
 
 func (e *Endpoint) fetch(f event.FetchWeights) {
-	err := e.node.Weights().Fetch(e.aborted, f.Version)
+	ctx, cancel := context.WithTimeout(e.aborted, lease.WeightsTimeout.Duration())
+	defer cancel()
+	err := e.node.Weights().Fetch(ctx, f.Version)
 	if err != nil {
 		e.node.Log().Warn("Weights could not be fetched.", "version", f.Version, "error", err)
 	}
--- a/endpoint/run.go
+++ b/endpoint/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"time"
 
@@ -24,7 +25,7 @@
 		return a.refuse(err)
 	}
 	defer e.close(a)
-	if err = e.admit(stream.Context(), a); err != nil {
+	if err = e.admitInTime(a); err != nil {
 		return a.refuse(err)
 	}
 	ctx, cancel := a.context()
@@ -43,6 +44,18 @@
 	return a.settle()
 }
 
+// admitInTime admits an attempt for as long as its caller waits and its entry is
+// there.
+func (e *Endpoint) admitInTime(a *attempt) (err error) {
+	ctx, cancel := context.WithDeadline(a.stream.Context(), a.deadline)
+	defer cancel()
+	err = e.admit(ctx, a)
+	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return refusal.New(refusal.DeadlinePassed, "deadline passed before a place came free")
+	}
+	return err
+}
+
 // open checks that an attempt may be begun at all.
 func (e *Endpoint) open(a *attempt) (err error) {
 	switch {
@@ -92,7 +105,7 @@
 	if a.once() {
 		ctx = context.WithoutCancel(ctx)
 	}
-	ctx, stop := context.WithTimeout(ctx, clock.Millis(a.head.GetDeadlineMillis()).Duration())
+	ctx, stop := context.WithDeadline(ctx, a.deadline)
 	detach := context.AfterFunc(a.e.aborted, stop)
 	return ctx, func() {
 		detach()
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -27,8 +27,8 @@
 	retryMost  = 30 * clock.Second
 	// effectTime is how long an accepted order may take until it shows.
 	effectTime = 10 * clock.Minute
-	// weightsTimeout is how long the store may take before it is asked again.
-	weightsTimeout = 10 * clock.Minute
+	// WeightsTimeout is how long the store may take before it is asked again.
+	WeightsTimeout = 10 * clock.Minute
 )
 
 // Known is what the rest of control knows.
@@ -296,7 +296,7 @@
 		return nil
 	}
 	s.fetching = version
-	s.fetchEnd = s.now + weightsTimeout
+	s.fetchEnd = s.now + WeightsTimeout
 	return []event.Effect{event.FetchWeights{Version: version}}
 }
 
