Bills of runs that lost their entry: once, and only if due

Cause: a keyed chat whose entry died was billed by its gate, and its caller's retry was billed again; a call that ran and broke off its answer was never billed. Change: a gate bills only calls that may not be repeated; a refusal of one that ran carries its step.

--- a/endpoint/attempt.go
+++ b/endpoint/attempt.go
@@ -40,7 +40,7 @@
 	// piece is used again for each piece that is not kept.
 	piece wire.Piece
 	usage wire.Usage
-	// step is set with the last piece.
+	// step is set once the attempt ran and is to be billed.
 	step *wire.Step
 }
 
@@ -133,7 +133,15 @@
 		r = refusal.New(refusal.EngineFailed, cause.Error()).WithRun(refusal.Unknown)
 	}
 	a.release(outcomeOf(r))
-	return a.send(&wire.Piece{Last: true, Refusal: r.Wire(), Load: a.e.load(), Revision: a.e.node.View().Revision()})
+	p := &wire.Piece{Last: true, Refusal: r.Wire(), Load: a.e.load(), Revision: a.e.node.View().Revision()}
+	if a.step == nil || a.head.GetRepeatable() {
+		return a.send(p)
+	}
+	p.Step = a.step
+	if err = a.send(p); err != nil {
+		return err
+	}
+	return a.settle()
 }
 
 func (a *attempt) release(o gate.Outcome) {
--- a/endpoint/plain.go
+++ b/endpoint/plain.go
@@ -44,6 +44,8 @@
 		return err
 	}
 	if err = a.copy(resp.Body); err != nil {
+		// The service answered, so the call had its effect and its fee is due.
+		a.step = a.fee(false)
 		return a.brokenAnswer(ctx, err)
 	}
 	return a.lastOfPlain()
@@ -106,10 +108,15 @@
 	}
 }
 
-func (a *attempt) lastOfPlain() error {
-	fee := a.e.node.View().Tables().Services[a.head.GetService()].Fee
-	step := &wire.Step{Attempt: a.head.GetAttempt(), Service: a.head.GetService(), Vm: a.e.node.Settings().VM, Cost: fee, Whole: true}
-	return a.last(step, &wire.Piece{})
+func (a *attempt) lastOfPlain() error { return a.last(a.fee(true), &wire.Piece{}) }
+
+// fee is the step of a call of a plain service.
+func (a *attempt) fee(whole bool) *wire.Step {
+	service := a.head.GetService()
+	return &wire.Step{
+		Attempt: a.head.GetAttempt(), Service: service, Vm: a.e.node.Settings().VM, Whole: whole,
+		Cost: a.e.node.View().Tables().Services[service].Fee,
+	}
 }
 
 // frameReader reads a request's body from the frames of a stream.
--- a/endpoint/run.go
+++ b/endpoint/run.go
@@ -114,10 +114,13 @@
 }
 
 // settle waits until the entry has taken the last piece and billed it: it closes
-// the stream then. When it went before, the step is billed from here. Should
-// both bill it, the two bills merge into one, since they name the same attempt.
+// the stream then. When it went before, the step of a call that may not be
+// repeated is billed from here: it had its effect. Should both bill it, the two
+// bills merge into one, since they name the same attempt. A repeatable run is
+// billed only by an entry that delivers it: its request may have been answered by
+// another attempt, or by the caller's retry, and would be paid for twice.
 func (a *attempt) settle() (err error) {
-	if a.kept == nil {
+	if a.kept == nil || a.head.GetRepeatable() {
 		return nil
 	}
 	if !a.cut && a.acknowledged() {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -148,6 +148,7 @@
 		}
 		e.note(p)
 		if r := p.GetRefusal(); r != nil {
+			req.broken(p.GetStep())
 			return false, refusal.FromWire(r)
 		}
 		ok, err := seq.Take(p)
--- a/entry/goon.go
+++ b/entry/goon.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	answers "github.com/parsleydeal/parsleydeal/answer"
+	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/refusal"
 )
 
@@ -36,6 +37,14 @@
 	return r.way != answers.GiveUp
 }
 
+// broken notes the step of a call that ran and whose answer is not whole. It may
+// not be repeated, so this is the only bill it can get.
+func (r *work) broken(s *wire.Step) {
+	if s != nil && !r.repeatable {
+		r.steps = append(r.steps, s)
+	}
+}
+
 // truth returns the refusal for the caller, true of all attempts together.
 func (r *work) truth(err error) error {
 	cause, ok := refusal.As(err)
--- a/standin/plain.go
+++ b/standin/plain.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // PlainFaults tells a plain service how to fail.
@@ -13,6 +14,8 @@
 	Vanish bool
 	// BreakAfter breaks an answer off after so many bytes of the echo; 0 never.
 	BreakAfter int64
+	// Stall holds calls until it is lifted.
+	Stall bool
 }
 
 // Plain is the stand-in of a plain service. It echoes bodies and counts calls.
@@ -48,6 +51,12 @@
 	return p.faults
 }
 
+func (p *Plain) current() PlainFaults {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.faults
+}
+
 // Handler returns the service's interface.
 func (p *Plain) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -55,6 +64,10 @@
 		if faults.Vanish {
 			panic(http.ErrAbortHandler)
 		}
+		for faults.Stall && r.Context().Err() == nil {
+			time.Sleep(time.Millisecond)
+			faults = p.current()
+		}
 		rc := http.NewResponseController(w)
 		_ = rc.EnableFullDuplex()
 		w.Header().Set("X-Service", "standin")
