--- a/control/control.go
+++ b/control/control.go
@@ -9,6 +9,7 @@
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/evidence"
+	"github.com/parsleydeal/parsleydeal/lease"
 	"github.com/parsleydeal/parsleydeal/membership"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/platform"
@@ -39,6 +40,9 @@
 	zones    zone.State
 	// subsets follow from the VM list alone.
 	subsets map[string][]platform.VM
+	// pool is that of this endpoint; empty in an entry.
+	pool  string
+	lease lease.State
 	// logCut is true while the log shows less than was reduced.
 	logCut bool
 }
@@ -90,7 +94,7 @@
 
 // parts lists the reducers in the order in which they see each event.
 func (s *State) parts() []part {
-	return []part{s.reduceTables, s.reduceMembers, s.reduceDrain, s.reduceSpread, s.reduceEvidence, s.reduceZones}
+	return []part{s.reduceTables, s.reduceMembers, s.reduceDrain, s.reduceSpread, s.reduceEvidence, s.reduceZones, s.reduceLease}
 }
 
 func (s *State) reduceMembers(e event.Event) (effects []event.Effect, changed bool) {
