--- a/table/record.go
+++ b/table/record.go
@@ -30,11 +30,16 @@
 	Whole ChangeKind = "whole"
 	// Patch replaces the entries it names; an entry listed in Remove goes.
 	Patch ChangeKind = "patch"
+	// Saved is a checkpoint, which processes write themselves.
+	Saved ChangeKind = "checkpoint"
 )
 
 // MaxChangeBytes bounds a change; larger ones are rejected by all alike.
 const MaxChangeBytes = 1 << 20
 
+// maxIDBytes bounds a change's ID and its author, which are remembered.
+const maxIDBytes = 128
+
 // Change is one record of the configuration stream.
 type Change struct {
 	// ID is chosen by the publisher and survives its retries: a second record
@@ -47,6 +52,8 @@
 	Base   int64    `toml:"base"`
 	Remove []string `toml:"remove,omitempty"`
 	Tables Tables   `toml:"tables"`
+	// Saved is set in a checkpoint only.
+	Saved *saved `toml:"saved,omitempty"`
 }
 
 // ParseChange reads a change. Unknown keys are errors that name the key.
@@ -56,8 +63,8 @@
 			err = ErrMalformed.Wrap(err, "parse change")
 		}
 	}()
-	if len(data) > MaxChangeBytes {
-		return nil, fmt.Errorf("change has %d bytes, at most %d are allowed", len(data), MaxChangeBytes)
+	if len(data) > MaxCheckpointBytes {
+		return nil, fmt.Errorf("record has %d bytes, at most %d are allowed", len(data), MaxCheckpointBytes)
 	}
 	c = &Change{}
 	dec := toml.NewDecoder(bytes.NewReader(data))
@@ -65,7 +72,29 @@
 	if err = dec.Decode(c); err != nil {
 		return nil, err
 	}
-	return c, nil
+	return c, c.check(len(data))
+}
+
+// check looks at the change's own fields; its tables are checked once merged.
+func (c *Change) check(size int) error {
+	switch c.Kind {
+	case Saved:
+		return nil
+	case Whole, Patch:
+	default:
+		return fmt.Errorf("kind: is %q, \"whole\" or \"patch\" is allowed", c.Kind)
+	}
+	switch {
+	case size > MaxChangeBytes:
+		return fmt.Errorf("change has %d bytes, at most %d are allowed", size, MaxChangeBytes)
+	case c.ID == "" || len(c.ID) > maxIDBytes || len(c.Author) > maxIDBytes:
+		return fmt.Errorf("id: 1 to %d bytes are allowed, and as many for author", maxIDBytes)
+	case c.Saved != nil:
+		return fmt.Errorf("saved: belongs to checkpoints only")
+	case c.Kind == Whole && len(c.Remove) > 0:
+		return fmt.Errorf("remove: belongs to patches only")
+	}
+	return nil
 }
 
 // Encode writes the change as TOML.
--- a/table/state.go
+++ b/table/state.go
@@ -3,11 +3,16 @@
 import (
 	"maps"
 	"strings"
+
+	"github.com/pelletier/go-toml/v2"
 )
 
 // maxRemembered bounds the change IDs kept to recognise retries; the oldest
 // falls out first.
-const maxRemembered = 4096
+const maxRemembered = 1024
+
+// maxReasonBytes bounds the reason that is remembered of a rejected change.
+const maxReasonBytes = 512
 
 // Outcome is the verdict on one change, the same in every process.
 type Outcome struct {
@@ -15,6 +20,10 @@
 	Author   string
 	Revision int64
 	Accepted bool
+	// Checkpoint is true for a checkpoint's record, which is no change. Adopted
+	// says that the state began anew from it.
+	Checkpoint bool
+	Adopted    bool
 	// Reason says why the change was rejected; empty when accepted.
 	Reason string
 }
@@ -30,6 +39,9 @@
 	// outcomes holds the last maxRemembered verdicts by change ID.
 	outcomes map[string]Outcome
 	order    []string
+	// savedAt is the offset of the last checkpoint that counted; 0 for none, as
+	// no checkpoint is the first record.
+	savedAt int64
 }
 
 // Tables returns the configuration in force, or nil before the first change.
@@ -54,13 +66,21 @@
 }
 
 // Apply reduces the record at a log offset. A record that was already reduced
-// has no effect and ok is false.
+// has no effect and ok is false. Nor has one after a gap, unless it is a
+// checkpoint: with a record missing, a change that was made on it would be
+// rejected here and accepted everywhere else.
 func (s *State) Apply(offset int64, data []byte) (o Outcome, ok bool) {
 	if offset < s.offset {
 		return o, false
 	}
-	s.offset = offset + 1
 	c, err := ParseChange(data)
+	if err == nil && c.Kind == Saved {
+		return s.applySaved(offset, c)
+	}
+	if offset > s.offset {
+		return o, false
+	}
+	s.offset = offset + 1
 	if err != nil {
 		return Outcome{Revision: offset, Reason: err.Error()}, true
 	}
@@ -78,8 +98,14 @@
 		o.Reason = ErrConflict.New("made on revision %d, current is %d", c.Base, s.Revision()).Error()
 		return o
 	}
-	next := s.merge(c)
-	if err := next.Check(); err != nil {
+	next, err := s.merge(c)
+	if err == nil {
+		err = next.Check()
+	}
+	if err == nil {
+		err = next.fits()
+	}
+	if err != nil {
 		o.Reason = err.Error()
 		return o
 	}
@@ -89,13 +115,27 @@
 	return o
 }
 
-func (s *State) merge(c *Change) *Tables {
-	if c.Kind == Whole || s.tables == nil {
+// merge returns the tables after a change: a patch replaces whole entries and
+// removes others, which must exist and may not stand in it as well.
+func (s *State) merge(c *Change) (next *Tables, err error) {
+	if c.Kind == Whole {
 		t := c.Tables
-		return &t
+		t.tidy()
+		return &t, nil
 	}
 	old := s.tables
-	next := &Tables{
+	if old == nil {
+		old = &Tables{}
+	}
+	for _, path := range c.Remove {
+		if !old.has(path) {
+			return nil, ErrInvalid.New("remove: no entry %q", path)
+		}
+		if c.Tables.has(path) {
+			return nil, ErrInvalid.New("remove: %q is set by the same change", path)
+		}
+	}
+	next = &Tables{
 		Organisations: mergeMap(old.Organisations, c.Tables.Organisations),
 		Versions:      mergeMap(old.Versions, c.Tables.Versions),
 		Routes:        mergeMap(old.Routes, c.Tables.Routes),
@@ -107,7 +147,61 @@
 	for _, path := range c.Remove {
 		next.remove(path)
 	}
-	return next
+	next.tidy()
+	return next, nil
+}
+
+// tidy makes empty sections nil, so that tables built from changes and those
+// read from a checkpoint are written alike.
+func (t *Tables) tidy() {
+	tidyMap(&t.Organisations)
+	tidyMap(&t.Versions)
+	tidyMap(&t.Routes)
+	tidyMap(&t.Services)
+	tidyMap(&t.Pools)
+	tidyMap(&t.Zones)
+	tidyMap(&t.VMs)
+}
+
+func tidyMap[V any](m *map[string]V) {
+	if len(*m) == 0 {
+		*m = nil
+	}
+}
+
+// fits refuses tables that no checkpoint could hold.
+func (t *Tables) fits() error {
+	data, err := toml.Marshal(t)
+	if err != nil {
+		return ErrInvalid.Wrap(err, "encode tables")
+	}
+	if len(data) > MaxTablesBytes {
+		return ErrInvalid.New("tables have %d bytes, at most %d are allowed", len(data), MaxTablesBytes)
+	}
+	return nil
+}
+
+// has reports whether there is an entry at a path such as "routes.dossier". The
+// entry's name begins after the first dot and may hold others.
+func (t *Tables) has(path string) (ok bool) {
+	section, name, _ := strings.Cut(path, ".")
+	switch section {
+	case "organisations":
+		_, ok = t.Organisations[name]
+	case "versions":
+		_, ok = t.Versions[name]
+	case "routes":
+		_, ok = t.Routes[name]
+	case "services":
+		_, ok = t.Services[name]
+	case "pools":
+		_, ok = t.Pools[name]
+	case "zones":
+		_, ok = t.Zones[name]
+	case "vms":
+		_, ok = t.VMs[name]
+	}
+	return ok
 }
 
 // remove drops the entry at a path such as "routes.dossier".
@@ -142,6 +236,9 @@
 	if o.ID == "" {
 		return
 	}
+	if len(o.Reason) > maxReasonBytes {
+		o.Reason = strings.ToValidUTF8(o.Reason[:maxReasonBytes], "")
+	}
 	if s.outcomes == nil {
 		s.outcomes = make(map[string]Outcome)
 	}
