Configuration: checkpoints that move no revision, starts after expiry, stricter changes

Change: records count only at the next offset; a checkpoint counts only at the offset it names; package checkpoint decides who writes it and when; peers hand out checkpoints; the reader of the log goes on after expiry.

--- a/control/control.go
+++ b/control/control.go
@@ -3,6 +3,7 @@
 package control
 
 import (
+	"github.com/parsleydeal/parsleydeal/checkpoint"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/evidence"
@@ -31,6 +32,9 @@
 	evidence evidence.State
 	rollout  rollout.State
 	quality  quality.State
+	saves    checkpoint.State
+	// saved is the tables' checkpoint as of the last change to them.
+	saved *table.Checkpoint
 	// logCut is true while the log shows less than was reduced.
 	logCut bool
 }
@@ -46,6 +50,7 @@
 	return &State{
 		self: self, zone: zone, epoch: epoch, members: membership.New(self), spread: spread.New(self, zone),
 		evidence: evidence.NewState(self, epoch), rollout: rollout.NewState(), quality: quality.NewState(),
+		saves: checkpoint.NewState(self),
 	}
 }
 
@@ -53,7 +58,8 @@
 func (s *State) View() *view.View {
 	v := view.New(s.tables.Tables(), s.tables.Revision(), s.spread.ConfirmedAt(), s.members.Members(), s.draining)
 	return v.WithEvidence(s.rollout.Holds(s.tables.Tables()), s.evidence.Report(), s.quality.Book()).
-		WithSpread(spread.Picture{VM: s.self, Zone: s.zone, Epoch: s.epoch, Tail: s.tail, Starting: !s.spread.Started()})
+		WithSpread(spread.Picture{VM: s.self, Zone: s.zone, Epoch: s.epoch, Tail: s.tail, Starting: !s.spread.Started()}).
+		WithCheckpoint(s.saved)
 }
 
 // Reduce takes one event into the state and returns the effects in order. It
@@ -79,7 +85,7 @@
 
 // parts lists the reducers in the order in which they see each event.
 func (s *State) parts() []part {
-	return []part{s.reduceTables, s.reduceMembers, s.reduceDrain, s.reduceSpread, s.reduceEvidence}
+	return []part{s.reduceTables, s.reduceMembers, s.reduceDrain, s.reduceSpread, s.reduceEvidence, s.reduceSaves}
 }
 
 func (s *State) reduceMembers(e event.Event) (effects []event.Effect, changed bool) {
@@ -100,6 +106,11 @@
 	return effects, changed || told
 }
 
+// reduceSaves appends the tables to the log again before retention ends.
+func (s *State) reduceSaves(e event.Event) (effects []event.Effect, changed bool) {
+	return s.saves.Reduce(e, &s.tables), false
+}
+
 func (s *State) reduceDrain(e event.Event) (effects []event.Effect, changed bool) {
 	if _, ok := e.(event.Draining); !ok {
 		return nil, false
@@ -132,8 +143,9 @@
 		}
 		effects = append(effects, s.noteCut(e.Page.Head)...)
 	case event.RecordsReceived:
+		effects = s.imports(e)
 		if e.Reply.GetFrom() > s.tables.Offset() {
-			return nil, false
+			break
 		}
 		for _, r := range e.Reply.GetRecords() {
 			effects = append(effects, s.apply(r.GetOffset(), r.GetData())...)
@@ -159,11 +171,36 @@
 	if !ok {
 		return nil
 	}
+	if o.Adopted {
+		s.tail = s.tail.Restart(offset)
+	}
 	s.tail = s.tail.Add(&wire.Record{Offset: offset, Data: data})
+	s.saved, _ = s.tables.Checkpoint()
 	return []event.Effect{report(o)}
 }
 
+// imports takes a peer's checkpoint, which it sends when it no longer keeps the
+// records that this process lacks.
+func (s *State) imports(e event.RecordsReceived) (effects []event.Effect) {
+	if e.Reply.GetCheckpoint() == nil {
+		return nil
+	}
+	c, err := table.ParseCheckpoint(e.Reply.GetCheckpoint().GetData())
+	if err != nil {
+		return []event.Effect{event.Report{Message: "Checkpoint of a peer cannot be read", Fields: []any{"peer", e.From, "reason", err.Error()}}}
+	}
+	if !s.tables.Import(c) {
+		return nil
+	}
+	s.tail = s.tail.Restart(c.Offset())
+	s.saved = c
+	return []event.Effect{event.Report{Message: "Tables taken from a peer's checkpoint", Fields: []any{"peer", e.From, "revision", c.Revision(), "offset", c.Offset()}}}
+}
+
 func report(o table.Outcome) event.Report {
+	if o.Checkpoint {
+		return event.Report{Message: "Checkpoint read", Fields: []any{"offset", o.Revision, "counts", o.Accepted, "adopted", o.Adopted, "reason", o.Reason}}
+	}
 	if o.Accepted {
 		return event.Report{Message: "Change accepted", Fields: []any{"change", o.ID, "author", o.Author, "revision", o.Revision}}
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -10,6 +10,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
+	"github.com/joomcode/errorx"
 	"github.com/parsleydeal/parsleydeal/claim"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/control"
@@ -144,12 +145,16 @@
 }
 
 func (n *Node) tail(ctx context.Context, stream string) {
-	from := int64(0)
+	from, restarts := int64(0), 0
 	for ctx.Err() == nil {
 		if stream == platform.ConfigStream {
-			from = max(from, n.View().Tail().End())
+			t := n.View().Tail()
+			if t.Restarts() != restarts {
+				from, restarts = t.End(), t.Restarts()
+			}
+			from = max(from, t.End())
 		}
-		page, err := n.cfg.Store.Read(ctx, stream, from, logWait)
+		page, err := n.read(ctx, stream, from)
 		if err != nil {
 			n.loop.Post(ctx, event.LogFailed{Now: n.cfg.Clock.Now(), Stream: stream, Err: err})
 			pause(ctx, logRetry)
@@ -159,9 +164,22 @@
 		if k := len(page.Records); k > 0 {
 			from = page.Records[k-1].Offset + 1
 		}
+		from = max(from, page.First)
 	}
 }
 
+// read reads a page. When the log no longer keeps the offset the page has no
+// records but tells where the log now begins: a reader that asked for the lost
+// records again and again would never start.
+func (n *Node) read(ctx context.Context, stream string, from int64) (page platform.Page, err error) {
+	const beyondHead = int64(1) << 62
+	page, err = n.cfg.Store.Read(ctx, stream, from, logWait)
+	if errorx.IsOfType(err, platform.ErrExpired) {
+		page, err = n.cfg.Store.Read(ctx, stream, beyondHead, 0)
+	}
+	return page, err
+}
+
 // perform carries out one effect. It runs on the control goroutine, so all I/O
 // goes to goroutines of its own.
 func (n *Node) perform(e event.Effect) {
--- a/node/peer.go
+++ b/node/peer.go
@@ -45,7 +45,17 @@
 	n.loop.Offer(event.PeerFailed{Now: n.cfg.Clock.Now(), VM: vm})
 }
 
-// Records returns configuration records that this process still keeps.
+// Records returns configuration records that this process still keeps, or the
+// checkpoint of its tables to one that lacks earlier ones.
 func (n *Node) Records(_ context.Context, in *wire.RecordsRequest) (out *wire.RecordsReply, err error) {
-	return n.View().Tail().Reply(in.GetFrom()), nil
+	v := n.View()
+	out = v.Tail().Reply(in.GetFrom())
+	if c := v.Checkpoint(); c != nil && in.GetFrom() < v.Tail().From() {
+		data, err := c.Encode()
+		if err != nil {
+			return nil, err
+		}
+		out.Checkpoint = &wire.Record{Offset: c.Offset(), Data: data}
+	}
+	return out, nil
 }
--- a/spread/tail.go
+++ b/spread/tail.go
@@ -21,8 +21,20 @@
 	end     int64
 	records []*wire.Record
 	bytes   int
+	// restarts counts the checkpoints from which the tail began anew.
+	restarts int
 }
 
+// Restart returns an empty tail that begins at an offset: what lay before it is
+// in the checkpoint that the process has just taken.
+func (t Tail) Restart(offset int64) Tail {
+	return Tail{from: offset, end: offset, restarts: t.restarts + 1}
+}
+
+// Restarts counts how often the tail began anew. A reader of the log goes back
+// to End when it changes: it has passed records that could not be reduced.
+func (t Tail) Restarts() int { return t.restarts }
+
 // From returns the offset from which on the records are complete.
 func (t Tail) From() int64 { return t.from }
 
--- a/system/bill_test.go
+++ b/system/lasting_test.go
@@ -58,3 +58,19 @@
 	list, _ := st.Anomalies()
 	is.Equal(len(list), 0)
 }
+
+// The log drops the record that holds the tables. The processes that know them
+// write them down again, and one that starts afterwards serves.
+func TestStartAfterTheTablesExpired(t *testing.T) {
+	is := is.New(t)
+	s := shape{entries: 2, endpoints: 2, zones: 2, first: 2, gap: 1, tokens: 3}
+	c := newCluster(t, s)
+	c.platform.Expire(platform.ConfigStream, 1)
+	c.eventually("a checkpoint", func() bool { return len(c.platform.Records(platform.ConfigStream)) > 0 })
+	c.addEntry(len(c.entries), s)
+	c.list()
+	late := c.entries[len(c.entries)-1]
+	c.start(late)
+	c.waitModels(late)
+	is.True(c.ask(late, nil).whole)
+}
--- a/table/record.go
+++ b/table/record.go
@@ -72,27 +72,27 @@
 	if err = dec.Decode(c); err != nil {
 		return nil, err
 	}
-	return c, c.check(len(data))
+	if c.Kind != Saved && len(data) > MaxChangeBytes {
+		return nil, fmt.Errorf("change has %d bytes, at most %d are allowed", len(data), MaxChangeBytes)
+	}
+	return c, nil
 }
 
-// check looks at the change's own fields; its tables are checked once merged.
-func (c *Change) check(size int) error {
+// check looks at the fields that the publisher fills in; the tables are checked
+// once merged.
+func (c *Change) check() error {
 	switch c.Kind {
-	case Saved:
-		return nil
 	case Whole, Patch:
 	default:
-		return fmt.Errorf("kind: is %q, \"whole\" or \"patch\" is allowed", c.Kind)
+		return ErrMalformed.New("kind: is %q, \"whole\" or \"patch\" is allowed", c.Kind)
 	}
 	switch {
-	case size > MaxChangeBytes:
-		return fmt.Errorf("change has %d bytes, at most %d are allowed", size, MaxChangeBytes)
 	case c.ID == "" || len(c.ID) > maxIDBytes || len(c.Author) > maxIDBytes:
-		return fmt.Errorf("id: 1 to %d bytes are allowed, and as many for author", maxIDBytes)
+		return ErrMalformed.New("id: 1 to %d bytes are allowed, and as many for author", maxIDBytes)
 	case c.Saved != nil:
-		return fmt.Errorf("saved: belongs to checkpoints only")
+		return ErrMalformed.New("saved: belongs to checkpoints only")
 	case c.Kind == Whole && len(c.Remove) > 0:
-		return fmt.Errorf("remove: belongs to patches only")
+		return ErrMalformed.New("remove: belongs to patches only")
 	}
 	return nil
 }
--- a/table/state.go
+++ b/table/state.go
@@ -81,6 +81,9 @@
 		return o, false
 	}
 	s.offset = offset + 1
+	if err == nil {
+		err = c.check()
+	}
 	if err != nil {
 		return Outcome{Revision: offset, Reason: err.Error()}, true
 	}
--- a/view/view.go
+++ b/view/view.go
@@ -26,6 +26,8 @@
 	// quality is nil in a view made for a test.
 	quality *quality.Book
 	spread  spread.Picture
+	// checkpoint is of the same offset as the tables.
+	checkpoint *table.Checkpoint
 }
 
 // New makes a view.
@@ -75,6 +77,16 @@
 	return &next
 }
 
+// WithCheckpoint adds the checkpoint of the tables in force.
+func (v *View) WithCheckpoint(c *table.Checkpoint) *View {
+	v.checkpoint = c
+	return v
+}
+
+// Checkpoint returns the checkpoint of the tables in force, for peers that lack
+// records which are no longer kept; nil before the first tables.
+func (v *View) Checkpoint() *table.Checkpoint { return v.checkpoint }
+
 // Tail returns the configuration's last records, for peers that are behind.
 func (v *View) Tail() spread.Tail { return v.spread.Tail }
 
