--- a/entry/claim.go
+++ b/entry/claim.go
@@ -47,7 +47,10 @@
 		if done, err = e.settleClaim(ctx, req, c, s, offset, emit); done || err != nil {
 			return done, err
 		}
-		c.Round = s.GetRound() + 1
+		// An attempt number belongs to one claim. With the old one, an attempt that
+		// its endpoint has refused for ever, and told so, could run after all.
+		req.attempts++
+		c.Round, c.Attempt = s.GetRound()+1, req.attempts
 	}
 	return false, claimRefusal(claim.Open)
 }
--- a/proof/claim_test.go
+++ b/proof/claim_test.go
@@ -4,26 +4,30 @@
 	"fmt"
 	"testing"
 
+	"github.com/parsleydeal/parsleydeal/answer"
 	"github.com/parsleydeal/parsleydeal/claim"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/journal"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
+	"github.com/parsleydeal/parsleydeal/refusal"
 	"pgregory.net/rapid"
 )
 
-// door is an endpoint's memory of attempts: what ran, and what it has refused
-// for ever. A restart forgets all and begins a new epoch.
+// doorBound is small, so that attempts fall out of the endpoint's memory.
+const doorBound = 6
+
+// door is an endpoint with its real memory of attempts. A restart forgets all
+// and begins a new epoch.
 type door struct {
-	vm    string
-	epoch uint64
-	ran   map[string]bool
-	kept  map[string]bool
-	bars  map[string]bool
+	vm     string
+	epoch  uint64
+	memory *answer.Memory
+	kept   map[string]bool
 }
 
 func (d *door) restart() {
 	d.epoch++
-	d.ran, d.kept, d.bars = make(map[string]bool), make(map[string]bool), make(map[string]bool)
+	d.memory, d.kept = answer.NewMemory(doorBound), make(map[string]bool)
 }
 
 // keeper is a process that makes claims: the real batcher and the real state.
@@ -184,28 +188,29 @@
 			k.state.Apply(rec.Offset, rec.Data)
 		}
 	}
-	s, _, ok := k.state.Standing(x.GetKey())
+	s, at, ok := k.state.Standing(x.GetKey())
 	if !ok {
 		c.broken = "at-most-once: a claim on the log does not stand and nothing else does"
 		return
 	}
 	// The caller's goroutine may be slow to hear of it.
-	c.after(c.delay(400), func() { k.do(func() { r.judge(x, s) }) })
+	c.after(c.delay(400), func() { k.do(func() { r.judge(x, s, at) }) })
 }
 
-func (r *call) judge(x, s *wire.Claim) {
+func (r *call) judge(x, s *wire.Claim, at int64) {
 	switch claim.Judge(x, s, r.round > 0) {
 	case claim.Won:
 		r.round = x.GetRound()
-		r.dispatch(x)
+		r.dispatch(x, at)
 	case claim.Next:
 		r.next(x, s)
 	case claim.Ask:
-		r.ask(x, s)
+		r.ask(x, s, at)
 	}
 }
 
 func (r *call) next(x, s *wire.Claim) {
+	r.attempt++
 	y := &wire.Claim{Key: x.GetKey(), Round: s.GetRound() + 1, Request: r.id, Attempt: r.attempt, Vm: x.GetVm(), GateEpoch: x.GetGateEpoch()}
 	r.claim(y)
 }
@@ -225,24 +230,28 @@
 
 // dispatch sends the attempt to its endpoint, which may hear of it late. The
 // network may lose the answer.
-func (r *call) dispatch(x *wire.Claim) {
-	c, k := r.k.c, r.k
+func (r *call) dispatch(x *wire.Claim, at int64) {
+	c := r.k.c
 	c.after(c.delay(3000), func() {
 		d, name := c.door(x.GetVm()), nameOf(x)
-		if d.epoch != x.GetGateEpoch() || d.bars[name] || d.ran[name] {
-			// Refused at the gate as not run: the entry tries elsewhere.
-			c.said = append(c.said, name)
-			k.do(r.try)
+		a := answer.Attempt{Request: x.GetRequest(), Number: x.GetAttempt()}
+		run, ok := refusal.NotRun, d.epoch == x.GetGateEpoch()
+		if ok {
+			run, ok = d.memory.Arrive(a, answer.Claim{Stream: claimStream, Offset: at})
+		}
+		full := c.rng.IntN(4) == 0
+		if ok && full {
+			d.memory.End(a)
+		}
+		if !ok || full {
+			r.refused(name, run)
 			return
 		}
-		if c.rng.IntN(4) == 0 {
-			// The gate's window is full: refused for good.
-			d.bars[name] = true
-			c.said = append(c.said, name)
-			k.do(r.try)
+		if !d.memory.Dispatch(a) {
 			return
 		}
-		d.ran[name], d.kept[name] = true, c.rng.IntN(2) == 0
+		c.after(c.delay(2000), func() { d.memory.End(a) })
+		d.kept[name] = c.rng.IntN(2) == 0
 		c.began[name] = true
 		c.runs[r.key]++
 		if c.runs[r.key] > 1 {
@@ -251,18 +260,25 @@
 	})
 }
 
+// refused is the gate's refusal: on "not run" the entry tries elsewhere.
+func (r *call) refused(name string, run refusal.Run) {
+	if run == refusal.NotRun {
+		r.k.c.said = append(r.k.c.said, name)
+		r.k.do(r.try)
+	}
+}
+
 // ask asks the endpoint that stands to refuse its attempt for ever.
-func (r *call) ask(x, s *wire.Claim) {
+func (r *call) ask(x, s *wire.Claim, at int64) {
 	c, k := r.k.c, r.k
 	c.after(c.delay(200), func() {
 		d, name := c.door(s.GetVm()), nameOf(s)
 		reply := &wire.RefuseReply{Run: wire.RunState_RUN_UNKNOWN}
+		run, _ := d.memory.Bar(answer.Attempt{Request: s.GetRequest(), Number: s.GetAttempt()}, answer.Claim{Stream: claimStream, Offset: at})
 		switch {
-		case d.epoch != s.GetGateEpoch():
-		case d.ran[name]:
+		case run == refusal.Ran:
 			reply.Run, reply.Kept = wire.RunState_RUN_RAN, d.kept[name]
-		default:
-			d.bars[name] = true
+		case run == refusal.NotRun && d.epoch == s.GetGateEpoch():
 			reply.Run = wire.RunState_RUN_NOT_RUN
 		}
 		c.after(c.delay(200), func() {
--- a/system/lasting_test.go
+++ b/system/lasting_test.go
@@ -1,6 +1,7 @@
 package system
 
 import (
+	"fmt"
 	"net/http"
 	"sync"
 	"testing"
@@ -74,3 +75,69 @@
 	c.waitModels(late)
 	is.True(c.ask(late, nil).whole)
 }
+
+// A fee is posted with a key and the entry's VM vanishes while the service works
+// on it. The caller posts again at another entry: it gets the answer of the
+// first call, or the truth about it, and the service sees the fee once.
+func TestKeyedPostIsRunOnceOverALostEntry(t *testing.T) {
+	is := is.New(t)
+	s := shape{entries: 3, endpoints: 1, plain: 2, zones: 2, first: 1, gap: 1, tokens: 2}
+	c := newCluster(t, s)
+	post := func(p *process, path, key, body string) (int, http.Header, string) {
+		return c.call(t.Context(), p, http.MethodPost, "/v1/services/records/"+path, body, http.Header{"Idempotency-Key": {key}})
+	}
+	runs := func(path string) (n int) {
+		for _, p := range c.plain {
+			n += p.Calls(http.MethodPost, "/"+path)
+		}
+		return n
+	}
+	// Once without a failure: the second entry gives the kept answer.
+	status, _, text := post(c.entries[0], "fee-kept", "k1", "renew")
+	is.Equal(status, http.StatusOK)
+	again, _, same := post(c.entries[1], "fee-kept", "k1", "renew")
+	is.Equal(again, http.StatusOK)
+	is.Equal(same, text)
+	is.Equal(runs("fee-kept"), 1)
+	// The same key for another call is refused before anything runs.
+	status, h, _ := post(c.entries[2], "fee-kept", "k1", "renew twice")
+	is.Equal(status, http.StatusUnprocessableEntity)
+	is.Equal(h.Get("Parsleydeal-Run"), "not-run")
+	// The entry vanishes in the middle of several calls.
+	const calls = 8
+	var begun sync.WaitGroup
+	for i := range calls {
+		begun.Go(func() { post(c.entries[0], fmt.Sprintf("fee-%d", i), fmt.Sprintf("lost-%d", i), "renew") })
+	}
+	c.entries[0].kill()
+	begun.Wait()
+	for i := range calls {
+		path := fmt.Sprintf("fee-%d", i)
+		c.eventually("an answer to "+path, func() bool {
+			status, h, _ := post(c.entries[1], path, fmt.Sprintf("lost-%d", i), "renew")
+			return status == http.StatusOK || h.Get("Parsleydeal-Run") == "ran"
+		})
+		is.Equal(runs(path), 1)
+	}
+}
+
+// The log is out. A keyed fee cannot be claimed, so it is refused, truly not
+// run, and the caller is told when to come back.
+func TestKeyedPostInLogOutageIsNotRun(t *testing.T) {
+	is := is.New(t)
+	s := shape{entries: 1, endpoints: 1, plain: 1, zones: 1, first: 1, gap: 1, tokens: 2}
+	c := newCluster(t, s)
+	c.platform.SetFaults(standin.Faults{Down: true})
+	status, h, _ := c.call(t.Context(), c.entries[0], http.MethodPost, "/v1/services/records/fee", "renew", http.Header{"Idempotency-Key": {"k"}})
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.Equal(h.Get("Parsleydeal-Run"), "not-run")
+	is.True(h.Get("Retry-After") != "")
+	for _, p := range c.plain {
+		is.Equal(p.Calls(http.MethodPost, "/fee"), 0)
+	}
+	c.platform.SetFaults(standin.Faults{})
+	c.eventually("the fee", func() bool {
+		status, _, _ := c.call(t.Context(), c.entries[0], http.MethodPost, "/v1/services/records/fee", "renew", http.Header{"Idempotency-Key": {"k"}})
+		return status == http.StatusOK
+	})
+}
