--- a/entry/entry.go
+++ b/entry/entry.go
@@ -38,7 +38,7 @@
 	return &Entry{
 		node:     n,
 		inflight: choice.NewInflight(),
-		sessions: session.NewKeys(s.Keys, s.Current),
+		sessions: session.NewKeys(s.Keys, s.Current).WithLifetime(s.Lifetime),
 		raters:   newRaters(),
 		retries:  limit.NewRetries(),
 		queues:   limit.NewQueues(n.Clock()),
--- a/settings/options.go
+++ b/settings/options.go
@@ -100,6 +100,10 @@
 		Key: "session.current", Allowed: "the name of one of session.keys", Doc: "key that signs new tokens; the others still verify", needed: entryOnly,
 		ok: func(s *Settings) bool { return s.Session.Keys[s.Session.Current] != "" },
 	},
+	{
+		Key: "session.lifetime", Allowed: "1m to 9000h", Doc: "how long a session lasts that nobody uses; wall clocks of entries may differ by 10 minutes",
+		ok: func(s *Settings) bool { return between(s.Session.Lifetime, clock.Minute, 9000*clock.Hour) },
+	},
 }
 
 var tlsOptions = slices.Concat(
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -69,6 +69,8 @@
 	// Keys are secrets by key name; the first in order of Current signs.
 	Keys    map[string]string `toml:"keys"`
 	Current string            `toml:"current"`
+	// Lifetime is how long a session lasts that nobody uses.
+	Lifetime clock.Millis `toml:"lifetime"`
 }
 
 // Entry configures an entry.
@@ -112,6 +114,7 @@
 			MaxBody: 4 << 20, MaxHeaders: 64 << 10, MaxConnections: 20000,
 			HeaderTimeout: 10 * clock.Second, BodyTimeout: 30 * clock.Second, WriteTimeout: 30 * clock.Second, IdleTimeout: 2 * clock.Minute,
 		},
+		Session:     Session{Lifetime: 24 * clock.Hour},
 		VMListEvery: clock.Second,
 	}
 }
