Tables: NaN is no number within any bound

Cause: TOML has nan, every comparison with it is false, and so each check of a quality, share, target or limit passed it. Change: checks ask whether a number lies within; tests of removals. Conclusion: such a change is rejected by all alike.

--- a/table/check.go
+++ b/table/check.go
@@ -56,7 +56,7 @@
 		if v.InputCost < 0 || v.OutputCost < 0 {
 			add("versions.%s: costs may not be negative", name)
 		}
-		if v.Quality < 0 || v.Quality > 1 {
+		if !within(v.Quality, 1) {
 			add("versions.%s.quality: is %v, between 0 and 1 is allowed", name, v.Quality)
 		}
 	}
@@ -90,14 +90,14 @@
 		if len(r.Models) == 0 {
 			add("%s.models: at least one model is needed", key)
 		}
-		if r.Explore < 0 || r.Explore > 0.5 {
+		if !within(r.Explore, 0.5) {
 			add("%s.explore: is %v, between 0 and 0.5 is allowed", key, r.Explore)
 		}
 		best := 0.0
 		for _, m := range r.Models {
 			best = max(best, t.checkShares(key, m, add))
 		}
-		if r.QualityTarget < 0 || r.QualityTarget > best {
+		if !within(r.QualityTarget, best) {
 			add("%s.quality-target: is %v, the best version's quality is %v", key, r.QualityTarget, best)
 		}
 	}
@@ -114,7 +114,7 @@
 			add("%s.models: no version %q", key, version)
 			continue
 		}
-		if share < 0 || share > 1 {
+		if !within(share, 1) {
 			add("%s.models: the share of %q is %v, between 0 and 1 is allowed", key, version, share)
 		}
 		if share > 0 {
@@ -128,7 +128,7 @@
 		}
 		sum += share
 	}
-	if math.Abs(sum-1) > shareTolerance {
+	if !within(math.Abs(sum-1), shareTolerance) {
 		add("%s.models: the shares of %q sum to %v, must be 1", key, m.Model, sum)
 	}
 	return best
@@ -159,7 +159,7 @@
 func checkHold(key string, h HoldLimits, add faultFunc) {
 	limits := map[string]float64{"errors": h.Errors, "slow": h.Slow, "rating-loss": h.RatingLoss}
 	for name, limit := range limits {
-		if limit < 0 || limit > 0.9 {
+		if !within(limit, 0.9) {
 			add("%s.hold.%s: is %v, between 0 (the default) and 0.9 is allowed", key, name, limit)
 		}
 	}
@@ -187,3 +187,7 @@
 		add("%s.state: is %q, \"in\" or \"out\" is allowed", key, p)
 	}
 }
+
+// within reports whether a number lies between 0 and a limit. It is worded so
+// that NaN, which compares false with everything, does not.
+func within(x, limit float64) bool { return x >= 0 && x <= limit }
--- a/table/state_test.go
+++ b/table/state_test.go
@@ -47,3 +47,36 @@
 	is.Equal(s.Revision(), int64(2))
 	is.True(!s.Tables().ZoneOut("a"))
 }
+
+// A change says "nan" for a quality, as TOML allows. Every comparison with it is
+// false, so it passed each check and no version could be chosen on it.
+func TestNumbersThatAreNoneAreRejected(t *testing.T) {
+	is := is.New(t)
+	for _, body := range []string{
+		"[tables.versions.\"m@1\"]\nquality=nan\n",
+		"[tables.versions.\"m@1\"]\nquality=inf\n",
+		"[tables.versions.\"m@1\"]\nquality=0.5\n[tables.pools.p]\nversions=[\"m@1\"]\ncold-window=1\nfull-window=1\n[tables.routes.r]\nmodels=[{model=\"m\",shares={1=nan}}]\n",
+		"[tables.versions.\"m@1\"]\nquality=0.5\n[tables.pools.p]\nversions=[\"m@1\"]\ncold-window=1\nfull-window=1\n[tables.routes.r]\nquality-target=nan\nmodels=[{model=\"m\",shares={1=1.0}}]\n",
+	} {
+		var s State
+		o, ok := s.Apply(0, []byte("id=\"a\"\nkind=\"whole\"\nbase=-1\n"+body))
+		is.True(ok)
+		is.True(!o.Accepted)
+	}
+}
+
+// An operator misspells an entry to remove, or sets what the same change
+// removes. Taking the rest of the change would leave the tables half changed.
+func TestRemovalsMustNameAnEntry(t *testing.T) {
+	is := is.New(t)
+	for remove, accepted := range map[string]bool{
+		"zones.a.b": true, "zones.a": false, "zone.a.b": false, "zones": false, "organisations.desk": true, "": false,
+	} {
+		var s State
+		s.Apply(0, []byte(firstChange+"[tables.zones.\"a.b\"]\nstate=\"in\"\n"))
+		o, _ := s.Apply(1, []byte("id=\"b\"\nkind=\"patch\"\nbase=0\nremove=[\""+remove+"\"]\n"))
+		is.Equal(o.Accepted, accepted)
+		o, _ = s.Apply(2, []byte("id=\"c\"\nkind=\"patch\"\nbase=0\nremove=[\"zones.a.b\"]\n[tables.zones.\"a.b\"]\nstate=\"out\"\n"))
+		is.True(!o.Accepted)
+	}
+}
