--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -105,6 +105,8 @@
 func (c *cluster) start(i int, epoch uint64) *proc {
 	vm := c.listed[i]
 	p := &proc{vm: vm, state: NewStateAt(vm.ID, vm.Zone, epoch), skew: clock.Millis(epoch*7919) - c.now, revision: -1}
+	// Nothing here sends requests, and subsets of so many states take long.
+	p.state.subsetsOf = func(string, []platform.VM) map[string][]platform.VM { return nil }
 	if old := c.byVM[vm.ID]; old != nil {
 		old.dead = true
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -40,7 +40,7 @@
 		node:     n,
 		inflight: choice.NewInflight(),
 		affinity: choice.NewAffinity(),
-		sessions: session.NewKeys(s.Keys, s.Current),
+		sessions: session.NewKeys(s.Keys, s.Current).WithLifetime(s.Lifetime),
 		raters:   newRaters(),
 		retries:  limit.NewRetries(),
 		queues:   limit.NewQueues(n.Clock()),
