Prefix affinity only for long prefixes

Cause: TestEndpointsReplacedTwiceUnderLoad waited 60 s for a replaced endpoint to serve: all its callers send one short prompt, and affinity kept them on the endpoint that had answered it first. Ruled out: a leaving word kept over the restart, losses, ramps. Change: a prefix of less than 1 KiB has no name. Conclusion: affinity pays only where computing the prefix again costs more.

--- a/chat/chat.go
+++ b/chat/chat.go
@@ -133,16 +133,26 @@
 	return json.Marshal(fields)
 }
 
+// minPrefixBytes is how long a prefix must be to be named. A short one costs an
+// engine less to compute again than it costs callers when all requests that
+// happen to share it go to one endpoint.
+const minPrefixBytes = 1 << 10
+
 // PrefixHash names the part of the prompt that a conversation's later requests
-// share: everything before the last message.
+// share: everything before the last message. It is 0 when that is short.
 func (r *Request) PrefixHash() uint64 {
 	h := xxhash.New()
+	n := 0
 	for i, m := range r.Messages {
 		if i > 0 && i == len(r.Messages)-1 {
 			break
 		}
 		_, _ = h.WriteString(m.Role)
 		_, _ = h.Write(m.Content)
+		n += len(m.Content)
+	}
+	if n < minPrefixBytes {
+		return 0
 	}
 	return h.Sum64()
 }
--- /dev/null
+++ b/chat/prefix_test.go
@@ -0,0 +1,29 @@
+package chat
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func conversation(contents ...string) *Request {
+	r := &Request{}
+	for _, c := range contents {
+		r.Messages = append(r.Messages, Message{Role: "user", Content: []byte(`"` + c + `"`)})
+	}
+	return r
+}
+
+// All callers ask the same short question. Were it a prefix, all of them would
+// go to the endpoint that answered it first, and a replaced or idle endpoint
+// beside it would get nothing.
+func TestShortPrefixHasNoName(t *testing.T) {
+	is := is.New(t)
+	is.Equal(conversation("When is the renewal due?").PrefixHash(), uint64(0))
+	long := strings.Repeat("case history ", 100)
+	first, second := conversation(long, "a"), conversation(long, "b")
+	is.True(first.PrefixHash() != 0)
+	is.Equal(first.PrefixHash(), second.PrefixHash()) // the last turn does not count
+	is.True(first.PrefixHash() != conversation(long+"x", "a").PrefixHash())
+}
