--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -16,8 +16,9 @@
 	testTick    = 200 * clock.Millis(1)
 	testLogPoll = 2 * clock.Second
 	// callOverhead is what one message costs on a warm connection beside its
-	// own bytes: drpc's frames and the TCP and IP headers with the acknowledgement.
-	callOverhead = 150
+	// own bytes: drpc's frames and the TCP and IP headers with the acknowledgements; see
+	// TestExchangeBytes of package node.
+	callOverhead = 160
 )
 
 // cluster drives many real reducers in virtual time over fakes of the log, the
