--- a/control/failure_test.go
+++ b/control/failure_test.go
@@ -162,3 +162,25 @@
 		is.True(x.dead || !x.state.View().Members().Leaving(p.vm)) // the next process does not leave
 	}
 }
+
+// A zone is cut off from all others during a log outage and works on old tables.
+// A process that starts in it hears only its neighbours, who agree on what is
+// old; ready on that, it would send work to what operators have withdrawn.
+func TestStartInPartedZone(t *testing.T) {
+	is := is.New(t)
+	c := settled(t, 36, 3)
+	c.parted = func(from, to *proc) bool { return (from.vm.Zone == "zone-0") != (to.vm.Zone == "zone-0") }
+	c.readable = func(p *proc) bool { return p.vm.Zone != "zone-0" }
+	c.publish()
+	c.run(settle, nil)
+	c.readable = func(*proc) bool { return false }
+	p := c.start(3, 900)
+	is.Equal(p.vm.Zone, "zone-0")
+	c.run(settle, nil)
+	is.Equal(p.revision, int64(0)) // its neighbours' tables
+	is.True(!p.state.View().Ready())
+	c.parted = func(_, _ *proc) bool { return false }
+	c.run(settle, nil)
+	is.Equal(p.revision, int64(1))
+	is.True(p.state.View().Ready())
+}
