Slopes at the two-year size: an entry's second, its memory, an exchange; estimates and evidence within bytes

Cause: polls, estimates and evidence together took an entry over 16 KB/s, by sums of measured parts.

--- /dev/null
+++ b/control/size_test.go
@@ -0,0 +1,173 @@
+package control
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/event"
+	"github.com/parsleydeal/parsleydeal/peer/wire"
+	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/table"
+)
+
+const (
+	sizeVMs       = 1380
+	sizeVersions  = 13
+	sizeRoutes    = 20
+	sizeOrgs      = 40
+	sizeRequests  = 17 // 6,600 requests/s over 380 entries
+	sizeEntries   = 380
+	sizeJudgeKeys = 60
+)
+
+// sized makes an entry's state at the two-year size: all VMs listed, loads of
+// all endpoints, and the tables in force.
+func sized(tb testing.TB) *State {
+	tb.Helper()
+	s := NewStateAt("vm-0000", "zone-0", 1)
+	vms := newCluster(sizeVMs, 12).listed
+	for i := range vms {
+		vms[i].Role = platform.EndpointRole
+		if i%sizeVMs < sizeEntries {
+			vms[i].Role = platform.EntryRole
+		}
+	}
+	Reduce(s, event.VMsListed{Now: 1, VMs: vms})
+	data, err := sizedTables().Encode()
+	if err != nil {
+		tb.Fatal(err)
+	}
+	Reduce(s, event.LogRead{Now: 1, Stream: platform.ConfigStream, Page: platform.Page{Head: 1, Records: []platform.Record{{Data: data}}}})
+	if !s.View().Ready() {
+		tb.Fatal("the tables were rejected")
+	}
+	return s
+}
+
+func sizedTables() *table.Change {
+	c := &table.Change{ID: "size", Author: "t", Kind: table.Whole, Base: -1}
+	c.Tables = table.Tables{Organisations: map[string]table.Organisation{}, Versions: map[string]table.Version{}, Pools: map[string]table.Pool{}, Routes: map[string]table.Route{}}
+	var orgs []string
+	for i := range sizeOrgs {
+		name := fmt.Sprint("org-", i)
+		orgs = append(orgs, name)
+		c.Tables.Organisations[name] = table.Organisation{KeyHashes: []string{fmt.Sprintf("%064x", i)}, Weight: 1}
+	}
+	models := []table.RouteModel{}
+	for i := range sizeVersions {
+		version := fmt.Sprintf("m%d@1", i)
+		c.Tables.Versions[version] = table.Version{InputCost: 100, OutputCost: 300, Quality: 0.9}
+		c.Tables.Pools[fmt.Sprint("pool-", i)] = table.Pool{Versions: []string{version}, ColdWindow: 2, FullWindow: 32}
+		models = append(models, table.RouteModel{Model: fmt.Sprint("m", i), Shares: map[string]float64{"1": 1}})
+	}
+	for i := range sizeRoutes {
+		c.Tables.Routes[fmt.Sprint("route-", i)] = table.Route{Organisations: orgs, Models: models, QualityTarget: 0.8, WhenStale: table.ServeWhenStale}
+	}
+	return c
+}
+
+// second drives the events that an entry sees in one second at that size.
+func second(s *State, n int) (effects int) {
+	now := clock.Millis(n) * clock.Second
+	reduce := func(e event.Event) {
+		_, fs := Reduce(s, e)
+		effects += len(fs)
+		for _, f := range fs {
+			if _, ok := f.(event.Publish); ok {
+				s.View()
+			}
+		}
+	}
+	for i := range 5 {
+		reduce(event.Tick{Now: now + clock.Millis(i)*testTick})
+	}
+	for i := range sizeRequests {
+		x := n*sizeRequests + i
+		route, version, org := fmt.Sprint("route-", x%sizeRoutes), fmt.Sprintf("m%d@1", x%sizeVersions), fmt.Sprint("org-", x%sizeOrgs)
+		vm := fmt.Sprintf("vm-%04d", sizeEntries+x*31%(sizeVMs-sizeEntries))
+		reduce(event.Begun{Now: now, Route: route, Version: version, Organisation: org})
+		reduce(event.Observed{Now: now, Route: route, Version: version, Organisation: org, VM: vm})
+		reduce(event.LoadReceived{Now: now, Load: &wire.Load{Vm: vm, Epoch: 2, Sequence: uint64(x)}})
+	}
+	for i := range 3 {
+		reduce(event.DigestReceived{Now: now, Reply: i == 0, Sent: now, Digest: &wire.Digest{Vm: fmt.Sprintf("vm-%04d", (n*3+i)%sizeVMs), Zone: "zone-1", Epoch: 3, Offset: 1, Started: true}})
+	}
+	return effects
+}
+
+// judged is the evidence that a judge gets in one second: each entry tells it
+// six counts every 18 s.
+func judged(s *State, n int) {
+	const every, counts = 18, 6
+	now := clock.Millis(n) * clock.Second
+	for i := range sizeEntries {
+		if i%every != n%every {
+			continue
+		}
+		d := &wire.Digest{Vm: fmt.Sprintf("vm-%04d", i), Epoch: 4, Offset: 1, Started: true}
+		for k := range counts {
+			key := (n/every*counts + k) % sizeJudgeKeys
+			d.Counts = append(d.Counts, &wire.Count{
+				Vm: d.GetVm(), Epoch: 4, Route: fmt.Sprint("route-", key%sizeRoutes), Version: fmt.Sprintf("m%d@1", key%sizeVersions),
+				Organisation: fmt.Sprint("org-", key%sizeOrgs), Started: int64(n), Good: int64(n),
+			})
+		}
+		Reduce(s, event.DigestReceived{Now: now, Digest: d})
+	}
+}
+
+func heapBytes() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// A state that grows with what callers or peers send would take an entry VM's
+// memory within a day, and a view for every load report its processor.
+func TestSizeOfAnEntry(t *testing.T) {
+	const seconds, mostBytes, mostEffects = 600, 24 << 20, 40
+	is := is.New(t)
+	before := heapBytes()
+	s := sized(t)
+	empty := heapBytes() - before
+	effects := 0
+	for n := 1; n <= seconds; n++ {
+		effects += second(s, n)
+		judged(s, n)
+	}
+	full := heapBytes() - before
+	t.Logf("heap: %d bytes with tables and VMs, %d after %d s as a judge; %d effects a second", empty, full, seconds, effects/seconds)
+	is.True(full < mostBytes)
+	is.True(effects/seconds <= mostEffects)
+	runtime.KeepAlive(s)
+}
+
+// BenchmarkSecond shows what one second of an entry's events costs at the
+// two-year size, and what a judge's evidence adds.
+func BenchmarkSecond(b *testing.B) {
+	for name, more := range map[string]func(*State, int){"entry": func(*State, int) {}, "judge": judged} {
+		b.Run(name, func(b *testing.B) {
+			s := sized(b)
+			n := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				n++
+				second(s, n)
+				more(s, n)
+			}
+		})
+	}
+}
+
+func BenchmarkView(b *testing.B) {
+	s := sized(b)
+	b.ReportAllocs()
+	for b.Loop() {
+		s.View()
+	}
+}
--- a/membership/poll.go
+++ b/membership/poll.go
@@ -13,7 +13,7 @@
 	// useFor is how long after its last answer an endpoint counts as in use here.
 	useFor = 5 * clock.Minute
 	// pollsPerTick bounds the polls of one tick, and so the bytes they cost.
-	pollsPerTick = 2
+	pollsPerTick = 1
 	// looksPerTick bounds the VMs looked at for that.
 	looksPerTick = 32
 )
--- a/node/bytes_test.go
+++ b/node/bytes_test.go
@@ -71,3 +71,22 @@
 	t.Logf("an exchange: digests %d and %d bytes, frames %d, %d segments", proto.Size(in), proto.Size(out), frames, segments)
 	is.True(frames+(segments+acks)*headers <= 2*overhead)
 }
+
+// BenchmarkExchange shows what one exchange costs both ends together.
+func BenchmarkExchange(b *testing.B) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	n := New(Config{Settings: settings.Settings{VM: "endpoint-0001", Zone: "zone-a"}, Clock: clock.System()})
+	go func() { _ = peer.Serve(b.Context(), lis, n, nil) }()
+	pool := peer.NewPool()
+	defer pool.Close()
+	in := &wire.Digest{Vm: "entry-0001", Zone: "zone-b", Epoch: 1 << 60, Revision: 7, Offset: 8, Started: true}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err = pool.Peer(b.Context(), lis.Addr().String()).Exchange(b.Context(), in); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -56,7 +56,7 @@
 	follows map[string]context.CancelFunc
 	// loads numbers the loads told.
 	loads atomic.Uint64
-	// estimatesAt is the instant at which a digest last carried estimates.
+	// estimatesAt is the instant from which on a digest may carry estimates.
 	estimatesAt atomic.Int64
 	// load reports the endpoint's own load; nil in an entry.
 	load atomic.Pointer[func() *wire.Load]
--- a/node/peer.go
+++ b/node/peer.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 
+	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
+	"google.golang.org/protobuf/proto"
 )
 
 // Exchange takes in what a peer knows and returns what this process knows.
@@ -19,19 +21,24 @@
 	if load := n.load.Load(); load != nil {
 		d.Loads = append(d.Loads, (*load)())
 	}
-	if n.estimatesDue() {
-		d.Estimates = n.View().Quality().Wire()
-	}
+	n.addEstimates(d)
 	return d
 }
 
-// estimatesDue is true at most once every estimatesEvery. A digest that always
-// carried the estimates of all versions would take a node that many ask over its
-// share of the network.
-func (n *Node) estimatesDue() bool {
-	now := int64(n.cfg.Clock.Now())
-	last := n.estimatesAt.Load()
-	return now-last >= int64(estimatesEvery) && n.estimatesAt.CompareAndSwap(last, now)
+// addEstimates adds what is known of the versions' quality, at most once every
+// estimatesEvery and at most estimatesBytes a second. Digests that always carried
+// the estimates of all versions would take a node that many ask over its share of
+// the network.
+func (n *Node) addEstimates(d *wire.Digest) {
+	now, due := int64(n.cfg.Clock.Now()), n.estimatesAt.Load()
+	if now < due {
+		return
+	}
+	estimates := &wire.Digest{Estimates: n.View().Quality().Wire()}
+	pause := max(int64(estimatesEvery), int64(proto.Size(estimates))*int64(clock.Second)/estimatesBytes)
+	if n.estimatesAt.CompareAndSwap(due, now+pause) {
+		d.Estimates = estimates.GetEstimates()
+	}
 }
 
 // SetLoad gives the function that reports an endpoint's own load in digests.
--- a/node/spread.go
+++ b/node/spread.go
@@ -13,6 +13,8 @@
 	recordsTimeout  = 3 * clock.Second
 	// estimatesEvery is the least span between two digests that carry estimates.
 	estimatesEvery = 3 * clock.Second
+	// estimatesBytes bounds the bytes a second of estimates that a node sends.
+	estimatesBytes = 1 << 10
 	// maxCalls bounds the calls to peers under way; a further one is dropped
 	// and made good by a later exchange.
 	maxCalls = 64
--- a/spread/counts.go
+++ b/spread/counts.go
@@ -17,10 +17,11 @@
 const (
 	// tellEvery is the pace at which an entry of a small site tells a judge.
 	tellEvery = clock.Second
-	// judgeBytes bounds the bytes a second that a judge gets of all entries,
-	// taking messageBytes for one message and its answer.
-	judgeBytes   = 12 << 10
-	messageBytes = 600
+	// judgeBytes bounds the bytes a second that a judge gets of all entries for
+	// one model, taking messageBytes for one message and its answer. An entry may
+	// judge two models, beside all else that it does within 16 KB.
+	judgeBytes   = 5 << 10
+	messageBytes = 620
 	// countsPerMessage bounds the counts of one message to a judge.
 	countsPerMessage = 6
 	// maxTold bounds the keys whose telling is remembered; above it all are
@@ -137,9 +138,10 @@
 	return out
 }
 
-// choose takes the counts of one message: of each version in turn those that
-// changed and were told least recently. A new version with few requests is so
-// never crowded out by the one it shall replace.
+// choose takes the counts of one message, of each version those that changed
+// and were told least recently. The version with the fewest of them comes first
+// and leaves one place to each other: a new version has few requests, each of
+// them tells much, and the version it shall replace has plenty.
 func (s *Counts) choose(model string, report []*wire.Count) (counts []*wire.Count) {
 	byVersion := make(map[string][]*wire.Count)
 	var versions []string
@@ -152,24 +154,17 @@
 		}
 		byVersion[c.GetVersion()] = append(byVersion[c.GetVersion()], c)
 	}
-	slices.Sort(versions)
-	for _, v := range versions {
-		slices.SortStableFunc(byVersion[v], func(a, b *wire.Count) int {
+	slices.SortFunc(versions, func(a, b string) int {
+		return cmp.Or(cmp.Compare(len(byVersion[a]), len(byVersion[b])), cmp.Compare(a, b))
+	})
+	s.round++
+	for i, v := range versions {
+		of := byVersion[v]
+		slices.SortStableFunc(of, func(a, b *wire.Count) int {
 			return cmp.Or(cmp.Compare(s.told[keyOf(a)].round, s.told[keyOf(b)].round), cmp.Compare(hashOf(a), hashOf(b)))
 		})
-	}
-	s.round++
-	for i := 0; len(counts) < countsPerMessage; i++ {
-		more := false
-		for _, v := range versions {
-			if i < len(byVersion[v]) && len(counts) < countsPerMessage {
-				counts = append(counts, byVersion[v][i])
-				more = true
-			}
-		}
-		if !more {
-			break
-		}
+		room := countsPerMessage - len(counts) - (len(versions) - i - 1)
+		counts = append(counts, of[:min(len(of), max(room, 0))]...)
 	}
 	s.remember(counts)
 	return counts
--- a/spread/peers.go
+++ b/spread/peers.go
@@ -52,6 +52,21 @@
 	return out
 }
 
+// endpointsFirst leaves the entries out where there are endpoints enough: an
+// entry may have versions to judge, and both duties together would take it over
+// its share of the network.
+func endpointsFirst(vms []platform.VM) (out []platform.VM) {
+	for _, v := range vms {
+		if v.Role == platform.EndpointRole {
+			out = append(out, v)
+		}
+	}
+	if len(out) < readersPerZone {
+		return vms
+	}
+	return out
+}
+
 // readers returns the processes of this zone that read the log. Everyone in the
 // zone calls them in turn, so that a reader that is gone is suspected by the
 // next in rank, which then reads in its place; when it answers again, the duty
@@ -59,7 +74,7 @@
 func (s *State) readers(m *membership.Members) []platform.VM {
 	if s.ranked != m {
 		s.ranked = m
-		s.rank = First("read-config", readersPerZone, fit(m, m.Zone(s.zone)))
+		s.rank = First("read-config", readersPerZone, endpointsFirst(fit(m, m.Zone(s.zone))))
 	}
 	return s.rank
 }
