--- a/cli/decision_test.go
+++ b/cli/decision_test.go
@@ -17,19 +17,20 @@
 )
 
 // startDemo runs the demo's processes with its tables changed by replacements.
-func startDemo(t *testing.T, replacements ...string) *demo {
+func startDemo(t *testing.T, replacements ...string) *local {
 	is := is.New(t)
-	d := &demo{platform: standin.NewPlatform(), log: log.New(io.Discard)}
-	is.NoErr(d.start(t.Context()))
+	d := newLocal()
+	d.log = log.New(io.Discard)
+	is.NoErr(d.start(t.Context(), localShape{first: 20, gap: 5, tokens: 12}))
 	tables := strings.NewReplacer(replacements...).Replace(string(demoTables))
 	_, err := platform.NewHTTP(d.base, http.DefaultClient).Log().Append(t.Context(), platform.ConfigStream, []byte(tables))
 	is.NoErr(err)
-	is.NoErr(d.waitReady(t.Context()))
+	is.NoErr(d.waitReady(t.Context(), demoKey))
 	return d
 }
 
 // answerTo sends one chat completion and returns the response's headers.
-func (d *demo) answerTo(ctx context.Context, route, session string) (h http.Header, status int, err error) {
+func (d *local) answerTo(ctx context.Context, route, session string) (h http.Header, status int, err error) {
 	body := strings.NewReader(`{"model":"` + route + `","messages":[{"role":"user","content":"Is it due?"}]}`)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.callers[0]+"/v1/chat/completions", body)
 	if err != nil {
@@ -48,7 +49,7 @@
 	return resp.Header, resp.StatusCode, err
 }
 
-func billOf(t *testing.T, d *demo, request string) (b *wire.Bill) {
+func billOf(t *testing.T, d *local, request string) (b *wire.Bill) {
 	const patience = 30 * time.Second
 	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
 		for _, data := range d.platform.Records(platform.BillStream) {
