Holds reach processes that cannot read the log, and few read them from it

Cause: every process tailed the stream of holds: 690 long polls a second at 1,380 processes, and who could not read the log went on using a held version. Change: spread.Holds; digests carry the offset of holds, records of that stream are fetched from peers. Figures: 36 processes, one zone reading: held everywhere within 6 s of virtual time (TestHoldReachesThoseWithoutLog).

--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -30,6 +30,7 @@
 	queue calls
 	seq   int
 	log   [][]byte
+	holds [][]byte
 	// first and cut are the ends of the log that reads see; cut 0 shows all.
 	cut int
 	// readable says who can read the log.
@@ -183,13 +184,19 @@
 			c.reduce(p, event.DigestReceived{Now: c.at(p), Digest: m.(*wire.Digest), Reply: true, Sent: sent})
 		})
 	case event.FetchRecords:
-		in := &wire.RecordsRequest{From: f.From}
+		in := &wire.RecordsRequest{From: f.From, Stream: f.Stream}
 		c.call(p, f.VM, in, func(to *proc) proto.Message {
+			if in.GetStream() == platform.HoldStream {
+				return to.state.View().HoldTail().Reply(in.GetFrom())
+			}
 			return to.state.View().Tail().Reply(in.GetFrom())
 		}, func(m proto.Message) {
-			c.reduce(p, event.RecordsReceived{Now: c.at(p), From: f.VM, Reply: m.(*wire.RecordsReply)})
+			c.reduce(p, event.RecordsReceived{Now: c.at(p), From: f.VM, Stream: f.Stream, Reply: m.(*wire.RecordsReply)})
 		})
 	case event.Follow:
+		if f.Stream == platform.HoldStream {
+			return
+		}
 		p.following = f.On
 		if f.On {
 			c.poll(p)
@@ -236,6 +243,11 @@
 	if p.dead || p.paused || !p.following || !c.readable(p) {
 		return
 	}
+	holds := platform.Page{Head: int64(len(c.holds))}
+	for o := int(p.state.holds.Tail().End()); o < len(c.holds); o++ {
+		holds.Records = append(holds.Records, platform.Record{Offset: int64(o), Data: c.holds[o]})
+	}
+	c.reduce(p, event.LogRead{Now: c.at(p), Stream: platform.HoldStream, Page: holds})
 	head := len(c.log) - c.cut
 	page := platform.Page{Head: int64(head)}
 	for o := int(p.state.tail.End()); o < head; o++ {
--- a/control/control.go
+++ b/control/control.go
@@ -26,6 +26,7 @@
 	now      clock.Millis
 	tables   table.State
 	tail     spread.Tail
+	holds    spread.Holds
 	members  membership.State
 	spread   spread.State
 	draining bool
@@ -59,7 +60,7 @@
 func (s *State) View() *view.View {
 	v := view.New(s.tables.Tables(), s.tables.Revision(), s.spread.ConfirmedAt(), s.members.Members(), s.draining)
 	return v.WithEvidence(s.rollout.Holds(s.tables.Tables()), s.evidence.Report(), s.quality.Book()).
-		WithSpread(spread.Picture{VM: s.self, Zone: s.zone, Epoch: s.epoch, Tail: s.tail, Starting: !s.spread.Started()}).
+		WithSpread(spread.Picture{VM: s.self, Zone: s.zone, Epoch: s.epoch, Tail: s.tail, Holds: s.holds.Tail(), Starting: !s.spread.Started()}).
 		WithCheckpoint(s.saved)
 }
 
@@ -86,7 +87,7 @@
 
 // parts lists the reducers in the order in which they see each event.
 func (s *State) parts() []part {
-	return []part{s.reduceTables, s.reduceMembers, s.reduceDrain, s.reduceSpread, s.reduceEvidence, s.reduceSaves}
+	return []part{s.reduceTables, s.reduceMembers, s.reduceDrain, s.reduceEvidence, s.reduceSpread, s.reduceSaves}
 }
 
 func (s *State) reduceMembers(e event.Event) (effects []event.Effect, changed bool) {
@@ -94,7 +95,7 @@
 }
 
 func (s *State) reduceSpread(e event.Event) (effects []event.Effect, changed bool) {
-	local := spread.Local{Offset: s.tables.Offset(), Tables: s.tables.Tables() != nil}
+	local := spread.Local{Offset: s.tables.Offset(), Tables: s.tables.Tables() != nil, Holds: s.holds.Tail().End()}
 	return s.spread.Reduce(e, local, s.members.Members())
 }
 
@@ -103,7 +104,13 @@
 	deltas, told := s.evidence.Reduce(e)
 	s.quality.Reduce(e, deltas)
 	known := rollout.Known{Self: s.self, Now: s.now, Tables: s.tables.Tables(), VMs: s.members.Members().VMs()}
+	fresh, fetches := s.holds.Reduce(e, s.members.Members())
+	if _, ofPeer := e.(event.RecordsReceived); ofPeer && len(fresh) > 0 {
+		e = event.LogRead{Now: s.now, Stream: platform.HoldStream, Page: platform.Page{Records: fresh}}
+	}
 	effects, changed = s.rollout.Reduce(e, deltas, known)
+	effects = append(effects, fetches...)
+	changed = changed || len(fresh) > 0
 	effects = append(effects, s.counts.Reduce(e, s.evidence.Report(), s.members.Members())...)
 	return effects, changed || told
 }
@@ -145,6 +152,9 @@
 		}
 		effects = append(effects, s.noteCut(e.Page.Head)...)
 	case event.RecordsReceived:
+		if e.Stream != "" {
+			return nil, false
+		}
 		effects = s.imports(e)
 		if e.Reply.GetFrom() > s.tables.Offset() {
 			break
--- a/control/failure_test.go
+++ b/control/failure_test.go
@@ -8,6 +8,7 @@
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/rollout"
 )
 
 func settled(t *testing.T, n, zones int) *cluster {
@@ -184,3 +185,22 @@
 	is.Equal(p.revision, int64(1))
 	is.True(p.state.View().Ready())
 }
+
+// A version is held while most processes cannot read the log. Those would go on
+// sending requests to it, and each of them would find out for itself that it is
+// bad.
+func TestHoldReachesThoseWithoutLog(t *testing.T) {
+	is := is.New(t)
+	c := settled(t, 36, 12)
+	c.readable = func(p *proc) bool { return p.vm.Zone == "zone-0" }
+	data, err := rollout.Encode(&wire.Hold{Version: "m@2"})
+	is.NoErr(err)
+	c.holds = append(c.holds, data)
+	c.run(6*clock.Second, nil)
+	for _, p := range c.procs {
+		is.True(p.state.View().Holds().Held("m@2", "any"))
+	}
+	next := c.start(5, 800)
+	c.run(settle, nil)
+	is.True(next.state.View().Holds().Held("m@2", "any")) // and one that starts later
+}
--- a/event/event.go
+++ b/event/event.go
@@ -55,9 +55,11 @@
 
 // RecordsReceived brings configuration records from a peer.
 type RecordsReceived struct {
-	Now   clock.Millis
-	From  string
-	Reply *wire.RecordsReply
+	Now  clock.Millis
+	From string
+	// Stream is the log's stream; empty for the configuration.
+	Stream string
+	Reply  *wire.RecordsReply
 }
 
 // LoadReceived brings an endpoint's load from an answer.
@@ -138,6 +140,8 @@
 	VM      string
 	Address string
 	From    int64
+	// Stream is the log's stream; empty for the configuration.
+	Stream string
 }
 
 // Publish asks the shell to publish the state's view to traffic.
--- a/node/node.go
+++ b/node/node.go
@@ -156,6 +156,9 @@
 			}
 			from = max(from, t.End())
 		}
+		if stream == platform.HoldStream {
+			from = max(from, n.View().HoldTail().End())
+		}
 		page, err := n.read(ctx, stream, from)
 		if err != nil {
 			n.loop.Post(ctx, event.LogFailed{Now: n.cfg.Clock.Now(), Stream: stream, Err: err})
--- a/node/peer.go
+++ b/node/peer.go
@@ -6,6 +6,7 @@
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
+	"github.com/parsleydeal/parsleydeal/platform"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -62,10 +63,13 @@
 	n.loop.Offer(event.PeerFailed{Now: n.cfg.Clock.Now(), VM: vm})
 }
 
-// Records returns configuration records that this process still keeps, or the
-// checkpoint of its tables to one that lacks earlier ones.
+// Records returns records that this process still keeps; of the configuration
+// also the checkpoint of its tables to one that lacks earlier ones.
 func (n *Node) Records(_ context.Context, in *wire.RecordsRequest) (out *wire.RecordsReply, err error) {
 	v := n.View()
+	if in.GetStream() == platform.HoldStream {
+		return v.HoldTail().Reply(max(in.GetFrom(), v.HoldTail().From())), nil
+	}
 	out = v.Tail().Reply(in.GetFrom())
 	if c := v.Checkpoint(); c != nil && in.GetFrom() < v.Tail().From() {
 		data, err := c.Encode()
--- a/node/spread.go
+++ b/node/spread.go
@@ -51,12 +51,12 @@
 
 func (n *Node) fetch(e event.FetchRecords) {
 	n.call(recordsTimeout, func(ctx context.Context) {
-		reply, err := n.cfg.Peers.Peer(ctx, e.Address).Records(ctx, &wire.RecordsRequest{From: e.From})
+		reply, err := n.cfg.Peers.Peer(ctx, e.Address).Records(ctx, &wire.RecordsRequest{From: e.From, Stream: e.Stream})
 		if err != nil {
 			n.NotReached(e.VM)
 			return
 		}
-		n.loop.Post(n.ctx, event.RecordsReceived{Now: n.cfg.Clock.Now(), From: e.VM, Reply: reply})
+		n.loop.Post(n.ctx, event.RecordsReceived{Now: n.cfg.Clock.Now(), From: e.VM, Stream: e.Stream, Reply: reply})
 	})
 }
 
--- a/spread/peers.go
+++ b/spread/peers.go
@@ -89,7 +89,7 @@
 		return nil
 	}
 	s.following, s.followed = on, true
-	return []event.Effect{event.Follow{Stream: platform.ConfigStream, On: on}}
+	return []event.Effect{event.Follow{Stream: platform.ConfigStream, On: on}, event.Follow{Stream: platform.HoldStream, On: on}}
 }
 
 // next chooses the peer of the next exchange. While starting, other zones come
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -39,6 +39,8 @@
 	Offset int64
 	// Tables is true once there are tables.
 	Tables bool
+	// Holds is the next offset of the stream of holds.
+	Holds int64
 }
 
 // State reduces how far this process and its peers have read.
@@ -71,6 +73,8 @@
 	// rank holds the readers among the members ranked.
 	rank   []platform.VM
 	ranked *membership.Members
+	// holds is Local.Holds as of the last event.
+	holds int64
 	// words is how many words on leaving had been heard at the last event.
 	words int
 }
@@ -99,7 +103,8 @@
 // when a view must tell traffic.
 func (s *State) Reduce(e event.Event, l Local, m *membership.Members) (effects []event.Effect, changed bool) {
 	started, confirmed := s.started, s.confirmedAt
-	grown := l.Offset > s.offset
+	grown := l.Offset > s.offset || l.Holds > s.holds
+	s.holds = l.Holds
 	s.offset = max(s.offset, l.Offset)
 	effects = s.take(e, m)
 	s.start(l, m)
@@ -202,7 +207,7 @@
 }
 
 func (s *State) received(e event.RecordsReceived) {
-	if e.From != s.fetching {
+	if e.Stream != "" || e.From != s.fetching {
 		return
 	}
 	s.fetching = ""
@@ -315,6 +320,7 @@
 	Zone  string
 	Epoch uint64
 	Tail  Tail
+	Holds Tail
 	// Starting is true until the process knows the tables in force.
 	Starting bool
 }
@@ -324,7 +330,8 @@
 	return &wire.Digest{
 		Vm: p.VM, Zone: p.Zone, Epoch: p.Epoch,
 		Revision: revision, Offset: p.Tail.End(), Started: !p.Starting,
-		Leaving: leaving, Leavings: m.Leavings(),
+		HoldOffset: p.Holds.End(),
+		Leaving:    leaving, Leavings: m.Leavings(),
 		StalenessMillis: int64(staleness),
 	}
 }
--- a/view/view.go
+++ b/view/view.go
@@ -90,6 +90,9 @@
 // Tail returns the configuration's last records, for peers that are behind.
 func (v *View) Tail() spread.Tail { return v.spread.Tail }
 
+// HoldTail returns the last records of the stream of holds.
+func (v *View) HoldTail() spread.Tail { return v.spread.Holds }
+
 // Digest returns what this process tells its peers at an instant.
 func (v *View) Digest(now clock.Millis) *wire.Digest {
 	return v.spread.Digest(v.revision, now-v.confirmedAt, v.draining, v.members)
