--- a/entry/cascade.go
+++ b/entry/cascade.go
@@ -35,11 +35,13 @@
 	}
 	var held []*wire.Piece
 	req.judging = true
+	drop := req.drop
+	req.drop = func() { held = nil }
 	err = e.tries(ctx, req, func(p *wire.Piece) error {
 		held = append(held, p)
 		return nil
 	})
-	req.judging = false
+	req.judging, req.drop = false, drop
 	if err != nil {
 		return err
 	}
--- a/entry/work.go
+++ b/entry/work.go
@@ -1,6 +1,9 @@
 package entry
 
 import (
+	"slices"
+
+	answers "github.com/parsleydeal/parsleydeal/answer"
 	"github.com/parsleydeal/parsleydeal/chat"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
@@ -33,10 +36,19 @@
 	// request last held; round is 0 while it held none.
 	round uint32
 	claim int64
+	// gateEpoch is the start of the gate process that the attempt is meant for; 0
+	// when this entry has not heard it.
+	gateEpoch uint64
 	// fingerprint digests the call for its claim; only plain services set it.
 	fingerprint func() (sum []byte, err error)
 	// send sends the head and the body to a gate.
 	send func(stream wire.DRPCGate_RunClient, head *wire.RunHead) error
+	// progress is what was taken of the answer over all attempts, and way how the
+	// next attempt goes on from it.
+	progress answers.Progress
+	way      answers.Way
+	// drop forgets the parts of an answer that starts again.
+	drop func()
 	// bodySpent is true once a body that cannot be read again has been read.
 	bodySpent bool
 
@@ -69,6 +81,8 @@
 	method  string
 	path    string
 	headers []*wire.Header
+	// stopBody makes a waiting read of the caller's body fail.
+	stopBody func()
 }
 
 // target names what the request asks for, a version or a plain service.
@@ -84,5 +98,10 @@
 	if r.service != "" {
 		return []string{r.pool}
 	}
-	return r.view.Tables().PoolsOf(r.version)
+	t := r.view.Tables()
+	names := t.PoolsOf(r.version)
+	if r.way == answers.Resume {
+		names = slices.DeleteFunc(names, func(name string) bool { return !t.Pools[name].Resumes })
+	}
+	return names
 }
