--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -38,6 +38,9 @@
 	// parted says whose messages are lost.
 	parted func(from, to *proc) bool
 	listed []platform.VM
+	// swallow drops one call in four without a word, as a shell does that has too
+	// many under way.
+	swallow bool
 	// moved is true when a revision has changed since done was last asked.
 	moved bool
 }
@@ -208,6 +211,9 @@
 func (c *cluster) call(p *proc, vm string, in proto.Message, serve func(*proc) proto.Message, answer func(proto.Message)) {
 	to := c.byVM[vm]
 	p.bytes += proto.Size(in) + callOverhead
+	if c.swallow && xxhash.Sum64String(fmt.Sprint(c.seq))%4 == 0 {
+		return
+	}
 	if to == nil || to.dead || to.paused || c.parted(p, to) {
 		c.after(clock.Second, func() { c.reduce(p, event.PeerFailed{Now: c.at(p), VM: vm}) })
 		return
--- a/control/random_test.go
+++ b/control/random_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/event"
+	"github.com/parsleydeal/parsleydeal/platform"
 	"pgregory.net/rapid"
 )
 
@@ -43,11 +45,15 @@
 			"log-of-one-zone": func(*rapid.T) {
 				c.readable = func(p *proc) bool { return p.vm.Zone == "zone-0" }
 			},
-			"log-cut":   func(t *rapid.T) { c.cut = min(rapid.IntRange(0, 3).Draw(t, "records"), len(c.log)-1) },
-			"part-zone": func(*rapid.T) { c.parted = func(a, b *proc) bool { return (a.vm.Zone == "zone-0") != (b.vm.Zone == "zone-0") } },
-			"meet":      func(*rapid.T) { c.parted = func(_, _ *proc) bool { return false } },
-			"wait":      func(t *rapid.T) { c.run(clock.Millis(rapid.IntRange(1, 8000).Draw(t, "span")), nil) },
-			"":          func(t *rapid.T) { c.check(t) },
+			"log-cut": func(t *rapid.T) { c.cut = min(rapid.IntRange(0, 3).Draw(t, "records"), len(c.log)-1) },
+			"part-zone": func(*rapid.T) {
+				c.parted = func(a, b *proc) bool { return (a.vm.Zone == "zone-0") != (b.vm.Zone == "zone-0") }
+			},
+			"meet":    func(*rapid.T) { c.parted = func(_, _ *proc) bool { return false } },
+			"swallow": func(*rapid.T) { c.swallow = !c.swallow },
+			"reread":  func(t *rapid.T) { c.reread(current(one(t))) },
+			"wait":    func(t *rapid.T) { c.run(clock.Millis(rapid.IntRange(1, 8000).Draw(t, "span")), nil) },
+			"":        func(t *rapid.T) { c.check(t) },
 		})
 		c.mend(n, &epoch)
 		c.publish()
@@ -82,9 +88,20 @@
 	}
 }
 
+// reread hands a process the log from its beginning once more, as after a
+// connection that was made anew.
+func (c *cluster) reread(p *proc) {
+	page := platform.Page{Head: int64(len(c.log))}
+	for o, data := range c.log {
+		page.Records = append(page.Records, platform.Record{Offset: int64(o), Data: data})
+	}
+	c.reduce(p, event.LogRead{Now: c.at(p), Stream: platform.ConfigStream, Page: page})
+}
+
 // mend ends all failures and starts a process on each VM that has none.
 func (c *cluster) mend(n int, epoch *uint64) {
 	c.cut = 0
+	c.swallow = false
 	c.readable = func(*proc) bool { return true }
 	c.parted = func(_, _ *proc) bool { return false }
 	for i := range n {
