Stop: a process waits until peers were told that it leaves

Cause: an idle process ended before its word was on the way; the VM list lags. Change: Node.Told in both daemons' settle; status and metrics show suspected VMs; staleness is -1 when never confirmed. Proof: TestStopIsToldBeforeTheEnd fails without Told.

--- a/cli/daemon.go
+++ b/cli/daemon.go
@@ -213,6 +213,7 @@
 func settle(ctx context.Context, n *node.Node, l *log.Logger) {
 	ctx, cancel := context.WithTimeout(ctx, settleLimit.Duration())
 	defer cancel()
+	n.Told(ctx)
 	if n.Billing().Settled(ctx) != nil {
 		own, held := n.Billing().Waiting()
 		l.Warn("Process stops with bills that only one other process has", "own", own, "held", held)
--- /dev/null
+++ b/node/leave_test.go
@@ -0,0 +1,66 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/peer"
+	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/settings"
+)
+
+// startNode runs a node without a log, which serves peers on a listener.
+func startNode(ctx context.Context, t *testing.T, lis net.Listener, vm string, vms func() []platform.VM) *Node {
+	t.Helper()
+	s := settings.Default()
+	s.VM, s.Zone, s.VMListEvery = vm, "zone-"+vm, 20
+	n := New(Config{
+		Settings: s, Clock: clock.System(), Log: log.New(io.Discard), Peers: peer.NewPool(),
+		Store: platform.Log{Read: func(ctx context.Context, _ string, _ int64, _ clock.Millis) (p platform.Page, err error) {
+			return p, platform.ErrUnavailable.New("out")
+		}},
+		VMs: platform.VMList{List: func(context.Context) ([]platform.VM, error) { return vms(), nil }},
+	})
+	n.Start(ctx)
+	go func() { _ = peer.Serve(ctx, lis, n, nil) }()
+	return n
+}
+
+// An idle process is asked to stop and ends within milliseconds. Peers that did
+// not hear of it would send it work until the lagging VM list has caught up.
+func TestStopIsToldBeforeTheEnd(t *testing.T) {
+	is := is.New(t)
+	var vms []platform.VM
+	var listeners []net.Listener
+	for _, id := range []string{"a", "b"} {
+		lis, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		listeners = append(listeners, lis)
+		vms = append(vms, platform.VM{ID: id, Role: platform.EntryRole, Zone: "zone-" + id, Address: lis.Addr().String()})
+	}
+	list := func() []platform.VM { return vms }
+	ctx, end := context.WithCancel(t.Context())
+	leaver := startNode(ctx, t, listeners[0], "a", list)
+	other := startNode(t.Context(), t, listeners[1], "b", list)
+	eventually(t, func() bool { return len(leaver.View().Members().VMs()) == 2 && len(other.View().Members().VMs()) == 2 })
+	leaver.Drain(ctx)
+	leaver.Told(ctx)
+	end()
+	eventually(t, func() bool { return other.View().Members().Leaving(vms[0]) })
+}
+
+func eventually(t *testing.T, done func() bool) {
+	t.Helper()
+	const patience = 20 * time.Second
+	for deadline := time.Now().Add(patience); !done(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("condition did not come about")
+		}
+	}
+}
--- a/node/spread.go
+++ b/node/spread.go
@@ -35,6 +35,25 @@
 	})
 }
 
+const (
+	// tellLimit bounds the wait of a stop for peers to be told.
+	tellLimit = 2 * clock.Second
+	tellPoll  = 10 * clock.Millis(1)
+)
+
+// Told waits, after Drain, until peers have been told that this process leaves.
+// An idle process that ended at once would take its word with it, and be sent
+// work for as long as the VM list lags.
+func (n *Node) Told(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, tellLimit.Duration())
+	defer cancel()
+	for !n.View().Draining() || len(n.calls) > 0 {
+		if !pause(ctx, tellPoll) {
+			return
+		}
+	}
+}
+
 func (n *Node) exchange(e event.Exchange) {
 	n.call(exchangeTimeout, func(ctx context.Context) {
 		sent := n.cfg.Clock.Now()
--- a/operations/status.go
+++ b/operations/status.go
@@ -41,6 +41,8 @@
 	Entries   int      `json:"entries"`
 	Endpoints int      `json:"endpoints"`
 	Leaving   []string `json:"leaving"`
+	// Suspected VMs could not be reached lately.
+	Suspected []string `json:"suspected"`
 }
 
 // Snapshot returns the status at this instant.
@@ -73,7 +75,7 @@
 }
 
 func (p *Port) staleness(v *view.View) int64 {
-	if v.Tables() == nil {
+	if v.Tables() == nil || !v.Confirmed() {
 		return -1
 	}
 	return int64(p.node.Clock().Since(v.ConfirmedAt()))
@@ -81,6 +83,7 @@
 
 func membersOf(v *view.View) (m Members) {
 	m.Leaving = []string{}
+	m.Suspected = []string{}
 	for _, vm := range v.Members().VMs() {
 		switch vm.Role {
 		case platform.EntryRole:
@@ -91,6 +94,9 @@
 		if v.Members().Leaving(vm) {
 			m.Leaving = append(m.Leaving, vm.ID)
 		}
+		if v.Members().Suspected(vm.ID) {
+			m.Suspected = append(m.Suspected, vm.ID)
+		}
 	}
 	return m
 }
@@ -117,6 +123,7 @@
 	gauge("parsleydeal_control_events_dropped_total", func() float64 { return float64(p.node.Loop().Dropped()) })
 	gauge(`parsleydeal_members{role="entry"}`, func() float64 { return float64(membersOf(p.node.View()).Entries) })
 	gauge(`parsleydeal_members{role="endpoint"}`, func() float64 { return float64(membersOf(p.node.View()).Endpoints) })
+	gauge("parsleydeal_members_suspected", func() float64 { return float64(len(membersOf(p.node.View()).Suspected)) })
 	gauge("parsleydeal_members_leaving", func() float64 { return float64(len(membersOf(p.node.View()).Leaving)) })
 }
 
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -26,13 +26,14 @@
 	fanOut = 4
 	// maxAhead bounds the peers remembered to be ahead; the oldest falls out.
 	maxAhead = 8
-	// neverConfirmed stands for no confirmation at all: long before any instant.
-	neverConfirmed = clock.Millis(-1 << 50)
 	// startVoices is how many peers a process hears before it starts without
 	// the log.
 	startVoices = 3
 )
 
+// NeverConfirmed stands for no confirmation at all: long before any instant.
+const NeverConfirmed = clock.Millis(-1 << 50)
+
 // Local is what the process itself has reduced.
 type Local struct {
 	// Offset is the next offset of the log to reduce.
@@ -88,7 +89,7 @@
 
 // New returns the state of a process that has just begun.
 func New(self, zone string) State {
-	return State{self: self, zone: zone, confirmedAt: neverConfirmed, voices: make(map[string]string)}
+	return State{self: self, zone: zone, confirmedAt: NeverConfirmed, voices: make(map[string]string)}
 }
 
 // Started reports whether the process knows the tables in force, so far as the
--- a/view/view.go
+++ b/view/view.go
@@ -64,6 +64,9 @@
 // process's clock.
 func (v *View) ConfirmedAt() clock.Millis { return v.confirmedAt }
 
+// Confirmed reports whether the revision was ever known to be current.
+func (v *View) Confirmed() bool { return v.confirmedAt > spread.NeverConfirmed }
+
 // Members returns the VMs.
 func (v *View) Members() *membership.Members { return v.members }
 
