--- a/node/leave_test.go
+++ b/node/leave_test.go
@@ -22,7 +22,7 @@
 	s.VM, s.Zone, s.VMListEvery = vm, "zone-"+vm, 20
 	n := New(Config{
 		Settings: s, Clock: clock.System(), Log: log.New(io.Discard), Peers: peer.NewPool(),
-		Store: platform.Log{Read: func(ctx context.Context, _ string, _ int64, _ clock.Millis) (p platform.Page, err error) {
+		Store: platform.Log{Read: func(_ context.Context, _ string, _ int64, _ clock.Millis) (p platform.Page, err error) {
 			return p, platform.ErrUnavailable.New("out")
 		}},
 		VMs: platform.VMList{List: func(context.Context) ([]platform.VM, error) { return vms(), nil }},
