Burn survives planned stops: an entry hands its counts to two others

Change: lives as buckets with ages, Peer.Inherit, heirs by rendezvous; merged by VM and epoch. Proof: TestPlannedStopHandsOn.

--- a/burn/burn_test.go
+++ b/burn/burn_test.go
@@ -151,6 +151,47 @@
 	is.Equal(m.Judge().find(is, "availability").Events, int64(3*maxKeys))
 }
 
+// Entries are replaced one after the other all day. A report that lost what each
+// had served, or counted it at both heirs, would show a budget that is not there.
+func TestPlannedStopHandsOn(t *testing.T) {
+	is := is.New(t)
+	first, second, third := newTimed(), newTimed(), newTimed()
+	second.now, third.now = 5*clock.Hour, 90*clock.Hour // clocks of their own
+	hand := func(from *timed, vm string, to ...*timed) {
+		for _, l := range from.r.Lives(vm, 1) {
+			data, err := l.Pack()
+			is.NoErr(err)
+			got, err := Unpack(data)
+			is.NoErr(err)
+			for _, x := range to {
+				x.r.Inherit(got)
+				x.r.Inherit(got)
+			}
+		}
+	}
+	judge := func() Line {
+		m, err := Merge([]*Report{second.report(is, "b", 1), third.report(is, "c", 1)})
+		is.NoErr(err)
+		return m.Judge().find(is, "availability")
+	}
+	first.r.Add(Key{Route: "dossier"}, Tally{Requests: 100, Unanswered: 50})
+	first.now += clock.Minute
+	hand(first, "a", second, third)
+	is.Equal(judge().Events, int64(100))
+	is.True(judge().Rates["5m"] > 0)
+	second.now += 10 * clock.Minute
+	third.now += 10 * clock.Minute
+	_, recent := judge().Rates["5m"]
+	is.True(!recent) // it left the short window at both heirs
+	second.r.Add(Key{Route: "dossier"}, Tally{Requests: 10})
+	hand(second, "b", third)
+	is.Equal(judge().Events, int64(110))
+	third.now += 80 * clock.Hour
+	m, err := Merge([]*Report{third.report(is, "c", 1)})
+	is.NoErr(err)
+	is.Equal(m.Judge().find(is, "availability").Events, int64(0))
+}
+
 func BenchmarkAdd(b *testing.B) {
 	x := newTimed()
 	b.ReportAllocs()
--- a/burn/recorder.go
+++ b/burn/recorder.go
@@ -51,6 +51,8 @@
 	// latencies holds at most maxRoutes routes.
 	latencies map[string]*latency
 	startedAt clock.Millis
+	// inherited holds at most maxLives lives, the one taken first in front.
+	inherited []inherited
 }
 
 type bucket struct {
--- a/burn/report.go
+++ b/burn/report.go
@@ -48,6 +48,8 @@
 	Objectives    map[string]Objective `json:"objectives"`
 	Windows       map[string][]Row     `json:"windows"`
 	Latencies     []Latency            `json:"latencies"`
+	// Inherited holds what processes that stopped handed to this one.
+	Inherited []*Report `json:"inherited,omitempty"`
 }
 
 // Report makes the report of this process. Tables may be nil.
@@ -66,6 +68,7 @@
 		}
 		out.Latencies = append(out.Latencies, x)
 	}
+	out.Inherited = r.reports(now)
 	slices.SortFunc(out.Latencies, func(a, b Latency) int { return cmp.Compare(a.Route, b.Route) })
 	return out, nil
 }
@@ -153,9 +156,11 @@
 	}
 	latest := make(map[life]*Report)
 	for _, r := range reports {
-		k := life{r.VM, r.Epoch}
-		if old := latest[k]; old == nil || old.CoveredMillis < r.CoveredMillis {
-			latest[k] = r
+		for _, x := range append([]*Report{r}, r.Inherited...) {
+			k := life{x.VM, x.Epoch}
+			if old := latest[k]; old == nil || old.CoveredMillis < x.CoveredMillis {
+				latest[k] = x
+			}
 		}
 	}
 	m = &Merged{Revision: -1, Processes: len(latest), windows: make(map[string]map[Key]Tally), first: make(map[string]*hdrhistogram.Histogram), gap: make(map[string]*hdrhistogram.Histogram)}
--- a/cli/daemon.go
+++ b/cli/daemon.go
@@ -163,6 +163,9 @@
 	}()
 	l.Info("Entry serves callers", "vm", s.VM, "address", callers.Addr())
 	err = e.Serve(serving, callers)
+	if handErr := e.HandBurn(inner); handErr != nil {
+		l.Warn("What was counted for the burn report could not be handed on", "vm", s.VM, "error", handErr)
+	}
 	settle(inner, p.node, l)
 	l.Info("Entry stopped", "vm", s.VM)
 	return err
--- a/entry/burn.go
+++ b/entry/burn.go
@@ -15,6 +15,29 @@
 	return e.burn.Report(e.node.Settings().VM, e.node.Epoch(), v.Tables(), v.Revision())
 }
 
+// inheritBurn takes what a stopping entry counted.
+func (e *Entry) inheritBurn(data []byte) (err error) {
+	l, err := burn.Unpack(data)
+	if err == nil {
+		e.burn.Inherit(l)
+	}
+	return err
+}
+
+// HandBurn gives what this process counted, and what it has taken over, to other
+// entries. It is called at a planned stop.
+func (e *Entry) HandBurn(ctx context.Context) (err error) {
+	var packed [][]byte
+	for _, l := range e.burn.Lives(e.node.Settings().VM, e.node.Epoch()) {
+		data, err := l.Pack()
+		if err != nil {
+			return err
+		}
+		packed = append(packed, data)
+	}
+	return e.node.Hand(ctx, packed)
+}
+
 // burnRequest counts the end of an admitted request. What the caller did wrong
 // or gave up says nothing of the service.
 func (e *Entry) burnRequest(req *work, route string, err error) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -35,7 +35,7 @@
 // New makes an entry over a node; ServePeers and Handler run it.
 func New(n *node.Node) *Entry {
 	s := n.Settings().Session
-	return &Entry{
+	e := &Entry{
 		node:     n,
 		inflight: choice.NewInflight(),
 		sessions: session.NewKeys(s.Keys, s.Current),
@@ -45,6 +45,8 @@
 		meter:    newMeter(n.Metrics()),
 		burn:     burn.NewRecorder(n.Clock()),
 	}
+	n.SetInherit(e.inheritBurn)
+	return e
 }
 
 // ServePeers answers peers on a listener until the context ends.
--- a/node/node.go
+++ b/node/node.go
@@ -55,6 +55,8 @@
 	calls chan struct{}
 	// follows ends the reading of a stream; only the control goroutine uses it.
 	follows map[string]context.CancelFunc
+	// inherit takes what a stopping entry hands on; nil in an endpoint.
+	inherit atomic.Pointer[func(life []byte) error]
 	// loads numbers the loads told.
 	loads atomic.Uint64
 	// estimatesAt is the instant from which on a digest may carry estimates.
