--- a/cli/daemon.go
+++ b/cli/daemon.go
@@ -166,6 +166,9 @@
 	}()
 	l.Info("Entry serves callers", "vm", s.VM, "address", callers.Addr())
 	err = e.Serve(serving, callers)
+	if handErr := e.HandBurn(inner); handErr != nil {
+		l.Warn("What was counted for the burn report could not be handed on", "vm", s.VM, "error", handErr)
+	}
 	settle(inner, p.node, l)
 	l.Info("Entry stopped", "vm", s.VM)
 	return err
@@ -246,6 +249,7 @@
 func settle(ctx context.Context, n *node.Node, l *log.Logger) {
 	ctx, cancel := context.WithTimeout(ctx, settleLimit.Duration())
 	defer cancel()
+	n.Told(ctx)
 	if n.Billing().Settled(ctx) != nil {
 		own, held := n.Billing().Waiting()
 		l.Warn("Process stops with bills that only one other process has", "own", own, "held", held)
--- a/node/node.go
+++ b/node/node.go
@@ -56,9 +56,11 @@
 	calls chan struct{}
 	// follows ends the reading of a stream; only the control goroutine uses it.
 	follows map[string]context.CancelFunc
+	// inherit takes what a stopping entry hands on; nil in an endpoint.
+	inherit atomic.Pointer[func(life []byte) error]
 	// loads numbers the loads told.
 	loads atomic.Uint64
-	// estimatesAt is the instant at which a digest last carried estimates.
+	// estimatesAt is the instant from which on a digest may carry estimates.
 	estimatesAt atomic.Int64
 	// handler carries out the effects of the endpoint's part; nil in an entry.
 	handler atomic.Pointer[func(event.Effect)]
@@ -117,7 +119,6 @@
 	n.run(func() { n.loop.Run(ctx) })
 	n.run(func() { n.every(ctx, tickEvery, func() { n.loop.Post(ctx, event.Tick{Now: n.cfg.Clock.Now()}) }) })
 	n.run(func() { n.readVMs(ctx) })
-	n.run(func() { n.tailHolds(ctx) })
 	n.claims.mu.Lock()
 	n.claims.ctx = ctx
 	n.claims.mu.Unlock()
@@ -160,6 +161,9 @@
 			}
 			from = max(from, t.End())
 		}
+		if stream == platform.HoldStream {
+			from = max(from, n.View().HoldTail().End())
+		}
 		page, err := n.read(ctx, stream, from)
 		if err != nil {
 			n.loop.Post(ctx, event.LogFailed{Now: n.cfg.Clock.Now(), Stream: stream, Err: err})
--- a/node/spread.go
+++ b/node/spread.go
@@ -13,6 +13,8 @@
 	recordsTimeout  = 3 * clock.Second
 	// estimatesEvery is the least span between two digests that carry estimates.
 	estimatesEvery = 3 * clock.Second
+	// estimatesBytes bounds the bytes a second of estimates that a node sends.
+	estimatesBytes = 1 << 10
 	// maxCalls bounds the calls to peers under way; a further one is dropped
 	// and made good by a later exchange.
 	maxCalls = 64
@@ -33,6 +35,25 @@
 	})
 }
 
+const (
+	// tellLimit bounds the wait of a stop for peers to be told.
+	tellLimit = 2 * clock.Second
+	tellPoll  = 10 * clock.Millis(1)
+)
+
+// Told waits, after Drain, until peers have been told that this process leaves.
+// An idle process that ended at once would take its word with it, and be sent
+// work for as long as the VM list lags.
+func (n *Node) Told(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, tellLimit.Duration())
+	defer cancel()
+	for !n.View().Draining() || len(n.calls) > 0 {
+		if !pause(ctx, tellPoll) {
+			return
+		}
+	}
+}
+
 func (n *Node) exchange(e event.Exchange) {
 	n.call(exchangeTimeout, func(ctx context.Context) {
 		sent := n.cfg.Clock.Now()
@@ -49,12 +70,12 @@
 
 func (n *Node) fetch(e event.FetchRecords) {
 	n.call(recordsTimeout, func(ctx context.Context) {
-		reply, err := n.cfg.Peers.Peer(ctx, e.Address).Records(ctx, &wire.RecordsRequest{From: e.From})
+		reply, err := n.cfg.Peers.Peer(ctx, e.Address).Records(ctx, &wire.RecordsRequest{From: e.From, Stream: e.Stream})
 		if err != nil {
 			n.NotReached(e.VM)
 			return
 		}
-		n.loop.Post(n.ctx, event.RecordsReceived{Now: n.cfg.Clock.Now(), From: e.VM, Reply: reply})
+		n.loop.Post(n.ctx, event.RecordsReceived{Now: n.cfg.Clock.Now(), From: e.VM, Stream: e.Stream, Reply: reply})
 	})
 }
 
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -26,19 +26,22 @@
 	fanOut = 4
 	// maxAhead bounds the peers remembered to be ahead; the oldest falls out.
 	maxAhead = 8
-	// neverConfirmed stands for no confirmation at all: long before any instant.
-	neverConfirmed = clock.Millis(-1 << 50)
 	// startVoices is how many peers a process hears before it starts without
 	// the log.
 	startVoices = 3
 )
 
+// NeverConfirmed stands for no confirmation at all: long before any instant.
+const NeverConfirmed = clock.Millis(-1 << 50)
+
 // Local is what the process itself has reduced.
 type Local struct {
 	// Offset is the next offset of the log to reduce.
 	Offset int64
 	// Tables is true once there are tables.
 	Tables bool
+	// Holds is the next offset of the stream of holds.
+	Holds int64
 }
 
 // State reduces how far this process and its peers have read.
@@ -71,6 +74,8 @@
 	// rank holds the readers among the members ranked.
 	rank   []platform.VM
 	ranked *membership.Members
+	// holds is Local.Holds as of the last event.
+	holds int64
 	// words is how many words on leaving had been heard at the last event.
 	words int
 }
@@ -84,7 +89,7 @@
 
 // New returns the state of a process that has just begun.
 func New(self, zone string) State {
-	return State{self: self, zone: zone, confirmedAt: neverConfirmed, voices: make(map[string]string)}
+	return State{self: self, zone: zone, confirmedAt: NeverConfirmed, voices: make(map[string]string)}
 }
 
 // Started reports whether the process knows the tables in force, so far as the
@@ -99,7 +104,8 @@
 // when a view must tell traffic.
 func (s *State) Reduce(e event.Event, l Local, m *membership.Members) (effects []event.Effect, changed bool) {
 	started, confirmed := s.started, s.confirmedAt
-	grown := l.Offset > s.offset
+	grown := l.Offset > s.offset || l.Holds > s.holds
+	s.holds = l.Holds
 	s.offset = max(s.offset, l.Offset)
 	effects = s.take(e, m)
 	s.start(l, m)
@@ -202,7 +208,7 @@
 }
 
 func (s *State) received(e event.RecordsReceived) {
-	if e.From != s.fetching {
+	if e.Stream != "" || e.From != s.fetching {
 		return
 	}
 	s.fetching = ""
@@ -315,6 +321,7 @@
 	Zone  string
 	Epoch uint64
 	Tail  Tail
+	Holds Tail
 	// Starting is true until the process knows the tables in force.
 	Starting bool
 }
@@ -324,7 +331,8 @@
 	return &wire.Digest{
 		Vm: p.VM, Zone: p.Zone, Epoch: p.Epoch,
 		Revision: revision, Offset: p.Tail.End(), Started: !p.Starting,
-		Leaving: leaving, Leavings: m.Leavings(),
+		HoldOffset: p.Holds.End(),
+		Leaving:    leaving, Leavings: m.Leavings(),
 		StalenessMillis: int64(staleness),
 	}
 }
--- a/view/view.go
+++ b/view/view.go
@@ -97,6 +97,9 @@
 // process's clock.
 func (v *View) ConfirmedAt() clock.Millis { return v.confirmedAt }
 
+// Confirmed reports whether the revision was ever known to be current.
+func (v *View) Confirmed() bool { return v.confirmedAt > spread.NeverConfirmed }
+
 // Members returns the VMs.
 func (v *View) Members() *membership.Members { return v.members }
 
@@ -123,6 +126,9 @@
 // Tail returns the configuration's last records, for peers that are behind.
 func (v *View) Tail() spread.Tail { return v.spread.Tail }
 
+// HoldTail returns the last records of the stream of holds.
+func (v *View) HoldTail() spread.Tail { return v.spread.Holds }
+
 // Digest returns what this process tells its peers at an instant.
 func (v *View) Digest(now clock.Millis) *wire.Digest {
 	d := v.spread.Digest(v.revision, now-v.confirmedAt, v.draining, v.members)
