Callers: typed errors everywhere, limits, deltas that pass through

Cause: /v1/models answered refusals with a bare 500; unknown paths, slow bodies and large headers got no typed error; a caller that read nothing kept its place for ever; only text of an answer reached callers, and n above 1 was ignored. Change: refusals of goa methods carry status, run state and Retry-After; bodies, headers, pauses in reading and writing, and connections are bounded by settings; plain services take any method; deltas beside text pass through or are merged; n above 1 is refused; events are made in one buffer. Guards removed: typed error of models (500 in place of 401), write deadline (place still taken after 8 s), read deadline (no answer in 8 s); each test fails. Ruled out: 20 s stops in tests came from stand-ins that ended before processes had handed on their bills; the stand-ins now outlive them.

--- a/chat/chat.go
+++ b/chat/chat.go
@@ -15,6 +15,8 @@
 	Stream        bool           `json:"stream"`
 	StreamOptions *StreamOptions `json:"stream_options,omitempty"`
 	Messages      []Message      `json:"messages"`
+	// N is how many answers the caller wants; 0 stands for 1.
+	N int `json:"n"`
 }
 
 // StreamOptions are the caller's wishes for a stream.
@@ -33,6 +35,13 @@
 	PromptTokens     int64 `json:"prompt_tokens"`
 	CompletionTokens int64 `json:"completion_tokens"`
 	TotalTokens      int64 `json:"total_tokens"`
+	// Details is nil where the engine did not say more.
+	Details *UsageDetails `json:"prompt_tokens_details,omitempty"`
+}
+
+// UsageDetails says how many tokens of the prompt came from the cache.
+type UsageDetails struct {
+	CachedTokens int64 `json:"cached_tokens"`
 }
 
 // Delta is what a chunk adds.
@@ -70,15 +79,10 @@
 
 // AnswerChoice is the only choice of an answer.
 type AnswerChoice struct {
-	Index        int           `json:"index"`
-	Message      AnswerMessage `json:"message"`
-	FinishReason string        `json:"finish_reason"`
-}
-
-// AnswerMessage is the model's turn.
-type AnswerMessage struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
+	Index int `json:"index"`
+	// Message is what an Assembly made.
+	Message      map[string]any `json:"message"`
+	FinishReason string         `json:"finish_reason"`
 }
 
 // ErrorBody is the typed error that callers receive.
@@ -91,7 +95,9 @@
 	Message string `json:"message"`
 	Type    string `json:"type"`
 	Code    string `json:"code"`
-	Run     string `json:"run"`
+	// Param is always null; clients of chat completions expect the field.
+	Param *string `json:"param"`
+	Run   string  `json:"run"`
 	// RetryAfterMillis is 0 when coming back makes no difference.
 	RetryAfterMillis int64 `json:"retry_after_ms,omitempty"`
 }
@@ -108,10 +114,13 @@
 		return nil, err
 	}
 	if r.Model == "" {
-		return nil, fmt.Errorf("model is missing")
+		return nil, fmt.Errorf("model: is missing")
 	}
 	if len(r.Messages) == 0 {
-		return nil, fmt.Errorf("messages is missing or empty")
+		return nil, fmt.Errorf("messages: is missing or empty")
+	}
+	if r.N != 0 && r.N != 1 {
+		return nil, fmt.Errorf("n: is %d, 1 is allowed", r.N)
 	}
 	return r, nil
 }
--- a/cli/demo.go
+++ b/cli/demo.go
@@ -36,15 +36,13 @@
 // Demo runs the whole system in this process, serves requests and prints what
 // became of them.
 func Demo(ctx context.Context, w io.Writer) (err error) {
-	ctx, cancel := context.WithCancel(ctx)
 	l := newLocal()
-	defer l.wg.Wait()
-	defer cancel()
 	l.platform.SetQuality("small@1", 0.72)
 	l.platform.SetQuality("large@1", 0.95)
 	if err = l.start(ctx, localShape{first: 20, gap: 5, tokens: 12}); err != nil {
 		return err
 	}
+	defer l.stop()
 	if err = l.publishDemo(ctx); err != nil {
 		return err
 	}
@@ -59,7 +57,7 @@
 }
 
 func (l *local) publishDemo(ctx context.Context) (err error) {
-	change, err := table.ParseChange(demoTables)
+	change, err := table.ParseChange(l.tables)
 	if err != nil {
 		return err
 	}
--- a/cli/local.go
+++ b/cli/local.go
@@ -32,13 +32,18 @@
 	base     string
 	callers  []string
 	log      *log.Logger
+	// tables is the change that is published first.
+	tables []byte
 	// adjust changes each process's settings before it starts.
 	adjust func(s *settings.Settings)
 	// stops ends one process each, by VM.
 	stops     map[string]context.CancelFunc
 	processes []func()
-	wg        sync.WaitGroup
-	mu        sync.Mutex
+	// standins is the context of the stand-ins, which outlive the processes.
+	standins                    context.Context
+	stopProcesses, stopStandins context.CancelFunc
+	wg                          sync.WaitGroup
+	mu                          sync.Mutex
 	// reserved holds listeners by address until their process takes them.
 	reserved map[string]net.Listener
 }
@@ -54,7 +59,7 @@
 
 func newLocal() *local {
 	return &local{
-		platform: standin.NewPlatform(), engines: make(map[string]*standin.Engine), plain: standin.NewPlain(),
+		tables: demoTables, platform: standin.NewPlatform(), engines: make(map[string]*standin.Engine), plain: standin.NewPlain(),
 		log: log.NewWithOptions(os.Stderr, log.Options{Level: log.WarnLevel}), adjust: func(*settings.Settings) {}, stops: make(map[string]context.CancelFunc), reserved: make(map[string]net.Listener),
 	}
 }
@@ -62,7 +67,9 @@
 // start runs two availability zones with an entry and two model endpoints
 // each, and a plain service in the first.
 func (l *local) start(ctx context.Context, shape localShape) (err error) {
-	if l.base, err = serve(ctx, l.platform.Handler()); err != nil {
+	ctx, l.stopProcesses = context.WithCancel(ctx)
+	l.standins, l.stopStandins = context.WithCancel(context.WithoutCancel(ctx))
+	if l.base, err = serve(l.standins, l.platform.Handler()); err != nil {
 		return err
 	}
 	for i, zone := range []string{"zone-a", "zone-b"} {
@@ -80,6 +87,14 @@
 	return nil
 }
 
+// stop stops the processes, and the stand-ins once no process needs them: a
+// stopping process hands its bills to the log.
+func (l *local) stop() {
+	l.stopProcesses()
+	l.wg.Wait()
+	l.stopStandins()
+}
+
 func (l *local) startZone(ctx context.Context, zone string, number int, shape localShape) (err error) {
 	for i, pool := range []string{"small", "large"} {
 		vm := fmt.Sprintf("endpoint-%d-%d", number, i)
@@ -100,7 +115,7 @@
 func (l *local) startGate(ctx context.Context, vm, zone string, e settings.Endpoint, engine http.Handler) (err error) {
 	s := l.settings(vm, zone)
 	s.Endpoint = e
-	if s.Endpoint.Engine, err = serve(ctx, engine); err != nil {
+	if s.Endpoint.Engine, err = serve(l.standins, engine); err != nil {
 		return err
 	}
 	l.adjust(&s)
--- a/cli/operator_test.go
+++ b/cli/operator_test.go
@@ -15,15 +15,15 @@
 // startLocal runs a whole system with the demo's tables until the test ends.
 func startLocal(t *testing.T, shape localShape, adjust ...func(l *local)) *local {
 	t.Helper()
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx := context.Background()
 	l := newLocal()
 	for _, f := range adjust {
 		f(l)
 	}
-	t.Cleanup(func() { cancel(); l.wg.Wait() })
 	if err := l.start(ctx, shape); err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(l.stop)
 	if err := l.publishDemo(ctx); err != nil {
 		t.Fatal(err)
 	}
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -36,13 +35,13 @@
 	rw := w.(http.ResponseWriter)
 	request := uuid.NewString()
 	end := c.entry.meter.begin()
-	req, err := c.parse(request)
+	req, err := c.parse(rw, request)
 	if err != nil {
 		end("", 0, err)
 		writeRefusal(rw, request, err)
 		return 0, nil
 	}
-	answer := newAnswer(rw, req)
+	answer := newAnswer(rw, req, c.entry.node.Settings().Entry.WriteTimeout)
 	err = c.entry.billed(c.ctx, req, answer.take)
 	end(req.routeName, req.attempts, err)
 	if err != nil {
@@ -53,7 +52,7 @@
 	return 0, nil
 }
 
-func (c *completion) parse(id string) (req *work, err error) {
+func (c *completion) parse(w http.ResponseWriter, id string) (req *work, err error) {
 	e := c.entry
 	v, err := e.current()
 	if err != nil {
@@ -63,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := readBody(c.body, e.node.Settings().Entry.MaxBody)
+	body, err := c.read(w)
 	if err != nil {
 		return nil, err
 	}
@@ -91,16 +90,9 @@
 	return req, err
 }
 
-func readBody(r io.Reader, limit int64) (body []byte, err error) {
-	var buf bytes.Buffer
-	n, err := buf.ReadFrom(io.LimitReader(r, limit+1))
-	if err != nil {
-		return nil, refusal.New(refusal.Malformed, "body could not be read")
-	}
-	if n > limit {
-		return nil, refusal.New(refusal.TooLarge, "body is larger than allowed")
-	}
-	return buf.Bytes(), nil
+func (c *completion) read(w http.ResponseWriter) (body []byte, err error) {
+	s := c.entry.node.Settings().Entry
+	return readWhole(w, c.body, s.MaxBody, s.BodyTimeout)
 }
 
 var priorities = map[string]int32{"": 0, "low": -1, "normal": 0, "high": 1}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -52,7 +52,14 @@
 // Serve answers callers on a listener until the context ends, then lets the
 // requests in flight finish.
 func (e *Entry) Serve(ctx context.Context, lis net.Listener) (err error) {
-	srv := &http.Server{Handler: e.Handler(), ReadHeaderTimeout: headerTimeout.Duration()}
+	s := e.node.Settings().Entry
+	const slack = 2
+	srv := &http.Server{
+		Handler:           e.Handler(),
+		ReadHeaderTimeout: s.HeaderTimeout.Duration(),
+		IdleTimeout:       s.IdleTimeout.Duration(),
+		MaxHeaderBytes:    slack * s.MaxHeaders,
+	}
 	go e.rate(ctx)
 	stopped := make(chan struct{})
 	go func() {
@@ -60,7 +67,7 @@
 		<-ctx.Done()
 		_ = srv.Shutdown(context.WithoutCancel(ctx))
 	}()
-	err = srv.Serve(lis)
+	err = srv.Serve(limitConnections(lis, s.MaxConnections))
 	<-stopped
 	if err == http.ErrServerClosed {
 		return nil
--- a/entry/server.go
+++ b/entry/server.go
@@ -2,37 +2,128 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
+	"net/url"
+	"strings"
 
+	"github.com/google/uuid"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/gen/completions"
 	completionsserver "github.com/parsleydeal/parsleydeal/gen/http/completions/server"
 	modelsserver "github.com/parsleydeal/parsleydeal/gen/http/models/server"
 	"github.com/parsleydeal/parsleydeal/gen/models"
+	"github.com/parsleydeal/parsleydeal/refusal"
 	goahttp "goa.design/goa/v3/http"
 )
 
 const (
-	headerTimeout = 10 * clock.Second
 	startingRetry = clock.Second
 	leavingRetry  = 100 * clock.Millis(1)
 	staleRetry    = 5 * clock.Second
 )
 
+// servicesPath is where plain services stand.
+const servicesPath = "/v1/services/"
+
+// maxKey bounds an idempotency key, in bytes.
+const maxKey = 255
+
 // Handler returns the callers' interface.
 func (e *Entry) Handler() http.Handler {
 	mux := goahttp.NewMuxer()
-	dec, enc := goahttp.RequestDecoder, goahttp.ResponseEncoder
-	completionsserver.New(completions.NewEndpoints(e), mux, dec, enc, nil, nil).Mount(mux)
-	modelsserver.New(models.NewEndpoints(e), mux, dec, enc, nil, nil).Mount(mux)
-	for _, method := range []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"} {
-		mux.Handle(method, "/v1/services/{service}/{*path}", func(w http.ResponseWriter, r *http.Request) {
-			vars := mux.Vars(r)
-			e.service(w, r, vars["service"], vars["path"])
-		})
+	completionsserver.New(completions.NewEndpoints(e), mux, goahttp.RequestDecoder, jsonEncoder, nil, formatError).Mount(mux)
+	modelsserver.New(models.NewEndpoints(e), mux, goahttp.RequestDecoder, jsonEncoder, nil, formatError).Mount(mux)
+	known := map[string]string{"/v1/chat/completions": http.MethodPost, "/v1/models": http.MethodGet}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if err := e.limits(r); err != nil {
+			writeRefusal(w, uuid.NewString(), err)
+			return
+		}
+		if rest, ok := strings.CutPrefix(r.URL.EscapedPath(), servicesPath); ok {
+			name, path, _ := strings.Cut(rest, "/")
+			e.service(w, r, name, path)
+			return
+		}
+		if known[r.URL.Path] != r.Method {
+			writeRefusal(w, uuid.NewString(), refusal.New(refusal.NoInterface, "no "+r.Method+" at this path"))
+			return
+		}
+		ctx := context.WithValue(r.Context(), writerKey{}, w)
+		mux.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
+
+// writerKey is the key of the response writer in a request's context. Goa's
+// seams for errors and streamed bodies do not hand it out.
+type writerKey struct{}
+
+func writerOf(ctx context.Context) http.ResponseWriter {
+	w, _ := ctx.Value(writerKey{}).(http.ResponseWriter)
+	return w
+}
+
+// limits refuses what is too large or cannot be meant, before anything of the
+// request is used. The server itself ends connections with headers twice as
+// large, without a typed error.
+func (e *Entry) limits(r *http.Request) error {
+	size := len(r.RequestURI)
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(v)
+		}
+	}
+	if limit := e.node.Settings().Entry.MaxHeaders; size > limit {
+		return refusal.New(refusal.TooLarge, fmt.Sprintf("headers have %d bytes, %d are allowed", size, limit))
+	}
+	if len(r.Header.Get("Idempotency-Key")) > maxKey {
+		return refusal.New(refusal.Malformed, fmt.Sprintf("Idempotency-Key: at most %d bytes are allowed", maxKey))
+	}
+	return nil
+}
+
+// dotted reports whether a path has a segment "." or "..", with which a caller
+// could leave the service's own paths.
+func dotted(path string) bool {
+	for segment := range strings.SplitSeq(path, "/") {
+		plain, err := url.PathUnescape(segment)
+		if err != nil || plain == "." || plain == ".." {
+			return true
+		}
+	}
+	return false
+}
+
+// jsonEncoder answers in JSON whatever the caller accepts.
+func jsonEncoder(_ context.Context, w http.ResponseWriter) goahttp.Encoder {
+	w.Header().Set("Content-Type", "application/json")
+	return json.NewEncoder(w)
+}
+
+// typedError is a refusal as goa writes errors.
+type typedError struct {
+	refusal *refusal.Refusal
+}
+
+// StatusCode returns the HTTP status.
+func (t typedError) StatusCode() int { return t.refusal.Status() }
+
+// MarshalJSON writes the typed error body.
+func (t typedError) MarshalJSON() ([]byte, error) { return json.Marshal(errorBody(t.refusal)) }
+
+// formatError makes goa's errors typed refusals. All that reach it come before
+// anything was dispatched.
+func formatError(ctx context.Context, err error) goahttp.Statuser {
+	r, ok := refusal.As(err)
+	if !ok {
+		r = refusal.New(refusal.Malformed, err.Error())
+	}
+	if w := writerOf(ctx); w != nil {
+		refusalHeaders(w.Header(), uuid.NewString(), r)
 	}
-	return mux
+	return typedError{r}
 }
 
 // Create answers one chat completion. Goa hands the response writer to the
--- a/entry/service.go
+++ b/entry/service.go
@@ -26,6 +26,9 @@
 
 // service answers one call of a plain service. Bodies stream both ways.
 func (e *Entry) service(w http.ResponseWriter, r *http.Request, name, path string) {
+	s := e.node.Settings().Entry
+	r.Body = &pacedBody{ReadCloser: r.Body, control: http.NewResponseController(w), patience: s.BodyTimeout.Duration()}
+	w = newPatientWriter(w, s.WriteTimeout)
 	c := &call{work: work{id: uuid.NewString(), service: name, path: path, method: r.Method}, r: r, w: w}
 	end := e.meter.begin()
 	err := e.openCall(c)
@@ -64,6 +67,9 @@
 	if !ok || !slices.Contains(s.Organisations, c.organisation) {
 		return refusal.New(refusal.NoRoute, "no service "+c.service)
 	}
+	if dotted(c.path) {
+		return refusal.New(refusal.Malformed, "path has a segment . or ..")
+	}
 	c.pool = s.Pool
 	c.repeatable = slices.Contains(s.Repeatable, c.method)
 	c.key = c.r.Header.Get("Idempotency-Key")
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -30,6 +30,8 @@
 	NotAllowed      Code = "not-allowed"
 	Malformed       Code = "malformed"
 	TooLarge        Code = "too-large"
+	SlowBody        Code = "slow-body"
+	NoInterface     Code = "no-interface"
 	Stale           Code = "stale"
 	NoEndpoint      Code = "no-endpoint"
 	Saturated       Code = "saturated"
@@ -58,6 +60,8 @@
 	NotAllowed:      http.StatusForbidden,
 	Malformed:       http.StatusBadRequest,
 	TooLarge:        http.StatusRequestEntityTooLarge,
+	SlowBody:        http.StatusRequestTimeout,
+	NoInterface:     http.StatusNotFound,
 	Saturated:       http.StatusTooManyRequests,
 	SessionRejected: http.StatusBadRequest,
 	AlreadyRunning:  http.StatusConflict,
