--- /dev/null
+++ b/burn/text.go
@@ -0,0 +1,50 @@
+package burn
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/parsleydeal/parsleydeal/clock"
+)
+
+// WriteText prints the verdict for a terminal.
+func (v *Verdict) WriteText(w io.Writer) (err error) {
+	fmt.Fprintf(w, "%d processes, counting for up to %s\n", v.Processes, clock.Millis(v.CoveredMillis))
+	if len(v.Missing) > 0 {
+		fmt.Fprintf(w, "NO ANSWER from %s: what they served is not in here\n", strings.Join(v.Missing, ", "))
+	}
+	fmt.Fprintln(w)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "ROUTE\tOBJECTIVE\tTARGET\t5m\t1h\t6h\t3d\tBUDGET LEFT\tALERT\tTOP CAUSES")
+	for _, l := range v.Lines {
+		fmt.Fprintf(t, "%s\t%s\t%.4g\t%s\t%.0f%%\t%s\t%s\n", l.Route, l.Objective, l.Target, l.rates(), 100*l.Left, l.Alert, l.causes())
+	}
+	fmt.Fprintln(t)
+	fmt.Fprintln(t, "ROUTE, LAST HOUR\tATTEMPTS\tFIRST p50\tp95\tp99\tGAP p50\tp95")
+	for _, p := range v.Latencies {
+		fmt.Fprintf(t, "%s\t%d\t%d ms\t%d ms\t%d ms\t%d ms\t%d ms\n", p.Route, p.Attempts, p.FirstP50, p.FirstP95, p.FirstP99, p.GapP50, p.GapP95)
+	}
+	return t.Flush()
+}
+
+func (l Line) rates() string {
+	var out []string
+	for _, w := range Windows() {
+		text := "-"
+		if r, ok := l.Rates[w.Name]; ok {
+			text = fmt.Sprintf("%.2f", r)
+		}
+		out = append(out, text)
+	}
+	return strings.Join(out, "\t")
+}
+
+func (l Line) causes() string {
+	var out []string
+	for _, c := range l.Causes {
+		out = append(out, fmt.Sprintf("%s %s %.0f%%", c.Kind, c.Name, 100*c.Part))
+	}
+	return strings.Join(out, ", ")
+}
--- a/cli/daemon.go
+++ b/cli/daemon.go
@@ -144,6 +144,7 @@
 	}
 	p := newProcess("parsleydeal-entry", s, l, listen)
 	e := entry.New(p.node)
+	p.port.SetBurn(e.BurnReport)
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	if err = p.start(inner); err != nil {
--- a/cli/openai_test.go
+++ b/cli/openai_test.go
@@ -123,6 +123,28 @@
 	is.True(!finished)
 }
 
+// The engine answers with a tool call beside its text. The client must get the
+// call whole, with a stream and without one.
+func TestOpenAIClientGetsToolCalls(t *testing.T) {
+	is := is.New(t)
+	l := startLocal(t, localShape{first: 1, gap: 1, tokens: 4})
+	for _, e := range l.engines {
+		e.SetFaults(standin.EngineFaults{ToolCall: true})
+	}
+	c := l.openaiClient(demoKey)
+	a, err := c.Chat.Completions.New(t.Context(), question("quick"))
+	is.NoErr(err)
+	is.Equal(a.Choices[0].Message.ToolCalls[0].Function.Name, "renewal")
+	stream := c.Chat.Completions.NewStreaming(t.Context(), question("quick"))
+	var acc openai.ChatCompletionAccumulator
+	for stream.Next() {
+		is.True(acc.AddChunk(stream.Current()))
+	}
+	is.NoErr(stream.Err())
+	is.Equal(acc.Choices[0].Message.ToolCalls[0].ID, "call-1")
+	is.Equal(acc.Choices[0].Message.Content, a.Choices[0].Message.Content)
+}
+
 // A caller goes away in mid-stream. Unless the cancel reaches the engine, the
 // engine works on for nobody, and the endpoint's place stays taken.
 func TestCancelReachesTheEngine(t *testing.T) {
--- /dev/null
+++ b/entry/burn.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/parsleydeal/parsleydeal/burn"
+	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/refusal"
+)
+
+// BurnReport returns what this process has counted against the service-level
+// objectives.
+func (e *Entry) BurnReport(context.Context) (report any, err error) {
+	v := e.node.View()
+	return e.burn.Report(e.node.Settings().VM, e.node.Epoch(), v.Tables(), v.Revision())
+}
+
+// burnRequest counts the end of an admitted request. What the caller did wrong
+// or gave up says nothing of the service.
+func (e *Entry) burnRequest(req *work, route string, err error) {
+	if route == "" || err != nil && callersOwn(err) {
+		return
+	}
+	t := burn.Tally{Requests: 1}
+	if err != nil {
+		t.Unanswered = 1
+	} else if req.version != "" && e.exposed(req) {
+		t.Exposed = 1
+	}
+	k := burn.Key{Route: route, Version: req.version, Organisation: req.organisation}
+	if n := len(req.steps); n > 0 {
+		k.Zone = e.zoneOf(req.steps[n-1].GetVm())
+	}
+	e.burn.Add(k, t)
+}
+
+// exposed reports whether the version that answered is out of use by now.
+func (e *Entry) exposed(req *work) bool {
+	v := e.node.View()
+	return v.Tables().Versions[req.version].Withdrawn || v.Holds() != nil && v.Holds().Held(req.version, req.organisation)
+}
+
+func callersOwn(err error) bool {
+	switch refusalOf(err).Code() {
+	case refusal.Unauthorised, refusal.NoRoute, refusal.NotAllowed, refusal.Malformed, refusal.TooLarge, refusal.SessionRejected,
+		refusal.KeyReused, refusal.AlreadyRunning, refusal.AlreadyRan, refusal.Cancelled:
+		return true
+	}
+	return false
+}
+
+// burnAttempt counts an attempt's latencies against its route's objective.
+func (e *Entry) burnAttempt(req *work, vm string, first, gap clock.Millis) {
+	e.burn.Latency(req.routeName, first, gap)
+	o := req.route.Objective
+	var t burn.Tally
+	if first > 0 {
+		t.Firsts = 1
+		t.Late = countIf(o.FirstToken > 0 && first > o.FirstToken)
+	}
+	if gap > 0 {
+		t.Gaps = 1
+		t.Slow = countIf(o.TokenGap > 0 && gap > o.TokenGap)
+	}
+	e.burn.Add(burn.Key{Route: req.routeName, Version: req.version, Zone: e.zoneOf(vm), Organisation: req.organisation}, t)
+}
+
+func (e *Entry) zoneOf(vm string) string {
+	v, _ := e.node.View().Members().Find(vm)
+	return v.Zone
+}
+
+func countIf(yes bool) int64 {
+	if yes {
+		return 1
+	}
+	return 0
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 
+	"github.com/parsleydeal/parsleydeal/burn"
 	"github.com/parsleydeal/parsleydeal/choice"
 	"github.com/parsleydeal/parsleydeal/limit"
 	"github.com/parsleydeal/parsleydeal/node"
@@ -28,6 +29,7 @@
 	retries  *limit.Retries
 	queues   *limit.Queues
 	meter    *meter
+	burn     *burn.Recorder
 }
 
 // New makes an entry over a node; ServePeers and Handler run it.
@@ -41,6 +43,7 @@
 		retries:  limit.NewRetries(),
 		queues:   limit.NewQueues(n.Clock()),
 		meter:    newMeter(n.Metrics()),
+		burn:     burn.NewRecorder(n.Clock()),
 	}
 }
 
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -60,6 +60,7 @@
 	}
 	now := o.entry.node.Clock().Now()
 	first, gap := o.spans()
+	o.entry.burnAttempt(o.req, o.vm, first, gap)
 	o.entry.node.Loop().Offer(event.Observed{
 		Now: now, Route: o.req.routeName, Version: o.req.version, Organisation: o.req.organisation, VM: o.vm,
 		Failed: failed, FirstToken: first, TokenGap: gap, Slow: missed(o.req.route.Objective, first, gap),
--- a/entry/patience.go
+++ b/entry/patience.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/parsleydeal/parsleydeal/clock"
@@ -61,20 +62,52 @@
 	io.ReadCloser
 	control  *http.ResponseController
 	patience time.Duration
+	mu       sync.Mutex
+	// stopped bodies give nothing more; a Read under way ends at once.
+	stopped bool
 }
 
 // Read reads the next part, or fails when it does not come in time.
 func (b *pacedBody) Read(p []byte) (n int, err error) {
-	_ = b.control.SetReadDeadline(time.Now().Add(b.patience))
+	if !b.extend() {
+		return 0, os.ErrDeadlineExceeded
+	}
 	n, err = b.ReadCloser.Read(p)
 	if err != nil {
-		// The server reads on to notice that the caller goes away; an old
-		// deadline would end the request instead.
-		_ = b.control.SetReadDeadline(time.Time{})
+		b.rest()
 	}
 	return n, err
 }
 
+// extend moves the deadline on, unless the body was stopped.
+func (b *pacedBody) extend() (ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.stopped {
+		return false
+	}
+	_ = b.control.SetReadDeadline(time.Now().Add(b.patience))
+	return true
+}
+
+// rest takes the deadline away at the body's end. The server reads on to notice
+// that the caller goes away; an old deadline would end the request instead.
+func (b *pacedBody) rest() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.stopped {
+		_ = b.control.SetReadDeadline(time.Time{})
+	}
+}
+
+// stop ends a Read under way and all later ones.
+func (b *pacedBody) stop() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.stopped = true
+	_ = b.control.SetReadDeadline(time.Now())
+}
+
 // readWhole reads a body of at most limit bytes within a time.
 func readWhole(w http.ResponseWriter, body io.Reader, limit int64, patience clock.Millis) (data []byte, err error) {
 	control := http.NewResponseController(w)
--- a/entry/run.go
+++ b/entry/run.go
@@ -87,27 +87,29 @@
 		return err
 	}
 	defer func() { queue.Leave(outcomeOf(err)) }()
+	req.begin()
 	avoid := make(map[string]bool)
 	err = refusal.New(refusal.NoEndpoint, "no endpoint can take the request").WithRetryAfter(startingRetry)
 	for i := range maxAttempts {
 		vm, ok := choice.Endpoint(req.view, e.inflight, choice.Query{Pools: req.pools(), Avoid: avoid, Seed: xxhash.Sum64String(req.id)})
 		if !ok || i > 0 && !e.retries.Take() {
-			return comeBack(err)
+			return comeBack(req.truth(err))
 		}
 		avoid[vm.ID] = true
-		delivered := false
 		seen := e.observe(req, vm.ID)
 		err = e.attempt(ctx, req, vm, func(p *wire.Piece) error {
-			delivered = true
 			seen.piece(p)
 			return emit(p)
 		})
 		seen.end(err)
-		if err == nil || delivered || !mayRetry(req, err) {
-			return err
+		if err == nil {
+			return nil
+		}
+		if !req.goOn(err) {
+			return req.truth(err)
 		}
 	}
-	return comeBack(err)
+	return comeBack(req.truth(err))
 }
 
 // item describes the request to its queue.
@@ -150,16 +152,6 @@
 	return movedBecause(req, req.version) != ""
 }
 
-// mayRetry reports whether a failed attempt provably did not run and its body
-// can be sent again.
-func mayRetry(req *work, err error) bool {
-	r, ok := refusal.As(err)
-	if !ok || r.Code() == refusal.Held || r.Code() == refusal.Withdrawn {
-		return false
-	}
-	return r.Run() == refusal.NotRun && !req.bodySpent
-}
-
 // ratingsOf returns how many ratings the request's version has.
 func (r *work) ratingsOf() int64 {
 	return r.view.Quality().Sum(quality.Key{Route: r.routeName, Version: r.version}).Ratings
--- a/entry/service.go
+++ b/entry/service.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -27,15 +28,18 @@
 // service answers one call of a plain service. Bodies stream both ways.
 func (e *Entry) service(w http.ResponseWriter, r *http.Request, name, path string) {
 	s := e.node.Settings().Entry
-	r.Body = &pacedBody{ReadCloser: r.Body, control: http.NewResponseController(w), patience: s.BodyTimeout.Duration()}
+	body := &pacedBody{ReadCloser: r.Body, control: http.NewResponseController(w), patience: s.BodyTimeout.Duration()}
+	r.Body = body
 	w = newPatientWriter(w, s.WriteTimeout)
 	c := &call{work: work{id: uuid.NewString(), service: name, path: path, method: r.Method}, r: r, w: w}
+	c.stopBody = body.stop
 	end := e.meter.begin()
 	err := e.openCall(c)
 	if err == nil {
 		err = e.billed(r.Context(), &c.work, c.take)
 	}
 	end(c.label(), c.attempts, err)
+	e.burnRequest(&c.work, c.label(), err)
 	if err == nil {
 		return
 	}
@@ -82,6 +86,9 @@
 	}
 	c.headers = headersOf(c.r.Header)
 	c.send = c.sendBody
+	// Without full duplex net/http reads the whole body before it writes the
+	// first byte of the answer.
+	_ = http.NewResponseController(c.w).EnableFullDuplex()
 	c.fingerprint = c.print
 	return e.fresh(c.view, s.WhenStale, int64(s.StaleAfter))
 }
@@ -112,7 +119,7 @@
 		n, readErr := io.ReadFull(c.r.Body, buf)
 		last := readErr == io.EOF || readErr == io.ErrUnexpectedEOF
 		if readErr != nil && !last {
-			return readErr
+			return fmt.Errorf("%w: %w", errBody, readErr)
 		}
 		if last && head != nil {
 			c.body = buf[:n]
--- a/node/peer.go
+++ b/node/peer.go
@@ -19,11 +19,21 @@
 	if load := n.load.Load(); load != nil {
 		d.Loads = append(d.Loads, (*load)())
 	}
-	d.Counts = n.View().Counts()
-	d.Estimates = n.View().Quality().Wire()
+	if n.estimatesDue() {
+		d.Estimates = n.View().Quality().Wire()
+	}
 	return d
 }
 
+// estimatesDue is true at most once every estimatesEvery. A digest that always
+// carried the estimates of all versions would take a node that many ask over its
+// share of the network.
+func (n *Node) estimatesDue() bool {
+	now := int64(n.cfg.Clock.Now())
+	last := n.estimatesAt.Load()
+	return now-last >= int64(estimatesEvery) && n.estimatesAt.CompareAndSwap(last, now)
+}
+
 // SetLoad gives the function that reports an endpoint's own load in digests.
 func (n *Node) SetLoad(f func() *wire.Load) { n.load.Store(&f) }
 
