TLS: certificates reloaded without a restart, mutual between processes

Cause: all interfaces spoke plain TCP; any process could order work at a gate. Change: package certificate keeps a certificate an interface; callers' and operators' ports and the peer interface take theirs from the settings; peers and operators' commands verify both ways; burn goes the same way as status.

--- a/cli/burn.go
+++ b/cli/burn.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"sync"
 
@@ -27,9 +26,9 @@
 
 type burnCommand struct {
 	command
-	Platform string `long:"platform" short:"p" env:"PARSLEYDEAL_PLATFORM" description:"base URL of the platform's services" required:"true"`
-	JSON     bool   `long:"json" description:"print the verdict as JSON"`
-	HTML     string `long:"html" description:"write one self-contained page to a file"`
+	site
+	JSON bool   `long:"json" description:"print the verdict as JSON"`
+	HTML string `long:"html" description:"write one self-contained page to a file"`
 }
 
 func addBurn(p *flags.Parser) error {
@@ -41,7 +40,11 @@
 }
 
 func (c *burnCommand) report(ctx context.Context, w io.Writer) (err error) {
-	v, err := Burn(ctx, platform.NewHTTP(c.Platform, http.DefaultClient).VMList(), peer.NewPool())
+	op, err := c.operator()
+	if err != nil {
+		return err
+	}
+	v, err := Burn(ctx, op.VMs, op.Peers)
 	if err != nil {
 		return err
 	}
--- a/cli/daemon.go
+++ b/cli/daemon.go
@@ -71,7 +71,7 @@
 }
 
 // newNode makes a node that speaks to the platform in the settings.
-func newNode(s settings.Settings, l *log.Logger) *node.Node {
+func newNode(s settings.Settings, l *log.Logger, peers *peer.Pool) *node.Node {
 	h := platform.NewHTTP(s.Platform, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}})
 	return node.New(node.Config{
 		Settings: s,
@@ -81,7 +81,7 @@
 		VMs:      h.VMList(),
 		Rater:    h.Rater(),
 		Weights:  h.WeightStore(),
-		Peers:    peer.NewPool(),
+		Peers:    peers,
 	})
 }
 
@@ -92,6 +92,8 @@
 	log      *log.Logger
 	port     *operations.Port
 	listen   listenFunc
+	// certificates are those of the process's own interfaces.
+	certificates certificates
 	// leaving is set when the process was asked to stop.
 	leaving atomic.Bool
 }
@@ -99,17 +101,22 @@
 // listenFunc opens a listener, as net.Listen does.
 type listenFunc func(network, address string) (lis net.Listener, err error)
 
-func newProcess(program string, s settings.Settings, l *log.Logger, listen listenFunc) *process {
-	p := &process{settings: s, node: newNode(s, l), log: l, listen: listen}
+func newProcess(program string, s settings.Settings, l *log.Logger, listen listenFunc) (p *process, err error) {
+	c, err := openCertificates(s.TLS)
+	if err != nil {
+		return nil, err
+	}
+	p = &process{settings: s, node: newNode(s, l, c.pool()), log: l, listen: listen, certificates: c}
 	p.port = operations.New(program, version(), p.node)
 	p.port.SetLeaving(p.leaving.Load)
 	p.port.Add(operations.Section{Name: "bills", Read: p.node.Billing().Status})
-	return p
+	return p, nil
 }
 
 // start runs the node and the operators' interface until the context ends.
 func (p *process) start(ctx context.Context) (err error) {
 	p.node.Start(ctx)
+	p.watch(ctx)
 	if p.settings.Operators == "" {
 		return nil
 	}
@@ -119,7 +126,7 @@
 	}
 	p.log.Info("Operators' interface is open", "vm", p.settings.VM, "address", lis.Addr())
 	go func() {
-		if err := p.port.Serve(ctx, lis); err != nil {
+		if err := p.port.Serve(ctx, secure(p.certificates.operators, lis)); err != nil {
 			p.log.Error("Operators' interface failed", "vm", p.settings.VM, "error", err)
 		}
 	}()
@@ -142,7 +149,10 @@
 	if err != nil {
 		return err
 	}
-	p := newProcess("parsleydeal-entry", s, l, listen)
+	p, err := newProcess("parsleydeal-entry", s, l, listen)
+	if err != nil {
+		return err
+	}
 	e := entry.New(p.node)
 	p.port.SetBurn(e.BurnReport)
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -150,7 +160,7 @@
 	if err = p.start(inner); err != nil {
 		return err
 	}
-	go func() { _ = e.ServePeers(inner, peers) }()
+	go func() { _ = e.ServePeers(inner, secure(p.certificates.peers, peers)) }()
 	serving, stopServing := context.WithCancel(inner)
 	defer stopServing()
 	go func() {
@@ -162,7 +172,7 @@
 		p.node.Drain(inner)
 	}()
 	l.Info("Entry serves callers", "vm", s.VM, "address", callers.Addr())
-	err = e.Serve(serving, callers)
+	err = e.Serve(serving, secure(p.certificates.callers, callers))
 	settle(inner, p.node, l)
 	l.Info("Entry stopped", "vm", s.VM)
 	return err
@@ -178,7 +188,10 @@
 	if err != nil {
 		return err
 	}
-	p := newProcess("parsleydeal-endpoint", s, l, listen)
+	p, err := newProcess("parsleydeal-endpoint", s, l, listen)
+	if err != nil {
+		return err
+	}
 	e := endpoint.New(p.node)
 	e.Measure()
 	p.port.Add(operations.Section{Name: "window", Read: e.WindowStatus})
@@ -188,7 +201,7 @@
 		return err
 	}
 	served := make(chan error, 1)
-	go func() { served <- e.Serve(inner, peers) }()
+	go func() { served <- e.Serve(inner, secure(p.certificates.peers, peers)) }()
 	l.Info("Endpoint serves entries", "vm", s.VM, "address", peers.Addr())
 	select {
 	case err = <-served:
--- a/cli/local.go
+++ b/cli/local.go
@@ -31,7 +31,10 @@
 	vms      []platform.VM
 	base     string
 	callers  []string
-	log      *log.Logger
+	// scheme and http are how callers reach the entries.
+	scheme string
+	http   *http.Client
+	log    *log.Logger
 	// tables is the change that is published first.
 	tables []byte
 	// adjust changes each process's settings before it starts.
@@ -59,7 +62,7 @@
 
 func newLocal() *local {
 	return &local{
-		tables: demoTables, platform: standin.NewPlatform(), engines: make(map[string]*standin.Engine), plain: standin.NewPlain(),
+		scheme: "http://", http: http.DefaultClient, tables: demoTables, platform: standin.NewPlatform(), engines: make(map[string]*standin.Engine), plain: standin.NewPlain(),
 		log: log.NewWithOptions(os.Stderr, log.Options{Level: log.WarnLevel}), adjust: func(*settings.Settings) {}, stops: make(map[string]context.CancelFunc), reserved: make(map[string]net.Listener),
 	}
 }
@@ -149,12 +152,13 @@
 func (l *local) operator() (*client.Operator, error) {
 	s := settings.Default()
 	s.Platform = l.base
+	l.adjust(&s)
 	return newOperator(s)
 }
 
 // caller returns a callers' client of one entry.
 func (l *local) caller(entry int, key string) *client.Caller {
-	return &client.Caller{Base: "http://" + l.callers[entry], Key: key, HTTP: http.DefaultClient}
+	return &client.Caller{Base: l.scheme + l.callers[entry], Key: key, HTTP: l.http}
 }
 
 // waitReady waits until a route can be named at every entry.
--- a/cli/operator.go
+++ b/cli/operator.go
@@ -12,7 +12,6 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/parsleydeal/parsleydeal/client"
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/peer"
 	"github.com/parsleydeal/parsleydeal/platform"
 	"github.com/parsleydeal/parsleydeal/settings"
 )
@@ -93,8 +92,12 @@
 }
 
 func newOperator(s settings.Settings) (op *client.Operator, err error) {
+	c, err := openCertificates(settings.TLS{Peers: s.TLS.Peers})
+	if err != nil {
+		return nil, err
+	}
 	h := platform.NewHTTP(s.Platform, http.DefaultClient)
-	return &client.Operator{Log: h.Log(), VMs: h.VMList(), Peers: peer.NewPool(), Clock: clock.System(), Pause: pause}, nil
+	return &client.Operator{Log: h.Log(), VMs: h.VMList(), Peers: c.pool(), Clock: clock.System(), Pause: pause}, nil
 }
 
 // pause waits for a span and reports false when the context ended first.
--- /dev/null
+++ b/cli/secure.go
@@ -0,0 +1,76 @@
+package cli
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/parsleydeal/parsleydeal/certificate"
+	"github.com/parsleydeal/parsleydeal/peer"
+	"github.com/parsleydeal/parsleydeal/settings"
+)
+
+// certificates holds the keepers of a process; one is nil where its interface
+// speaks plain TCP.
+type certificates struct {
+	callers, operators, peers *certificate.Keeper
+}
+
+// openCertificates reads the certificates that the settings name.
+func openCertificates(s settings.TLS) (c certificates, err error) {
+	open := func(files settings.Certificate) (k *certificate.Keeper) {
+		if err != nil || files.Certificate == "" {
+			return nil
+		}
+		k, err = certificate.Open(files)
+		return k
+	}
+	c = certificates{callers: open(s.Callers), operators: open(s.Operators), peers: open(s.Peers)}
+	return c, err
+}
+
+// pool makes the connections to other processes of the system.
+func (c certificates) pool() *peer.Pool {
+	if c.peers == nil {
+		return peer.NewPool()
+	}
+	return peer.NewPoolWith(c.peers.Dial)
+}
+
+// secure speaks TLS on a listener if there is a certificate for it.
+func secure(k *certificate.Keeper, lis net.Listener) net.Listener {
+	if k == nil {
+		return lis
+	}
+	return k.Listener(lis)
+}
+
+// named returns the keepers by interface.
+func (c certificates) named() map[string]*certificate.Keeper {
+	out := make(map[string]*certificate.Keeper)
+	for name, k := range map[string]*certificate.Keeper{"callers": c.callers, "operators": c.operators, "peers": c.peers} {
+		if k != nil {
+			out[name] = k
+		}
+	}
+	return out
+}
+
+// watch takes new certificates from their files until the context ends.
+func (p *process) watch(ctx context.Context) {
+	for name, k := range p.certificates.named() {
+		p.node.Metrics().GetOrCreateGauge(`parsleydeal_certificate_seconds_left{interface="`+name+`"}`, func() float64 {
+			return time.Until(k.NotAfter()).Seconds()
+		})
+		go k.Watch(ctx, p.settings.TLS.ReloadEvery, func(err error) { reportCertificate(p.log, name, k, err) })
+	}
+}
+
+func reportCertificate(l *log.Logger, name string, k *certificate.Keeper, err error) {
+	if err != nil {
+		l.Error("New certificate is not taken, the old one goes on", "interface", name, "expires", k.NotAfter(), "error", err)
+		return
+	}
+	l.Info("New certificate is in use", "interface", name, "expires", k.NotAfter())
+}
--- /dev/null
+++ b/cli/secure_test.go
@@ -0,0 +1,90 @@
+package cli
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/parsleydeal/parsleydeal/client"
+	"github.com/parsleydeal/parsleydeal/peer"
+	"github.com/parsleydeal/parsleydeal/settings"
+)
+
+// selfSigned writes a certificate that is its own authority.
+func selfSigned(t *testing.T) (files settings.Certificate, pool *x509.CertPool) {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	files = settings.Certificate{Certificate: filepath.Join(dir, "cert.pem"), Key: filepath.Join(dir, "key.pem"), Authorities: filepath.Join(dir, "cert.pem")}
+	for path, block := range map[string]*pem.Block{files.Certificate: {Type: "CERTIFICATE", Bytes: der}, files.Key: {Type: "PRIVATE KEY", Bytes: private}} {
+		if err = os.WriteFile(path, pem.EncodeToMemory(block), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	pool = x509.NewCertPool()
+	pool.AppendCertsFromPEM(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}))
+	return files, pool
+}
+
+// All interfaces speak TLS. Callers and operators get their answers, and a
+// process that has no certificate of the system can neither ask a peer nor
+// place an order at a gate.
+func TestWholeSystemOverTLS(t *testing.T) {
+	is := is.New(t)
+	files, pool := selfSigned(t)
+	l := startLocal(t, localShape{tokens: 3}, func(l *local) {
+		l.scheme = "https://"
+		l.http = &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}}}
+		l.adjust = func(s *settings.Settings) {
+			s.TLS = settings.TLS{ReloadEvery: 100, Peers: files}
+			s.TLS.Callers = settings.Certificate{Certificate: files.Certificate, Key: files.Key}
+			s.TLS.Operators = files
+		}
+	})
+	a, err := l.caller(0, demoKey).Complete(t.Context(), []byte(`{"model":"quick","stream":true,"messages":[{"role":"user","content":"x"}]}`), client.Options{}, nil)
+	is.NoErr(err)
+	is.Equal(a.Text, "w0 w1 w2 ")
+	op, err := l.operator()
+	is.NoErr(err)
+	all, err := op.Status(t.Context())
+	is.NoErr(err)
+	for _, s := range all {
+		is.NoErr(s.Err)
+	}
+	op.Peers = peer.NewPool()
+	all, err = op.Status(t.Context())
+	is.NoErr(err)
+	for _, s := range all {
+		is.True(s.Err != nil) // no answer without a certificate
+	}
+	_, err = http.Get("http://" + l.callers[0] + "/v1/models")
+	is.True(err != nil) // nor is a caller answered in plain text
+}
