--- a/cli/daemon.go
+++ b/cli/daemon.go
@@ -167,6 +167,7 @@
 		defer stopServing()
 		<-ctx.Done()
 		p.leaving.Store(true)
+		e.Leave()
 		l.Info("Entry leaves", "vm", s.VM, "delay", s.Entry.LeaveDelay)
 		time.Sleep(s.Entry.LeaveDelay.Duration())
 		p.node.Drain(inner)
--- a/cli/limit_test.go
+++ b/cli/limit_test.go
@@ -116,3 +116,24 @@
 	is.Equal(status, 200)
 	is.Equal(l.plain.Calls("PROPFIND", "/a/b"), 1)
 }
+
+// A service's only endpoint is out, so a call is refused before its body was
+// read. The next caller on the same connection must be answered too: net/http
+// panics there unless the connection is closed.
+func TestConnectionOutlivesACallRefusedBeforeItsBody(t *testing.T) {
+	is := is.New(t)
+	l := startLocal(t, localShape{tokens: 1})
+	_, err := l.publishFile(write(t, "kind = \"patch\"\n[tables.vms.records-0]\nstate = \"out\"\n"), "20s")
+	is.NoErr(err)
+	h := &http.Client{Transport: &http.Transport{}}
+	for range 20 {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+l.callers[0]+"/v1/services/records/x", strings.NewReader("renew"))
+		is.NoErr(err)
+		req.Header.Set("Authorization", "Bearer "+demoKey)
+		resp, err := h.Do(req)
+		is.NoErr(err)
+		is.Equal(resp.Header.Get("Parsleydeal-Run"), "not-run")
+		_, _ = io.Copy(io.Discard, resp.Body)
+		is.NoErr(resp.Body.Close())
+	}
+}
--- a/cli/local.go
+++ b/cli/local.go
@@ -90,6 +90,14 @@
 	return nil
 }
 
+// rateWell has the stand-in rater find both versions good, so that no route of
+// the demo's tables runs out of versions that meet its target.
+func (l *local) rateWell() {
+	const good = 0.98
+	l.platform.SetQuality("small@1", good)
+	l.platform.SetQuality("large@1", good)
+}
+
 // stop stops the processes, and the stand-ins once no process needs them: a
 // stopping process hands its bills to the log.
 func (l *local) stop() {
@@ -144,6 +152,7 @@
 	s.Peer, s.Operators = l.reserve(), l.reserve()
 	s.Platform = l.base
 	s.VMListEvery = 100
+	s.Entry.LeaveDelay = 0
 	s.Session = settings.Session{Keys: map[string]string{"demo": "no secret, for the demo alone does it stand"}, Current: "demo"}
 	return s
 }
--- a/cli/operator_test.go
+++ b/cli/operator_test.go
@@ -17,6 +17,7 @@
 	t.Helper()
 	ctx := context.Background()
 	l := newLocal()
+	l.rateWell()
 	for _, f := range adjust {
 		f(l)
 	}
--- a/client/caller.go
+++ b/client/caller.go
@@ -43,7 +43,9 @@
 	Request string
 	Version string
 	// Session is handed back with the next request of the session.
-	Session      string
+	Session string
+	// Moved says why a session got another version; empty when it kept its own.
+	Moved        string
 	Text         string
 	FinishReason string
 	Usage        chat.Usage
@@ -61,6 +63,7 @@
 	a.Request = resp.Header.Get("Parsleydeal-Request")
 	a.Version = resp.Header.Get("Parsleydeal-Version")
 	a.Session = resp.Header.Get("Parsleydeal-Session")
+	a.Moved = resp.Header.Get("Parsleydeal-Session-Moved")
 	return a, a.read(resp.Body, each)
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 
 	"github.com/parsleydeal/parsleydeal/burn"
 	"github.com/parsleydeal/parsleydeal/choice"
@@ -29,6 +30,7 @@
 	retries  *limit.Retries
 	queues   *limit.Queues
 	meter    *meter
+	leaving  atomic.Bool
 	burn     *burn.Recorder
 }
 
@@ -52,6 +54,11 @@
 	return peer.Serve(ctx, lis, e.node, nil)
 }
 
+// Leave has every answer from now on ask its caller to close the connection.
+// An idle connection that the entry itself closes may be one on which a caller
+// has just begun to send.
+func (e *Entry) Leave() { e.leaving.Store(true) }
+
 // Serve answers callers on a listener until the context ends, then lets the
 // requests in flight finish.
 func (e *Entry) Serve(ctx context.Context, lis net.Listener) (err error) {
--- a/entry/patience.go
+++ b/entry/patience.go
@@ -65,6 +65,24 @@
 	mu       sync.Mutex
 	// stopped bodies give nothing more; a Read under way ends at once.
 	stopped bool
+	// ended is true once nothing of the body is left.
+	ended bool
+}
+
+func newPacedBody(w http.ResponseWriter, r *http.Request, patience clock.Millis) *pacedBody {
+	return &pacedBody{ReadCloser: r.Body, control: http.NewResponseController(w), patience: patience.Duration(), ended: r.Body == http.NoBody}
+}
+
+// closeUnlessEnded has the connection closed after a response that begins
+// before the body has ended. In full duplex net/http reads what is left of a
+// body only after it has stopped watching the connection; it then watches again
+// while it waits for the next request, and panics under that request.
+func (b *pacedBody) closeUnlessEnded(h http.Header) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.ended {
+		h.Set("Connection", "close")
+	}
 }
 
 // Read reads the next part, or fails when it does not come in time.
@@ -74,7 +92,7 @@
 	}
 	n, err = b.ReadCloser.Read(p)
 	if err != nil {
-		b.rest()
+		b.rest(err == io.EOF)
 	}
 	return n, err
 }
@@ -92,18 +110,24 @@
 
 // rest takes the deadline away at the body's end. The server reads on to notice
 // that the caller goes away; an old deadline would end the request instead.
-func (b *pacedBody) rest() {
+func (b *pacedBody) rest(ended bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.ended = b.ended || ended
 	if !b.stopped {
 		_ = b.control.SetReadDeadline(time.Time{})
 	}
 }
 
-// stop ends a Read under way and all later ones.
+// stop ends a Read under way and all later ones. A body that has ended is left
+// alone: the server then reads on to notice that the caller goes away, and a
+// deadline under that read would cancel the request, and with it a next try.
 func (b *pacedBody) stop() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.ended {
+		return
+	}
 	b.stopped = true
 	_ = b.control.SetReadDeadline(time.Now())
 }
--- a/entry/server.go
+++ b/entry/server.go
@@ -38,6 +38,9 @@
 	modelsserver.New(models.NewEndpoints(e), mux, goahttp.RequestDecoder, jsonEncoder, nil, formatError).Mount(mux)
 	known := map[string]string{"/v1/chat/completions": http.MethodPost, "/v1/models": http.MethodGet}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		if err := e.limits(r); err != nil {
 			writeRefusal(w, uuid.NewString(), err)
 			return
--- a/entry/service.go
+++ b/entry/service.go
@@ -19,6 +19,8 @@
 	work
 	r *http.Request
 	w http.ResponseWriter
+	// paced is the caller's body under its limits.
+	paced *pacedBody
 	// started is true when the status has been sent and cannot change.
 	started bool
 	// printed is the call's fingerprint once it was made.
@@ -28,11 +30,12 @@
 // service answers one call of a plain service. Bodies stream both ways.
 func (e *Entry) service(w http.ResponseWriter, r *http.Request, name, path string) {
 	s := e.node.Settings().Entry
-	body := &pacedBody{ReadCloser: r.Body, control: http.NewResponseController(w), patience: s.BodyTimeout.Duration()}
+	body := newPacedBody(w, r, s.BodyTimeout)
 	r.Body = body
 	w = newPatientWriter(w, s.WriteTimeout)
 	c := &call{work: work{id: uuid.NewString(), service: name, path: path, method: r.Method}, r: r, w: w}
 	c.stopBody = body.stop
+	c.paced = body
 	end := e.meter.begin()
 	err := e.openCall(c)
 	if err == nil {
@@ -44,6 +47,7 @@
 		return
 	}
 	if !c.started {
+		body.closeUnlessEnded(w.Header())
 		writeRefusal(w, c.id, err)
 		return
 	}
@@ -156,6 +160,7 @@
 	}
 	h.Set(requestHeader, c.id)
 	h.Set(runHeader, string(refusal.Ran))
+	c.paced.closeUnlessEnded(h)
 	c.w.WriteHeader(int(p.GetStatus()))
 	c.started = true
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -111,6 +111,7 @@
 		Entry: Entry{
 			MaxBody: 4 << 20, MaxHeaders: 64 << 10, MaxConnections: 20000,
 			HeaderTimeout: 10 * clock.Second, BodyTimeout: 30 * clock.Second, WriteTimeout: 30 * clock.Second, IdleTimeout: 2 * clock.Minute,
+			LeaveDelay: 2 * clock.Second,
 		},
 		VMListEvery: clock.Second,
 	}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -193,7 +193,7 @@
 		if i > req.ResumeAfter && !e.wait(r, e.gap) {
 			return false
 		}
-		c := chunk(req.Model, Token(i), nil)
+		c := chunk(req.Model, tokenOf(req, i), nil)
 		if faults.ToolCall && i == 1 {
 			sendData(w, []byte(toolCallChunk))
 			continue
@@ -213,6 +213,22 @@
 // Token returns the token with a number of every answer.
 func Token(i int) string { return fmt.Sprintf("w%d ", i) }
 
+// echoMark stands in a prompt before a word that the engine gives back as its
+// first token, so that a caller knows an answer for its own.
+const echoMark = "echo:"
+
+func tokenOf(req *engineRequest, i int) string {
+	if i > 0 || len(req.Messages) == 0 {
+		return Token(i)
+	}
+	_, word, ok := strings.Cut(string(req.Messages[len(req.Messages)-1].Content), echoMark)
+	if !ok {
+		return Token(i)
+	}
+	word, _, _ = strings.Cut(strings.Trim(word, `"`), " ")
+	return word + " "
+}
+
 // Text returns the whole answer of so many tokens.
 func Text(tokens int) string {
 	var b strings.Builder
--- a/standin/plain.go
+++ b/standin/plain.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"sync"
+
+	"github.com/google/uuid"
 )
 
 // PlainFaults tells a plain service how to fail.
@@ -58,6 +60,7 @@
 		rc := http.NewResponseController(w)
 		_ = rc.EnableFullDuplex()
 		w.Header().Set("X-Service", "standin")
+		w.Header().Set("X-Standin-Run", uuid.NewString())
 		fmt.Fprintf(w, "%s %s\n", r.Method, r.URL.Path)
 		if faults.BreakAfter > 0 {
 			_, _ = io.CopyN(w, r.Body, faults.BreakAfter)
