--- a/rollout/state_test.go
+++ b/rollout/state_test.go
@@ -155,6 +155,22 @@
 	is.Equal(len(effects), 1) // the report
 }
 
+// The dear model fails on a route whose target the cheap one does not reach.
+// Holding it would leave versions in the route and none that may answer.
+func TestHoldLeavesAVersionThatMeetsTheTarget(t *testing.T) {
+	is := is.New(t)
+	target := tables(0)
+	target.Versions["m@1"] = table.Version{Quality: 0.5}
+	r := target.Routes["r"]
+	r.QualityTarget = 0.8
+	target.Routes["r"] = r
+	s := NewState()
+	for range 200 {
+		s.Reduce(event.Observed{}, seen("m@2", "o", bad), known("a", 0, target))
+	}
+	is.Equal(len(s.Holds(target).List()), 0)
+}
+
 // A bad rating is worth as much as what lacks to 1: the mean falls from 0.9 to
 // 0.6 while no request fails.
 func TestPoorRatingsHold(t *testing.T) {
@@ -207,3 +223,27 @@
 	is.True(s.Holds(tables(0)).Held("m@2", "o"))
 	is.True(!s.Holds(tables(0)).Held("m@1", "o"))
 }
+
+// A gate reads the log seldom. It must learn of a hold from any peer that knows
+// it from the log, and not from one that only found it due itself; and a judge
+// that keeps hearing of its hold must still renew it on the log.
+func TestHoldTravelsInDigests(t *testing.T) {
+	is := is.New(t)
+	first, _ := judges()
+	s, gate := NewState(), NewState()
+	tell := func(now clock.Millis) event.DigestReceived {
+		return event.DigestReceived{Now: now, Digest: &wire.Digest{Holds: s.Holds(tables(0)).Told()}}
+	}
+	effects, _ := s.Reduce(event.Observed{}, seen("m@2", "o", bad), known(first, 0, tables(0)))
+	gate.Reduce(tell(0), nil, known("z", 0, tables(0)))
+	is.True(!gate.Holds(tables(0)).Held("m@2", "o")) // the log does not have it yet
+	s.Reduce(page(appends(effects)[0].Data), nil, known(first, 0, tables(0)))
+	_, changed := gate.Reduce(tell(0), nil, known("z", 0, tables(0)))
+	is.True(changed)
+	is.True(gate.Holds(tables(0)).Held("m@2", "o"))
+	_, changed = gate.Reduce(tell(0), nil, known("z", 0, tables(0)))
+	is.True(!changed)
+	s.Reduce(tell(renewEvery-1), nil, known(first, renewEvery-1, tables(0)))
+	effects, _ = s.Reduce(event.Tick{}, nil, known(first, renewEvery, tables(0)))
+	is.Equal(len(appends(effects)), 1)
+}
