--- a/choice/endpoint.go
+++ b/choice/endpoint.go
@@ -176,7 +176,7 @@
 
 func usable(v *view.View, pool table.Pool, vm platform.VM) bool {
 	t := v.Tables()
-	if t.ZoneOut(vm.Zone) || t.VMOut(vm.ID) || v.Members().Leaving(vm) {
+	if t.ZoneOut(vm.Zone) || t.VMOut(vm.ID) || v.Members().Leaving(vm) || v.Members().Suspected(vm.ID) {
 		return false
 	}
 	return pool.InZone(vm.Zone)
--- a/endpoint/attempt.go
+++ b/endpoint/attempt.go
@@ -2,8 +2,10 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/parsleydeal/parsleydeal/answer"
+	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/gate"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/refusal"
@@ -15,8 +17,13 @@
 	head   *wire.RunHead
 	stream wire.DRPCGate_RunStream
 	bytes  int
+	// deadline is when the caller stops waiting, counted from receipt on this VM's
+	// clock.
+	deadline time.Time
 	// ticket is the attempt's place at the gate; nil before it arrived there.
 	ticket *gate.Ticket
+	// version is set while the attempt counts as busy with it.
+	version string
 	// kept takes the pieces of a run that goes on without its entry.
 	kept *answer.Kept
 	// remembered is true once the memory of attempts holds this one.
@@ -30,14 +37,17 @@
 	number uint32
 	tokens int32
 	reason string
-	usage  wire.Usage
-	// step is set with the last piece.
+	// piece is used again for each piece that is not kept.
+	piece wire.Piece
+	usage wire.Usage
+	// step is set once the attempt ran and is to be billed.
 	step *wire.Step
 }
 
 func newAttempt(e *Endpoint, stream wire.DRPCGate_RunStream, first *wire.RunFrame) *attempt {
 	a := &attempt{e: e, head: first.GetHead(), stream: stream, bytes: len(first.GetBody())}
 	a.bodyRead.Store(first.GetLast())
+	a.deadline = time.Now().Add(clock.Millis(a.head.GetDeadlineMillis()).Duration())
 	return a
 }
 
@@ -92,6 +102,16 @@
 	return err
 }
 
+// next returns an empty piece. One that is not kept has been encoded by the time
+// that send returns.
+func (a *attempt) next() *wire.Piece {
+	if a.kept != nil {
+		return &wire.Piece{}
+	}
+	a.piece.Reset()
+	return &a.piece
+}
+
 // last sends the final piece of a whole answer. The place is given back before,
 // so that the load in the piece is that without this request.
 func (a *attempt) last(step *wire.Step, p *wire.Piece) (err error) {
@@ -113,7 +133,15 @@
 		r = refusal.New(refusal.EngineFailed, cause.Error()).WithRun(refusal.Unknown)
 	}
 	a.release(outcomeOf(r))
-	return a.send(&wire.Piece{Last: true, Refusal: r.Wire(), Load: a.e.load(), Revision: a.e.node.View().Revision()})
+	p := &wire.Piece{Last: true, Refusal: r.Wire(), Load: a.e.load(), Revision: a.e.node.View().Revision()}
+	if a.step == nil || a.head.GetRepeatable() {
+		return a.send(p)
+	}
+	p.Step = a.step
+	if err = a.send(p); err != nil {
+		return err
+	}
+	return a.settle()
 }
 
 func (a *attempt) release(o gate.Outcome) {
--- a/node/node.go
+++ b/node/node.go
@@ -10,10 +10,12 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
+	"github.com/joomcode/errorx"
 	"github.com/parsleydeal/parsleydeal/claim"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/control"
 	"github.com/parsleydeal/parsleydeal/event"
+	"github.com/parsleydeal/parsleydeal/journal"
 	"github.com/parsleydeal/parsleydeal/peer"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/platform"
@@ -58,6 +60,8 @@
 	loads atomic.Uint64
 	// estimatesAt is the instant at which a digest last carried estimates.
 	estimatesAt atomic.Int64
+	// handler carries out the effects of the endpoint's part; nil in an entry.
+	handler atomic.Pointer[func(event.Effect)]
 	// load reports the endpoint's own load; nil in an entry.
 	load atomic.Pointer[func() *wire.Load]
 	// appends holds a place for each append under way.
@@ -67,6 +71,7 @@
 	metrics *metrics.Set
 	reports atomic.Pointer[ReportFunc]
 	billing *Billing
+	placed  atomic.Pointer[journal.Place]
 	claims  claims
 }
 
@@ -76,7 +81,7 @@
 func New(cfg Config) *Node {
 	n := &Node{cfg: cfg, epoch: rand.Uint64(), metrics: metrics.NewSet(), calls: make(chan struct{}, maxCalls), follows: make(map[string]context.CancelFunc)}
 	n.appends = make(chan struct{}, maxAppends)
-	n.loop = control.NewLoop(control.NewStateAt(cfg.Settings.VM, cfg.Settings.Zone, n.epoch), n.perform)
+	n.loop = control.NewLoop(control.NewStateAt(cfg.Settings.VM, cfg.Settings.Zone, n.epoch).WithPool(cfg.Settings.Endpoint.Pool), n.perform)
 	n.billing = newBilling(n)
 	n.claims = claims{books: make(map[string]*claim.Book), ctx: context.Background()}
 	return n
@@ -146,12 +151,16 @@
 }
 
 func (n *Node) tail(ctx context.Context, stream string) {
-	from := int64(0)
+	from, restarts := int64(0), 0
 	for ctx.Err() == nil {
 		if stream == platform.ConfigStream {
-			from = max(from, n.View().Tail().End())
+			t := n.View().Tail()
+			if t.Restarts() != restarts {
+				from, restarts = t.End(), t.Restarts()
+			}
+			from = max(from, t.End())
 		}
-		page, err := n.cfg.Store.Read(ctx, stream, from, logWait)
+		page, err := n.read(ctx, stream, from)
 		if err != nil {
 			n.loop.Post(ctx, event.LogFailed{Now: n.cfg.Clock.Now(), Stream: stream, Err: err})
 			pause(ctx, logRetry)
@@ -161,9 +170,22 @@
 		if k := len(page.Records); k > 0 {
 			from = page.Records[k-1].Offset + 1
 		}
+		from = max(from, page.First)
 	}
 }
 
+// read reads a page. When the log no longer keeps the offset the page has no
+// records but tells where the log now begins: a reader that asked for the lost
+// records again and again would never start.
+func (n *Node) read(ctx context.Context, stream string, from int64) (page platform.Page, err error) {
+	const beyondHead = int64(1) << 62
+	page, err = n.cfg.Store.Read(ctx, stream, from, logWait)
+	if errorx.IsOfType(err, platform.ErrExpired) {
+		page, err = n.cfg.Store.Read(ctx, stream, beyondHead, 0)
+	}
+	return page, err
+}
+
 // perform carries out one effect. It runs on the control goroutine, so all I/O
 // goes to goroutines of its own.
 func (n *Node) perform(e event.Effect) {
@@ -178,5 +200,7 @@
 		n.follow(e)
 	case event.Append:
 		n.append(e)
+	default:
+		n.handle(e)
 	}
 }
--- a/settings/options.go
+++ b/settings/options.go
@@ -100,6 +100,10 @@
 		Key: "session.current", Allowed: "the name of one of session.keys", Doc: "key that signs new tokens; the others still verify", needed: entryOnly,
 		ok: func(s *Settings) bool { return s.Session.Keys[s.Session.Current] != "" },
 	},
+	{
+		Key: "session.lifetime", Allowed: "1m to 9000h", Doc: "how long a session lasts that nobody uses; wall clocks of entries may differ by 10 minutes",
+		ok: func(s *Settings) bool { return between(s.Session.Lifetime, clock.Minute, 9000*clock.Hour) },
+	},
 }
 
 var tlsOptions = slices.Concat(
@@ -184,6 +188,10 @@
 		ok: func(s *Settings) bool { return isURL(s.Endpoint.Engine) },
 	},
 	{Key: "endpoint.plain", Allowed: "true or false", Doc: "true before a plain service, false before a model engine"},
+	{
+		Key: "endpoint.stop-limit", Allowed: "1s to 1h", Doc: "how long a stopping endpoint lets its answers go on before it cuts them off",
+		ok: func(s *Settings) bool { return between(s.Endpoint.StopLimit, clock.Second, maxTimeout) },
+	},
 }
 
 func isAddress(text string) bool {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -69,6 +69,8 @@
 	// Keys are secrets by key name; the first in order of Current signs.
 	Keys    map[string]string `toml:"keys"`
 	Current string            `toml:"current"`
+	// Lifetime is how long a session lasts that nobody uses.
+	Lifetime clock.Millis `toml:"lifetime"`
 }
 
 // Entry configures an entry.
@@ -101,6 +103,8 @@
 	// Engine is the URL of the engine or plain service on this VM.
 	Engine string `toml:"engine"`
 	Plain  bool   `toml:"plain"`
+	// StopLimit bounds how long a stopping endpoint lets its answers go on.
+	StopLimit clock.Millis `toml:"stop-limit"`
 }
 
 // Default returns the settings before a file is read.
@@ -113,6 +117,8 @@
 			HeaderTimeout: 10 * clock.Second, BodyTimeout: 30 * clock.Second, WriteTimeout: 30 * clock.Second, IdleTimeout: 2 * clock.Minute,
 			LeaveDelay: 2 * clock.Second,
 		},
+		Endpoint:    Endpoint{StopLimit: 10 * clock.Minute},
+		Session:     Session{Lifetime: 24 * clock.Hour},
 		VMListEvery: clock.Second,
 	}
 }
