--- a/cli/local.go
+++ b/cli/local.go
@@ -31,14 +31,22 @@
 	vms      []platform.VM
 	base     string
 	callers  []string
-	log      *log.Logger
+	// scheme and http are how callers reach the entries.
+	scheme string
+	http   *http.Client
+	log    *log.Logger
+	// tables is the change that is published first.
+	tables []byte
 	// adjust changes each process's settings before it starts.
 	adjust func(s *settings.Settings)
 	// stops ends one process each, by VM.
 	stops     map[string]context.CancelFunc
 	processes []func()
-	wg        sync.WaitGroup
-	mu        sync.Mutex
+	// standins is the context of the stand-ins, which outlive the processes.
+	standins                    context.Context
+	stopProcesses, stopStandins context.CancelFunc
+	wg                          sync.WaitGroup
+	mu                          sync.Mutex
 	// reserved holds listeners by address until their process takes them.
 	reserved map[string]net.Listener
 }
@@ -54,7 +62,7 @@
 
 func newLocal() *local {
 	return &local{
-		platform: standin.NewPlatform(), engines: make(map[string]*standin.Engine), plain: standin.NewPlain(),
+		scheme: "http://", http: http.DefaultClient, tables: demoTables, platform: standin.NewPlatform(), engines: make(map[string]*standin.Engine), plain: standin.NewPlain(),
 		log: log.NewWithOptions(os.Stderr, log.Options{Level: log.WarnLevel}), adjust: func(*settings.Settings) {}, stops: make(map[string]context.CancelFunc), reserved: make(map[string]net.Listener),
 	}
 }
@@ -62,7 +70,9 @@
 // start runs two availability zones with an entry and two model endpoints
 // each, and a plain service in the first.
 func (l *local) start(ctx context.Context, shape localShape) (err error) {
-	if l.base, err = serve(ctx, l.platform.Handler()); err != nil {
+	ctx, l.stopProcesses = context.WithCancel(ctx)
+	l.standins, l.stopStandins = context.WithCancel(context.WithoutCancel(ctx))
+	if l.base, err = serve(l.standins, l.platform.Handler()); err != nil {
 		return err
 	}
 	for i, zone := range []string{"zone-a", "zone-b"} {
@@ -80,6 +90,22 @@
 	return nil
 }
 
+// rateWell has the stand-in rater find both versions good, so that no route of
+// the demo's tables runs out of versions that meet its target.
+func (l *local) rateWell() {
+	const good = 0.98
+	l.platform.SetQuality("small@1", good)
+	l.platform.SetQuality("large@1", good)
+}
+
+// stop stops the processes, and the stand-ins once no process needs them: a
+// stopping process hands its bills to the log.
+func (l *local) stop() {
+	l.stopProcesses()
+	l.wg.Wait()
+	l.stopStandins()
+}
+
 func (l *local) startZone(ctx context.Context, zone string, number int, shape localShape) (err error) {
 	for i, pool := range []string{"small", "large"} {
 		vm := fmt.Sprintf("endpoint-%d-%d", number, i)
@@ -100,7 +126,7 @@
 func (l *local) startGate(ctx context.Context, vm, zone string, e settings.Endpoint, engine http.Handler) (err error) {
 	s := l.settings(vm, zone)
 	s.Endpoint = e
-	if s.Endpoint.Engine, err = serve(ctx, engine); err != nil {
+	if s.Endpoint.Engine, err = serve(l.standins, engine); err != nil {
 		return err
 	}
 	l.adjust(&s)
@@ -126,6 +152,7 @@
 	s.Peer, s.Operators = l.reserve(), l.reserve()
 	s.Platform = l.base
 	s.VMListEvery = 100
+	s.Entry.LeaveDelay = 0
 	s.Session = settings.Session{Keys: map[string]string{"demo": "no secret, for the demo alone does it stand"}, Current: "demo"}
 	return s
 }
@@ -134,12 +161,13 @@
 func (l *local) operator() (*client.Operator, error) {
 	s := settings.Default()
 	s.Platform = l.base
+	l.adjust(&s)
 	return newOperator(s)
 }
 
 // caller returns a callers' client of one entry.
 func (l *local) caller(entry int, key string) *client.Caller {
-	return &client.Caller{Base: "http://" + l.callers[entry], Key: key, HTTP: http.DefaultClient}
+	return &client.Caller{Base: l.scheme + l.callers[entry], Key: key, HTTP: l.http}
 }
 
 // waitReady waits until a route can be named at every entry.
--- a/entry/service.go
+++ b/entry/service.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"slices"
-	"time"
 
 	"github.com/google/uuid"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
@@ -20,6 +19,8 @@
 	work
 	r *http.Request
 	w http.ResponseWriter
+	// paced is the caller's body under its limits.
+	paced *pacedBody
 	// started is true when the status has been sent and cannot change.
 	started bool
 	// printed is the call's fingerprint once it was made.
@@ -28,7 +29,13 @@
 
 // service answers one call of a plain service. Bodies stream both ways.
 func (e *Entry) service(w http.ResponseWriter, r *http.Request, name, path string) {
+	s := e.node.Settings().Entry
+	body := newPacedBody(w, r, s.BodyTimeout)
+	r.Body = body
+	w = newPatientWriter(w, s.WriteTimeout)
 	c := &call{work: work{id: uuid.NewString(), service: name, path: path, method: r.Method}, r: r, w: w}
+	c.stopBody = body.stop
+	c.paced = body
 	end := e.meter.begin()
 	err := e.openCall(c)
 	if err == nil {
@@ -40,6 +47,7 @@
 		return
 	}
 	if !c.started {
+		body.closeUnlessEnded(w.Header())
 		writeRefusal(w, c.id, err)
 		return
 	}
@@ -67,6 +75,9 @@
 	if !ok || !slices.Contains(s.Organisations, c.organisation) {
 		return refusal.New(refusal.NoRoute, "no service "+c.service)
 	}
+	if dotted(c.path) {
+		return refusal.New(refusal.Malformed, "path has a segment . or ..")
+	}
 	c.pool = s.Pool
 	c.repeatable = slices.Contains(s.Repeatable, c.method)
 	c.key = c.r.Header.Get("Idempotency-Key")
@@ -79,11 +90,9 @@
 	}
 	c.headers = headersOf(c.r.Header)
 	c.send = c.sendBody
-	rc := http.NewResponseController(c.w)
 	// Without full duplex net/http reads the whole body before it writes the
 	// first byte of the answer.
-	_ = rc.EnableFullDuplex()
-	c.stopBody = func() { _ = rc.SetReadDeadline(time.Now()) }
+	_ = http.NewResponseController(c.w).EnableFullDuplex()
 	c.fingerprint = c.print
 	return e.fresh(c.view, s.WhenStale, int64(s.StaleAfter))
 }
@@ -151,6 +160,7 @@
 	}
 	h.Set(requestHeader, c.id)
 	h.Set(runHeader, string(refusal.Ran))
+	c.paced.closeUnlessEnded(h)
 	c.w.WriteHeader(int(p.GetStatus()))
 	c.started = true
 }
