Choice: when all endpoints are suspected they are asked all the same

Cause: on a busy machine TestKilledEndpointLosesNoRepeatableRequest got 503 no-endpoint once: a stall of the entry made every endpoint suspected, and none was left to choose. Beside it, a full or lost drawn pair from outside the subset made emptiest look at an empty list, which panics. Change: endpoints are looked for in widening reaches, suspected ones last; the emptiest is sought among the candidates too. Conclusion: suspicion orders endpoints and refuses nobody.

--- a/choice/endpoint.go
+++ b/choice/endpoint.go
@@ -56,7 +56,7 @@
 	}
 	best, load := drawTwo(all, f, q)
 	if load >= 1 {
-		best, load = emptiest(reachable(v, q), f, q.Now)
+		best, load = emptiest(append(all, reachable(v, q)...), f, q.Now)
 	}
 	for _, id := range [...]string{q.Home, a.find(q)} {
 		kept, found := find(v, q, id)
@@ -123,7 +123,7 @@
 		pool := v.Tables().Pools[name]
 		for _, vm := range v.Members().Pool(name) {
 			if vm.ID == id {
-				return openOf(v, pool, vm), usable(v, pool, vm) && inShare(v, vm.Zone, q)
+				return openOf(v, pool, vm), usable(v, pool, vm) && !v.Members().Suspected(id) && inShare(v, vm.Zone, q)
 			}
 		}
 	}
@@ -133,11 +133,15 @@
 // candidates lists the endpoints of the entry's subsets that may receive new
 // work; when there are none, those of the whole pools, and then also those of
 // zones that came back and whose share the request is not in.
+//
+// Endpoints that could not be reached lately come last of all. When nothing else
+// is left they are asked all the same: a stall of this process or its network
+// makes all of them suspected at once, and refusing every request until the
+// suspicion lapses would turn a moment's stall into an outage.
 func candidates(v *view.View, q Query) (all []open) {
-	t := v.Tables()
-	for _, reach := range [...]struct{ whole, ramping bool }{{false, false}, {true, false}, {true, true}} {
+	for _, r := range [...]reach{{}, {whole: true}, {whole: true, ramping: true}, {whole: true, ramping: true, suspected: true}} {
 		for _, name := range q.Pools {
-			all = usables(all, v, t.Pools[name], q, v.Subset(name, reach.whole), reach.ramping)
+			all = usables(all, v, name, q, r)
 		}
 		if len(all) > 0 {
 			break
@@ -146,12 +150,22 @@
 	return all
 }
 
+// reach says how far to look for endpoints.
+type reach struct {
+	// whole looks beyond the entry's subsets.
+	whole bool
+	// ramping takes zones that came back in which the request has no share.
+	ramping bool
+	// suspected takes endpoints that could not be reached lately.
+	suspected bool
+}
+
 // reachable lists the endpoints of the subsets in all zones. When the drawn ones
 // are full, holding work back from a zone that came back would overrun those
 // that stayed; its gates say what it can take.
 func reachable(v *view.View, q Query) (all []open) {
 	for _, name := range q.Pools {
-		all = usables(all, v, v.Tables().Pools[name], q, v.Subset(name, false), true)
+		all = usables(all, v, name, q, reach{ramping: true})
 	}
 	return all
 }
@@ -164,19 +178,23 @@
 	return draw < v.Zones().Part(zone, q.Now)
 }
 
-func usables(all []open, v *view.View, pool table.Pool, q Query, vms []platform.VM, ramping bool) []open {
-	for _, vm := range vms {
-		if !usable(v, pool, vm) || q.Avoid[vm.ID] || !ramping && len(q.Avoid) == 0 && !inShare(v, vm.Zone, q) {
-			continue
+func usables(all []open, v *view.View, name string, q Query, r reach) []open {
+	pool := v.Tables().Pools[name]
+	for _, vm := range v.Subset(name, r.whole) {
+		switch {
+		case q.Avoid[vm.ID], !usable(v, pool, vm):
+		case !r.suspected && v.Members().Suspected(vm.ID):
+		case !r.ramping && len(q.Avoid) == 0 && !inShare(v, vm.Zone, q):
+		default:
+			all = append(all, openOf(v, pool, vm))
 		}
-		all = append(all, openOf(v, pool, vm))
 	}
 	return all
 }
 
 func usable(v *view.View, pool table.Pool, vm platform.VM) bool {
 	t := v.Tables()
-	if t.ZoneOut(vm.Zone) || t.VMOut(vm.ID) || v.Members().Leaving(vm) || v.Members().Suspected(vm.ID) {
+	if t.ZoneOut(vm.Zone) || t.VMOut(vm.ID) || v.Members().Leaving(vm) {
 		return false
 	}
 	return pool.InZone(vm.Zone)
--- a/choice/endpoint_test.go
+++ b/choice/endpoint_test.go
@@ -201,3 +201,21 @@
 	got = picks(v, f, NewAffinity(), Query{Now: 1})
 	is.Equal(got["endpoint-1"]+got["endpoint-3"], 400)
 }
+
+// The entry's own network stalls for a second, and all endpoints are suspected at
+// once. Callers must not be refused for as long as the suspicion lasts.
+func TestAllSuspectedAreAskedAllTheSame(t *testing.T) {
+	is := is.New(t)
+	s := membership.New("test")
+	s.Reduce(event.VMsListed{VMs: vms(platform.EndpointRole, 2, 2)})
+	tables := &table.Tables{Pools: map[string]table.Pool{"p": {ColdWindow: 2, FullWindow: 10}}}
+	s.Reduce(event.PeerFailed{Now: 1, VM: "endpoint-0"})
+	got := picks(view.New(tables, 0, 0, s.Members(), false), NewInflight(), NewAffinity(), Query{Now: 1})
+	is.Equal(got["endpoint-0"], 0)
+	s.Reduce(event.PeerFailed{Now: 1, VM: "endpoint-1"})
+	f := NewInflight()
+	f.Lost("endpoint-0", 1)
+	f.Lost("endpoint-1", 1)
+	got = picks(view.New(tables, 0, 0, s.Members(), false), f, NewAffinity(), Query{Now: 1})
+	is.Equal(got["endpoint-0"]+got["endpoint-1"], 400)
+}
--- a/system/cluster_test.go
+++ b/system/cluster_test.go
@@ -311,6 +311,9 @@
 	const body = `{"model":"quick","stream":true,"messages":[{"role":"user","content":"When is the renewal due?"}]}`
 	status, header, text := c.call(context.Background(), p, http.MethodPost, "/v1/chat/completions", body, h)
 	r.status = status
+	if status != http.StatusOK {
+		c.t.Logf("entry %s answered %d: %s", p.vm.ID, status, text)
+	}
 	if header != nil {
 		r.request = header.Get("Parsleydeal-Request")
 		r.run = header.Get("Parsleydeal-Run")
