--- a/control/control.go
+++ b/control/control.go
@@ -3,6 +3,9 @@
 package control
 
 import (
+	"slices"
+
+	"github.com/parsleydeal/parsleydeal/choice"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/evidence"
@@ -15,6 +18,7 @@
 	"github.com/parsleydeal/parsleydeal/spread"
 	"github.com/parsleydeal/parsleydeal/table"
 	"github.com/parsleydeal/parsleydeal/view"
+	"github.com/parsleydeal/parsleydeal/zone"
 )
 
 // State is everything control knows. It is owned by one goroutine.
@@ -33,6 +37,9 @@
 	counts   spread.Counts
 	rollout  rollout.State
 	quality  quality.State
+	zones    zone.State
+	// subsets follow from the VM list alone.
+	subsets map[string][]platform.VM
 	// pool is that of this endpoint; empty in an entry.
 	pool  string
 	lease lease.State
@@ -47,10 +54,11 @@
 
 // NewStateAt is NewState for a process in an availability zone; epoch is new at
 // each start of the process, and its evidence is counted under it.
-func NewStateAt(self, zone string, epoch uint64) *State {
+func NewStateAt(self, place string, epoch uint64) *State {
 	return &State{
-		self: self, zone: zone, epoch: epoch, members: membership.New(self), spread: spread.New(self, zone),
-		evidence: evidence.NewState(self, epoch), counts: spread.NewCounts(self), rollout: rollout.NewState(), quality: quality.NewState(),
+		self: self, zone: place, epoch: epoch, members: membership.New(self), spread: spread.New(self, place),
+		evidence: evidence.NewState(self, epoch), counts: spread.NewCounts(self),
+		rollout: rollout.NewState(), quality: quality.NewState(), zones: zone.NewState(),
 	}
 }
 
@@ -58,6 +66,8 @@
 func (s *State) View() *view.View {
 	v := view.New(s.tables.Tables(), s.tables.Revision(), s.spread.ConfirmedAt(), s.members.Members(), s.draining)
 	return v.WithEvidence(s.rollout.Holds(s.tables.Tables()), s.evidence.Report(), s.quality.Book()).
+		WithSubsets(s.subsets).
+		WithZones(s.zones.Ramps()).
 		WithSpread(spread.Picture{VM: s.self, Zone: s.zone, Epoch: s.epoch, Tail: s.tail, Starting: !s.spread.Started()})
 }
 
@@ -84,11 +94,16 @@
 
 // parts lists the reducers in the order in which they see each event.
 func (s *State) parts() []part {
-	return []part{s.reduceTables, s.reduceMembers, s.reduceDrain, s.reduceSpread, s.reduceEvidence, s.reduceLease}
+	return []part{s.reduceTables, s.reduceMembers, s.reduceDrain, s.reduceSpread, s.reduceEvidence, s.reduceZones, s.reduceLease}
 }
 
 func (s *State) reduceMembers(e event.Event) (effects []event.Effect, changed bool) {
-	return s.members.Reduce(e)
+	before := s.members.Members().VMs()
+	effects, changed = s.members.Reduce(e)
+	if now := s.members.Members().VMs(); changed && !slices.Equal(before, now) {
+		s.subsets = choice.SubsetsOf(s.self, now)
+	}
+	return effects, changed
 }
 
 func (s *State) reduceSpread(e event.Event) (effects []event.Effect, changed bool) {
@@ -96,6 +111,11 @@
 	return s.spread.Reduce(e, local, s.members.Members())
 }
 
+// reduceZones comes after the tables and members that it looks at.
+func (s *State) reduceZones(e event.Event) (effects []event.Effect, changed bool) {
+	return nil, s.zones.Reduce(e, s.now, s.tables.Tables(), s.members.Members())
+}
+
 // reduceEvidence counts what was seen and judges the versions by it.
 func (s *State) reduceEvidence(e event.Event) (effects []event.Effect, changed bool) {
 	deltas, told := s.evidence.Reduce(e)
