Orders: an order of one's own that was held up is compared too

Change: an order may be given for OrderLife only, and any newer lease of the VM stops it, not just one of another start.

--- a/endpoint/order.go
+++ b/endpoint/order.go
@@ -72,7 +72,7 @@
 	defer cancel()
 	for from := fence + 1; ; {
 		page, err := e.node.Store().Read(ctx, platform.LeaseStream, from, 0)
-		if err != nil || lease.Newer(page.Records, e.node.Settings().VM, e.load().GetEpoch(), fence) {
+		if err != nil || lease.Newer(page.Records, e.node.Settings().VM, fence) {
 			return false
 		}
 		if len(page.Records) == 0 {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -241,7 +241,8 @@
 		return s.lease(k)
 	}
 	s.number++
-	o.ID, o.Fence, o.Until, o.Compare = s.number, s.fence, s.until, !k.ChecksFencing
+	o.ID, o.Fence, o.Until, o.Compare = s.number, s.fence, s.now+OrderLife, !k.ChecksFencing
+	// The order ends here only after it can no longer be given.
 	s.order = &order{GiveOrder: o, end: s.now + 2*OrderLife}
 	return []event.Effect{o}
 }
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -100,8 +100,8 @@
 }
 
 // give models the last step before the engine, as endpoint.order takes it.
-func (f *fleet) give(holder int, fence int64) {
-	if !f.checks && Newer(f.log, "vm-1", f.epochs[holder], fence) {
+func (f *fleet) give(fence int64) {
+	if !f.checks && Newer(f.log, "vm-1", fence) {
 		return
 	}
 	if f.checks && fence < f.seen {
@@ -135,7 +135,7 @@
 				case event.FetchWeights:
 					act(i, event.WeightsDone{Now: now, Version: x.Version})
 				case event.GiveOrder:
-					waiting = append(waiting, func() { f.give(i, x.Fence) })
+					waiting = append(waiting, func() { f.give(x.Fence) })
 				}
 			}
 		}
--- a/lease/newer.go
+++ b/lease/newer.go
@@ -6,16 +6,16 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// Newer reports whether records of the lease stream show a lease of a VM that
-// another start of its process took after a fencing number. Records that are no
-// leases are skipped.
-func Newer(records []platform.Record, vm string, epoch uint64, fence int64) bool {
+// Newer reports whether records of the lease stream show a lease of a VM after a
+// fencing number, be it of another start of its process or of this one, whose
+// order was held up. Records that are no leases are skipped.
+func Newer(records []platform.Record, vm string, fence int64) bool {
 	for _, r := range records {
 		l := &wire.Lease{}
 		if r.Offset <= fence || proto.Unmarshal(r.Data, l) != nil {
 			continue
 		}
-		if l.GetVm() == vm && l.GetEpoch() != epoch {
+		if l.GetVm() == vm {
 			return true
 		}
 	}
