Idle endpoints tell their true window; replaced-twice test asks varied questions

Cause: with prefix affinity like questions stay with one endpoint, so a replacement got none and the test waited for work that rightly went elsewhere. The test is as strict: every replacement must serve. Also a gate told a window of 1 until its first request.

--- a/endpoint/watch.go
+++ b/endpoint/watch.go
@@ -25,6 +25,7 @@
 	reached := true
 	for n := 0; ; n++ {
 		now := e.node.Clock().Now()
+		e.bound()
 		e.gate.Tick(now)
 		e.keeping.Expire(now)
 		if n%pollEvery == 0 && !e.node.Settings().Endpoint.Plain {
@@ -38,6 +39,14 @@
 	}
 }
 
+// bound gives the gate the tables' limits also while nothing arrives, so that an
+// idle endpoint tells entries its true window.
+func (e *Endpoint) bound() {
+	if pool, ok := e.pool(); ok {
+		e.gate.Bound(limitsOf(pool, e.node.Settings().Endpoint.Plain))
+	}
+}
+
 // poll reads the engine's load. An engine with another generation, or one that
 // takes no connection any more, has restarted and is cold.
 func (e *Endpoint) poll(ctx context.Context, before bool) (reached bool) {
--- a/system/cluster_test.go
+++ b/system/cluster_test.go
@@ -308,7 +308,13 @@
 
 // ask streams one chat completion.
 func (c *cluster) ask(p *process, h http.Header) (r result) {
-	const body = `{"model":"quick","stream":true,"messages":[{"role":"user","content":"When is the renewal due?"}]}`
+	return c.askAbout(p, h, "When is the renewal due?")
+}
+
+// askAbout streams one chat completion about a question. Like questions tend to
+// go to the endpoint that has them cached.
+func (c *cluster) askAbout(p *process, h http.Header, question string) (r result) {
+	body := fmt.Sprintf(`{"model":"quick","stream":true,"messages":[{"role":"user","content":%q}]}`, question)
 	status, header, text := c.call(context.Background(), p, http.MethodPost, "/v1/chat/completions", body, h)
 	r.status = status
 	if header != nil {
--- a/system/stop_test.go
+++ b/system/stop_test.go
@@ -1,6 +1,7 @@
 package system
 
 import (
+	"fmt"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -17,12 +18,17 @@
 	s := shape{entries: 2, endpoints: 3, zones: 2, first: 5, gap: 2, tokens: 30}
 	c := newCluster(t, s)
 	var stop atomic.Bool
-	var served atomic.Int64
+	var served, asked atomic.Int64
 	var wg sync.WaitGroup
+	defer func() {
+		stop.Store(true)
+		wg.Wait()
+	}()
 	for i := range 6 {
 		wg.Go(func() {
 			for !stop.Load() {
-				r := c.ask(c.entries[i%2], nil)
+				// Each question is another one, so that every endpoint gets some.
+				r := c.askAbout(c.entries[i%2], nil, fmt.Sprint("question ", asked.Add(1)))
 				if r.status != http.StatusOK || !r.whole || r.text != wholeText(s) {
 					t.Errorf("status %d, whole %v, run %q", r.status, r.whole, r.run)
 				}
