--- a/control/control.go
+++ b/control/control.go
@@ -5,6 +5,7 @@
 import (
 	"slices"
 
+	"github.com/parsleydeal/parsleydeal/checkpoint"
 	"github.com/parsleydeal/parsleydeal/choice"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/event"
@@ -40,9 +41,15 @@
 	zones    zone.State
 	// subsets follow from the VM list alone.
 	subsets map[string][]platform.VM
+	// subsetsOf computes them; a test that drives many states at once leaves
+	// them out.
+	subsetsOf func(self string, vms []platform.VM) map[string][]platform.VM
 	// pool is that of this endpoint; empty in an entry.
 	pool  string
 	lease lease.State
+	saves checkpoint.State
+	// saved is the tables' checkpoint as of the last change to them.
+	saved *table.Checkpoint
 	// logCut is true while the log shows less than was reduced.
 	logCut bool
 }
@@ -58,7 +65,8 @@
 	return &State{
 		self: self, zone: place, epoch: epoch, members: membership.New(self), spread: spread.New(self, place),
 		evidence: evidence.NewState(self, epoch), counts: spread.NewCounts(self),
-		rollout: rollout.NewState(), quality: quality.NewState(), zones: zone.NewState(),
+		rollout: rollout.NewState(), quality: quality.NewState(), zones: zone.NewState(), saves: checkpoint.NewState(self),
+		subsetsOf: choice.SubsetsOf,
 	}
 }
 
@@ -68,7 +76,8 @@
 	return v.WithEvidence(s.rollout.Holds(s.tables.Tables()), s.evidence.Report(), s.quality.Book()).
 		WithSubsets(s.subsets).
 		WithZones(s.zones.Ramps()).
-		WithSpread(spread.Picture{VM: s.self, Zone: s.zone, Epoch: s.epoch, Tail: s.tail, Starting: !s.spread.Started()})
+		WithSpread(spread.Picture{VM: s.self, Zone: s.zone, Epoch: s.epoch, Tail: s.tail, Starting: !s.spread.Started()}).
+		WithCheckpoint(s.saved)
 }
 
 // Reduce takes one event into the state and returns the effects in order. It
@@ -94,14 +103,14 @@
 
 // parts lists the reducers in the order in which they see each event.
 func (s *State) parts() []part {
-	return []part{s.reduceTables, s.reduceMembers, s.reduceDrain, s.reduceSpread, s.reduceEvidence, s.reduceZones, s.reduceLease}
+	return []part{s.reduceTables, s.reduceMembers, s.reduceDrain, s.reduceSpread, s.reduceEvidence, s.reduceZones, s.reduceLease, s.reduceSaves}
 }
 
 func (s *State) reduceMembers(e event.Event) (effects []event.Effect, changed bool) {
 	before := s.members.Members().VMs()
 	effects, changed = s.members.Reduce(e)
 	if now := s.members.Members().VMs(); changed && !slices.Equal(before, now) {
-		s.subsets = choice.SubsetsOf(s.self, now)
+		s.subsets = s.subsetsOf(s.self, now)
 	}
 	return effects, changed
 }
@@ -112,8 +121,8 @@
 }
 
 // reduceZones comes after the tables and members that it looks at.
-func (s *State) reduceZones(e event.Event) (effects []event.Effect, changed bool) {
-	return nil, s.zones.Reduce(e, s.now, s.tables.Tables(), s.members.Members())
+func (s *State) reduceZones(event.Event) (effects []event.Effect, changed bool) {
+	return nil, s.zones.Reduce(s.now, s.tables.Tables(), s.members.Members())
 }
 
 // reduceEvidence counts what was seen and judges the versions by it.
@@ -126,6 +135,11 @@
 	return effects, changed || told
 }
 
+// reduceSaves appends the tables to the log again before retention ends.
+func (s *State) reduceSaves(e event.Event) (effects []event.Effect, changed bool) {
+	return s.saves.Reduce(e, &s.tables), false
+}
+
 func (s *State) reduceDrain(e event.Event) (effects []event.Effect, changed bool) {
 	if _, ok := e.(event.Draining); !ok {
 		return nil, false
@@ -158,8 +172,9 @@
 		}
 		effects = append(effects, s.noteCut(e.Page.Head)...)
 	case event.RecordsReceived:
+		effects = s.imports(e)
 		if e.Reply.GetFrom() > s.tables.Offset() {
-			return nil, false
+			break
 		}
 		for _, r := range e.Reply.GetRecords() {
 			effects = append(effects, s.apply(r.GetOffset(), r.GetData())...)
@@ -185,11 +200,36 @@
 	if !ok {
 		return nil
 	}
+	if o.Adopted {
+		s.tail = s.tail.Restart(offset)
+	}
 	s.tail = s.tail.Add(&wire.Record{Offset: offset, Data: data})
+	s.saved, _ = s.tables.Checkpoint()
 	return []event.Effect{report(o)}
 }
 
+// imports takes a peer's checkpoint, which it sends when it no longer keeps the
+// records that this process lacks.
+func (s *State) imports(e event.RecordsReceived) (effects []event.Effect) {
+	if e.Reply.GetCheckpoint() == nil {
+		return nil
+	}
+	c, err := table.ParseCheckpoint(e.Reply.GetCheckpoint().GetData())
+	if err != nil {
+		return []event.Effect{event.Report{Message: "Checkpoint of a peer cannot be read", Fields: []any{"peer", e.From, "reason", err.Error()}}}
+	}
+	if !s.tables.Import(c) {
+		return nil
+	}
+	s.tail = s.tail.Restart(c.Offset())
+	s.saved = c
+	return []event.Effect{event.Report{Message: "Tables taken from a peer's checkpoint", Fields: []any{"peer", e.From, "revision", c.Revision(), "offset", c.Offset()}}}
+}
+
 func report(o table.Outcome) event.Report {
+	if o.Checkpoint {
+		return event.Report{Message: "Checkpoint read", Fields: []any{"offset", o.Revision, "counts", o.Accepted, "adopted", o.Adopted, "reason", o.Reason}}
+	}
 	if o.Accepted {
 		return event.Report{Message: "Change accepted", Fields: []any{"change", o.ID, "author", o.Author, "revision", o.Revision}}
 	}
