--- a/system/lasting_test.go
+++ b/system/lasting_test.go
@@ -221,3 +221,23 @@
 	is.Equal(status, http.StatusBadRequest)
 	is.Equal(h.Get("Parsleydeal-Run"), "not-run")
 }
+
+// A service takes a fee and vanishes before it answers. The entry cannot know
+// whether the fee was booked: it must not try the other endpoint, and must say
+// that it does not know.
+func TestUnkeyedPostIsNotRepeatedWhenTheServiceVanishes(t *testing.T) {
+	is := is.New(t)
+	s := shape{entries: 1, endpoints: 1, plain: 3, zones: 2, first: 1, gap: 1, tokens: 2}
+	c := newCluster(t, s)
+	for _, p := range c.plain {
+		p.SetFaults(standin.PlainFaults{Vanish: true})
+	}
+	status, h, _ := c.call(t.Context(), c.entries[0], http.MethodPost, "/v1/services/records/fee", "renew", nil)
+	is.True(status >= http.StatusInternalServerError)
+	is.Equal(h.Get("Parsleydeal-Run"), "unknown")
+	runs := 0
+	for _, p := range c.plain {
+		runs += p.Calls(http.MethodPost, "/fee")
+	}
+	is.Equal(runs, 1)
+}
