--- a/bench/main.go
+++ b/bench/main.go
@@ -32,6 +32,8 @@
 		{"billing", benchBilling},
 		{"quality", benchQuality},
 		{"limit", benchLimit},
+		{"choice", benchChoice},
+		{"zone", benchZone},
 	}
 }
 
@@ -62,7 +64,7 @@
 		return err
 	}
 	if o.Write {
-		return writeBaselines(o.Baselines, base, figures)
+		return writeBaselines(o.Baselines, base, figures, o.Only)
 	}
 	faults := compare(base, figures, o.Only)
 	if len(faults) > 0 {
--- a/control/control.go
+++ b/control/control.go
@@ -3,10 +3,14 @@
 package control
 
 import (
+	"slices"
+
 	"github.com/parsleydeal/parsleydeal/checkpoint"
+	"github.com/parsleydeal/parsleydeal/choice"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/evidence"
+	"github.com/parsleydeal/parsleydeal/lease"
 	"github.com/parsleydeal/parsleydeal/membership"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/platform"
@@ -15,6 +19,7 @@
 	"github.com/parsleydeal/parsleydeal/spread"
 	"github.com/parsleydeal/parsleydeal/table"
 	"github.com/parsleydeal/parsleydeal/view"
+	"github.com/parsleydeal/parsleydeal/zone"
 )
 
 // State is everything control knows. It is owned by one goroutine.
@@ -33,7 +38,16 @@
 	counts   spread.Counts
 	rollout  rollout.State
 	quality  quality.State
-	saves    checkpoint.State
+	zones    zone.State
+	// subsets follow from the VM list alone.
+	subsets map[string][]platform.VM
+	// subsetsOf computes them; a test that drives many states at once leaves
+	// them out.
+	subsetsOf func(self string, vms []platform.VM) map[string][]platform.VM
+	// pool is that of this endpoint; empty in an entry.
+	pool  string
+	lease lease.State
+	saves checkpoint.State
 	// saved is the tables' checkpoint as of the last change to them.
 	saved *table.Checkpoint
 	// logCut is true while the log shows less than was reduced.
@@ -47,11 +61,12 @@
 
 // NewStateAt is NewState for a process in an availability zone; epoch is new at
 // each start of the process, and its evidence is counted under it.
-func NewStateAt(self, zone string, epoch uint64) *State {
+func NewStateAt(self, place string, epoch uint64) *State {
 	return &State{
-		self: self, zone: zone, epoch: epoch, members: membership.New(self), spread: spread.New(self, zone),
-		evidence: evidence.NewState(self, epoch), counts: spread.NewCounts(self), rollout: rollout.NewState(), quality: quality.NewState(),
-		saves: checkpoint.NewState(self),
+		self: self, zone: place, epoch: epoch, members: membership.New(self), spread: spread.New(self, place),
+		evidence: evidence.NewState(self, epoch), counts: spread.NewCounts(self),
+		rollout: rollout.NewState(), quality: quality.NewState(), zones: zone.NewState(), saves: checkpoint.NewState(self),
+		subsetsOf: choice.SubsetsOf,
 	}
 }
 
@@ -59,6 +74,8 @@
 func (s *State) View() *view.View {
 	v := view.New(s.tables.Tables(), s.tables.Revision(), s.spread.ConfirmedAt(), s.members.Members(), s.draining)
 	return v.WithEvidence(s.rollout.Holds(s.tables.Tables()), s.evidence.Report(), s.quality.Book()).
+		WithSubsets(s.subsets).
+		WithZones(s.zones.Ramps()).
 		WithSpread(spread.Picture{VM: s.self, Zone: s.zone, Epoch: s.epoch, Tail: s.tail, Starting: !s.spread.Started()}).
 		WithCheckpoint(s.saved)
 }
@@ -86,11 +103,16 @@
 
 // parts lists the reducers in the order in which they see each event.
 func (s *State) parts() []part {
-	return []part{s.reduceTables, s.reduceMembers, s.reduceDrain, s.reduceSpread, s.reduceEvidence, s.reduceSaves}
+	return []part{s.reduceTables, s.reduceMembers, s.reduceDrain, s.reduceSpread, s.reduceEvidence, s.reduceZones, s.reduceLease, s.reduceSaves}
 }
 
 func (s *State) reduceMembers(e event.Event) (effects []event.Effect, changed bool) {
-	return s.members.Reduce(e)
+	before := s.members.Members().VMs()
+	effects, changed = s.members.Reduce(e)
+	if now := s.members.Members().VMs(); changed && !slices.Equal(before, now) {
+		s.subsets = s.subsetsOf(s.self, now)
+	}
+	return effects, changed
 }
 
 func (s *State) reduceSpread(e event.Event) (effects []event.Effect, changed bool) {
@@ -98,6 +120,11 @@
 	return s.spread.Reduce(e, local, s.members.Members())
 }
 
+// reduceZones comes after the tables and members that it looks at.
+func (s *State) reduceZones(event.Event) (effects []event.Effect, changed bool) {
+	return nil, s.zones.Reduce(s.now, s.tables.Tables(), s.members.Members())
+}
+
 // reduceEvidence counts what was seen and judges the versions by it.
 func (s *State) reduceEvidence(e event.Event) (effects []event.Effect, changed bool) {
 	deltas, told := s.evidence.Reduce(e)
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -41,12 +41,14 @@
 	// most is the most requests held at once.
 	most      atomic.Int64
 	cancelled atomic.Int64
+	refused   atomic.Int64
 	mu        sync.Mutex
 	faults    EngineFaults
 	// runs counts how often each request was started.
 	runs       map[string]int
 	generation uint64
 	orders     orders
+	cold       coldStart
 }
 
 // NewEngine makes an engine whose answers have so many tokens.
@@ -94,6 +96,9 @@
 // Cancelled returns how many requests ended because their caller went.
 func (e *Engine) Cancelled() int { return int(e.cancelled.Load()) }
 
+// Refused returns how many requests were answered with 503 by a fault.
+func (e *Engine) Refused() int { return int(e.refused.Load()) }
+
 // Handler returns the engine's interface.
 func (e *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -134,6 +139,7 @@
 	}
 	faults := e.currentFaults()
 	if faults.Refuse {
+		e.refused.Add(1)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -143,11 +149,15 @@
 	}
 	e.begin(r.Header.Get("X-Request-Id"))
 	defer e.running.Add(-1)
+	generation, ok := e.bear()
+	if !ok {
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	if !e.wait(r, e.first) {
 		return
 	}
-	if e.stream(w, r, &req) {
+	if e.stream(w, r, &req) && e.warm(generation) {
 		fmt.Fprint(w, "data: [DONE]\n\n")
 	}
 }
