--- a/choice/subset.go
+++ b/choice/subset.go
@@ -43,8 +43,8 @@
 	})
 	most := int(math.Ceil(slack * float64(len(entries)*subsetSize) / float64(len(pool))))
 	taken := make(map[string]int, len(pool))
-	for _, e := range order {
-		out[e.ID] = take(e, pool, taken, most)
+	for i, e := range order {
+		out[e.ID] = take(e, pool, taken, most, len(order)-i)
 	}
 	return out
 }
@@ -54,7 +54,11 @@
 	score uint64
 }
 
-func take(entry platform.VM, pool []platform.VM, taken map[string]int, most int) (out []platform.VM) {
+// take gives an entry its subset; left counts the entries that have none yet,
+// this one included. An endpoint that lacks more entries than are left must be
+// taken by each of them. Were it passed over, the last entries would find too
+// few endpoints below their share and crowd on those that have theirs.
+func take(entry platform.VM, pool []platform.VM, taken map[string]int, most, left int) (out []platform.VM) {
 	var near, far []ranked
 	h := xxhash.Sum64String(entry.ID)
 	for _, vm := range pool {
@@ -71,10 +75,13 @@
 	slices.SortFunc(near, byScore)
 	slices.SortFunc(far, byScore)
 	const nearest = int(subsetSize * nearPart)
+	early := func(r ranked) bool { return most-1-taken[r.vm.ID] < left }
+	out = fill(out, slices.DeleteFunc(slices.Clone(near), early), nearest, taken, most)
+	out = fill(out, slices.DeleteFunc(slices.Clone(far), early), subsetSize, taken, most)
 	out = fill(out, near, nearest, taken, most)
 	out = fill(out, far, subsetSize, taken, most)
 	out = fill(out, near, subsetSize, taken, most)
-	rest := append(near, far...)
+	rest := append(slices.Clone(near), far...)
 	slices.SortStableFunc(rest, func(a, b ranked) int { return cmp.Compare(taken[a.vm.ID], taken[b.vm.ID]) })
 	return fill(out, rest, subsetSize, taken, len(pool)*subsetSize)
 }
