--- a/system/cluster_test.go
+++ b/system/cluster_test.go
@@ -342,6 +342,9 @@
 			r.text += chunk.Choices[0].Delta.Content
 		}
 	}
+	if status == http.StatusOK && !r.whole {
+		c.t.Logf("entry %s broke off: %s", p.vm.ID, text[max(0, len(text)-300):])
+	}
 	return r
 }
 
