--- a/cli/daemon.go
+++ b/cli/daemon.go
@@ -71,7 +71,7 @@
 }
 
 // newNode makes a node that speaks to the platform in the settings.
-func newNode(s settings.Settings, l *log.Logger) *node.Node {
+func newNode(s settings.Settings, l *log.Logger, peers *peer.Pool) *node.Node {
 	h := platform.NewHTTP(s.Platform, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}})
 	return node.New(node.Config{
 		Settings: s,
@@ -81,7 +81,7 @@
 		VMs:      h.VMList(),
 		Rater:    h.Rater(),
 		Weights:  h.WeightStore(),
-		Peers:    peer.NewPool(),
+		Peers:    peers,
 	})
 }
 
@@ -92,6 +92,8 @@
 	log      *log.Logger
 	port     *operations.Port
 	listen   listenFunc
+	// certificates are those of the process's own interfaces.
+	certificates certificates
 	// leaving is set when the process was asked to stop.
 	leaving atomic.Bool
 }
@@ -99,20 +101,25 @@
 // listenFunc opens a listener, as net.Listen does.
 type listenFunc func(network, address string) (lis net.Listener, err error)
 
-func newProcess(program string, s settings.Settings, l *log.Logger, listen listenFunc) *process {
-	p := &process{settings: s, node: newNode(s, l), log: l, listen: listen}
+func newProcess(program string, s settings.Settings, l *log.Logger, listen listenFunc) (p *process, err error) {
+	c, err := openCertificates(s.TLS)
+	if err != nil {
+		return nil, err
+	}
+	p = &process{settings: s, node: newNode(s, l, c.pool()), log: l, listen: listen, certificates: c}
 	p.port = operations.New(program, version(), p.node)
 	p.port.SetLeaving(p.leaving.Load)
 	p.port.Add(operations.Section{Name: "bills", Read: p.node.Billing().Status})
 	p.port.Add(operations.Section{Name: "holds", Read: func() any { return p.node.View().HoldsStatus() }})
 	p.port.Add(operations.Section{Name: "ramping-zones", Read: func() any { return p.node.View().RampsStatus(p.node.Clock().Now()) }})
 	p.port.Add(operations.Section{Name: "ratings", Read: func() any { return p.node.View().RatingsStatus() }})
-	return p
+	return p, nil
 }
 
 // start runs the node and the operators' interface until the context ends.
 func (p *process) start(ctx context.Context) (err error) {
 	p.node.Start(ctx)
+	p.watch(ctx)
 	if p.settings.Operators == "" {
 		return nil
 	}
@@ -122,7 +129,7 @@
 	}
 	p.log.Info("Operators' interface is open", "vm", p.settings.VM, "address", lis.Addr())
 	go func() {
-		if err := p.port.Serve(ctx, lis); err != nil {
+		if err := p.port.Serve(ctx, secure(p.certificates.operators, lis)); err != nil {
 			p.log.Error("Operators' interface failed", "vm", p.settings.VM, "error", err)
 		}
 	}()
@@ -145,7 +152,10 @@
 	if err != nil {
 		return err
 	}
-	p := newProcess("parsleydeal-entry", s, l, listen)
+	p, err := newProcess("parsleydeal-entry", s, l, listen)
+	if err != nil {
+		return err
+	}
 	e := entry.New(p.node)
 	p.port.SetBurn(e.BurnReport)
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -153,19 +163,23 @@
 	if err = p.start(inner); err != nil {
 		return err
 	}
-	go func() { _ = e.ServePeers(inner, peers) }()
+	go func() { _ = e.ServePeers(inner, secure(p.certificates.peers, peers)) }()
 	serving, stopServing := context.WithCancel(inner)
 	defer stopServing()
 	go func() {
 		defer stopServing()
 		<-ctx.Done()
 		p.leaving.Store(true)
+		e.Leave()
 		l.Info("Entry leaves", "vm", s.VM, "delay", s.Entry.LeaveDelay)
 		time.Sleep(s.Entry.LeaveDelay.Duration())
 		p.node.Drain(inner)
 	}()
 	l.Info("Entry serves callers", "vm", s.VM, "address", callers.Addr())
-	err = e.Serve(serving, callers)
+	err = e.Serve(serving, secure(p.certificates.callers, callers))
+	if handErr := e.HandBurn(inner); handErr != nil {
+		l.Warn("What was counted for the burn report could not be handed on", "vm", s.VM, "error", handErr)
+	}
 	settle(inner, p.node, l)
 	l.Info("Entry stopped", "vm", s.VM)
 	return err
@@ -181,7 +195,10 @@
 	if err != nil {
 		return err
 	}
-	p := newProcess("parsleydeal-endpoint", s, l, listen)
+	p, err := newProcess("parsleydeal-endpoint", s, l, listen)
+	if err != nil {
+		return err
+	}
 	e := endpoint.New(p.node)
 	e.Measure()
 	p.port.Add(operations.Section{Name: "window", Read: e.WindowStatus})
@@ -191,7 +208,7 @@
 		return err
 	}
 	served := make(chan error, 1)
-	go func() { served <- e.Serve(inner, peers) }()
+	go func() { served <- e.Serve(inner, secure(p.certificates.peers, peers)) }()
 	l.Info("Endpoint serves entries", "vm", s.VM, "address", peers.Addr())
 	select {
 	case err = <-served:
@@ -200,13 +217,43 @@
 	}
 	p.leaving.Store(true)
 	p.node.Drain(inner)
-	e.WaitIdle(inner)
+	finishWork(inner, e, s, l)
 	settle(inner, p.node, l)
 	cancel()
 	l.Info("Endpoint stopped", "vm", s.VM)
 	return <-served
 }
 
+// abortLimit bounds how long a stopping endpoint waits until callers have been
+// told of the answers it cut off.
+const abortLimit = 5 * clock.Second
+
+// finishWork waits until everything that a stopping endpoint holds has ended. A
+// second signal, or the limit in the settings, cuts off what is left.
+func finishWork(ctx context.Context, e *endpoint.Endpoint, s settings.Settings, l *log.Logger) {
+	ctx, cancel := context.WithTimeout(ctx, s.Endpoint.StopLimit.Duration())
+	defer cancel()
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(again)
+	go func() {
+		select {
+		case <-again:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	left := e.WaitIdle(ctx)
+	if left == 0 {
+		return
+	}
+	l.Warn("Endpoint cuts off what it still holds", "vm", s.VM, "held", left)
+	e.Abort()
+	ctx, cancelAbort := context.WithTimeout(context.WithoutCancel(ctx), abortLimit.Duration())
+	defer cancelAbort()
+	e.WaitIdle(ctx)
+}
+
 // settleLimit bounds how long a stopping process waits for its bills. The
 // platform ends it sooner or later, and waiting longer saves no bill that a
 // holder has.
@@ -216,6 +263,7 @@
 func settle(ctx context.Context, n *node.Node, l *log.Logger) {
 	ctx, cancel := context.WithTimeout(ctx, settleLimit.Duration())
 	defer cancel()
+	n.Told(ctx)
 	if n.Billing().Settled(ctx) != nil {
 		own, held := n.Billing().Waiting()
 		l.Warn("Process stops with bills that only one other process has", "own", own, "held", held)
--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -16,8 +16,9 @@
 	testTick    = 200 * clock.Millis(1)
 	testLogPoll = 2 * clock.Second
 	// callOverhead is what one message costs on a warm connection beside its
-	// own bytes: drpc's frames and the TCP and IP headers with the acknowledgement.
-	callOverhead = 150
+	// own bytes: drpc's frames and the TCP and IP headers with the acknowledgements; see
+	// TestExchangeBytes of package node.
+	callOverhead = 160
 )
 
 // cluster drives many real reducers in virtual time over fakes of the log, the
@@ -29,6 +30,7 @@
 	queue calls
 	seq   int
 	log   [][]byte
+	holds [][]byte
 	// first and cut are the ends of the log that reads see; cut 0 shows all.
 	cut int
 	// readable says who can read the log.
@@ -36,6 +38,9 @@
 	// parted says whose messages are lost.
 	parted func(from, to *proc) bool
 	listed []platform.VM
+	// swallow drops one call in four without a word, as a shell does that has too
+	// many under way.
+	swallow bool
 	// moved is true when a revision has changed since done was last asked.
 	moved bool
 }
@@ -105,6 +110,8 @@
 func (c *cluster) start(i int, epoch uint64) *proc {
 	vm := c.listed[i]
 	p := &proc{vm: vm, state: NewStateAt(vm.ID, vm.Zone, epoch), skew: clock.Millis(epoch*7919) - c.now, revision: -1}
+	// Nothing here sends requests, and subsets of so many states take long.
+	p.state.subsetsOf = func(string, []platform.VM) map[string][]platform.VM { return nil }
 	if old := c.byVM[vm.ID]; old != nil {
 		old.dead = true
 	}
@@ -182,13 +189,19 @@
 			c.reduce(p, event.DigestReceived{Now: c.at(p), Digest: m.(*wire.Digest), Reply: true, Sent: sent})
 		})
 	case event.FetchRecords:
-		in := &wire.RecordsRequest{From: f.From}
+		in := &wire.RecordsRequest{From: f.From, Stream: f.Stream}
 		c.call(p, f.VM, in, func(to *proc) proto.Message {
+			if in.GetStream() == platform.HoldStream {
+				return to.state.View().HoldTail().Reply(in.GetFrom())
+			}
 			return to.state.View().Tail().Reply(in.GetFrom())
 		}, func(m proto.Message) {
-			c.reduce(p, event.RecordsReceived{Now: c.at(p), From: f.VM, Reply: m.(*wire.RecordsReply)})
+			c.reduce(p, event.RecordsReceived{Now: c.at(p), From: f.VM, Stream: f.Stream, Reply: m.(*wire.RecordsReply)})
 		})
 	case event.Follow:
+		if f.Stream == platform.HoldStream {
+			return
+		}
 		p.following = f.On
 		if f.On {
 			c.poll(p)
@@ -200,6 +213,9 @@
 func (c *cluster) call(p *proc, vm string, in proto.Message, serve func(*proc) proto.Message, answer func(proto.Message)) {
 	to := c.byVM[vm]
 	p.bytes += proto.Size(in) + callOverhead
+	if c.swallow && xxhash.Sum64String(fmt.Sprint(c.seq))%4 == 0 {
+		return
+	}
 	if to == nil || to.dead || to.paused || c.parted(p, to) {
 		c.after(clock.Second, func() { c.reduce(p, event.PeerFailed{Now: c.at(p), VM: vm}) })
 		return
@@ -235,6 +251,11 @@
 	if p.dead || p.paused || !p.following || !c.readable(p) {
 		return
 	}
+	holds := platform.Page{Head: int64(len(c.holds))}
+	for o := int(p.state.holds.Tail().End()); o < len(c.holds); o++ {
+		holds.Records = append(holds.Records, platform.Record{Offset: int64(o), Data: c.holds[o]})
+	}
+	c.reduce(p, event.LogRead{Now: c.at(p), Stream: platform.HoldStream, Page: holds})
 	head := len(c.log) - c.cut
 	page := platform.Page{Head: int64(head)}
 	for o := int(p.state.tail.End()); o < head; o++ {
--- a/control/control.go
+++ b/control/control.go
@@ -4,12 +4,13 @@
 
 import (
 	"slices"
-	"sync"
 
+	"github.com/parsleydeal/parsleydeal/checkpoint"
 	"github.com/parsleydeal/parsleydeal/choice"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/evidence"
+	"github.com/parsleydeal/parsleydeal/lease"
 	"github.com/parsleydeal/parsleydeal/membership"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/platform"
@@ -30,6 +31,7 @@
 	now      clock.Millis
 	tables   table.State
 	tail     spread.Tail
+	holds    spread.Holds
 	members  membership.State
 	spread   spread.State
 	draining bool
@@ -38,9 +40,17 @@
 	rollout  rollout.State
 	quality  quality.State
 	zones    zone.State
-	// subsets follow from the VM list alone. They are computed when traffic first
-	// asks for them: most lists are never asked about, and no gate asks.
-	subsets func() map[string][]platform.VM
+	// subsets follow from the VM list alone.
+	subsets map[string][]platform.VM
+	// subsetsOf computes them; a test that drives many states at once leaves
+	// them out.
+	subsetsOf func(self string, vms []platform.VM) map[string][]platform.VM
+	// pool is that of this endpoint; empty in an entry.
+	pool  string
+	lease lease.State
+	saves checkpoint.State
+	// saved is the tables' checkpoint as of the last change to them.
+	saved *table.Checkpoint
 	// logCut is true while the log shows less than was reduced.
 	logCut bool
 }
@@ -56,7 +66,8 @@
 	return &State{
 		self: self, zone: place, epoch: epoch, members: membership.New(self), spread: spread.New(self, place),
 		evidence: evidence.NewState(self, epoch), counts: spread.NewCounts(self),
-		rollout: rollout.NewState(), quality: quality.NewState(), zones: zone.NewState(),
+		rollout: rollout.NewState(), quality: quality.NewState(), zones: zone.NewState(), saves: checkpoint.NewState(self),
+		subsetsOf: choice.SubsetsOf,
 	}
 }
 
@@ -66,7 +77,8 @@
 	return v.WithEvidence(s.rollout.Holds(s.tables.Tables()), s.evidence.Report(), s.quality.Book()).
 		WithSubsets(s.subsets).
 		WithZones(s.zones.Ramps()).
-		WithSpread(spread.Picture{VM: s.self, Zone: s.zone, Epoch: s.epoch, Tail: s.tail, Starting: !s.spread.Started()})
+		WithSpread(spread.Picture{VM: s.self, Zone: s.zone, Epoch: s.epoch, Tail: s.tail, Holds: s.holds.Tail(), Starting: !s.spread.Started()}).
+		WithCheckpoint(s.saved)
 }
 
 // Reduce takes one event into the state and returns the effects in order. It
@@ -92,20 +104,20 @@
 
 // parts lists the reducers in the order in which they see each event.
 func (s *State) parts() []part {
-	return []part{s.reduceTables, s.reduceMembers, s.reduceDrain, s.reduceSpread, s.reduceEvidence, s.reduceZones}
+	return []part{s.reduceTables, s.reduceMembers, s.reduceDrain, s.reduceEvidence, s.reduceSpread, s.reduceZones, s.reduceLease, s.reduceSaves}
 }
 
 func (s *State) reduceMembers(e event.Event) (effects []event.Effect, changed bool) {
 	before := s.members.Members().VMs()
 	effects, changed = s.members.Reduce(e)
 	if now := s.members.Members().VMs(); changed && !slices.Equal(before, now) {
-		s.subsets = sync.OnceValue(func() map[string][]platform.VM { return choice.SubsetsOf(s.self, now) })
+		s.subsets = s.subsetsOf(s.self, now)
 	}
 	return effects, changed
 }
 
 func (s *State) reduceSpread(e event.Event) (effects []event.Effect, changed bool) {
-	local := spread.Local{Offset: s.tables.Offset(), Tables: s.tables.Tables() != nil}
+	local := spread.Local{Offset: s.tables.Offset(), Tables: s.tables.Tables() != nil, Holds: s.holds.Tail().End()}
 	return s.spread.Reduce(e, local, s.members.Members())
 }
 
@@ -119,11 +131,22 @@
 	deltas, told := s.evidence.Reduce(e)
 	s.quality.Reduce(e, deltas)
 	known := rollout.Known{Self: s.self, Now: s.now, Tables: s.tables.Tables(), VMs: s.members.Members().VMs()}
+	fresh, fetches := s.holds.Reduce(e, s.members.Members())
+	if _, ofPeer := e.(event.RecordsReceived); ofPeer && len(fresh) > 0 {
+		e = event.LogRead{Now: s.now, Stream: platform.HoldStream, Page: platform.Page{Records: fresh}}
+	}
 	effects, changed = s.rollout.Reduce(e, deltas, known)
+	effects = append(effects, fetches...)
+	changed = changed || len(fresh) > 0
 	effects = append(effects, s.counts.Reduce(e, s.evidence.Report(), s.members.Members())...)
 	return effects, changed || told
 }
 
+// reduceSaves appends the tables to the log again before retention ends.
+func (s *State) reduceSaves(e event.Event) (effects []event.Effect, changed bool) {
+	return s.saves.Reduce(e, &s.tables), false
+}
+
 func (s *State) reduceDrain(e event.Event) (effects []event.Effect, changed bool) {
 	if _, ok := e.(event.Draining); !ok {
 		return nil, false
@@ -156,9 +179,13 @@
 		}
 		effects = append(effects, s.noteCut(e.Page.Head)...)
 	case event.RecordsReceived:
-		if e.Reply.GetFrom() > s.tables.Offset() {
+		if e.Stream != "" {
 			return nil, false
 		}
+		effects = s.imports(e)
+		if e.Reply.GetFrom() > s.tables.Offset() {
+			break
+		}
 		for _, r := range e.Reply.GetRecords() {
 			effects = append(effects, s.apply(r.GetOffset(), r.GetData())...)
 		}
@@ -183,11 +210,36 @@
 	if !ok {
 		return nil
 	}
+	if o.Adopted {
+		s.tail = s.tail.Restart(offset)
+	}
 	s.tail = s.tail.Add(&wire.Record{Offset: offset, Data: data})
+	s.saved, _ = s.tables.Checkpoint()
 	return []event.Effect{report(o)}
 }
 
+// imports takes a peer's checkpoint, which it sends when it no longer keeps the
+// records that this process lacks.
+func (s *State) imports(e event.RecordsReceived) (effects []event.Effect) {
+	if e.Reply.GetCheckpoint() == nil {
+		return nil
+	}
+	c, err := table.ParseCheckpoint(e.Reply.GetCheckpoint().GetData())
+	if err != nil {
+		return []event.Effect{event.Report{Message: "Checkpoint of a peer cannot be read", Fields: []any{"peer", e.From, "reason", err.Error()}}}
+	}
+	if !s.tables.Import(c) {
+		return nil
+	}
+	s.tail = s.tail.Restart(c.Offset())
+	s.saved = c
+	return []event.Effect{event.Report{Message: "Tables taken from a peer's checkpoint", Fields: []any{"peer", e.From, "revision", c.Revision(), "offset", c.Offset()}}}
+}
+
 func report(o table.Outcome) event.Report {
+	if o.Checkpoint {
+		return event.Report{Message: "Checkpoint read", Fields: []any{"offset", o.Revision, "counts", o.Accepted, "adopted", o.Adopted, "reason", o.Reason}}
+	}
 	if o.Accepted {
 		return event.Report{Message: "Change accepted", Fields: []any{"change", o.ID, "author", o.Author, "revision", o.Revision}}
 	}
--- a/control/failure_test.go
+++ b/control/failure_test.go
@@ -8,6 +8,7 @@
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/rollout"
 )
 
 func settled(t *testing.T, n, zones int) *cluster {
@@ -162,3 +163,44 @@
 		is.True(x.dead || !x.state.View().Members().Leaving(p.vm)) // the next process does not leave
 	}
 }
+
+// A zone is cut off from all others during a log outage and works on old tables.
+// A process that starts in it hears only its neighbours, who agree on what is
+// old; ready on that, it would send work to what operators have withdrawn.
+func TestStartInPartedZone(t *testing.T) {
+	is := is.New(t)
+	c := settled(t, 36, 3)
+	c.parted = func(from, to *proc) bool { return (from.vm.Zone == "zone-0") != (to.vm.Zone == "zone-0") }
+	c.readable = func(p *proc) bool { return p.vm.Zone != "zone-0" }
+	c.publish()
+	c.run(settle, nil)
+	c.readable = func(*proc) bool { return false }
+	p := c.start(3, 900)
+	is.Equal(p.vm.Zone, "zone-0")
+	c.run(settle, nil)
+	is.Equal(p.revision, int64(0)) // its neighbours' tables
+	is.True(!p.state.View().Ready())
+	c.parted = func(_, _ *proc) bool { return false }
+	c.run(settle, nil)
+	is.Equal(p.revision, int64(1))
+	is.True(p.state.View().Ready())
+}
+
+// A version is held while most processes cannot read the log. Those would go on
+// sending requests to it, and each of them would find out for itself that it is
+// bad.
+func TestHoldReachesThoseWithoutLog(t *testing.T) {
+	is := is.New(t)
+	c := settled(t, 36, 12)
+	c.readable = func(p *proc) bool { return p.vm.Zone == "zone-0" }
+	data, err := rollout.Encode(&wire.Hold{Version: "m@2"})
+	is.NoErr(err)
+	c.holds = append(c.holds, data)
+	c.run(6*clock.Second, nil)
+	for _, p := range c.procs {
+		is.True(p.state.View().Holds().Held("m@2", "any"))
+	}
+	next := c.start(5, 800)
+	c.run(settle, nil)
+	is.True(next.state.View().Holds().Held("m@2", "any")) // and one that starts later
+}
--- a/endpoint/watch.go
+++ b/endpoint/watch.go
@@ -7,6 +7,7 @@
 	"github.com/joomcode/errorx"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/engine"
+	"github.com/parsleydeal/parsleydeal/event"
 )
 
 const (
@@ -24,6 +25,7 @@
 	reached := true
 	for n := 0; ; n++ {
 		now := e.node.Clock().Now()
+		e.bound()
 		e.gate.Tick(now)
 		e.keeping.Expire(now)
 		if n%pollEvery == 0 && !e.node.Settings().Endpoint.Plain {
@@ -37,6 +39,14 @@
 	}
 }
 
+// bound gives the gate the tables' limits also while nothing arrives, so that an
+// idle endpoint tells entries its true window.
+func (e *Endpoint) bound() {
+	if pool, ok := e.pool(); ok {
+		e.gate.Bound(limitsOf(pool, e.node.Settings().Endpoint.Plain))
+	}
+}
+
 // poll reads the engine's load. An engine with another generation, or one that
 // takes no connection any more, has restarted and is cold.
 func (e *Endpoint) poll(ctx context.Context, before bool) (reached bool) {
@@ -51,6 +61,12 @@
 		return !errorx.IsOfType(err, engine.ErrNotStarted)
 	}
 	e.status.Store(&l)
+	// The revision is read first: work on older tables that begins after it is
+	// seen as busy or refused by its last check.
+	revision := e.node.View().Revision()
+	e.node.Loop().Offer(event.EngineSeen{
+		Now: e.node.Clock().Now(), Generation: l.Generation, Versions: l.Versions, Role: l.Role, Busy: e.busy.versions(), Revision: revision,
+	})
 	if e.gate.Generation(l.Generation) {
 		e.node.Log().Warn("Engine has restarted; the window is closed.", "generation", l.Generation)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 
 	"github.com/parsleydeal/parsleydeal/burn"
 	"github.com/parsleydeal/parsleydeal/choice"
@@ -30,23 +31,26 @@
 	retries  *limit.Retries
 	queues   *limit.Queues
 	meter    *meter
+	leaving  atomic.Bool
 	burn     *burn.Recorder
 }
 
 // New makes an entry over a node; ServePeers and Handler run it.
 func New(n *node.Node) *Entry {
 	s := n.Settings().Session
-	return &Entry{
+	e := &Entry{
 		node:     n,
 		inflight: choice.NewInflight(),
 		affinity: choice.NewAffinity(),
-		sessions: session.NewKeys(s.Keys, s.Current),
+		sessions: session.NewKeys(s.Keys, s.Current).WithLifetime(s.Lifetime),
 		raters:   newRaters(),
 		retries:  limit.NewRetries(),
 		queues:   limit.NewQueues(n.Clock()),
 		meter:    newMeter(n.Metrics()),
 		burn:     burn.NewRecorder(n.Clock()),
 	}
+	n.SetInherit(e.inheritBurn)
+	return e
 }
 
 // ServePeers answers peers on a listener until the context ends.
@@ -54,10 +58,22 @@
 	return peer.Serve(ctx, lis, e.node, nil)
 }
 
+// Leave has every answer from now on ask its caller to close the connection.
+// An idle connection that the entry itself closes may be one on which a caller
+// has just begun to send.
+func (e *Entry) Leave() { e.leaving.Store(true) }
+
 // Serve answers callers on a listener until the context ends, then lets the
 // requests in flight finish.
 func (e *Entry) Serve(ctx context.Context, lis net.Listener) (err error) {
-	srv := &http.Server{Handler: e.Handler(), ReadHeaderTimeout: headerTimeout.Duration()}
+	s := e.node.Settings().Entry
+	const slack = 2
+	srv := &http.Server{
+		Handler:           e.Handler(),
+		ReadHeaderTimeout: s.HeaderTimeout.Duration(),
+		IdleTimeout:       s.IdleTimeout.Duration(),
+		MaxHeaderBytes:    slack * s.MaxHeaders,
+	}
 	go e.rate(ctx)
 	stopped := make(chan struct{})
 	go func() {
@@ -65,7 +81,7 @@
 		<-ctx.Done()
 		_ = srv.Shutdown(context.WithoutCancel(ctx))
 	}()
-	err = srv.Serve(lis)
+	err = srv.Serve(limitConnections(lis, s.MaxConnections))
 	<-stopped
 	if err == http.ErrServerClosed {
 		return nil
--- a/entry/run.go
+++ b/entry/run.go
@@ -93,7 +93,7 @@
 	err = refusal.New(refusal.NoEndpoint, "no endpoint can take the request").WithRetryAfter(startingRetry)
 	for i := range maxAttempts {
 		vm, ok := choice.Endpoint(req.view, e.inflight, e.affinity, e.query(req, avoid))
-		if !ok || i > 0 && !e.retries.Take() {
+		if !ok || i > 0 && !e.mayTryAgain(err) {
 			return req.truth(err)
 		}
 		avoid[vm.ID] = true
@@ -124,6 +124,13 @@
 	return req.truth(err)
 }
 
+// mayTryAgain asks the retry budget, but for an attempt that never reached its
+// endpoint: that put no load on any, and a lost VM must not use up the budget
+// before the list drops it.
+func (e *Entry) mayTryAgain(cause error) bool {
+	return unreached(cause) || e.retries.Take()
+}
+
 // query asks for an endpoint for the request.
 func (e *Entry) query(req *work, avoid map[string]bool) choice.Query {
 	return choice.Query{
--- a/system/cluster_test.go
+++ b/system/cluster_test.go
@@ -308,9 +308,18 @@
 
 // ask streams one chat completion.
 func (c *cluster) ask(p *process, h http.Header) (r result) {
-	const body = `{"model":"quick","stream":true,"messages":[{"role":"user","content":"When is the renewal due?"}]}`
+	return c.askAbout(p, h, "When is the renewal due?")
+}
+
+// askAbout streams one chat completion about a question. Like questions tend to
+// go to the endpoint that has them cached.
+func (c *cluster) askAbout(p *process, h http.Header, question string) (r result) {
+	body := fmt.Sprintf(`{"model":"quick","stream":true,"messages":[{"role":"user","content":%q}]}`, question)
 	status, header, text := c.call(context.Background(), p, http.MethodPost, "/v1/chat/completions", body, h)
 	r.status = status
+	if status != http.StatusOK {
+		c.t.Logf("entry %s answered %d: %s", p.vm.ID, status, text)
+	}
 	if header != nil {
 		r.request = header.Get("Parsleydeal-Request")
 		r.run = header.Get("Parsleydeal-Run")
@@ -333,6 +342,9 @@
 			r.text += chunk.Choices[0].Delta.Content
 		}
 	}
+	if status == http.StatusOK && !r.whole {
+		c.t.Logf("entry %s broke off: %s", p.vm.ID, text[max(0, len(text)-300):])
+	}
 	return r
 }
 
--- a/view/view.go
+++ b/view/view.go
@@ -28,10 +28,12 @@
 	// quality is nil in a view made for a test.
 	quality *quality.Book
 	// subsets holds the endpoints this entry works with by pool; nil elsewhere.
-	subsets func() map[string][]platform.VM
+	subsets map[string][]platform.VM
 	// zones is nil in a view made for a test.
 	zones  *zone.Ramps
 	spread spread.Picture
+	// checkpoint is of the same offset as the tables.
+	checkpoint *table.Checkpoint
 }
 
 // New makes a view.
@@ -51,7 +53,7 @@
 
 // WithSubsets returns a view that also knows which endpoints of each pool this
 // entry works with.
-func (v *View) WithSubsets(subsets func() map[string][]platform.VM) *View {
+func (v *View) WithSubsets(subsets map[string][]platform.VM) *View {
 	c := *v
 	c.subsets = subsets
 	return &c
@@ -70,10 +72,8 @@
 // Subset returns the endpoints of a pool that this entry works with, or the
 // whole pool. Callers may not change it.
 func (v *View) Subset(pool string, whole bool) []platform.VM {
-	if v.subsets != nil && !whole {
-		if vms, ok := v.subsets()[pool]; ok {
-			return vms
-		}
+	if vms, ok := v.subsets[pool]; ok && !whole {
+		return vms
 	}
 	return v.members.Pool(pool)
 }
@@ -97,6 +97,9 @@
 // process's clock.
 func (v *View) ConfirmedAt() clock.Millis { return v.confirmedAt }
 
+// Confirmed reports whether the revision was ever known to be current.
+func (v *View) Confirmed() bool { return v.confirmedAt > spread.NeverConfirmed }
+
 // Members returns the VMs.
 func (v *View) Members() *membership.Members { return v.members }
 
@@ -110,9 +113,22 @@
 	return &next
 }
 
+// WithCheckpoint adds the checkpoint of the tables in force.
+func (v *View) WithCheckpoint(c *table.Checkpoint) *View {
+	v.checkpoint = c
+	return v
+}
+
+// Checkpoint returns the checkpoint of the tables in force, for peers that lack
+// records which are no longer kept; nil before the first tables.
+func (v *View) Checkpoint() *table.Checkpoint { return v.checkpoint }
+
 // Tail returns the configuration's last records, for peers that are behind.
 func (v *View) Tail() spread.Tail { return v.spread.Tail }
 
+// HoldTail returns the last records of the stream of holds.
+func (v *View) HoldTail() spread.Tail { return v.spread.Holds }
+
 // Digest returns what this process tells its peers at an instant.
 func (v *View) Digest(now clock.Millis) *wire.Digest {
 	d := v.spread.Digest(v.revision, now-v.confirmedAt, v.draining, v.members)
--- a/zone/zone.go
+++ b/zone/zone.go
@@ -41,8 +41,8 @@
 	// sites holds at most maxZones zones.
 	sites map[string]*site
 	ramps *Ramps
-	// tables and members are those last looked at; both are replaced when they
-	// change, never changed in place.
+	// tables and members are those looked at last. Both are replaced when they
+	// change, so nothing has to be looked at again while they are the same.
 	tables  *table.Tables
 	members *membership.Members
 }
@@ -53,8 +53,8 @@
 	return State{sites: make(map[string]*site), ramps: &Ramps{}}
 }
 
-// Reduce looks at all zones when the tables or members are new ones, and reports
-// whether a ramp changed. It must run before the tables that the event
+// Reduce looks at all zones when the tables or the members have changed, and
+// reports whether a ramp changed. It must run before the tables that the event
 // brought are published: otherwise a zone taken in again would get its whole
 // share until the next look.
 func (s *State) Reduce(now clock.Millis, t *table.Tables, m *membership.Members) (changed bool) {
