Streams that fall silent are given up after 4 s; kept answers name the request that is billed

Cause: with a frozen endpoint or a cut line, requests hung until their deadline (TestFrozenEndpointIsLeftAlone, TestCutEndpointIsLeftAlone: over 60 s). Ruled out: limits on token times, since a long prompt is as silent. Change: gates send a beat a second on silent streams; entries give up a stream after four. A kept answer of a plain service carries the id under which it is billed.

--- a/endpoint/attempt.go
+++ b/endpoint/attempt.go
@@ -16,7 +16,9 @@
 	e      *Endpoint
 	head   *wire.RunHead
 	stream wire.DRPCGate_RunStream
-	bytes  int
+	// beat sends the pieces and keeps the stream from falling silent.
+	beat  beat
+	bytes int
 	// deadline is when the caller stops waiting, counted from receipt on this VM's
 	// clock.
 	deadline time.Time
@@ -46,6 +48,7 @@
 
 func newAttempt(e *Endpoint, stream wire.DRPCGate_RunStream, first *wire.RunFrame) *attempt {
 	a := &attempt{e: e, head: first.GetHead(), stream: stream, bytes: len(first.GetBody())}
+	a.beat.send = stream.Send
 	a.bodyRead.Store(first.GetLast())
 	a.deadline = time.Now().Add(clock.Millis(a.head.GetDeadlineMillis()).Duration())
 	return a
@@ -94,7 +97,7 @@
 	if a.cut {
 		return nil
 	}
-	err = a.stream.Send(p)
+	err = a.beat.piece(p)
 	if err != nil && a.kept != nil {
 		a.cut = true
 		return nil
--- /dev/null
+++ b/endpoint/beat.go
@@ -0,0 +1,95 @@
+package endpoint
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/peer/wire"
+)
+
+// beatEvery is the longest span for which a stream is silent while its endpoint
+// lives. An entry gives up a stream that is silent for several of them, so a
+// frozen endpoint or a cut line shows long before the request's deadline, and an
+// engine that thinks for minutes does not look like one.
+const beatEvery = clock.Second
+
+// beat is one stream of pieces that must not fall silent.
+type beat struct {
+	send func(*wire.Piece) error
+	// sent is true when a piece was sent since the last tick.
+	sent atomic.Bool
+	// quiet counts the ticks since the last piece; only tick uses it.
+	quiet int
+	// mu is held while a piece is on its way.
+	mu sync.Mutex
+	// over is true once the last piece was sent.
+	over bool
+}
+
+// piece sends a piece of the answer.
+func (b *beat) piece(p *wire.Piece) (err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sent.Store(true)
+	b.over = p.GetLast()
+	return b.send(p)
+}
+
+// alive sends a piece without content. A stream whose entry takes no more is
+// left alone: a piece is under way there.
+func (b *beat) alive() {
+	if !b.mu.TryLock() {
+		return
+	}
+	defer b.mu.Unlock()
+	if !b.over {
+		_ = b.send(&wire.Piece{Alive: true})
+	}
+}
+
+// due reports at each tick whether the stream was silent for long.
+func (b *beat) due() bool {
+	b.quiet++
+	if b.sent.Swap(false) {
+		b.quiet = 0
+	}
+	if b.quiet < int(beatEvery/watchEvery) {
+		return false
+	}
+	b.quiet = 0
+	return true
+}
+
+// beats holds the streams under way; there are as many as calls of peers.
+type beats struct {
+	mu      sync.Mutex
+	streams map[*beat]bool
+}
+
+// start begins to look after a stream; stop must be called when it ends.
+func (b *beats) start(x *beat) (stop func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.streams == nil {
+		b.streams = make(map[*beat]bool)
+	}
+	b.streams[x] = true
+	return func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		delete(b.streams, x)
+	}
+}
+
+// tick looks at all streams, each watchEvery. A silent one is sent its piece
+// aside, since a stream whose peer is gone may block.
+func (b *beats) tick() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for x := range b.streams {
+		if x.due() {
+			go x.alive()
+		}
+	}
+}
--- a/endpoint/kept.go
+++ b/endpoint/kept.go
@@ -35,12 +35,14 @@
 	e.active.Add(1)
 	defer e.active.Add(-1)
 	owner := answer.Owner{Request: in.GetRequest(), Organisation: in.GetOrganisation(), Key: in.GetIdempotencyKey()}
+	b := &beat{send: stream.Send}
+	defer e.beats.start(b)()
 	kept, ok := e.keeping.Find(owner)
 	if ok {
-		if err = kept.From(stream.Context(), in.GetAfter(), stream.Send); err == nil || stream.Context().Err() != nil {
+		if err = kept.From(stream.Context(), in.GetAfter(), b.piece); err == nil || stream.Context().Err() != nil {
 			return err
 		}
 	}
 	r := refusal.New(refusal.NotKept, "answer is not kept here").WithRun(refusal.Unknown)
-	return stream.Send(&wire.Piece{Request: in.GetRequest(), Last: true, Refusal: r.Wire(), Load: e.load()})
+	return b.piece(&wire.Piece{Request: in.GetRequest(), Last: true, Refusal: r.Wire(), Load: e.load()})
 }
--- a/endpoint/piece_test.go
+++ b/endpoint/piece_test.go
@@ -72,7 +72,7 @@
 // BenchmarkPiece measures a piece's way through the gate without network.
 func BenchmarkPiece(b *testing.B) {
 	e := engine.New("http://engine", &http.Client{Transport: source{streamOf(b.N)}})
-	a := &attempt{head: &wire.RunHead{Request: "r1", Attempt: 1}, stream: &sink{}, e: &Endpoint{}}
+	a := newAttempt(&Endpoint{}, &sink{}, &wire.RunFrame{Head: &wire.RunHead{Request: "r1", Attempt: 1}, Last: true})
 	b.ReportAllocs()
 	b.ResetTimer()
 	emit := func(c engine.Chunk) error {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -35,8 +35,9 @@
 // open sends the attempt and takes its pieces. Cut is true when the connection
 // broke after the attempt may have arrived.
 func (e *Entry) open(ctx context.Context, req *work, vm platform.VM, seq *answers.Sequence, emit func(*wire.Piece) error) (cut bool, err error) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, quiet, cancel := listen(ctx)
 	defer cancel()
+	defer func() { e.missed(ctx, vm.ID) }()
 	stream, err := e.node.Peers().Gate(ctx, vm.Address).Run(ctx)
 	if err != nil {
 		if ctx.Err() == nil {
@@ -45,16 +46,27 @@
 		return false, lost(ctx, err)
 	}
 	defer stream.Close()
+	recv := quiet.next(stream.Recv)
 	head := e.head(ctx, req)
 	if req.service == "" {
 		if err = req.send(stream, head); err != nil {
 			return true, lost(ctx, err)
 		}
-		return e.receive(ctx, req, seq, stream.Recv, emit)
+		return e.receive(ctx, req, seq, recv, emit)
 	}
 	stop := sendAside(req, func() error { return req.send(stream, head) }, cancel)
 	defer stop()
-	return e.receive(ctx, req, seq, stream.Recv, emit)
+	return e.receive(ctx, req, seq, recv, emit)
+}
+
+// missed tells choice and control of an endpoint that fell silent, so that new
+// requests keep away from it.
+func (e *Entry) missed(ctx context.Context, vm string) {
+	if !silent(ctx) {
+		return
+	}
+	e.inflight.Lost(vm, e.node.Clock().Now())
+	e.node.NotReached(vm)
 }
 
 // errBody marks a caller's body that broke off.
@@ -90,12 +102,14 @@
 // broke. The run goes on there and may not be repeated, or need not be.
 func (e *Entry) reattach(ctx context.Context, req *work, vm platform.VM, seq *answers.Sequence, emit func(*wire.Piece) error, cause error) (err error) {
 	in := &wire.KeptRequest{Request: req.id, Organisation: req.organisation, After: seq.Next()}
+	ctx, quiet, cancel := listen(ctx)
+	defer cancel()
 	stream, err := e.node.Peers().Gate(ctx, vm.Address).Kept(ctx, in)
 	if err != nil {
 		return cause
 	}
 	defer stream.Close()
-	cut, err := e.receive(ctx, req, seq, stream.Recv, emit)
+	cut, err := e.receive(ctx, req, seq, quiet.next(stream.Recv), emit)
 	if r, ok := refusal.As(err); cut || ok && r.Code() == refusal.NotKept {
 		return cause
 	}
@@ -182,6 +196,8 @@
 	switch {
 	case errorx.IsOfType(err, peer.ErrNotReached):
 		return refusal.New(refusal.EndpointLost, "endpoint cannot be reached")
+	case silent(ctx):
+		return refusal.New(refusal.EndpointLost, "endpoint fell silent").WithRun(refusal.Unknown)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return refusal.New(refusal.DeadlinePassed, "deadline passed").WithRun(refusal.Unknown)
 	case ctx.Err() != nil:
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -132,13 +132,16 @@
 // replay gives the kept answer of an earlier attempt. Its step is billed under
 // the earlier request, where it merges with whatever bill was made of it.
 func (e *Entry) replay(ctx context.Context, req *work, vm platform.VM, s *wire.Claim, emit func(*wire.Piece) error) (err error) {
+	ctx, quiet, cancel := listen(ctx)
+	defer cancel()
 	stream, err := e.node.Peers().Gate(ctx, vm.Address).Kept(ctx, &wire.KeptRequest{Request: s.GetRequest(), IdempotencyKey: req.key, Organisation: req.organisation})
 	if err != nil {
 		return lost(ctx, err)
 	}
 	defer stream.Close()
+	recv := quiet.next(stream.Recv)
 	for next := uint32(0); ; next++ {
-		p, err := stream.Recv()
+		p, err := recv()
 		if err != nil {
 			return lost(ctx, err)
 		}
--- a/entry/service.go
+++ b/entry/service.go
@@ -158,7 +158,9 @@
 			h.Add(x.GetName(), x.GetValue())
 		}
 	}
-	h.Set(requestHeader, c.id)
+	// A kept answer is billed under the request that ran, which is what a caller
+	// compares its bill with.
+	h.Set(requestHeader, p.GetRequest())
 	h.Set(runHeader, string(refusal.Ran))
 	c.paced.closeUnlessEnded(h)
 	c.w.WriteHeader(int(p.GetStatus()))
