bills: no organisation is called unknown when the log keeps no tables

Cause: with the first configuration records expired and no checkpoint yet, each bill was an anomaly. Found by the first test of the command.

--- a/cli/bills.go
+++ b/cli/bills.go
@@ -127,7 +127,9 @@
 	return first, min(next, to), nil
 }
 
-// organisations tells which organisations the kept configuration ever had.
+// organisations tells which organisations the kept configuration ever had. It
+// returns nil when the log keeps no tables to begin from: calling every
+// organisation unknown would hide what is wrong.
 func organisations(ctx context.Context, log platform.Log) (known func(name string) bool, err error) {
 	var state table.State
 	names := make(map[string]bool)
@@ -138,6 +140,9 @@
 			}
 		}
 	})
+	if state.Tables() == nil {
+		return nil, err
+	}
 	return func(name string) bool { return names[name] }, err
 }
 
