--- a/cli/bills.go
+++ b/cli/bills.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"text/tabwriter"
 
@@ -21,23 +20,29 @@
 
 type billsCommand struct {
 	command
-	Platform string `long:"platform" description:"URL of the platform's services" required:"true"`
-	From     int64  `long:"from" description:"first offset of the stream of bills to read" default:"0"`
-	To       int64  `long:"to" description:"offset before which to stop; 0 reads to the end" default:"0"`
-	JSON     bool   `long:"json" description:"print the whole statement as JSON"`
-	Each     bool   `long:"each" description:"print each bill"`
+	site
+	From int64 `long:"from" description:"first offset of the stream of bills to read" default:"0"`
+	To   int64 `long:"to" description:"offset before which to stop; 0 reads to the end" default:"0"`
+	JSON bool  `long:"json" description:"print the whole statement as JSON"`
+	Each bool  `long:"each" description:"print each bill"`
 }
 
 func addBills(p *flags.Parser) error {
 	c := &billsCommand{}
-	c.run = func(ctx context.Context, _ []string) error {
-		return Bills(ctx, os.Stdout, platform.NewHTTP(c.Platform, http.DefaultClient).Log(), BillsQuery{From: c.From, To: c.To, JSON: c.JSON, Each: c.Each})
-	}
+	c.run = func(ctx context.Context, _ []string) error { return c.print(ctx, os.Stdout) }
 	_, err := p.AddCommand("bills", "Reduce the stream of bills to one bill a request",
 		"Bills reads the log's stream of bills, merges records of one request into one bill, sums them by organisation and route, and names what is wrong. It exits with 1 when there is an anomaly.", c)
 	return err
 }
 
+func (c *billsCommand) print(ctx context.Context, w io.Writer) (err error) {
+	op, err := c.operator()
+	if err != nil {
+		return err
+	}
+	return Bills(ctx, w, op.Log, BillsQuery{From: c.From, To: c.To, JSON: c.JSON, Each: c.Each})
+}
+
 // BillsQuery says which bills to read and how to print them.
 type BillsQuery struct {
 	// From and To are offsets; To 0 reads to the end.
