Keyed chat completions: a retry at any entry finds the first attempt

Cause: a keyed chat whose entry died was run and billed again on its retry; only calls of plain services with a claim found the kept answer. Change: a keyed request's id is made from organisation, route, key and body, so every entry makes the same one; it goes to an endpoint that every entry works out, whose kept answer is taken; bills of both tries merge under the one id. Conclusion: billed once by construction; an endpoint lost with the entry runs the request again, and its steps still merge.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -26,8 +26,11 @@
 	defer e.inflight.Add(vm.ID, -1)
 	seq := answers.NewSequence(req.id, req.attempts)
 	cut, err := e.open(ctx, req, vm, seq, emit)
-	if cut && req.kept() && ctx.Err() == nil {
+	switch {
+	case cut && req.kept() && ctx.Err() == nil:
 		return e.reattach(ctx, req, vm, seq, emit, err)
+	case seenBefore(req, err):
+		return e.again(ctx, req, vm, seq, emit, err)
 	}
 	return err
 }
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -73,9 +73,12 @@
 		return nil, refusal.New(refusal.Malformed, err.Error())
 	}
 	req = &work{
-		id: id, view: v, organisation: org, routeName: parsed.Model, chat: parsed, body: body, key: value(c.payload.IdempotencyKey),
+		id: id, ticket: id, view: v, organisation: org, routeName: parsed.Model, chat: parsed, body: body, key: value(c.payload.IdempotencyKey),
 		repeatable: true, prefix: parsed.PrefixHash(), stream: parsed.Stream,
 	}
+	if req.key != "" {
+		req.id = keyedID(org, req.routeName, req.key, body)
+	}
 	req.send = func(stream wire.DRPCGate_RunClient, head *wire.RunHead) error {
 		return stream.Send(&wire.RunFrame{Head: head, Body: req.body, Last: true})
 	}
--- a/entry/run.go
+++ b/entry/run.go
@@ -135,7 +135,7 @@
 func (e *Entry) query(req *work, avoid map[string]bool) choice.Query {
 	return choice.Query{
 		Pools: req.pools(), Avoid: avoid, Seed: xxhash.Sum64String(req.id), Now: e.node.Clock().Now(),
-		Home: req.session.Home, Prefix: req.prefix,
+		Home: req.home(), Prefix: req.prefix,
 	}
 }
 
@@ -158,7 +158,7 @@
 // item describes the request to its queue.
 func (e *Entry) item(ctx context.Context, req *work) limit.Item {
 	return limit.Item{
-		ID: req.id, Organisation: req.organisation, Weight: req.view.Tables().Organisations[req.organisation].Weight,
+		ID: req.ticket, Organisation: req.organisation, Weight: req.view.Tables().Organisations[req.organisation].Weight,
 		Priority: req.priority, Deadline: e.node.Clock().Now() + remaining(ctx),
 	}
 }
--- a/entry/service.go
+++ b/entry/service.go
@@ -33,7 +33,8 @@
 	body := newPacedBody(w, r, s.BodyTimeout)
 	r.Body = body
 	w = newPatientWriter(w, s.WriteTimeout)
-	c := &call{work: work{id: uuid.NewString(), service: name, path: path, method: r.Method}, r: r, w: w}
+	id := uuid.NewString()
+	c := &call{work: work{id: id, ticket: id, service: name, path: path, method: r.Method}, r: r, w: w}
 	c.stopBody = body.stop
 	c.paced = body
 	end := e.meter.begin()
--- a/entry/work.go
+++ b/entry/work.go
@@ -16,8 +16,11 @@
 // work is one request on its way through the entry: a chat completion or a call
 // of a plain service. One goroutine owns it.
 type work struct {
-	// id names the request everywhere; it is new for each request.
-	id           string
+	// id names the request everywhere. It is new for each request, but for a
+	// keyed chat completion, whose retries have the same.
+	id string
+	// ticket names this call in the entry's own queues; no other call has it.
+	ticket       string
 	view         *view.View
 	organisation string
 	deadline     clock.Millis
--- a/node/billing.go
+++ b/node/billing.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 
 	"github.com/parsleydeal/parsleydeal/bill"
@@ -32,13 +33,14 @@
 
 	mu     sync.Mutex
 	ledger *bill.Ledger
-	// waiters holds a channel for each request in Finish; it closes when the
+	// waiters holds the channels of each request in Finish, several when a caller
+	// asked again for a keyed request meanwhile; they close when the
 	// bill is safe.
-	waiters map[string]chan struct{}
+	waiters map[string][]chan struct{}
 }
 
 func newBilling(n *Node) *Billing {
-	b := &Billing{n: n, ledger: bill.NewLedger(n.cfg.Settings.Zone, bill.DefaultBound), waiters: make(map[string]chan struct{})}
+	b := &Billing{n: n, ledger: bill.NewLedger(n.cfg.Settings.Zone, bill.DefaultBound), waiters: make(map[string][]chan struct{})}
 	b.writer = journal.NewWriter(n.cfg.Store, platform.BillStream, n.batchPrefix(), 1, n.cfg.Clock, func(ids []string, _ int64) {
 		b.post(bill.Stored{IDs: ids})
 	})
@@ -147,7 +149,7 @@
 	defer cancel()
 	safe := make(chan struct{})
 	b.mu.Lock()
-	b.waiters[x.GetRequest()] = safe
+	b.waiters[x.GetRequest()] = append(b.waiters[x.GetRequest()], safe)
 	b.mu.Unlock()
 	b.post(bill.Finish{Now: b.n.cfg.Clock.Now(), Bill: x, Reserved: reserved})
 	select {
@@ -155,7 +157,7 @@
 		return nil
 	case <-ctx.Done():
 		b.mu.Lock()
-		delete(b.waiters, x.GetRequest())
+		b.forget(x.GetRequest(), safe)
 		b.mu.Unlock()
 		return ctx.Err()
 	}
@@ -244,10 +246,20 @@
 func (b *Billing) wake(request string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if safe, ok := b.waiters[request]; ok {
+	for _, safe := range b.waiters[request] {
 		close(safe)
+	}
+	delete(b.waiters, request)
+}
+
+// forget drops one who gave up waiting.
+func (b *Billing) forget(request string, safe chan struct{}) {
+	left := slices.DeleteFunc(b.waiters[request], func(c chan struct{}) bool { return c == safe })
+	if len(left) == 0 {
 		delete(b.waiters, request)
+		return
 	}
+	b.waiters[request] = left
 }
 
 func (b *Billing) hold(f bill.Hold) {
--- a/system/silence_test.go
+++ b/system/silence_test.go
@@ -117,3 +117,35 @@
 	is.Equal(runs, 1)
 	c.eventually("one bill", func() bool { return len(c.bills()) == 1 })
 }
+
+// An entry vanishes in the middle of a keyed chat answer, and its caller asks
+// again at the other entry. The engine must not run the request a second time:
+// the caller gets the answer that is being made, and there is one bill.
+func TestKeyedChatIsFoundAgainAcrossEntries(t *testing.T) {
+	is := is.New(t)
+	s := shape{entries: 2, endpoints: 4, zones: 2, first: 20, gap: 20, tokens: 60}
+	c := newCluster(t, s)
+	h := http.Header{"Idempotency-Key": {"dossier-4"}}
+	started := func() (n int) {
+		for _, e := range c.engines {
+			n += e.Started()
+		}
+		return n
+	}
+	broken := make(chan result, 1)
+	go func() { broken <- c.ask(c.entries[0], h) }()
+	c.eventually("request under way", func() bool { return started() == 1 })
+	c.entries[0].kill()
+	is.True(!(<-broken).whole)
+	for range 2 {
+		r := c.ask(c.entries[1], h)
+		is.Equal(r.status, http.StatusOK)
+		is.True(r.whole)
+		is.Equal(r.text, wholeText(s))
+	}
+	is.Equal(started(), 1)
+	c.eventually("one bill", func() bool { return len(c.bills()) == 1 })
+	for _, b := range c.bills() {
+		is.Equal(len(b.GetSteps()), 1)
+	}
+}
