System tests refer to the daemons' code, so that no stale result is taken

Cause: a blank import of cli did not help: the linker drops unreferenced code, the test's binary stays the same and go test reports (cached) after a daemon has changed. Change: TestMain refers to the programs.

--- a/system/cluster_test.go
+++ b/system/cluster_test.go
@@ -18,7 +18,7 @@
 	"time"
 
 	"github.com/parsleydeal/parsleydeal/bill"
-	_ "github.com/parsleydeal/parsleydeal/cli" // the daemons' code, so that a cached result is never that of older daemons
+	"github.com/parsleydeal/parsleydeal/cli"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/platform"
@@ -45,7 +45,15 @@
 	return dir, nil
 })
 
+// programs are the daemons' code. The go command takes a cached result while the
+// test's own binary is the same, and the linker drops what nothing refers to:
+// without these references a changed daemon would pass on an older one's result.
+var programs = []func(args []string) int{cli.Entry, cli.Endpoint, cli.Operator}
+
 func TestMain(m *testing.M) {
+	if len(programs) == 0 {
+		os.Exit(1)
+	}
 	code := m.Run()
 	if dir, err := binaries(); err == nil {
 		_ = os.RemoveAll(dir)
