Relays carry one model each and are no judges

Cause: duties fell on entries by hash alone; a judge that was a relay too stood at 17.1 KB/s (reckoned). Change: the zone's entries in rendezvous order carry the tables' models in turn; 3 KB/s for a judge and model.

--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -262,6 +262,16 @@
 	c.reduce(p, event.LogRead{Now: c.at(p), Stream: platform.ConfigStream, Page: page})
 }
 
+// publishModel appends a change that brings in a model with two versions.
+func (c *cluster) publishModel() {
+	base := int64(len(c.log)) - 1
+	kind := "patch"
+	if base < 0 {
+		kind = "whole"
+	}
+	c.log = append(c.log, fmt.Appendf(nil, "id = \"m-%d\"\nauthor = \"t\"\nkind = %q\nbase = %d\n[tables.versions.\"m@1\"]\nquality = 0.9\n[tables.versions.\"m@2\"]\nquality = 0.9\n", len(c.log), kind, base))
+}
+
 // publish appends a change; those that wait on the log get it 20 ms later.
 func (c *cluster) publish() {
 	base := int64(len(c.log)) - 1
--- a/control/control.go
+++ b/control/control.go
@@ -102,7 +102,7 @@
 // reduceEvidence counts what was seen and judges the versions by it.
 func (s *State) reduceEvidence(e event.Event) (effects []event.Effect, changed bool) {
 	deltas, told := s.evidence.Reduce(e)
-	tells, local := s.counts.Reduce(e, s.evidence.Report(), s.members.Members())
+	tells, local := s.counts.Reduce(e, s.evidence.Report(), s.members.Members(), s.tables.Tables())
 	for _, c := range local {
 		if d, ok := s.evidence.Merge(c); ok {
 			deltas = append(deltas, d)
--- a/spread/counts.go
+++ b/spread/counts.go
@@ -10,6 +10,7 @@
 	"github.com/parsleydeal/parsleydeal/membership"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/table"
 )
 
 const (
@@ -20,7 +21,7 @@
 	// of its zone, foldedBytes those that a judge gets of the relays.
 	judgeBytes  = 5 << 10
 	relayBytes  = 3 << 10
-	foldedBytes = 4 << 10
+	foldedBytes = 3 << 10
 	// countsPerMessage bounds the counts of an entry's message, about
 	// messageBytes long with its answer; foldedPerMessage and foldedMessage are
 	// the same for a relay's.
@@ -51,6 +52,9 @@
 	// plans holds where each model's evidence goes among the members planned.
 	plans   map[string]plan
 	planned *membership.Members
+	// relays holds the relay of the zone by model of the tables planned.
+	relays        map[string]platform.VM
+	plannedTables *table.Tables
 }
 
 // plan says where a model's evidence goes and how often.
@@ -72,14 +76,15 @@
 
 // Reduce plans messages at a tick. Report is this process's own evidence; local
 // is evidence that this process as a relay has for itself as a judge.
-func (s *Counts) Reduce(e event.Event, report []*wire.Count, m *membership.Members) (effects []event.Effect, local []*wire.Count) {
+func (s *Counts) Reduce(e event.Event, report []*wire.Count, m *membership.Members, t *table.Tables) (effects []event.Effect, local []*wire.Count) {
 	switch e := e.(type) {
 	case event.DigestReceived:
 		s.fold(e.Digest)
 	case event.Tick:
-		if s.planned != m {
-			s.planned = m
+		if s.planned != m || s.plannedTables != t {
+			s.planned, s.plannedTables = m, t
 			s.plans = make(map[string]plan)
+			s.relays = s.assign(m, t)
 		}
 		s.relay.Reduce(e)
 		effects = s.tell(e.Now, report, m)
@@ -176,6 +181,7 @@
 		return p
 	}
 	entries, zones, near := s.entriesOf(m)
+	relay, relayed := s.relays[model]
 	p := plan{every: pace(len(entries), messageBytes, judgeBytes), foldedEvery: pace(zones, foldedMessage, foldedBytes)}
 	for _, id := range evidence.Judges(m.VMs(), model+"@") {
 		if v, ok := m.Find(id); ok {
@@ -184,16 +190,44 @@
 	}
 	// A judge's own evidence counts with it already and must not come back folded.
 	judge := slices.ContainsFunc(p.judges, func(v platform.VM) bool { return v.ID == s.self })
-	if fit := fit(m, near); len(entries) >= relayFrom && len(fit) > 0 {
+	if relayed {
 		p.every = pace(len(near), messageBytes, relayBytes)
 		if !judge {
-			p.relay = First("relay/"+model, 1, fit)[0]
+			p.relay = relay
 		}
 	}
 	s.plans[model] = p
 	return p
 }
 
+// assign gives each model of the tables a relay of this process's zone: one
+// model each where the zone has entries enough, and none to judges, since two
+// duties together would take a VM over its share of the network.
+func (s *Counts) assign(m *membership.Members, t *table.Tables) map[string]platform.VM {
+	entries, _, near := s.entriesOf(m)
+	if t == nil || len(entries) < relayFrom {
+		return nil
+	}
+	models := t.Models()
+	var judges []string
+	for _, model := range models {
+		judges = append(judges, evidence.Judges(m.VMs(), model+"@")...)
+	}
+	able := fit(m, near)
+	free := slices.DeleteFunc(slices.Clone(able), func(v platform.VM) bool { return slices.Contains(judges, v.ID) })
+	if len(free) == 0 {
+		free = able
+	}
+	relays := make(map[string]platform.VM, len(models))
+	ranked := First("relay", len(models), free)
+	for i, model := range models {
+		if len(ranked) > 0 {
+			relays[model] = ranked[i%len(ranked)]
+		}
+	}
+	return relays
+}
+
 // pace is the span at which each of so many may send a message.
 func pace(senders, bytes, perSecond int) clock.Millis {
 	return max(tellEvery, clock.Millis(senders*bytes)*clock.Second/clock.Millis(perSecond))
