--- a/bench/figure.go
+++ b/bench/figure.go
@@ -48,7 +48,8 @@
 	return base, err
 }
 
-func writeBaselines(path string, base map[string]Baseline, figures []Figure) (err error) {
+func writeBaselines(path string, base map[string]Baseline, figures []Figure, only string) (err error) {
+	dropUnmeasured(base, figures, only)
 	for _, f := range figures {
 		b := base[f.Name]
 		b.Value, err = strconv.ParseFloat(format(f.Value), 64)
@@ -72,6 +73,19 @@
 	return os.WriteFile(path, []byte(out.String()), 0o644)
 }
 
+// dropUnmeasured forgets baselines of figures that are no longer measured.
+func dropUnmeasured(base map[string]Baseline, figures []Figure, only string) {
+	measured := make(map[string]bool)
+	for _, f := range figures {
+		measured[f.Name] = true
+	}
+	for name := range base {
+		if strings.HasPrefix(name, only) && !measured[name] {
+			delete(base, name)
+		}
+	}
+}
+
 // tomlFloat writes a float so that TOML reads it as one.
 func tomlFloat(v float64) string {
 	s := strconv.FormatFloat(v, 'f', -1, 64)
--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -177,7 +177,7 @@
 	switch f := f.(type) {
 	case event.Exchange:
 		digest := p.state.View().Digest(c.at(p))
-		digest.Counts, digest.Relayed, digest.RelayEpoch = f.Digest.GetCounts(), f.Digest.GetRelayed(), f.Digest.GetRelayEpoch()
+		digest.Counts = f.Digest.GetCounts()
 		sent := c.at(p)
 		c.call(p, f.VM, digest, func(to *proc) proto.Message {
 			reply := to.state.View().Digest(c.at(to))
@@ -187,19 +187,13 @@
 			c.reduce(p, event.DigestReceived{Now: c.at(p), Digest: m.(*wire.Digest), Reply: true, Sent: sent})
 		})
 	case event.FetchRecords:
-		in := &wire.RecordsRequest{From: f.From, Stream: f.Stream}
+		in := &wire.RecordsRequest{From: f.From}
 		c.call(p, f.VM, in, func(to *proc) proto.Message {
-			if in.GetStream() == platform.HoldStream {
-				return to.state.View().HoldTail().Reply(in.GetFrom())
-			}
 			return to.state.View().Tail().Reply(in.GetFrom())
 		}, func(m proto.Message) {
-			c.reduce(p, event.RecordsReceived{Now: c.at(p), From: f.VM, Stream: f.Stream, Reply: m.(*wire.RecordsReply)})
+			c.reduce(p, event.RecordsReceived{Now: c.at(p), From: f.VM, Reply: m.(*wire.RecordsReply)})
 		})
 	case event.Follow:
-		if f.Stream == platform.HoldStream {
-			return
-		}
 		p.following = f.On
 		if f.On {
 			c.poll(p)
@@ -250,8 +244,8 @@
 		return
 	}
 	holds := platform.Page{Head: int64(len(c.holds))}
-	for o := int(p.state.holds.Tail().End()); o < len(c.holds); o++ {
-		holds.Records = append(holds.Records, platform.Record{Offset: int64(o), Data: c.holds[o]})
+	for o, data := range c.holds {
+		holds.Records = append(holds.Records, platform.Record{Offset: int64(o), Data: data})
 	}
 	c.reduce(p, event.LogRead{Now: c.at(p), Stream: platform.HoldStream, Page: holds})
 	head := len(c.log) - c.cut
@@ -262,16 +256,6 @@
 	c.reduce(p, event.LogRead{Now: c.at(p), Stream: platform.ConfigStream, Page: page})
 }
 
-// publishModel appends a change that brings in a model with two versions.
-func (c *cluster) publishModel() {
-	base := int64(len(c.log)) - 1
-	kind := "patch"
-	if base < 0 {
-		kind = "whole"
-	}
-	c.log = append(c.log, fmt.Appendf(nil, "id = \"m-%d\"\nauthor = \"t\"\nkind = %q\nbase = %d\n[tables.versions.\"m@1\"]\nquality = 0.9\n[tables.versions.\"m@2\"]\nquality = 0.9\n", len(c.log), kind, base))
-}
-
 // publish appends a change; those that wait on the log get it 20 ms later.
 func (c *cluster) publish() {
 	base := int64(len(c.log)) - 1
--- a/control/control.go
+++ b/control/control.go
@@ -3,10 +3,14 @@
 package control
 
 import (
+	"slices"
+
 	"github.com/parsleydeal/parsleydeal/checkpoint"
+	"github.com/parsleydeal/parsleydeal/choice"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/evidence"
+	"github.com/parsleydeal/parsleydeal/lease"
 	"github.com/parsleydeal/parsleydeal/membership"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/platform"
@@ -15,6 +19,7 @@
 	"github.com/parsleydeal/parsleydeal/spread"
 	"github.com/parsleydeal/parsleydeal/table"
 	"github.com/parsleydeal/parsleydeal/view"
+	"github.com/parsleydeal/parsleydeal/zone"
 )
 
 // State is everything control knows. It is owned by one goroutine.
@@ -26,7 +31,6 @@
 	now      clock.Millis
 	tables   table.State
 	tail     spread.Tail
-	holds    spread.Holds
 	members  membership.State
 	spread   spread.State
 	draining bool
@@ -34,7 +38,13 @@
 	counts   spread.Counts
 	rollout  rollout.State
 	quality  quality.State
-	saves    checkpoint.State
+	zones    zone.State
+	// subsets follow from the VM list alone.
+	subsets map[string][]platform.VM
+	// pool is that of this endpoint; empty in an entry.
+	pool  string
+	lease lease.State
+	saves checkpoint.State
 	// saved is the tables' checkpoint as of the last change to them.
 	saved *table.Checkpoint
 	// logCut is true while the log shows less than was reduced.
@@ -48,11 +58,11 @@
 
 // NewStateAt is NewState for a process in an availability zone; epoch is new at
 // each start of the process, and its evidence is counted under it.
-func NewStateAt(self, zone string, epoch uint64) *State {
+func NewStateAt(self, place string, epoch uint64) *State {
 	return &State{
-		self: self, zone: zone, epoch: epoch, members: membership.New(self), spread: spread.New(self, zone),
-		evidence: evidence.NewState(self, epoch), counts: spread.NewCounts(self, epoch), rollout: rollout.NewState(), quality: quality.NewState(),
-		saves: checkpoint.NewState(self),
+		self: self, zone: place, epoch: epoch, members: membership.New(self), spread: spread.New(self, place),
+		evidence: evidence.NewState(self, epoch), counts: spread.NewCounts(self),
+		rollout: rollout.NewState(), quality: quality.NewState(), zones: zone.NewState(), saves: checkpoint.NewState(self),
 	}
 }
 
@@ -60,7 +70,9 @@
 func (s *State) View() *view.View {
 	v := view.New(s.tables.Tables(), s.tables.Revision(), s.spread.ConfirmedAt(), s.members.Members(), s.draining)
 	return v.WithEvidence(s.rollout.Holds(s.tables.Tables()), s.evidence.Report(), s.quality.Book()).
-		WithSpread(spread.Picture{VM: s.self, Zone: s.zone, Epoch: s.epoch, Tail: s.tail, Holds: s.holds.Tail(), Starting: !s.spread.Started()}).
+		WithSubsets(s.subsets).
+		WithZones(s.zones.Ramps()).
+		WithSpread(spread.Picture{VM: s.self, Zone: s.zone, Epoch: s.epoch, Tail: s.tail, Starting: !s.spread.Started()}).
 		WithCheckpoint(s.saved)
 }
 
@@ -87,36 +99,35 @@
 
 // parts lists the reducers in the order in which they see each event.
 func (s *State) parts() []part {
-	return []part{s.reduceTables, s.reduceMembers, s.reduceDrain, s.reduceEvidence, s.reduceSpread, s.reduceSaves}
+	return []part{s.reduceTables, s.reduceMembers, s.reduceDrain, s.reduceSpread, s.reduceEvidence, s.reduceZones, s.reduceLease, s.reduceSaves}
 }
 
 func (s *State) reduceMembers(e event.Event) (effects []event.Effect, changed bool) {
-	return s.members.Reduce(e)
+	before := s.members.Members().VMs()
+	effects, changed = s.members.Reduce(e)
+	if now := s.members.Members().VMs(); changed && !slices.Equal(before, now) {
+		s.subsets = choice.SubsetsOf(s.self, now)
+	}
+	return effects, changed
 }
 
 func (s *State) reduceSpread(e event.Event) (effects []event.Effect, changed bool) {
-	local := spread.Local{Offset: s.tables.Offset(), Tables: s.tables.Tables() != nil, Holds: s.holds.Tail().End()}
+	local := spread.Local{Offset: s.tables.Offset(), Tables: s.tables.Tables() != nil, Holds: s.rollout.Holds(s.tables.Tables())}
 	return s.spread.Reduce(e, local, s.members.Members())
 }
 
+// reduceZones comes after the tables and members that it looks at.
+func (s *State) reduceZones(e event.Event) (effects []event.Effect, changed bool) {
+	return nil, s.zones.Reduce(e, s.now, s.tables.Tables(), s.members.Members())
+}
+
 // reduceEvidence counts what was seen and judges the versions by it.
 func (s *State) reduceEvidence(e event.Event) (effects []event.Effect, changed bool) {
 	deltas, told := s.evidence.Reduce(e)
-	tells, local := s.counts.Reduce(e, s.evidence.Report(), s.members.Members(), s.tables.Tables())
-	for _, c := range local {
-		if d, ok := s.evidence.Merge(c); ok {
-			deltas = append(deltas, d)
-		}
-	}
 	s.quality.Reduce(e, deltas)
 	known := rollout.Known{Self: s.self, Now: s.now, Tables: s.tables.Tables(), VMs: s.members.Members().VMs()}
-	fresh, fetches := s.holds.Reduce(e, s.members.Members())
-	if _, ofPeer := e.(event.RecordsReceived); ofPeer && len(fresh) > 0 {
-		e = event.LogRead{Now: s.now, Stream: platform.HoldStream, Page: platform.Page{Records: fresh}}
-	}
 	effects, changed = s.rollout.Reduce(e, deltas, known)
-	effects = append(append(effects, fetches...), tells...)
-	changed = changed || len(fresh) > 0
+	effects = append(effects, s.counts.Reduce(e, s.evidence.Report(), s.members.Members())...)
 	return effects, changed || told
 }
 
@@ -157,9 +168,6 @@
 		}
 		effects = append(effects, s.noteCut(e.Page.Head)...)
 	case event.RecordsReceived:
-		if e.Stream != "" {
-			return nil, false
-		}
 		effects = s.imports(e)
 		if e.Reply.GetFrom() > s.tables.Offset() {
 			break
--- a/endpoint/run.go
+++ b/endpoint/run.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"io"
+	"time"
 
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/gate"
@@ -23,7 +25,7 @@
 		return a.refuse(err)
 	}
 	defer e.close(a)
-	if err = e.admit(stream.Context(), a); err != nil {
+	if err = e.admitInTime(a); err != nil {
 		return a.refuse(err)
 	}
 	ctx, cancel := a.context()
@@ -42,6 +44,18 @@
 	return a.settle()
 }
 
+// admitInTime admits an attempt for as long as its caller waits and its entry is
+// there.
+func (e *Endpoint) admitInTime(a *attempt) (err error) {
+	ctx, cancel := context.WithDeadline(a.stream.Context(), a.deadline)
+	defer cancel()
+	err = e.admit(ctx, a)
+	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return refusal.New(refusal.DeadlinePassed, "deadline passed before a place came free")
+	}
+	return err
+}
+
 // open checks that an attempt may be begun at all.
 func (e *Endpoint) open(a *attempt) (err error) {
 	switch {
@@ -71,6 +85,9 @@
 // close gives back whatever the attempt still has.
 func (e *Endpoint) close(a *attempt) {
 	a.release(gate.Dropped)
+	if a.version != "" {
+		e.busy.add(a.version, -1)
+	}
 	if a.remembered {
 		e.memory.End(a.id())
 	}
@@ -88,7 +105,7 @@
 	if a.once() {
 		ctx = context.WithoutCancel(ctx)
 	}
-	ctx, stop := context.WithTimeout(ctx, clock.Millis(a.head.GetDeadlineMillis()).Duration())
+	ctx, stop := context.WithDeadline(ctx, a.deadline)
 	detach := context.AfterFunc(a.e.aborted, stop)
 	return ctx, func() {
 		detach()
@@ -97,10 +114,13 @@
 }
 
 // settle waits until the entry has taken the last piece and billed it: it closes
-// the stream then. When it went before, the step is billed from here. Should
-// both bill it, the two bills merge into one, since they name the same attempt.
+// the stream then. When it went before, the step of a call that may not be
+// repeated is billed from here: it had its effect. Should both bill it, the two
+// bills merge into one, since they name the same attempt. A repeatable run is
+// billed only by an entry that delivers it: its request may have been answered by
+// another attempt, or by the caller's retry, and would be paid for twice.
 func (a *attempt) settle() (err error) {
-	if a.kept == nil {
+	if a.kept == nil || a.head.GetRepeatable() {
 		return nil
 	}
 	if !a.cut && a.acknowledged() {
@@ -124,12 +144,30 @@
 	return a.head.GetRoute()
 }
 
+// acknowledgeLimit is how long an entry may take to bill a step before the gate
+// does so too. An entry that is paused would otherwise hold up a stop.
+const acknowledgeLimit = 10 * clock.Second
+
 // acknowledged reports whether the entry ended the stream by its own word. A
 // connection that breaks gives another error.
 func (a *attempt) acknowledged() bool {
 	if !a.bodyRead.Load() {
 		return false
 	}
+	closed := make(chan bool, 1)
+	// The goroutine ends with the stream, at the latest when Run returns.
+	go func() { closed <- a.closed() }()
+	t := time.NewTimer(acknowledgeLimit.Duration())
+	defer t.Stop()
+	select {
+	case ok := <-closed:
+		return ok
+	case <-t.C:
+		return false
+	}
+}
+
+func (a *attempt) closed() bool {
 	for {
 		if _, err := a.stream.Recv(); err != nil {
 			return err == io.EOF
--- a/entry/run.go
+++ b/entry/run.go
@@ -25,6 +25,7 @@
 func (e *Entry) run(ctx context.Context, req *work, emit func(*wire.Piece) error) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, req.deadline.Duration())
 	defer cancel()
+	defer func() { err = comeBack(err) }()
 	e.retries.Earn()
 	if req.service != "" {
 		return e.tries(ctx, req, emit)
@@ -91,25 +92,67 @@
 	avoid := make(map[string]bool)
 	err = refusal.New(refusal.NoEndpoint, "no endpoint can take the request").WithRetryAfter(startingRetry)
 	for i := range maxAttempts {
-		vm, ok := choice.Endpoint(req.view, e.inflight, choice.Query{Pools: req.pools(), Avoid: avoid, Seed: xxhash.Sum64String(req.id)})
-		if !ok || i > 0 && !e.retries.Take() {
-			return comeBack(req.truth(err))
+		vm, ok := choice.Endpoint(req.view, e.inflight, e.affinity, e.query(req, avoid))
+		if !ok || i > 0 && !e.mayTryAgain(err) {
+			return req.truth(err)
 		}
 		avoid[vm.ID] = true
+		if err := e.settleHome(req, vm.ID); err != nil {
+			return err
+		}
 		seen := e.observe(req, vm.ID)
+		taken := false
 		err = e.attempt(ctx, req, vm, func(p *wire.Piece) error {
+			if !taken {
+				taken = true
+				queue.Taken()
+			}
 			seen.piece(p)
 			return emit(p)
 		})
 		seen.end(err)
+		if unreached(err) {
+			e.inflight.Lost(vm.ID, e.node.Clock().Now())
+		}
 		if err == nil {
 			return nil
 		}
-		if !req.goOn(err) {
+		if versionRefused(err) || !req.goOn(err) {
 			return req.truth(err)
 		}
 	}
-	return comeBack(req.truth(err))
+	return req.truth(err)
+}
+
+// mayTryAgain asks the retry budget, but for an attempt that never reached its
+// endpoint: that put no load on any, and a lost VM must not use up the budget
+// before the list drops it.
+func (e *Entry) mayTryAgain(cause error) bool {
+	return unreached(cause) || e.retries.Take()
+}
+
+// query asks for an endpoint for the request.
+func (e *Entry) query(req *work, avoid map[string]bool) choice.Query {
+	return choice.Query{
+		Pools: req.pools(), Avoid: avoid, Seed: xxhash.Sum64String(req.id), Now: e.node.Clock().Now(),
+		Home: req.session.Home, Prefix: req.prefix,
+	}
+}
+
+// settleHome makes the endpoint that gets the request the session's home.
+func (e *Entry) settleHome(req *work, vm string) (err error) {
+	if req.service != "" || req.session.Home == vm {
+		return nil
+	}
+	req.session.Home = vm
+	req.token, err = e.sessions.Sign(req.session)
+	return err
+}
+
+// unreached reports whether an attempt failed before it reached its endpoint.
+func unreached(err error) bool {
+	r, ok := refusal.As(err)
+	return ok && r.Code() == refusal.EndpointLost && r.Run() == refusal.NotRun
 }
 
 // item describes the request to its queue.
@@ -144,14 +187,20 @@
 // a hold or withdrawal that this entry had not heard of when it chose, and this
 // entry knows of it now.
 func (e *Entry) lostVersion(req *work, err error) bool {
-	r, ok := refusal.As(err)
-	if !ok || r.Run() != refusal.NotRun || r.Code() != refusal.Held && r.Code() != refusal.Withdrawn {
+	if r, ok := refusal.As(err); !ok || r.Run() != refusal.NotRun || !versionRefused(err) {
 		return false
 	}
 	req.view = e.node.View()
 	return movedBecause(req, req.version) != ""
 }
 
+// versionRefused reports whether a gate refused the version itself; all others
+// would do the same.
+func versionRefused(err error) bool {
+	r, ok := refusal.As(err)
+	return ok && (r.Code() == refusal.Held || r.Code() == refusal.Withdrawn)
+}
+
 // ratingsOf returns how many ratings the request's version has.
 func (r *work) ratingsOf() int64 {
 	return r.view.Quality().Sum(quality.Key{Route: r.routeName, Version: r.version}).Ratings
--- a/node/node.go
+++ b/node/node.go
@@ -61,6 +61,8 @@
 	loads atomic.Uint64
 	// estimatesAt is the instant from which on a digest may carry estimates.
 	estimatesAt atomic.Int64
+	// handler carries out the effects of the endpoint's part; nil in an entry.
+	handler atomic.Pointer[func(event.Effect)]
 	// load reports the endpoint's own load; nil in an entry.
 	load atomic.Pointer[func() *wire.Load]
 	// appends holds a place for each append under way.
@@ -79,7 +81,7 @@
 func New(cfg Config) *Node {
 	n := &Node{cfg: cfg, epoch: rand.Uint64(), metrics: metrics.NewSet(), calls: make(chan struct{}, maxCalls), follows: make(map[string]context.CancelFunc)}
 	n.appends = make(chan struct{}, maxAppends)
-	n.loop = control.NewLoop(control.NewStateAt(cfg.Settings.VM, cfg.Settings.Zone, n.epoch), n.perform)
+	n.loop = control.NewLoop(control.NewStateAt(cfg.Settings.VM, cfg.Settings.Zone, n.epoch).WithPool(cfg.Settings.Endpoint.Pool), n.perform)
 	n.billing = newBilling(n)
 	n.claims = claims{books: make(map[string]*claim.Book), ctx: context.Background()}
 	return n
@@ -115,7 +117,7 @@
 	n.run(func() { n.loop.Run(ctx) })
 	n.run(func() { n.every(ctx, tickEvery, func() { n.loop.Post(ctx, event.Tick{Now: n.cfg.Clock.Now()}) }) })
 	n.run(func() { n.readVMs(ctx) })
-	n.run(func() { n.tail(ctx, platform.HoldStream) })
+	n.run(func() { n.tailHolds(ctx) })
 	n.claims.mu.Lock()
 	n.claims.ctx = ctx
 	n.claims.mu.Unlock()
@@ -158,9 +160,6 @@
 			}
 			from = max(from, t.End())
 		}
-		if stream == platform.HoldStream {
-			from = max(from, n.View().HoldTail().End())
-		}
 		page, err := n.read(ctx, stream, from)
 		if err != nil {
 			n.loop.Post(ctx, event.LogFailed{Now: n.cfg.Clock.Now(), Stream: stream, Err: err})
@@ -201,5 +200,7 @@
 		n.follow(e)
 	case event.Append:
 		n.append(e)
+	default:
+		n.handle(e)
 	}
 }
--- a/node/peer.go
+++ b/node/peer.go
@@ -6,7 +6,6 @@
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -67,9 +66,6 @@
 // also the checkpoint of its tables to one that lacks earlier ones.
 func (n *Node) Records(_ context.Context, in *wire.RecordsRequest) (out *wire.RecordsReply, err error) {
 	v := n.View()
-	if in.GetStream() == platform.HoldStream {
-		return v.HoldTail().Reply(max(in.GetFrom(), v.HoldTail().From())), nil
-	}
 	out = v.Tail().Reply(in.GetFrom())
 	if c := v.Checkpoint(); c != nil && in.GetFrom() < v.Tail().From() {
 		data, err := c.Encode()
--- a/view/view.go
+++ b/view/view.go
@@ -6,10 +6,12 @@
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/membership"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
+	"github.com/parsleydeal/parsleydeal/platform"
 	"github.com/parsleydeal/parsleydeal/quality"
 	"github.com/parsleydeal/parsleydeal/rollout"
 	"github.com/parsleydeal/parsleydeal/spread"
 	"github.com/parsleydeal/parsleydeal/table"
+	"github.com/parsleydeal/parsleydeal/zone"
 )
 
 // View is what a process knows at one instant.
@@ -25,7 +27,11 @@
 	counts []*wire.Count
 	// quality is nil in a view made for a test.
 	quality *quality.Book
-	spread  spread.Picture
+	// subsets holds the endpoints this entry works with by pool; nil elsewhere.
+	subsets map[string][]platform.VM
+	// zones is nil in a view made for a test.
+	zones  *zone.Ramps
+	spread spread.Picture
 	// checkpoint is of the same offset as the tables.
 	checkpoint *table.Checkpoint
 }
@@ -45,6 +51,33 @@
 	return &c
 }
 
+// WithSubsets returns a view that also knows which endpoints of each pool this
+// entry works with.
+func (v *View) WithSubsets(subsets map[string][]platform.VM) *View {
+	c := *v
+	c.subsets = subsets
+	return &c
+}
+
+// WithZones returns a view that also knows the zones that came back lately.
+func (v *View) WithZones(ramps *zone.Ramps) *View {
+	c := *v
+	c.zones = ramps
+	return &c
+}
+
+// Zones returns the zones that came back lately.
+func (v *View) Zones() *zone.Ramps { return v.zones }
+
+// Subset returns the endpoints of a pool that this entry works with, or the
+// whole pool. Callers may not change it.
+func (v *View) Subset(pool string, whole bool) []platform.VM {
+	if vms, ok := v.subsets[pool]; ok && !whole {
+		return vms
+	}
+	return v.members.Pool(pool)
+}
+
 // Holds returns the versions held back from new work.
 func (v *View) Holds() *rollout.Holds { return v.holds }
 
@@ -93,12 +126,11 @@
 // Tail returns the configuration's last records, for peers that are behind.
 func (v *View) Tail() spread.Tail { return v.spread.Tail }
 
-// HoldTail returns the last records of the stream of holds.
-func (v *View) HoldTail() spread.Tail { return v.spread.Holds }
-
 // Digest returns what this process tells its peers at an instant.
 func (v *View) Digest(now clock.Millis) *wire.Digest {
-	return v.spread.Digest(v.revision, now-v.confirmedAt, v.draining, v.members)
+	d := v.spread.Digest(v.revision, now-v.confirmedAt, v.draining, v.members)
+	d.Holds = v.holds.Told()
+	return d
 }
 
 // Started reports whether the process knows the tables in force, so far as the
