--- a/control/loop.go
+++ b/control/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 
 	"github.com/parsleydeal/parsleydeal/event"
@@ -19,6 +20,8 @@
 	perform func(event.Effect)
 	view    atomic.Pointer[view.View]
 	dropped atomic.Int64
+	// steps counts the events reduced.
+	steps atomic.Int64
 	// changed is closed and replaced when a view is published.
 	changed atomic.Pointer[chan struct{}]
 }
@@ -69,19 +72,27 @@
 	}
 }
 
+// step publishes the view before it carries out the effects: a digest that an
+// effect sends is filled in from the view, and would tell peers the old revision.
 func (l *Loop) step(e event.Event) {
+	defer l.steps.Add(1)
 	next, effects := Reduce(l.state, e)
 	l.state = next
-	publish := false
-	for _, f := range effects {
-		if _, ok := f.(event.Publish); ok {
-			publish = true
-			continue
-		}
-		l.perform(f)
-	}
-	if publish {
+	if slices.ContainsFunc(effects, isPublish) {
 		l.view.Store(l.state.View())
 		l.announce()
 	}
+	for _, f := range effects {
+		if !isPublish(f) {
+			l.perform(f)
+		}
+	}
+}
+
+func isPublish(f event.Effect) bool {
+	_, ok := f.(event.Publish)
+	return ok
 }
+
+// Steps counts the events reduced whose effects have been begun.
+func (l *Loop) Steps() int64 { return l.steps.Load() }
--- a/node/holds_test.go
+++ b/node/holds_test.go
@@ -35,7 +35,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go n.loop.Run(ctx)
-	go n.tail(ctx, platform.HoldStream)
+	go n.tailHolds(ctx)
 	const patience = 30 * time.Second
 	for deadline := time.Now().Add(patience); !n.View().Holds().Held("m@2", "o"); time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
--- a/node/spread.go
+++ b/node/spread.go
@@ -14,7 +14,7 @@
 	// estimatesEvery is the least span between two digests that carry estimates.
 	estimatesEvery = 3 * clock.Second
 	// estimatesBytes bounds the bytes a second of estimates that a node sends.
-	estimatesBytes = 1 << 10
+	estimatesBytes = 512
 	// maxCalls bounds the calls to peers under way; a further one is dropped
 	// and made good by a later exchange.
 	maxCalls = 64
@@ -47,7 +47,11 @@
 func (n *Node) Told(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, tellLimit.Duration())
 	defer cancel()
-	for !n.View().Draining() || len(n.calls) > 0 {
+	begun := int64(-1)
+	for begun < 0 || n.loop.Steps() <= begun || len(n.calls) > 0 {
+		if begun < 0 && n.View().Draining() {
+			begun = n.loop.Steps() // the step that drains may still be under way
+		}
 		if !pause(ctx, tellPoll) {
 			return
 		}
@@ -70,12 +74,12 @@
 
 func (n *Node) fetch(e event.FetchRecords) {
 	n.call(recordsTimeout, func(ctx context.Context) {
-		reply, err := n.cfg.Peers.Peer(ctx, e.Address).Records(ctx, &wire.RecordsRequest{From: e.From, Stream: e.Stream})
+		reply, err := n.cfg.Peers.Peer(ctx, e.Address).Records(ctx, &wire.RecordsRequest{From: e.From})
 		if err != nil {
 			n.NotReached(e.VM)
 			return
 		}
-		n.loop.Post(n.ctx, event.RecordsReceived{Now: n.cfg.Clock.Now(), From: e.VM, Stream: e.Stream, Reply: reply})
+		n.loop.Post(n.ctx, event.RecordsReceived{Now: n.cfg.Clock.Now(), From: e.VM, Reply: reply})
 	})
 }
 
