--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -189,19 +189,13 @@
 			c.reduce(p, event.DigestReceived{Now: c.at(p), Digest: m.(*wire.Digest), Reply: true, Sent: sent})
 		})
 	case event.FetchRecords:
-		in := &wire.RecordsRequest{From: f.From, Stream: f.Stream}
+		in := &wire.RecordsRequest{From: f.From}
 		c.call(p, f.VM, in, func(to *proc) proto.Message {
-			if in.GetStream() == platform.HoldStream {
-				return to.state.View().HoldTail().Reply(in.GetFrom())
-			}
 			return to.state.View().Tail().Reply(in.GetFrom())
 		}, func(m proto.Message) {
-			c.reduce(p, event.RecordsReceived{Now: c.at(p), From: f.VM, Stream: f.Stream, Reply: m.(*wire.RecordsReply)})
+			c.reduce(p, event.RecordsReceived{Now: c.at(p), From: f.VM, Reply: m.(*wire.RecordsReply)})
 		})
 	case event.Follow:
-		if f.Stream == platform.HoldStream {
-			return
-		}
 		p.following = f.On
 		if f.On {
 			c.poll(p)
@@ -252,8 +246,8 @@
 		return
 	}
 	holds := platform.Page{Head: int64(len(c.holds))}
-	for o := int(p.state.holds.Tail().End()); o < len(c.holds); o++ {
-		holds.Records = append(holds.Records, platform.Record{Offset: int64(o), Data: c.holds[o]})
+	for o, data := range c.holds {
+		holds.Records = append(holds.Records, platform.Record{Offset: int64(o), Data: data})
 	}
 	c.reduce(p, event.LogRead{Now: c.at(p), Stream: platform.HoldStream, Page: holds})
 	head := len(c.log) - c.cut
--- a/node/node.go
+++ b/node/node.go
@@ -119,6 +119,7 @@
 	n.run(func() { n.loop.Run(ctx) })
 	n.run(func() { n.every(ctx, tickEvery, func() { n.loop.Post(ctx, event.Tick{Now: n.cfg.Clock.Now()}) }) })
 	n.run(func() { n.readVMs(ctx) })
+	n.run(func() { n.tailHolds(ctx) })
 	n.claims.mu.Lock()
 	n.claims.ctx = ctx
 	n.claims.mu.Unlock()
@@ -161,9 +162,6 @@
 			}
 			from = max(from, t.End())
 		}
-		if stream == platform.HoldStream {
-			from = max(from, n.View().HoldTail().End())
-		}
 		page, err := n.read(ctx, stream, from)
 		if err != nil {
 			n.loop.Post(ctx, event.LogFailed{Now: n.cfg.Clock.Now(), Stream: stream, Err: err})
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -13,6 +13,7 @@
 	"github.com/parsleydeal/parsleydeal/membership"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/rollout"
 )
 
 const (
@@ -40,8 +41,8 @@
 	Offset int64
 	// Tables is true once there are tables.
 	Tables bool
-	// Holds is the next offset of the stream of holds.
-	Holds int64
+	// Holds is the set of holds in force; another set is another pointer.
+	Holds *rollout.Holds
 }
 
 // State reduces how far this process and its peers have read.
@@ -75,7 +76,7 @@
 	rank   []platform.VM
 	ranked *membership.Members
 	// holds is Local.Holds as of the last event.
-	holds int64
+	holds *rollout.Holds
 	// words is how many words on leaving had been heard at the last event.
 	words int
 }
@@ -104,7 +105,7 @@
 // when a view must tell traffic.
 func (s *State) Reduce(e event.Event, l Local, m *membership.Members) (effects []event.Effect, changed bool) {
 	started, confirmed := s.started, s.confirmedAt
-	grown := l.Offset > s.offset || l.Holds > s.holds
+	grown := l.Offset > s.offset || l.Holds != s.holds
 	s.holds = l.Holds
 	s.offset = max(s.offset, l.Offset)
 	effects = s.take(e, m)
@@ -208,7 +209,7 @@
 }
 
 func (s *State) received(e event.RecordsReceived) {
-	if e.Stream != "" || e.From != s.fetching {
+	if e.From != s.fetching {
 		return
 	}
 	s.fetching = ""
@@ -321,7 +322,6 @@
 	Zone  string
 	Epoch uint64
 	Tail  Tail
-	Holds Tail
 	// Starting is true until the process knows the tables in force.
 	Starting bool
 }
@@ -331,8 +331,7 @@
 	return &wire.Digest{
 		Vm: p.VM, Zone: p.Zone, Epoch: p.Epoch,
 		Revision: revision, Offset: p.Tail.End(), Started: !p.Starting,
-		HoldOffset: p.Holds.End(),
-		Leaving:    leaving, Leavings: m.Leavings(),
+		Leaving: leaving, Leavings: m.Leavings(),
 		StalenessMillis: int64(staleness),
 	}
 }
