--- a/choice/subset.go
+++ b/choice/subset.go
@@ -49,6 +49,17 @@
 	return out
 }
 
+// earliest is how far below its share an endpoint of a pool may end. The more,
+// the fewer places are given against the order of hashes: at 1 everywhere, the
+// p99 of the first token with 30 entries (bench choice) rose from 721 to
+// 820 ms. In a small pool the entries' choices overlap most, and it must be 1.
+func earliest(pool int) int {
+	if pool < 2*subsetSize {
+		return 1
+	}
+	return 2
+}
+
 type ranked struct {
 	vm    platform.VM
 	score uint64
@@ -75,9 +86,10 @@
 	slices.SortFunc(near, byScore)
 	slices.SortFunc(far, byScore)
 	const nearest = int(subsetSize * nearPart)
-	early := func(r ranked) bool { return most-1-taken[r.vm.ID] < left }
-	out = fill(out, slices.DeleteFunc(slices.Clone(near), early), nearest, taken, most)
-	out = fill(out, slices.DeleteFunc(slices.Clone(far), early), subsetSize, taken, most)
+	early := earliest(len(pool))
+	notDue := func(r ranked) bool { return most-early-taken[r.vm.ID] < left }
+	out = fill(out, slices.DeleteFunc(slices.Clone(near), notDue), nearest, taken, most)
+	out = fill(out, slices.DeleteFunc(slices.Clone(far), notDue), subsetSize, taken, most)
 	out = fill(out, near, nearest, taken, most)
 	out = fill(out, far, subsetSize, taken, most)
 	out = fill(out, near, subsetSize, taken, most)
