System tests wait until endpoints are ready

Cause: TestFrozenEndpointIsLeftAlone got 503 "endpoint has no tables yet" on a busy machine: the entry was ready first and spent its budget of retries on endpoints that were starting. That also explains the one failure of TestSecondStopCutsOffAndStreamResumes.

--- a/system/cluster_test.go
+++ b/system/cluster_test.go
@@ -63,13 +63,15 @@
 
 // process is one daemon that the test started.
 type process struct {
-	vm       platform.VM
-	callers  string
-	settings string
-	program  string
-	cmd      *exec.Cmd
-	done     chan struct{}
-	output   *bytes.Buffer
+	vm      platform.VM
+	callers string
+	// operators is the address of the operators' interface.
+	operators string
+	settings  string
+	program   string
+	cmd       *exec.Cmd
+	done      chan struct{}
+	output    *bytes.Buffer
 }
 
 // cluster is a whole system: daemons as processes, stand-ins in the test.
@@ -115,12 +117,30 @@
 	for _, p := range append(append([]*process{}, c.endpoints...), c.entries...) {
 		c.start(p)
 	}
+	// Endpoints too: an entry that is ready first would spend its budget of
+	// retries on those that have no tables yet.
+	for _, p := range c.endpoints {
+		c.waitReady(p)
+	}
 	for _, p := range c.entries {
 		c.waitModels(p)
 	}
 	return c
 }
 
+// waitReady waits until a process says that it may receive work.
+func (c *cluster) waitReady(p *process) {
+	c.t.Helper()
+	c.eventually(p.vm.ID+" ready", func() bool {
+		resp, err := http.Get("http://" + p.operators + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+}
+
 const tables = `
 id = "system-1"
 author = "test"
@@ -199,6 +219,7 @@
 }
 
 func (c *cluster) common(p *process) string {
+	p.operators = standin.FreeAddress()
 	return fmt.Sprintf(`vm = %q
 zone = %q
 region = "here"
@@ -210,7 +231,7 @@
 current = "k"
 [session.keys]
 k = "system test secret of enough bytes"
-`, p.vm.ID, p.vm.Zone, p.vm.Address, standin.FreeAddress(), c.url)
+`, p.vm.ID, p.vm.Zone, p.vm.Address, p.operators, c.url)
 }
 
 func (c *cluster) start(p *process) {
