--- a/choice/endpoint_test.go
+++ b/choice/endpoint_test.go
@@ -219,3 +219,16 @@
 	got = picks(view.New(tables, 0, 0, s.Members(), false), f, NewAffinity(), Query{Now: 1})
 	is.Equal(got["endpoint-0"]+got["endpoint-1"], 400)
 }
+
+// BenchmarkSubsetsOf is what one entry computes when the list of the two-year
+// size changes: 380 entries before 1,000 endpoints in 13 pools.
+func BenchmarkSubsetsOf(b *testing.B) {
+	all := vms(platform.EntryRole, 380, 12)
+	for i, vm := range vms(platform.EndpointRole, 1000, 12) {
+		vm.Pool = fmt.Sprintf("pool-%d", i%13)
+		all = append(all, vm)
+	}
+	for b.Loop() {
+		SubsetsOf("entry-7", all)
+	}
+}
--- a/choice/subset.go
+++ b/choice/subset.go
@@ -31,28 +31,26 @@
 // little beside its own places.
 func Subsets(entries, pool []platform.VM) map[string][]platform.VM {
 	out := make(map[string][]platform.VM, len(entries))
-	if len(pool) <= subsetSize {
-		for _, e := range entries {
-			out[e.ID] = pool
-		}
-		return out
+	p := newPlaces(len(entries), pool)
+	for i, e := range inOrder(entries) {
+		out[e.ID] = p.endpoints(p.give(e, len(entries)-i))
 	}
+	return out
+}
+
+// inOrder sorts entries by the hash of their ID.
+func inOrder(entries []platform.VM) []platform.VM {
 	order := slices.Clone(entries)
 	slices.SortFunc(order, func(a, b platform.VM) int {
 		return cmp.Or(cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)), strings.Compare(a.ID, b.ID))
 	})
-	most := int(math.Ceil(slack * float64(len(entries)*subsetSize) / float64(len(pool))))
-	taken := make(map[string]int, len(pool))
-	for i, e := range order {
-		out[e.ID] = take(e, pool, taken, most, len(order)-i)
-	}
-	return out
+	return order
 }
 
 // earliest is how far below its share an endpoint of a pool may end. The more,
 // the fewer places are given against the order of hashes: at 1 everywhere, the
-// p99 of the first token with 30 entries (bench choice) rose from 721 to
-// 820 ms. In a small pool the entries' choices overlap most, and it must be 1.
+// p99 of the first token with 30 entries (bench choice) rose from 721 to 820 ms.
+// In a small pool the entries' choices overlap most, and it must be 1.
 func earliest(pool int) int {
 	if pool < 2*subsetSize {
 		return 1
@@ -60,57 +58,111 @@
 	return 2
 }
 
+// ranked is an endpoint by its index in the pool, with the rank that the entry
+// under way gives it.
 type ranked struct {
-	vm    platform.VM
 	score uint64
+	at    int32
+}
+
+// places gives out the places of one pool. It works on indices and reuses its
+// slices: at the two-year size a change of the VM list costs 5,000 turns.
+type places struct {
+	pool   []platform.VM
+	hashes []uint64
+	// taken counts the entries that each endpoint has, at most most but for the
+	// last ones.
+	taken []int
+	most  int
+	// in marks the endpoints of the entry under way.
+	in              []bool
+	near, far, rest []ranked
+	out             []int32
+}
+
+func newPlaces(entries int, pool []platform.VM) *places {
+	p := &places{pool: pool, hashes: make([]uint64, len(pool)), taken: make([]int, len(pool)), in: make([]bool, len(pool))}
+	for i, vm := range pool {
+		p.hashes[i] = xxhash.Sum64String(vm.ID)
+	}
+	p.most = int(math.Ceil(slack * float64(entries*subsetSize) / float64(max(len(pool), 1))))
+	return p
 }
 
-// take gives an entry its subset; left counts the entries that have none yet,
+// whole reports whether every entry works with the whole pool.
+func (p *places) whole() bool { return len(p.pool) <= subsetSize }
+
+func (p *places) endpoints(chosen []int32) []platform.VM {
+	if p.whole() {
+		return p.pool
+	}
+	out := make([]platform.VM, len(chosen))
+	for i, at := range chosen {
+		out[i] = p.pool[at]
+	}
+	return out
+}
+
+// give gives an entry its places; left counts the entries that have none yet,
 // this one included. An endpoint that lacks more entries than are left must be
 // taken by each of them. Were it passed over, the last entries would find too
-// few endpoints below their share and crowd on those that have theirs.
-func take(entry platform.VM, pool []platform.VM, taken map[string]int, most, left int) (out []platform.VM) {
-	var near, far []ranked
+// few endpoints below their share and crowd on those that have theirs. The
+// result is valid until the next call.
+func (p *places) give(entry platform.VM, left int) []int32 {
+	if p.whole() {
+		return nil
+	}
+	const nearest = int(subsetSize * nearPart)
+	p.rank(entry)
+	p.out = p.out[:0]
+	due := left + earliest(len(p.pool))
+	p.fill(p.near, nearest, due)
+	p.fill(p.far, subsetSize, due)
+	p.fill(p.near, nearest, 1)
+	p.fill(p.far, subsetSize, 1)
+	p.fill(p.near, subsetSize, 1)
+	p.rest = append(append(p.rest[:0], p.near...), p.far...)
+	slices.SortStableFunc(p.rest, func(a, b ranked) int { return cmp.Compare(p.taken[a.at], p.taken[b.at]) })
+	p.fill(p.rest, subsetSize, math.MinInt)
+	for _, at := range p.out {
+		p.in[at] = false
+	}
+	return p.out
+}
+
+// rank sorts the pool for an entry, its own zone apart.
+func (p *places) rank(entry platform.VM) {
+	p.near, p.far = p.near[:0], p.far[:0]
 	h := xxhash.Sum64String(entry.ID)
-	for _, vm := range pool {
-		r := ranked{vm, mix(h ^ xxhash.Sum64String(vm.ID))}
+	for i, vm := range p.pool {
+		r := ranked{score: mix(h ^ p.hashes[i]), at: int32(i)}
 		if vm.Zone == entry.Zone {
-			near = append(near, r)
+			p.near = append(p.near, r)
 		} else {
-			far = append(far, r)
+			p.far = append(p.far, r)
 		}
 	}
 	byScore := func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), strings.Compare(a.vm.ID, b.vm.ID))
+		return cmp.Or(cmp.Compare(b.score, a.score), strings.Compare(p.pool[a.at].ID, p.pool[b.at].ID))
 	}
-	slices.SortFunc(near, byScore)
-	slices.SortFunc(far, byScore)
-	const nearest = int(subsetSize * nearPart)
-	early := earliest(len(pool))
-	notDue := func(r ranked) bool { return most-early-taken[r.vm.ID] < left }
-	out = fill(out, slices.DeleteFunc(slices.Clone(near), notDue), nearest, taken, most)
-	out = fill(out, slices.DeleteFunc(slices.Clone(far), notDue), subsetSize, taken, most)
-	out = fill(out, near, nearest, taken, most)
-	out = fill(out, far, subsetSize, taken, most)
-	out = fill(out, near, subsetSize, taken, most)
-	rest := append(slices.Clone(near), far...)
-	slices.SortStableFunc(rest, func(a, b ranked) int { return cmp.Compare(taken[a.vm.ID], taken[b.vm.ID]) })
-	return fill(out, rest, subsetSize, taken, len(pool)*subsetSize)
+	slices.SortFunc(p.near, byScore)
+	slices.SortFunc(p.far, byScore)
 }
 
-// fill takes endpoints in order until the subset has a size.
-func fill(out []platform.VM, from []ranked, size int, taken map[string]int, most int) []platform.VM {
+// fill takes endpoints in order that lack at least so many entries, until the
+// entry has a number of places.
+func (p *places) fill(from []ranked, size, lacks int) {
 	for _, r := range from {
-		if len(out) >= size {
-			break
+		if len(p.out) >= size {
+			return
 		}
-		if taken[r.vm.ID] >= most || slices.ContainsFunc(out, func(v platform.VM) bool { return v.ID == r.vm.ID }) {
+		if p.in[r.at] || p.most-p.taken[r.at] < lacks {
 			continue
 		}
-		taken[r.vm.ID]++
-		out = append(out, r.vm)
+		p.in[r.at] = true
+		p.taken[r.at]++
+		p.out = append(p.out, r.at)
 	}
-	return out
 }
 
 // mix spreads the bits of a number.
@@ -137,9 +189,23 @@
 	if !slices.ContainsFunc(entries, func(v platform.VM) bool { return v.ID == self }) {
 		return nil
 	}
+	order := inOrder(entries)
 	out := make(map[string][]platform.VM, len(pools))
 	for name, pool := range pools {
-		out[name] = Subsets(entries, pool)[self]
+		out[name] = subsetOf(self, order, pool)
 	}
 	return out
 }
+
+// subsetOf returns the endpoints of one entry; those before it in the order must
+// have had their turn.
+func subsetOf(self string, order, pool []platform.VM) []platform.VM {
+	p := newPlaces(len(order), pool)
+	for i, e := range order {
+		chosen := p.give(e, len(order)-i)
+		if e.ID == self {
+			return p.endpoints(chosen)
+		}
+	}
+	return nil
+}
