--- a/cli/load.go
+++ b/cli/load.go
@@ -204,7 +204,7 @@
 		if err == nil {
 			from = next
 		}
-		if !pause(ctx, clock.Second/5) {
+		if !clock.Pause(ctx, clock.Second/5) {
 			break
 		}
 	}
--- a/cli/local.go
+++ b/cli/local.go
@@ -190,7 +190,7 @@
 	const every = 20 * clock.Millis(1)
 	end := time.Now().Add(localPatience.Duration())
 	for !ok() {
-		if time.Now().After(end) || !pause(ctx, every) {
+		if time.Now().After(end) || !clock.Pause(ctx, every) {
 			return errors.New("cli: the system did not get ready")
 		}
 	}
--- a/cli/operator.go
+++ b/cli/operator.go
@@ -7,7 +7,6 @@
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/parsleydeal/parsleydeal/client"
@@ -97,17 +96,5 @@
 		return nil, err
 	}
 	h := platform.NewHTTP(s.Platform, http.DefaultClient)
-	return &client.Operator{Log: h.Log(), VMs: h.VMList(), Peers: c.pool(), Clock: clock.System(), Pause: pause}, nil
-}
-
-// pause waits for a span and reports false when the context ended first.
-func pause(ctx context.Context, span clock.Millis) bool {
-	t := time.NewTimer(span.Duration())
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
+	return &client.Operator{Log: h.Log(), VMs: h.VMList(), Peers: c.pool(), Clock: clock.System(), Pause: clock.Pause}, nil
 }
--- a/load/send.go
+++ b/load/send.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"github.com/parsleydeal/parsleydeal/clock"
+
 	"github.com/parsleydeal/parsleydeal/client"
 	"github.com/parsleydeal/parsleydeal/refusal"
 )
@@ -85,19 +87,12 @@
 
 // rest waits as long as a refusal says and reports false when the time is over.
 func rest(ctx context.Context, err error) bool {
-	const least = 20 * time.Millisecond
+	const least = 20 * clock.Millis(1)
 	wait := least
 	if ref, ok := refusal.As(err); ok {
-		wait = max(ref.RetryAfter().Duration(), least)
-	}
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
+		wait = max(ref.RetryAfter(), least)
 	}
+	return clock.Pause(ctx, wait)
 }
 
 // prompt has the wanted length and carries the nonce.
--- a/node/billing.go
+++ b/node/billing.go
@@ -196,7 +196,7 @@
 		if secure {
 			return nil
 		}
-		if !pause(ctx, settlePoll) {
+		if !clock.Pause(ctx, settlePoll) {
 			return ctx.Err()
 		}
 	}
--- a/node/holds.go
+++ b/node/holds.go
@@ -28,7 +28,7 @@
 		}
 		if err != nil {
 			n.loop.Post(ctx, event.LogFailed{Now: n.cfg.Clock.Now(), Stream: platform.HoldStream, Err: err})
-			pause(ctx, logRetry)
+			clock.Pause(ctx, logRetry)
 			continue
 		}
 		n.loop.Post(ctx, event.LogRead{Now: n.cfg.Clock.Now(), Stream: platform.HoldStream, Page: page})
@@ -36,7 +36,7 @@
 			from = page.Records[k-1].Offset + 1
 		}
 		if n.cfg.Settings.Endpoint.Pool != "" {
-			pause(ctx, gateHoldsEvery)
+			clock.Pause(ctx, gateHoldsEvery)
 		}
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -146,7 +146,7 @@
 func (n *Node) every(ctx context.Context, span clock.Millis, f func()) {
 	for {
 		f()
-		if !pause(ctx, span) {
+		if !clock.Pause(ctx, span) {
 			return
 		}
 	}
@@ -165,7 +165,7 @@
 		page, err := n.read(ctx, stream, from)
 		if err != nil {
 			n.loop.Post(ctx, event.LogFailed{Now: n.cfg.Clock.Now(), Stream: stream, Err: err})
-			pause(ctx, logRetry)
+			clock.Pause(ctx, logRetry)
 			continue
 		}
 		n.loop.Post(ctx, event.LogRead{Now: n.cfg.Clock.Now(), Stream: stream, Page: page})
--- a/node/spread.go
+++ b/node/spread.go
@@ -52,7 +52,7 @@
 		if begun < 0 && n.View().Draining() {
 			begun = n.loop.Steps() // the step that drains may still be under way
 		}
-		if !pause(ctx, tellPoll) {
+		if !clock.Pause(ctx, tellPoll) {
 			return
 		}
 	}
