A keyed chat may come again after failures

Ruled out: load of the machine (same request each time), the load tool, which had shown only its last error, a dial. Change: an attempt that may be repeated and gave no whole answer is reopened in the gate's memory, and what was kept of it is dropped; load tells what an entry said rather than that another one is gone. Conclusion: TestKeyedChatMayComeAgainAfterFailures holds it.

--- a/answer/keeping.go
+++ b/answer/keeping.go
@@ -188,6 +188,14 @@
 	a.wake()
 }
 
+// Drop forgets an answer that will not be whole; whoever follows it hears that
+// it is not kept.
+func (a *Kept) Drop() {
+	a.keeping.mu.Lock()
+	defer a.keeping.mu.Unlock()
+	a.keeping.dropAnswer(a)
+}
+
 func (a *Kept) wake() {
 	close(a.grown)
 	a.grown = make(chan struct{})
--- a/answer/memory.go
+++ b/answer/memory.go
@@ -31,6 +31,9 @@
 	ended
 	// barred attempts did not run and never will (a tombstone).
 	barred
+	// reopened attempts may be repeated and gave no whole answer; they may come
+	// again.
+	reopened
 )
 
 // Memory knows what became of the attempts that may run at most once, so that a
@@ -73,6 +76,9 @@
 		return refusal.NotRun, false
 	case waiting, dispatched, ended:
 		return refusal.Ran, false
+	case reopened:
+		m.fates[a] = waiting
+		return refusal.NotRun, true
 	}
 	if c.Stream != "" && m.lost(c) {
 		return refusal.Unknown, false
@@ -106,6 +112,18 @@
 	}
 }
 
+// Reopen notes that an attempt which may be repeated is over without a whole
+// answer. A caller that asks again with its key makes the same attempt; were it
+// barred, that key would be refused here until the memory is full.
+func (m *Memory) Reopen(a Attempt) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch m.fates[a] {
+	case waiting, dispatched:
+		m.fates[a] = reopened
+	}
+}
+
 // Bar refuses an attempt for ever and returns what can be said of it: not-run
 // when it did not run and never will here. Of an unknown attempt without a claim
 // nothing can be said: its bar may fall out before it arrives.
@@ -117,7 +135,7 @@
 		return refusal.Ran, true
 	case ended:
 		return refusal.Ran, false
-	case waiting, barred:
+	case waiting, barred, reopened:
 		m.fates[a] = barred
 		return refusal.NotRun, false
 	}
--- a/endpoint/run.go
+++ b/endpoint/run.go
@@ -89,12 +89,21 @@
 	if a.version != "" {
 		e.busy.add(a.version, -1)
 	}
-	if a.remembered {
-		e.memory.End(a.id())
-	}
-	if a.kept != nil {
+	again := a.head.GetRepeatable() && a.step == nil
+	switch {
+	case a.kept == nil:
+	case again:
+		a.kept.Drop()
+	default:
 		a.kept.End(e.node.Clock().Now())
 	}
+	switch {
+	case !a.remembered:
+	case again:
+		e.memory.Reopen(a.id())
+	default:
+		e.memory.End(a.id())
+	}
 }
 
 // context bounds a run by its deadline. A run that is kept goes on when its
--- a/endpoint/run_test.go
+++ b/endpoint/run_test.go
@@ -235,3 +235,28 @@
 	r.refused(g, refusal.Malformed, refusal.NotRun)
 	r.is.True(strings.Contains(g.refusal.Message(), "takes no such request"))
 }
+
+// A keyed chat is refused while the endpoint is full, and its engine breaks on the
+// caller's second try. Each retry makes the same attempt, so an endpoint that
+// remembered the failures as final would refuse that key for good.
+func TestKeyedChatMayComeAgainAfterFailures(t *testing.T) {
+	r := newRig(t, 3)
+	head := r.head("keyed")
+	head.IdempotencyKey = "k"
+	r.patch("[tables.pools.small]\nversions = [\"small@1\"]\ncold-window = 1\nfull-window = 1\nqueue = 1\nqueue-wait = \"1ms\"\n")
+	head.Revision = 1
+	r.engine.SetFaults(standin.EngineFaults{Stall: true})
+	first := r.begin(r.t.Context(), r.head("other"), chatBody)
+	r.eventually("place held", func() bool { return r.engine.Running() == 1 })
+	r.refused(r.run(r.t.Context(), head, chatBody), refusal.Saturated, refusal.NotRun)
+	r.engine.SetFaults(standin.EngineFaults{})
+	r.is.Equal((<-first).text, standin.Text(3))
+	r.engine.SetFaults(standin.EngineFaults{BreakAfter: 2})
+	r.is.True(r.run(r.t.Context(), head, chatBody).refusal != nil)
+	r.engine.SetFaults(standin.EngineFaults{})
+	g := r.run(r.t.Context(), head, chatBody)
+	r.is.True(g.refusal == nil)
+	r.is.Equal(g.text, standin.Text(3))
+	again := r.run(r.t.Context(), head, chatBody)
+	r.refused(again, refusal.AlreadyRan, refusal.Ran) // whole now, and kept
+}
--- a/load/send.go
+++ b/load/send.go
@@ -10,9 +10,8 @@
 	"strings"
 	"time"
 
-	"github.com/parsleydeal/parsleydeal/clock"
-
 	"github.com/parsleydeal/parsleydeal/client"
+	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/refusal"
 )
 
@@ -46,13 +45,21 @@
 	ctx, cancel := context.WithTimeout(ctx, r.plan.Timeout.Duration())
 	defer cancel()
 	cuts := 0
+	var heard error
 	for try := 0; ; try++ {
 		o = r.try(ctx, q, due, key, r.plan.Entries[(q.entry+try)%len(r.plan.Entries)])
 		if o.err != nil && kindOf(o.err) == broken {
 			cuts++
 		}
 		o.tries, o.cuts = try+1, cuts
+		if !unreachable(o.err) {
+			heard = o.err
+		}
 		if o.err == nil || try >= r.plan.Retries || !repeatable(q, o.err) || !rest(ctx, o.err) {
+			// What an entry said tells more than that another one is gone.
+			if heard != nil {
+				o.err = heard
+			}
 			return o
 		}
 	}
