Burn: an overspent budget is told as a multiple

Cause: looked at in headless Chromium at a phone's width, the page was legible but said "-1900% of the budget left". Change: "0%, spent 20.0 times" on page and terminal. Conclusion: TestOverspentBudgetIsTold.

--- a/burn/burn_test.go
+++ b/burn/burn_test.go
@@ -200,3 +200,11 @@
 		x.r.Add(Key{Route: "dossier", Version: "a@1", Zone: "z1", Organisation: "desk"}, Tally{Requests: 1})
 	}
 }
+
+// An operator on call reads "-1900%" and has to work out what it means.
+func TestOverspentBudgetIsTold(t *testing.T) {
+	is := is.New(t)
+	is.Equal(Line{Left: 0.41}.left(), "41%")
+	is.Equal(Line{Left: 0}.left(), "0%")
+	is.Equal(Line{Left: -19}.left(), "0%, spent 20.0 times")
+}
--- a/burn/page.go
+++ b/burn/page.go
@@ -76,7 +76,7 @@
 }
 
 func cardOf(l Line) (c card, err error) {
-	c = card{Line: l, LeftText: fmt.Sprintf("%.0f%%", 100*l.Left)}
+	c = card{Line: l, LeftText: l.left()}
 	for _, w := range Windows() {
 		text := "–"
 		if r, ok := l.Rates[w.Name]; ok {
--- a/burn/text.go
+++ b/burn/text.go
@@ -19,7 +19,7 @@
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "ROUTE\tOBJECTIVE\tTARGET\t5m\t1h\t6h\t3d\tBUDGET LEFT\tALERT\tTOP CAUSES")
 	for _, l := range v.Lines {
-		fmt.Fprintf(t, "%s\t%s\t%.4g\t%s\t%.0f%%\t%s\t%s\n", l.Route, l.Objective, l.Target, l.rates(), 100*l.Left, l.Alert, l.causes())
+		fmt.Fprintf(t, "%s\t%s\t%.4g\t%s\t%s\t%s\t%s\n", l.Route, l.Objective, l.Target, l.rates(), l.left(), l.Alert, l.causes())
 	}
 	fmt.Fprintln(t)
 	fmt.Fprintln(t, "ROUTE, LAST HOUR\tATTEMPTS\tFIRST p50\tp95\tp99\tGAP p50\tp95")
@@ -41,6 +41,15 @@
 	return strings.Join(out, "\t")
 }
 
+// left words the budget left. One that is overspent is told as a multiple: "20
+// times over" is read at once, "-1900%" is not.
+func (l Line) left() string {
+	if l.Left >= 0 {
+		return fmt.Sprintf("%.0f%%", 100*l.Left)
+	}
+	return fmt.Sprintf("0%%, spent %.1f times", 1-l.Left)
+}
+
 func (l Line) causes() string {
 	var out []string
 	for _, c := range l.Causes {
