A session takes its KV cache along

Cause: the tables' moves-cache was read by nobody, and a moved session's case history was read again.

--- a/endpoint/chat.go
+++ b/endpoint/chat.go
@@ -20,6 +20,10 @@
 		Request: a.head.GetRequest(), Body: body, Priority: a.head.GetPriority(),
 		ResumeAfter: a.head.GetResumeAfter(), ResumeText: a.head.GetResumeText(),
 	}
+	if pool, ok := e.pool(); ok && pool.MovesCache {
+		o.Session = a.head.GetSession()
+	}
+	e.moveCache(ctx, a.head)
 	if err = e.engine.Chat(ctx, o, a.chunk); err != nil {
 		return a.engineRefusal(ctx, err)
 	}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -56,6 +56,9 @@
 	Request  string
 	Body     []byte
 	Priority int32
+	// Session names the session whose KV cache the engine may use; empty outside
+	// a pool whose engines move caches.
+	Session string
 	// ResumeAfter and ResumeText ask the engine to go on after an answer's first
 	// tokens; only engines that resume get them.
 	ResumeAfter int32
@@ -76,6 +79,9 @@
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("X-Request-Id", o.Request)
 	req.Header.Set("X-Priority", strconv.Itoa(int(o.Priority)))
+	if o.Session != "" {
+		req.Header.Set("X-Session", o.Session)
+	}
 	resp, err := e.client.Do(req)
 	if err != nil {
 		return sendError(err)
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -134,6 +134,7 @@
 		Headers:        req.headers,
 		Priority:       req.priority,
 		Session:        req.session.ID,
+		CacheFrom:      req.cacheFrom,
 		IdempotencyKey: req.key,
 		Repeatable:     req.repeatable,
 		DeadlineMillis: int64(remaining(ctx)),
--- a/entry/run.go
+++ b/entry/run.go
@@ -144,6 +144,9 @@
 	if req.service != "" || req.session.Home == vm {
 		return nil
 	}
+	if req.cacheFrom == "" && req.pinned && req.moved == "" {
+		req.cacheFrom = req.session.Home
+	}
 	req.session.Home = vm
 	req.token, err = e.sessions.Sign(req.session)
 	return err
--- a/entry/work.go
+++ b/entry/work.go
@@ -71,6 +71,8 @@
 	// judging is true while the answer under way is held back for the rater; its
 	// step is billed with the steps that follow.
 	judging bool
+	// cacheFrom is the VM that ran the session before, when another one does now.
+	cacheFrom string
 	// pinned is true when the caller brought a session.
 	pinned bool
 	// moved says why the session lost its version; empty when it kept it.
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -49,6 +49,7 @@
 	generation uint64
 	orders     orders
 	cold       coldStart
+	caches     caches
 }
 
 // NewEngine makes an engine whose answers have so many tokens.
@@ -105,6 +106,8 @@
 	mux.HandleFunc("POST /v1/chat/completions", e.chat)
 	mux.HandleFunc("GET /load", e.load)
 	mux.HandleFunc("POST /orders", e.order)
+	mux.HandleFunc("GET /kv/{session}", e.exportCache)
+	mux.HandleFunc("PUT /kv/{session}", e.importCache)
 	return mux
 }
 
@@ -154,7 +157,11 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	if !e.wait(r, e.first) {
+	first := e.first
+	if e.cached(r.Header.Get("X-Session"), req.Model) {
+		first /= cachedPart
+	}
+	if !e.wait(r, first) {
 		return
 	}
 	if e.stream(w, r, &req) && e.warm(generation) {
--- a/system/cluster_test.go
+++ b/system/cluster_test.go
@@ -291,6 +291,23 @@
 	})
 }
 
+// waitRevision waits until every process has a revision in force.
+func (c *cluster) waitRevision(revision int) {
+	c.t.Helper()
+	want := fmt.Sprintf("parsleydeal_tables_revision %d", revision)
+	for _, p := range append(append([]*process{}, c.endpoints...), c.entries...) {
+		c.eventually(fmt.Sprintf("revision %d at %s", revision, p.vm.ID), func() bool {
+			resp, err := http.Get("http://" + p.operators + "/metrics")
+			if err != nil {
+				return false
+			}
+			defer resp.Body.Close()
+			data, err := io.ReadAll(resp.Body)
+			return err == nil && strings.Contains(string(data), want)
+		})
+	}
+}
+
 func (c *cluster) eventually(what string, ok func() bool) {
 	c.t.Helper()
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
