--- a/endpoint/run_test.go
+++ b/endpoint/run_test.go
@@ -254,6 +254,9 @@
 	r.engine.SetFaults(standin.EngineFaults{BreakAfter: 2})
 	r.is.True(r.run(r.t.Context(), head, chatBody).refusal != nil)
 	r.engine.SetFaults(standin.EngineFaults{})
+	follow, err := r.gate().Kept(r.t.Context(), &wire.KeptRequest{Request: "keyed", Organisation: "desk"})
+	r.is.NoErr(err)
+	r.is.Equal(take(follow.Recv).refusal.Code(), refusal.NotKept) // half an answer is none
 	g := r.run(r.t.Context(), head, chatBody)
 	r.is.True(g.refusal == nil)
 	r.is.Equal(g.text, standin.Text(3))
--- /dev/null
+++ b/entry/key_test.go
@@ -0,0 +1,49 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/parsleydeal/parsleydeal/choice"
+	"github.com/parsleydeal/parsleydeal/event"
+	"github.com/parsleydeal/parsleydeal/membership"
+	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/table"
+	"github.com/parsleydeal/parsleydeal/view"
+)
+
+// A caller's entry vanishes, and its retry comes to an entry that works with
+// other endpoints of a large pool. Were the retry sent to one of those, the
+// request would run a second time beside the first. Both entries must work out
+// the same endpoint, and different keys must spread over the pool.
+func TestKeyedRequestHasOneHome(t *testing.T) {
+	is := is.New(t)
+	var vms []platform.VM
+	for i := range 100 {
+		vms = append(vms, platform.VM{ID: fmt.Sprintf("endpoint-%d", i), Role: platform.EndpointRole, Pool: "p", Zone: "a"})
+	}
+	tables := &table.Tables{
+		Versions: map[string]table.Version{"m@1": {}},
+		Pools:    map[string]table.Pool{"p": {Versions: []string{"m@1"}, ColdWindow: 4, FullWindow: 8}},
+	}
+	goes := func(subset []platform.VM, key string) string {
+		s := membership.New("entry")
+		s.Reduce(event.VMsListed{VMs: vms})
+		v := view.New(tables, 0, 0, s.Members(), false).WithSubsets(map[string][]platform.VM{"p": subset})
+		req := &work{id: keyedID("desk", "quick", key, []byte("body")), key: key, version: "m@1", view: v}
+		vm, ok := choice.Endpoint(v, choice.NewInflight(), choice.NewAffinity(), choice.Query{Pools: req.pools(), Home: req.home()})
+		is.True(ok)
+		return vm.ID
+	}
+	homes := map[string]bool{}
+	for i := range 40 {
+		key := fmt.Sprint("key-", i)
+		one := goes(vms[:24], key)
+		is.Equal(goes(vms[50:74], key), one)
+		homes[one] = true
+	}
+	is.True(len(homes) > 20)
+	is.True(keyedID("desk", "quick", "k", []byte("a")) != keyedID("court", "quick", "k", []byte("a"))) // keys are an organisation's own
+	is.True(keyedID("desk", "quick", "k", []byte("a")) != keyedID("desk", "quick", "k", []byte("b")))
+}
