A refusal after a cascade's first answer says that it ran

Cause: found in the read-through: the first answer of a cascade ran and is billed, and when the second version could not be had the caller was told "not run". Only failed attempts were noted. Change: a whole answer that is not delivered is noted, and every refusal is held against what ran at the end of run, also those of the queue. Conclusion: "not run" is true for cascades too.

--- a/answer/progress.go
+++ b/answer/progress.go
@@ -104,6 +104,11 @@
 	return cause
 }
 
+// Ran notes that an attempt gave a whole answer which is not the caller's: a
+// cascade's first one that was too poor. Were it not noted, a refusal after it
+// would say that the request did not run.
+func (p *Progress) Ran() { p.note(refusal.Ran) }
+
 func (p *Progress) note(run refusal.Run) {
 	if p.run == "" || worse(run, p.run) {
 		p.run = run
--- a/cli/decision_test.go
+++ b/cli/decision_test.go
@@ -90,6 +90,27 @@
 	is.Equal(len(billOf(t, d, h.Get("Parsleydeal-Request")).GetSteps()), 1)
 }
 
+// The cheap version's answer is poor, and the dear version's engines take nothing.
+// The caller gets no answer, but the first version ran and is billed: "not run"
+// would be false, and a caller that believed it would not look for the bill.
+func TestFailedEscalationSaysThatItRan(t *testing.T) {
+	is := is.New(t)
+	d := startDemo(t, "quality-target = 0.9", cascadeRoute)
+	d.platform.SetQuality("small@1", 0)
+	for name, e := range d.engines {
+		if strings.HasSuffix(name, "-1") {
+			e.SetFaults(standin.EngineFaults{Refuse: true})
+		}
+	}
+	h, status, err := d.answerTo(t.Context(), "dossier", "")
+	is.NoErr(err)
+	is.True(status != http.StatusOK)
+	is.Equal(h.Get("Parsleydeal-Run"), "ran")
+	b := billOf(t, d, h.Get("Parsleydeal-Request"))
+	is.Equal(len(b.GetSteps()), 1)
+	is.Equal(b.GetSteps()[0].GetVersion(), "small@1")
+}
+
 // The cheap version's answer is good: it is delivered, and nothing else is paid.
 func TestGoodFirstAnswerIsDelivered(t *testing.T) {
 	is := is.New(t)
--- a/entry/cascade.go
+++ b/entry/cascade.go
@@ -45,6 +45,7 @@
 	if err != nil {
 		return err
 	}
+	req.progress.Ran()
 	last := held[len(held)-1]
 	if e.passes(ctx, req, held) {
 		return e.release(ctx, req, held, emit)
--- a/entry/run.go
+++ b/entry/run.go
@@ -25,7 +25,7 @@
 func (e *Entry) run(ctx context.Context, req *work, emit func(*wire.Piece) error) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, req.deadline.Duration())
 	defer cancel()
-	defer func() { err = comeBack(err) }()
+	defer func() { err = comeBack(req.truth(err)) }()
 	e.retries.Earn()
 	if req.service != "" {
 		return e.tries(ctx, req, emit)
