--- a/answer/keeping.go
+++ b/answer/keeping.go
@@ -8,9 +8,6 @@
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 )
 
-// pieceOverhead is about what a piece takes beside its text and data.
-const pieceOverhead = 160
-
 // KeepLimits bound what is kept.
 type KeepLimits struct {
 	// Answers and Bytes bound all answers together, One the bytes of a single
@@ -52,7 +49,7 @@
 type Kept struct {
 	keeping *Keeping
 	owner   Owner
-	pieces  []*wire.Piece
+	pieces  pack
 	bytes   int
 	// ended is when the last piece came; it counts once done is true.
 	ended clock.Millis
@@ -138,7 +135,7 @@
 	k.order = append(k.order[:i], k.order[i+1:]...)
 	k.bytes -= a.bytes
 	a.lost = true
-	a.pieces = nil
+	a.pieces = pack{}
 	a.wake()
 	if k.byRequest[a.owner.Request] == a {
 		delete(k.byRequest, a.owner.Request)
@@ -157,8 +154,7 @@
 	if a.lost {
 		return
 	}
-	n := pieceOverhead + len(p.GetText()) + len(p.GetData())
-	a.pieces = append(a.pieces, p)
+	n := a.pieces.add(p)
 	a.bytes += n
 	k.bytes += n
 	a.wake()
@@ -230,11 +226,11 @@
 	if a.lost {
 		return nil, nil, ErrNotKept.New("the answer is no longer kept")
 	}
-	if int(number) < len(a.pieces) {
-		return a.pieces[number], nil, nil
+	if int(number) < a.pieces.size() {
+		return a.pieces.piece(number), nil, nil
 	}
 	if a.done {
-		return nil, nil, ErrNotKept.New("the answer ended at piece %d", len(a.pieces))
+		return nil, nil, ErrNotKept.New("the answer ended at piece %d", a.pieces.size())
 	}
 	return nil, a.grown, nil
 }
--- a/answer/keeping_test.go
+++ b/answer/keeping_test.go
@@ -88,8 +88,8 @@
 				sum := 0
 				for _, a := range k.order {
 					sum += a.bytes
-					if len(a.pieces) != added[a] {
-						t.Fatalf("%d pieces kept of %d", len(a.pieces), added[a])
+					if a.pieces.size() != added[a] {
+						t.Fatalf("%d pieces kept of %d", a.pieces.size(), added[a])
 					}
 				}
 				if answers > l.Answers || bytes > l.Bytes || bytes != sum || len(k.byRequest) > answers || len(k.byKey) > answers {
