--- a/endpoint/attempt.go
+++ b/endpoint/attempt.go
@@ -16,9 +16,9 @@
 	e      *Endpoint
 	head   *wire.RunHead
 	stream wire.DRPCGate_RunStream
-	// beat sends the pieces and keeps the stream from falling silent.
-	beat  beat
-	bytes int
+	// heartbeat sends the pieces and keeps the stream from falling silent.
+	heartbeat heartbeat
+	bytes     int
 	// deadline is when the caller stops waiting, counted from receipt on this VM's
 	// clock.
 	deadline time.Time
@@ -48,7 +48,7 @@
 
 func newAttempt(e *Endpoint, stream wire.DRPCGate_RunStream, first *wire.RunFrame) *attempt {
 	a := &attempt{e: e, head: first.GetHead(), stream: stream, bytes: len(first.GetBody())}
-	a.beat.send = stream.Send
+	a.heartbeat.send = stream.Send
 	a.bodyRead.Store(first.GetLast())
 	a.deadline = time.Now().Add(clock.Millis(a.head.GetDeadlineMillis()).Duration())
 	return a
@@ -97,7 +97,7 @@
 	if a.cut {
 		return nil
 	}
-	err = a.beat.piece(p)
+	err = a.heartbeat.piece(p)
 	if err != nil && a.kept != nil {
 		a.cut = true
 		return nil
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -41,8 +41,8 @@
 	busy busy
 	// active counts the calls of peers under way.
 	active atomic.Int64
-	// beats keeps the streams under way from falling silent.
-	beats beats
+	// heartbeats keeps the streams under way from falling silent.
+	heartbeats heartbeats
 	// aborted ends when a stop cuts off what is still held.
 	aborted context.Context
 	abort   context.CancelFunc
--- a/endpoint/beat.go
+++ b/endpoint/heartbeat.go
@@ -8,14 +8,14 @@
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 )
 
-// beatEvery is the longest span for which a stream is silent while its endpoint
+// heartbeatEvery is the longest span for which a stream is silent while its endpoint
 // lives. An entry gives up a stream that is silent for several of them, so a
 // frozen endpoint or a cut line shows long before the request's deadline, and an
 // engine that thinks for minutes does not look like one.
-const beatEvery = clock.Second
+const heartbeatEvery = clock.Second
 
-// beat is one stream of pieces that must not fall silent.
-type beat struct {
+// heartbeat is one stream of pieces that must not fall silent.
+type heartbeat struct {
 	send func(*wire.Piece) error
 	// sent is true when a piece was sent since the last tick.
 	sent atomic.Bool
@@ -28,7 +28,7 @@
 }
 
 // piece sends a piece of the answer.
-func (b *beat) piece(p *wire.Piece) (err error) {
+func (b *heartbeat) piece(p *wire.Piece) (err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.sent.Store(true)
@@ -38,7 +38,7 @@
 
 // alive sends a piece without content. A stream whose entry takes no more is
 // left alone: a piece is under way there.
-func (b *beat) alive() {
+func (b *heartbeat) alive() {
 	if !b.mu.TryLock() {
 		return
 	}
@@ -49,30 +49,30 @@
 }
 
 // due reports at each tick whether the stream was silent for long.
-func (b *beat) due() bool {
+func (b *heartbeat) due() bool {
 	b.quiet++
 	if b.sent.Swap(false) {
 		b.quiet = 0
 	}
-	if b.quiet < int(beatEvery/watchEvery) {
+	if b.quiet < int(heartbeatEvery/watchEvery) {
 		return false
 	}
 	b.quiet = 0
 	return true
 }
 
-// beats holds the streams under way; there are as many as calls of peers.
-type beats struct {
+// heartbeats holds the streams under way; there are as many as calls of peers.
+type heartbeats struct {
 	mu      sync.Mutex
-	streams map[*beat]bool
+	streams map[*heartbeat]bool
 }
 
 // start begins to look after a stream; stop must be called when it ends.
-func (b *beats) start(x *beat) (stop func()) {
+func (b *heartbeats) start(x *heartbeat) (stop func()) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.streams == nil {
-		b.streams = make(map[*beat]bool)
+		b.streams = make(map[*heartbeat]bool)
 	}
 	b.streams[x] = true
 	return func() {
@@ -84,7 +84,7 @@
 
 // tick looks at all streams, each watchEvery. A silent one is sent its piece
 // aside, since a stream whose peer is gone may block.
-func (b *beats) tick() {
+func (b *heartbeats) tick() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for x := range b.streams {
--- a/endpoint/beat_test.go
+++ b/endpoint/heartbeat_test.go
@@ -9,15 +9,15 @@
 
 // An engine reads a long case history for minutes before its first token. Its
 // entry would take the silent stream for one of a frozen endpoint, and start the
-// request elsewhere again and again. A beat must come each second, none beside
+// request elsewhere again and again. A heartbeat must come each second, none beside
 // pieces that flow, and none after the last piece.
 func TestSilentStreamIsKeptAlive(t *testing.T) {
 	is := is.New(t)
-	const ticks = int(beatEvery / watchEvery)
-	beats := 0
-	b := &beat{send: func(p *wire.Piece) error {
+	const ticks = int(heartbeatEvery / watchEvery)
+	heartbeats := 0
+	b := &heartbeat{send: func(p *wire.Piece) error {
 		if p.GetAlive() {
-			beats++
+			heartbeats++
 		}
 		return nil
 	}}
@@ -29,13 +29,13 @@
 		}
 	}
 	pass(3 * ticks)
-	is.Equal(beats, 3)
+	is.Equal(heartbeats, 3)
 	for range 3 * ticks {
 		is.NoErr(b.piece(&wire.Piece{Text: "w"}))
 		pass(1)
 	}
-	is.Equal(beats, 3)
+	is.Equal(heartbeats, 3)
 	is.NoErr(b.piece(&wire.Piece{Last: true}))
 	pass(3 * ticks)
-	is.Equal(beats, 3)
+	is.Equal(heartbeats, 3)
 }
--- a/endpoint/kept.go
+++ b/endpoint/kept.go
@@ -35,8 +35,8 @@
 	e.active.Add(1)
 	defer e.active.Add(-1)
 	owner := answer.Owner{Request: in.GetRequest(), Organisation: in.GetOrganisation(), Key: in.GetIdempotencyKey()}
-	b := &beat{send: stream.Send}
-	defer e.beats.start(b)()
+	b := &heartbeat{send: stream.Send}
+	defer e.heartbeats.start(b)()
 	kept, ok := e.keeping.Find(owner)
 	if ok {
 		if err = kept.From(stream.Context(), in.GetAfter(), b.piece); err == nil || stream.Context().Err() != nil {
--- a/endpoint/run.go
+++ b/endpoint/run.go
@@ -21,7 +21,7 @@
 		return err
 	}
 	a := newAttempt(e, stream, first)
-	defer e.beats.start(&a.beat)()
+	defer e.heartbeats.start(&a.heartbeat)()
 	if err = e.open(a); err != nil {
 		return a.refuse(err)
 	}
--- a/endpoint/watch.go
+++ b/endpoint/watch.go
@@ -27,7 +27,7 @@
 		now := e.node.Clock().Now()
 		e.bound()
 		e.gate.Tick(now)
-		e.beats.tick()
+		e.heartbeats.tick()
 		e.keeping.Expire(now)
 		if n%pollEvery == 0 && !e.node.Settings().Endpoint.Plain {
 			reached = e.poll(ctx, reached)
--- a/entry/silence.go
+++ b/entry/silence.go
@@ -9,7 +9,7 @@
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 )
 
-// maxSilence is how long an endpoint may send nothing. It sends a beat each
+// maxSilence is how long an endpoint may send nothing. It sends a heartbeat each
 // second while it lives, so one that is silent for four is frozen or cut off. Its
 // connection stays open and would hold the request until the deadline.
 const maxSilence = 4 * clock.Second
@@ -33,7 +33,7 @@
 	}
 }
 
-// next wraps a stream's receiver: it waits for the next piece that is no beat.
+// next wraps a stream's receiver: it waits for the next piece that is no heartbeat.
 func (s *silence) next(recv func() (*wire.Piece, error)) func() (*wire.Piece, error) {
 	return func() (p *wire.Piece, err error) {
 		defer s.timer.Stop()
