Kept answers no longer hold on to their attempts

Cause: the soak's endpoint still grew with packed answers (64 MB after 110 s with 3.8 MB counted). A heap profile of 3,000 keyed answers showed drpc streams: the last piece points to its attempt's usage, and so kept the attempt, its stream and its buffers. Ruled out: the packed pieces (1.5 MB of 16.8). Change: pieces that are kept whole are copies; the endpoint reuses one piece and one buffer throughout. Conclusion: TestWhatIsKeptIsACopy.

--- /dev/null
+++ b/answer/copy_test.go
@@ -0,0 +1,33 @@
+package answer
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/parsleydeal/parsleydeal/peer/wire"
+)
+
+// An endpoint reuses its buffers for the next answer. What is kept of this one
+// must not change with them, nor hold on to them: its memory grew by several KB
+// for each kept answer.
+func TestWhatIsKeptIsACopy(t *testing.T) {
+	is := is.New(t)
+	k := NewKeeping(KeepLimits{Answers: 1, Bytes: 1 << 20, One: 1 << 20})
+	a := k.Start(Owner{Request: "r", Organisation: "desk"})
+	data, usage := []byte("one"), &wire.Usage{OutputTokens: 1}
+	p := &wire.Piece{Request: "r", Attempt: 1, Data: data}
+	a.Add(p)
+	copy(data, "two")
+	p.Reset()
+	a.Add(&wire.Piece{Request: "r", Attempt: 1, Number: 1, Last: true, Usage: usage})
+	usage.OutputTokens = 2
+	a.End(0)
+	var got []*wire.Piece
+	is.NoErr(a.From(t.Context(), 0, func(p *wire.Piece) error {
+		got = append(got, p)
+		return nil
+	}))
+	is.Equal(string(got[0].GetData()), "one")
+	is.Equal(got[1].GetUsage().GetOutputTokens(), int64(1))
+	is.True(got[1].GetUsage() != usage)
+}
--- a/answer/keeping.go
+++ b/answer/keeping.go
@@ -146,7 +146,7 @@
 	}
 }
 
-// Add keeps the next piece. The piece may not change afterwards.
+// Add keeps a copy of the next piece.
 func (a *Kept) Add(p *wire.Piece) {
 	k := a.keeping
 	k.mu.Lock()
--- a/answer/pack.go
+++ b/answer/pack.go
@@ -1,6 +1,9 @@
 package answer
 
-import "github.com/parsleydeal/parsleydeal/peer/wire"
+import (
+	"github.com/parsleydeal/parsleydeal/peer/wire"
+	"google.golang.org/protobuf/proto"
+)
 
 const (
 	// packedOverhead is what a piece of text alone takes beside its bytes.
@@ -28,8 +31,7 @@
 	whole map[uint32]*wire.Piece
 }
 
-// add keeps the next piece and returns about how many bytes it takes. The piece
-// may not change afterwards.
+// add keeps a copy of the next piece and returns about how many bytes it takes.
 func (k *pack) add(p *wire.Piece) (size int) {
 	number := uint32(len(k.ends))
 	if number == 0 {
@@ -42,7 +44,9 @@
 		k.text = append(k.text, p.GetText()...)
 		tokens = uint8(p.GetTokens())
 	} else {
-		k.whole[number] = p
+		// A copy, since the last piece points into its attempt: kept as it is, it
+		// would keep the attempt and its stream's buffers, several KB an answer.
+		k.whole[number] = proto.Clone(p).(*wire.Piece)
 	}
 	k.ends = append(k.ends, uint32(len(k.text)))
 	k.tokens = append(k.tokens, tokens)
--- a/endpoint/attempt.go
+++ b/endpoint/attempt.go
@@ -105,12 +105,9 @@
 	return err
 }
 
-// next returns an empty piece. One that is not kept has been encoded by the time
-// that send returns.
+// next returns an empty piece, the same each time: by the time that send returns
+// it has been encoded, and what is kept of it is a copy.
 func (a *attempt) next() *wire.Piece {
-	if a.kept != nil {
-		return &wire.Piece{}
-	}
 	a.piece.Reset()
 	return &a.piece
 }
--- a/endpoint/plain.go
+++ b/endpoint/plain.go
@@ -82,20 +82,12 @@
 	return out
 }
 
-// own copies data that is kept beyond the piece's sending.
-func (a *attempt) own(data []byte) []byte {
-	if a.kept == nil {
-		return data
-	}
-	return bytes.Clone(data)
-}
-
 func (a *attempt) copy(r io.Reader) (err error) {
 	buf := make([]byte, plainPiece)
 	for {
 		n, err := r.Read(buf)
 		if n > 0 {
-			if sendErr := a.send(&wire.Piece{Data: a.own(buf[:n])}); sendErr != nil {
+			if sendErr := a.send(&wire.Piece{Data: buf[:n]}); sendErr != nil {
 				return sendErr
 			}
 		}
