--- a/endpoint/plain.go
+++ b/endpoint/plain.go
@@ -1,7 +1,6 @@
 package endpoint
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
