Limits: time without work says nothing of a pool's rate

The rate of ended requests counted the 2 s before there were any, so that after one end it was 0.5 a second. Ruled out: kept answers, bills' holders, the killed endpoint. Change: only time with requests under way counts, and the rate is taken over what was seen. Conclusion: TestFirstEndsDoNotLookLikeASlowPool fails without it.

--- a/limit/core.go
+++ b/limit/core.go
@@ -28,9 +28,12 @@
 type Core struct {
 	window window
 	fair   fair
-	// rate is how many requests end in a millisecond, 0 while unknown.
+	// rate is how many requests end in a millisecond, smoothed over rateSpan as if
+	// all of it had been seen; it is 0 while unknown.
 	rate    float64
 	endedAt clock.Millis
+	// seen is how much of rateSpan had requests under way, at most all of it.
+	seen clock.Millis
 }
 
 // NewCore makes an idle core.
@@ -43,7 +46,7 @@
 // that had to make room; they are refused too.
 func (c *Core) Arrive(now clock.Millis, it Item) (v Verdict, retry clock.Millis, dropped []Item) {
 	if c.fair.size == 0 && c.window.room() {
-		c.window.used++
+		c.start(now)
 		return Start, 0, nil
 	}
 	wait := c.expected(it)
@@ -66,7 +69,19 @@
 		return 0
 	}
 	share, ahead := c.fair.share(it)
-	return clock.Millis(float64(ahead+1) / (c.rate * share))
+	rate := c.rate * float64(rateSpan) / float64(max(c.seen, 1))
+	return clock.Millis(float64(ahead+1) / (rate * share))
+}
+
+// start takes a place. Time without any request under way says nothing of how
+// fast requests end: were it counted, the first ones after a start or a pause
+// would make the pool look many times slower than it is, and those behind them
+// would be refused and told to come back much too late.
+func (c *Core) start(now clock.Millis) {
+	if c.window.used == 0 {
+		c.endedAt = now
+	}
+	c.window.used++
 }
 
 // Retry is when a request refused now is told to come back.
@@ -100,7 +115,7 @@
 			expired = append(expired, it)
 			continue
 		}
-		c.window.used++
+		c.start(now)
 		started = append(started, it)
 	}
 	return started, expired
@@ -112,6 +127,7 @@
 	c.endedAt = now
 	keep := max(1-float64(span)/float64(rateSpan), 0)
 	c.rate = c.rate*keep + 1/float64(rateSpan)
+	c.seen = min(c.seen+span, rateSpan)
 }
 
 // Leave takes out a request that no longer waits; found is false when it has
--- a/limit/core_test.go
+++ b/limit/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strconv"
 	"testing"
 
@@ -232,3 +233,33 @@
 	is.NoErr(q.Enter(t.Context(), Item{ID: "next", Deadline: clock.Hour}))
 	is.Equal(q.core.window.used, int(firstWindow))
 }
+
+// An entry has just started before a cold pool that takes four requests at a
+// time, 100 ms each. Twenty come at once. After the first one has ended the
+// others must wait their half second, not be told to come back in eighteen.
+func TestFirstEndsDoNotLookLikeASlowPool(t *testing.T) {
+	is := is.New(t)
+	for _, pause := range []clock.Millis{0, clock.Minute} {
+		c := NewCore()
+		c.window.size = 4
+		now := clock.Millis(5000)
+		for round := range 2 {
+			for i := range 4 {
+				v, _, _ := c.Arrive(now, Item{ID: fmt.Sprint(round, "-", i), Organisation: "o", Weight: 1, Deadline: now + clock.Hour})
+				is.Equal(v, Start)
+			}
+			now += 100
+			c.End(now, Served)
+			for i := range 16 {
+				v, retry, _ := c.Arrive(now, Item{ID: fmt.Sprint(round, "+", i), Organisation: "o", Weight: 1, Deadline: now + clock.Hour})
+				is.True(v != Refuse) // it would be free in half a second
+				is.Equal(retry, clock.Millis(0))
+			}
+			for c.window.used > 0 {
+				now += 25
+				c.End(now, Served)
+			}
+			now += pause
+		}
+	}
+}
