Choice and bill: work without a use

Cause: read-through of the whole change. Every request without a home or prefix took the lock of the load estimate twice for an endpoint that was not found, and bill.Size was called by nobody. Change: an endpoint that is not found is passed over; Size is gone. Conclusion: behaviour as before.

--- a/bill/bill.go
+++ b/bill/bill.go
@@ -12,7 +12,6 @@
 	"github.com/joomcode/errorx"
 	"github.com/parsleydeal/parsleydeal/journal"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"google.golang.org/protobuf/proto"
 )
 
 // Errors is the namespace of this package's errors.
@@ -109,6 +108,3 @@
 	}
 	return r.GetBills(), nil
 }
-
-// Size returns the bytes that a bill takes in a record.
-func Size(b *wire.Bill) int { return proto.Size(b) }
--- a/choice/endpoint.go
+++ b/choice/endpoint.go
@@ -60,7 +60,10 @@
 	}
 	for _, id := range [...]string{q.Home, a.find(q)} {
 		kept, found := find(v, q, id)
-		if part := loadOf(kept, f, q.Now); found && part < 1 && part <= load+affinitySlack {
+		if !found {
+			continue
+		}
+		if part := loadOf(kept, f, q.Now); part < 1 && part <= load+affinitySlack {
 			best = kept
 			break
 		}
