--- a/journal/batcher.go
+++ b/batch/batcher.go
@@ -1,11 +1,11 @@
-package journal
+package batch
 
 import (
 	"fmt"
 	"slices"
 
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 )
 
 const (
@@ -61,7 +61,7 @@
 // search is on.
 type Scanned struct {
 	Now  clock.Millis
-	Page platform.Page
+	Page provider.Page
 	Err  error
 }
 
--- a/journal/place.go
+++ b/batch/place.go
@@ -1,4 +1,4 @@
-package journal
+package batch
 
 import (
 	"cmp"
--- a/journal/journal.go
+++ b/batch/record.go
@@ -1,7 +1,7 @@
-// Package journal puts many small entries on the platform's log with few
+// Package batch puts many small entries on the platform's log with few
 // appends: it chooses who appends, combines entries into records, keeps to the
 // log's limit and finds out what became of an append whose answer was lost.
-package journal
+package batch
 
 import (
 	"github.com/joomcode/errorx"
@@ -10,9 +10,9 @@
 )
 
 // Errors is the namespace of this package's errors.
-var Errors = errorx.NewNamespace("journal")
+var Errors = errorx.NewNamespace("batch")
 
-// ErrMalformed marks a record that is no journal record.
+// ErrMalformed marks a record that is none of batch.
 var ErrMalformed = Errors.NewType("malformed")
 
 // Entry is one thing to keep on the log: a bill or a claim.
@@ -46,7 +46,7 @@
 }
 
 // Decode reads a record of the log. A record without a batch ID is malformed:
-// no journal wrote it.
+// no batch wrote it.
 func Decode(data []byte) (r *wire.JournalRecord, err error) {
 	r = &wire.JournalRecord{}
 	if err = proto.Unmarshal(data, r); err != nil {
--- a/journal/writer.go
+++ b/batch/writer.go
@@ -1,4 +1,4 @@
-package journal
+package batch
 
 import (
 	"context"
@@ -7,7 +7,7 @@
 
 	"github.com/joomcode/errorx"
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 )
 
 const (
@@ -19,7 +19,7 @@
 
 // Writer runs a Batcher over a stream of the platform's log.
 type Writer struct {
-	store  platform.Log
+	store  provider.Log
 	stream string
 	clock  clock.Clock
 	// done is called without the lock for entries that stand on the log.
@@ -32,7 +32,7 @@
 }
 
 // NewWriter makes a writer; Run gives it the time.
-func NewWriter(store platform.Log, stream, prefix string, rate float64, c clock.Clock, done func(ids []string, offset int64)) *Writer {
+func NewWriter(store provider.Log, stream, prefix string, rate float64, c clock.Clock, done func(ids []string, offset int64)) *Writer {
 	return &Writer{store: store, stream: stream, clock: c, done: done, b: NewBatcher(prefix, rate), ctx: context.Background()}
 }
 
@@ -116,7 +116,7 @@
 	defer cancel()
 	offset, err := w.store.Append(ctx, w.stream, data)
 	if err != nil {
-		refused := errorx.IsOfType(err, platform.ErrUnavailable) || errorx.IsOfType(err, platform.ErrBusy)
+		refused := errorx.IsOfType(err, provider.ErrUnavailable) || errorx.IsOfType(err, provider.ErrBusy)
 		w.post(Failed{Now: w.clock.Now(), Batch: f.Batch, Unknown: !refused})
 		return
 	}
@@ -127,7 +127,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 	defer cancel()
 	page, err := w.store.Read(ctx, w.stream, f.From, 0)
-	if errorx.IsOfType(err, platform.ErrExpired) {
+	if errorx.IsOfType(err, provider.ErrExpired) {
 		// What was searched for has expired; the head alone is of use.
 		const beyondHead = int64(1) << 62
 		page, err = w.store.Read(ctx, w.stream, beyondHead, 0)
--- a/bench/billing.go
+++ b/bench/billing.go
@@ -6,7 +6,7 @@
 
 	"github.com/parsleydeal/parsleydeal/bill"
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/journal"
+	"github.com/parsleydeal/parsleydeal/batch"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 )
 
@@ -24,10 +24,10 @@
 )
 
 type billingNode struct {
-	m       journal.Member
-	place   *journal.Place
+	m       batch.Member
+	place   *batch.Place
 	ledger  *bill.Ledger
-	batcher *journal.Batcher
+	batcher *batch.Batcher
 }
 
 type billingRun struct {
@@ -52,15 +52,15 @@
 func newBillingRun(nodes, bound int) *billingRun {
 	r := &billingRun{rng: rand.New(rand.NewPCG(11, uint64(nodes))), byID: make(map[string]*billingNode), due: make(map[clock.Millis][]func()), started: make(map[string]clock.Millis)}
 	zones := min(nodes, billingZones)
-	var members []journal.Member
+	var members []batch.Member
 	for i := range nodes {
 		z := i % zones
 		region := z / 3
-		members = append(members, journal.Member{ID: fmt.Sprintf("entry-%03d", i), Zone: fmt.Sprintf("zone-%02d", z), Region: fmt.Sprintf("region-%d", region), Entry: true})
+		members = append(members, batch.Member{ID: fmt.Sprintf("entry-%03d", i), Zone: fmt.Sprintf("zone-%02d", z), Region: fmt.Sprintf("region-%d", region), Entry: true})
 	}
 	for _, m := range members {
-		n := &billingNode{m: m, place: journal.NewPlace(m, members), ledger: bill.NewLedger(m.Zone, bound)}
-		n.batcher = journal.NewBatcher(m.ID, n.place.Rate())
+		n := &billingNode{m: m, place: batch.NewPlace(m, members), ledger: bill.NewLedger(m.Zone, bound)}
+		n.batcher = batch.NewBatcher(m.ID, n.place.Rate())
 		r.nodes = append(r.nodes, n)
 		r.byID[m.ID] = n
 		r.post(n, bill.Placed{Place: n.place})
@@ -77,9 +77,9 @@
 	for _, x := range n.ledger.Reduce(e) {
 		switch x := x.(type) {
 		case bill.Append:
-			r.journal(n, journal.Add{Now: r.now, Entries: []journal.Entry{{ID: x.ID, Bill: x.Bill}}})
+			r.journal(n, batch.Add{Now: r.now, Entries: []batch.Entry{{ID: x.ID, Bill: x.Bill}}})
 		case bill.Withdraw:
-			r.journal(n, journal.Drop{IDs: x.IDs})
+			r.journal(n, batch.Drop{IDs: x.IDs})
 		case bill.Hold:
 			r.hold(n, x)
 		case bill.Release:
@@ -103,26 +103,26 @@
 	})
 }
 
-func (r *billingRun) journal(n *billingNode, e journal.Event) {
+func (r *billingRun) journal(n *billingNode, e batch.Event) {
 	for _, x := range n.batcher.Reduce(e) {
 		switch x := x.(type) {
-		case journal.Append:
+		case batch.Append:
 			r.appends++
 			r.after(billingLog, func() { r.answer(n, x) })
-		case journal.Scan:
-			r.after(billingLog, func() { r.journal(n, journal.Scanned{Now: r.now}) })
-		case journal.Done:
+		case batch.Scan:
+			r.after(billingLog, func() { r.journal(n, batch.Scanned{Now: r.now}) })
+		case batch.Done:
 			r.post(n, bill.Stored{IDs: x.IDs})
 		}
 	}
 }
 
-func (r *billingRun) answer(n *billingNode, x journal.Append) {
+func (r *billingRun) answer(n *billingNode, x batch.Append) {
 	if r.down {
-		r.journal(n, journal.Failed{Now: r.now, Batch: x.Batch})
+		r.journal(n, batch.Failed{Now: r.now, Batch: x.Batch})
 		return
 	}
-	data, err := journal.Encode(x.Batch, x.Entries)
+	data, err := batch.Encode(x.Batch, x.Entries)
 	if err != nil {
 		panic(err)
 	}
@@ -135,7 +135,7 @@
 			delete(r.started, e.Bill.GetRequest())
 		}
 	}
-	r.journal(n, journal.Appended{Now: r.now, Batch: x.Batch, Offset: int64(r.appends)})
+	r.journal(n, batch.Appended{Now: r.now, Batch: x.Batch, Offset: int64(r.appends)})
 }
 
 func (r *billingRun) request() {
@@ -163,7 +163,7 @@
 		r.request()
 	}
 	for _, n := range r.nodes {
-		r.journal(n, journal.Tick{Now: r.now})
+		r.journal(n, batch.Tick{Now: r.now})
 		if r.now%billingPlace == 0 {
 			r.post(n, bill.Tick{Now: r.now})
 		}
--- a/bench/choice.go
+++ b/bench/choice.go
@@ -13,7 +13,7 @@
 	"github.com/parsleydeal/parsleydeal/limit"
 	"github.com/parsleydeal/parsleydeal/membership"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/table"
 	"github.com/parsleydeal/parsleydeal/view"
 )
@@ -51,7 +51,7 @@
 
 // replica is one engine with its batch and its cache of prefixes.
 type replica struct {
-	vm      platform.VM
+	vm      provider.VM
 	held    int
 	queue   []func()
 	order   *list.List
@@ -103,18 +103,18 @@
 	most   int
 }
 
-func vmsOf(entries, replicas int) (vms []platform.VM) {
+func vmsOf(entries, replicas int) (vms []provider.VM) {
 	zone := func(i int) string { return fmt.Sprintf("zone-%d", i%choiceZones) }
 	for i := range entries {
-		vms = append(vms, platform.VM{ID: fmt.Sprintf("entry-%03d", i), Role: platform.EntryRole, Zone: zone(i)})
+		vms = append(vms, provider.VM{ID: fmt.Sprintf("entry-%03d", i), Role: provider.EntryRole, Zone: zone(i)})
 	}
 	for i := range replicas {
-		vms = append(vms, platform.VM{ID: fmt.Sprintf("replica-%04d", i), Role: platform.EndpointRole, Pool: choicePool, Zone: zone(i)})
+		vms = append(vms, provider.VM{ID: fmt.Sprintf("replica-%04d", i), Role: provider.EndpointRole, Pool: choicePool, Zone: zone(i)})
 	}
 	return vms
 }
 
-func membersOf(vms []platform.VM) *membership.Members {
+func membersOf(vms []provider.VM) *membership.Members {
 	s := membership.New("test")
 	s.Reduce(event.VMsListed{VMs: vms})
 	return s.Members()
@@ -127,7 +127,7 @@
 	tables := &table.Tables{Pools: map[string]table.Pool{choicePool: {ColdWindow: replicaPlaces, FullWindow: replicaPlaces}}}
 	subsets := choice.Subsets(vms[:entries], vms[entries:])
 	for _, vm := range vms[:entries] {
-		v := view.New(tables, 0, 0, members, false).WithSubsets(map[string][]platform.VM{choicePool: subsets[vm.ID]})
+		v := view.New(tables, 0, 0, members, false).WithSubsets(map[string][]provider.VM{choicePool: subsets[vm.ID]})
 		r.entries = append(r.entries, &choiceEntry{view: v, inflight: choice.NewInflight(), affinity: choice.NewAffinity(), retries: limit.NewRetries(), reported: map[string]int{}})
 	}
 	for _, vm := range vms[entries:] {
@@ -333,13 +333,13 @@
 		Figure{"choice/subset/near-part", float64(near) / float64(places)},
 	)
 	more := slices.Clone(vms)
-	more = append(more, platform.VM{ID: "replica-new", Role: platform.EndpointRole, Pool: choicePool, Zone: "zone-0"})
+	more = append(more, provider.VM{ID: "replica-new", Role: provider.EndpointRole, Pool: choicePool, Zone: "zone-0"})
 	out = append(out, Figure{"choice/subset/moved-by-a-replica-part", moved(before, choice.Subsets(more[:entries], more[entries:]))})
 	fewer := slices.Delete(slices.Clone(vms), 7, 8)
 	return append(out, Figure{"choice/subset/moved-by-an-entry-part", moved(before, choice.Subsets(fewer[:entries-1], fewer[entries-1:]))})
 }
 
-func moved(before, after map[string][]platform.VM) float64 {
+func moved(before, after map[string][]provider.VM) float64 {
 	changed, places := 0, 0
 	for id, now := range after {
 		for _, vm := range now {
--- a/bench/rollout.go
+++ b/bench/rollout.go
@@ -12,7 +12,7 @@
 	"github.com/parsleydeal/parsleydeal/evidence"
 	"github.com/parsleydeal/parsleydeal/membership"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/quality"
 	"github.com/parsleydeal/parsleydeal/rollout"
 	"github.com/parsleydeal/parsleydeal/spread"
@@ -95,13 +95,13 @@
 	tables  *table.Tables
 	entries []*rolloutEntry
 	byVM    map[string]*rolloutEntry
-	vms     []platform.VM
+	vms     []provider.VM
 	members *membership.Members
 	fault   fault
 	policy  policy
 	now     clock.Millis
 	due     map[clock.Millis][]func()
-	log     []platform.Record
+	log     []provider.Record
 	exposed int
 	heldAt  clock.Millis
 }
@@ -117,7 +117,7 @@
 		e.counts = spread.NewCounts(e.vm)
 		r.entries = append(r.entries, e)
 		r.byVM[e.vm] = e
-		r.vms = append(r.vms, platform.VM{ID: e.vm, Role: platform.EntryRole})
+		r.vms = append(r.vms, provider.VM{ID: e.vm, Role: provider.EntryRole})
 	}
 	r.members = membersOf(r.vms)
 	return r
@@ -263,11 +263,11 @@
 }
 
 func (r *rolloutRun) append(a event.Append) {
-	record := platform.Record{Offset: int64(len(r.log)), Data: a.Data}
+	record := provider.Record{Offset: int64(len(r.log)), Data: a.Data}
 	r.log = append(r.log, record)
 	r.at(r.now+logLate, func() {
 		for _, e := range r.entries {
-			page := platform.Page{Head: record.Offset + 1, Records: []platform.Record{record}}
+			page := provider.Page{Head: record.Offset + 1, Records: []provider.Record{record}}
 			r.feed(e, event.LogRead{Now: r.now, Stream: a.Stream, Page: page})
 		}
 	})
--- a/bench/zone.go
+++ b/bench/zone.go
@@ -11,7 +11,7 @@
 	"github.com/parsleydeal/parsleydeal/limit"
 	"github.com/parsleydeal/parsleydeal/membership"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/table"
 	"github.com/parsleydeal/parsleydeal/view"
 	"github.com/parsleydeal/parsleydeal/zone"
@@ -36,7 +36,7 @@
 // coldReplica is an engine behind a gate whose window opens by one for each
 // request served.
 type coldReplica struct {
-	vm     platform.VM
+	vm     provider.VM
 	held   int
 	window int
 	served int
@@ -84,9 +84,9 @@
 		rng: rand.New(rand.NewPCG(12, 13)), ramp: ramp, use: use, byVM: map[string]*coldReplica{}, out: map[string]bool{},
 		served: map[string]int{}, members: membership.New("entry"),
 	}
-	var vms []platform.VM
+	var vms []provider.VM
 	for i := range zoneReplicas {
-		vm := platform.VM{ID: fmt.Sprintf("replica-%02d", i), Role: platform.EndpointRole, Pool: choicePool, Zone: fmt.Sprintf("zone-%d", i%zoneCount)}
+		vm := provider.VM{ID: fmt.Sprintf("replica-%02d", i), Role: provider.EndpointRole, Pool: choicePool, Zone: fmt.Sprintf("zone-%d", i%zoneCount)}
 		x := &coldReplica{vm: vm, window: zonePlaces, served: warmAfter}
 		r.replicas = append(r.replicas, x)
 		r.byVM[vm.ID] = x
--- a/bill/bill.go
+++ b/bill/bill.go
@@ -10,7 +10,7 @@
 	"slices"
 
 	"github.com/joomcode/errorx"
-	"github.com/parsleydeal/parsleydeal/journal"
+	"github.com/parsleydeal/parsleydeal/batch"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 )
 
@@ -102,7 +102,7 @@
 
 // Decode reads the bills of a record of the log.
 func Decode(data []byte) (bills []*wire.Bill, err error) {
-	r, err := journal.Decode(data)
+	r, err := batch.Decode(data)
 	if err != nil {
 		return nil, ErrMalformed.Wrap(err, "decode bills")
 	}
--- a/bill/event.go
+++ b/bill/event.go
@@ -1,8 +1,8 @@
 package bill
 
 import (
+	"github.com/parsleydeal/parsleydeal/batch"
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/journal"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 )
 
@@ -46,7 +46,7 @@
 // Placed brings the members anew.
 type Placed struct {
 	Now   clock.Millis
-	Place *journal.Place
+	Place *batch.Place
 }
 
 // Tick tells the time.
--- a/bill/fuzz_test.go
+++ b/bill/fuzz_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"github.com/parsleydeal/parsleydeal/journal"
+	"github.com/parsleydeal/parsleydeal/batch"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"google.golang.org/protobuf/proto"
 )
@@ -11,7 +11,7 @@
 func seeds(f *testing.F) {
 	f.Helper()
 	b := &wire.Bill{Request: "r", Organisation: "o", Route: "q", Steps: []*wire.Step{{Attempt: 1, Cost: 4, Whole: true}, {Attempt: 1, Cost: 5}}}
-	data, err := journal.Encode("b", []journal.Entry{{Bill: b}, {Bill: b}, {Claim: &wire.Claim{Key: []byte("k"), Round: 1}}})
+	data, err := batch.Encode("b", []batch.Entry{{Bill: b}, {Bill: b}, {Claim: &wire.Claim{Key: []byte("k"), Round: 1}}})
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/bill/ledger.go
+++ b/bill/ledger.go
@@ -5,8 +5,8 @@
 	"strconv"
 	"strings"
 
+	"github.com/parsleydeal/parsleydeal/batch"
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/journal"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 )
 
@@ -63,7 +63,7 @@
 type Ledger struct {
 	zone  string
 	bound int
-	place *journal.Place
+	place *batch.Place
 	// reserved counts places of requests under way.
 	reserved int
 	// entries holds bills by request, own ones at most bound less reserved, and
@@ -123,7 +123,7 @@
 	return n
 }
 
-func (l *Ledger) find(vm string) (m journal.Member, ok bool) {
+func (l *Ledger) find(vm string) (m batch.Member, ok bool) {
 	if l.place == nil {
 		return m, false
 	}
--- a/bill/ledger_test.go
+++ b/bill/ledger_test.go
@@ -7,8 +7,8 @@
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/parsleydeal/parsleydeal/batch"
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/journal"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 )
 
@@ -56,13 +56,13 @@
 }
 
 // placeOf reads lines "vm zone".
-func placeOf(input string) *journal.Place {
-	var members []journal.Member
+func placeOf(input string) *batch.Place {
+	var members []batch.Member
 	for line := range strings.Lines(input) {
 		f := strings.Fields(line)
-		members = append(members, journal.Member{ID: f[0], Zone: f[1], Entry: true})
+		members = append(members, batch.Member{ID: f[0], Zone: f[1], Entry: true})
 	}
-	return journal.NewPlace(journal.Member{ID: "self", Zone: "zone-a"}, members)
+	return batch.NewPlace(batch.Member{ID: "self", Zone: "zone-a"}, members)
 }
 
 func effectsOf(effects []Effect) string {
--- a/bill/statement_test.go
+++ b/bill/statement_test.go
@@ -7,7 +7,7 @@
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
-	"github.com/parsleydeal/parsleydeal/journal"
+	"github.com/parsleydeal/parsleydeal/batch"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 )
 
@@ -33,7 +33,7 @@
 // record makes a record of lines "request organisation attempt:cost[!]...",
 // where "!" marks a step that is not whole.
 func record(t *testing.T, input string) []byte {
-	var entries []journal.Entry
+	var entries []batch.Entry
 	for line := range strings.SplitSeq(input, "\n") {
 		f := strings.Fields(line)
 		b := &wire.Bill{Request: strings.Trim(f[0], "-"), Organisation: f[1], Route: "quick"}
@@ -43,9 +43,9 @@
 			c, _ := strconv.ParseInt(cost, 10, 64)
 			b.Steps = append(b.Steps, &wire.Step{Attempt: uint32(n), Cost: c, Whole: !strings.HasSuffix(x, "!")})
 		}
-		entries = append(entries, journal.Entry{Bill: b})
+		entries = append(entries, batch.Entry{Bill: b})
 	}
-	data, err := journal.Encode("batch", entries)
+	data, err := batch.Encode("batch", entries)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/checkpoint/checkpoint.go
+++ b/checkpoint/checkpoint.go
@@ -10,7 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/event"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/table"
 )
 
@@ -57,7 +57,7 @@
 	case event.VMsListed:
 		s.list(e.VMs)
 	case event.LogRead:
-		if e.Stream == platform.ConfigStream {
+		if e.Stream == provider.ConfigStream {
 			s.first = max(s.first, e.Page.First)
 		}
 	case event.Tick:
@@ -66,10 +66,10 @@
 	return nil
 }
 
-func (s *State) list(vms []platform.VM) {
+func (s *State) list(vms []provider.VM) {
 	s.entries = s.entries[:0]
 	for _, vm := range vms {
-		if vm.Role == platform.EntryRole && !vm.Leaving {
+		if vm.Role == provider.EntryRole && !vm.Leaving {
 			s.entries = append(s.entries, vm.ID)
 		}
 	}
@@ -90,7 +90,7 @@
 	}
 	s.triedAt = now
 	s.tries++
-	return []event.Effect{event.Append{Stream: platform.ConfigStream, ID: fmt.Sprintf("checkpoint-%s-%d", s.self, s.tries), Data: data}}
+	return []event.Effect{event.Append{Stream: provider.ConfigStream, ID: fmt.Sprintf("checkpoint-%s-%d", s.self, s.tries), Data: data}}
 }
 
 // note sees whether a checkpoint has counted since the last tick.
--- a/checkpoint/checkpoint_test.go
+++ b/checkpoint/checkpoint_test.go
@@ -6,13 +6,13 @@
 	"github.com/matryer/is"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/event"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/table"
 )
 
 const change = "id = \"a\"\nauthor = \"ops\"\nkind = \"whole\"\nbase = -1\n[tables.zones.a]\nstate = \"in\"\n"
 
-var site = event.VMsListed{VMs: []platform.VM{{ID: "entry-1", Role: platform.EntryRole}, {ID: "entry-2", Role: platform.EntryRole}, {ID: "entry-3", Role: platform.EntryRole}}}
+var site = event.VMsListed{VMs: []provider.VM{{ID: "entry-1", Role: provider.EntryRole}, {ID: "entry-2", Role: provider.EntryRole}, {ID: "entry-3", Role: provider.EntryRole}}}
 
 // appenders returns, minute by minute, who appends a checkpoint.
 func appenders(tables *table.State, before []event.Event, minutes int) (names map[string]clock.Millis) {
@@ -49,6 +49,6 @@
 	is := is.New(t)
 	var tables table.State
 	tables.Apply(0, []byte(change))
-	read := event.LogRead{Stream: platform.ConfigStream, Page: platform.Page{First: 1, Head: 1}}
+	read := event.LogRead{Stream: provider.ConfigStream, Page: provider.Page{First: 1, Head: 1}}
 	is.Equal(len(appenders(&tables, []event.Event{read}, 1)), 1)
 }
--- a/choice/endpoint.go
+++ b/choice/endpoint.go
@@ -6,7 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/table"
 	"github.com/parsleydeal/parsleydeal/view"
 )
@@ -32,7 +32,7 @@
 
 // open is an endpoint that may receive new work.
 type open struct {
-	vm platform.VM
+	vm provider.VM
 	// window is what an endpoint is taken to hold before its own word came.
 	window int
 	// heard is its word by way of control, or nil.
@@ -41,7 +41,7 @@
 	suspected bool
 }
 
-func openOf(v *view.View, pool table.Pool, vm platform.VM) open {
+func openOf(v *view.View, pool table.Pool, vm provider.VM) open {
 	return open{vm: vm, window: pool.ColdWindow, heard: v.Members().Load(vm.ID), suspected: v.Members().Suspected(vm.ID)}
 }
 
@@ -49,7 +49,7 @@
 // ran its prefix last, unless that is much fuller than the emptier of two drawn
 // by the seed; else that one. Two drawn ones are compared rather than all, since
 // loads are known late: all entries would rush to the same emptiest endpoint.
-func Endpoint(v *view.View, f *Inflight, a *Affinity, q Query) (vm platform.VM, ok bool) {
+func Endpoint(v *view.View, f *Inflight, a *Affinity, q Query) (vm provider.VM, ok bool) {
 	all := candidates(v, q)
 	if len(all) == 0 {
 		return vm, false
@@ -195,7 +195,7 @@
 	return all
 }
 
-func usable(v *view.View, pool table.Pool, vm platform.VM) bool {
+func usable(v *view.View, pool table.Pool, vm provider.VM) bool {
 	t := v.Tables()
 	if t.ZoneOut(vm.Zone) || t.VMOut(vm.ID) || v.Members().Leaving(vm) {
 		return false
--- a/choice/endpoint_test.go
+++ b/choice/endpoint_test.go
@@ -9,21 +9,21 @@
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/membership"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/table"
 	"github.com/parsleydeal/parsleydeal/view"
 	"github.com/parsleydeal/parsleydeal/zone"
 	"pgregory.net/rapid"
 )
 
-func vms(role string, n, zones int) (out []platform.VM) {
+func vms(role string, n, zones int) (out []provider.VM) {
 	for i := range n {
-		out = append(out, platform.VM{ID: fmt.Sprintf("%s-%d", role, i), Role: role, Pool: "p", Zone: fmt.Sprintf("z%d", i%zones)})
+		out = append(out, provider.VM{ID: fmt.Sprintf("%s-%d", role, i), Role: role, Pool: "p", Zone: fmt.Sprintf("z%d", i%zones)})
 	}
 	return out
 }
 
-func viewOf(endpoints []platform.VM, out ...string) *view.View {
+func viewOf(endpoints []provider.VM, out ...string) *view.View {
 	s := membership.New("test")
 	s.Reduce(event.VMsListed{VMs: endpoints})
 	t := &table.Tables{Pools: map[string]table.Pool{"p": {ColdWindow: 2, FullWindow: 10}}, Zones: map[string]table.Site{}}
@@ -51,7 +51,7 @@
 // tried again later, and be used when there is no other.
 func TestUnreachedEndpointIsLeftAlone(t *testing.T) {
 	is := is.New(t)
-	v := viewOf(vms(platform.EndpointRole, 4, 2))
+	v := viewOf(vms(provider.EndpointRole, 4, 2))
 	f := NewInflight()
 	f.Lost("endpoint-1", 0)
 	is.Equal(picks(v, f, NewAffinity(), Query{Now: 1})["endpoint-1"], 0)
@@ -64,7 +64,7 @@
 // is full or its zone was taken out; then any other one does.
 func TestSessionGoesHomeWhileItMay(t *testing.T) {
 	is := is.New(t)
-	all := vms(platform.EndpointRole, 4, 4)
+	all := vms(provider.EndpointRole, 4, 4)
 	f := NewInflight()
 	q := Query{Home: "endpoint-2"}
 	is.Equal(picks(viewOf(all), f, NewAffinity(), q)["endpoint-2"], 400)
@@ -77,7 +77,7 @@
 // to one endpoint while the others stand idle.
 func TestPrefixIsFollowedUntilItsEndpointIsMuchFuller(t *testing.T) {
 	is := is.New(t)
-	v := viewOf(vms(platform.EndpointRole, 4, 1))
+	v := viewOf(vms(provider.EndpointRole, 4, 1))
 	f, a := NewInflight(), NewAffinity()
 	a.Used(9, "endpoint-3", 0)
 	f.Report(&wire.Load{Vm: "endpoint-3", Held: 3, Window: 10}, 0)
@@ -92,7 +92,7 @@
 // requests. Believing it would send the next twenty there too.
 func TestLateReportDoesNotHideOwnRequests(t *testing.T) {
 	is := is.New(t)
-	v := viewOf(vms(platform.EndpointRole, 2, 1))
+	v := viewOf(vms(provider.EndpointRole, 2, 1))
 	f := NewInflight()
 	f.Report(&wire.Load{Vm: "endpoint-1", Held: 3, Window: 10}, 0)
 	f.Add("endpoint-0", 8)
@@ -104,7 +104,7 @@
 // word must lose its weight, or it would never be asked again.
 func TestOldReportLosesItsWeight(t *testing.T) {
 	is := is.New(t)
-	v := viewOf(vms(platform.EndpointRole, 2, 1))
+	v := viewOf(vms(provider.EndpointRole, 2, 1))
 	f := NewInflight()
 	f.Report(&wire.Load{Vm: "endpoint-0", Held: 10, Window: 10}, 0)
 	f.Report(&wire.Load{Vm: "endpoint-1", Held: 2, Window: 10}, 0)
@@ -119,8 +119,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		is := is.New(t)
 		zones := rapid.IntRange(1, 4).Draw(t, "zones")
-		entries := vms(platform.EntryRole, rapid.IntRange(1, 30).Draw(t, "entries"), zones)
-		pool := vms(platform.EndpointRole, rapid.IntRange(1, 90).Draw(t, "endpoints"), zones)
+		entries := vms(provider.EntryRole, rapid.IntRange(1, 30).Draw(t, "entries"), zones)
+		pool := vms(provider.EndpointRole, rapid.IntRange(1, 90).Draw(t, "endpoints"), zones)
 		out := Subsets(entries, pool)
 		again := Subsets(rapid.Permutation(entries).Draw(t, "order"), rapid.Permutation(pool).Draw(t, "order"))
 		counts := map[string]int{}
@@ -148,7 +148,7 @@
 // close connections and forget loads everywhere.
 func TestSubsetsMoveLittle(t *testing.T) {
 	is := is.New(t)
-	entries, pool := vms(platform.EntryRole, 100, 4), vms(platform.EndpointRole, 310, 4)
+	entries, pool := vms(provider.EntryRole, 100, 4), vms(provider.EndpointRole, 310, 4)
 	before, after := Subsets(entries, pool), Subsets(entries, pool[1:])
 	changed := 0
 	for id, now := range after {
@@ -184,7 +184,7 @@
 func TestReturningZoneGetsPart(t *testing.T) {
 	is := is.New(t)
 	s := membership.New("test")
-	s.Reduce(event.VMsListed{VMs: vms(platform.EndpointRole, 4, 2)})
+	s.Reduce(event.VMsListed{VMs: vms(provider.EndpointRole, 4, 2)})
 	in := &table.Tables{Pools: map[string]table.Pool{"p": {ColdWindow: 2, FullWindow: 10}}}
 	out := &table.Tables{Pools: in.Pools, Zones: map[string]table.Site{"z1": {State: table.Out}}}
 	zones := zone.NewState()
@@ -205,7 +205,7 @@
 func TestAllSuspectedAreAskedAllTheSame(t *testing.T) {
 	is := is.New(t)
 	s := membership.New("test")
-	s.Reduce(event.VMsListed{VMs: vms(platform.EndpointRole, 2, 2)})
+	s.Reduce(event.VMsListed{VMs: vms(provider.EndpointRole, 2, 2)})
 	tables := &table.Tables{Pools: map[string]table.Pool{"p": {ColdWindow: 2, FullWindow: 10}}}
 	s.Reduce(event.PeerFailed{Now: 1, VM: "endpoint-0"})
 	got := picks(view.New(tables, 0, 0, s.Members(), false), NewInflight(), NewAffinity(), Query{Now: 1})
@@ -221,8 +221,8 @@
 // BenchmarkSubsetsOf is what one entry computes when the list of the two-year
 // size changes: 380 entries before 1,000 endpoints in 13 pools.
 func BenchmarkSubsetsOf(b *testing.B) {
-	all := vms(platform.EntryRole, 380, 12)
-	for i, vm := range vms(platform.EndpointRole, 1000, 12) {
+	all := vms(provider.EntryRole, 380, 12)
+	for i, vm := range vms(provider.EndpointRole, 1000, 12) {
 		vm.Pool = fmt.Sprintf("pool-%d", i%13)
 		all = append(all, vm)
 	}
--- a/choice/subset.go
+++ b/choice/subset.go
@@ -7,7 +7,7 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 )
 
 const (
@@ -29,8 +29,8 @@
 // of its zone before others, and passes over endpoints that have their share of
 // entries already. So the load is balanced, and a VM that comes or goes moves
 // little beside its own places.
-func Subsets(entries, pool []platform.VM) map[string][]platform.VM {
-	out := make(map[string][]platform.VM, len(entries))
+func Subsets(entries, pool []provider.VM) map[string][]provider.VM {
+	out := make(map[string][]provider.VM, len(entries))
 	p := newPlaces(len(entries), pool)
 	for i, e := range inOrder(entries) {
 		out[e.ID] = p.endpoints(p.give(e, len(entries)-i))
@@ -39,9 +39,9 @@
 }
 
 // inOrder sorts entries by the hash of their ID.
-func inOrder(entries []platform.VM) []platform.VM {
+func inOrder(entries []provider.VM) []provider.VM {
 	order := slices.Clone(entries)
-	slices.SortFunc(order, func(a, b platform.VM) int {
+	slices.SortFunc(order, func(a, b provider.VM) int {
 		return cmp.Or(cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)), strings.Compare(a.ID, b.ID))
 	})
 	return order
@@ -68,7 +68,7 @@
 // places gives out the places of one pool. It works on indices and reuses its
 // slices: at the two-year size a change of the VM list costs 5,000 turns.
 type places struct {
-	pool   []platform.VM
+	pool   []provider.VM
 	hashes []uint64
 	// taken counts the entries that each endpoint has, at most most but for the
 	// last ones.
@@ -80,7 +80,7 @@
 	out             []int32
 }
 
-func newPlaces(entries int, pool []platform.VM) *places {
+func newPlaces(entries int, pool []provider.VM) *places {
 	p := &places{pool: pool, hashes: make([]uint64, len(pool)), taken: make([]int, len(pool)), in: make([]bool, len(pool))}
 	for i, vm := range pool {
 		p.hashes[i] = xxhash.Sum64String(vm.ID)
@@ -92,11 +92,11 @@
 // whole reports whether every entry works with the whole pool.
 func (p *places) whole() bool { return len(p.pool) <= subsetSize }
 
-func (p *places) endpoints(chosen []int32) []platform.VM {
+func (p *places) endpoints(chosen []int32) []provider.VM {
 	if p.whole() {
 		return p.pool
 	}
-	out := make([]platform.VM, len(chosen))
+	out := make([]provider.VM, len(chosen))
 	for i, at := range chosen {
 		out[i] = p.pool[at]
 	}
@@ -108,7 +108,7 @@
 // taken by each of them. Were it passed over, the last entries would find too
 // few endpoints below their share and crowd on those that have theirs. The
 // result is valid until the next call.
-func (p *places) give(entry platform.VM, left int) []int32 {
+func (p *places) give(entry provider.VM, left int) []int32 {
 	if p.whole() {
 		return nil
 	}
@@ -131,7 +131,7 @@
 }
 
 // rank sorts the pool for an entry, its own zone apart.
-func (p *places) rank(entry platform.VM) {
+func (p *places) rank(entry provider.VM) {
 	p.near, p.far = p.near[:0], p.far[:0]
 	h := xxhash.Sum64String(entry.ID)
 	for i, vm := range p.pool {
@@ -176,21 +176,21 @@
 
 // SubsetsOf returns the subsets of one entry by pool; nil when the VM is no
 // entry of the list.
-func SubsetsOf(self string, vms []platform.VM) map[string][]platform.VM {
-	var entries []platform.VM
-	pools := make(map[string][]platform.VM)
+func SubsetsOf(self string, vms []provider.VM) map[string][]provider.VM {
+	var entries []provider.VM
+	pools := make(map[string][]provider.VM)
 	for _, vm := range vms {
-		if vm.Role == platform.EntryRole {
+		if vm.Role == provider.EntryRole {
 			entries = append(entries, vm)
 		} else {
 			pools[vm.Pool] = append(pools[vm.Pool], vm)
 		}
 	}
-	if !slices.ContainsFunc(entries, func(v platform.VM) bool { return v.ID == self }) {
+	if !slices.ContainsFunc(entries, func(v provider.VM) bool { return v.ID == self }) {
 		return nil
 	}
 	order := inOrder(entries)
-	out := make(map[string][]platform.VM, len(pools))
+	out := make(map[string][]provider.VM, len(pools))
 	for name, pool := range pools {
 		out[name] = subsetOf(self, order, pool)
 	}
@@ -199,7 +199,7 @@
 
 // subsetOf returns the endpoints of one entry; those before it in the order must
 // have had their turn.
-func subsetOf(self string, order, pool []platform.VM) []platform.VM {
+func subsetOf(self string, order, pool []provider.VM) []provider.VM {
 	p := newPlaces(len(order), pool)
 	for i, e := range order {
 		chosen := p.give(e, len(order)-i)
--- a/claim/book.go
+++ b/claim/book.go
@@ -6,9 +6,9 @@
 
 	"github.com/joomcode/errorx"
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/journal"
+	"github.com/parsleydeal/parsleydeal/batch"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 )
 
 const (
@@ -20,9 +20,9 @@
 
 // Book puts claims on one stream and reads what stands.
 type Book struct {
-	store  platform.Log
+	store  provider.Log
 	stream string
-	writer *journal.Writer
+	writer *batch.Writer
 
 	mu sync.Mutex
 	// waiters holds a channel for each claim under way, at most maxWaiting. It
@@ -36,9 +36,9 @@
 
 // NewBook makes a book of a stream; Run gives it the time. Prefix is unlike any
 // other process start's.
-func NewBook(store platform.Log, stream, prefix string, c clock.Clock) *Book {
+func NewBook(store provider.Log, stream, prefix string, c clock.Clock) *Book {
 	b := &Book{store: store, stream: stream, waiters: make(map[string]chan int64)}
-	b.writer = journal.NewWriter(store, stream, prefix, journal.ClaimRate/Streams, c, b.done)
+	b.writer = batch.NewWriter(store, stream, prefix, batch.ClaimRate/Streams, c, b.done)
 	return b
 }
 
@@ -95,7 +95,7 @@
 	}
 	b.waiters[id] = w
 	b.mu.Unlock()
-	b.writer.Add(journal.Entry{ID: id, Claim: c})
+	b.writer.Add(batch.Entry{ID: id, Claim: c})
 	select {
 	case offset = <-w:
 		return offset, nil
@@ -117,7 +117,7 @@
 	}
 	for b.state.Next() <= offset {
 		page, err := b.store.Read(ctx, b.stream, b.state.Next(), 0)
-		if errorx.IsOfType(err, platform.ErrExpired) {
+		if errorx.IsOfType(err, provider.ErrExpired) {
 			page, err = b.skip(ctx)
 		}
 		if err != nil {
@@ -148,7 +148,7 @@
 	return nil
 }
 
-func (b *Book) skip(ctx context.Context) (page platform.Page, err error) {
+func (b *Book) skip(ctx context.Context) (page provider.Page, err error) {
 	page, err = b.store.Read(ctx, b.stream, beyondHead, 0)
 	b.state.Skip(page.First)
 	return page, err
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -12,7 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/joomcode/errorx"
-	"github.com/parsleydeal/parsleydeal/journal"
+	"github.com/parsleydeal/parsleydeal/batch"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 )
 
@@ -111,7 +111,7 @@
 		return
 	}
 	s.next = offset + 1
-	r, err := journal.Decode(data)
+	r, err := batch.Decode(data)
 	if err != nil {
 		s.skipped++
 		return
--- a/claim/fuzz_test.go
+++ b/claim/fuzz_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"github.com/parsleydeal/parsleydeal/journal"
+	"github.com/parsleydeal/parsleydeal/batch"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 )
 
@@ -11,11 +11,11 @@
 // may not change but by the next round, and memory stays bounded.
 func FuzzState(f *testing.F) {
 	encode := func(claims ...*wire.Claim) []byte {
-		var entries []journal.Entry
+		var entries []batch.Entry
 		for _, c := range claims {
-			entries = append(entries, journal.Entry{Claim: c})
+			entries = append(entries, batch.Entry{Claim: c})
 		}
-		data, err := journal.Encode("b", entries)
+		data, err := batch.Encode("b", entries)
 		if err != nil {
 			f.Fatal(err)
 		}
--- a/cli/bills.go
+++ b/cli/bills.go
@@ -11,7 +11,7 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/joomcode/errorx"
 	"github.com/parsleydeal/parsleydeal/bill"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/table"
 )
 
@@ -74,9 +74,9 @@
 }
 
 // Bills prints a statement of the bills on the log.
-func Bills(ctx context.Context, w io.Writer, log platform.Log, q BillsQuery) (err error) {
+func Bills(ctx context.Context, w io.Writer, log provider.Log, q BillsQuery) (err error) {
 	s := bill.NewStatement()
-	first, next, err := readStream(ctx, log, platform.BillStream, q.From, q.To, s.Add)
+	first, next, err := readStream(ctx, log, provider.BillStream, q.From, q.To, s.Add)
 	if err != nil {
 		return err
 	}
@@ -101,7 +101,7 @@
 
 // readStream hands each record from an offset on to take, until the offset to
 // or the head that the first page showed.
-func readStream(ctx context.Context, log platform.Log, stream string, from, to int64, take func(offset int64, data []byte)) (first, next int64, err error) {
+func readStream(ctx context.Context, log provider.Log, stream string, from, to int64, take func(offset int64, data []byte)) (first, next int64, err error) {
 	const beyondHead = int64(1) << 62
 	head, err := log.Read(ctx, stream, beyondHead, 0)
 	if err != nil {
@@ -113,7 +113,7 @@
 	}
 	for next = first; next < to; {
 		page, err := log.Read(ctx, stream, next, 0)
-		if errorx.IsOfType(err, platform.ErrExpired) {
+		if errorx.IsOfType(err, provider.ErrExpired) {
 			return first, next, fmt.Errorf("cli: %s: records expired while they were read: %w", stream, err)
 		}
 		if err != nil {
@@ -135,10 +135,10 @@
 // organisations tells which organisations the kept configuration ever had. It
 // returns nil when the log keeps no tables to begin from: calling every
 // organisation unknown would hide what is wrong.
-func organisations(ctx context.Context, log platform.Log) (known func(name string) bool, err error) {
+func organisations(ctx context.Context, log provider.Log) (known func(name string) bool, err error) {
 	var state table.State
 	names := make(map[string]bool)
-	_, _, err = readStream(ctx, log, platform.ConfigStream, 0, 0, func(offset int64, data []byte) {
+	_, _, err = readStream(ctx, log, provider.ConfigStream, 0, 0, func(offset int64, data []byte) {
 		if _, ok := state.Apply(offset, data); ok && state.Tables() != nil {
 			for name := range state.Tables().Organisations {
 				names[name] = true
--- a/cli/bills_test.go
+++ b/cli/bills_test.go
@@ -8,29 +8,29 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/parsleydeal/parsleydeal/batch"
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/journal"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 )
 
 // logOf is a log that keeps records from an offset on, two to a page.
-func logOf(first int64, streams map[string][][]byte) platform.Log {
-	return platform.Log{Read: func(_ context.Context, stream string, from int64, _ clock.Millis) (p platform.Page, err error) {
+func logOf(first int64, streams map[string][][]byte) provider.Log {
+	return provider.Log{Read: func(_ context.Context, stream string, from int64, _ clock.Millis) (p provider.Page, err error) {
 		all := streams[stream]
-		p = platform.Page{First: min(first, int64(len(all))), Head: int64(len(all))}
+		p = provider.Page{First: min(first, int64(len(all))), Head: int64(len(all))}
 		if from < p.First {
-			return p, platform.ErrExpired.New("expired")
+			return p, provider.ErrExpired.New("expired")
 		}
 		for o := from; o < p.Head && len(p.Records) < 2; o++ {
-			p.Records = append(p.Records, platform.Record{Offset: o, Data: all[o]})
+			p.Records = append(p.Records, provider.Record{Offset: o, Data: all[o]})
 		}
 		return p, nil
 	}}
 }
 
 func billRecord(t *testing.T, request string, cost int64) []byte {
-	data, err := journal.Encode("batch", []journal.Entry{{Bill: &wire.Bill{
+	data, err := batch.Encode("batch", []batch.Entry{{Bill: &wire.Bill{
 		Request: request, Organisation: "desk", Route: "quick", Steps: []*wire.Step{{Attempt: 1, Cost: cost, Whole: true}},
 	}}})
 	if err != nil {
@@ -46,7 +46,7 @@
 	is := is.New(t)
 	config := []byte("id=\"a\"\nauthor=\"ops\"\nkind=\"whole\"\nbase=-1\n[tables.organisations.desk]\nweight=1\n")
 	stream := [][]byte{nil, billRecord(t, "r1", 5), billRecord(t, "r2", 7), billRecord(t, "r1", 5)}
-	whole := logOf(1, map[string][][]byte{platform.BillStream: stream, platform.ConfigStream: {config, config}})
+	whole := logOf(1, map[string][][]byte{provider.BillStream: stream, provider.ConfigStream: {config, config}})
 	var out bytes.Buffer
 	is.NoErr(Bills(t.Context(), &out, whole, BillsQuery{JSON: true, Each: true}))
 	var report statementReport
@@ -57,7 +57,7 @@
 	is.Equal(report.Totals[0].Cost, int64(12))
 
 	stream = append(stream, billRecord(t, "r2", 9))
-	broken := logOf(1, map[string][][]byte{platform.BillStream: stream, platform.ConfigStream: {config, config}})
+	broken := logOf(1, map[string][][]byte{provider.BillStream: stream, provider.ConfigStream: {config, config}})
 	is.True(errors.Is(Bills(t.Context(), &out, broken, BillsQuery{}), errAnomalies))
 	is.NoErr(Bills(t.Context(), &out, broken, BillsQuery{To: 4})) // the span before it is sound
 }
--- a/cli/burn.go
+++ b/cli/burn.go
@@ -15,7 +15,7 @@
 	"github.com/parsleydeal/parsleydeal/operations"
 	"github.com/parsleydeal/parsleydeal/peer"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -64,7 +64,7 @@
 }
 
 // Burn asks all entries of a VM list for their burn and judges the sum.
-func Burn(ctx context.Context, list platform.VMList, peers *peer.Pool) (v *burn.Verdict, err error) {
+func Burn(ctx context.Context, list provider.VMList, peers *peer.Pool) (v *burn.Verdict, err error) {
 	vms, err := list.List(ctx)
 	if err != nil {
 		return nil, err
@@ -75,7 +75,7 @@
 	var g errgroup.Group
 	g.SetLimit(burnAtOnce)
 	for _, vm := range vms {
-		if vm.Role != platform.EntryRole {
+		if vm.Role != provider.EntryRole {
 			continue
 		}
 		g.Go(func() error {
@@ -103,7 +103,7 @@
 	return v, nil
 }
 
-func askBurn(ctx context.Context, peers *peer.Pool, vm platform.VM) (r *burn.Report, err error) {
+func askBurn(ctx context.Context, peers *peer.Pool, vm provider.VM) (r *burn.Report, err error) {
 	ctx, cancel := context.WithTimeout(ctx, burnTimeout.Duration())
 	defer cancel()
 	reply, err := peers.Peer(ctx, vm.Address).Inspect(ctx, &wire.InspectRequest{Report: operations.BurnReport})
--- a/cli/burn_test.go
+++ b/cli/burn_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/matryer/is"
 	"github.com/parsleydeal/parsleydeal/peer"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 )
 
 // An operator asks for the burn while one entry of the list is gone. Its
@@ -20,9 +20,9 @@
 		is.NoErr(err)
 		is.Equal(status, http.StatusOK)
 	}
-	gone := platform.VM{ID: "entry-gone", Role: platform.EntryRole, Zone: "zone-a", Address: "127.0.0.1:1"}
+	gone := provider.VM{ID: "entry-gone", Role: provider.EntryRole, Zone: "zone-a", Address: "127.0.0.1:1"}
 	d.platform.SetVMs(append(d.vms, gone))
-	v, err := Burn(t.Context(), platform.NewHTTP(d.base, http.DefaultClient).VMList(), peer.NewPool())
+	v, err := Burn(t.Context(), provider.NewHTTP(d.base, http.DefaultClient).VMList(), peer.NewPool())
 	is.NoErr(err)
 	is.Equal(v.Missing, []string{"entry-gone"})
 	is.Equal(v.Processes, 2)
--- a/cli/daemon.go
+++ b/cli/daemon.go
@@ -19,7 +19,7 @@
 	"github.com/parsleydeal/parsleydeal/node"
 	"github.com/parsleydeal/parsleydeal/operations"
 	"github.com/parsleydeal/parsleydeal/peer"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/settings"
 )
 
@@ -72,7 +72,7 @@
 
 // newNode makes a node that speaks to the platform in the settings.
 func newNode(s settings.Settings, l *log.Logger, peers *peer.Pool) *node.Node {
-	h := platform.NewHTTP(s.Platform, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}})
+	h := provider.NewHTTP(s.Platform, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}})
 	return node.New(node.Config{
 		Settings: s,
 		Clock:    clock.System(),
--- a/cli/decision_test.go
+++ b/cli/decision_test.go
@@ -12,7 +12,7 @@
 	"github.com/matryer/is"
 	"github.com/parsleydeal/parsleydeal/bill"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/standin"
 )
 
@@ -24,7 +24,7 @@
 	is.NoErr(d.start(context.WithoutCancel(t.Context()), localShape{first: 20, gap: 5, tokens: 12}))
 	t.Cleanup(d.stop)
 	tables := strings.NewReplacer(replacements...).Replace(string(demoTables))
-	_, err := platform.NewHTTP(d.base, http.DefaultClient).Log().Append(t.Context(), platform.ConfigStream, []byte(tables))
+	_, err := provider.NewHTTP(d.base, http.DefaultClient).Log().Append(t.Context(), provider.ConfigStream, []byte(tables))
 	is.NoErr(err)
 	is.NoErr(d.waitReady(t.Context(), demoKey))
 	return d
@@ -53,7 +53,7 @@
 func billOf(t *testing.T, d *local, request string) (b *wire.Bill) {
 	const patience = 30 * time.Second
 	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
-		for _, data := range d.platform.Records(platform.BillStream) {
+		for _, data := range d.platform.Records(provider.BillStream) {
 			bills, err := bill.Decode(data)
 			if err != nil {
 				t.Fatal(err)
@@ -152,11 +152,11 @@
 	for range most {
 		_, _, err := d.answerTo(t.Context(), "quick", "")
 		is.NoErr(err)
-		if len(d.platform.Records(platform.HoldStream)) > 0 {
+		if len(d.platform.Records(provider.HoldStream)) > 0 {
 			break
 		}
 	}
-	is.True(len(d.platform.Records(platform.HoldStream)) > 0)
+	is.True(len(d.platform.Records(provider.HoldStream)) > 0)
 	for range 20 {
 		h, status, err := d.answerTo(t.Context(), "quick", session)
 		is.NoErr(err)
--- a/cli/demo.go
+++ b/cli/demo.go
@@ -16,7 +16,7 @@
 	"github.com/parsleydeal/parsleydeal/bill"
 	"github.com/parsleydeal/parsleydeal/client"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/table"
 )
 
@@ -153,7 +153,7 @@
 // bills reduces the log's bills to one a request.
 func (l *local) bills() (out map[string]*wire.Bill, err error) {
 	out = make(map[string]*wire.Bill)
-	for _, data := range l.platform.Records(platform.BillStream) {
+	for _, data := range l.platform.Records(provider.BillStream) {
 		bills, err := bill.Decode(data)
 		if err != nil {
 			return nil, err
--- a/cli/load.go
+++ b/cli/load.go
@@ -17,7 +17,7 @@
 	"github.com/parsleydeal/parsleydeal/bill"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/load"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 )
 
 // errBroken marks a run in which a promise was broken or nothing was served.
@@ -83,7 +83,7 @@
 	}
 	cfg := load.Config{Build: version(), HTTP: load.NewHTTP(&plan)}
 	if c.Platform != "" {
-		log := platform.NewHTTP(c.Platform, http.DefaultClient).Log()
+		log := provider.NewHTTP(c.Platform, http.DefaultClient).Log()
 		cfg.Unbilled = func(ctx context.Context, requests []string) ([]string, error) { return unbilled(ctx, log, requests) }
 	}
 	if len(c.Measure) > 0 {
@@ -183,7 +183,7 @@
 
 // unbilled returns which requests have no bill on the log, once the bills of
 // all are there or the time is over.
-func unbilled(ctx context.Context, log platform.Log, requests []string) (missing []string, err error) {
+func unbilled(ctx context.Context, log provider.Log, requests []string) (missing []string, err error) {
 	ctx, cancel := context.WithTimeout(ctx, billPatience.Duration())
 	defer cancel()
 	left := make(map[string]bool, len(requests))
@@ -192,7 +192,7 @@
 	}
 	from := int64(0)
 	for len(left) > 0 {
-		_, next, err := readStream(ctx, log, platform.BillStream, from, 0, func(_ int64, data []byte) {
+		_, next, err := readStream(ctx, log, provider.BillStream, from, 0, func(_ int64, data []byte) {
 			bills, err := bill.Decode(data)
 			if err != nil {
 				return
--- a/cli/local.go
+++ b/cli/local.go
@@ -13,7 +13,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/parsleydeal/parsleydeal/client"
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/settings"
 	"github.com/parsleydeal/parsleydeal/standin"
 )
@@ -28,7 +28,7 @@
 	platform *standin.Platform
 	engines  map[string]*standin.Engine
 	plain    *standin.Plain
-	vms      []platform.VM
+	vms      []provider.VM
 	base     string
 	callers  []string
 	// scheme and http are how callers reach the entries.
@@ -117,7 +117,7 @@
 	s := l.settings(fmt.Sprintf("entry-%d", number), zone)
 	s.Entry.Callers = l.reserve()
 	l.adjust(&s)
-	l.vms = append(l.vms, platform.VM{ID: s.VM, Role: platform.EntryRole, Zone: zone, Region: s.Region, Address: s.Peer})
+	l.vms = append(l.vms, provider.VM{ID: s.VM, Role: provider.EntryRole, Zone: zone, Region: s.Region, Address: s.Peer})
 	l.callers = append(l.callers, s.Entry.Callers)
 	l.spawn(ctx, s, runEntry)
 	return nil
@@ -130,7 +130,7 @@
 		return err
 	}
 	l.adjust(&s)
-	l.vms = append(l.vms, platform.VM{ID: s.VM, Role: platform.EndpointRole, Pool: e.Pool, Zone: zone, Region: s.Region, Address: s.Peer})
+	l.vms = append(l.vms, provider.VM{ID: s.VM, Role: provider.EndpointRole, Pool: e.Pool, Zone: zone, Region: s.Region, Address: s.Peer})
 	l.spawn(ctx, s, runEndpoint)
 	return nil
 }
--- a/cli/operator.go
+++ b/cli/operator.go
@@ -11,7 +11,7 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/parsleydeal/parsleydeal/client"
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/settings"
 )
 
@@ -95,6 +95,6 @@
 	if err != nil {
 		return nil, err
 	}
-	h := platform.NewHTTP(s.Platform, http.DefaultClient)
+	h := provider.NewHTTP(s.Platform, http.DefaultClient)
 	return &client.Operator{Log: h.Log(), VMs: h.VMList(), Peers: c.pool(), Clock: clock.System(), Pause: clock.Pause}, nil
 }
--- a/cli/operator_test.go
+++ b/cli/operator_test.go
@@ -9,7 +9,7 @@
 	"testing"
 
 	"github.com/matryer/is"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 )
 
 // startLocal runs a whole system with the demo's tables until the test ends.
@@ -60,7 +60,7 @@
 	out, err := l.publishFile(write(t, "kind = \"patch\"\n[tables.zones.zone-b]\nstate = \"out\"\n"), "20s")
 	is.NoErr(err)
 	is.True(strings.Contains(out, "in force on 7 VMs, not on 0"))
-	l.platform.SetVMs(append(l.vms, platform.VM{ID: "gone", Role: platform.EntryRole, Zone: "zone-b", Address: "127.0.0.1:1"}))
+	l.platform.SetVMs(append(l.vms, provider.VM{ID: "gone", Role: provider.EntryRole, Zone: "zone-b", Address: "127.0.0.1:1"}))
 	out, err = l.publishFile(write(t, "kind = \"patch\"\n[tables.zones.zone-b]\nstate = \"in\"\n"), "2s")
 	is.Equal(codeOf(err), ExitUncertain)
 	is.True(strings.Contains(out, "accepted as revision 2"))
--- a/cli/standin.go
+++ b/cli/standin.go
@@ -9,7 +9,7 @@
 
 	"github.com/jessevdk/go-flags"
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/settings"
 	"github.com/parsleydeal/parsleydeal/standin"
 	"github.com/pelletier/go-toml/v2"
@@ -103,7 +103,7 @@
 	Leaving bool   `toml:"leaving"`
 }
 
-func readVMs(path string) (vms []platform.VM, err error) {
+func readVMs(path string) (vms []provider.VM, err error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, settings.ErrInvalid.Wrap(err, "read VM list")
@@ -113,7 +113,7 @@
 		return nil, settings.ErrInvalid.New("%s", parseFaults(path, err))
 	}
 	for _, row := range f.VMs {
-		vms = append(vms, platform.VM(row))
+		vms = append(vms, provider.VM(row))
 	}
 	return vms, nil
 }
--- a/client/operator.go
+++ b/client/operator.go
@@ -13,7 +13,7 @@
 	"github.com/parsleydeal/parsleydeal/operations"
 	"github.com/parsleydeal/parsleydeal/peer"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/table"
 	"golang.org/x/sync/errgroup"
 )
@@ -28,8 +28,8 @@
 // Operator reads and publishes tables and asks processes for reports. It needs
 // only the platform; processes are found by the VM list.
 type Operator struct {
-	Log   platform.Log
-	VMs   platform.VMList
+	Log   provider.Log
+	VMs   provider.VMList
 	Peers *peer.Pool
 	Clock clock.Clock
 	// Pause waits for a span and reports false when the context ended first.
@@ -38,7 +38,7 @@
 
 // Report is one process's report, or why there is none.
 type Report struct {
-	VM   platform.VM
+	VM   provider.VM
 	JSON []byte
 	Err  error
 }
@@ -71,7 +71,7 @@
 	return out, nil
 }
 
-func (o *Operator) report(ctx context.Context, vm platform.VM, report string) Report {
+func (o *Operator) report(ctx context.Context, vm provider.VM, report string) Report {
 	ctx, cancel := context.WithTimeout(ctx, inspectTimeout.Duration())
 	defer cancel()
 	reply, err := o.Peers.Peer(ctx, vm.Address).Inspect(ctx, &wire.InspectRequest{Report: report})
@@ -80,7 +80,7 @@
 
 // VMStatus is one process's status, or why there is none.
 type VMStatus struct {
-	VM     platform.VM
+	VM     provider.VM
 	Status operations.Status
 	Err    error
 }
@@ -126,13 +126,13 @@
 // first returns the lowest offset the log keeps: a read beyond the head returns
 // no records, only the bounds.
 func (o *Operator) first(ctx context.Context) (offset int64, err error) {
-	p, err := o.Log.Read(ctx, platform.ConfigStream, math.MaxInt64, 0)
+	p, err := o.Log.Read(ctx, provider.ConfigStream, math.MaxInt64, 0)
 	return p.First, err
 }
 
 // follow reads one page and reports whether there is more.
 func (o *Operator) follow(ctx context.Context, h *History, from *int64, wait clock.Millis) (more bool, err error) {
-	p, err := o.Log.Read(ctx, platform.ConfigStream, *from, wait)
+	p, err := o.Log.Read(ctx, provider.ConfigStream, *from, wait)
 	if err != nil {
 		return false, err
 	}
--- a/client/publish.go
+++ b/client/publish.go
@@ -5,7 +5,7 @@
 
 	"github.com/joomcode/errorx"
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/table"
 )
 
@@ -27,9 +27,9 @@
 			return verdict, rejected(verdict)
 		}
 		if !appended && ctx.Err() == nil {
-			_, err = o.Log.Append(ctx, platform.ConfigStream, data)
+			_, err = o.Log.Append(ctx, provider.ConfigStream, data)
 			appended = err == nil
-			mayStand = mayStand || appended || errorx.IsOfType(err, platform.ErrUnknown)
+			mayStand = mayStand || appended || errorx.IsOfType(err, provider.ErrUnknown)
 			if appended {
 				continue
 			}
--- a/client/publish_test.go
+++ b/client/publish_test.go
@@ -12,7 +12,7 @@
 	"github.com/parsleydeal/parsleydeal/client"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/peer"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/standin"
 	"github.com/parsleydeal/parsleydeal/table"
 )
@@ -21,7 +21,7 @@
 	p := standin.NewPlatform()
 	srv := httptest.NewServer(p.Handler())
 	t.Cleanup(srv.Close)
-	h := platform.NewHTTP(srv.URL, &http.Client{Transport: &http.Transport{DisableKeepAlives: true}})
+	h := provider.NewHTTP(srv.URL, &http.Client{Transport: &http.Transport{DisableKeepAlives: true}})
 	return &client.Operator{
 		Log: h.Log(), VMs: h.VMList(), Peers: peer.NewPool(), Clock: clock.System(),
 		Pause: func(ctx context.Context, _ clock.Millis) bool { return ctx.Err() == nil },
@@ -45,11 +45,11 @@
 	is.NoErr(err)
 	is.True(v.Accepted)
 	is.Equal(v.Revision, int64(0))
-	is.Equal(len(p.Records(platform.ConfigStream)), 1)
+	is.Equal(len(p.Records(provider.ConfigStream)), 1)
 	again, err := op.Publish(t.Context(), change("one", -1))
 	is.NoErr(err)
 	is.Equal(again, v) // the same id tells the same verdict
-	is.Equal(len(p.Records(platform.ConfigStream)), 1)
+	is.Equal(len(p.Records(provider.ConfigStream)), 1)
 }
 
 // Two operators publish on the same revision. The later one must hear that his
@@ -73,5 +73,5 @@
 	defer cancel()
 	_, err := op.Publish(ctx, change("one", -1))
 	is.True(errorx.IsOfType(err, client.ErrNotSent))
-	is.Equal(len(p.Records(platform.ConfigStream)), 0)
+	is.Equal(len(p.Records(provider.ConfigStream)), 0)
 }
--- a/control/checkpoint_test.go
+++ b/control/checkpoint_test.go
@@ -6,7 +6,7 @@
 	"github.com/matryer/is"
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 )
 
 const (
@@ -14,12 +14,12 @@
 	changeTwo = "id = \"b\"\nauthor = \"ops\"\nkind = \"patch\"\nbase = 0\n[tables.zones.a]\nstate = \"out\"\n"
 )
 
-func page(first int64, records ...platform.Record) event.LogRead {
+func page(first int64, records ...provider.Record) event.LogRead {
 	head := first
 	for _, r := range records {
 		head = r.Offset + 1
 	}
-	return event.LogRead{Stream: platform.ConfigStream, Page: platform.Page{First: first, Head: head, Records: records}}
+	return event.LogRead{Stream: provider.ConfigStream, Page: provider.Page{First: first, Head: head, Records: records}}
 }
 
 // A process starts when the log has dropped the first records. Reading on from
@@ -28,15 +28,15 @@
 func TestStartAfterRecordsExpired(t *testing.T) {
 	is := is.New(t)
 	old := NewState("old")
-	old, _ = Reduce(old, page(0, platform.Record{Offset: 0, Data: []byte(changeOne)}, platform.Record{Offset: 1, Data: []byte(changeTwo)}))
+	old, _ = Reduce(old, page(0, provider.Record{Offset: 0, Data: []byte(changeOne)}, provider.Record{Offset: 1, Data: []byte(changeTwo)}))
 	is.Equal(old.View().Revision(), int64(1))
 	saved, err := old.View().Checkpoint().Encode()
 	is.NoErr(err)
 
 	fromLog := NewState("from-log")
-	fromLog, _ = Reduce(fromLog, page(1, platform.Record{Offset: 1, Data: []byte(changeTwo)}))
+	fromLog, _ = Reduce(fromLog, page(1, provider.Record{Offset: 1, Data: []byte(changeTwo)}))
 	is.Equal(fromLog.View().Revision(), int64(-1)) // the change before it is missing
-	fromLog, _ = Reduce(fromLog, page(1, platform.Record{Offset: 2, Data: saved}))
+	fromLog, _ = Reduce(fromLog, page(1, provider.Record{Offset: 2, Data: saved}))
 	is.Equal(fromLog.View().Revision(), int64(1))
 	is.Equal(fromLog.View().Tail().From(), int64(2)) // peers may not take it for complete before
 
@@ -48,7 +48,7 @@
 	is.Equal(fromPeer.View().Tail().Restarts(), 1) // the log's reader goes back
 
 	// Neither the record nor a late peer takes anyone back or onward.
-	old, _ = Reduce(old, page(0, platform.Record{Offset: 2, Data: saved}))
+	old, _ = Reduce(old, page(0, provider.Record{Offset: 2, Data: saved}))
 	is.Equal(old.View().Revision(), int64(1))
 	old, _ = Reduce(old, event.RecordsReceived{From: "late", Reply: reply})
 	is.Equal(old.View().Tail().From(), int64(0))
--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -8,7 +8,7 @@
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -37,7 +37,7 @@
 	readable func(*proc) bool
 	// parted says whose messages are lost.
 	parted func(from, to *proc) bool
-	listed []platform.VM
+	listed []provider.VM
 	// swallow drops one call in four without a word, as a shell does that has too
 	// many under way.
 	swallow bool
@@ -47,7 +47,7 @@
 
 // proc is one process. Its clock runs on its own zero.
 type proc struct {
-	vm        platform.VM
+	vm        provider.VM
 	state     *State
 	skew      clock.Millis
 	dead      bool
@@ -90,12 +90,12 @@
 		parted:   func(_, _ *proc) bool { return false },
 	}
 	for i := range n {
-		role := platform.EndpointRole
+		role := provider.EndpointRole
 		if i%entryOf == 0 {
-			role = platform.EntryRole
+			role = provider.EntryRole
 		}
 		zone := i % zones
-		c.listed = append(c.listed, platform.VM{
+		c.listed = append(c.listed, provider.VM{
 			ID: fmt.Sprintf("vm-%04d", i), Role: role, Pool: fmt.Sprintf("pool-%d", i%13),
 			Zone: fmt.Sprintf("zone-%d", zone), Region: fmt.Sprintf("region-%d", zone/3), Address: fmt.Sprintf("10.0.%d.%d:7100", i/250, i%250),
 		})
@@ -111,7 +111,7 @@
 	vm := c.listed[i]
 	p := &proc{vm: vm, state: NewStateAt(vm.ID, vm.Zone, epoch), skew: clock.Millis(epoch*7919) - c.now, revision: -1}
 	// Nothing here sends requests, and subsets of so many states take long.
-	p.state.subsetsOf = func(string, []platform.VM) map[string][]platform.VM { return nil }
+	p.state.subsetsOf = func(string, []provider.VM) map[string][]provider.VM { return nil }
 	if old := c.byVM[vm.ID]; old != nil {
 		old.dead = true
 	}
@@ -245,17 +245,17 @@
 	if p.dead || p.paused || !p.following || !c.readable(p) {
 		return
 	}
-	holds := platform.Page{Head: int64(len(c.holds))}
+	holds := provider.Page{Head: int64(len(c.holds))}
 	for o, data := range c.holds {
-		holds.Records = append(holds.Records, platform.Record{Offset: int64(o), Data: data})
+		holds.Records = append(holds.Records, provider.Record{Offset: int64(o), Data: data})
 	}
-	c.reduce(p, event.LogRead{Now: c.at(p), Stream: platform.HoldStream, Page: holds})
+	c.reduce(p, event.LogRead{Now: c.at(p), Stream: provider.HoldStream, Page: holds})
 	head := len(c.log) - c.cut
-	page := platform.Page{Head: int64(head)}
+	page := provider.Page{Head: int64(head)}
 	for o := int(p.state.tail.End()); o < head; o++ {
-		page.Records = append(page.Records, platform.Record{Offset: int64(o), Data: c.log[o]})
+		page.Records = append(page.Records, provider.Record{Offset: int64(o), Data: c.log[o]})
 	}
-	c.reduce(p, event.LogRead{Now: c.at(p), Stream: platform.ConfigStream, Page: page})
+	c.reduce(p, event.LogRead{Now: c.at(p), Stream: provider.ConfigStream, Page: page})
 }
 
 // publish appends a change; those that wait on the log get it 20 ms later.
--- a/control/control.go
+++ b/control/control.go
@@ -13,7 +13,7 @@
 	"github.com/parsleydeal/parsleydeal/lease"
 	"github.com/parsleydeal/parsleydeal/membership"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/quality"
 	"github.com/parsleydeal/parsleydeal/rollout"
 	"github.com/parsleydeal/parsleydeal/spread"
@@ -40,10 +40,10 @@
 	quality  quality.State
 	zones    zone.State
 	// subsets follow from the VM list alone.
-	subsets map[string][]platform.VM
+	subsets map[string][]provider.VM
 	// subsetsOf computes them; a test that drives many states at once leaves
 	// them out.
-	subsetsOf func(self string, vms []platform.VM) map[string][]platform.VM
+	subsetsOf func(self string, vms []provider.VM) map[string][]provider.VM
 	// pool is that of this endpoint; empty in an entry.
 	pool  string
 	lease lease.State
@@ -164,7 +164,7 @@
 func (s *State) reduceTables(ev event.Event) (effects []event.Effect, changed bool) {
 	switch e := ev.(type) {
 	case event.LogRead:
-		if e.Stream != platform.ConfigStream {
+		if e.Stream != provider.ConfigStream {
 			return nil, false
 		}
 		for _, r := range e.Page.Records {
@@ -189,7 +189,7 @@
 func (s *State) noteCut(head int64) (effects []event.Effect) {
 	cut := head < s.tables.Offset()
 	if cut && !s.logCut {
-		effects = append(effects, event.Report{Message: "Log shows less than was read", Fields: []any{"stream", platform.ConfigStream, "head", head, "reduced", s.tables.Offset()}})
+		effects = append(effects, event.Report{Message: "Log shows less than was read", Fields: []any{"stream", provider.ConfigStream, "head", head, "reduced", s.tables.Offset()}})
 	}
 	s.logCut = cut
 	return effects
--- a/control/failure_test.go
+++ b/control/failure_test.go
@@ -7,7 +7,7 @@
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/rollout"
 )
 
@@ -34,7 +34,7 @@
 	c.readable = func(*proc) bool { return false }
 	begun := make(map[*proc]bool)
 	for i, vm := range c.listed {
-		if vm.Role == platform.EntryRole {
+		if vm.Role == provider.EntryRole {
 			begun[c.start(i, uint64(1000+i))] = true
 		}
 	}
--- a/control/random_test.go
+++ b/control/random_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/event"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"pgregory.net/rapid"
 )
 
@@ -91,11 +91,11 @@
 // reread hands a process the log from its beginning once more, as after a
 // connection that was made anew.
 func (c *cluster) reread(p *proc) {
-	page := platform.Page{Head: int64(len(c.log))}
+	page := provider.Page{Head: int64(len(c.log))}
 	for o, data := range c.log {
-		page.Records = append(page.Records, platform.Record{Offset: int64(o), Data: data})
+		page.Records = append(page.Records, provider.Record{Offset: int64(o), Data: data})
 	}
-	c.reduce(p, event.LogRead{Now: c.at(p), Stream: platform.ConfigStream, Page: page})
+	c.reduce(p, event.LogRead{Now: c.at(p), Stream: provider.ConfigStream, Page: page})
 }
 
 // mend ends all failures and starts a process on each VM that has none.
--- a/control/size_test.go
+++ b/control/size_test.go
@@ -9,7 +9,7 @@
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/table"
 )
 
@@ -30,9 +30,9 @@
 	s := NewStateAt("vm-0000", "zone-0", 1)
 	vms := newCluster(sizeVMs, 12).listed
 	for i := range vms {
-		vms[i].Role = platform.EndpointRole
+		vms[i].Role = provider.EndpointRole
 		if i%sizeVMs < sizeEntries {
-			vms[i].Role = platform.EntryRole
+			vms[i].Role = provider.EntryRole
 		}
 	}
 	Reduce(s, event.VMsListed{Now: 1, VMs: vms})
@@ -40,7 +40,7 @@
 	if err != nil {
 		tb.Fatal(err)
 	}
-	Reduce(s, event.LogRead{Now: 1, Stream: platform.ConfigStream, Page: platform.Page{Head: 1, Records: []platform.Record{{Data: data}}}})
+	Reduce(s, event.LogRead{Now: 1, Stream: provider.ConfigStream, Page: provider.Page{Head: 1, Records: []provider.Record{{Data: data}}}})
 	if !s.View().Ready() {
 		tb.Fatal("the tables were rejected")
 	}
--- a/endpoint/order.go
+++ b/endpoint/order.go
@@ -7,7 +7,7 @@
 	"github.com/parsleydeal/parsleydeal/engine"
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/lease"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 )
 
 // perform carries out the effects that concern the engine, away from the control
@@ -71,7 +71,7 @@
 	ctx, cancel := context.WithTimeout(e.aborted, pollTimeout.Duration())
 	defer cancel()
 	for from := fence + 1; ; {
-		page, err := e.node.Store().Read(ctx, platform.LeaseStream, from, 0)
+		page, err := e.node.Store().Read(ctx, provider.LeaseStream, from, 0)
 		if err != nil || lease.Newer(page.Records, e.node.Settings().VM, fence) {
 			return false
 		}
--- a/endpoint/order_test.go
+++ b/endpoint/order_test.go
@@ -9,14 +9,14 @@
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/peer"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/refusal"
 	"github.com/parsleydeal/parsleydeal/standin"
 	"google.golang.org/protobuf/proto"
 )
 
 // newManagedRig is a rig whose engine has loaded just what it was told to.
-func newManagedRig(t *testing.T, checks bool, leases *[]platform.Record) *rig {
+func newManagedRig(t *testing.T, checks bool, leases *[]provider.Record) *rig {
 	r := &rig{t: t, is: is.New(t), engine: standin.NewEngine(1, 1, 3), plain: standin.NewPlain(), peers: peer.NewPool(), store: leaseLog(leases)}
 	r.engine.Manage(checks)
 	srv := httptest.NewServer(r.engine.Handler())
@@ -30,7 +30,7 @@
 // Operators publish a pool, and its engine has loaded nothing. Until it has, a
 // request is refused as not run; then it is served.
 func TestEngineIsOrderedToTheTables(t *testing.T) {
-	var leases []platform.Record
+	var leases []provider.Record
 	r := newManagedRig(t, true, &leases)
 	r.eventually("engine seen", func() bool { return r.e.status.Load() != nil })
 	r.refused(r.run(t.Context(), r.head("r1"), chatBody), refusal.NoEndpoint, refusal.NotRun)
@@ -47,11 +47,11 @@
 // one since. The engine ignores fencing numbers, so the first must see by itself
 // that it is out.
 func TestPausedHolderGivesNoOrder(t *testing.T) {
-	var leases []platform.Record
+	var leases []provider.Record
 	r := newManagedRig(t, false, &leases)
 	other, err := proto.Marshal(&wire.Lease{Vm: "endpoint-1", Epoch: 7})
 	r.is.NoErr(err)
-	_, err = r.store.Append(t.Context(), platform.LeaseStream, other)
+	_, err = r.store.Append(t.Context(), provider.LeaseStream, other)
 	r.is.NoErr(err)
 	o := event.GiveOrder{Kind: event.LoadVersion, Version: "small@1", Fence: -1, Until: r.n.Clock().Now() + clock.Hour, Compare: true}
 	r.is.Equal(r.e.order(o), event.OrderFenced)
@@ -66,7 +66,7 @@
 // An order of an old holder arrives late at an engine that checks fencing
 // numbers: the engine refuses it, and the gate knows that it had no effect.
 func TestLateOrderIsFenced(t *testing.T) {
-	var leases []platform.Record
+	var leases []provider.Record
 	r := newManagedRig(t, true, &leases)
 	o := event.GiveOrder{Kind: event.LoadVersion, Version: "small@2", Fence: 5, Until: clock.Hour}
 	r.is.Equal(r.e.order(o), event.OrderTaken)
--- a/endpoint/rig_test.go
+++ b/endpoint/rig_test.go
@@ -18,7 +18,7 @@
 	"github.com/parsleydeal/parsleydeal/node"
 	"github.com/parsleydeal/parsleydeal/peer"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/refusal"
 	"github.com/parsleydeal/parsleydeal/settings"
 	"github.com/parsleydeal/parsleydeal/standin"
@@ -67,7 +67,7 @@
 	peers   *peer.Pool
 	offset  int64
 	// store serves the streams but that of the configuration.
-	store platform.Log
+	store provider.Log
 	// fetched lists the versions whose weights were asked for.
 	fetched chan string
 }
@@ -99,11 +99,11 @@
 	r.n = node.New(node.Config{
 		Settings: s, Clock: clock.System(), Log: log.New(io.Discard), Peers: r.peers,
 		Store: r.store,
-		Weights: platform.WeightStore{Fetch: func(_ context.Context, version string) error {
+		Weights: provider.WeightStore{Fetch: func(_ context.Context, version string) error {
 			r.fetched <- version
 			return nil
 		}},
-		VMs: platform.VMList{List: func(context.Context) ([]platform.VM, error) { return nil, platform.ErrUnavailable.New("no list") }},
+		VMs: provider.VMList{List: func(context.Context) ([]provider.VM, error) { return nil, provider.ErrUnavailable.New("no list") }},
 	})
 	r.e = New(r.n)
 	r.n.Start(r.t.Context())
@@ -115,39 +115,39 @@
 }
 
 // noLog is a log that is down.
-func noLog() platform.Log {
-	return platform.Log{
-		Append: func(context.Context, string, []byte) (int64, error) { return 0, platform.ErrUnavailable.New("no log") },
-		Read: func(ctx context.Context, _ string, _ int64, _ clock.Millis) (platform.Page, error) {
+func noLog() provider.Log {
+	return provider.Log{
+		Append: func(context.Context, string, []byte) (int64, error) { return 0, provider.ErrUnavailable.New("no log") },
+		Read: func(ctx context.Context, _ string, _ int64, _ clock.Millis) (provider.Page, error) {
 			<-ctx.Done()
-			return platform.Page{}, ctx.Err()
+			return provider.Page{}, ctx.Err()
 		},
 	}
 }
 
 // leaseLog is a log that has just the lease stream.
-func leaseLog(leases *[]platform.Record) platform.Log {
+func leaseLog(leases *[]provider.Record) provider.Log {
 	var mu sync.Mutex
 	l := noLog()
 	down := l.Read
 	l.Append = func(_ context.Context, stream string, data []byte) (int64, error) {
-		if stream != platform.LeaseStream {
-			return 0, platform.ErrUnavailable.New("no such stream")
+		if stream != provider.LeaseStream {
+			return 0, provider.ErrUnavailable.New("no such stream")
 		}
 		mu.Lock()
 		defer mu.Unlock()
 		offset := int64(len(*leases))
-		*leases = append(*leases, platform.Record{Offset: offset, Data: data})
+		*leases = append(*leases, provider.Record{Offset: offset, Data: data})
 		return offset, nil
 	}
-	l.Read = func(ctx context.Context, stream string, from int64, wait clock.Millis) (p platform.Page, err error) {
-		if stream != platform.LeaseStream {
+	l.Read = func(ctx context.Context, stream string, from int64, wait clock.Millis) (p provider.Page, err error) {
+		if stream != provider.LeaseStream {
 			return down(ctx, stream, from, wait)
 		}
 		mu.Lock()
 		defer mu.Unlock()
 		from = min(from, int64(len(*leases)))
-		return platform.Page{Head: int64(len(*leases)), Records: append([]platform.Record{}, (*leases)[from:]...)}, nil
+		return provider.Page{Head: int64(len(*leases)), Records: append([]provider.Record{}, (*leases)[from:]...)}, nil
 	}
 	return l
 }
@@ -155,9 +155,9 @@
 // publish gives control the next record of the configuration.
 func (r *rig) publish(text string) {
 	r.t.Helper()
-	page := platform.Page{Head: r.offset + 1, Records: []platform.Record{{Offset: r.offset, Data: []byte(text)}}}
+	page := provider.Page{Head: r.offset + 1, Records: []provider.Record{{Offset: r.offset, Data: []byte(text)}}}
 	r.offset++
-	r.n.Loop().Post(r.t.Context(), event.LogRead{Now: r.n.Clock().Now(), Stream: platform.ConfigStream, Page: page})
+	r.n.Loop().Post(r.t.Context(), event.LogRead{Now: r.n.Clock().Now(), Stream: provider.ConfigStream, Page: page})
 	r.eventually("tables in force", func() bool { return r.n.View().Revision() == r.offset-1 })
 }
 
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -11,12 +11,12 @@
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/peer"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/refusal"
 )
 
 // attempt runs the request once on one endpoint.
-func (e *Entry) attempt(ctx context.Context, req *work, vm platform.VM, emit func(*wire.Piece) error) (err error) {
+func (e *Entry) attempt(ctx context.Context, req *work, vm provider.VM, emit func(*wire.Piece) error) (err error) {
 	req.attempts++
 	req.gateEpoch = req.view.Members().Load(vm.ID).GetEpoch()
 	if done, err := e.claimed(ctx, req, vm, emit); done || err != nil {
@@ -37,7 +37,7 @@
 
 // open sends the attempt and takes its pieces. Cut is true when the connection
 // broke after the attempt may have arrived.
-func (e *Entry) open(ctx context.Context, req *work, vm platform.VM, seq *answers.Sequence, emit func(*wire.Piece) error) (cut bool, err error) {
+func (e *Entry) open(ctx context.Context, req *work, vm provider.VM, seq *answers.Sequence, emit func(*wire.Piece) error) (cut bool, err error) {
 	ctx, quiet, cancel := listen(ctx)
 	defer cancel()
 	defer func() { e.missed(ctx, vm.ID) }()
@@ -103,7 +103,7 @@
 
 // reattach asks the endpoint for the rest of an answer after the connection to it
 // broke. The run goes on there and may not be repeated, or need not be.
-func (e *Entry) reattach(ctx context.Context, req *work, vm platform.VM, seq *answers.Sequence, emit func(*wire.Piece) error, cause error) (err error) {
+func (e *Entry) reattach(ctx context.Context, req *work, vm provider.VM, seq *answers.Sequence, emit func(*wire.Piece) error, cause error) (err error) {
 	in := &wire.KeptRequest{Request: req.id, Organisation: req.organisation, After: seq.Next()}
 	ctx, quiet, cancel := listen(ctx)
 	defer cancel()
--- a/entry/attempt_test.go
+++ b/entry/attempt_test.go
@@ -14,7 +14,7 @@
 	"github.com/parsleydeal/parsleydeal/node"
 	"github.com/parsleydeal/parsleydeal/peer"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/refusal"
 	"github.com/parsleydeal/parsleydeal/settings"
 	"github.com/parsleydeal/parsleydeal/standin"
@@ -63,7 +63,7 @@
 	is := is.New(t)
 	p := httptest.NewServer(standin.NewPlatform().Handler())
 	t.Cleanup(p.Close)
-	h := platform.NewHTTP(p.URL, http.DefaultClient)
+	h := provider.NewHTTP(p.URL, http.DefaultClient)
 	s := settings.Default()
 	s.VM = "entry-1"
 	n := node.New(node.Config{Settings: s, Clock: clock.System(), Log: log.New(io.Discard), Store: h.Log(), VMs: h.VMList(), Peers: peer.NewPool()})
@@ -79,7 +79,7 @@
 	is.NoErr(n.Billing().Reserve())
 	ctx, cancel := context.WithTimeout(t.Context(), clock.Minute.Duration())
 	defer cancel()
-	err = New(n).attempt(ctx, req, platform.VM{ID: "endpoint-1", Address: lis.Addr().String()}, func(p *wire.Piece) error {
+	err = New(n).attempt(ctx, req, provider.VM{ID: "endpoint-1", Address: lis.Addr().String()}, func(p *wire.Piece) error {
 		text += p.GetText()
 		return nil
 	})
--- a/entry/cascade.go
+++ b/entry/cascade.go
@@ -8,7 +8,7 @@
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/quality"
 )
 
@@ -79,7 +79,7 @@
 func (e *Entry) passes(ctx context.Context, req *work, held []*wire.Piece) (pass bool) {
 	ctx, cancel := context.WithTimeout(ctx, judgeTimeout.Duration())
 	defer cancel()
-	score, err := e.node.Rater().Judge(ctx, platform.Sample{
+	score, err := e.node.Rater().Judge(ctx, provider.Sample{
 		Request: req.id, Route: req.routeName, Version: req.version, Prompt: string(req.body), Answer: textOf(held),
 	})
 	now := e.node.Clock().Now()
--- a/entry/claim.go
+++ b/entry/claim.go
@@ -9,7 +9,7 @@
 	"github.com/parsleydeal/parsleydeal/claim"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/refusal"
 	"github.com/parsleydeal/parsleydeal/table"
 )
@@ -27,7 +27,7 @@
 // under a claim. Done is true when an earlier attempt's kept answer has been
 // given instead. An unkeyed call needs no claim: it is dispatched once, and run
 // repeats it only after proof that nothing ran.
-func (e *Entry) claimed(ctx context.Context, req *work, vm platform.VM, emit func(*wire.Piece) error) (done bool, err error) {
+func (e *Entry) claimed(ctx context.Context, req *work, vm provider.VM, emit func(*wire.Piece) error) (done bool, err error) {
 	if req.repeatable || req.key == "" {
 		return false, nil
 	}
@@ -56,7 +56,7 @@
 }
 
 // newClaim names this attempt as the one that may run the call.
-func (r *work) newClaim(vm platform.VM) (c *wire.Claim, err error) {
+func (r *work) newClaim(vm provider.VM) (c *wire.Claim, err error) {
 	body, err := r.fingerprint()
 	if err != nil {
 		return nil, err
@@ -131,7 +131,7 @@
 
 // replay gives the kept answer of an earlier attempt. Its step is billed under
 // the earlier request, where it merges with whatever bill was made of it.
-func (e *Entry) replay(ctx context.Context, req *work, vm platform.VM, s *wire.Claim, emit func(*wire.Piece) error) (err error) {
+func (e *Entry) replay(ctx context.Context, req *work, vm provider.VM, s *wire.Claim, emit func(*wire.Piece) error) (err error) {
 	ctx, quiet, cancel := listen(ctx)
 	defer cancel()
 	stream, err := e.node.Peers().Gate(ctx, vm.Address).Kept(ctx, &wire.KeptRequest{Request: s.GetRequest(), IdempotencyKey: req.key, Organisation: req.organisation})
--- a/entry/key.go
+++ b/entry/key.go
@@ -8,7 +8,7 @@
 	"github.com/google/uuid"
 	answers "github.com/parsleydeal/parsleydeal/answer"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/refusal"
 )
 
@@ -46,7 +46,7 @@
 // again takes the answer of an attempt that its endpoint has seen before: the
 // caller asks again for a keyed request. An answer that is no longer kept does
 // not end the request, for it may be repeated elsewhere.
-func (e *Entry) again(ctx context.Context, req *work, vm platform.VM, seq *answers.Sequence, emit func(*wire.Piece) error, cause error) (err error) {
+func (e *Entry) again(ctx context.Context, req *work, vm provider.VM, seq *answers.Sequence, emit func(*wire.Piece) error, cause error) (err error) {
 	gone := refusal.New(refusal.EndpointLost, "an earlier answer is no longer kept").WithRun(refusal.Ran)
 	err = e.reattach(ctx, req, vm, seq, emit, gone)
 	if err == gone && ctx.Err() != nil {
--- a/entry/key_test.go
+++ b/entry/key_test.go
@@ -8,7 +8,7 @@
 	"github.com/parsleydeal/parsleydeal/choice"
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/membership"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/table"
 	"github.com/parsleydeal/parsleydeal/view"
 )
@@ -19,18 +19,18 @@
 // the same endpoint, and different keys must spread over the pool.
 func TestKeyedRequestHasOneHome(t *testing.T) {
 	is := is.New(t)
-	var vms []platform.VM
+	var vms []provider.VM
 	for i := range 100 {
-		vms = append(vms, platform.VM{ID: fmt.Sprintf("endpoint-%d", i), Role: platform.EndpointRole, Pool: "p", Zone: "a"})
+		vms = append(vms, provider.VM{ID: fmt.Sprintf("endpoint-%d", i), Role: provider.EndpointRole, Pool: "p", Zone: "a"})
 	}
 	tables := &table.Tables{
 		Versions: map[string]table.Version{"m@1": {}},
 		Pools:    map[string]table.Pool{"p": {Versions: []string{"m@1"}, ColdWindow: 4, FullWindow: 8}},
 	}
-	goes := func(subset []platform.VM, key string) string {
+	goes := func(subset []provider.VM, key string) string {
 		s := membership.New("entry")
 		s.Reduce(event.VMsListed{VMs: vms})
-		v := view.New(tables, 0, 0, s.Members(), false).WithSubsets(map[string][]platform.VM{"p": subset})
+		v := view.New(tables, 0, 0, s.Members(), false).WithSubsets(map[string][]provider.VM{"p": subset})
 		req := &work{id: keyedID("desk", "quick", key, []byte("body")), key: key, version: "m@1", view: v}
 		vm, ok := choice.Endpoint(v, choice.NewInflight(), choice.NewAffinity(), choice.Query{Pools: req.pools(), Home: req.home()})
 		is.True(ok)
--- a/entry/rate.go
+++ b/entry/rate.go
@@ -9,7 +9,7 @@
 	"github.com/parsleydeal/parsleydeal/burn"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/event"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/quality"
 )
 
@@ -29,7 +29,7 @@
 // control. Requests never wait for it.
 type raters struct {
 	sampler *quality.Sampler
-	unsent  chan platform.Sample
+	unsent  chan provider.Sample
 	mu      sync.Mutex
 	// awaited holds at most maxAwaited samples, named by order from the oldest.
 	awaited map[string]event.Rated
@@ -39,7 +39,7 @@
 }
 
 func newRaters() *raters {
-	return &raters{sampler: quality.NewSampler(), unsent: make(chan platform.Sample, maxUnsent), awaited: make(map[string]event.Rated), next: -1}
+	return &raters{sampler: quality.NewSampler(), unsent: make(chan provider.Sample, maxUnsent), awaited: make(map[string]event.Rated), next: -1}
 }
 
 // sampled is the text of an answer that shall be rated.
@@ -62,7 +62,7 @@
 	if s.over || len(req.body) > maxSample {
 		return
 	}
-	sample := platform.Sample{Request: req.id, Route: req.routeName, Version: req.version, Prompt: string(req.body), Answer: s.text.String()}
+	sample := provider.Sample{Request: req.id, Route: req.routeName, Version: req.version, Prompt: string(req.body), Answer: s.text.String()}
 	r.await(req)
 	select {
 	case r.unsent <- sample:
--- a/event/event.go
+++ b/event/event.go
@@ -4,7 +4,7 @@
 import (
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 )
 
 // Event is an input of the reducer.
@@ -21,7 +21,7 @@
 type LogRead struct {
 	Now    clock.Millis
 	Stream string
-	Page   platform.Page
+	Page   provider.Page
 }
 
 // LogFailed tells that a stream could not be read.
@@ -34,7 +34,7 @@
 // VMsListed brings the platform's VM list.
 type VMsListed struct {
 	Now clock.Millis
-	VMs []platform.VM
+	VMs []provider.VM
 }
 
 // DigestReceived brings what a peer knows.
--- a/evidence/judge.go
+++ b/evidence/judge.go
@@ -6,7 +6,7 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/table"
 )
 
@@ -18,7 +18,7 @@
 // they act. All versions of a model have the same ones, since they are compared
 // with each other. Every process computes the same ones from the same VM list; with
 // lists that differ for a while more processes judge, which does no harm.
-func Judges(vms []platform.VM, version string) (out []string) {
+func Judges(vms []provider.VM, version string) (out []string) {
 	model, _, _ := table.SplitVersion(version)
 	type ranked struct {
 		id    string
@@ -26,7 +26,7 @@
 	}
 	var all []ranked
 	for _, v := range vms {
-		if v.Role == platform.EntryRole && !v.Leaving {
+		if v.Role == provider.EntryRole && !v.Leaving {
 			all = append(all, ranked{v.ID, xxhash.Sum64String(v.ID + "/" + model)})
 		}
 	}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -11,7 +11,7 @@
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -148,7 +148,7 @@
 }
 
 func (s *State) leased(e event.AppendDone) {
-	if e.Stream != platform.LeaseStream || e.ID != s.taking {
+	if e.Stream != provider.LeaseStream || e.ID != s.taking {
 		return
 	}
 	s.now = max(s.now, e.Now)
@@ -313,5 +313,5 @@
 	s.number++
 	s.taking = fmt.Sprintf("lease-%d", s.number)
 	s.asked = s.now
-	return []event.Effect{event.Append{Stream: platform.LeaseStream, ID: s.taking, Data: data}}
+	return []event.Effect{event.Append{Stream: provider.LeaseStream, ID: s.taking, Data: data}}
 }
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -12,7 +12,7 @@
 	"github.com/matryer/is"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/event"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"pgregory.net/rapid"
 )
 
@@ -49,11 +49,11 @@
 	case "weights":
 		c.reduce(event.WeightsDone{Now: c.now, Version: f[1]})
 	case "weights-busy":
-		c.reduce(event.WeightsDone{Now: c.now, Version: f[1], Err: platform.ErrBusy.New("rate limit")})
+		c.reduce(event.WeightsDone{Now: c.now, Version: f[1], Err: provider.ErrBusy.New("rate limit")})
 	case "lease":
-		c.reduce(event.AppendDone{Now: c.now, Stream: platform.LeaseStream, ID: c.s.taking, Offset: int64(n)})
+		c.reduce(event.AppendDone{Now: c.now, Stream: provider.LeaseStream, ID: c.s.taking, Offset: int64(n)})
 	case "lease-lost":
-		c.reduce(event.AppendDone{Now: c.now, Stream: platform.LeaseStream, ID: c.s.taking, Err: errors.New("answer lost")})
+		c.reduce(event.AppendDone{Now: c.now, Stream: provider.LeaseStream, ID: c.s.taking, Err: errors.New("answer lost")})
 	default:
 		c.reduce(event.OrderDone{Now: c.now, ID: c.s.number, Outcome: outcomes[f[0]]})
 	}
@@ -92,7 +92,7 @@
 // may be paused for any time and act on what it decided before.
 type fleet struct {
 	checks bool
-	log    []platform.Record
+	log    []provider.Record
 	epochs []uint64
 	// seen is the highest fence that the engine acted on.
 	seen   int64
@@ -129,7 +129,7 @@
 			for _, x := range states[i].Reduce(e, known(i)) {
 				switch x := x.(type) {
 				case event.Append:
-					f.log = append(f.log, platform.Record{Offset: int64(len(f.log)), Data: x.Data})
+					f.log = append(f.log, provider.Record{Offset: int64(len(f.log)), Data: x.Data})
 					offset := int64(len(f.log) - 1)
 					act(i, event.AppendDone{Now: now, Stream: x.Stream, ID: x.ID, Offset: offset})
 				case event.FetchWeights:
@@ -187,7 +187,7 @@
 				var err error
 				if room == 0 {
 					refused++
-					err = platform.ErrBusy.New("rate limit")
+					err = provider.ErrBusy.New("rate limit")
 				} else {
 					room--
 					have++
--- a/membership/member.go
+++ b/membership/member.go
@@ -6,7 +6,7 @@
 
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 )
 
 const (
@@ -34,7 +34,7 @@
 
 // member is what is known of one VM.
 type member struct {
-	vm   platform.VM
+	vm   provider.VM
 	slot *slot
 	// epoch is that of the process believed to run on the VM; 0 before its
 	// first word.
--- a/membership/members.go
+++ b/membership/members.go
@@ -5,18 +5,18 @@
 	"strings"
 
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 )
 
 // Members is an immutable picture of the VMs for traffic. Only the loads in it
 // move on.
 type Members struct {
-	vms       []platform.VM
+	vms       []provider.VM
 	slots     map[string]*slot
 	leaving   map[string]bool
 	suspected map[string]bool
-	byPool    map[string][]platform.VM
-	byZone    map[string][]platform.VM
+	byPool    map[string][]provider.VM
+	byZone    map[string][]provider.VM
 	leavings  []*wire.Leaving
 	words     int
 }
@@ -26,10 +26,10 @@
 // draw makes the lasting part of a picture: who there is and where.
 func (s *State) draw() *Members {
 	m := &Members{
-		vms:    make([]platform.VM, 0, len(s.order)),
+		vms:    make([]provider.VM, 0, len(s.order)),
 		slots:  make(map[string]*slot, len(s.order)),
-		byPool: make(map[string][]platform.VM),
-		byZone: make(map[string][]platform.VM),
+		byPool: make(map[string][]provider.VM),
+		byZone: make(map[string][]provider.VM),
 	}
 	for _, id := range s.order {
 		x := s.vms[id]
@@ -37,7 +37,7 @@
 		m.vms = append(m.vms, v)
 		m.slots[id] = x.slot
 		m.byZone[v.Zone] = append(m.byZone[v.Zone], v)
-		if v.Role == platform.EndpointRole {
+		if v.Role == provider.EndpointRole {
 			m.byPool[v.Pool] = append(m.byPool[v.Pool], v)
 		}
 	}
@@ -78,16 +78,16 @@
 }
 
 // VMs returns all VMs sorted by ID. Callers may not change it.
-func (m *Members) VMs() []platform.VM { return m.vms }
+func (m *Members) VMs() []provider.VM { return m.vms }
 
 // Pool returns the endpoint VMs of a pool sorted by ID, leaving ones included.
-func (m *Members) Pool(name string) []platform.VM { return m.byPool[name] }
+func (m *Members) Pool(name string) []provider.VM { return m.byPool[name] }
 
 // Zone returns the VMs of an availability zone sorted by ID.
-func (m *Members) Zone(name string) []platform.VM { return m.byZone[name] }
+func (m *Members) Zone(name string) []provider.VM { return m.byZone[name] }
 
 // Leaving reports whether the list or the VM itself says that it leaves.
-func (m *Members) Leaving(v platform.VM) bool { return v.Leaving || m.leaving[v.ID] }
+func (m *Members) Leaving(v provider.VM) bool { return v.Leaving || m.leaving[v.ID] }
 
 // Suspected reports whether calls to the VM failed and nothing was heard of it
 // since. Suspicion lapses after a while, so that the VM is tried again.
@@ -109,8 +109,8 @@
 }
 
 // Find returns the VM with an ID.
-func (m *Members) Find(id string) (v platform.VM, ok bool) {
-	i, ok := slices.BinarySearchFunc(m.vms, id, func(v platform.VM, id string) int { return strings.Compare(v.ID, id) })
+func (m *Members) Find(id string) (v provider.VM, ok bool) {
+	i, ok := slices.BinarySearchFunc(m.vms, id, func(v provider.VM, id string) int { return strings.Compare(v.ID, id) })
 	if !ok {
 		return v, false
 	}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -9,7 +9,7 @@
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 )
 
 const (
@@ -125,7 +125,7 @@
 }
 
 // see takes one line of the list.
-func (s *State) see(now clock.Millis, v platform.VM) (changed bool) {
+func (s *State) see(now clock.Millis, v provider.VM) (changed bool) {
 	m := s.vms[v.ID]
 	if m == nil {
 		s.vms[v.ID] = &member{vm: v, slot: &slot{}, heardAt: now}
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -10,7 +10,7 @@
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 )
 
 // Each script tells the story of one failure of the list, of a VM or of a
@@ -58,13 +58,13 @@
 }
 
 // parseVMs reads lines of "id zone address", with "leaving" at the end of some.
-func parseVMs(input string) (vms []platform.VM) {
+func parseVMs(input string) (vms []provider.VM) {
 	for _, line := range strings.Split(strings.TrimSpace(input), "\n") {
 		f := strings.Fields(line)
 		if len(f) < 3 {
 			continue
 		}
-		vms = append(vms, platform.VM{ID: f[0], Role: platform.EndpointRole, Pool: "p", Zone: f[1], Address: f[2], Leaving: len(f) > 3})
+		vms = append(vms, provider.VM{ID: f[0], Role: provider.EndpointRole, Pool: "p", Zone: f[1], Address: f[2], Leaving: len(f) > 3})
 	}
 	return vms
 }
@@ -126,9 +126,9 @@
 
 func large() State {
 	s := New("self")
-	var vms []platform.VM
+	var vms []provider.VM
 	for i := range 1380 {
-		vms = append(vms, platform.VM{ID: fmt.Sprintf("vm-%04d", i), Role: platform.EndpointRole, Pool: fmt.Sprint(i % 13), Zone: fmt.Sprint(i % 12), Address: fmt.Sprint(i)})
+		vms = append(vms, provider.VM{ID: fmt.Sprintf("vm-%04d", i), Role: provider.EndpointRole, Pool: fmt.Sprint(i % 13), Zone: fmt.Sprint(i % 12), Address: fmt.Sprint(i)})
 	}
 	s.Reduce(event.VMsListed{VMs: vms})
 	return s
--- a/membership/poll.go
+++ b/membership/poll.go
@@ -4,7 +4,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/event"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 )
 
 const (
@@ -51,7 +51,7 @@
 }
 
 func (s *State) pollDue(m *member) bool {
-	if m.vm.Role != platform.EndpointRole || m.vm.ID == s.self || m.suspected {
+	if m.vm.Role != provider.EndpointRole || m.vm.ID == s.self || m.suspected {
 		return false
 	}
 	return s.now-m.heardAt >= quietAfter && s.now >= m.pollAt
--- a/node/billing.go
+++ b/node/billing.go
@@ -6,11 +6,11 @@
 	"slices"
 	"sync"
 
+	"github.com/parsleydeal/parsleydeal/batch"
 	"github.com/parsleydeal/parsleydeal/bill"
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/journal"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/refusal"
 )
 
@@ -29,7 +29,7 @@
 // wakes the requests whose bills are safe. Traffic uses it; control does not.
 type Billing struct {
 	n      *Node
-	writer *journal.Writer
+	writer *batch.Writer
 
 	mu     sync.Mutex
 	ledger *bill.Ledger
@@ -41,7 +41,7 @@
 
 func newBilling(n *Node) *Billing {
 	b := &Billing{n: n, ledger: bill.NewLedger(n.cfg.Settings.Zone, bill.DefaultBound), waiters: make(map[string][]chan struct{})}
-	b.writer = journal.NewWriter(n.cfg.Store, platform.BillStream, n.batchPrefix(), 1, n.cfg.Clock, func(ids []string, _ int64) {
+	b.writer = batch.NewWriter(n.cfg.Store, provider.BillStream, n.batchPrefix(), 1, n.cfg.Clock, func(ids []string, _ int64) {
 		b.post(bill.Stored{IDs: ids})
 	})
 	b.measure()
@@ -106,20 +106,20 @@
 }
 
 // place builds the picture of who appends and who holds.
-func (n *Node) place() *journal.Place {
+func (n *Node) place() *batch.Place {
 	s := n.cfg.Settings
-	self := journal.Member{ID: s.VM, Zone: s.Zone, Region: s.Region}
+	self := batch.Member{ID: s.VM, Zone: s.Zone, Region: s.Region}
 	members := n.View().Members()
-	var live []journal.Member
+	var live []batch.Member
 	for _, vm := range members.VMs() {
 		// A suspected process counts as gone. The list shows a loss late or, when
 		// the platform is out, not at all; until then its bills would be alone.
 		if members.Leaving(vm) || members.Suspected(vm.ID) {
 			continue
 		}
-		live = append(live, journal.Member{ID: vm.ID, Zone: vm.Zone, Region: vm.Region, Address: vm.Address, Entry: vm.Role == platform.EntryRole})
+		live = append(live, batch.Member{ID: vm.ID, Zone: vm.Zone, Region: vm.Region, Address: vm.Address, Entry: vm.Role == provider.EntryRole})
 	}
-	return journal.NewPlace(self, live)
+	return batch.NewPlace(self, live)
 }
 
 // Reserve takes a place for a request's bill before its dispatch. The refusal
@@ -223,11 +223,11 @@
 }
 
 func (b *Billing) perform(effects []bill.Effect) {
-	var entries []journal.Entry
+	var entries []batch.Entry
 	for _, f := range effects {
 		switch f := f.(type) {
 		case bill.Append:
-			entries = append(entries, journal.Entry{ID: f.ID, Bill: f.Bill})
+			entries = append(entries, batch.Entry{ID: f.ID, Bill: f.Bill})
 		case bill.Hold:
 			go b.hold(f)
 		case bill.Release:
--- a/node/claim.go
+++ b/node/claim.go
@@ -5,9 +5,9 @@
 	"sync"
 
 	"github.com/joomcode/errorx"
+	"github.com/parsleydeal/parsleydeal/batch"
 	"github.com/parsleydeal/parsleydeal/claim"
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/journal"
 	"github.com/parsleydeal/parsleydeal/peer"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 )
@@ -62,7 +62,7 @@
 }
 
 // lastPlace returns the picture of who appends as of the last round of billing.
-func (n *Node) lastPlace() *journal.Place {
+func (n *Node) lastPlace() *batch.Place {
 	if p := n.placed.Load(); p != nil {
 		return p
 	}
--- a/node/handle.go
+++ b/node/handle.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/parsleydeal/parsleydeal/event"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 )
 
 // SetHandler gives the function that carries out the endpoint's own effects. It
@@ -10,7 +10,7 @@
 func (n *Node) SetHandler(f func(event.Effect)) { n.handler.Store(&f) }
 
 // Weights returns the platform's weight store.
-func (n *Node) Weights() platform.WeightStore { return n.cfg.Weights }
+func (n *Node) Weights() provider.WeightStore { return n.cfg.Weights }
 
 func (n *Node) handle(e event.Effect) {
 	if f := n.handler.Load(); f != nil {
--- a/node/holds.go
+++ b/node/holds.go
@@ -7,7 +7,7 @@
 	"github.com/joomcode/errorx"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/event"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 )
 
 // gateHoldsEvery is the span between two readings of the holds by a gate, which
@@ -21,17 +21,17 @@
 func (n *Node) tailHolds(ctx context.Context) {
 	from := int64(0)
 	for ctx.Err() == nil {
-		page, err := n.cfg.Store.Read(ctx, platform.HoldStream, from, logWait)
-		if errorx.IsOfType(err, platform.ErrExpired) {
-			page, err = n.cfg.Store.Read(ctx, platform.HoldStream, math.MaxInt64, 0)
+		page, err := n.cfg.Store.Read(ctx, provider.HoldStream, from, logWait)
+		if errorx.IsOfType(err, provider.ErrExpired) {
+			page, err = n.cfg.Store.Read(ctx, provider.HoldStream, math.MaxInt64, 0)
 			from = max(from, page.First)
 		}
 		if err != nil {
-			n.loop.Post(ctx, event.LogFailed{Now: n.cfg.Clock.Now(), Stream: platform.HoldStream, Err: err})
+			n.loop.Post(ctx, event.LogFailed{Now: n.cfg.Clock.Now(), Stream: provider.HoldStream, Err: err})
 			clock.Pause(ctx, logRetry)
 			continue
 		}
-		n.loop.Post(ctx, event.LogRead{Now: n.cfg.Clock.Now(), Stream: platform.HoldStream, Page: page})
+		n.loop.Post(ctx, event.LogRead{Now: n.cfg.Clock.Now(), Stream: provider.HoldStream, Page: page})
 		if k := len(page.Records); k > 0 {
 			from = page.Records[k-1].Offset + 1
 		}
--- a/node/holds_test.go
+++ b/node/holds_test.go
@@ -10,7 +10,7 @@
 	"github.com/matryer/is"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/rollout"
 )
 
@@ -21,17 +21,17 @@
 	is := is.New(t)
 	data, err := rollout.Encode(&wire.Hold{Version: "m@2"})
 	is.NoErr(err)
-	read := func(_ context.Context, _ string, from int64, _ clock.Millis) (p platform.Page, err error) {
+	read := func(_ context.Context, _ string, from int64, _ clock.Millis) (p provider.Page, err error) {
 		if from < 7 {
-			return p, platform.ErrExpired.New("records no longer kept")
+			return p, provider.ErrExpired.New("records no longer kept")
 		}
-		p = platform.Page{First: 7, Head: 8}
+		p = provider.Page{First: 7, Head: 8}
 		if from == 7 {
-			p.Records = []platform.Record{{Offset: 7, Data: data}}
+			p.Records = []provider.Record{{Offset: 7, Data: data}}
 		}
 		return p, nil
 	}
-	n := New(Config{Clock: clock.System(), Log: log.New(io.Discard), Store: platform.Log{Read: read}})
+	n := New(Config{Clock: clock.System(), Log: log.New(io.Discard), Store: provider.Log{Read: read}})
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go n.loop.Run(ctx)
--- a/node/inherit.go
+++ b/node/inherit.go
@@ -6,7 +6,7 @@
 	"github.com/joomcode/errorx"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/spread"
 )
 
@@ -34,9 +34,9 @@
 // that one that vanishes loses nothing; whoever merges counts a life once.
 func (n *Node) Hand(ctx context.Context, lives [][]byte) (err error) {
 	m := n.View().Members()
-	var able []platform.VM
+	var able []provider.VM
 	for _, v := range m.VMs() {
-		if v.Role == platform.EntryRole && v.ID != n.cfg.Settings.VM && !m.Leaving(v) && !m.Suspected(v.ID) {
+		if v.Role == provider.EntryRole && v.ID != n.cfg.Settings.VM && !m.Leaving(v) && !m.Suspected(v.ID) {
 			able = append(able, v)
 		}
 	}
@@ -50,7 +50,7 @@
 	return err
 }
 
-func (n *Node) hand(ctx context.Context, v platform.VM, life []byte) (err error) {
+func (n *Node) hand(ctx context.Context, v provider.VM, life []byte) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, handTimeout.Duration())
 	defer cancel()
 	_, err = n.cfg.Peers.Peer(ctx, v.Address).Inherit(ctx, &wire.InheritRequest{Life: life})
--- a/node/leave_test.go
+++ b/node/leave_test.go
@@ -11,21 +11,21 @@
 	"github.com/matryer/is"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/peer"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/settings"
 )
 
 // startNode runs a node without a log, which serves peers on a listener.
-func startNode(ctx context.Context, t *testing.T, lis net.Listener, vm string, vms func() []platform.VM) *Node {
+func startNode(ctx context.Context, t *testing.T, lis net.Listener, vm string, vms func() []provider.VM) *Node {
 	t.Helper()
 	s := settings.Default()
 	s.VM, s.Zone, s.VMListEvery = vm, "zone-"+vm, 20
 	n := New(Config{
 		Settings: s, Clock: clock.System(), Log: log.New(io.Discard), Peers: peer.NewPool(),
-		Store: platform.Log{Read: func(_ context.Context, _ string, _ int64, _ clock.Millis) (p platform.Page, err error) {
-			return p, platform.ErrUnavailable.New("out")
+		Store: provider.Log{Read: func(_ context.Context, _ string, _ int64, _ clock.Millis) (p provider.Page, err error) {
+			return p, provider.ErrUnavailable.New("out")
 		}},
-		VMs: platform.VMList{List: func(context.Context) ([]platform.VM, error) { return vms(), nil }},
+		VMs: provider.VMList{List: func(context.Context) ([]provider.VM, error) { return vms(), nil }},
 	})
 	n.Start(ctx)
 	go func() { _ = peer.Serve(ctx, lis, n, nil) }()
@@ -36,15 +36,15 @@
 // not hear of it would send it work until the lagging VM list has caught up.
 func TestStopIsToldBeforeTheEnd(t *testing.T) {
 	is := is.New(t)
-	var vms []platform.VM
+	var vms []provider.VM
 	var listeners []net.Listener
 	for _, id := range []string{"a", "b"} {
 		lis, err := net.Listen("tcp", "127.0.0.1:0")
 		is.NoErr(err)
 		listeners = append(listeners, lis)
-		vms = append(vms, platform.VM{ID: id, Role: platform.EntryRole, Zone: "zone-" + id, Address: lis.Addr().String()})
+		vms = append(vms, provider.VM{ID: id, Role: provider.EntryRole, Zone: "zone-" + id, Address: lis.Addr().String()})
 	}
-	list := func() []platform.VM { return vms }
+	list := func() []provider.VM { return vms }
 	ctx, end := context.WithCancel(t.Context())
 	leaver := startNode(ctx, t, listeners[0], "a", list)
 	other := startNode(t.Context(), t, listeners[1], "b", list)
--- a/node/node.go
+++ b/node/node.go
@@ -11,14 +11,14 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 	"github.com/joomcode/errorx"
+	"github.com/parsleydeal/parsleydeal/batch"
 	"github.com/parsleydeal/parsleydeal/claim"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/control"
 	"github.com/parsleydeal/parsleydeal/event"
-	"github.com/parsleydeal/parsleydeal/journal"
 	"github.com/parsleydeal/parsleydeal/peer"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/settings"
 	"github.com/parsleydeal/parsleydeal/view"
 )
@@ -36,10 +36,10 @@
 	Settings settings.Settings
 	Clock    clock.Clock
 	Log      *log.Logger
-	Store    platform.Log
-	VMs      platform.VMList
-	Rater    platform.Rater
-	Weights  platform.WeightStore
+	Store    provider.Log
+	VMs      provider.VMList
+	Rater    provider.Rater
+	Weights  provider.WeightStore
 	Peers    *peer.Pool
 }
 
@@ -73,11 +73,11 @@
 	metrics *metrics.Set
 	reports atomic.Pointer[ReportFunc]
 	billing *Billing
-	placed  atomic.Pointer[journal.Place]
+	placed  atomic.Pointer[batch.Place]
 	claims  claims
 }
 
-var errAppendsFull = platform.ErrBusy.New("too many appends under way")
+var errAppendsFull = provider.ErrBusy.New("too many appends under way")
 
 // New makes a node; Start runs it.
 func New(cfg Config) *Node {
@@ -105,10 +105,10 @@
 func (n *Node) Settings() settings.Settings { return n.cfg.Settings }
 
 // Store returns the platform's log.
-func (n *Node) Store() platform.Log { return n.cfg.Store }
+func (n *Node) Store() provider.Log { return n.cfg.Store }
 
 // Rater returns the platform's rater.
-func (n *Node) Rater() platform.Rater { return n.cfg.Rater }
+func (n *Node) Rater() provider.Rater { return n.cfg.Rater }
 
 // Log returns the process's logger.
 func (n *Node) Log() *log.Logger { return n.cfg.Log }
@@ -155,7 +155,7 @@
 func (n *Node) tail(ctx context.Context, stream string) {
 	from, restarts := int64(0), 0
 	for ctx.Err() == nil {
-		if stream == platform.ConfigStream {
+		if stream == provider.ConfigStream {
 			t := n.View().Tail()
 			if t.Restarts() != restarts {
 				from, restarts = t.End(), t.Restarts()
@@ -179,10 +179,10 @@
 // read reads a page. When the log no longer keeps the offset the page has no
 // records but tells where the log now begins: a reader that asked for the lost
 // records again and again would never start.
-func (n *Node) read(ctx context.Context, stream string, from int64) (page platform.Page, err error) {
+func (n *Node) read(ctx context.Context, stream string, from int64) (page provider.Page, err error) {
 	const beyondHead = int64(1) << 62
 	page, err = n.cfg.Store.Read(ctx, stream, from, logWait)
-	if errorx.IsOfType(err, platform.ErrExpired) {
+	if errorx.IsOfType(err, provider.ErrExpired) {
 		page, err = n.cfg.Store.Read(ctx, stream, beyondHead, 0)
 	}
 	return page, err
--- a/operations/operations_test.go
+++ b/operations/operations_test.go
@@ -17,7 +17,7 @@
 	"github.com/parsleydeal/parsleydeal/node"
 	"github.com/parsleydeal/parsleydeal/operations"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/settings"
 )
 
@@ -70,8 +70,8 @@
 	status, body := f.get(t, "/readyz")
 	is.Equal(status, http.StatusServiceUnavailable)
 	is.True(strings.Contains(body, "no tables yet"))
-	page := platform.Page{Head: 1, Records: []platform.Record{{Offset: 0, Data: []byte(tables)}}}
-	f.node.Loop().Post(t.Context(), event.LogRead{Stream: platform.ConfigStream, Page: page})
+	page := provider.Page{Head: 1, Records: []provider.Record{{Offset: 0, Data: []byte(tables)}}}
+	f.node.Loop().Post(t.Context(), event.LogRead{Stream: provider.ConfigStream, Page: page})
 	until(t, func() bool { status, _ := f.get(t, "/readyz"); return status == http.StatusOK })
 	leaving := false
 	f.port.SetLeaving(func() bool { return leaving })
@@ -90,8 +90,8 @@
 	f := newFixture(t)
 	f.port.Add(operations.Section{Name: "window", Read: func() any { return 3 }})
 	f.port.Add(operations.Section{Name: "window", Read: func() any { return 4 }})
-	page := platform.Page{Head: 1, Records: []platform.Record{{Offset: 0, Data: []byte(tables)}}}
-	f.node.Loop().Post(t.Context(), event.LogRead{Stream: platform.ConfigStream, Page: page})
+	page := provider.Page{Head: 1, Records: []provider.Record{{Offset: 0, Data: []byte(tables)}}}
+	f.node.Loop().Post(t.Context(), event.LogRead{Stream: provider.ConfigStream, Page: page})
 	until(t, func() bool { return f.node.View().Revision() == 0 })
 	status, body := f.get(t, "/status")
 	is.Equal(status, http.StatusOK)
--- a/operations/status.go
+++ b/operations/status.go
@@ -5,7 +5,7 @@
 	"maps"
 	"slices"
 
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/table"
 	"github.com/parsleydeal/parsleydeal/view"
 )
@@ -86,9 +86,9 @@
 	m.Suspected = []string{}
 	for _, vm := range v.Members().VMs() {
 		switch vm.Role {
-		case platform.EntryRole:
+		case provider.EntryRole:
 			m.Entries++
-		case platform.EndpointRole:
+		case provider.EndpointRole:
 			m.Endpoints++
 		}
 		if v.Members().Leaving(vm) {
--- a/proof/claim_test.go
+++ b/proof/claim_test.go
@@ -7,7 +7,7 @@
 	"github.com/parsleydeal/parsleydeal/answer"
 	"github.com/parsleydeal/parsleydeal/claim"
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/journal"
+	"github.com/parsleydeal/parsleydeal/batch"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/refusal"
 	"pgregory.net/rapid"
@@ -33,7 +33,7 @@
 // keeper is a process that makes claims: the real batcher and the real state.
 type keeper struct {
 	c        *calls
-	batcher  *journal.Batcher
+	batcher  *batch.Batcher
 	state    *claim.State
 	waiting  map[string]func(offset int64)
 	pausedTo clock.Millis
@@ -71,7 +71,7 @@
 // boot starts an entry, in the place of the one that was there.
 func (c *calls) boot(i int) {
 	c.n++
-	k := &keeper{c: c, batcher: journal.NewBatcher(fmt.Sprintf("entry-%d", c.n), 20), state: claim.NewState(0, claim.MaxKeys), waiting: make(map[string]func(int64))}
+	k := &keeper{c: c, batcher: batch.NewBatcher(fmt.Sprintf("entry-%d", c.n), 20), state: claim.NewState(0, claim.MaxKeys), waiting: make(map[string]func(int64))}
 	if i == len(c.keepers) {
 		c.keepers = append(c.keepers, k)
 	} else {
@@ -104,34 +104,34 @@
 	if !k.alive() {
 		return
 	}
-	k.do(func() { k.post(journal.Tick{Now: k.c.now}) })
+	k.do(func() { k.post(batch.Tick{Now: k.c.now}) })
 	k.c.after(200, k.tick)
 }
 
-func (k *keeper) post(e journal.Event) {
+func (k *keeper) post(e batch.Event) {
 	c := k.c
 	for _, x := range k.batcher.Reduce(e) {
 		switch x := x.(type) {
-		case journal.Append:
-			data, err := journal.Encode(x.Batch, x.Entries)
+		case batch.Append:
+			data, err := batch.Encode(x.Batch, x.Entries)
 			if err != nil {
 				panic(err)
 			}
 			c.append(claimStream, data, func(offset int64, unknown bool) {
 				k.do(func() {
 					if offset >= 0 {
-						k.post(journal.Appended{Now: c.now, Batch: x.Batch, Offset: offset})
+						k.post(batch.Appended{Now: c.now, Batch: x.Batch, Offset: offset})
 						return
 					}
-					k.post(journal.Failed{Now: c.now, Batch: x.Batch, Unknown: unknown})
+					k.post(batch.Failed{Now: c.now, Batch: x.Batch, Unknown: unknown})
 				})
 			})
-		case journal.Scan:
+		case batch.Scan:
 			c.after(c.delay(30), func() {
 				page, err := c.read(claimStream, x.From)
-				k.do(func() { k.post(journal.Scanned{Now: c.now, Page: page, Err: err}) })
+				k.do(func() { k.post(batch.Scanned{Now: c.now, Page: page, Err: err}) })
 			})
-		case journal.Done:
+		case batch.Done:
 			for _, id := range x.IDs {
 				if f := k.waiting[id]; f != nil {
 					delete(k.waiting, id)
@@ -172,7 +172,7 @@
 	}
 	id := fmt.Sprintf("%s/%d/%d", r.id, r.attempt, x.GetRound())
 	k.waiting[id] = func(offset int64) { r.look(x, offset) }
-	k.post(journal.Add{Now: k.c.now, Entries: []journal.Entry{{ID: id, Claim: x}}})
+	k.post(batch.Add{Now: k.c.now, Entries: []batch.Entry{{ID: id, Claim: x}}})
 }
 
 // look reads the log past the claim and sees what stands.
@@ -346,7 +346,7 @@
 		for o := range rapid.IntRange(1, 200).Draw(t, "claims") {
 			key := fmt.Sprint(rapid.IntRange(0, 30).Draw(t, "key"))
 			rounds[key]++
-			data, err := journal.Encode("b", []journal.Entry{{Claim: &wire.Claim{Key: []byte(key), Round: rounds[key]}}})
+			data, err := batch.Encode("b", []batch.Entry{{Claim: &wire.Claim{Key: []byte(key), Round: rounds[key]}}})
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/proof/config_test.go
+++ b/proof/config_test.go
@@ -9,7 +9,7 @@
 	"github.com/parsleydeal/parsleydeal/checkpoint"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/event"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/table"
 	"pgregory.net/rapid"
 )
@@ -162,16 +162,16 @@
 // pass lets time go by in the minutes of the checkpoint reducers, with all
 // processes reading, and expires what is too old.
 func (c *configs) pass(minutes int) {
-	var vms []platform.VM
+	var vms []provider.VM
 	for _, r := range c.readers {
-		vms = append(vms, platform.VM{ID: r.name, Role: platform.EntryRole})
+		vms = append(vms, provider.VM{ID: r.name, Role: provider.EntryRole})
 	}
 	for range minutes {
 		c.now += clock.Minute
 		for _, r := range c.readers {
 			c.read(r, 1000)
 			r.saves.Reduce(event.VMsListed{VMs: vms}, &r.tables)
-			r.saves.Reduce(event.LogRead{Stream: platform.ConfigStream, Page: platform.Page{First: c.first}}, &r.tables)
+			r.saves.Reduce(event.LogRead{Stream: provider.ConfigStream, Page: provider.Page{First: c.first}}, &r.tables)
 			for _, e := range r.saves.Reduce(event.Tick{Now: c.now}, &r.tables) {
 				// A change may land between a process's last read and its checkpoint.
 				if !c.quiet && rapid.IntRange(0, 2).Draw(c.t, "race") == 0 {
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -9,9 +9,9 @@
 
 	"github.com/parsleydeal/parsleydeal/bill"
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/journal"
+	"github.com/parsleydeal/parsleydeal/batch"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 )
 
 const (
@@ -103,14 +103,14 @@
 	})
 }
 
-func (w *world) read(stream string, from int64) (p platform.Page, err error) {
+func (w *world) read(stream string, from int64) (p provider.Page, err error) {
 	if w.down {
-		return p, platform.ErrUnavailable.New("down")
+		return p, provider.ErrUnavailable.New("down")
 	}
 	all := w.streams[stream]
 	p.Head = int64(len(all))
 	for o := from; o < p.Head && len(p.Records) < 50; o++ {
-		p.Records = append(p.Records, platform.Record{Offset: o, Data: all[o]})
+		p.Records = append(p.Records, provider.Record{Offset: o, Data: all[o]})
 	}
 	return p, nil
 }
@@ -118,9 +118,9 @@
 // process is one node's ledger and journal.
 type process struct {
 	f       *fleet
-	m       journal.Member
+	m       batch.Member
 	ledger  *bill.Ledger
-	batcher *journal.Batcher
+	batcher *batch.Batcher
 	up      bool
 	leaving bool
 	lostAt  clock.Millis
@@ -169,9 +169,9 @@
 func (f *fleet) start(zone string) {
 	f.starts++
 	id := fmt.Sprintf("vm-%d", f.starts)
-	p := &process{f: f, m: journal.Member{ID: id, Zone: zone, Region: "r", Entry: true}, up: true}
+	p := &process{f: f, m: batch.Member{ID: id, Zone: zone, Region: "r", Entry: true}, up: true}
 	p.ledger = bill.NewLedger(zone, f.bound)
-	p.batcher = journal.NewBatcher(id, 1)
+	p.batcher = batch.NewBatcher(id, 1)
 	f.procs = append(f.procs, p)
 	p.place()
 }
@@ -182,15 +182,15 @@
 		return
 	}
 	p.do(func() {
-		place := journal.NewPlace(p.m, p.f.listed())
-		p.journal(journal.Share{Now: p.f.now, Rate: place.Rate()})
+		place := batch.NewPlace(p.m, p.f.listed())
+		p.journal(batch.Share{Now: p.f.now, Rate: place.Rate()})
 		p.post(bill.Placed{Now: p.f.now, Place: place})
 	})
 	p.f.after(placeEvery, p.place)
 }
 
 // listed is what the lagging VM list shows.
-func (f *fleet) listed() (members []journal.Member) {
+func (f *fleet) listed() (members []batch.Member) {
 	for _, p := range f.procs {
 		if p.up && !p.leaving {
 			members = append(members, p.m)
@@ -212,9 +212,9 @@
 	for _, x := range p.ledger.Reduce(e) {
 		switch x := x.(type) {
 		case bill.Append:
-			p.journal(journal.Add{Now: p.f.now, Entries: []journal.Entry{{ID: x.ID, Bill: x.Bill}}})
+			p.journal(batch.Add{Now: p.f.now, Entries: []batch.Entry{{ID: x.ID, Bill: x.Bill}}})
 		case bill.Withdraw:
-			p.journal(journal.Drop{IDs: x.IDs})
+			p.journal(batch.Drop{IDs: x.IDs})
 		case bill.Hold:
 			p.hold(x)
 		case bill.Release:
@@ -252,30 +252,30 @@
 	f.after(bill.HoldLimit, func() { answer(false) })
 }
 
-func (p *process) journal(e journal.Event) {
+func (p *process) journal(e batch.Event) {
 	f := p.f
 	for _, x := range p.batcher.Reduce(e) {
 		switch x := x.(type) {
-		case journal.Append:
-			data, err := journal.Encode(x.Batch, x.Entries)
+		case batch.Append:
+			data, err := batch.Encode(x.Batch, x.Entries)
 			if err != nil {
 				panic(err)
 			}
-			f.append(platform.BillStream, data, func(offset int64, unknown bool) {
+			f.append(provider.BillStream, data, func(offset int64, unknown bool) {
 				p.do(func() {
 					if offset >= 0 {
-						p.journal(journal.Appended{Now: f.now, Batch: x.Batch, Offset: offset})
+						p.journal(batch.Appended{Now: f.now, Batch: x.Batch, Offset: offset})
 						return
 					}
-					p.journal(journal.Failed{Now: f.now, Batch: x.Batch, Unknown: unknown})
+					p.journal(batch.Failed{Now: f.now, Batch: x.Batch, Unknown: unknown})
 				})
 			})
-		case journal.Scan:
+		case batch.Scan:
 			f.after(f.delay(30), func() {
-				page, err := f.read(platform.BillStream, x.From)
-				p.do(func() { p.journal(journal.Scanned{Now: f.now, Page: page, Err: err}) })
+				page, err := f.read(provider.BillStream, x.From)
+				p.do(func() { p.journal(batch.Scanned{Now: f.now, Page: page, Err: err}) })
 			})
-		case journal.Done:
+		case batch.Done:
 			p.post(bill.Stored{IDs: x.IDs})
 		}
 	}
@@ -304,7 +304,7 @@
 func (p *process) keeps(request string) bool { return p.ledger.Keeps(request) }
 
 func (f *fleet) onLog(request string) bool {
-	for _, data := range f.streams[platform.BillStream] {
+	for _, data := range f.streams[provider.BillStream] {
 		bills, err := bill.Decode(data)
 		if err != nil {
 			continue
@@ -353,7 +353,7 @@
 // looked at when the log has been up for a while.
 func (f *fleet) check() (repeats int64) {
 	s := bill.NewStatement()
-	for o, data := range f.streams[platform.BillStream] {
+	for o, data := range f.streams[provider.BillStream] {
 		s.Add(int64(o), data)
 	}
 	s.Finish(nil)
--- a/platform/http_test.go
+++ b/provider/http_test.go
@@ -1,4 +1,4 @@
-package platform
+package provider
 
 import (
 	"net/http"
--- a/platform/platform.go
+++ b/provider/provider.go
@@ -1,7 +1,7 @@
-// Package platform holds the clients of the platform's services: the log, the
+// Package provider holds the clients of the platform's services: the log, the
 // VM list, the weight store and the rater. Each is a struct of functions, so
 // that a site's own protocol replaces one adapter and nothing else.
-package platform
+package provider
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 )
 
 // Errors is the namespace of this package's errors.
-var Errors = errorx.NewNamespace("platform")
+var Errors = errorx.NewNamespace("provider")
 
 // Kinds of errors.
 var (
--- a/rollout/state.go
+++ b/rollout/state.go
@@ -8,7 +8,7 @@
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/evidence"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/table"
 	"google.golang.org/protobuf/proto"
 )
@@ -51,7 +51,7 @@
 	Self   string
 	Now    clock.Millis
 	Tables *table.Tables
-	VMs    []platform.VM
+	VMs    []provider.VM
 }
 
 type tests [signals]Test
@@ -139,7 +139,7 @@
 func (s *State) Reduce(e event.Event, deltas []evidence.Delta, known Known) (effects []event.Effect, changed bool) {
 	switch e := e.(type) {
 	case event.LogRead:
-		if e.Stream == platform.HoldStream {
+		if e.Stream == provider.HoldStream {
 			effects, changed = s.read(e, known)
 		}
 	case event.DigestReceived:
@@ -226,7 +226,7 @@
 }
 
 func (s *State) appended(e event.AppendDone, known Known) {
-	if e.Stream != platform.HoldStream || e.Err == nil {
+	if e.Stream != provider.HoldStream || e.Err == nil {
 		return
 	}
 	for scope, p := range s.pending {
--- a/rollout/state_test.go
+++ b/rollout/state_test.go
@@ -9,7 +9,7 @@
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/evidence"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/table"
 )
 
@@ -23,7 +23,7 @@
 }
 
 func known(self string, now clock.Millis, t *table.Tables) Known {
-	vms := []platform.VM{{ID: "a", Role: platform.EntryRole}, {ID: "b", Role: platform.EntryRole}}
+	vms := []provider.VM{{ID: "a", Role: provider.EntryRole}, {ID: "b", Role: provider.EntryRole}}
 	return Known{Self: self, Now: now, Tables: t, VMs: vms}
 }
 
@@ -41,9 +41,9 @@
 }
 
 func page(data ...[]byte) event.LogRead {
-	e := event.LogRead{Stream: platform.HoldStream}
+	e := event.LogRead{Stream: provider.HoldStream}
 	for i, d := range data {
-		e.Page.Records = append(e.Page.Records, platform.Record{Offset: int64(i), Data: d})
+		e.Page.Records = append(e.Page.Records, provider.Record{Offset: int64(i), Data: d})
 	}
 	return e
 }
@@ -97,7 +97,7 @@
 
 	s = NewState()
 	effects, _ = s.Reduce(event.Observed{}, seen("m@2", "o", bad), known(first, 0, tables(0)))
-	done := event.AppendDone{Stream: platform.HoldStream, ID: appends(effects)[0].ID, Err: errors.New("log is down")}
+	done := event.AppendDone{Stream: provider.HoldStream, ID: appends(effects)[0].ID, Err: errors.New("log is down")}
 	s.Reduce(done, nil, known(first, 100, tables(0)))
 	effects, _ = s.Reduce(event.Tick{}, nil, known(first, 100+retryEvery, tables(0)))
 	is.Equal(len(appends(effects)), 1)
--- a/rollout/turn.go
+++ b/rollout/turn.go
@@ -9,7 +9,7 @@
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/evidence"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 )
 
 // tick appends pending holds when it is this process's turn, and renews logged
@@ -72,7 +72,7 @@
 	if err != nil {
 		return event.Report{Message: "Hold not encoded", Fields: []any{"reason", err}}
 	}
-	return event.Append{Stream: platform.HoldStream, ID: scope.ID(h.GetReleased()), Data: data}
+	return event.Append{Stream: provider.HoldStream, ID: scope.ID(h.GetReleased()), Data: data}
 }
 
 func report(message string, h *wire.Hold) event.Report {
--- a/spread/counts.go
+++ b/spread/counts.go
@@ -10,7 +10,7 @@
 	"github.com/parsleydeal/parsleydeal/evidence"
 	"github.com/parsleydeal/parsleydeal/membership"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/table"
 )
 
@@ -50,7 +50,7 @@
 
 // plan is who judges a model and how often this process tells them.
 type plan struct {
-	judges []platform.VM
+	judges []provider.VM
 	every  clock.Millis
 }
 
@@ -128,9 +128,9 @@
 	return p
 }
 
-func entriesOf(m *membership.Members) (out []platform.VM) {
+func entriesOf(m *membership.Members) (out []provider.VM) {
 	for _, v := range m.VMs() {
-		if v.Role == platform.EntryRole && !v.Leaving {
+		if v.Role == provider.EntryRole && !v.Leaving {
 			out = append(out, v)
 		}
 	}
--- a/spread/peers.go
+++ b/spread/peers.go
@@ -8,7 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/membership"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 )
 
 const (
@@ -23,8 +23,8 @@
 )
 
 // First returns the best n VMs for a duty in rendezvous order.
-func First(duty string, n int, vms []platform.VM) []platform.VM {
-	best := make([]platform.VM, 0, n+1)
+func First(duty string, n int, vms []provider.VM) []provider.VM {
+	best := make([]provider.VM, 0, n+1)
 	scores := make([]uint64, 0, n+1)
 	for _, v := range vms {
 		score := xxhash.Sum64String(duty + "/" + v.ID)
@@ -43,7 +43,7 @@
 
 // fit returns the VMs that may carry a duty: neither leaving nor suspected. The
 // process never suspects itself.
-func fit(m *membership.Members, vms []platform.VM) (out []platform.VM) {
+func fit(m *membership.Members, vms []provider.VM) (out []provider.VM) {
 	for _, v := range vms {
 		if !m.Leaving(v) && !m.Suspected(v.ID) {
 			out = append(out, v)
@@ -55,9 +55,9 @@
 // endpointsFirst leaves the entries out where there are endpoints enough: an
 // entry may have versions to judge, and both duties together would take it over
 // its share of the network.
-func endpointsFirst(vms []platform.VM) (out []platform.VM) {
+func endpointsFirst(vms []provider.VM) (out []provider.VM) {
 	for _, v := range vms {
-		if v.Role == platform.EndpointRole {
+		if v.Role == provider.EndpointRole {
 			out = append(out, v)
 		}
 	}
@@ -71,7 +71,7 @@
 // zone calls them in turn, so that a reader that is gone is suspected by the
 // next in rank, which then reads in its place; when it answers again, the duty
 // goes back.
-func (s *State) readers(m *membership.Members) []platform.VM {
+func (s *State) readers(m *membership.Members) []provider.VM {
 	if s.ranked != m {
 		s.ranked = m
 		s.rank = First("read-config", readersPerZone, endpointsFirst(fit(m, m.Zone(s.zone))))
@@ -83,18 +83,18 @@
 func (s *State) follow(m *membership.Members) (effects []event.Effect) {
 	on := !s.started || len(m.VMs()) <= smallSite
 	if !on {
-		on = slices.ContainsFunc(s.readers(m), func(v platform.VM) bool { return v.ID == s.self })
+		on = slices.ContainsFunc(s.readers(m), func(v provider.VM) bool { return v.ID == s.self })
 	}
 	if on == s.following && s.followed {
 		return nil
 	}
 	s.following, s.followed = on, true
-	return []event.Effect{event.Follow{Stream: platform.ConfigStream, On: on}}
+	return []event.Effect{event.Follow{Stream: provider.ConfigStream, On: on}}
 }
 
 // next chooses the peer of the next exchange. While starting, other zones come
 // first: a parted zone would agree with itself.
-func (s *State) next(m *membership.Members) (v platform.VM, ok bool) {
+func (s *State) next(m *membership.Members) (v provider.VM, ok bool) {
 	seed := s.asks
 	switch {
 	case !s.started && seed%2 == 1:
@@ -116,8 +116,8 @@
 }
 
 // near draws a peer of the own zone, or any when the zone has no other.
-func (s *State) near(seed uint64, m *membership.Members) (v platform.VM, ok bool) {
-	anyone := func(platform.VM) bool { return true }
+func (s *State) near(seed uint64, m *membership.Members) (v provider.VM, ok bool) {
+	anyone := func(provider.VM) bool { return true }
 	if v, ok = s.pick(seed, anyone, m.Zone(s.zone), m); ok {
 		return v, true
 	}
@@ -125,14 +125,14 @@
 }
 
 // away draws a peer of another zone, or any when there is none.
-func (s *State) away(seed uint64, m *membership.Members) (v platform.VM, ok bool) {
-	return s.pick(seed, func(v platform.VM) bool { return v.Zone != s.zone }, m.VMs(), m)
+func (s *State) away(seed uint64, m *membership.Members) (v provider.VM, ok bool) {
+	return s.pick(seed, func(v provider.VM) bool { return v.Zone != s.zone }, m.VMs(), m)
 }
 
 // pick draws a peer by hash among those wanted, trying a few times, and falls
 // back on any other. A suspected peer is drawn only when there is no other, so
 // that two parted halves find each other again.
-func (s *State) pick(seed uint64, wanted func(platform.VM) bool, vms []platform.VM, m *membership.Members) (v platform.VM, ok bool) {
+func (s *State) pick(seed uint64, wanted func(provider.VM) bool, vms []provider.VM, m *membership.Members) (v provider.VM, ok bool) {
 	const tries = 12
 	best := 0
 	for try := range uint64(tries) {
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -12,7 +12,7 @@
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/membership"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/rollout"
 )
 
@@ -73,7 +73,7 @@
 	fetching   string
 	fetchUntil clock.Millis
 	// rank holds the readers among the members ranked.
-	rank   []platform.VM
+	rank   []provider.VM
 	ranked *membership.Members
 	// holds is Local.Holds as of the last event.
 	holds *rollout.Holds
@@ -146,7 +146,7 @@
 // process has reduced was cut short: the process stays where it is and confirms
 // nothing by it.
 func (s *State) read(e event.LogRead) {
-	if e.Stream != platform.ConfigStream {
+	if e.Stream != provider.ConfigStream {
 		return
 	}
 	s.now = e.Now
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 )
 
 // maxRecordBytes bounds one record of the log.
@@ -21,11 +21,11 @@
 type Platform struct {
 	mu      sync.Mutex
 	streams map[string]*stream
-	vms     []platform.VM
+	vms     []provider.VM
 	faults  Faults
 	// qualities are the true qualities by version, which the rater knows.
 	qualities map[string]float64
-	ratings   []platform.Rating
+	ratings   []provider.Rating
 	weights   map[string]int
 }
 
@@ -54,7 +54,7 @@
 }
 
 // SetVMs replaces the VM list.
-func (p *Platform) SetVMs(vms []platform.VM) {
+func (p *Platform) SetVMs(vms []provider.VM) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.vms = vms
@@ -184,14 +184,14 @@
 	reply(w, page)
 }
 
-func (p *Platform) page(name string, from int64) (page platform.Page, grown chan struct{}) {
+func (p *Platform) page(name string, from int64) (page provider.Page, grown chan struct{}) {
 	const most = 500
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.stream(name)
-	page = platform.Page{First: s.first, Head: s.first + int64(len(s.records))}
+	page = provider.Page{First: s.first, Head: s.first + int64(len(s.records))}
 	for o := max(from, s.first); o < page.Head && len(page.Records) < most; o++ {
-		page.Records = append(page.Records, platform.Record{Offset: o, Data: s.records[o-s.first]})
+		page.Records = append(page.Records, provider.Record{Offset: o, Data: s.records[o-s.first]})
 	}
 	return page, s.grown
 }
@@ -203,7 +203,7 @@
 }
 
 func (p *Platform) putVMs(w http.ResponseWriter, r *http.Request) {
-	var vms []platform.VM
+	var vms []provider.VM
 	if err := json.NewDecoder(r.Body).Decode(&vms); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -233,7 +233,7 @@
 }
 
 func (p *Platform) judge(w http.ResponseWriter, r *http.Request) {
-	var s platform.Sample
+	var s provider.Sample
 	if err := json.NewDecoder(r.Body).Decode(&s); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -242,7 +242,7 @@
 }
 
 func (p *Platform) submit(w http.ResponseWriter, r *http.Request) {
-	var s platform.Sample
+	var s provider.Sample
 	if err := json.NewDecoder(r.Body).Decode(&s); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -250,7 +250,7 @@
 	score := p.score(s)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.ratings = append(p.ratings, platform.Rating{Request: s.Request, Score: score})
+	p.ratings = append(p.ratings, provider.Rating{Request: s.Request, Score: score})
 	w.WriteHeader(http.StatusAccepted)
 }
 
--- a/standin/rater.go
+++ b/standin/rater.go
@@ -2,12 +2,12 @@
 
 import (
 	"github.com/cespare/xxhash/v2"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 )
 
 // score is 1 for so many answers in a hundred as the version's true quality
 // says, chosen by the request's hash so that runs repeat.
-func (p *Platform) score(s platform.Sample) float64 {
+func (p *Platform) score(s provider.Sample) float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	const parts = 10000
--- a/system/cluster_test.go
+++ b/system/cluster_test.go
@@ -21,7 +21,7 @@
 	"github.com/parsleydeal/parsleydeal/cli"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/standin"
 	"github.com/parsleydeal/parsleydeal/table"
 )
@@ -63,7 +63,7 @@
 
 // process is one daemon that the test started.
 type process struct {
-	vm      platform.VM
+	vm      provider.VM
 	callers string
 	// operators is the address of the operators' interface.
 	operators string
@@ -175,13 +175,13 @@
 func (c *cluster) publish(text string) {
 	c.t.Helper()
 	text = strings.ReplaceAll(text, "%HASH%", table.HashKey(callerKey))
-	if _, err := platform.NewHTTP(c.url, http.DefaultClient).Log().Append(c.t.Context(), platform.ConfigStream, []byte(text)); err != nil {
+	if _, err := provider.NewHTTP(c.url, http.DefaultClient).Log().Append(c.t.Context(), provider.ConfigStream, []byte(text)); err != nil {
 		c.t.Fatalf("publish: %v", err)
 	}
 }
 
 func (c *cluster) list() {
-	var vms []platform.VM
+	var vms []provider.VM
 	for _, p := range append(append([]*process{}, c.endpoints...), c.entries...) {
 		vms = append(vms, p.vm)
 	}
@@ -207,13 +207,13 @@
 func (c *cluster) addGate(id, zone, pool string, h http.Handler, plain bool) {
 	srv := httptest.NewServer(h)
 	c.t.Cleanup(srv.Close)
-	p := &process{program: "parsleydeal-endpoint", vm: platform.VM{ID: id, Role: platform.EndpointRole, Pool: pool, Zone: zone, Region: "here", Address: standin.FreeAddress()}}
+	p := &process{program: "parsleydeal-endpoint", vm: provider.VM{ID: id, Role: provider.EndpointRole, Pool: pool, Zone: zone, Region: "here", Address: standin.FreeAddress()}}
 	p.settings = c.common(p) + fmt.Sprintf("[endpoint]\npool = %q\nengine = %q\nplain = %v\n", pool, srv.URL, plain)
 	c.endpoints = append(c.endpoints, p)
 }
 
 func (c *cluster) addEntry(i int, s shape) {
-	p := &process{program: "parsleydeal-entry", callers: standin.FreeAddress(), vm: platform.VM{ID: fmt.Sprintf("entry-%d", i), Role: platform.EntryRole, Zone: zone(i, s), Region: "here", Address: standin.FreeAddress()}}
+	p := &process{program: "parsleydeal-entry", callers: standin.FreeAddress(), vm: provider.VM{ID: fmt.Sprintf("entry-%d", i), Role: provider.EntryRole, Zone: zone(i, s), Region: "here", Address: standin.FreeAddress()}}
 	p.settings = c.common(p) + fmt.Sprintf("[entry]\ncallers = %q\n", p.callers)
 	c.entries = append(c.entries, p)
 }
@@ -407,7 +407,7 @@
 func (c *cluster) bills() map[string]*wire.Bill {
 	c.t.Helper()
 	out := make(map[string]*wire.Bill)
-	for _, data := range c.platform.Records(platform.BillStream) {
+	for _, data := range c.platform.Records(provider.BillStream) {
 		bills, err := bill.Decode(data)
 		if err != nil {
 			c.t.Fatal(err)
--- a/system/lasting_test.go
+++ b/system/lasting_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/matryer/is"
 	"github.com/parsleydeal/parsleydeal/bill"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/standin"
 )
 
@@ -74,18 +74,18 @@
 		if len(c.bills()) != asked {
 			return false
 		}
-		records := c.platform.Records(platform.BillStream)
+		records := c.platform.Records(provider.BillStream)
 		return strings.Contains(string(records[len(records)-1]), "entry-1-")
 	})
 	const calls = 6
-	first := len(c.platform.Records(platform.BillStream))
+	first := len(c.platform.Records(provider.BillStream))
 	for range calls {
 		c.platform.SetFaults(standin.Faults{LoseAnswers: 1})
 		is.True(c.ask(c.entries[0], nil).whole)
 	}
 	c.eventually("all bills", func() bool { return len(c.bills()) == asked+calls })
 	st := bill.NewStatement()
-	for i, data := range c.platform.Records(platform.BillStream)[first:] {
+	for i, data := range c.platform.Records(provider.BillStream)[first:] {
 		st.Add(int64(i), data)
 	}
 	st.Finish(nil)
@@ -101,8 +101,8 @@
 	is := is.New(t)
 	s := shape{entries: 2, endpoints: 2, zones: 2, first: 2, gap: 1, tokens: 3}
 	c := newCluster(t, s)
-	c.platform.Expire(platform.ConfigStream, 1)
-	c.eventually("a checkpoint", func() bool { return len(c.platform.Records(platform.ConfigStream)) > 0 })
+	c.platform.Expire(provider.ConfigStream, 1)
+	c.eventually("a checkpoint", func() bool { return len(c.platform.Records(provider.ConfigStream)) > 0 })
 	c.addEntry(len(c.entries), s)
 	c.list()
 	late := c.entries[len(c.entries)-1]
--- a/system/outage_test.go
+++ b/system/outage_test.go
@@ -8,7 +8,7 @@
 	"testing"
 
 	"github.com/matryer/is"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/standin"
 )
 
@@ -92,5 +92,5 @@
 		}
 		return first+second == len(c.entries) && (first == 0 || second == 0)
 	})
-	is.Equal(len(c.platform.Records(platform.ConfigStream)) >= 3, true)
+	is.Equal(len(c.platform.Records(provider.ConfigStream)) >= 3, true)
 }
--- a/view/view.go
+++ b/view/view.go
@@ -6,7 +6,7 @@
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/membership"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/quality"
 	"github.com/parsleydeal/parsleydeal/rollout"
 	"github.com/parsleydeal/parsleydeal/spread"
@@ -28,7 +28,7 @@
 	// quality is nil in a view made for a test.
 	quality *quality.Book
 	// subsets holds the endpoints this entry works with by pool; nil elsewhere.
-	subsets map[string][]platform.VM
+	subsets map[string][]provider.VM
 	// zones is nil in a view made for a test.
 	zones  *zone.Ramps
 	spread spread.Picture
@@ -53,7 +53,7 @@
 
 // WithSubsets returns a view that also knows which endpoints of each pool this
 // entry works with.
-func (v *View) WithSubsets(subsets map[string][]platform.VM) *View {
+func (v *View) WithSubsets(subsets map[string][]provider.VM) *View {
 	c := *v
 	c.subsets = subsets
 	return &c
@@ -71,7 +71,7 @@
 
 // Subset returns the endpoints of a pool that this entry works with, or the
 // whole pool. Callers may not change it.
-func (v *View) Subset(pool string, whole bool) []platform.VM {
+func (v *View) Subset(pool string, whole bool) []provider.VM {
 	if vms, ok := v.subsets[pool]; ok && !whole {
 		return vms
 	}
--- a/zone/zone.go
+++ b/zone/zone.go
@@ -8,7 +8,7 @@
 
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/membership"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/table"
 )
 
@@ -82,8 +82,8 @@
 	if t.ZoneOut(name) {
 		return true
 	}
-	return !slices.ContainsFunc(m.Zone(name), func(vm platform.VM) bool {
-		return vm.Role == platform.EndpointRole && !m.Leaving(vm) && !m.Suspected(vm.ID)
+	return !slices.ContainsFunc(m.Zone(name), func(vm provider.VM) bool {
+		return vm.Role == provider.EndpointRole && !m.Leaving(vm) && !m.Suspected(vm.ID)
 	})
 }
 
--- a/zone/zone_test.go
+++ b/zone/zone_test.go
@@ -7,7 +7,7 @@
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/membership"
-	"github.com/parsleydeal/parsleydeal/platform"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/table"
 )
 
@@ -20,10 +20,10 @@
 
 func newFixture() *fixture {
 	f := &fixture{state: NewState(), members: membership.New("e"), tables: &table.Tables{Zones: map[string]table.Site{}}}
-	f.members.Reduce(event.VMsListed{VMs: []platform.VM{
-		{ID: "a", Role: platform.EndpointRole, Zone: "a", Pool: "p"},
-		{ID: "b", Role: platform.EndpointRole, Zone: "b", Pool: "p"},
-		{ID: "c", Role: platform.EndpointRole, Zone: "b", Pool: "p"},
+	f.members.Reduce(event.VMsListed{VMs: []provider.VM{
+		{ID: "a", Role: provider.EndpointRole, Zone: "a", Pool: "p"},
+		{ID: "b", Role: provider.EndpointRole, Zone: "b", Pool: "p"},
+		{ID: "c", Role: provider.EndpointRole, Zone: "b", Pool: "p"},
 	}})
 	f.at(0)
 	return f
