--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -123,7 +123,7 @@
 	const slack = 2
 	callers := &http.Server{
 		Handler: d.server, ReadHeaderTimeout: s.Entry.HeaderTimeout.Duration(), IdleTimeout: s.Entry.IdleTimeout.Duration(),
-		MaxHeaderBytes: slack * s.Entry.MaxHeaders, ErrorLog: d.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+		MaxHeaderBytes: slack * s.Entry.MaxHeaders, ErrorLog: d.log.StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel}),
 	}
 	lis, err := net.Listen("tcp4", s.Entry.Callers)
 	if err != nil {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -83,16 +83,12 @@
 	}
 	a = &Answer{conn: c, bodySent: make(chan struct{}), sendErr: &atomic.Pointer[error]{}}
 	a.stop = context.AfterFunc(ctx, func() { _ = c.net.Close() })
-	defer func() {
-		if err != nil {
-			a.Close()
-		}
-	}()
 	go a.send(call)
-	if err = c.net.SetReadDeadline(time.Now().Add(patience.Duration())); err != nil {
-		return nil, ErrLost.Wrap(err, "connection to %s", call.Address)
+	if err = a.SetPatience(patience); err == nil {
+		err = a.readHead(call)
 	}
-	if err = a.readHead(call); err != nil {
+	if err != nil {
+		a.Close()
 		return nil, ErrLost.Wrap(err, "no answer from %s", call.Address)
 	}
 	return a, nil
