--- a/placement/board.go
+++ b/placement/board.go
@@ -21,8 +21,11 @@
 	partLife = 20 * clock.Second
 	// maxParts bounds the parts remembered; when it is passed, old ones go.
 	maxParts = 20000
-	// second is the window of the bounds on what is sent.
+	// second is the window of the bounds on what is sent. It is made longer by
+	// jitter: requests sent more than a second apart may arrive within one, when
+	// the first of them waited for its connection.
 	second = float64(clock.Second)
+	jitter = 1.2
 )
 
 // Board is what this process knows of the endpoints by its own traffic. It is
@@ -147,7 +150,7 @@
 		return true
 	}
 	// Below one a second a single request is allowed in a longer window.
-	window := clock.Millis(max(second, second/rate))
+	window := clock.Millis(max(second*jitter, second/rate))
 	for len(m.sends) > 0 && q.Now-m.sends[0] > window {
 		m.sends = m.sends[1:]
 	}
