Entries that start together find one another

Each read the registry before any had written to it, so that none knew of the others for 45 s: each took the whole bound of an endpoint in cold start for itself, and upgrades were judged on one entry's own outcomes.

--- a/site/feed.go
+++ b/site/feed.go
@@ -136,14 +136,13 @@
 }
 
 // register writes this entry's address to the store and reads those of the
-// others.
+// others. It writes before it reads: of two entries that start at the same time
+// at least one then finds the other, and makes itself heard by it.
 func (l *Loop) register(ctx context.Context) {
 	written := false
-	pause := registerEvery
 	for ctx.Err() == nil {
-		err := l.registerOnce(ctx, &written)
-		pause = registerEvery
-		if err != nil {
+		pause := registerEvery
+		if err := l.registerOnce(ctx, &written); err != nil && ctx.Err() == nil {
 			l.cfg.Log.Warn("Entries could not be read", "written", written, "error", err)
 			pause = clock.Second
 		}
@@ -154,23 +153,22 @@
 func (l *Loop) registerOnce(ctx context.Context, written *bool) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, (operatorWait + answerSlack).Duration())
 	defer cancel()
+	if !*written {
+		if err = l.cfg.Store.Append(ctx, EntryStream, l.cfg.Self.Name, []byte(l.cfg.Address), -1); err != nil {
+			return err
+		}
+		*written = true
+	}
 	records, _, err := l.cfg.Store.Newest(ctx, EntryStream)
 	if err != nil {
 		return err
 	}
-	addresses := make(map[string]string)
+	addresses := map[string]string{l.cfg.Self.Name: l.cfg.Address}
 	for _, r := range records {
-		if len(r.Value) > 0 {
+		if len(r.Value) > 0 && r.Key != l.cfg.Self.Name {
 			addresses[r.Key] = string(r.Value)
 		}
 	}
-	if !*written && addresses[l.cfg.Self.Name] != l.cfg.Address {
-		if err = l.cfg.Store.Append(ctx, EntryStream, l.cfg.Self.Name, []byte(l.cfg.Address), -1); err != nil {
-			return err
-		}
-	}
-	*written = true
-	addresses[l.cfg.Self.Name] = l.cfg.Address
 	l.post(ctx, EntriesRead{Now: l.cfg.Clock.Now(), Addresses: addresses})
 	return nil
 }
--- a/site/state.go
+++ b/site/state.go
@@ -101,7 +101,10 @@
 	case EntriesRead:
 		s.now = e.Now
 		s.known[EntryStream] = true
-		s.addresses = e.Addresses
+		// An entry that was heard since the read began is not in it.
+		for name, address := range e.Addresses {
+			s.addresses[name] = address
+		}
 		effects = []Effect{Publish{}}
 	case Heard:
 		s.now = e.Now
@@ -294,8 +297,16 @@
 	hearing = 10 * clock.Second
 )
 
+// unknownEntries is how many entries are taken to share the bounds of the site
+// before the registered ones were read. Too many refuses a request now and then;
+// too few overruns an endpoint in cold start.
+const unknownEntries = 8
+
 // entries counts the entries that share the bounds of the site.
 func (s *State) entries() int {
+	if !s.known[EntryStream] {
+		return unknownEntries
+	}
 	n := 1
 	for name := range s.addresses {
 		p := s.peers[name]
