--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -55,7 +55,7 @@
 
 // runDirect serves callers until SIGTERM, then leaves without cutting a request.
 func runDirect(ctx context.Context, path string, s settings.Settings) (err error) {
-	d, err := newDirect(path, s)
+	d, err := newDirect(path, s, os.Stdout)
 	if err != nil {
 		return err
 	}
@@ -76,13 +76,14 @@
 	return err
 }
 
-func newDirect(path string, s settings.Settings) (d *direct, err error) {
+// newDirect makes an entry that writes its log lines to out.
+func newDirect(path string, s settings.Settings, out io.Writer) (d *direct, err error) {
 	if s.Direct.Memory > 0 {
 		const megabyte = 1 << 20
 		debug.SetMemoryLimit(int64(memoryPart * float64(s.Direct.Memory) * megabyte))
 	}
 	d = &direct{path: path, settings: s, clock: clock.Boot()}
-	d.book = logbook.New(d.clock, os.Stdout)
+	d.book = logbook.New(d.clock, out)
 	l, err := newLogger(s.Log, d.book)
 	if err != nil {
 		return nil, err
@@ -235,5 +236,3 @@
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: d.settings.Entry.HeaderTimeout.Duration(), ErrorLog: d.log.StandardLog()}
 	return srv.Serve(lis)
 }
-
-var _ io.Writer = (*logbook.Book)(nil)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -82,23 +82,36 @@
 	fullAt = 1.5
 )
 
-// Pick returns the endpoint at which the request costs least.
+// Pick returns the endpoint at which the request costs least. Another version
+// stands in only when there is no endpoint of the one wanted: an unproven version
+// that took what does not fit on a full one would get the most at the worst time.
 func (b *Board) Pick(s *fleet.Snapshot, q Query) (e *fleet.Endpoint, why Reason) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	why = None
 	for _, match := range q.passes() {
-		best := 0.0
+		var all []*fleet.Endpoint
 		for _, at := range s.Of(q.Service) {
-			if !s.Usable(at) || q.Avoid[at.ID] || !match(at) {
-				continue
-			}
-			cost, ok := b.cost(at, q)
-			if !ok {
-				why = Full
-				continue
+			if s.Usable(at) && !q.Avoid[at.ID] && match(at) {
+				all = append(all, at)
 			}
-			if e == nil || cost < best {
+		}
+		if len(all) > 0 {
+			return b.cheapest(all, q)
+		}
+	}
+	return nil, None
+}
+
+// cheapest picks among endpoints that may all get the request. Those that were
+// lost lately come last: a stall of this VM's own link makes all of them lost at
+// once, and refusing every request until that lapses would turn the stall into an
+// outage.
+func (b *Board) cheapest(all []*fleet.Endpoint, q Query) (e *fleet.Endpoint, why Reason) {
+	for _, lost := range [...]bool{false, true} {
+		best := 0.0
+		for _, at := range all {
+			cost, ok := b.cost(at, q, lost)
+			if ok && (e == nil || cost < best) {
 				e, best = at, cost
 			}
 		}
@@ -107,7 +120,7 @@
 			return e, Picked
 		}
 	}
-	return nil, why
+	return nil, Full
 }
 
 // passes lists which endpoints are looked at first and which after them. Another
@@ -123,9 +136,9 @@
 
 // cost is what the request costs at an endpoint; not ok when it may not go
 // there now.
-func (b *Board) cost(e *fleet.Endpoint, q Query) (cost float64, ok bool) {
-	load, ok := b.inflight.Load(e.ID, e.Slots, q.Now)
-	if !ok || load >= fullAt || !b.inBounds(e, q) {
+func (b *Board) cost(e *fleet.Endpoint, q Query, lost bool) (cost float64, ok bool) {
+	load, reached := b.inflight.Load(e.ID, e.Slots, q.Now)
+	if reached == lost || load >= fullAt || !b.inBounds(e, q) {
 		return 0, false
 	}
 	cost = load*loadCost + b.failing(e.ID, q.Now)*failCost
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,176 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/fleet"
+	"github.com/parsleydeal/parsleydeal/upgrade"
+	"pgregory.net/rapid"
+)
+
+func fleetOf(n int, change func(i int, e *fleet.Endpoint)) *fleet.Snapshot {
+	f := fleet.New()
+	for i := range n {
+		e := &fleet.Endpoint{ID: fmt.Sprintf("e%d", i), Service: "s", Address: "10.0.0.1:1", Zone: "a", Version: "v1", Slots: 64}
+		if change != nil {
+			change(i, e)
+		}
+		f.Apply([]fleet.Change{{ID: e.ID, Endpoint: e}}, false)
+	}
+	return f.Snapshot()
+}
+
+// An endpoint turns cold without notice, and four entries see it as the emptiest
+// one at the same moment. Each stays within its own share of what the endpoint
+// bears, so that all of them together do not make it crash.
+func TestEntriesTogetherKeepToWhatAColdEndpointBears(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		entries := rapid.IntRange(1, 60).Draw(t, "entries")
+		bound := float64(rapid.IntRange(20, 60).Draw(t, "bound"))
+		s := fleetOf(1, nil)
+		var boards []*Board
+		for range entries {
+			boards = append(boards, NewBoard())
+		}
+		var sends []clock.Millis
+		now := clock.Millis(0)
+		for range 2000 {
+			now += clock.Millis(rapid.IntRange(0, 5).Draw(t, "step"))
+			b := boards[rapid.IntRange(0, entries-1).Draw(t, "entry")]
+			q := Query{Service: "s", Version: "v1", Zone: "a", Now: now, Bounds: Bounds{Warm: bound / float64(entries)}}
+			if _, why := b.Pick(s, q); why == Picked {
+				sends = append(sends, now)
+			}
+		}
+		for i := range sends {
+			n := 0
+			for j := i; j < len(sends) && sends[j]-sends[i] < clock.Second; j++ {
+				n++
+			}
+			// A share below one still lets one request of each entry through in its
+			// longer window, and all may do so in the same second.
+			if most := max(int(bound), entries); n > most {
+				t.Fatalf("%d requests in a second, %d are allowed", n, most)
+			}
+		}
+	})
+}
+
+// A zone is taken out while its endpoints are the emptiest, and a leaving
+// endpoint still answers. Neither may get a new request.
+func TestEndpointsThatMayGetNothingGetNothing(t *testing.T) {
+	is := is.New(t)
+	f := fleet.New()
+	for i, zone := range []string{"a", "b", "c"} {
+		id := fmt.Sprintf("e%d", i)
+		f.Apply([]fleet.Change{{ID: id, Endpoint: &fleet.Endpoint{ID: id, Service: "s", Zone: zone, Version: "v1", Slots: 4, Leaving: zone == "b"}}}, false)
+	}
+	f.SetZone("a", true)
+	e, why := NewBoard().Pick(f.Snapshot(), Query{Service: "s", Version: "v1", Zone: "a"})
+	is.Equal(why, Picked)
+	is.Equal(e.Zone, "c")
+	f.SetZone("c", true)
+	_, why = NewBoard().Pick(f.Snapshot(), Query{Service: "s", Version: "v1", Zone: "a"})
+	is.Equal(why, None)
+}
+
+// A version was rolled back and its endpoints are still there, empty. They get
+// nothing, also when all others are out.
+func TestBannedVersionGetsNothing(t *testing.T) {
+	is := is.New(t)
+	s := fleetOf(2, func(_ int, e *fleet.Endpoint) { e.Version = "v2" })
+	_, why := NewBoard().Pick(s, Query{Service: "s", Version: "v1", Zone: "a", Rule: upgrade.Rule{Current: "v1", Banned: "v2"}})
+	is.Equal(why, None)
+}
+
+// Every endpoint of a service was lost for a moment, as when this VM's own link
+// stalls. Refusing every request until the pause lapses would turn the stall into
+// an outage, so the request still goes to one of them.
+func TestLostEndpointsAreBetterThanNone(t *testing.T) {
+	is := is.New(t)
+	s := fleetOf(3, nil)
+	b := NewBoard()
+	for i := range 3 {
+		b.Lost(fmt.Sprintf("e%d", i), 0)
+	}
+	_, why := b.Pick(s, Query{Service: "s", Version: "v1", Zone: "a", Now: 10})
+	is.Equal(why, Picked)
+}
+
+// Prompts of one subject reach many entries. Without a word among them they pick
+// the same endpoint for it, so that the shared part is read once.
+func TestEntriesSendASubjectToTheSameEndpoint(t *testing.T) {
+	is := is.New(t)
+	s := fleetOf(9, nil)
+	homes := make(map[string]bool)
+	for i := range 20 {
+		parts := []Part{{"common", 2500}, {"case-7", 3800}, {fmt.Sprintf("own-%d", i), 2900}}
+		e, _ := NewBoard().Pick(s, Query{Service: "s", Version: "v1", Zone: "a", Model: "m", Parts: parts})
+		homes[e.ID] = true
+	}
+	is.Equal(len(homes), 1)
+}
+
+// One subject gets much of the traffic. Its home fills up, and others take what
+// it cannot.
+func TestHotSubjectSpreadsWhenItsHomeIsFull(t *testing.T) {
+	is := is.New(t)
+	s := fleetOf(9, nil)
+	b := NewBoard()
+	used := make(map[string]int)
+	for range 200 {
+		q := Query{Service: "s", Version: "v1", Zone: "a", Model: "m", Parts: []Part{{"common", 2500}, {"case-7", 3800}, {"own", 2900}}}
+		e, why := b.Pick(s, q)
+		is.Equal(why, Picked)
+		b.Begin(e.ID, q)
+		used[e.ID]++
+	}
+	is.Equal(len(used), 9)
+	for id, n := range used {
+		if n > 64 {
+			t.Errorf("%s got %d requests at once, more than its slots", id, n)
+		}
+	}
+}
+
+// An endpoint fails half of its requests although it says that it is well. After
+// a few of them it gets a small part of the traffic, and is tried again later.
+func TestFailingEndpointGetsLittle(t *testing.T) {
+	is := is.New(t)
+	s := fleetOf(4, nil)
+	b := NewBoard()
+	bad := 0
+	for i := range 400 {
+		now := clock.Millis(i * 25)
+		q := Query{Service: "s", Version: "v1", Zone: "a", Now: now, Avoid: map[string]bool{}}
+		e, _ := b.Pick(s, q)
+		b.Begin(e.ID, q)
+		b.Outcome(e.ID, e.ID == "e0" && i%2 == 0, now)
+		b.End(e.ID)
+		if e.ID == "e0" {
+			bad++
+		}
+	}
+	is.True(bad < 60) // an equal share is 100
+	is.True(bad > 0)
+}
+
+// The endpoints of the version in use are all at their bound while an unproven
+// version has room. It must not get what they cannot take: at the worst load it
+// would get the most.
+func TestUnprovenVersionDoesNotTakeTheOverflow(t *testing.T) {
+	is := is.New(t)
+	s := fleetOf(2, func(i int, e *fleet.Endpoint) { e.Version = [...]string{"v1", "v2"}[i] })
+	b := NewBoard()
+	q := Query{Service: "s", Version: "v1", Zone: "a", Rule: upgrade.Rule{Current: "v1", Target: "v2"}, Bounds: Bounds{Warm: 5}}
+	got := make(map[Reason]int)
+	for range 20 {
+		e, why := b.Pick(s, q)
+		got[why]++
+		is.True(e == nil || e.Version == "v1")
+	}
+	is.Equal(got, map[Reason]int{Picked: 5, Full: 15})
+}
