--- a/limit/retries.go
+++ b/limit/retries.go
@@ -50,10 +50,3 @@
 	r.tokens--
 	return true
 }
-
-// Has reports whether one more attempt would be allowed.
-func (r *Retries) Has() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.tokens >= 1
-}
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -44,7 +44,7 @@
 	x.setDeadline()
 	x.session = sessionOf(x.req)
 	x.service = x.route.Service(x.session)
-	s.budget(x.service, x.view.Entries()).Earn()
+	s.budget(x.service, x.view.Entries()).Earn(x.startedAt)
 	return nil
 }
 
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -112,7 +112,7 @@
 // mayClimb reports whether a poor answer may be dropped for a larger model's.
 func (a *attempt) mayClimb() bool {
 	x := a.exchange
-	return !x.written && x.mayRepeat() && x.left() > climbLeast && x.budget().Has()
+	return !x.written && x.mayRepeat() && x.left() > climbLeast && x.budget().Has(x.server.cfg.Clock.Now())
 }
 
 // climbLeast is the time that a larger model needs to be of use.
--- a/relay/run.go
+++ b/relay/run.go
@@ -73,7 +73,7 @@
 		case !x.mayGoOn(r):
 			return x.give(kept, x.truth(err))
 		}
-		if !x.budget().Take() && r != notRun {
+		if !x.budget().Take(x.server.cfg.Clock.Now()) && r != notRun {
 			return x.give(kept, x.truth(err))
 		}
 	}
@@ -161,21 +161,21 @@
 }
 
 // budget is the retry budget of the request's service.
-func (x *exchange) budget() *limit.Retries { return x.server.budget(x.service, x.view.Entries()) }
+func (x *exchange) budget() *limit.Share { return x.server.budget(x.service, x.view.Entries()) }
 
 // Parts of the bounds on retries that this process uses. Other entries may have
 // more of the traffic in one window than in the next.
 const (
-	ratioPart = 0.7
+	ratioPart = 0.8
 	slackPart = 0.5
 )
 
-func (s *Server) budget(service string, entries int) *limit.Retries {
+func (s *Server) budget(service string, entries int) *limit.Share {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b, ok := s.budgets[service]
 	if !ok {
-		b = limit.NewRetriesOf(s.cfg.RetryRatio*ratioPart, max(s.cfg.RetrySlack*slackPart/float64(entries), 1))
+		b = limit.NewShare(s.cfg.RetrySpan, s.cfg.RetryRatio*ratioPart, s.cfg.RetrySlack*slackPart/float64(entries))
 		s.budgets[service] = b
 	}
 	return b
--- a/relay/server.go
+++ b/relay/server.go
@@ -29,10 +29,11 @@
 	// Strict has keys refused that were not confirmed for KeyLease.
 	Strict   bool
 	KeyLease clock.Millis
-	// RetryRatio, RetrySlack and RetryWindow bound the attempts beyond the first
-	// that a service gets from all entries.
+	// RetryRatio and RetrySlack bound the attempts beyond the first that a service
+	// gets from all entries in each RetrySpan.
 	RetryRatio float64
 	RetrySlack float64
+	RetrySpan  clock.Millis
 	// ColdOverage and ColdSlack widen what an endpoint in cold start takes.
 	ColdOverage float64
 	ColdSlack   float64
@@ -51,14 +52,14 @@
 	active   atomic.Int64
 	mu       sync.Mutex
 	// budgets holds the retry budget of each service.
-	budgets map[string]*limit.Retries
+	budgets map[string]*limit.Share
 }
 
 // New makes a server.
 func New(cfg Config) *Server {
 	return &Server{
 		cfg: cfg, board: placement.NewBoard(), sessions: newSessions(cfg.SessionLife), tally: newTally(), meter: newMeter(),
-		pace: newPace(), budgets: make(map[string]*limit.Retries),
+		pace: newPace(), budgets: make(map[string]*limit.Share),
 	}
 }
 
--- a/settings/options.go
+++ b/settings/options.go
@@ -229,6 +229,10 @@
 		Key: "direct.retry-slack", Allowed: "0 to 100000", Doc: "attempts beyond the first that all entries together may save up",
 		ok: func(s *Settings) bool { return s.Direct.RetrySlack >= 0 && s.Direct.RetrySlack <= 100000 },
 	},
+	{
+		Key: "direct.retry-span", Allowed: "1s to 1h", Doc: "span over which these attempts are counted",
+		ok: func(s *Settings) bool { return between(s.Direct.RetrySpan, clock.Second, maxTimeout) },
+	},
 	{
 		Key: "direct.exposure", Allowed: "above 0, at most 1", Doc: "part of a service's requests that an unproven version may get",
 		ok: func(s *Settings) bool { return s.Direct.Exposure > 0 && s.Direct.Exposure <= 1 },
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -123,9 +123,11 @@
 	// key still holds; KeyLease is how long a confirmation lasts.
 	StrictKeys bool         `toml:"strict-keys"`
 	KeyLease   clock.Millis `toml:"key-lease"`
-	// RetryRatio and RetrySlack bound the attempts beyond the first.
-	RetryRatio float64 `toml:"retry-ratio"`
-	RetrySlack float64 `toml:"retry-slack"`
+	// RetryRatio and RetrySlack bound the attempts beyond the first in each
+	// RetrySpan.
+	RetryRatio float64      `toml:"retry-ratio"`
+	RetrySlack float64      `toml:"retry-slack"`
+	RetrySpan  clock.Millis `toml:"retry-span"`
 	// Exposure is the part of a service's requests that an unproven version may
 	// get.
 	Exposure float64 `toml:"exposure"`
@@ -150,7 +152,7 @@
 		Session:     Session{Lifetime: 24 * clock.Hour},
 		VMListEvery: clock.Second,
 		Direct: Direct{
-			Grace: 8 * clock.Second, StrictKeys: true, KeyLease: 5 * clock.Second, RetryRatio: 0.1, RetrySlack: 10,
+			Grace: 8 * clock.Second, StrictKeys: true, KeyLease: 5 * clock.Second, RetryRatio: 0.1, RetrySlack: 10, RetrySpan: 10 * clock.Second,
 			Exposure: 0.1, ColdOverage: 1, SessionLife: 5 * clock.Second,
 		},
 	}
