Two entries read the store for all

Others hear of news as soon as it is read and ask once a second how fresh what they know is; an entry that hears nothing reads the store itself. The answer to the question counts from when it was asked, on the asker's clock.

--- a/daemon/direct_test.go
+++ b/daemon/direct_test.go
@@ -724,3 +724,70 @@
 		}
 	}
 }
+
+// Many entries run beside one store whose calls are paid for. A few of them read
+// it and the others hear from these; a change is in force at all of them at once,
+// and goes on reaching them when the readers stop and when the store turns the
+// readers away.
+func TestFewEntriesReadTheStore(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newTown(t)
+	leaving := w.endpoint("i-1", "app", "v1", nil)
+	w.endpoint("i-2", "app", "v1", nil)
+	w.publish()
+	var all []*entryAt
+	for i := range 8 {
+		all = append(all, w.entry(fmt.Sprintf("entry-%d", i)))
+	}
+	inForce := func(entries []*entryAt) func() bool {
+		return func() bool {
+			for _, e := range entries {
+				if e.loop.View().Config().Version != int64(w.version) {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	w.eventually(4*time.Second, "all know of eight", func() bool {
+		for _, e := range all {
+			if e.loop.View().Entries() != len(all) {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(time.Second)
+	before := w.store.Calls()
+	time.Sleep(3 * time.Second)
+	// Two readers of two streams each make about 15 calls; eight make 60.
+	is.True(w.store.Calls()-before < 25)
+	w.publish()
+	w.eventually(300*time.Millisecond, "the change is in force everywhere", inForce(all))
+	w.store.Put("keyed.servers", "i-1", leaving.Entry("app", "a", "v1", "draining", 2))
+	w.eventually(1500*time.Millisecond, "all know that an endpoint leaves", func() bool {
+		for _, e := range all {
+			if !e.loop.View().Fleet().Find("i-1").Leaving {
+				return false
+			}
+		}
+		return true
+	})
+
+	for _, e := range all[:2] {
+		e.signals <- syscall.SIGTERM
+	}
+	time.Sleep(200 * time.Millisecond)
+	w.publish()
+	w.eventually(2*time.Second, "the change is in force without the first readers", inForce(all[2:]))
+	for _, e := range all[2:4] {
+		e.door.Set(standin.Down)
+	}
+	time.Sleep(1500 * time.Millisecond)
+	w.publish()
+	w.eventually(2*time.Second, "the change is in force with the next readers turned away", inForce(all[2:]))
+	for _, e := range all[2:] {
+		is.Equal(e.send("GET", "/read/1", "").status, 200)
+	}
+}
--- a/site/event.go
+++ b/site/event.go
@@ -21,13 +21,25 @@
 	SentAt clock.Millis
 	Whole  bool
 	News   OperatorNews
+	// Records are what News was made of; From and Next are the offsets between
+	// which they are complete.
+	Records []Record
+	From    int64
+	Next    int64
 }
 
+// StoreFailed tells that the store did not answer.
+type StoreFailed struct{ Now clock.Millis }
+
 // EndpointsRead is an answer of the endpoints' stream.
 type EndpointsRead struct {
 	Now     clock.Millis
+	// SentAt is when the read was sent.
+	SentAt  clock.Millis
 	Whole   bool
 	Changes []fleet.Change
+	// Records are what Changes was made of.
+	Records []Record
 }
 
 // VerdictsRead is an answer of the status stream.
@@ -48,6 +60,9 @@
 type Heard struct {
 	Now    clock.Millis
 	Report *wire.EntryReport
+	// News and Changes are what the report's records say.
+	News    OperatorNews
+	Changes []fleet.Change
 }
 
 // Counted is what this process's traffic has counted since it started.
@@ -80,6 +95,7 @@
 func (Counted) event()       {}
 func (Written) event()       {}
 func (Leave) event()         {}
+func (StoreFailed) event()   {}
 
 // Effect is something that the state asks for.
 type Effect interface{ effect() }
@@ -100,8 +116,12 @@
 	Warn    bool
 }
 
-// Tell asks to send a report to the other entries.
-type Tell struct{ Report *wire.EntryReport }
+// Tell asks to send a report to the other entries, or to one address.
+type Tell struct {
+	Report *wire.EntryReport
+	// To is empty for all others.
+	To string
+}
 
 func (Tell) effect()    {}
 func (Publish) effect() {}
--- a/site/feed.go
+++ b/site/feed.go
@@ -13,19 +13,21 @@
 const (
 	// operatorWait is how long a read of the operators' stream waits. Its answer
 	// confirms the configuration as of the moment it was sent, so the age of that
-	// is at most twice the wait, less than half of the 5 s for which a key that
+	// is at most twice the wait, less than a third of the 5 s for which a key that
 	// was taken away may still be used.
-	operatorWait = clock.Second
+	operatorWait = 800 * clock.Millis(1)
 	// endpointPause lies between two reads of the endpoints' stream, on which
 	// something is written all the time. An endpoint that leaves is known after
 	// the pause, half of the 2 s in which it must get no new work any more.
-	endpointPause = 900 * clock.Millis(1)
+	endpointPause = 800 * clock.Millis(1)
 	// statusWait is how long a read of the status stream waits while an upgrade
 	// is under way.
 	statusWait = 3 * clock.Second
 	// answerSlack is how much longer than its wait an answer may take. A
 	// connection may fall silent for good, and only this bound shows it.
 	answerSlack = 1200 * clock.Millis(1)
+	// lookEvery is the span between two looks at whether a stream is to be read.
+	lookEvery = 50 * clock.Millis(1)
 	// retryPause and retryMost bound the pause after a failed read.
 	retryPause = 150 * clock.Millis(1)
 	retryMost  = 600 * clock.Millis(1)
@@ -42,8 +44,6 @@
 	// wait is how long a read waits for a record, pause the span before the next.
 	wait  clock.Millis
 	pause clock.Millis
-	// wanted reports whether the stream is to be read now; nil for always.
-	wanted func() bool
 	// take hands an answer to control.
 	take func(ctx context.Context, a answer)
 	// next is the offset to read from; negative before the first whole answer.
@@ -56,6 +56,7 @@
 	records []Record
 	next    int64
 	whole   bool
+	from    int64
 	sentAt  clock.Millis
 	now     clock.Millis
 }
@@ -64,7 +65,7 @@
 	return []*feed{
 		{loop: l, stream: OperatorStream, wait: operatorWait, next: -1, take: l.takeOperator},
 		{loop: l, stream: EndpointStream, wait: operatorWait, pause: endpointPause, next: -1, take: l.takeEndpoints},
-		{loop: l, stream: StatusStream, wait: statusWait, next: -1, take: l.takeStatus, wanted: func() bool { return l.View().moving() }},
+		{loop: l, stream: StatusStream, wait: statusWait, next: -1, take: l.takeStatus},
 	}
 }
 
@@ -73,11 +74,11 @@
 	if len(a.records) > 0 {
 		news = l.cfg.Codec.Operator(a.records)
 	}
-	l.post(ctx, OperatorRead{Now: a.now, SentAt: a.sentAt, Whole: a.whole, News: news})
+	l.post(ctx, OperatorRead{Now: a.now, SentAt: a.sentAt, Whole: a.whole, News: news, Records: a.records, From: a.from, Next: a.next})
 }
 
 func (l *Loop) takeEndpoints(ctx context.Context, a answer) {
-	l.post(ctx, EndpointsRead{Now: a.now, Whole: a.whole, Changes: l.cfg.Codec.Endpoints(a.records, a.now)})
+	l.post(ctx, EndpointsRead{Now: a.now, SentAt: a.sentAt, Whole: a.whole, Changes: l.cfg.Codec.Endpoints(a.records, a.now), Records: a.records})
 }
 
 func (l *Loop) takeStatus(ctx context.Context, a answer) {
@@ -86,10 +87,12 @@
 
 func (f *feed) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if f.next >= 0 && f.wanted != nil && !f.wanted() {
-			clock.Pause(ctx, tickEvery)
+		v := f.loop.View()
+		if f.next >= 0 && !v.wants(f.stream, f.loop.cfg.Clock.Now()) {
+			clock.Pause(ctx, lookEvery)
 			continue
 		}
+		f.place(v)
 		a, err := f.read(ctx)
 		if ctx.Err() != nil {
 			return
@@ -108,10 +111,23 @@
 	}
 }
 
+// place sets the offset to go on from. What other entries told is not read again;
+// the endpoints, on whose stream there is always something new, are read whole
+// by an entry that reads them only now and then.
+func (f *feed) place(v *View) {
+	switch {
+	case f.next < 0:
+	case f.stream == OperatorStream:
+		f.next = max(f.next, v.operatorNext)
+	case f.stream == EndpointStream && !v.reader:
+		f.next = -1
+	}
+}
+
 func (f *feed) read(ctx context.Context) (a answer, err error) {
 	ctx, cancel := context.WithTimeout(ctx, (f.wait + answerSlack).Duration())
 	defer cancel()
-	a.sentAt = f.loop.cfg.Clock.Now()
+	a.sentAt, a.from = f.loop.cfg.Clock.Now(), f.next
 	if f.next < 0 {
 		a.whole = true
 		a.records, a.next, err = f.loop.cfg.Store.Newest(ctx, f.stream)
@@ -129,6 +145,7 @@
 		return
 	}
 	f.fails++
+	f.loop.post(ctx, StoreFailed{Now: f.loop.cfg.Clock.Now()})
 	if f.fails == 1 {
 		f.loop.cfg.Log.Warn("Store does not answer", "stream", f.stream, "error", err)
 	}
--- a/site/loop.go
+++ b/site/loop.go
@@ -65,8 +65,13 @@
 // Hear takes a report of another entry. One that finds the queue full is
 // dropped, since the next repeats what it said.
 func (l *Loop) Hear(r *wire.EntryReport) {
+	h := Heard{Now: l.cfg.Clock.Now(), Report: r}
+	if len(r.GetRecords()) > 0 {
+		h.News = l.cfg.Codec.Operator(recordsOn(r, OperatorStream))
+		h.Changes = l.cfg.Codec.Endpoints(recordsOn(r, EndpointStream), h.Now)
+	}
 	select {
-	case l.events <- Heard{Now: l.cfg.Clock.Now(), Report: r}:
+	case l.events <- h:
 	default:
 		l.lost.Add(1)
 	}
@@ -122,7 +127,11 @@
 		l.cfg.Log.Info(f.Message, f.Fields...)
 	case Tell:
 		f.Report.Address = l.cfg.Address
-		if err := l.cfg.Send(f.Report, l.others()); err != nil {
+		to := []string{f.To}
+		if f.To == "" {
+			to = l.others()
+		}
+		if err := l.cfg.Send(f.Report, to); err != nil {
 			l.cfg.Log.Warn("Report to other entries was not sent", "error", err)
 		}
 	case Write:
--- a/site/state.go
+++ b/site/state.go
@@ -56,14 +56,29 @@
 	// although their number belongs to the new one, by service.
 	kept    map[string][]uint64
 	leaving bool
-	// storeAt is when the store last answered, and backAt when it did so after a
-	// pause; 0 before any.
+	// storeAt is when the store last answered, and backAt when it did so after it
+	// had failed for a while; 0 before any.
 	storeAt clock.Millis
 	backAt  clock.Millis
 	// lapsed holds endpoints whose entries went while the store was away, with
 	// the moment at which they are taken for gone.
 	lapsed   map[string]clock.Millis
 	lastTold clock.Millis
+	// failing is true from a call that the store did not answer to one that it did,
+	// and failedAt is when the first such call failed.
+	failing  bool
+	failedAt clock.Millis
+	// operatorNext is the offset up to which the operators' stream is known, and
+	// heardNext the highest one that another entry knows.
+	operatorNext int64
+	heardNext    int64
+	// fleetAt is when the endpoints were last known to be those of the store;
+	// strayAt is since when another entry knows others, 0 while none does.
+	fleetAt clock.Millis
+	strayAt clock.Millis
+	// snapshot and digest are those of the fleet, made anew when it changes.
+	snapshot *fleet.Snapshot
+	digest   uint64
 }
 
 // peer is another entry.
@@ -79,6 +94,7 @@
 		upgrades: make(map[string]*upgrade.Upgrade), verdicts: make(map[string]Verdict), statusEnd: -1,
 		current: make(map[string]string), duties: make(map[string]duty), peers: make(map[string]*peer),
 		addresses: make(map[string]string), counts: make(map[string]upgrade.Counts), kept: make(map[string][]uint64), lapsed: make(map[string]clock.Millis),
+		operatorNext: -1, heardNext: -1, fleetAt: never, confirmedAt: never,
 	}
 }
 
@@ -115,6 +131,11 @@
 	case Written:
 		s.now = e.Now
 		effects = s.written(e)
+	case StoreFailed:
+		s.now = e.Now
+		if !s.failing {
+			s.failing, s.failedAt = true, e.Now
+		}
 	case Leave:
 		s.leaving = true
 		effects = []Effect{Publish{}, s.tell()}
@@ -126,19 +147,28 @@
 	first := !s.known[OperatorStream]
 	s.known[OperatorStream] = true
 	s.answered()
+	if s.reader() && len(e.Records) > 0 && !e.Whole {
+		effects = append(effects, s.push(OperatorStream, e.Records, e.From, e.Next))
+	}
+	s.operatorNext = max(s.operatorNext, e.Next)
+	s.confirmedAt = max(s.confirmedAt, e.SentAt)
+	effects = append(effects, s.published(e, first)...)
+	return append(effects, Publish{})
+}
+
+// published takes what operators published into the state.
+func (s *State) published(e OperatorRead, first bool) (effects []Effect) {
 	for _, f := range e.News.Faults {
 		effects = append(effects, Say{Message: "Operator's record cannot be used", Fields: []any{"key", f.Key, "offset", f.Offset, "reason", f.Reason}, Warn: true})
 	}
 	if c := e.News.Config; c != nil {
 		effects = append(effects, s.adopt(c)...)
 	}
-	s.confirmedAt = max(s.confirmedAt, e.SentAt)
 	for _, o := range e.News.Orders {
 		effects = append(effects, s.ordered(o, first)...)
 	}
 	effects = append(effects, s.zones(e)...)
-	effects = append(effects, s.settleVersions()...)
-	return append(effects, Publish{})
+	return append(effects, s.settleVersions()...)
 }
 
 // adopt takes a configuration unless a newer one is in force: a read that was
@@ -183,13 +213,42 @@
 			effects = append(effects, Say{Message: "Endpoint's entry cannot be used", Fields: []any{"endpoint", c.ID, "reason", c.Reason}, Warn: true})
 		}
 	}
-	for _, id := range s.fleet.Apply(e.Changes, e.Whole) {
-		effects = append(effects, s.moved(id))
+	s.fleetAt, s.strayAt = max(s.fleetAt, e.SentAt), 0
+	moved := s.fleet.Apply(e.Changes, e.Whole)
+	effects = append(effects, s.fleetChanged(moved)...)
+	if s.reader() && len(moved) > 0 {
+		effects = append(effects, s.push(EndpointStream, recordsOf(moved, e.Records), 0, 0))
 	}
-	effects = append(effects, s.settleVersions()...)
 	return append(effects, Publish{})
 }
 
+// fleetChanged follows a change of the endpoints.
+func (s *State) fleetChanged(moved []string) (effects []Effect) {
+	if len(moved) == 0 {
+		return nil
+	}
+	s.snapshot = nil
+	for _, id := range moved {
+		effects = append(effects, s.moved(id))
+	}
+	return append(effects, s.settleVersions()...)
+}
+
+// recordsOf returns the newest record of each endpoint; one without a record is
+// gone.
+func recordsOf(ids []string, records []Record) (out []Record) {
+	for _, id := range ids {
+		r := Record{Key: id}
+		for _, x := range records {
+			if x.Key == id {
+				r = x
+			}
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
 const (
 	// away is how long the store does not answer before entries of endpoints may
 	// have lapsed for that alone: two of their heartbeats.
@@ -201,10 +260,11 @@
 
 // answered notes an answer of the store.
 func (s *State) answered() {
-	if s.storeAt > 0 && s.now-s.storeAt > away {
+	if s.failing && s.now-s.failedAt > away {
 		s.backAt = s.now
 	}
 	s.storeAt = s.now
+	s.failing = false
 }
 
 // hold keeps endpoints whose entries went while the store was away. Endpoints
@@ -227,7 +287,7 @@
 		kept = append(kept, c)
 	}
 	if e.Whole {
-		for id, known := range s.fleet.Snapshot().All() {
+		for id, known := range s.shot().All() {
 			switch {
 			case named[id]:
 			case known.Leaving:
@@ -237,7 +297,7 @@
 			}
 		}
 	}
-	return EndpointsRead{Now: e.Now, Changes: kept}
+	return EndpointsRead{Now: e.Now, SentAt: e.SentAt, Changes: kept, Records: e.Records}
 }
 
 // dropLapsed takes endpoints for gone whose entries did not come back.
@@ -247,9 +307,12 @@
 			continue
 		}
 		delete(s.lapsed, id)
-		for _, id := range s.fleet.Apply([]fleet.Change{{ID: id}}, false) {
-			effects = append(effects, s.moved(id), Publish{})
+		moved := s.fleet.Apply([]fleet.Change{{ID: id}}, false)
+		effects = append(effects, s.fleetChanged(moved)...)
+		if s.reader() {
+			effects = append(effects, s.push(EndpointStream, recordsOf(moved, nil), 0, 0))
 		}
+		effects = append(effects, Publish{})
 	}
 	return effects
 }
@@ -282,7 +345,7 @@
 	for _, u := range r.GetUpgrades() {
 		effects = append(effects, s.heardUpgrade(r.GetProcess(), u)...)
 	}
-	return effects
+	return append(effects, s.heardNews(e)...)
 }
 
 const (
@@ -319,7 +382,7 @@
 	return n
 }
 
-// Started reports whether all streams that decisions rest on were read.
+// started reports whether all streams that decisions rest on were read.
 func (s *State) started() bool {
 	return s.config != nil && s.known[EndpointStream] && s.known[StatusStream]
 }
@@ -327,9 +390,10 @@
 // View returns an immutable picture of the state.
 func (s *State) View() *View {
 	v := &View{
-		config: s.config, confirmedAt: s.confirmedAt, fleet: s.fleet.Snapshot(), entries: s.entries(),
+		config: s.config, confirmedAt: s.confirmedAt, fleet: s.shot(), entries: s.entries(),
 		started: s.started(), leaving: s.leaving, moves: make(map[string]move), addresses: maps.Clone(s.addresses),
-		busy: s.moving(),
+		busy: s.moving(), duties: len(s.duties) > 0, reader: s.reader(), operatorNext: s.operatorNext, heardNext: s.heardNext,
+		fleetAt: s.fleetAt, strayAt: s.strayAt,
 	}
 	for service, version := range s.current {
 		v.moves[service] = move{rule: upgrade.Rule{Current: version}}
--- a/site/upgrade.go
+++ b/site/upgrade.go
@@ -16,9 +16,11 @@
 	turn = 1500 * clock.Millis(1)
 	// again is the pause before an append that failed is tried once more.
 	again = clock.Second
-	// reachable is how old the store's last answer may be for an entry to be
-	// expected to write.
-	reachable = 3 * clock.Second
+	// reachable is for how long the store may fail an entry that is still expected
+	// to call it.
+	reachable = clock.Second
+	// peerLive is how long an entry is not heard before others do its part.
+	peerLive = 2500 * clock.Millis(1)
 )
 
 // duty is a verdict that is due on the status stream.
@@ -53,11 +55,11 @@
 	s.duties[v.Service] = duty{verdict: v, dueAt: s.now + clock.Millis(s.rank())*turn}
 }
 
-// rank is the number of entries that come before this one in writing verdicts.
+// rank is the number of entries that come before this one in what one entry does
+// for all.
 func (s *State) rank() (rank int) {
-	for _, name := range s.peersByName() {
-		p := s.peers[name]
-		if name < s.self.Name && s.now-p.heardAt < reachable && !p.report.GetLeaving() && clock.Millis(p.report.GetStoreAgeMillis()) < reachable {
+	for name, p := range s.peers {
+		if name < s.self.Name && s.now-p.heardAt < peerLive && !p.report.GetLeaving() && clock.Millis(p.report.GetStoreAgeMillis()) < reachable {
 			rank++
 		}
 	}
@@ -210,7 +212,7 @@
 	if !s.started() {
 		return nil
 	}
-	for service := range s.fleet.Snapshot().Services() {
+	for service := range s.shot().Services() {
 		effects = append(effects, s.settleVersion(service)...)
 	}
 	return effects
@@ -218,7 +220,7 @@
 
 func (s *State) settleVersion(service string) (effects []Effect) {
 	u := s.upgrades[service]
-	counts := s.fleet.Snapshot().Versions(service)
+	counts := s.shot().Versions(service)
 	if counts[s.current[service]] > 0 && s.current[service] != "" {
 		return nil
 	}
@@ -267,11 +269,9 @@
 // tell makes the report to the other entries.
 func (s *State) tell() Effect {
 	s.lastTold = s.now
-	r := &wire.EntryReport{
-		Process: s.self.Process, Name: s.self.Name, Zone: s.self.Zone, Leaving: s.leaving, StoreAgeMillis: int64(s.now - s.storeAt),
-	}
-	if s.config != nil {
-		r.Version = s.config.Version
+	r := s.report()
+	if !s.reader() {
+		r.AskMillis = int64(s.now)
 	}
 	for service, u := range s.upgrades {
 		if u.Age(s.now) > u.Order().Span+upgradeTold {
--- a/site/view.go
+++ b/site/view.go
@@ -18,8 +18,16 @@
 	leaving   bool
 	moves     map[string]move
 	addresses map[string]string
-	// busy is true while an upgrade is under way or its verdict still due.
-	busy bool
+	// busy is true while an upgrade is under way or its verdict still due, duties
+	// while this process may have to write one.
+	busy   bool
+	duties bool
+	// reader is true when this process reads the store for others too.
+	reader       bool
+	operatorNext int64
+	heardNext    int64
+	fleetAt      clock.Millis
+	strayAt      clock.Millis
 }
 
 // move is what decides the version of a service's requests.
@@ -49,6 +57,20 @@
 // Started reports whether the process knows its site.
 func (v *View) Started() bool { return v.started }
 
+// wants reports whether this process has to read a stream itself at an instant.
+func (v *View) wants(s Stream, now clock.Millis) bool {
+	switch s {
+	case OperatorStream:
+		return v.reader || now-v.confirmedAt > confirmWithin || v.heardNext > v.operatorNext
+	case EndpointStream:
+		return v.reader || now-v.fleetAt > fleetWithin || v.strayAt > 0 && now-v.strayAt > strayFor
+	case StatusStream:
+		return v.busy && (v.reader || v.duties)
+	default:
+		return true
+	}
+}
+
 // moving reports whether an upgrade is under way or its verdict still due.
 func (v *View) moving() bool { return v.busy }
 
