A zone that is taken out is out in the picture that traffic sees

The cache is the fleet's own now. The test of a zone that is taken out fails without it. One meter for both entries; errors stand in one log line.

--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -70,7 +70,7 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	err = d.serve(inner, signals)
-	d.log.Info("Entry stops", "error", err)
+	d.log.Info("Entry stops", "error", logbook.Text(err))
 	cancel()
 	<-written
 	return err
@@ -218,15 +218,26 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		v := d.loop.View()
 		d.server.WriteMetrics(w)
-		fmt.Fprintf(w, "parsleydeal_configuration_age_seconds %.3f\n", d.clock.Since(v.ConfirmedAt()).Duration().Seconds())
-		fmt.Fprintf(w, "parsleydeal_endpoints %d\n", v.Fleet().Size())
-		fmt.Fprintf(w, "parsleydeal_entries %d\n", v.Entries())
+		ready, _ := d.ready()
+		fmt.Fprintf(w, "parsleydeal_ready %d\n", flag(ready))
+		fmt.Fprintf(w, "parsleydeal_draining %d\n", flag(v.Leaving()))
+		fmt.Fprintf(w, "parsleydeal_tables_staleness_ms %d\n", d.clock.Since(v.ConfirmedAt()))
+		fmt.Fprintf(w, "parsleydeal_store_reader %d\n", flag(v.Reader()))
+		fmt.Fprintf(w, "parsleydeal_members{role=\"endpoint\"} %d\n", v.Fleet().Size())
+		fmt.Fprintf(w, "parsleydeal_members{role=\"entry\"} %d\n", v.Entries())
 		fmt.Fprintf(w, "parsleydeal_log_lines_lost_total %d\n", d.book.Lost())
 		fmt.Fprintf(w, "parsleydeal_reports_lost_total %d\n", d.socket.Lost()+d.loop.Lost())
 		metrics.WriteProcessMetrics(w)
 	})
 }
 
+func flag(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // aside serves an interface beside the callers'.
 func (d *direct) aside(address string, h http.Handler) (err error) {
 	lis, err := net.Listen("tcp4", address)
--- a/daemon/direct_test.go
+++ b/daemon/direct_test.go
@@ -791,3 +791,29 @@
 		is.Equal(e.send("GET", "/read/1", "").status, 200)
 	}
 }
+
+// A zone is taken out of service and brought back. Its endpoints get nothing new
+// from any entry while it is out, also at the entries that only hear of it.
+func TestZoneTakenOutGetsNothingNew(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newTown(t)
+	w.endpoint("i-1", "app", "v1", nil)
+	other := w.endpoint("i-2", "app", "v1", nil)
+	w.store.Put("keyed.servers", "i-2", other.Entry("app", "b", "v1", "ready", 2))
+	w.publish()
+	entries := []*entryAt{w.entry("entry-a"), w.entry("entry-b"), w.entry("entry-c")}
+	w.store.Put("keyed.op", "evacuate/a", []byte("{}"))
+	for _, e := range entries {
+		w.eventually(time.Second, "the zone is out", func() bool { return e.loop.View().Fleet().Out("a") })
+	}
+	before := w.endpoints["i-1"].Seen()
+	for i := range 30 {
+		is.Equal(entries[i%3].send("GET", "/read/1", "").status, 200)
+	}
+	is.Equal(w.endpoints["i-1"].Seen(), before)
+	w.store.Put("keyed.op", "evacuate/a", nil)
+	for _, e := range entries {
+		w.eventually(time.Second, "the zone is back", func() bool { return !e.loop.View().Fleet().Out("a") })
+	}
+}
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -206,7 +206,7 @@
 	}
 	a.event.Reset()
 	a.event.WriteString("data: ")
-	a.json(errorBody(refusalOf(err)))
+	a.json(errorBody(refusal.Of(err)))
 	_ = a.send()
 }
 
@@ -218,7 +218,7 @@
 
 // writeRefusal writes a typed error before anything else was written.
 func writeRefusal(w http.ResponseWriter, request string, err error) {
-	r := refusalOf(err)
+	r := refusal.Of(err)
 	refusalHeaders(w.Header(), request, r)
 	w.WriteHeader(r.Status())
 	_ = json.NewEncoder(w).Encode(errorBody(r))
--- a/entry/burn.go
+++ b/entry/burn.go
@@ -64,7 +64,7 @@
 }
 
 func callersOwn(err error) bool {
-	switch refusalOf(err).Code() {
+	switch refusal.Of(err).Code() {
 	case refusal.Unauthorised, refusal.NoRoute, refusal.NotAllowed, refusal.Malformed, refusal.TooLarge, refusal.SessionRejected,
 		refusal.KeyReused, refusal.AlreadyRunning, refusal.AlreadyRan, refusal.Cancelled:
 		return true
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -34,7 +34,7 @@
 func (c *completion) WriteTo(w io.Writer) (n int64, err error) {
 	rw := w.(http.ResponseWriter)
 	request := uuid.NewString()
-	end := c.entry.meter.begin()
+	end := c.entry.meter.Begin()
 	req, err := c.parse(rw, request)
 	if err != nil {
 		end("", 0, err)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -12,6 +12,7 @@
 	"github.com/parsleydeal/parsleydeal/burn"
 	"github.com/parsleydeal/parsleydeal/choice"
 	"github.com/parsleydeal/parsleydeal/limit"
+	"github.com/parsleydeal/parsleydeal/meter"
 	"github.com/parsleydeal/parsleydeal/node"
 	"github.com/parsleydeal/parsleydeal/peer"
 	"github.com/parsleydeal/parsleydeal/refusal"
@@ -30,7 +31,7 @@
 	judge    judge
 	retries  *limit.Retries
 	queues   *limit.Queues
-	meter    *meter
+	meter    *meter.Meter
 	leaving  atomic.Bool
 	burn     *burn.Recorder
 }
@@ -46,7 +47,7 @@
 		raters:   newRaters(),
 		retries:  limit.NewRetries(),
 		queues:   limit.NewQueues(n.Clock()),
-		meter:    newMeter(n.Metrics()),
+		meter:    meter.New(n.Metrics()),
 		burn:     burn.NewRecorder(n.Clock()),
 	}
 	n.SetInherit(e.inheritBurn)
--- a/entry/service.go
+++ b/entry/service.go
@@ -37,7 +37,7 @@
 	c := &call{work: work{id: id, ticket: id, service: name, path: path, method: r.Method}, r: r, w: w}
 	c.stopBody = body.stop
 	c.paced = body
-	end := e.meter.begin()
+	end := e.meter.Begin()
 	err := e.openCall(c)
 	if err == nil {
 		err = e.billed(r.Context(), &c.work, c.take)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -1,9 +1,12 @@
 package fleet
 
 import (
+	"encoding/binary"
 	"maps"
 	"slices"
 	"strings"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Fleet is the set of endpoints and of zones out of service. It is a value of
@@ -13,6 +16,8 @@
 	endpoints map[string]*Endpoint
 	// out holds the zones that get no new work.
 	out map[string]bool
+	// snapshot is the last copy handed out; nil once anything has changed since.
+	snapshot *Snapshot
 }
 
 // New makes an empty fleet.
@@ -24,6 +29,7 @@
 // does not name. Moved names the endpoints that became known, changed their
 // state or went.
 func (f *Fleet) Apply(changes []Change, whole bool) (moved []string) {
+	f.snapshot = nil
 	named := make(map[string]bool)
 	for _, c := range changes {
 		named[c.ID] = true
@@ -70,6 +76,7 @@
 // SetZone takes a zone out of service or back in.
 func (f *Fleet) SetZone(zone string, out bool) (changed bool) {
 	changed = f.out[zone] != out
+	f.snapshot = nil
 	if out {
 		f.out[zone] = true
 	} else {
@@ -81,8 +88,15 @@
 // Zones returns the zones out of service.
 func (f *Fleet) Zones() []string { return slices.Sorted(maps.Keys(f.out)) }
 
-// Snapshot returns an immutable copy.
+// Snapshot returns an immutable copy, the same one until something changes.
 func (f *Fleet) Snapshot() *Snapshot {
+	if f.snapshot == nil {
+		f.snapshot = f.copy()
+	}
+	return f.snapshot
+}
+
+func (f *Fleet) copy() *Snapshot {
 	s := &Snapshot{byService: make(map[string][]*Endpoint), byID: maps.Clone(f.endpoints), out: maps.Clone(f.out)}
 	for _, e := range f.endpoints {
 		s.byService[e.Service] = append(s.byService[e.Service], e)
@@ -90,16 +104,41 @@
 	for _, all := range s.byService {
 		slices.SortFunc(all, func(a, b *Endpoint) int { return strings.Compare(a.ID, b.ID) })
 	}
+	s.digest = s.digestOf()
 	return s
 }
 
+// digestOf digests what processes must agree on. Cold starts are left out, as
+// they end without an announcement.
+func (s *Snapshot) digestOf() uint64 {
+	d := xxhash.New()
+	var b [9]byte
+	for _, id := range slices.Sorted(maps.Keys(s.byID)) {
+		e := s.byID[id]
+		for _, text := range [...]string{id, e.Service, e.Address, e.Zone, e.Version} {
+			_, _ = d.WriteString(text + "\x00")
+		}
+		binary.BigEndian.PutUint64(b[:], uint64(e.Born))
+		b[8] = 0
+		if e.Leaving {
+			b[8] = 1
+		}
+		_, _ = d.Write(b[:])
+	}
+	return d.Sum64()
+}
+
 // Snapshot is a fleet as traffic sees it.
 type Snapshot struct {
 	byService map[string][]*Endpoint
 	byID      map[string]*Endpoint
 	out       map[string]bool
+	digest    uint64
 }
 
+// Digest returns a number that is the same for the same endpoints.
+func (s *Snapshot) Digest() uint64 { return s.digest }
+
 // Of returns a service's endpoints in the order of their IDs.
 func (s *Snapshot) Of(service string) []*Endpoint { return s.byService[service] }
 
--- a/logbook/logbook.go
+++ b/logbook/logbook.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"sync/atomic"
 
 	"github.com/parsleydeal/parsleydeal/clock"
@@ -104,3 +105,11 @@
 	b.tokens--
 	return true
 }
+
+// Text is an error as one line; loggers write some errors with their stack.
+func Text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return strings.ReplaceAll(err.Error(), "\n", "; ")
+}
--- a/entry/meter.go
+++ b/meter/meter.go
@@ -1,4 +1,5 @@
-package entry
+// Package meter counts the requests that an entry serves, by route and outcome.
+package meter
 
 import (
 	"fmt"
@@ -17,8 +18,8 @@
 // whole is the code of a request that got its whole answer.
 const whole = "whole"
 
-// meter counts requests by route and code.
-type meter struct {
+// Meter counts requests by route and code.
+type Meter struct {
 	set *metrics.Set
 	mu  sync.Mutex
 	// requests holds at most maxSeries counters.
@@ -31,17 +32,18 @@
 
 type seriesKey struct{ route, code, run string }
 
-func newMeter(set *metrics.Set) *meter {
-	return &meter{
+// New makes a meter in a set of metrics.
+func New(set *metrics.Set) *Meter {
+	return &Meter{
 		set: set, requests: make(map[seriesKey]*metrics.Counter), durations: make(map[string]*metrics.Histogram),
 		attempts: set.GetOrCreateCounter("parsleydeal_attempts_total"),
 		active:   set.GetOrCreateGauge("parsleydeal_requests_active", nil),
 	}
 }
 
-// begin counts a request as active until the function it returns is called
+// Begin counts a request as active until the function it returns is called
 // with the request's end. Route is empty while none was admitted.
-func (m *meter) begin() (end func(route string, attempts uint32, err error)) {
+func (m *Meter) Begin() (end func(route string, attempts uint32, err error)) {
 	start := time.Now()
 	m.active.Inc()
 	return func(route string, attempts uint32, err error) {
@@ -52,7 +54,7 @@
 		}
 		code, run := whole, string(refusal.Ran)
 		if err != nil {
-			r := refusalOf(err)
+			r := refusal.Of(err)
 			code, run = string(r.Code()), string(r.Run())
 		}
 		m.counter(seriesKey{route, code, run}).Inc()
@@ -62,7 +64,7 @@
 	}
 }
 
-func (m *meter) counter(k seriesKey) *metrics.Counter {
+func (m *Meter) counter(k seriesKey) *metrics.Counter {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	c, ok := m.requests[k]
@@ -79,7 +81,7 @@
 	return c
 }
 
-func (m *meter) duration(route string) *metrics.Histogram {
+func (m *Meter) duration(route string) *metrics.Histogram {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	h, ok := m.durations[route]
@@ -95,12 +97,3 @@
 	}
 	return h
 }
-
-// refusalOf returns the refusal in an error. An error of any other kind leaves
-// open whether the request ran.
-func refusalOf(err error) *refusal.Refusal {
-	if r, ok := refusal.As(err); ok {
-		return r
-	}
-	return refusal.New(refusal.EngineFailed, err.Error()).WithRun(refusal.Unknown)
-}
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -142,6 +142,15 @@
 	return r, ok
 }
 
+// Of returns the refusal in an error. An error of any other kind leaves open
+// whether the request ran.
+func Of(err error) *Refusal {
+	if r, ok := As(err); ok {
+		return r
+	}
+	return New(EngineFailed, err.Error()).WithRun(Unknown)
+}
+
 // FromWire reads a refusal from a peer's message; a state that the peer left
 // out counts as unknown.
 func FromWire(m *wire.Refusal) *Refusal {
--- /dev/null
+++ b/relay/metrics.go
@@ -0,0 +1,13 @@
+package relay
+
+import (
+	"fmt"
+	"io"
+)
+
+// WriteMetrics writes the server's metrics as text.
+func (s *Server) WriteMetrics(w io.Writer) {
+	s.metrics.WritePrometheus(w)
+	fmt.Fprintf(w, "parsleydeal_endpoint_connections_open %d\n", s.cfg.Pool.Open())
+	fmt.Fprintf(w, "parsleydeal_endpoint_connections_total %d\n", s.cfg.Pool.Made())
+}
--- a/relay/run.go
+++ b/relay/run.go
@@ -9,6 +9,7 @@
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/fleet"
 	"github.com/parsleydeal/parsleydeal/limit"
+	"github.com/parsleydeal/parsleydeal/logbook"
 	"github.com/parsleydeal/parsleydeal/placement"
 	"github.com/parsleydeal/parsleydeal/refusal"
 	"github.com/parsleydeal/parsleydeal/site"
@@ -214,7 +215,7 @@
 	if r != done {
 		s.cfg.Log.Info("Attempt did not answer", "request", x.req.ID, "endpoint", a.endpoint.ID, "address", a.endpoint.Address, "zone", a.endpoint.Zone,
 			"version", a.endpoint.Version, "model", a.plan.model(), "result", r, "status", a.status, "confidence", a.confidence, "silent", a.silent,
-			"after", now-a.startedAt, "left", x.left(), "error", err)
+			"after", now-a.startedAt, "left", x.left(), "error", logbook.Text(err))
 	}
 }
 
--- a/relay/server.go
+++ b/relay/server.go
@@ -7,10 +7,13 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 	"github.com/parsleydeal/parsleydeal/catalog"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/limit"
+	"github.com/parsleydeal/parsleydeal/logbook"
+	"github.com/parsleydeal/parsleydeal/meter"
 	"github.com/parsleydeal/parsleydeal/placement"
 	"github.com/parsleydeal/parsleydeal/refusal"
 	"github.com/parsleydeal/parsleydeal/site"
@@ -46,7 +49,8 @@
 	board    *placement.Board
 	sessions *sessions
 	tally    *tally
-	meter    *meter
+	meter    *meter.Meter
+	metrics  *metrics.Set
 	pace     *pace
 	leaving  atomic.Bool
 	active   atomic.Int64
@@ -57,8 +61,9 @@
 
 // New makes a server.
 func New(cfg Config) *Server {
+	set := metrics.NewSet()
 	return &Server{
-		cfg: cfg, board: placement.NewBoard(), sessions: newSessions(cfg.SessionLife), tally: newTally(), meter: newMeter(),
+		cfg: cfg, meter: meter.New(set), metrics: set, board: placement.NewBoard(), sessions: newSessions(cfg.SessionLife), tally: newTally(),
 		pace: newPace(), budgets: make(map[string]*limit.Share),
 	}
 }
@@ -91,7 +96,9 @@
 	if s.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	end := s.meter.Begin()
 	err := x.serve()
+	end(x.routeName(), uint32(x.sends), err)
 	x.finish(err)
 }
 
@@ -151,7 +158,6 @@
 	s := x.server
 	took := s.cfg.Clock.Since(x.startedAt)
 	gone := x.r.Context().Err() != nil
-	s.meter.end(x, err, took, gone)
 	x.say(err, took, gone)
 	switch {
 	case err == nil:
@@ -166,24 +172,32 @@
 
 // say writes the request's line in the log.
 func (x *exchange) say(err error, took clock.Millis, gone bool) {
-	id, route := "", ""
-	if x.req != nil {
-		id = x.req.ID
-	}
-	if x.route != nil {
-		route = x.route.Name
-	}
 	fields := []any{
-		"request", id, "route", route, "organisation", x.organisation, "status", x.status, "endpoint", x.endpoint, "version", x.version, "model", x.model,
+		"request", x.id(), "route", x.routeName(), "organisation", x.organisation, "status", x.status, "endpoint", x.endpoint, "version", x.version, "model", x.model,
 		"sends", x.sends, "events", x.events, "took", took, "first", x.firstAt, "config", x.configVersion(), "config-age", x.configAge(), "left-by-caller", gone,
 	}
 	if err != nil {
-		x.server.cfg.Log.Warn("Request failed", append(fields, "error", err)...)
+		x.server.cfg.Log.Warn("Request failed", append(fields, "error", logbook.Text(err))...)
 		return
 	}
 	x.server.cfg.Log.Info("Request answered", fields...)
 }
 
+// id is the request's, or empty when it could not be read.
+func (x *exchange) id() string {
+	if x.req == nil {
+		return ""
+	}
+	return x.req.ID
+}
+
+func (x *exchange) routeName() string {
+	if x.route == nil {
+		return ""
+	}
+	return x.route.Name
+}
+
 // configAge is how long ago the configuration was confirmed.
 func (x *exchange) configAge() clock.Millis { return x.server.cfg.Clock.Since(x.view.ConfirmedAt()) }
 
@@ -196,16 +210,8 @@
 
 // refuse writes a typed refusal.
 func (x *exchange) refuse(err error) {
-	r, ok := refusal.As(err)
-	if !ok {
-		r = refusal.New(refusal.EngineFailed, err.Error()).WithRun(refusal.Unknown)
-	}
-	id := ""
-	if x.req != nil {
-		id = x.req.ID
-	}
-	h := x.w.Header()
-	x.server.cfg.Dialect.Refuse(h, id)
+	r := refusal.Of(err)
+	x.server.cfg.Dialect.Refuse(x.w.Header(), x.id())
 	r.Write(x.w, x.r, retryAfter(r, x))
 }
 
--- a/settings/field.go
+++ b/settings/field.go
@@ -90,7 +90,7 @@
 }
 
 func programNames(programs []Program) string {
-	names := map[Program]string{EntryProgram: "entry", EndpointProgram: "endpoint", OperatorProgram: "operators"}
+	names := map[Program]string{EntryProgram: "entry", EndpointProgram: "endpoint", OperatorProgram: "operators", DirectProgram: "direct entry"}
 	var out []string
 	for _, p := range programs {
 		out = append(out, names[p])
--- a/site/event.go
+++ b/site/event.go
@@ -33,7 +33,7 @@
 
 // EndpointsRead is an answer of the endpoints' stream.
 type EndpointsRead struct {
-	Now     clock.Millis
+	Now clock.Millis
 	// SentAt is when the read was sent.
 	SentAt  clock.Millis
 	Whole   bool
--- a/site/feed.go
+++ b/site/feed.go
@@ -5,6 +5,7 @@
 
 	"github.com/joomcode/errorx"
 	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/logbook"
 	"github.com/parsleydeal/parsleydeal/provider"
 )
 
@@ -147,7 +148,7 @@
 	f.fails++
 	f.loop.post(ctx, StoreFailed{Now: f.loop.cfg.Clock.Now()})
 	if f.fails == 1 {
-		f.loop.cfg.Log.Warn("Store does not answer", "stream", f.stream, "error", err)
+		f.loop.cfg.Log.Warn("Store does not answer", "stream", f.stream, "error", logbook.Text(err))
 	}
 	clock.Pause(ctx, min(retryPause*clock.Millis(f.fails), retryMost))
 }
@@ -160,7 +161,7 @@
 	for ctx.Err() == nil {
 		pause := registerEvery
 		if err := l.registerOnce(ctx, &written); err != nil && ctx.Err() == nil {
-			l.cfg.Log.Warn("Entries could not be read", "written", written, "error", err)
+			l.cfg.Log.Warn("Entries could not be read", "written", written, "error", logbook.Text(err))
 			pause = clock.Second
 		}
 		clock.Pause(ctx, pause)
--- a/site/loop.go
+++ b/site/loop.go
@@ -6,6 +6,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/logbook"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 )
 
@@ -132,7 +133,7 @@
 			to = l.others()
 		}
 		if err := l.cfg.Send(f.Report, to); err != nil {
-			l.cfg.Log.Warn("Report to other entries was not sent", "error", err)
+			l.cfg.Log.Warn("Report to other entries was not sent", "error", logbook.Text(err))
 		}
 	case Write:
 		go l.write(ctx, f)
--- a/site/share.go
+++ b/site/share.go
@@ -1,13 +1,7 @@
 package site
 
 import (
-	"encoding/binary"
-	"maps"
-	"slices"
-
-	"github.com/cespare/xxhash/v2"
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/fleet"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 )
 
@@ -41,41 +35,11 @@
 // reader reports whether this entry reads the store for all.
 func (s *State) reader() bool { return s.rank() < readers }
 
-// shot returns the fleet's snapshot.
-func (s *State) shot() *fleet.Snapshot {
-	if s.snapshot == nil {
-		s.snapshot = s.fleet.Snapshot()
-		s.digest = digestOf(s.snapshot)
-	}
-	return s.snapshot
-}
-
-// digestOf digests what entries must agree on. Cold starts are left out, as they
-// end without an announcement.
-func digestOf(s *fleet.Snapshot) uint64 {
-	d := xxhash.New()
-	var b [9]byte
-	for _, id := range slices.Sorted(maps.Keys(s.All())) {
-		e := s.Find(id)
-		for _, text := range [...]string{id, e.Service, e.Address, e.Zone, e.Version} {
-			_, _ = d.WriteString(text + "\x00")
-		}
-		binary.BigEndian.PutUint64(b[:], uint64(e.Born))
-		b[8] = 0
-		if e.Leaving {
-			b[8] = 1
-		}
-		_, _ = d.Write(b[:])
-	}
-	return d.Sum64()
-}
-
 // report is what every report says.
 func (s *State) report() *wire.EntryReport {
-	s.shot()
 	r := &wire.EntryReport{
 		Process: s.self.Process, Name: s.self.Name, Zone: s.self.Zone, Leaving: s.leaving,
-		OperatorNext: s.operatorNext, FleetDigest: s.digest,
+		OperatorNext: s.operatorNext, FleetDigest: s.fleet.Snapshot().Digest(),
 	}
 	if s.failing {
 		r.StoreAgeMillis = int64(max(s.now-s.storeAt, 1))
@@ -171,9 +135,8 @@
 	if r.GetOperatorNext() == s.operatorNext {
 		s.confirmedAt = max(s.confirmedAt, asked-clock.Millis(r.GetConfirmedAgeMillis()))
 	}
-	s.shot()
 	switch {
-	case r.GetFleetDigest() == s.digest:
+	case r.GetFleetDigest() == s.fleet.Snapshot().Digest():
 		s.fleetAt, s.strayAt = max(s.fleetAt, asked-clock.Millis(r.GetFleetAgeMillis())), 0
 	case s.strayAt == 0:
 		s.strayAt = s.now
--- a/site/state.go
+++ b/site/state.go
@@ -76,9 +76,6 @@
 	// strayAt is since when another entry knows others, 0 while none does.
 	fleetAt clock.Millis
 	strayAt clock.Millis
-	// snapshot and digest are those of the fleet, made anew when it changes.
-	snapshot *fleet.Snapshot
-	digest   uint64
 }
 
 // peer is another entry.
@@ -227,7 +224,6 @@
 	if len(moved) == 0 {
 		return nil
 	}
-	s.snapshot = nil
 	for _, id := range moved {
 		effects = append(effects, s.moved(id))
 	}
@@ -287,7 +283,7 @@
 		kept = append(kept, c)
 	}
 	if e.Whole {
-		for id, known := range s.shot().All() {
+		for id, known := range s.fleet.Snapshot().All() {
 			switch {
 			case named[id]:
 			case known.Leaving:
@@ -390,7 +386,7 @@
 // View returns an immutable picture of the state.
 func (s *State) View() *View {
 	v := &View{
-		config: s.config, confirmedAt: s.confirmedAt, fleet: s.shot(), entries: s.entries(),
+		config: s.config, confirmedAt: s.confirmedAt, fleet: s.fleet.Snapshot(), entries: s.entries(),
 		started: s.started(), leaving: s.leaving, moves: make(map[string]move), addresses: maps.Clone(s.addresses),
 		busy: s.moving(), duties: len(s.duties) > 0, reader: s.reader(), operatorNext: s.operatorNext, heardNext: s.heardNext,
 		fleetAt: s.fleetAt, strayAt: s.strayAt,
--- a/site/upgrade.go
+++ b/site/upgrade.go
@@ -6,6 +6,7 @@
 
 	"github.com/joomcode/errorx"
 	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/logbook"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/upgrade"
 )
@@ -203,7 +204,7 @@
 	if errorx.IsOfType(e.Err, ErrMoved) {
 		return []Effect{Publish{}}
 	}
-	return []Effect{Say{Message: "Verdict could not be written", Fields: []any{"service", e.Verdict.Service, "phase", e.Verdict.Phase, "error", e.Err}, Warn: true}, Publish{}}
+	return []Effect{Say{Message: "Verdict could not be written", Fields: []any{"service", e.Verdict.Service, "phase", e.Verdict.Phase, "error", logbook.Text(e.Err)}, Warn: true}, Publish{}}
 }
 
 // settleVersions picks the version in use of services that have none, and of
@@ -212,7 +213,7 @@
 	if !s.started() {
 		return nil
 	}
-	for service := range s.shot().Services() {
+	for service := range s.fleet.Snapshot().Services() {
 		effects = append(effects, s.settleVersion(service)...)
 	}
 	return effects
@@ -220,7 +221,7 @@
 
 func (s *State) settleVersion(service string) (effects []Effect) {
 	u := s.upgrades[service]
-	counts := s.shot().Versions(service)
+	counts := s.fleet.Snapshot().Versions(service)
 	if counts[s.current[service]] > 0 && s.current[service] != "" {
 		return nil
 	}
--- a/site/view.go
+++ b/site/view.go
@@ -57,6 +57,9 @@
 // Started reports whether the process knows its site.
 func (v *View) Started() bool { return v.started }
 
+// Reader reports whether this process reads the store for others too.
+func (v *View) Reader() bool { return v.reader }
+
 // wants reports whether this process has to read a stream itself at an instant.
 func (v *View) wants(s Stream, now clock.Millis) bool {
 	switch s {
