Slow endpoints are waited for; lost ones are tried by one request

An endpoint that answers others is waited for 2.5 times as long, one that was lost is tried by one request, and one whose address has changed hands is left at once.

--- a/choice/inflight.go
+++ b/choice/inflight.go
@@ -132,10 +132,11 @@
 }
 
 // Load is an endpoint's estimated load as a part of a window, for processes that
-// have no other word of it than the answers'. Endpoints that were lost lately
-// have none.
-func (f *Inflight) Load(vm string, window int, now clock.Millis) (part float64, ok bool) {
-	return f.load(vm, window, nil, now)
+// have no other word of it than the answers' and judge by themselves whether an
+// endpoint is lost.
+func (f *Inflight) Load(vm string, window int, now clock.Millis) (part float64) {
+	part, _ = f.load(vm, window, nil, now)
+	return part
 }
 
 // load is an endpoint's estimated load as a part of its window; 1 is full. Lost
--- a/daemon/direct_test.go
+++ b/daemon/direct_test.go
@@ -817,3 +817,48 @@
 		w.eventually(time.Second, "the zone is back", func() bool { return !e.loop.View().Fleet().Out("a") })
 	}
 }
+
+// Endpoints turn slow under load while their streams go on. A request that waits
+// there is not taken elsewhere to the end of another queue: that would double the
+// work when there is least room for it.
+func TestSlowEndpointIsNotLeftForAnotherQueue(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newTown(t)
+	act := func(r *http.Request) standin.Act {
+		switch {
+		case strings.HasPrefix(r.URL.Path, "/chat/long"):
+			return standin.Act{Events: 80, Gap: 40 * time.Millisecond, Confidence: 95, BreakAfter: -1}
+		case strings.HasPrefix(r.URL.Path, "/chat/slow"):
+			return standin.Act{Delay: 700 * time.Millisecond, Events: 2, Confidence: 95, BreakAfter: -1}
+		}
+		return standin.Act{Events: 2, Confidence: 95, BreakAfter: -1}
+	}
+	for i := range 2 {
+		w.endpoint(fmt.Sprintf("i-%d", i), "pool", "v1", act)
+	}
+	w.publish()
+	e := w.entry("entry-a")
+	for range 20 {
+		e.send("POST", "/chat/quick", "x")
+	}
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() { e.send("POST", "/chat/long", "x") })
+	}
+	time.Sleep(200 * time.Millisecond)
+	for i := range 40 {
+		time.Sleep(20 * time.Millisecond)
+		wg.Go(func() { e.send("POST", fmt.Sprintf("/chat/slow-%d", i), "x") })
+	}
+	wg.Wait()
+	slow := 0
+	for _, endpoint := range w.endpoints {
+		for _, run := range endpoint.Runs() {
+			if strings.HasPrefix(run.Path, "/chat/slow") {
+				slow++
+			}
+		}
+	}
+	is.Equal(slow, 40) // about 80 when each leaves after 360 ms
+}
--- a/placement/board.go
+++ b/placement/board.go
@@ -55,6 +55,12 @@
 	sends []clock.Millis
 	// coldUntil is what the endpoint itself said in an answer.
 	coldUntil clock.Millis
+	// losses counts how often in a row it could not be reached or sent nothing, and
+	// lostUntil is until when it is left alone for that.
+	losses    int
+	lostUntil clock.Millis
+	// heardAt is when it last sent anything.
+	heardAt clock.Millis
 	// pending is the reading work, in milliseconds, of the prompts sent there whose
 	// first byte has not come, and unanswered their number.
 	pending    float64
@@ -181,13 +187,50 @@
 	b.mark(id).coldUntil = until
 }
 
-// Lost counts an endpoint that could not be reached or fell silent; it is left
-// alone for a while that grows.
+const (
+	// lostFirst and lostMost bound how long an endpoint that was lost is left
+	// alone; the span doubles with each loss in a row.
+	lostFirst = 500 * clock.Millis(1)
+	lostMost  = 8 * clock.Second
+	// trialFor is how long the others wait for what becomes of the one request that
+	// tries a lost endpoint: longer than a connection to a dead one takes to fail.
+	trialFor = clock.Second
+)
+
+// Lost counts an endpoint that could not be reached or fell silent. It is left
+// alone for a while; then one request tries it. If all did, each would pay the
+// time that it takes to find out that the endpoint is still gone.
 func (b *Board) Lost(id string, now clock.Millis) {
-	b.inflight.Lost(id, now)
+	b.mu.Lock()
+	m := b.mark(id)
+	m.lostUntil = now + min(lostFirst<<min(m.losses, 5), lostMost)
+	m.losses++
+	b.mu.Unlock()
 	b.Outcome(id, true, now)
 }
 
+// Heard notes that an endpoint sent something.
+func (b *Board) Heard(id string, now clock.Millis) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	m := b.mark(id)
+	m.heardAt = now
+	m.losses, m.lostUntil = 0, 0
+}
+
+// HeardSince reports whether an endpoint sent something after an instant.
+func (b *Board) HeardSince(id string, at clock.Millis) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	m, ok := b.marks[id]
+	return ok && m.heardAt > at
+}
+
+func (b *Board) reached(id string, now clock.Millis) bool {
+	m, ok := b.marks[id]
+	return !ok || now >= m.lostUntil
+}
+
 // Outcome counts an attempt's end.
 func (b *Board) Outcome(id string, failed bool, now clock.Millis) {
 	b.mu.Lock()
@@ -217,6 +260,9 @@
 func (b *Board) sent(id string, now clock.Millis) {
 	m := b.mark(id)
 	m.sends = append(m.sends, now)
+	if m.losses > 0 {
+		m.lostUntil = max(m.lostUntil, now+trialFor)
+	}
 }
 
 // inBounds reports whether one more request keeps this entry's share of what an
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -134,8 +134,8 @@
 // cost is what the request costs at an endpoint; not ok when it may not go
 // there now.
 func (b *Board) cost(e *fleet.Endpoint, q Query, lost bool) (cost float64, ok bool) {
-	load, reached := b.inflight.Load(e.ID, e.Slots, q.Now)
-	if reached == lost || load >= fullAt || !b.inBounds(e, q) {
+	load := b.inflight.Load(e.ID, e.Slots, q.Now)
+	if b.reached(e.ID, q.Now) == lost || load >= fullAt || !b.inBounds(e, q) {
 		return 0, false
 	}
 	cost = load*loadCost + b.failing(e.ID, q.Now)*failCost
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -174,3 +174,30 @@
 	}
 	is.Equal(got, map[Reason]int{Picked: 5, Full: 15})
 }
+
+// An endpoint lost its power and is still listed. Once it has been left alone for
+// a while a single request tries it; the others, which would each wait for a
+// connection that nobody takes, go on elsewhere until that one has ended.
+func TestOneRequestTriesALostEndpoint(t *testing.T) {
+	is := is.New(t)
+	s := fleetOf(2, nil)
+	b := NewBoard()
+	for range 60 {
+		b.Begin("e1", Query{}) // e1 is much busier than e0
+	}
+	b.Lost("e0", 0)
+	got := make(map[string]int)
+	for now := clock.Millis(0); now < 5000; now += 10 {
+		e, _ := b.Pick(s, Query{Service: "s", Version: "v1", Zone: "a", Now: now})
+		got[e.ID]++
+		if e.ID == "e0" {
+			b.Lost("e0", now)
+		}
+	}
+	is.True(got["e0"] <= 4)
+	is.True(got["e0"] >= 1)
+	b.Heard("e0", 5000)
+	b.Outcome("e0", false, 5000)
+	e, _ := b.Pick(s, Query{Service: "s", Version: "v1", Zone: "a", Now: 12000})
+	is.Equal(e.ID, "e0")
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -27,6 +26,8 @@
 	confidence int
 	// silent is true when the endpoint said nothing for too long.
 	silent bool
+	// elsewhere is true when another endpoint has the address by now.
+	elsewhere bool
 	// bad is true for an answer that counts against the endpoint although it was
 	// handed on.
 	bad   bool
@@ -46,18 +47,19 @@
 	defer s.tally.begin(x.service, a.endpoint.Version)()
 	defer s.sessions.use(x.session, x.service, a.endpoint.Version, s.cfg.Clock.Now)()
 	x.sends++
-	answer, err := s.cfg.Pool.Do(ctx, a.call(), x.wait(a.plan.model()))
+	answer, err := s.cfg.Pool.Do(ctx, a.call())
 	if errorx.IsOfType(err, upstream.ErrNotSent) {
 		return notRun, refusal.New(refusal.EndpointLost, err.Error())
 	}
 	x.runs++
 	if err != nil {
-		a.silent, a.cause = timedOut(err), err
+		a.silent, a.cause = errorx.IsOfType(err, upstream.ErrSilent), err
 		return failed, refusal.New(refusal.EndpointLost, err.Error()).WithRun(refusal.Unknown)
 	}
 	defer answer.Close()
 	a.firstAfter = max(s.cfg.Clock.Now()-a.startedAt, 1)
 	work.Read(s.cfg.Clock.Now())
+	s.board.Heard(a.endpoint.ID, s.cfg.Clock.Now())
 	h := s.cfg.Dialect.Head(answer.Status, answer.Header)
 	a.status, a.confidence = h.Status, h.Confidence
 	a.learn(h)
@@ -76,9 +78,30 @@
 	}
 	c := x.server.cfg.Dialect.Call(x.req, o, x.req.body)
 	c.HasBody = x.req.hasBody
+	c.Wait = a.wait
 	return c
 }
 
+// aliveFactor is how much longer than usual a request waits at an endpoint that
+// answers others meanwhile. It stands in a queue there, and would stand at the
+// end of one elsewhere.
+const aliveFactor = 2.5
+
+// wait says how much longer the answer's first byte is waited for. A request that
+// may go elsewhere leaves an endpoint that sends nothing to anybody.
+func (a *attempt) wait(waited clock.Millis) clock.Millis {
+	x := a.exchange
+	left := x.left()
+	if !x.mayRepeatAfter(1) {
+		return left
+	}
+	patience := x.server.pace.patience(x.route, a.plan.model())
+	if x.server.board.HeardSince(a.endpoint.ID, a.startedAt) {
+		patience = clock.Millis(aliveFactor * float64(patience))
+	}
+	return min(patience-waited, left)
+}
+
 // learn takes what the head of an answer says of the endpoint.
 func (a *attempt) learn(h Head) {
 	s := a.exchange.server
@@ -97,6 +120,7 @@
 	x := a.exchange
 	switch {
 	case h.NotRun || h.Elsewhere:
+		a.elsewhere = h.Elsewhere
 		x.runs--
 		return notRun, refusal.New(refusal.Saturated, "endpoint refused the request with status "+strconv.Itoa(h.Status))
 	case !h.Signed || h.Encoded:
@@ -127,12 +151,12 @@
 // breaks off can be asked for again.
 func (a *attempt) whole(h Head, answer *upstream.Answer) (r result, err error) {
 	x := a.exchange
-	if err = answer.SetPatience(x.wait(a.plan.model())); err != nil {
+	if err = answer.SetPatience(x.silence()); err != nil {
 		return failed, lost(err)
 	}
 	body, err := io.ReadAll(io.LimitReader(answer, maxBody))
 	if err != nil {
-		a.silent, a.cause = timedOut(err), err
+		a.silent, a.cause = upstream.TimedOut(err), err
 		return failed, lost(err)
 	}
 	answer.Close()
@@ -143,7 +167,7 @@
 // other attempt is made or helps.
 func (a *attempt) failure(h Head, answer *upstream.Answer) (r result, err error) {
 	x := a.exchange
-	if err = answer.SetPatience(x.wait(a.plan.model())); err != nil {
+	if err = answer.SetPatience(x.silence()); err != nil {
 		return failed, lost(err)
 	}
 	body, err := io.ReadAll(io.LimitReader(answer, maxBody))
@@ -179,9 +203,3 @@
 func lost(err error) error {
 	return refusal.New(refusal.EndpointLost, "answer broke off: "+err.Error()).WithRun(refusal.Unknown)
 }
-
-// timedOut reports whether an endpoint was silent for too long.
-func timedOut(err error) bool {
-	var t interface{ Timeout() bool }
-	return errors.As(err, &t) && t.Timeout()
-}
--- a/relay/run.go
+++ b/relay/run.go
@@ -4,16 +4,13 @@
 	"context"
 	"errors"
 
-	"github.com/joomcode/errorx"
 	"github.com/parsleydeal/parsleydeal/catalog"
-	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/fleet"
 	"github.com/parsleydeal/parsleydeal/limit"
 	"github.com/parsleydeal/parsleydeal/logbook"
 	"github.com/parsleydeal/parsleydeal/placement"
 	"github.com/parsleydeal/parsleydeal/refusal"
 	"github.com/parsleydeal/parsleydeal/site"
-	"github.com/parsleydeal/parsleydeal/upstream"
 )
 
 // maxRefused bounds the endpoints that may refuse a request without running it
@@ -90,7 +87,12 @@
 
 // mayRepeat reports whether an attempt that is under way could be made again
 // elsewhere, so that it need not be waited for until the end.
-func (x *exchange) mayRepeat() bool { return x.route.Repeatable() && x.runs < x.route.MaxAttempts }
+func (x *exchange) mayRepeat() bool { return x.mayRepeatAfter(0) }
+
+// mayRepeatAfter is mayRepeat when some more attempts will have run by then.
+func (x *exchange) mayRepeatAfter(more int) bool {
+	return x.route.Repeatable() && x.runs+more < x.route.MaxAttempts
+}
 
 // pick chooses an endpoint for the request's next attempt.
 func (x *exchange) pick(p plan) (e *fleet.Endpoint, why placement.Reason) {
@@ -204,8 +206,15 @@
 	case callerLeft:
 	case r == done || r == poor:
 		s.board.Outcome(a.endpoint.ID, a.bad, now)
-	case a.silent, errorx.IsOfType(err, upstream.ErrNotSent):
+	case a.status == 0 && r == notRun, a.elsewhere:
 		s.board.Lost(a.endpoint.ID, now)
+	case a.silent && !s.board.HeardSince(a.endpoint.ID, a.startedAt):
+		s.board.Lost(a.endpoint.ID, now)
+	case a.silent:
+		// It answers others, so that it is slow and not gone; the next requests
+		// wait longer.
+		s.pace.add(x.route.Name, a.plan.model(), now-a.startedAt)
+		s.board.Outcome(a.endpoint.ID, true, now)
 	default:
 		s.board.Outcome(a.endpoint.ID, true, now)
 	}
@@ -242,12 +251,3 @@
 	}
 	s.tally.count(c)
 }
-
-// wait is how long an attempt's first byte may take before the endpoint counts
-// as silent.
-func (x *exchange) wait(model string) clock.Millis {
-	if !x.mayRepeat() {
-		return x.left()
-	}
-	return min(x.server.pace.patience(x.route, model), x.left())
-}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -44,9 +44,10 @@
 			return done, nil
 		}
 		if err != nil {
-			a.silent, a.cause = timedOut(err), err
+			a.silent, a.cause = upstream.TimedOut(err), err
 			return broken, lost(err)
 		}
+		x.server.board.Heard(a.endpoint.ID, x.server.cfg.Clock.Now())
 		if err = x.emit(e); err != nil {
 			return ended, err
 		}
--- a/relay/tally.go
+++ b/relay/tally.go
@@ -133,7 +133,9 @@
 func (p *pace) patience(r *catalog.Route, model string) clock.Millis {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	part := clock.Millis(aimPart * float64(r.Aim))
-	usual := clock.Millis(patienceFactor * p.means[paceKey{r.Name, model}])
-	return max(part, usual, leastPatience)
+	mean, ok := p.means[paceKey{r.Name, model}]
+	if !ok {
+		return max(r.Aim, leastPatience)
+	}
+	return max(clock.Millis(aimPart*float64(r.Aim)), clock.Millis(patienceFactor*mean), leastPatience)
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -31,6 +32,9 @@
 	// ErrLost marks a request that may have run: its connection broke or fell
 	// silent before the whole answer was in.
 	ErrLost = Errors.NewType("lost")
+	// ErrSilent marks a request that may have run and whose endpoint sent nothing
+	// for too long.
+	ErrSilent = ErrLost.NewSubtype("silent")
 )
 
 // Call is one request to an endpoint.
@@ -49,6 +53,9 @@
 	Fresh bool
 	// Own reports whether an answer belongs to this call.
 	Own func(h http.Header) bool
+	// Wait is asked how long to wait for the answer's first byte, with what has been
+	// waited already; 0 gives the call up.
+	Wait func(waited clock.Millis) clock.Millis
 }
 
 // Answer is an endpoint's answer whose body is still to be read.
@@ -76,7 +83,7 @@
 
 // Do sends a call and waits for the head of its answer. The connection is closed
 // as soon as the context ends, so that the endpoint stops its work.
-func (p *Pool) Do(ctx context.Context, call Call, patience clock.Millis) (a *Answer, err error) {
+func (p *Pool) Do(ctx context.Context, call Call) (a *Answer, err error) {
 	c, err := p.take(ctx, call)
 	if err != nil {
 		return nil, ErrNotSent.Wrap(err, "connect to %s", call.Address)
@@ -84,14 +91,47 @@
 	a = &Answer{conn: c, bodySent: make(chan struct{}), sendErr: &atomic.Pointer[error]{}}
 	a.stop = context.AfterFunc(ctx, func() { _ = c.net.Close() })
 	go a.send(call)
-	if err = a.SetPatience(patience); err == nil {
+	if err = a.await(call); err == nil {
 		err = a.readHead(call)
 	}
-	if err != nil {
-		a.Close()
-		return nil, ErrLost.Wrap(err, "no answer from %s", call.Address)
+	if err == nil {
+		return a, nil
+	}
+	a.Close()
+	if TimedOut(err) {
+		return nil, ErrSilent.Wrap(err, "no answer from %s", call.Address)
 	}
-	return a, nil
+	return nil, ErrLost.Wrap(err, "no answer from %s", call.Address)
+}
+
+// headPatience bounds the rest of a head once its first byte is there.
+const headPatience = 2 * clock.Second
+
+// await waits for the first byte of the answer for as long as the call says.
+func (a *Answer) await(call Call) (err error) {
+	begun := a.conn.pool.clock.Now()
+	for {
+		left := call.Wait(a.conn.pool.clock.Since(begun))
+		if left <= 0 {
+			return os.ErrDeadlineExceeded
+		}
+		if err = a.SetPatience(left); err != nil {
+			return err
+		}
+		_, err = a.conn.r.Peek(1)
+		if err == nil {
+			return a.SetPatience(headPatience)
+		}
+		if !TimedOut(err) {
+			return a.cause(err)
+		}
+	}
+}
+
+// TimedOut reports whether an error is that of a wait that took too long.
+func TimedOut(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.As(err, &t) && t.Timeout()
 }
 
 // send writes the request beside the reading of its answer: an endpoint may
