Entries beyond a cold endpoint's bound take turns; scripts of the site's state

Each endpoint now has its own entries that may send to it, by their order and its name. The property test allowed for the fault and no longer does.

--- a/entry/run.go
+++ b/entry/run.go
@@ -7,6 +7,7 @@
 	"github.com/parsleydeal/parsleydeal/choice"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/limit"
+	"github.com/parsleydeal/parsleydeal/logbook"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/quality"
 	"github.com/parsleydeal/parsleydeal/refusal"
@@ -113,6 +114,9 @@
 			return emit(p)
 		})
 		seen.end(err)
+		if err != nil {
+			e.node.Log().Info("Attempt did not answer", "request", req.id, "endpoint", vm.ID, "attempt", req.attempts, "version", req.version, "revision", req.view.Revision(), "error", logbook.Text(err))
+		}
 		if unreached(err) {
 			e.inflight.Lost(vm.ID, e.node.Clock().Now())
 		}
--- a/placement/board.go
+++ b/placement/board.go
@@ -21,11 +21,10 @@
 	partLife = 20 * clock.Second
 	// maxParts bounds the parts remembered; when it is passed, old ones go.
 	maxParts = 20000
-	// second is the window of the bounds on what is sent. It is made longer by
-	// jitter: requests sent more than a second apart may arrive within one, when
-	// the first of them waited for its connection.
-	second = float64(clock.Second)
-	jitter = 1.2
+	// window is the span of the bounds on what is sent, a second and a fifth more:
+	// requests sent more than a second apart may arrive within one, when the first
+	// of them waited for its connection.
+	window = 1200 * clock.Millis(1)
 )
 
 // Board is what this process knows of the endpoints by its own traffic. It is
@@ -270,20 +269,18 @@
 // crashes, and one may turn cold at any time.
 func (b *Board) inBounds(e *fleet.Endpoint, q Query) bool {
 	m := b.mark(e.ID)
-	rate := q.Bounds.Warm
+	total := q.Bounds.Warm
 	if e.ColdUntil > q.Now || m.coldUntil > q.Now {
-		rate = q.Bounds.Cold
+		total = q.Bounds.Cold
 	}
-	if rate <= 0 {
+	if total <= 0 {
 		m.sends = m.sends[:0]
 		return true
 	}
-	// Below one a second a single request is allowed in a longer window.
-	window := clock.Millis(max(second*jitter, second/rate))
 	for len(m.sends) > 0 && q.Now-m.sends[0] > window {
 		m.sends = m.sends[1:]
 	}
-	return len(m.sends) < int(max(rate, 1))
+	return len(m.sends) < q.Bounds.share(total, e.ID)
 }
 
 // unread counts the tokens of the prompt that the endpoint must read: all parts
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -35,12 +35,32 @@
 	Now    clock.Millis
 }
 
-// Bounds limit what this entry sends to one endpoint in a second.
+// Bounds limit what all entries together send to one endpoint in a second.
 type Bounds struct {
 	// Cold holds for endpoints in announced cold start, Warm for all others: an
 	// endpoint may turn cold without notice. 0 stands for no bound.
 	Cold float64
 	Warm float64
+	// Entries is how many entries share the bound, Index this one's number among
+	// them from 0.
+	Entries int
+	Index   int
+}
+
+// share is what this entry may send to an endpoint in a second; 0 for nothing.
+// Where there are more entries than the bound allows requests, each endpoint has
+// its own entries that may send to it, one request each: if all might, they could
+// do so in the same second.
+func (b Bounds) share(total float64, id string) int {
+	n := max(b.Entries, 1)
+	if total >= float64(n) {
+		return int(total / float64(n))
+	}
+	turn := (uint64(b.Index) + xxhash.Sum64String(id)) % uint64(n)
+	if turn < uint64(max(total, 1)) {
+		return 1
+	}
+	return 0
 }
 
 // Reason says why no endpoint was picked.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -39,8 +39,9 @@
 		now := clock.Millis(0)
 		for range 2000 {
 			now += clock.Millis(rapid.IntRange(0, 5).Draw(t, "step"))
-			b := boards[rapid.IntRange(0, entries-1).Draw(t, "entry")]
-			q := Query{Service: "s", Version: "v1", Zone: "a", Now: now, Bounds: Bounds{Warm: bound / float64(entries)}}
+			i := rapid.IntRange(0, entries-1).Draw(t, "entry")
+			b := boards[i]
+			q := Query{Service: "s", Version: "v1", Zone: "a", Now: now, Bounds: Bounds{Warm: bound, Entries: entries, Index: i}}
 			if _, why := b.Pick(s, q); why == Picked {
 				sends = append(sends, now)
 			}
@@ -50,10 +51,8 @@
 			for j := i; j < len(sends) && sends[j]-sends[i] < clock.Second; j++ {
 				n++
 			}
-			// A share below one still lets one request of each entry through in its
-			// longer window, and all may do so in the same second.
-			if most := max(int(bound), entries); n > most {
-				t.Fatalf("%d requests in a second, %d are allowed", n, most)
+			if n > int(bound) {
+				t.Fatalf("%d requests in a second, %g are allowed", n, bound)
 			}
 		}
 	})
@@ -165,7 +164,7 @@
 	is := is.New(t)
 	s := fleetOf(2, func(i int, e *fleet.Endpoint) { e.Version = [...]string{"v1", "v2"}[i] })
 	b := NewBoard()
-	q := Query{Service: "s", Version: "v1", Zone: "a", Rule: upgrade.Rule{Current: "v1", Target: "v2"}, Bounds: Bounds{Warm: 5}}
+	q := Query{Service: "s", Version: "v1", Zone: "a", Rule: upgrade.Rule{Current: "v1", Target: "v2"}, Bounds: Bounds{Warm: 5, Entries: 1}}
 	got := make(map[Reason]int)
 	for range 20 {
 		e, why := b.Pick(s, q)
--- a/relay/run.go
+++ b/relay/run.go
@@ -184,15 +184,15 @@
 	return b
 }
 
-// bounds is this entry's share of what one endpoint of a service takes in a
-// second.
+// bounds is what one endpoint of a service takes in a second.
 func (s *Server) bounds(v *site.View, service string) placement.Bounds {
 	c, ok := v.Config().Services[service]
 	if !ok || c.ColdPerSecond <= 0 {
 		return placement.Bounds{}
 	}
-	n := float64(v.Entries())
-	return placement.Bounds{Cold: c.ColdPerSecond / n, Warm: (c.ColdPerSecond*s.cfg.ColdOverage + s.cfg.ColdSlack) / n}
+	return placement.Bounds{
+		Cold: c.ColdPerSecond, Warm: c.ColdPerSecond*s.cfg.ColdOverage + s.cfg.ColdSlack, Entries: v.Entries(), Index: v.EntryIndex(),
+	}
 }
 
 // note takes an attempt's end into what is known of endpoints and versions, and
--- a/site/state.go
+++ b/site/state.go
@@ -361,21 +361,25 @@
 // too few overruns an endpoint in cold start.
 const unknownEntries = 8
 
-// entries counts the entries that share the bounds of the site.
-func (s *State) entries() int {
+// entries counts the entries that share the bounds of the site, and returns this
+// one's number among them in the order of their names.
+func (s *State) entries() (n, index int) {
 	if !s.known[EntryStream] {
-		return unknownEntries
+		return unknownEntries, 0
 	}
-	n := 1
+	n = 1
 	for name := range s.addresses {
 		p := s.peers[name]
 		switch {
 		case name == s.self.Name:
 		case p != nil && s.now-p.heardAt < peerGone, p == nil && s.now-s.startedAt < hearing:
 			n++
+			if name < s.self.Name {
+				index++
+			}
 		}
 	}
-	return n
+	return n, index
 }
 
 // started reports whether all streams that decisions rest on were read.
@@ -385,8 +389,9 @@
 
 // View returns an immutable picture of the state.
 func (s *State) View() *View {
+	n, index := s.entries()
 	v := &View{
-		config: s.config, confirmedAt: s.confirmedAt, fleet: s.fleet.Snapshot(), entries: s.entries(),
+		config: s.config, confirmedAt: s.confirmedAt, fleet: s.fleet.Snapshot(), entries: n, entryIndex: index,
 		started: s.started(), leaving: s.leaving, moves: make(map[string]move), addresses: maps.Clone(s.addresses),
 		busy: s.moving(), duties: len(s.duties) > 0, reader: s.reader(), operatorNext: s.operatorNext, heardNext: s.heardNext,
 		fleetAt: s.fleetAt, strayAt: s.strayAt,
--- /dev/null
+++ b/site/state_test.go
@@ -0,0 +1,256 @@
+package site
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+	"github.com/parsleydeal/parsleydeal/catalog"
+	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/fleet"
+	"github.com/parsleydeal/parsleydeal/peer/wire"
+	"github.com/parsleydeal/parsleydeal/upgrade"
+)
+
+// TestScripts runs the scripts in testdata. Each command is an event at a moment
+// in milliseconds; its output is the effects that somebody outside would see.
+// The command view shows what traffic sees.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := NewState(Self{Name: "entry-b", Process: "entry-b/1", Zone: "a", Exposure: 0.2}, 0)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			if d.Cmd == "view" {
+				return viewText(s.View(), s.now)
+			}
+			return effectsText(Reduce(s, eventOf(t, d)))
+		})
+	})
+}
+
+// args are a command's arguments.
+type args struct {
+	t *testing.T
+	d *datadriven.TestData
+}
+
+func (a args) text(key string) string {
+	for _, x := range a.d.CmdArgs {
+		if x.Key == key && len(x.Vals) > 0 {
+			return x.Vals[0]
+		}
+	}
+	return ""
+}
+
+func (a args) has(key string) bool { return a.d.HasArg(key) }
+
+func (a args) number(key string) int64 {
+	text := a.text(key)
+	if text == "" {
+		return 0
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		a.t.Fatalf("%s: %v", key, err)
+	}
+	return n
+}
+
+func eventOf(t *testing.T, d *datadriven.TestData) Event {
+	t.Helper()
+	a := args{t, d}
+	now := clock.Millis(a.number("at"))
+	switch d.Cmd {
+	case "tick":
+		return Tick{Now: now}
+	case "failed":
+		return StoreFailed{Now: now}
+	case "operator":
+		return OperatorRead{Now: now, SentAt: clock.Millis(a.number("sent")), Whole: a.has("whole"), News: newsOf(t, d.Input), Next: a.number("next"), From: a.number("from")}
+	case "endpoints":
+		return EndpointsRead{Now: now, SentAt: now, Whole: a.has("whole"), Changes: changesOf(t, d.Input)}
+	case "verdicts":
+		return VerdictsRead{Now: now, Verdicts: verdictsOf(t, d.Input), Next: a.number("next")}
+	case "entries":
+		addresses := make(map[string]string)
+		for _, name := range strings.Fields(d.Input) {
+			addresses[name] = "10.0.0.1:" + name
+		}
+		return EntriesRead{Now: now, Addresses: addresses}
+	case "written":
+		v := verdictsOf(t, d.Input)[0]
+		if a.has("moved") {
+			return Written{Now: now, Verdict: v, Err: ErrMoved.New("elsewhere")}
+		}
+		return Written{Now: now, Verdict: v}
+	case "counted":
+		return countedOf(a, now)
+	case "heard":
+		return heardOf(a, now)
+	}
+	t.Fatalf("no command %q", d.Cmd)
+	return nil
+}
+
+// newsOf reads lines "config 4", "zone a out", "order pool v2 24000 7".
+func newsOf(t *testing.T, text string) (n OperatorNews) {
+	for _, line := range lines(text) {
+		f := strings.Fields(line)
+		switch f[0] {
+		case "config":
+			version, _ := strconv.ParseInt(f[1], 10, 64)
+			n.Config = (&catalog.Config{Version: version, Services: map[string]catalog.Service{"pool": {Name: "pool"}}}).Index()
+		case "zone":
+			n.Zones = append(n.Zones, ZoneChange{Zone: f[1], Out: f[2] == "out"})
+		case "order":
+			span, _ := strconv.ParseInt(f[3], 10, 64)
+			number, _ := strconv.ParseInt(f[4], 10, 64)
+			n.Orders = append(n.Orders, upgrade.Order{Service: f[1], Target: f[2], Span: clock.Millis(span), Number: number})
+		default:
+			t.Fatalf("no news %q", line)
+		}
+	}
+	return n
+}
+
+// changesOf reads lines "i-1 v1 a ready born=1 sequence=2" and "i-1 gone".
+func changesOf(t *testing.T, text string) (out []fleet.Change) {
+	for _, line := range lines(text) {
+		f := strings.Fields(line)
+		if f[1] == "gone" {
+			out = append(out, fleet.Change{ID: f[0]})
+			continue
+		}
+		e := &fleet.Endpoint{ID: f[0], Service: "pool", Version: f[1], Zone: f[2], Slots: 4, Leaving: f[3] == "leaving", Address: "10.0.1.1:1"}
+		for _, x := range f[4:] {
+			key, value, _ := strings.Cut(x, "=")
+			n, err := strconv.ParseInt(value, 10, 64)
+			if err != nil {
+				t.Fatal(err)
+			}
+			switch key {
+			case "born":
+				e.Born = n
+			case "sequence":
+				e.Sequence = n
+			}
+		}
+		out = append(out, fleet.Change{ID: e.ID, Endpoint: e})
+	}
+	return out
+}
+
+var phases = map[string]upgrade.Phase{"running": upgrade.Running, "completed": upgrade.Completed, "rolled-back": upgrade.RolledBack}
+
+// verdictsOf reads lines "pool v2 running".
+func verdictsOf(_ *testing.T, text string) (out []Verdict) {
+	for _, line := range lines(text) {
+		f := strings.Fields(line)
+		out = append(out, Verdict{Service: f[0], Target: f[1], Phase: phases[f[2]]})
+	}
+	return out
+}
+
+// countedOf takes counts of the route chat: new=ended,bad old=ended,bad and the
+// requests that run on the old version.
+func countedOf(a args, now clock.Millis) Event {
+	pair := func(key string) upgrade.Count {
+		ended, bad, _ := strings.Cut(a.text(key), "/")
+		n, _ := strconv.ParseInt(ended, 10, 64)
+		m, _ := strconv.ParseInt(bad, 10, 64)
+		return upgrade.Count{Ended: n, Bad: m}
+	}
+	return Counted{
+		Now:     now,
+		Counts:  map[string]upgrade.Counts{"pool": {{Route: "chat", Target: true}: pair("new"), {Route: "chat"}: pair("old")}},
+		Running: map[string]map[string]int{"pool": {"v1": int(a.number("running"))}},
+	}
+}
+
+func heardOf(a args, now clock.Millis) Event {
+	name := a.text("from")
+	r := &wire.EntryReport{
+		Process: name + "/1", Name: name, Address: "10.0.0.1:" + name, OperatorNext: a.number("next"), OperatorFrom: a.number("since"),
+		StoreAgeMillis: a.number("store-age"), AskMillis: a.number("ask"), ReplyMillis: a.number("reply"), ReplyTo: a.text("reply-to"),
+		ConfirmedAgeMillis: a.number("age"), FleetAgeMillis: a.number("age"),
+	}
+	h := Heard{Now: now, Report: r}
+	if a.d.Input != "" {
+		h.News = newsOf(a.t, a.d.Input)
+		r.Records = []*wire.StoreRecord{{Stream: int32(OperatorStream), Key: "x"}}
+	}
+	if a.has("upgrade") {
+		r.Upgrades = []*wire.UpgradeReport{{
+			Service: "pool", Target: "v2", Number: a.number("upgrade"), AgeMillis: a.number("upgrade-age"), Phase: int32(phases[a.text("phase")]), Reason: "theirs", Old: int32(a.number("old")),
+		}}
+	}
+	return h
+}
+
+func lines(text string) []string {
+	return slices.DeleteFunc(strings.Split(text, "\n"), func(l string) bool { return strings.TrimSpace(l) == "" })
+}
+
+func effectsText(effects []Effect) string {
+	var b strings.Builder
+	for _, f := range effects {
+		switch f := f.(type) {
+		case Say:
+			fmt.Fprintf(&b, "say %s", f.Message)
+			for i := 0; i+1 < len(f.Fields); i += 2 {
+				fmt.Fprintf(&b, " %v=%v", f.Fields[i], f.Fields[i+1])
+			}
+			b.WriteString("\n")
+		case Write:
+			fmt.Fprintf(&b, "write %s %s %s at %d\n", f.Verdict.Service, f.Verdict.Target, f.Verdict.Phase, f.At)
+		case Tell:
+			if r := f.Report; r.GetReplyMillis() > 0 {
+				fmt.Fprintf(&b, "reply to %s: asked %d, confirmed %d ago\n", f.To, r.GetReplyMillis(), r.GetConfirmedAgeMillis())
+			} else if len(r.GetRecords()) > 0 {
+				fmt.Fprintf(&b, "push %d records\n", len(r.GetRecords()))
+			}
+		}
+	}
+	if b.Len() == 0 {
+		return "nothing\n"
+	}
+	return b.String()
+}
+
+func viewText(v *View, now clock.Millis) string {
+	var b strings.Builder
+	if v.Config() == nil {
+		return "knows nothing\n"
+	}
+	fmt.Fprintf(&b, "config %d, confirmed at %d, entries %d, reader %t\n", v.Config().Version, v.ConfirmedAt(), v.Entries(), v.Reader())
+	for _, id := range slices.Sorted(maps.Keys(v.Fleet().All())) {
+		e := v.Fleet().Find(id)
+		fmt.Fprintf(&b, "%s %s zone %s usable %t\n", id, e.Version, e.Zone, v.Fleet().Usable(e))
+	}
+	r := v.Rule("pool", now)
+	fmt.Fprintf(&b, "pool: current %q target %q banned %q share %.2f pinned %t\n", r.Current, r.Target, r.Banned, r.Share, r.Pinned)
+	return b.String()
+}
+
+// A peer's answer is to a question of the process that had this address before
+// it was restarted. Its clock was another one: taken for this one's, the answer
+// would make a configuration look confirmed seconds after the fact.
+func TestAnswerToTheProcessBeforeConfirmsNothing(t *testing.T) {
+	is := is.New(t)
+	s := NewState(Self{Name: "b", Process: "b/2"}, 0)
+	Reduce(s, VerdictsRead{Now: 100})
+	Reduce(s, EndpointsRead{Now: 100, SentAt: 90})
+	Reduce(s, OperatorRead{Now: 100, SentAt: 90, Whole: true, Next: 5, News: newsOf(t, "config 1")})
+	r := &wire.EntryReport{Process: "a/1", Name: "a", OperatorNext: 5, ReplyMillis: 4000, ReplyTo: "b/1"}
+	Reduce(s, Heard{Now: 5000, Report: r})
+	is.Equal(s.View().ConfirmedAt(), clock.Millis(90))
+	r.ReplyTo = "b/2"
+	r.ConfirmedAgeMillis = 700
+	Reduce(s, Heard{Now: 5000, Report: r})
+	is.Equal(s.View().ConfirmedAt(), clock.Millis(3300))
+}
--- a/site/view.go
+++ b/site/view.go
@@ -13,11 +13,12 @@
 	confirmedAt clock.Millis
 	fleet       *fleet.Snapshot
 	// entries is how many entries share the bounds of the site; at least 1.
-	entries   int
-	started   bool
-	leaving   bool
-	moves     map[string]move
-	addresses map[string]string
+	entries    int
+	entryIndex int
+	started    bool
+	leaving    bool
+	moves      map[string]move
+	addresses  map[string]string
 	// busy is true while an upgrade is under way or its verdict still due, duties
 	// while this process may have to write one.
 	busy   bool
@@ -54,6 +55,9 @@
 // Entries returns how many entries share the bounds of the site.
 func (v *View) Entries() int { return v.entries }
 
+// EntryIndex returns this entry's number among them, from 0.
+func (v *View) EntryIndex() int { return v.entryIndex }
+
 // Started reports whether the process knows its site.
 func (v *View) Started() bool { return v.started }
 
