The larger model is asked less when its answer would come late

Under overload nearly all answers were late for the sake of a few that a small model gets wrong. The confidence that is asked for falls with the larger model's usual time against the time left to be of full use.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -127,7 +127,7 @@
 		return failed, refusal.New(refusal.EngineFailed, "answer with status "+strconv.Itoa(h.Status)+" is not the endpoint's own").WithRun(refusal.Unknown)
 	case h.Status >= http.StatusInternalServerError:
 		return a.failure(h, answer)
-	case h.Status == http.StatusOK && a.plan.poor(h.Confidence) && a.mayClimb():
+	case h.Status == http.StatusOK && a.poor(h.Confidence) && a.mayClimb():
 		return poor, refusal.New(refusal.EngineFailed, "answer is probably poor").WithRun(refusal.Ran)
 	case x.route.Kind == catalog.Streaming && h.Status == http.StatusOK:
 		return a.stream(h, answer)
--- a/relay/plan.go
+++ b/relay/plan.go
@@ -39,9 +39,46 @@
 	return p.models[0]
 }
 
-// poor reports whether an answer is to be dropped for the next model's.
-func (p plan) poor(confidence int) bool {
-	return len(p.models) > 1 && confidence >= 0 && confidence < confident
+// larger returns the model to ask when this one's answer is poor; empty when
+// there is none.
+func (p plan) larger() string {
+	if len(p.models) < 2 {
+		return ""
+	}
+	return p.models[1]
+}
+
+const (
+	// rushed is the confidence from which an answer is handed on when the larger
+	// model's would come too late. Reading a prompt takes the larger models most of
+	// the endpoints' time: asking for them as usual under overload makes nearly all
+	// answers late, for the sake of the few that a small model gets wrong.
+	rushed = 20
+	// easyPart is the part of the time left to be of full use that the larger model
+	// may take before the confidence asked for falls.
+	easyPart = 0.3
+)
+
+// enough is the confidence from which an answer is handed on when the larger
+// model's would take a span and some time is left to be of full use.
+func enough(takes, left clock.Millis) float64 {
+	if left <= 0 {
+		return rushed
+	}
+	part := (float64(takes)/float64(left) - easyPart) / (1 - easyPart)
+	return confident - (confident-rushed)*min(max(part, 0), 1)
+}
+
+// poor reports whether an answer is to be dropped for the larger model's.
+func (a *attempt) poor(confidence int) bool {
+	model := a.plan.larger()
+	if model == "" || confidence < 0 {
+		return false
+	}
+	x := a.exchange
+	now := x.server.cfg.Clock.Now()
+	takes := x.server.pace.usual(x.route.Name, model)
+	return float64(confidence) < enough(takes, x.startedAt+x.route.Aim-now)
 }
 
 func (p plan) next() plan { return plan{models: p.models[1:]} }
--- a/relay/tally.go
+++ b/relay/tally.go
@@ -123,6 +123,13 @@
 	p.means[k] = mean + paceWeight*(float64(took)-mean)
 }
 
+// usual is how long a model's first byte takes by now; 0 when that is not known.
+func (p *pace) usual(route, model string) clock.Millis {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return clock.Millis(p.means[paceKey{route, model}])
+}
+
 func (p *pace) slow(route, model string, took clock.Millis) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
