--- a/placement/placement.go
+++ b/placement/placement.go
@@ -32,6 +32,9 @@
 	Bytes int
 	// Bounds limit how much one entry sends.
 	Bounds Bounds
+	// Patience is how long the prompt may take to be read, its wait included; 0
+	// for any time.
+	Patience clock.Millis
 	Now    clock.Millis
 }
 
@@ -165,7 +168,11 @@
 	if len(q.Parts) == 0 {
 		return cost, true
 	}
-	cost += b.waiting(e.ID, q.Now) + b.reading(e.ID, q)
+	wait := b.waiting(e.ID, q.Now) + b.reading(e.ID, q)
+	if q.Patience > 0 && wait > float64(q.Patience) {
+		return 0, false
+	}
+	cost += wait
 	return cost + homeCost*far(e.ID, subject(q.Parts)), true
 }
 
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -200,3 +200,74 @@
 	e, _ := b.Pick(s, Query{Service: "s", Version: "v1", Zone: "a", Now: 12000})
 	is.Equal(e.ID, "e0")
 }
+
+// Many long prompts arrive for few endpoints, more than these can read in time.
+// Those that would be late are turned away; the others find short queues. Without
+// the bound all wait, and after a few seconds each is late.
+func TestPromptsThatWouldBeLateAreTurnedAway(t *testing.T) {
+	is := is.New(t)
+	s := fleetOf(3, nil)
+	const reads = 0.05 // milliseconds a token
+	play := func(patience clock.Millis) (inTime, refused int) {
+		b := NewBoard()
+		b.speed.tokens["m"] = reads
+		free := make(map[string]float64)
+		type end struct {
+			at   clock.Millis
+			work *Work
+		}
+		var ends []end
+		for i := range 400 {
+			now := clock.Millis(i * 25)
+			kept := ends[:0]
+			for _, e := range ends {
+				if e.at <= now {
+					e.work.End()
+				} else {
+					kept = append(kept, e)
+				}
+			}
+			ends = kept
+			q := Query{Service: "s", Version: "v1", Zone: "a", Model: "m", Now: now, Patience: patience, Parts: []Part{{"own", 4000}}}
+			q.Parts[0].ID = string(rune(i))
+			e, why := b.Pick(s, q)
+			if why != Picked {
+				refused++
+				continue
+			}
+			w := b.Begin(e.ID, q)
+			free[e.ID] = max(free[e.ID], float64(now)) + 4000*reads
+			if free[e.ID]-float64(now) <= 1000 {
+				inTime++
+			}
+			ends = append(ends, end{clock.Millis(free[e.ID]), w})
+		}
+		return inTime, refused
+	}
+	without, none := play(0)
+	with, refused := play(1000)
+	is.Equal(none, 0)
+	is.True(without < 100)
+	is.True(with > 140) // the endpoints can read 150 in ten seconds
+	is.True(with+refused == 400)
+}
+
+// Endpoints read prompts of very different length. Placed by the number of
+// requests, one would queue behind a prompt that takes half a second while
+// another endpoint is idle.
+func TestShortPromptsDoNotQueueBehindLongOnes(t *testing.T) {
+	is := is.New(t)
+	s := fleetOf(2, nil)
+	b := NewBoard()
+	long := Query{Service: "s", Version: "v1", Zone: "a", Model: "m", Parts: []Part{{"long", 30000}}}
+	first, _ := b.Pick(s, long)
+	b.Begin(first.ID, long)
+	other := ""
+	for i := range 4 {
+		short := Query{Service: "s", Version: "v1", Zone: "a", Model: "m", Parts: []Part{{string(rune('a' + i)), 300}}}
+		e, _ := b.Pick(s, short)
+		b.Begin(e.ID, short)
+		other = e.ID
+		is.True(other != first.ID)
+	}
+}
--- a/relay/run.go
+++ b/relay/run.go
@@ -5,6 +5,7 @@
 	"errors"
 
 	"github.com/parsleydeal/parsleydeal/catalog"
+	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/fleet"
 	"github.com/parsleydeal/parsleydeal/limit"
 	"github.com/parsleydeal/parsleydeal/logbook"
@@ -102,7 +103,7 @@
 	version := rule.Version(catalog.Fraction(x.session), s.sessions.version(x.session, x.service, now, x.view))
 	q := placement.Query{
 		Service: x.service, Version: version, Rule: rule, Zone: s.cfg.Zone, Avoid: x.tried, Model: p.model(),
-		Parts: x.req.Parts, Bytes: len(x.req.body), Bounds: s.bounds(x.view, x.service), Now: now,
+		Parts: x.req.Parts, Bytes: len(x.req.body), Bounds: s.bounds(x.view, x.service), Patience: x.patience(now), Now: now,
 	}
 	e, why = s.board.Pick(x.view.Fleet(), q)
 	if e == nil && len(x.tried) > 0 {
@@ -114,6 +115,21 @@
 	return e, why
 }
 
+// lateFactor is how much of the time left to be of full use a prompt may be
+// expected to take before its request is turned away. One that is late holds up
+// those behind it, which are late then too; turned away at once, its caller may
+// come back in time.
+const lateFactor = 1.0
+
+// patience is how long an endpoint may be expected to take for the first byte; 0
+// for any time, once the caller has a part of its answer.
+func (x *exchange) patience(now clock.Millis) clock.Millis {
+	if x.written || x.route.Aim <= 0 {
+		return 0
+	}
+	return max(clock.Millis(lateFactor*float64(x.startedAt+x.route.Aim-now)), x.route.Aim/4)
+}
+
 // unplaced refuses a request for which there is no endpoint.
 func (x *exchange) unplaced(why placement.Reason) error {
 	if why == placement.Full {
