--- a/claim/book.go
+++ b/claim/book.go
@@ -5,8 +5,8 @@
 	"sync"
 
 	"github.com/joomcode/errorx"
-	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/batch"
+	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/provider"
 )
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -35,7 +35,7 @@
 	// Patience is how long the prompt may take to be read, its wait included; 0
 	// for any time.
 	Patience clock.Millis
-	Now    clock.Millis
+	Now      clock.Millis
 }
 
 // Bounds limit what all entries together send to one endpoint in a second.
--- a/proof/claim_test.go
+++ b/proof/claim_test.go
@@ -5,9 +5,9 @@
 	"testing"
 
 	"github.com/parsleydeal/parsleydeal/answer"
+	"github.com/parsleydeal/parsleydeal/batch"
 	"github.com/parsleydeal/parsleydeal/claim"
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/batch"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/refusal"
 	"pgregory.net/rapid"
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -7,9 +7,9 @@
 	"fmt"
 	"math/rand/v2"
 
+	"github.com/parsleydeal/parsleydeal/batch"
 	"github.com/parsleydeal/parsleydeal/bill"
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/batch"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/provider"
 )
--- a/system/cluster_test.go
+++ b/system/cluster_test.go
@@ -19,8 +19,8 @@
 
 	"github.com/parsleydeal/parsleydeal/bill"
 	"github.com/parsleydeal/parsleydeal/cli"
-	"github.com/parsleydeal/parsleydeal/daemon"
 	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/daemon"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/standin"
