--- a/entry/run.go
+++ b/entry/run.go
@@ -97,6 +97,7 @@
 	for i := range maxAttempts {
 		vm, ok := choice.Endpoint(req.view, e.inflight, e.affinity, e.query(req, avoid))
 		if !ok || i > 0 && !e.mayTryAgain(err) {
+			e.node.Log().Info("No further attempt", "request", req.id, "attempts", req.attempts, "endpoint-left", ok, "error", logbook.Text(err))
 			return req.truth(err)
 		}
 		avoid[vm.ID] = true
@@ -124,6 +125,7 @@
 			return nil
 		}
 		if versionRefused(err) || !req.goOn(err) {
+			e.node.Log().Info("Request cannot go on elsewhere", "request", req.id, "attempts", req.attempts, "taken", req.progress.Taken(), "error", logbook.Text(err))
 			return req.truth(err)
 		}
 	}
