--- /dev/null
+++ b/explain/explain_test.go
@@ -0,0 +1,52 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const logs = `  12.1 frontend-a Dec  3 02:00:01.250 INFO Attempt did not answer vm=frontend-a request=r-1 endpoint=i-7 result=failed status=0 error="endpoint-lost (unknown): no answer"
+Dec  3 02:00:01.900 WARN Request failed vm=frontend-a request=r-1 route=chat sends=2 error="deadline-passed (unknown): time is up"
+Dec  3 02:00:01.500 INFO Request answered vm=frontend-a request=r-10 route=chat sends=1
+Dec  3 02:00:00.100 INFO Endpoint changed vm=frontend-b endpoint=i-7 leaving=true
+`
+
+// A user names a request. Its lines come from several processes and out of order;
+// those of a request whose name merely begins alike must not be among them.
+func TestStoryOfARequest(t *testing.T) {
+	is := is.New(t)
+	lines, err := Read(strings.NewReader(logs), "a.log", "r-1")
+	is.NoErr(err)
+	is.Equal(len(lines), 2)
+	var b strings.Builder
+	is.NoErr(Story(&b, lines))
+	is.True(strings.HasPrefix(strings.TrimSpace(b.String()), "0s"))
+	is.True(strings.Contains(b.String(), "650ms"))
+	is.True(!strings.Contains(b.String(), "r-10"))
+	is.Equal(Verdict(lines), "The request failed after 2 attempts: deadline-passed (unknown): time is up.")
+}
+
+func TestStoryOfAnEndpoint(t *testing.T) {
+	is := is.New(t)
+	lines, err := Read(strings.NewReader(logs), "a.log", "i-7")
+	is.NoErr(err)
+	is.Equal(len(lines), 2)
+	is.Equal(Verdict(lines), "")
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(logs, "r-1")
+	f.Fuzz(func(t *testing.T, text, subject string) {
+		lines, err := Read(strings.NewReader(text), "x", subject)
+		if err != nil {
+			return
+		}
+		var b strings.Builder
+		if err = Story(&b, lines); err != nil {
+			t.Fatal(err)
+		}
+		Verdict(lines)
+	})
+}
--- a/site/state.go
+++ b/site/state.go
@@ -361,8 +361,14 @@
 // too few overruns an endpoint in cold start.
 const unknownEntries = 8
 
+// leavingShare is how much smaller the share of an entry is that leaves: it gets
+// no new connections and only ends what it has.
+const leavingShare = 4
+
 // entries counts the entries that share the bounds of the site, and returns this
-// one's number among them in the order of their names.
+// one's number among them in the order of their names. One that leaves hands its
+// share to those that take its callers over: at a stop in turn a single entry may
+// have nearly all of them.
 func (s *State) entries() (n, index int) {
 	if !s.known[EntryStream] {
 		return unknownEntries, 0
@@ -371,7 +377,7 @@
 	for name := range s.addresses {
 		p := s.peers[name]
 		switch {
-		case name == s.self.Name:
+		case name == s.self.Name, p != nil && p.report.GetLeaving():
 		case p != nil && s.now-p.heardAt < peerGone, p == nil && s.now-s.startedAt < hearing:
 			n++
 			if name < s.self.Name {
@@ -379,6 +385,9 @@
 			}
 		}
 	}
+	if s.leaving {
+		n *= leavingShare
+	}
 	return n, index
 }
 
--- a/site/state_test.go
+++ b/site/state_test.go
@@ -254,3 +254,21 @@
 	Reduce(s, Heard{Now: 5000, Report: r})
 	is.Equal(s.View().ConfirmedAt(), clock.Millis(3300))
 }
+
+// Entries are stopped in turn, and the one that is left has nearly all callers. It
+// takes the shares of those that leave; these keep a small part for what they
+// still have, so that all together stay within the bound.
+func TestLeavingEntriesHandOverTheirShare(t *testing.T) {
+	is := is.New(t)
+	s := NewState(Self{Name: "b", Process: "b/1"}, 0)
+	Reduce(s, EntriesRead{Now: 10, Addresses: map[string]string{"a": "x", "b": "y", "c": "z"}})
+	Reduce(s, Heard{Now: 20, Report: &wire.EntryReport{Process: "a/1", Name: "a", Address: "x"}})
+	Reduce(s, Heard{Now: 20, Report: &wire.EntryReport{Process: "c/1", Name: "c", Address: "z"}})
+	is.Equal(s.View().Entries(), 3)
+	Reduce(s, Heard{Now: 30, Report: &wire.EntryReport{Process: "a/1", Name: "a", Address: "x", Leaving: true}})
+	is.Equal(s.View().Entries(), 2)
+	Reduce(s, Heard{Now: 40, Report: &wire.EntryReport{Process: "a/2", Name: "a", Address: "x"}})
+	is.Equal(s.View().Entries(), 3)
+	Reduce(s, Leave{})
+	is.Equal(s.View().Entries(), 12)
+}
