--- a/daemon/direct_test.go
+++ b/daemon/direct_test.go
@@ -862,3 +862,24 @@
 	}
 	is.Equal(slow, 40) // about 80 when each leaves after 360 ms
 }
+
+// A read's time is up while its last endpoint is silent. It is ended, and not sent
+// to the other endpoints with no time left, each of which would run it in vain.
+func TestNoAttemptIsMadeWithoutTimeLeft(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newTown(t)
+	w.routes[1]["maxAttempts"] = 5
+	for i := range 5 {
+		w.endpoint(fmt.Sprintf("i-%d", i), "app", "v1", always(standin.Act{Delay: 3 * time.Second}))
+	}
+	w.publish()
+	e := w.entry("entry-a")
+	r := e.send("GET", "/read/1", "", func(r *http.Request) { r.Header.Set("Request-Timeout-Ms", "300") })
+	is.Equal(r.status, 504)
+	seen := 0
+	for _, endpoint := range w.endpoints {
+		seen += endpoint.Seen()
+	}
+	is.True(seen <= 2) // 200 ms at the first, the rest at the second
+}
--- a/entry/run.go
+++ b/entry/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/parsleydeal/parsleydeal/choice"
@@ -93,14 +94,24 @@
 	defer func() { queue.Leave(outcomeOf(err)) }()
 	req.begin()
 	avoid := make(map[string]bool)
+	// full holds the endpoints that refused only because they had no room then.
+	full := make(map[string]bool)
 	err = refusal.New(refusal.NoEndpoint, "no endpoint can take the request").WithRetryAfter(startingRetry)
 	for i := range maxAttempts {
 		vm, ok := choice.Endpoint(req.view, e.inflight, e.affinity, e.query(req, avoid))
+		if !ok && len(full) > 0 {
+			// Of two endpoints one was full and the other then fell silent: the first
+			// has had seconds to make room.
+			maps.DeleteFunc(avoid, func(id string, _ bool) bool { return full[id] })
+			clear(full)
+			vm, ok = choice.Endpoint(req.view, e.inflight, e.affinity, e.query(req, avoid))
+		}
 		if !ok || i > 0 && !e.mayTryAgain(err) {
 			e.node.Log().Info("No further attempt", "request", req.id, "attempts", req.attempts, "endpoint-left", ok, "error", logbook.Text(err))
 			return req.truth(err)
 		}
 		avoid[vm.ID] = true
+		delete(full, vm.ID)
 		if err := e.settleHome(req, vm.ID); err != nil {
 			return err
 		}
@@ -115,6 +126,9 @@
 			return emit(p)
 		})
 		seen.end(err)
+		if outcomeOf(err) == limit.Refused {
+			full[vm.ID] = true
+		}
 		if err != nil {
 			e.node.Log().Info("Attempt did not answer", "request", req.id, "endpoint", vm.ID, "attempt", req.attempts, "version", req.version, "revision", req.view.Revision(), "error", logbook.Text(err))
 		}
--- a/relay/run.go
+++ b/relay/run.go
@@ -18,6 +18,11 @@
 // before it is given up, beside the attempts that ran.
 const maxRefused = 2
 
+// leastLeft is the time without which no attempt is made: less than the way there
+// and back. When its time was up a request would else be sent to endpoint after
+// endpoint, each of which would begin it in vain.
+const leastLeft = 10 * clock.Millis(1)
+
 // result is what became of one attempt.
 type result int
 
@@ -45,6 +50,9 @@
 	p := x.plan()
 	var kept *held
 	for {
+		if x.left() < leastLeft {
+			return x.give(kept, x.truth(x.overdue(err)))
+		}
 		if err = x.still(); err != nil {
 			return x.give(kept, x.truth(err))
 		}
--- /dev/null
+++ b/relay/run_test.go
@@ -0,0 +1,71 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+	"github.com/parsleydeal/parsleydeal/catalog"
+	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/fleet"
+	"github.com/parsleydeal/parsleydeal/platform/standin"
+	"github.com/parsleydeal/parsleydeal/site"
+	"github.com/parsleydeal/parsleydeal/upstream"
+)
+
+// A request's time is up by the process's clock a moment before its timer fires,
+// while its endpoint has just failed it. Nothing more is sent: with no time left
+// each endpoint would begin the request in vain.
+func TestNothingIsSentWithoutTimeLeft(t *testing.T) {
+	is := is.New(t)
+	var now atomic.Int64
+	now.Store(1000)
+	c := clock.New(func() clock.Millis { return clock.Millis(now.Load()) })
+	s := site.NewState(site.Self{Name: "e"}, 0)
+	route := &catalog.Route{Name: "r", Kind: catalog.Idempotent, Timeout: 500, Aim: 100, MaxAttempts: 5, Targets: []catalog.Target{{Service: "app", Weight: 1}}}
+	config := &catalog.Config{Version: 1, Routes: []*catalog.Route{route}, Services: map[string]catalog.Service{"app": {Name: "app"}}}
+	var changes []fleet.Change
+	var endpoints []*standin.Endpoint
+	for i := range 4 {
+		name := fmt.Sprintf("i-%d", i)
+		e, err := standin.StartEndpoint(name, func(*http.Request) standin.Act {
+			now.Store(1501)
+			return standin.Act{Lost: true}
+		})
+		is.NoErr(err)
+		defer e.Close()
+		endpoints = append(endpoints, e)
+		changes = append(changes, fleet.Change{ID: name, Endpoint: &fleet.Endpoint{ID: name, Service: "app", Address: e.Address(), Version: "v1", Slots: 4}})
+	}
+	site.Reduce(s, site.VerdictsRead{Now: 1})
+	site.Reduce(s, site.OperatorRead{Now: 1, Whole: true, News: site.OperatorNews{Config: config.Index()}})
+	site.Reduce(s, site.EndpointsRead{Now: 1, Whole: true, Changes: changes})
+	view := s.View()
+	server := New(Config{
+		Clock: c, Log: log.New(&bytes.Buffer{}), View: func() *site.View { return view }, Pool: upstream.NewPool(c), RetryRatio: 1, RetrySlack: 100, RetrySpan: 1000,
+		Dialect: Dialect{
+			Call: func(req *Request, o Order, _ []byte) upstream.Call {
+				return upstream.Call{Address: o.Address, Method: "GET", Target: "/x", Host: "h", Header: http.Header{"Request-Id": {req.ID}}}
+			},
+		},
+	})
+	x := &exchange{
+		server: server, view: view, w: httptest.NewRecorder(), r: httptest.NewRequest(http.MethodGet, "/x", nil), startedAt: 1000, deadline: 1500,
+		req: &Request{ID: "r-1", Method: http.MethodGet}, route: route, service: "app",
+	}
+	err := x.run(context.Background())
+	is.True(err != nil)
+	time.Sleep(100 * time.Millisecond) // what was sent has arrived
+	seen := 0
+	for _, e := range endpoints {
+		seen += e.Seen()
+	}
+	is.Equal(seen, 1)
+}
