--- a/cli/demo.go
+++ b/cli/demo.go
@@ -26,8 +26,19 @@
 // demoKey is the bearer key whose hash stands in the demo's tables.
 const demoKey = "demo-key"
 
+type demoCommand struct {
+	command
+	Direct bool `long:"direct" description:"run an entry that sends straight to endpoints, over stand-ins of a platform's store"`
+}
+
 func addDemo(p *flags.Parser) error {
-	c := &command{run: func(ctx context.Context, _ []string) error { return Demo(ctx, os.Stdout) }}
+	c := &demoCommand{}
+	c.run = func(ctx context.Context, _ []string) error {
+		if c.Direct {
+			return DirectDemo(ctx, os.Stdout)
+		}
+		return Demo(ctx, os.Stdout)
+	}
 	_, err := p.AddCommand("demo", "Run the whole system on this machine with stand-ins",
 		"Demo runs two entries, four model endpoints and a plain service in two availability zones over stand-ins of the platform and the engines, serves a few requests and shows what became of them.", c)
 	return err
--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -53,6 +53,17 @@
 	socket   *gossip.Socket
 }
 
+// RunDirectOn serves callers until the context ends, for the demo; it stops at
+// once.
+func RunDirectOn(ctx context.Context, s settings.Settings, out io.Writer) (err error) {
+	d, err := newDirect("", s, out)
+	if err != nil {
+		return err
+	}
+	go d.book.Run(ctx)
+	return d.serve(ctx, nil)
+}
+
 // runDirect serves callers until SIGTERM, then leaves without cutting a request.
 func runDirect(ctx context.Context, path string, s settings.Settings) (err error) {
 	d, err := newDirect(path, s, os.Stdout)
@@ -143,6 +154,8 @@
 		select {
 		case err = <-failed:
 			return err
+		case <-ctx.Done():
+			return callers.Close()
 		case sig := <-signals:
 			if sig != syscall.SIGHUP {
 				return d.leave(ctx, callers)
