--- a/placement/board.go
+++ b/placement/board.go
@@ -36,6 +36,8 @@
 	// parts holds when a prompt part was last sent to an endpoint, for a model.
 	parts map[partKey]clock.Millis
 	speed speeds
+	// usualOthers is how many prompts of others usually wait at an endpoint.
+	usualOthers float64
 }
 
 type partKey struct {
@@ -151,14 +153,16 @@
 }
 
 // waiting is how long the prompts take that wait at an endpoint: those of this
-// entry, which it knows one by one, and those of others by their number.
+// entry, which it knows one by one, and those of others by their number. An
+// endpoint not heard of lately is taken to be like the others: taken for idle, it
+// would get work from another zone that its neighbours have filled it with.
 func (b *Board) waiting(id string, now clock.Millis) float64 {
 	m, ok := b.marks[id]
 	if !ok {
-		return 0
+		return b.usualOthers * b.speed.mean
 	}
 	fresh := math.Exp2(-float64(now-m.othersAt) / float64(othersHalf))
-	return m.pending + m.others*fresh*b.speed.mean
+	return m.pending + (m.others*fresh+b.usualOthers*(1-fresh))*b.speed.mean
 }
 
 // Waiting takes an endpoint's own word on how many prompts wait there.
@@ -168,8 +172,12 @@
 	m := b.mark(id)
 	m.others = max(float64(waiting-m.unanswered), 0)
 	m.othersAt = now
+	b.usualOthers += usualWeight * (m.others - b.usualOthers)
 }
 
+// usualWeight is the weight of one endpoint's word in what is usual.
+const usualWeight = 0.05
+
 // othersHalf is how fast an endpoint's word on the prompts that wait there loses
 // its weight: a prompt is read in a few hundred milliseconds.
 const othersHalf = 500 * clock.Millis(1)
--- a/site/loop.go
+++ b/site/loop.go
@@ -13,7 +13,7 @@
 const (
 	// queueLength bounds the events that wait for the control goroutine.
 	queueLength = 1024
-	// tickEvery is the span between two ticks: a third of busyPace, so that a
+	// tickEvery is the span between two ticks: a third of countPace, so that a
 	// report is at most that much late.
 	tickEvery = 100 * clock.Millis(1)
 	// appendTimeout bounds an append. The store's slowest answers that are of use
--- a/site/state.go
+++ b/site/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 
 	"github.com/parsleydeal/parsleydeal/catalog"
 	"github.com/parsleydeal/parsleydeal/clock"
@@ -62,8 +61,10 @@
 	backAt  clock.Millis
 	// lapsed holds endpoints whose entries went while the store was away, with
 	// the moment at which they are taken for gone.
-	lapsed   map[string]clock.Millis
-	lastTold clock.Millis
+	lapsed map[string]clock.Millis
+	// lastTold and lastCounted are when the others and the judges were told.
+	lastTold    clock.Millis
+	lastCounted clock.Millis
 	// failing is true from a call that the store did not answer to one that it did,
 	// and failedAt is when the first such call failed.
 	failing  bool
@@ -437,8 +438,3 @@
 	}
 	return kept
 }
-
-// peersByName returns the names of the entries heard lately, in order.
-func (s *State) peersByName() []string {
-	return slices.Sorted(maps.Keys(s.peers))
-}
--- a/site/upgrade.go
+++ b/site/upgrade.go
@@ -60,13 +60,31 @@
 // for all.
 func (s *State) rank() (rank int) {
 	for name, p := range s.peers {
-		if name < s.self.Name && s.now-p.heardAt < peerLive && !p.report.GetLeaving() && clock.Millis(p.report.GetStoreAgeMillis()) < reachable {
+		if name < s.self.Name && s.able(p) {
 			rank++
 		}
 	}
 	return rank
 }
 
+// able reports whether another entry can do for all what one entry does.
+func (s *State) able(p *peer) bool {
+	return s.now-p.heardAt < peerLive && !p.report.GetLeaving() && clock.Millis(p.report.GetStoreAgeMillis()) < reachable
+}
+
+// liveByName returns the entries that can do so, this one among them, in the order
+// of their names.
+func (s *State) liveByName() []string {
+	names := []string{s.self.Name}
+	for name, p := range s.peers {
+		if s.able(p) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 func (s *State) verdictsRead(e VerdictsRead) (effects []Effect) {
 	s.known[StatusStream] = true
 	s.statusEnd = e.Next
@@ -137,13 +155,20 @@
 	return effects
 }
 
-// judge ends an upgrade when it is time, and makes the verdict due.
+// judges is how many entries judge upgrades. Only these hear what the others
+// counted: if all told all, 31 entries would send 1.7 MB a second while an
+// upgrade is under way, more than half of all bytes between zones.
+const judges = 3
+
+// judge ends an upgrade when it is time, tells all others at once and makes the
+// verdict due. An entry that does not hear what others run must not take the old
+// version for idle.
 func (s *State) judge(u *upgrade.Upgrade) (effects []Effect) {
-	if !u.Judge(s.now, s.old(u.Order())) {
+	if s.rank() >= judges || !u.Judge(s.now, s.old(u.Order())) {
 		return nil
 	}
 	s.due(Verdict{Service: u.Order().Service, Target: u.Order().Target, Phase: u.Phase()})
-	return s.ended(u)
+	return append(s.ended(u), s.tell())
 }
 
 // old counts the requests that run on another version than the target, at all
@@ -183,9 +208,13 @@
 		effects = append(effects, Write{Verdict: d.verdict, At: s.statusEnd})
 	}
 	effects = append(effects, s.dropLapsed()...)
-	if s.now-s.lastTold >= s.pace() {
+	if s.now-s.lastTold >= tellPace {
 		effects = append(effects, s.tell())
 	}
+	if s.moving() && s.now-s.lastCounted >= countPace {
+		s.lastCounted = s.now
+		effects = append(effects, s.tellJudges()...)
+	}
 	return effects
 }
 
@@ -244,19 +273,12 @@
 }
 
 const (
-	// idlePace and busyPace are the spans between two reports to other entries,
-	// without and with an upgrade under way.
-	idlePace = clock.Second
-	busyPace = 300 * clock.Millis(1)
+	// tellPace is the span between two reports to all other entries, countPace that
+	// between two reports to the judges of an upgrade of what was counted.
+	tellPace  = clock.Second
+	countPace = 300 * clock.Millis(1)
 )
 
-func (s *State) pace() clock.Millis {
-	if s.moving() {
-		return busyPace
-	}
-	return idlePace
-}
-
 // moving reports whether an upgrade is under way or its verdict still due.
 func (s *State) moving() bool {
 	for _, u := range s.upgrades {
@@ -274,19 +296,42 @@
 	if !s.reader() {
 		r.AskMillis = int64(s.now)
 	}
-	for service, u := range s.upgrades {
-		if u.Age(s.now) > u.Order().Span+upgradeTold {
+	r.Upgrades = s.tellUpgrades(false)
+	return Tell{Report: r}
+}
+
+// tellJudges reports what was counted to the entries that judge.
+func (s *State) tellJudges() (effects []Effect) {
+	var r *wire.EntryReport
+	for i, name := range s.liveByName() {
+		if i >= judges {
+			break
+		}
+		if name == s.self.Name {
 			continue
 		}
-		r.Upgrades = append(r.Upgrades, s.tellUpgrade(service, u))
+		if r == nil {
+			r = s.report()
+			r.Upgrades = s.tellUpgrades(true)
+		}
+		effects = append(effects, Tell{Report: r, To: s.addresses[name]})
 	}
-	return Tell{Report: r}
+	return effects
+}
+
+func (s *State) tellUpgrades(counts bool) (out []*wire.UpgradeReport) {
+	for service, u := range s.upgrades {
+		if u.Age(s.now) <= u.Order().Span+upgradeTold {
+			out = append(out, s.tellUpgrade(service, u, counts))
+		}
+	}
+	return out
 }
 
 // upgradeTold is how long after its span an upgrade's end is told to others.
 const upgradeTold = 10 * clock.Second
 
-func (s *State) tellUpgrade(service string, u *upgrade.Upgrade) *wire.UpgradeReport {
+func (s *State) tellUpgrade(service string, u *upgrade.Upgrade, counts bool) *wire.UpgradeReport {
 	o := u.Order()
 	r := &wire.UpgradeReport{
 		Service: service, Target: o.Target, Number: o.Number, AgeMillis: int64(u.Age(s.now)), Phase: int32(u.Phase()), Reason: u.Reason(), Kept: s.kept[service],
@@ -296,7 +341,7 @@
 			r.Old += int32(n)
 		}
 	}
-	if u.Phase() != upgrade.Running {
+	if u.Phase() != upgrade.Running || !counts {
 		return r
 	}
 	for k, c := range s.counts[service] {
--- a/upgrade/upgrade.go
+++ b/upgrade/upgrade.go
@@ -1,10 +1,6 @@
 package upgrade
 
-import (
-	"maps"
-
-	"github.com/parsleydeal/parsleydeal/clock"
-)
+import "github.com/parsleydeal/parsleydeal/clock"
 
 const (
 	// settle is how long nothing may have run on the old version before the move
@@ -72,12 +68,18 @@
 	return true
 }
 
-// Take adds the cumulative counts of one process. A process that starts again
-// has another name, so that its counts never fall back.
+// Take adds the cumulative counts of one process; what is missing has not changed.
+// A process that starts again has another name, so that its counts never fall
+// back.
 func (u *Upgrade) Take(process string, counts Counts) {
-	before := u.seen[process]
+	before, ok := u.seen[process]
+	if !ok {
+		before = make(Counts)
+		u.seen[process] = before
+	}
 	for k, c := range counts {
 		d := c.minus(before[k])
+		before[k] = c
 		if d == (Count{}) {
 			continue
 		}
@@ -87,7 +89,6 @@
 		u.bench(k.Route).add(d, k.Target)
 		u.bench(allRoutes).add(d, k.Target)
 	}
-	u.seen[process] = maps.Clone(counts)
 }
 
 func (u *Upgrade) bench(route string) *bench {
