Entries share most of what the endpoints of their own zone bear

The bound that guards endpoints in cold start was divided evenly, so that an entry could send its own zone's endpoints less than its callers asked: 47% of requests left their zone while its endpoints were half idle. Three quarters of the bound are shared by the zone's own entries, and by those of zones that are out; what does not divide evenly goes to some. Property test: all shares together are never more than the whole.

--- a/placement/board.go
+++ b/placement/board.go
@@ -288,7 +288,7 @@
 	for len(m.sends) > 0 && q.Now-m.sends[0] > window {
 		m.sends = m.sends[1:]
 	}
-	return len(m.sends) < q.Bounds.share(total, e.ID)
+	return len(m.sends) < q.Bounds.Shares[e.Zone].In(total, e.ID)
 }
 
 // unread counts the tokens of the prompt that the endpoint must read: all parts
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -44,26 +44,30 @@
 	// endpoint may turn cold without notice. 0 stands for no bound.
 	Cold float64
 	Warm float64
-	// Entries is how many entries share the bound, Index this one's number among
-	// them from 0.
+	// Shares holds this entry's share of both by the endpoint's zone.
+	Shares map[string]Share
+}
+
+// Share is an entry's share of a bound.
+type Share struct {
+	// Part is the part of the bound that is shared, Entries how many entries share
+	// it, and Index this one's number among them from 0.
+	Part    float64
 	Entries int
 	Index   int
 }
 
-// share is what this entry may send to an endpoint in a second; 0 for nothing.
-// Where there are more entries than the bound allows requests, each endpoint has
-// its own entries that may send to it, one request each: if all might, they could
-// do so in the same second.
-func (b Bounds) share(total float64, id string) int {
-	n := max(b.Entries, 1)
-	if total >= float64(n) {
-		return int(total / float64(n))
-	}
-	turn := (uint64(b.Index) + xxhash.Sum64String(id)) % uint64(n)
-	if turn < uint64(max(total, 1)) {
-		return 1
+// In is what this entry may send to an endpoint in a second; 0 for nothing. What
+// does not divide evenly goes to some of the entries, others at each endpoint.
+// Where there are more entries than the bound allows requests, the rest may send
+// it nothing: if all might, they could do so in the same second.
+func (s Share) In(total float64, id string) int {
+	n, whole := uint64(max(s.Entries, 1)), uint64(total*s.Part)
+	share := whole / n
+	if turn := (uint64(s.Index) + xxhash.Sum64String(id)) % n; turn < whole%n {
+		share++
 	}
-	return 0
+	return int(share)
 }
 
 // Reason says why no endpoint was picked.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -41,7 +41,7 @@
 			now += clock.Millis(rapid.IntRange(0, 5).Draw(t, "step"))
 			i := rapid.IntRange(0, entries-1).Draw(t, "entry")
 			b := boards[i]
-			q := Query{Service: "s", Version: "v1", Zone: "a", Now: now, Bounds: Bounds{Warm: bound, Entries: entries, Index: i}}
+			q := Query{Service: "s", Version: "v1", Zone: "a", Now: now, Bounds: Bounds{Warm: bound, Shares: map[string]Share{"a": {Part: 1, Entries: entries, Index: i}}}}
 			if _, why := b.Pick(s, q); why == Picked {
 				sends = append(sends, now)
 			}
@@ -164,7 +164,7 @@
 	is := is.New(t)
 	s := fleetOf(2, func(i int, e *fleet.Endpoint) { e.Version = [...]string{"v1", "v2"}[i] })
 	b := NewBoard()
-	q := Query{Service: "s", Version: "v1", Zone: "a", Rule: upgrade.Rule{Current: "v1", Target: "v2"}, Bounds: Bounds{Warm: 5, Entries: 1}}
+	q := Query{Service: "s", Version: "v1", Zone: "a", Rule: upgrade.Rule{Current: "v1", Target: "v2"}, Bounds: Bounds{Warm: 5, Shares: map[string]Share{"a": {Part: 1, Entries: 1}}}}
 	got := make(map[Reason]int)
 	for range 20 {
 		e, why := b.Pick(s, q)
--- a/relay/run.go
+++ b/relay/run.go
@@ -215,7 +215,7 @@
 		return placement.Bounds{}
 	}
 	return placement.Bounds{
-		Cold: c.ColdPerSecond, Warm: c.ColdPerSecond*s.cfg.ColdOverage + s.cfg.ColdSlack, Entries: v.Entries(), Index: v.EntryIndex(),
+		Cold: c.ColdPerSecond, Warm: c.ColdPerSecond*s.cfg.ColdOverage + s.cfg.ColdSlack, Shares: v.Shares(),
 	}
 }
 
--- a/site/state.go
+++ b/site/state.go
@@ -357,41 +357,6 @@
 	hearing = 10 * clock.Second
 )
 
-// unknownEntries is how many entries are taken to share the bounds of the site
-// before the registered ones were read. Too many refuses a request now and then;
-// too few overruns an endpoint in cold start.
-const unknownEntries = 8
-
-// leavingShare is how much smaller the share of an entry is that leaves: it gets
-// no new connections and only ends what it has.
-const leavingShare = 4
-
-// entries counts the entries that share the bounds of the site, and returns this
-// one's number among them in the order of their names. One that leaves hands its
-// share to those that take its callers over: at a stop in turn a single entry may
-// have nearly all of them.
-func (s *State) entries() (n, index int) {
-	if !s.known[EntryStream] {
-		return unknownEntries, 0
-	}
-	n = 1
-	for name := range s.addresses {
-		p := s.peers[name]
-		switch {
-		case name == s.self.Name, p != nil && p.report.GetLeaving():
-		case p != nil && s.now-p.heardAt < peerGone, p == nil && s.now-s.startedAt < hearing:
-			n++
-			if name < s.self.Name {
-				index++
-			}
-		}
-	}
-	if s.leaving {
-		n *= leavingShare
-	}
-	return n, index
-}
-
 // started reports whether all streams that decisions rest on were read.
 func (s *State) started() bool {
 	return s.config != nil && s.known[EndpointStream] && s.known[StatusStream]
@@ -399,9 +364,9 @@
 
 // View returns an immutable picture of the state.
 func (s *State) View() *View {
-	n, index := s.entries()
+	sharers := s.sharers()
 	v := &View{
-		config: s.config, confirmedAt: s.confirmedAt, fleet: s.fleet.Snapshot(), entries: n, entryIndex: index,
+		config: s.config, confirmedAt: s.confirmedAt, fleet: s.fleet.Snapshot(), entries: len(sharers), shares: s.shares(sharers),
 		started: s.started(), leaving: s.leaving, moves: make(map[string]move), addresses: maps.Clone(s.addresses),
 		busy: s.moving(), duties: len(s.duties) > 0, reader: s.reader(), operatorNext: s.operatorNext, heardNext: s.heardNext,
 		fleetAt: s.fleetAt, strayAt: s.strayAt,
--- a/site/state_test.go
+++ b/site/state_test.go
@@ -15,6 +15,7 @@
 	"github.com/parsleydeal/parsleydeal/fleet"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/upgrade"
+	"pgregory.net/rapid"
 )
 
 // TestScripts runs the scripts in testdata. Each command is an event at a moment
@@ -269,6 +270,38 @@
 	is.Equal(s.View().Entries(), 2)
 	Reduce(s, Heard{Now: 40, Report: &wire.EntryReport{Process: "a/2", Name: "a", Address: "x"}})
 	is.Equal(s.View().Entries(), 3)
+	Reduce(s, EndpointsRead{Now: 50, Whole: true, Changes: changesOf(t, "i-1 v1 a ready")})
+	before := s.View().Shares()["a"].Entries
 	Reduce(s, Leave{})
-	is.Equal(s.View().Entries(), 12)
+	is.Equal(s.View().Shares()["a"].Entries, 4*before)
+}
+
+// Entries of several zones share what an endpoint bears. Those of its own zone have
+// most of it, and all together never have more than the whole.
+func TestSharesOfAllEntriesAreTheWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"a", "b", "c", "d", "e", "f", "g"}[:rapid.IntRange(1, 7).Draw(t, "entries")]
+		zones := make(map[string]string)
+		for _, name := range names {
+			zones[name] = rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "zone")
+		}
+		total := float64(rapid.IntRange(1, 40).Draw(t, "bound"))
+		sum := 0
+		for _, name := range names {
+			s := NewState(Self{Name: name, Process: name, Zone: zones[name]}, 0)
+			addresses := make(map[string]string)
+			for _, other := range names {
+				addresses[other] = other
+			}
+			Reduce(s, EntriesRead{Now: 1, Addresses: addresses})
+			for _, other := range names {
+				Reduce(s, Heard{Now: 2, Report: &wire.EntryReport{Process: other, Name: other, Zone: zones[other], Address: other}})
+			}
+			Reduce(s, EndpointsRead{Now: 3, Whole: true, Changes: []fleet.Change{{ID: "i", Endpoint: &fleet.Endpoint{ID: "i", Zone: "x"}}}})
+			sum += s.View().Shares()["x"].In(total, "i")
+		}
+		if sum > int(total) {
+			t.Fatalf("all together may send %d, %g are allowed", sum, total)
+		}
+	})
 }
--- a/site/view.go
+++ b/site/view.go
@@ -4,6 +4,7 @@
 	"github.com/parsleydeal/parsleydeal/catalog"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/fleet"
+	"github.com/parsleydeal/parsleydeal/placement"
 	"github.com/parsleydeal/parsleydeal/upgrade"
 )
 
@@ -13,12 +14,12 @@
 	confirmedAt clock.Millis
 	fleet       *fleet.Snapshot
 	// entries is how many entries share the bounds of the site; at least 1.
-	entries    int
-	entryIndex int
-	started    bool
-	leaving    bool
-	moves      map[string]move
-	addresses  map[string]string
+	entries   int
+	shares    map[string]placement.Share
+	started   bool
+	leaving   bool
+	moves     map[string]move
+	addresses map[string]string
 	// busy is true while an upgrade is under way or its verdict still due, duties
 	// while this process may have to write one.
 	busy   bool
@@ -55,8 +56,8 @@
 // Entries returns how many entries share the bounds of the site.
 func (v *View) Entries() int { return v.entries }
 
-// EntryIndex returns this entry's number among them, from 0.
-func (v *View) EntryIndex() int { return v.entryIndex }
+// Shares returns this entry's share of what endpoints may get, by their zone.
+func (v *View) Shares() map[string]placement.Share { return v.shares }
 
 // Started reports whether the process knows its site.
 func (v *View) Started() bool { return v.started }
