--- /dev/null
+++ b/upstream/upstream_test.go
@@ -0,0 +1,149 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/matryer/is"
+	"github.com/parsleydeal/parsleydeal/clock"
+)
+
+// script serves each connection by a function until the test ends.
+func script(t *testing.T, serve func(c net.Conn, r *bufio.Reader)) (address string) {
+	t.Helper()
+	lis, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = lis.Close() })
+	go func() {
+		for {
+			c, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				serve(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return lis.Addr().String()
+}
+
+func callTo(address string) Call {
+	return Call{
+		Address: address, Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{"Id": {"1"}},
+		Own:  func(h http.Header) bool { return h.Get("Id") == "1" },
+		Wait: func(waited clock.Millis) clock.Millis { return 300 - waited },
+	}
+}
+
+const own = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\nown"
+
+// An endpoint closes a kept connection just after its answer. The next request
+// must not be sent on it: it would be lost, and may not be repeated.
+func TestClosedConnectionIsNotUsedAgain(t *testing.T) {
+	is := is.New(t)
+	address := script(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			_, _ = io.WriteString(c, own)
+		}
+	})
+	p := NewPool(clock.System())
+	for range 3 {
+		a, err := p.Do(context.Background(), callTo(address))
+		is.NoErr(err)
+		body, err := io.ReadAll(a)
+		is.NoErr(err)
+		is.Equal(string(body), "own")
+		a.Close()
+		time.Sleep(20 * time.Millisecond)
+	}
+	is.Equal(p.Made(), int64(3))
+}
+
+// An answer that nobody asked for comes late, where the next one is due. It is
+// passed over; two bytes too many after an answer cost the connection.
+func TestLateAnswerIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	address := script(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 9\r\nContent-Length: 4\r\n\r\nlate"+own)
+			time.Sleep(200 * time.Millisecond)
+		}
+	})
+	p := NewPool(clock.System())
+	a, err := p.Do(context.Background(), callTo(address))
+	is.NoErr(err)
+	body, err := io.ReadAll(a)
+	is.NoErr(err)
+	is.Equal(string(body), "own")
+	a.Close()
+	is.Equal(p.Open(), int64(0))
+}
+
+// Errors say whether a request may have run: nothing left for an address without
+// a listener, while a silent or broken connection may have carried it.
+func TestErrorsSayWhetherARequestMayHaveRun(t *testing.T) {
+	is := is.New(t)
+	p := NewPool(clock.System())
+	_, err := p.Do(context.Background(), callTo("127.0.0.1:1"))
+	is.True(errorx.IsOfType(err, ErrNotSent))
+	silent := script(t, func(_ net.Conn, r *bufio.Reader) { _, _ = r.ReadString(0) })
+	_, err = p.Do(context.Background(), callTo(silent))
+	is.True(errorx.IsOfType(err, ErrSilent) && errorx.IsOfType(err, ErrLost))
+	broken := script(t, func(_ net.Conn, r *bufio.Reader) { _, _ = http.ReadRequest(r) })
+	_, err = p.Do(context.Background(), callTo(broken))
+	is.True(errorx.IsOfType(err, ErrLost) && !errorx.IsOfType(err, ErrSilent))
+	is.Equal(p.Open(), int64(0))
+}
+
+// An endpoint refuses a long body before it has read it and reads on. The answer
+// is taken, and the rest of the body is not mistaken for the next request.
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	is := is.New(t)
+	address := script(t, func(c net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, own)
+		time.Sleep(100 * time.Millisecond)
+		_, _ = io.Copy(io.Discard, req.Body)
+	})
+	p := NewPool(clock.System())
+	call := callTo(address)
+	call.Method, call.Body, call.HasBody = http.MethodPost, []byte(strings.Repeat("x", 8<<20)), true
+	a, err := p.Do(context.Background(), call)
+	is.NoErr(err)
+	body, err := io.ReadAll(a)
+	is.NoErr(err)
+	is.Equal(string(body), "own")
+	a.Close()
+	is.Equal(p.Open(), int64(0))
+}
+
+// A chunked answer breaks off. It must not look whole.
+func TestAnswerThatBreaksOffIsNotWhole(t *testing.T) {
+	is := is.New(t)
+	for _, head := range []string{"Content-Length: 10\r\n\r\nown", "Transfer-Encoding: chunked\r\n\r\n3\r\nown\r\n"} {
+		address := script(t, func(c net.Conn, r *bufio.Reader) {
+			if _, err := http.ReadRequest(r); err == nil {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\n"+head)
+			}
+		})
+		a, err := NewPool(clock.System()).Do(context.Background(), callTo(address))
+		is.NoErr(err)
+		_, err = io.ReadAll(a)
+		is.True(err != nil)
+		a.Close()
+	}
+}
