--- a/daemon/direct_test.go
+++ b/daemon/direct_test.go
@@ -35,6 +35,8 @@
 	// grace is the entries' time to stop.
 	grace clock.Millis
 	lease clock.Millis
+	// cold is how many requests a second an endpoint of the pool takes.
+	cold int
 }
 
 // entryAt is one entry of a town.
@@ -68,7 +70,7 @@
 func newTown(t *testing.T) *town {
 	t.Helper()
 	return &town{
-		t: t, store: standin.NewStore(), endpoints: make(map[string]*standin.Endpoint), keys: []string{"key-1"}, grace: 8 * clock.Second, lease: 5 * clock.Second,
+		t: t, store: standin.NewStore(), endpoints: make(map[string]*standin.Endpoint), keys: []string{"key-1"}, grace: 8 * clock.Second, lease: 5 * clock.Second, cold: 5000,
 		routes: []map[string]any{
 			{"name": "r-chat", "host": "h.example", "pathPrefix": "/chat/", "kind": "streaming", "timeoutMs": 5000, "targetLatencyMs": 600, "targetGapMs": 300, "sizes": []string{"small", "large"}, "service": "pool", "maxAttempts": 3, "sticky": true, "resumable": true},
 			{"name": "r-read", "host": "h.example", "pathPrefix": "/read/", "kind": "idempotent", "timeoutMs": 1500, "targetLatencyMs": 150, "service": "app", "maxAttempts": 2},
@@ -82,7 +84,7 @@
 	w.version++
 	c := map[string]any{
 		"version": w.version, "routes": w.routes,
-		"services": []map[string]any{{"name": "pool", "maxConnections": 100, "coldPerS": 5000, "engine": map[string]any{"slots": 64}}, {"name": "app", "maxConnections": 100}},
+		"services": []map[string]any{{"name": "pool", "maxConnections": 100, "coldPerS": w.cold, "engine": map[string]any{"slots": 64}}, {"name": "app", "maxConnections": 100}},
 		"limits":   map[string]any{"maxHeaderBytes": 4096, "maxBodyBytes": 10000, "headerTimeoutMs": 1000, "idleTimeoutMs": 5000},
 		"tenants":  []map[string]any{{"name": "org-1", "apiKeys": w.keys}},
 	}
@@ -883,3 +885,21 @@
 	}
 	is.True(seen <= 2) // 200 ms at the first, the rest at the second
 }
+
+// The small model thinks little of its answer, but no endpoint has room for the
+// larger one. The caller gets the answer that there is, and not nothing.
+func TestPoorAnswerIsBetterThanNone(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newTown(t)
+	w.cold = 3 // requests a second that the endpoint takes
+	w.endpoint("i-1", "pool", "v1", always(standin.Act{Events: 2, Confidence: 5}))
+	w.publish()
+	e := w.entry("entry-a")
+	ends := make(map[int]int)
+	for range 6 {
+		ends[e.send("POST", "/chat/1", "x").status]++
+	}
+	is.Equal(ends[http.StatusBadGateway], 0)
+	is.True(ends[http.StatusOK] >= 2)
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -112,6 +112,21 @@
 func (b *Board) Pick(s *fleet.Snapshot, q Query) (e *fleet.Endpoint, why Reason) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if e, why = b.choose(s, q); e != nil {
+		b.sent(e.ID, q.Now)
+	}
+	return e, why
+}
+
+// Room reports whether Pick would find an endpoint.
+func (b *Board) Room(s *fleet.Snapshot, q Query) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e, _ := b.choose(s, q)
+	return e != nil
+}
+
+func (b *Board) choose(s *fleet.Snapshot, q Query) (e *fleet.Endpoint, why Reason) {
 	for _, match := range q.passes() {
 		var all []*fleet.Endpoint
 		for _, at := range s.Of(q.Service) {
@@ -140,7 +155,6 @@
 			}
 		}
 		if e != nil {
-			b.sent(e.ID, q.Now)
 			return e, Picked
 		}
 	}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -135,10 +135,17 @@
 	return a.whole(h, answer)
 }
 
-// mayClimb reports whether a poor answer may be dropped for a larger model's.
+// mayClimb reports whether a poor answer may be dropped for a larger model's. It
+// may not when no endpoint has room for that: the caller would be left with
+// nothing, though it had an answer that may do.
 func (a *attempt) mayClimb() bool {
 	x := a.exchange
-	return !x.written && x.mayRepeat() && x.left() > climbLeast && x.budget().Has(x.server.cfg.Clock.Now())
+	if x.written || !x.mayRepeat() || x.left() <= climbLeast || !x.budget().Has(x.server.cfg.Clock.Now()) {
+		return false
+	}
+	q := x.query(a.plan.next())
+	q.Avoid = nil
+	return x.server.board.Room(x.view.Fleet(), q)
 }
 
 // climbLeast is the time that a larger model needs to be of use.
--- a/relay/run.go
+++ b/relay/run.go
@@ -105,22 +105,27 @@
 
 // pick chooses an endpoint for the request's next attempt.
 func (x *exchange) pick(p plan) (e *fleet.Endpoint, why placement.Reason) {
+	q := x.query(p)
+	e, why = x.server.board.Pick(x.view.Fleet(), q)
+	if e == nil && len(x.tried) > 0 {
+		// All others were tried or are out; one that was tried may have been
+		// refusing for a moment only.
+		q.Avoid = nil
+		e, why = x.server.board.Pick(x.view.Fleet(), q)
+	}
+	return e, why
+}
+
+// query asks for an endpoint for the model that a plan names now.
+func (x *exchange) query(p plan) placement.Query {
 	s := x.server
 	now := s.cfg.Clock.Now()
 	rule := x.view.Rule(x.service, now)
 	version := rule.Version(catalog.Fraction(x.session), s.sessions.version(x.session, x.service, now, x.view))
-	q := placement.Query{
+	return placement.Query{
 		Service: x.service, Version: version, Rule: rule, Zone: s.cfg.Zone, Avoid: x.tried, Model: p.model(),
 		Parts: x.req.Parts, Bytes: len(x.req.body), Bounds: s.bounds(x.view, x.service), Patience: x.patience(now), Now: now,
 	}
-	e, why = s.board.Pick(x.view.Fleet(), q)
-	if e == nil && len(x.tried) > 0 {
-		// All others were tried or are out; one that was tried may have been
-		// refusing for a moment only.
-		q.Avoid = nil
-		e, why = s.board.Pick(x.view.Fleet(), q)
-	}
-	return e, why
 }
 
 // lateFactor is how much of the time left to be of full use a prompt may be
