--- a/relay/run.go
+++ b/relay/run.go
@@ -71,7 +71,7 @@
 		switch {
 		case r == done, r == ended:
 			return x.truth(err)
-		case ctx.Err() != nil:
+		case ctx.Err() != nil, x.left() < leastLeft:
 			return x.give(kept, x.truth(x.overdue(err)))
 		case r == poor:
 			p = p.next()
--- a/relay/run_test.go
+++ b/relay/run_test.go
@@ -15,6 +15,7 @@
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/fleet"
 	"github.com/parsleydeal/parsleydeal/platform/standin"
+	"github.com/parsleydeal/parsleydeal/refusal"
 	"github.com/parsleydeal/parsleydeal/site"
 	"github.com/parsleydeal/parsleydeal/upstream"
 )
@@ -23,12 +24,21 @@
 // while its endpoint has just failed it. No further attempt is made:
 // each would open a connection, or begin the request, in vain.
 func TestNothingIsSentWithoutTimeLeft(t *testing.T) {
+	for _, kind := range []catalog.Kind{catalog.Idempotent, catalog.NonIdempotent} {
+		t.Run(fmt.Sprint(kind), func(t *testing.T) { runOutOfTime(t, kind) })
+	}
+}
+
+// runOutOfTime has a request's time end while its first endpoint fails it. The
+// caller is told that its time is up, and not that an endpoint was lost.
+func runOutOfTime(t *testing.T, kind catalog.Kind) {
+	t.Helper()
 	is := is.New(t)
 	var now atomic.Int64
 	now.Store(1000)
 	c := clock.New(func() clock.Millis { return clock.Millis(now.Load()) })
 	s := site.NewState(site.Self{Name: "e"}, 0)
-	route := &catalog.Route{Name: "r", Kind: catalog.Idempotent, Timeout: 500, Aim: 100, MaxAttempts: 5, Targets: []catalog.Target{{Service: "app", Weight: 1}}}
+	route := &catalog.Route{Name: "r", Kind: kind, Timeout: 500, Aim: 100, MaxAttempts: 5, Targets: []catalog.Target{{Service: "app", Weight: 1}}}
 	config := &catalog.Config{Version: 1, Routes: []*catalog.Route{route}, Services: map[string]catalog.Service{"app": {Name: "app"}}}
 	var changes []fleet.Change
 	for i := range 4 {
@@ -58,6 +68,9 @@
 		req: &Request{ID: "r-1", Method: http.MethodGet}, route: route, service: "app",
 	}
 	err := x.run(context.Background())
-	is.True(err != nil)
+	r, ok := refusal.As(err)
+	is.True(ok)
+	is.Equal(r.Code(), refusal.DeadlinePassed)
+	is.Equal(r.HonestStatus(), http.StatusGatewayTimeout)
 	is.Equal(x.sends, 1)
 }
