--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -97,15 +97,9 @@
 // Service is a group of endpoints that serve the same.
 type Service struct {
 	Name string
-	// MaxConnections bounds the connections to one endpoint from all callers.
-	MaxConnections int
 	// ColdPerSecond is how many requests a second an endpoint in cold start
 	// takes; 0 where there is no bound.
 	ColdPerSecond float64
-	// Slots and Memory are those of an engine, in requests and tokens; 0 for a
-	// plain service.
-	Slots  int
-	Memory int
 }
 
 // Organisation is a customer with its keys.
@@ -121,8 +115,6 @@
 type Limits struct {
 	MaxHeaderBytes int
 	MaxBodyBytes   int64
-	HeaderTimeout  clock.Millis
-	IdleTimeout    clock.Millis
 }
 
 // Config is one version of the configuration. Nothing in it changes once it
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -43,9 +43,6 @@
 	return &Socket{conn: conn}, nil
 }
 
-// Address returns the address that others send to.
-func (s *Socket) Address() string { return s.conn.LocalAddr().String() }
-
 // Lost returns how many datagrams could not be sent or read.
 func (s *Socket) Lost() int64 { return s.lost.Load() }
 
--- a/relay/request.go
+++ b/relay/request.go
@@ -31,10 +31,6 @@
 	AnyModel bool
 	Model    string
 	Parts    []placement.Part
-	// InputTokens and OutputTokens are the caller's own count of its prompt and
-	// the most that it wants generated.
-	InputTokens  int
-	OutputTokens int
 	// After is the number of the last event that the caller has, HasAfter says
 	// that it resumes a stream.
 	After    string
--- a/relay/server.go
+++ b/relay/server.go
@@ -131,7 +131,6 @@
 	model    string
 	events   int
 	firstAt  clock.Millis
-	waited   clock.Millis
 }
 
 func (x *exchange) serve() (err error) {
