--- a/site/state.go
+++ b/site/state.go
@@ -69,6 +69,8 @@
 	// and failedAt is when the first such call failed.
 	failing  bool
 	failedAt clock.Millis
+	// reads is whether the last view said that this entry reads the store for all.
+	reads bool
 	// operatorNext is the offset up to which the operators' stream is known, and
 	// heardNext the highest one that another entry knows.
 	operatorNext int64
@@ -92,7 +94,7 @@
 		upgrades: make(map[string]*upgrade.Upgrade), verdicts: make(map[string]Verdict), statusEnd: -1,
 		current: make(map[string]string), duties: make(map[string]duty), peers: make(map[string]*peer),
 		addresses: make(map[string]string), counts: make(map[string]upgrade.Counts), kept: make(map[string][]uint64), lapsed: make(map[string]clock.Millis),
-		operatorNext: -1, heardNext: -1, fleetAt: never, confirmedAt: never,
+		operatorNext: -1, heardNext: -1, fleetAt: never, confirmedAt: never, reads: true,
 	}
 }
 
--- a/site/state_test.go
+++ b/site/state_test.go
@@ -305,3 +305,30 @@
 		}
 	})
 }
+
+// Both entries that read the store freeze. No message says so; the others notice
+// that they are not heard and read it themselves, before a configuration published
+// meanwhile is overdue.
+func TestFrozenReadersAreReplaced(t *testing.T) {
+	is := is.New(t)
+	s := NewState(Self{Name: "c", Process: "c/1"}, 0)
+	Reduce(s, VerdictsRead{Now: 100})
+	Reduce(s, EndpointsRead{Now: 100, SentAt: 90})
+	Reduce(s, OperatorRead{Now: 100, SentAt: 90, Whole: true, Next: 5, News: newsOf(t, "config 1")})
+	for _, name := range []string{"a", "b"} {
+		Reduce(s, Heard{Now: 1000, Report: &wire.EntryReport{Process: name, Name: name, Address: name, OperatorNext: 5}})
+	}
+	view := s.View()
+	published := clock.Millis(0)
+	for now := clock.Millis(1000); now <= 4000 && published == 0; now += 100 {
+		for _, f := range Reduce(s, Tick{Now: now}) {
+			if _, ok := f.(Publish); ok {
+				view = s.View()
+			}
+		}
+		if view.wants(OperatorStream, now) && now > 1100 {
+			published = now
+		}
+	}
+	is.True(published > 0 && published <= 2700) // 1.7 s after they were last heard
+}
--- a/site/upgrade.go
+++ b/site/upgrade.go
@@ -20,8 +20,10 @@
 	// reachable is for how long the store may fail an entry that is still expected
 	// to call it.
 	reachable = clock.Second
-	// peerLive is how long an entry is not heard before others do its part.
-	peerLive = 2500 * clock.Millis(1)
+	// peerLive is how long an entry is not heard before others do its part. Each
+	// tells once a second. When both readers freeze, the others must know within
+	// the 2 s in which a configuration is to be in force.
+	peerLive = 1500 * clock.Millis(1)
 )
 
 // duty is a verdict that is due on the status stream.
@@ -208,6 +210,12 @@
 		effects = append(effects, Write{Verdict: d.verdict, At: s.statusEnd})
 	}
 	effects = append(effects, s.dropLapsed()...)
+	if reads := s.reader(); reads != s.reads {
+		// No event tells that a reader has fallen silent. Unless the view is made
+		// anew, this entry goes on waiting to hear from it.
+		s.reads = reads
+		effects = append(effects, Say{Message: "Reading of the store changed", Fields: []any{"reader", reads, "rank", s.rank()}}, Publish{})
+	}
 	if s.now-s.lastTold >= tellPace {
 		effects = append(effects, s.tell())
 	}
