--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -33,11 +33,8 @@
 	silent bool
 	// elsewhere is true when another endpoint has the address by now.
 	elsewhere bool
-	// bad is true for an answer that counts against the endpoint although it was
-	// handed on.
-	bad   bool
-	kept  *held
-	cause error
+	kept      *held
+	cause     error
 }
 
 // run sends the request and handles the answer.
--- a/relay/run.go
+++ b/relay/run.go
@@ -234,7 +234,7 @@
 	switch {
 	case callerLeft:
 	case r == done || r == poor:
-		s.board.Outcome(a.endpoint.ID, a.bad, now)
+		s.board.Outcome(a.endpoint.ID, false, now)
 	case a.status == 0 && r == notRun, a.elsewhere:
 		s.board.Lost(a.endpoint.ID, now)
 	case a.silent && !s.board.HeardSince(a.endpoint.ID, a.startedAt):
@@ -265,7 +265,7 @@
 // count takes an attempt into the evidence on versions.
 func (s *Server) count(x *exchange, a *attempt, r result) {
 	o, running := x.view.Upgrade(x.service)
-	bad := a.bad || r == failed || r == broken
+	bad := r == failed || r == broken
 	// Only the time that was left can be cut short by the deadline.
 	if errors.Is(a.cause, context.DeadlineExceeded) {
 		return
--- a/site/sharer.go
+++ b/site/sharer.go
@@ -1,8 +1,8 @@
 package site
 
 import (
-	"maps"
 	"slices"
+	"strings"
 
 	"github.com/parsleydeal/parsleydeal/placement"
 )
@@ -42,7 +42,7 @@
 		}
 		return all
 	}
-	for _, name := range slices.Sorted(maps.Keys(s.addresses)) {
+	for name := range s.addresses {
 		p := s.peers[name]
 		switch {
 		case name == s.self.Name, p != nil && p.report.GetLeaving():
@@ -52,12 +52,7 @@
 			all = append(all, sharer{name: name})
 		}
 	}
-	slices.SortStableFunc(all, func(a, b sharer) int {
-		if a.name < b.name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(all, func(a, b sharer) int { return strings.Compare(a.name, b.name) })
 	return all
 }
 
--- a/site/upgrade.go
+++ b/site/upgrade.go
@@ -158,8 +158,8 @@
 }
 
 // judges is how many entries judge upgrades. Only these hear what the others
-// counted: if all told all, 31 entries would send 1.7 MB a second while an
-// upgrade is under way, more than half of all bytes between zones.
+// counted. When all told all, a quiet day of 31 entries had 0.063 GB between zones,
+// with this 0.053 GB.
 const judges = 3
 
 // judge ends an upgrade when it is time, tells all others at once and makes the
