Demo: ready when its endpoints are

Finding: TestBurnSumsEntriesAndNamesMissing got 503 on the first request after the demo said ready, once, beside busy processes. Cause: ready meant that an entry could name a route; endpoints that had not read the log yet refused the request, and with all of a pool refusing the entry answered 503 at once. Ruled out: entries without tables (they name no route), the VM list read late (an entry then waits).

Change: the demo waits until each process says that it is ready.

--- a/cli/decision_test.go
+++ b/cli/decision_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -13,16 +14,33 @@
 	"github.com/parsleydeal/parsleydeal/bill"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/provider"
+	"github.com/parsleydeal/parsleydeal/settings"
 	"github.com/parsleydeal/parsleydeal/standin"
 )
 
 // startDemo runs the demo's processes with its tables changed by replacements.
 func startDemo(t *testing.T, replacements ...string) *local {
+	return startSlowDemo(t, 0, replacements...)
+}
+
+// startSlowDemo is startDemo with a log that answers endpoints late.
+func startSlowDemo(t *testing.T, late time.Duration, replacements ...string) *local {
 	is := is.New(t)
 	d := newLocal()
 	d.log = log.New(io.Discard)
+	log := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/streams/") {
+			time.Sleep(late)
+		}
+		d.platform.Handler().ServeHTTP(w, r)
+	}))
+	d.adjust = func(s *settings.Settings) {
+		if s.Endpoint.Pool != "" {
+			s.Platform = log.URL
+		}
+	}
 	is.NoErr(d.start(context.WithoutCancel(t.Context()), localShape{first: 20, gap: 5, tokens: 12}))
-	t.Cleanup(d.stop)
+	t.Cleanup(func() { d.stop(); log.CloseClientConnections(); log.Close() })
 	tables := strings.NewReplacer(replacements...).Replace(string(demoTables))
 	_, err := provider.NewHTTP(d.base, http.DefaultClient).Log().Append(t.Context(), provider.ConfigStream, []byte(tables))
 	is.NoErr(err)
@@ -50,6 +68,17 @@
 	return resp.Header, resp.StatusCode, err
 }
 
+// Endpoints read the log later than the entries, as on a busy machine. The demo said
+// that it was ready once entries could name a route, and its first caller got 503:
+// no endpoint had its tables yet, and each refused.
+func TestDemoIsReadyWhenItsEndpointsAre(t *testing.T) {
+	is := is.New(t)
+	d := startSlowDemo(t, 400*time.Millisecond)
+	_, status, err := d.answerTo(t.Context(), "dossier", "")
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+}
+
 func billOf(t *testing.T, d *local, request string) (b *wire.Bill) {
 	const patience = 30 * time.Second
 	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
--- a/cli/local.go
+++ b/cli/local.go
@@ -49,6 +49,8 @@
 	stopProcesses, stopStandins context.CancelFunc
 	wg                          sync.WaitGroup
 	mu                          sync.Mutex
+	// operators holds the addresses of the processes' operators' interfaces.
+	operators []string
 	// reserved holds listeners by address until their process takes them.
 	reserved map[string]net.Listener
 }
@@ -72,6 +74,15 @@
 // start runs two availability zones with an entry and two model endpoints
 // each, and a plain service in the first.
 func (l *local) start(ctx context.Context, shape localShape) (err error) {
+	if err = l.prepare(ctx, shape); err != nil {
+		return err
+	}
+	l.launch()
+	return nil
+}
+
+// prepare opens the stand-ins and makes the processes, which do not run yet.
+func (l *local) prepare(ctx context.Context, shape localShape) (err error) {
 	ctx, l.stopProcesses = context.WithCancel(ctx)
 	l.standins, l.stopStandins = context.WithCancel(context.WithoutCancel(ctx))
 	if l.base, err = serve(l.standins, l.platform.Handler()); err != nil {
@@ -86,10 +97,14 @@
 		return err
 	}
 	l.platform.SetVMs(l.vms)
+	return nil
+}
+
+// launch runs the processes.
+func (l *local) launch() {
 	for _, run := range l.processes {
 		l.wg.Go(run)
 	}
-	return nil
 }
 
 // rateWell has the stand-in rater find both versions good, so that no route of
@@ -141,6 +156,7 @@
 // empty one first.
 func (l *local) spawn(ctx context.Context, s settings.Settings, run localFunc) {
 	ctx, l.stops[s.VM] = context.WithCancel(ctx)
+	l.operators = append(l.operators, s.Operators)
 	l.processes = append(l.processes, func() {
 		if err := run(ctx, s, l.log, l.listen); err != nil {
 			l.log.Error("Process failed", "vm", s.VM, "error", err)
@@ -172,8 +188,15 @@
 	return &client.Caller{Base: l.scheme + l.callers[entry], Key: key, HTTP: l.http}
 }
 
-// waitReady waits until a route can be named at every entry.
+// waitReady waits until every process is ready and a route can be named at every
+// entry. An entry is ready without its endpoints, as it must be where all of a pool
+// are out; a request sent before these are would be refused.
 func (l *local) waitReady(ctx context.Context, key string) (err error) {
+	for _, address := range l.operators {
+		if err = until(ctx, func() bool { return l.isReady(ctx, address) }); err != nil {
+			return err
+		}
+	}
 	for i := range l.callers {
 		c := l.caller(i, key)
 		err = until(ctx, func() bool {
@@ -187,6 +210,20 @@
 	return nil
 }
 
+// isReady asks a process at its operators' address.
+func (l *local) isReady(ctx context.Context, address string) bool {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, l.scheme+address+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := l.http.Do(r)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
 // until polls for a condition.
 func until(ctx context.Context, ok func() bool) (err error) {
 	const every = 20 * clock.Millis(1)
