Demo over TLS: readiness is asked with a certificate

TestWholeSystemOverTLS failed on the commit before: the operators' interface takes only callers with a certificate of the system.

--- a/cli/local.go
+++ b/cli/local.go
@@ -36,6 +36,8 @@
 	// scheme and http are how callers reach the entries.
 	scheme string
 	http   *http.Client
+	// watch asks the operators' interfaces.
+	watch *http.Client
 	log    *log.Logger
 	// tables is the change that is published first.
 	tables []byte
@@ -66,7 +68,7 @@
 
 func newLocal() *local {
 	return &local{
-		scheme: "http://", http: http.DefaultClient, tables: demoTables, platform: standin.NewPlatform(), engines: make(map[string]*standin.Engine), plain: standin.NewPlain(),
+		scheme: "http://", http: http.DefaultClient, watch: http.DefaultClient, tables: demoTables, platform: standin.NewPlatform(), engines: make(map[string]*standin.Engine), plain: standin.NewPlain(),
 		log: log.NewWithOptions(os.Stderr, log.Options{Level: log.WarnLevel}), adjust: func(*settings.Settings) {}, stops: make(map[string]context.CancelFunc), reserved: make(map[string]net.Listener),
 	}
 }
@@ -216,7 +218,7 @@
 	if err != nil {
 		return false
 	}
-	resp, err := l.http.Do(r)
+	resp, err := l.watch.Do(r)
 	if err != nil {
 		return false
 	}
--- a/cli/secure_test.go
+++ b/cli/secure_test.go
@@ -63,6 +63,9 @@
 	l := startLocal(t, localShape{tokens: 3}, func(l *local) {
 		l.scheme = "https://"
 		l.http = &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}}}
+		own, err := tls.LoadX509KeyPair(files.Certificate, files.Key)
+		is.NoErr(err)
+		l.watch = &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, Certificates: []tls.Certificate{own}}}}
 		l.adjust = func(s *settings.Settings) {
 			s.TLS = settings.TLS{ReloadEvery: 100, Peers: files}
 			s.TLS.Callers = settings.Certificate{Certificate: files.Certificate, Key: files.Key}
