Prompts go where their parts are, at the price of a short wait

Reading holds up all streams of an endpoint and is charged for, which time alone does not count.

Change: a token that need not be read spares 0.05 ms beyond its time, falling to nothing at a quarter of an endpoint's slots. What is known of kept parts moved to kept.go.

--- a/placement/board.go
+++ b/placement/board.go
@@ -18,11 +18,6 @@
 	// failHalf is how fast that part is forgotten, so that an endpoint which
 	// failed is tried again.
 	failHalf = 4 * clock.Second
-	// partLife is how long a prompt part that was sent to an endpoint is taken to
-	// be in its memory.
-	partLife = 20 * clock.Second
-	// maxParts bounds the parts remembered; when it is passed, old ones go.
-	maxParts = 20000
 	// window is the span of the bounds on what is sent, a second and a fifth more:
 	// requests sent more than a second apart may arrive within one, when the first
 	// of them waited for its connection.
@@ -35,29 +30,15 @@
 	mu       sync.Mutex
 	inflight *choice.Inflight
 	marks    map[string]*mark
-	// parts holds when a prompt part was last sent to an endpoint, by this entry or
-	// one that told of it.
-	parts map[partKey]clock.Millis
+	kept     kept
 	// peers holds what other entries have at endpoints, by entry.
 	peers map[string]peerWork
-	// untold holds the parts by endpoint that were sent since this entry last told of
-	// them.
-	untold map[uint64][]uint64
-	speed  speeds
-	off    experiment.Off
+	speed speeds
+	off   experiment.Off
 	// usualOthers is how many prompts of others usually wait at an endpoint.
 	usualOthers float64
 }
 
-// partKey names a part at an endpoint by hashes.
-type partKey struct {
-	endpoint uint64
-	part     uint64
-}
-
-// hashOf hashes a part for a model: models keep their own.
-func (p Part) hashOf(model string) uint64 { return xxhash.Sum64String(model + "/" + p.ID) }
-
 // mark is what is remembered of one endpoint.
 type mark struct {
 	// hash is that of the endpoint's ID.
@@ -90,7 +71,7 @@
 
 // NewBoardWithout makes a board that decides without some mechanisms.
 func NewBoardWithout(off experiment.Off) *Board {
-	return &Board{off: off, inflight: choice.NewInflight(), marks: make(map[string]*mark), parts: make(map[partKey]clock.Millis), peers: make(map[string]peerWork), untold: make(map[uint64][]uint64), speed: newSpeeds()}
+	return &Board{off: off, inflight: choice.NewInflight(), marks: make(map[string]*mark), kept: newKept(), peers: make(map[string]peerWork), speed: newSpeeds()}
 }
 
 func (b *Board) mark(id string) *mark {
@@ -124,14 +105,7 @@
 	w := &Work{board: b, endpoint: id, model: q.Model, tokens: b.unread(id, q), millis: b.reading(id, q), alone: m.unanswered == 0, begun: q.Now}
 	m.pending += w.millis
 	m.unanswered++
-	if len(b.parts) > maxParts {
-		b.forget(q.Now)
-	}
-	for _, p := range q.Parts {
-		h := p.hashOf(q.Model)
-		b.parts[partKey{m.hash, h}] = q.Now
-		b.untold[m.hash] = append(b.untold[m.hash], h)
-	}
+	b.kept.own(m.hash, q)
 	return w
 }
 
@@ -334,14 +308,25 @@
 	return len(m.sends) < q.Bounds.Shares[e.Zone].In(total, e.ID)
 }
 
+// spared is what is saved beyond time by the parts of a prompt that need not be read.
+func (b *Board) spared(id string, q Query) float64 {
+	return readCost * float64(tokensOf(q.Parts)-b.unread(id, q))
+}
+
+func tokensOf(parts []Part) (tokens int) {
+	for _, p := range parts {
+		tokens += p.Tokens
+	}
+	return tokens
+}
+
 // unread counts the tokens of the prompt that the endpoint must read: all parts
 // from the first one on that it does not have.
 func (b *Board) unread(id string, q Query) (tokens int) {
 	missing := b.off.Has(experiment.KeptParts)
 	endpoint := b.mark(id).hash
 	for _, p := range q.Parts {
-		at, ok := b.parts[partKey{endpoint, p.hashOf(q.Model)}]
-		missing = missing || !ok || q.Now-at > partLife
+		missing = missing || !b.kept.holds(endpoint, p.hashOf(q.Model), q.Now)
 		if missing {
 			tokens += p.Tokens
 		}
@@ -349,15 +334,6 @@
 	return tokens
 }
 
-// forget drops what is too old to matter.
-func (b *Board) forget(now clock.Millis) {
-	for k, at := range b.parts {
-		if now-at > partLife/2 {
-			delete(b.parts, k)
-		}
-	}
-}
-
 // Keep drops what is known of endpoints that are gone.
 func (b *Board) Keep(s *fleet.Snapshot, now clock.Millis) {
 	b.mu.Lock()
@@ -365,7 +341,7 @@
 	for id, m := range b.marks {
 		if s.Find(id) == nil {
 			delete(b.marks, id)
-			delete(b.untold, m.hash)
+			delete(b.kept.untold, m.hash)
 		}
 	}
 	for entry, p := range b.peers {
--- /dev/null
+++ b/placement/kept.go
@@ -0,0 +1,74 @@
+package placement
+
+import (
+	"github.com/cespare/xxhash/v2"
+	"github.com/parsleydeal/parsleydeal/clock"
+)
+
+const (
+	// keptFor is how long a prompt part that was sent to an endpoint is taken to be in
+	// its memory. Following instead what is read there until a memory is full was worth
+	// nothing: mean worths of 0.7725 and 0.7732 over 40 days with trouble.
+	keptFor = 20 * clock.Second
+	// maxParts bounds the parts remembered; when it is passed, old ones go.
+	maxParts = 20000
+)
+
+// partKey names a part at an endpoint by hashes.
+type partKey struct {
+	endpoint uint64
+	part     uint64
+}
+
+// hashOf hashes a part for a model: models keep their own.
+func (p Part) hashOf(model string) uint64 { return xxhash.Sum64String(model + "/" + p.ID) }
+
+// kept knows which prompt parts the endpoints hold: those sent there by this entry or
+// by one that told of it.
+type kept struct {
+	// parts holds when a part was last sent to an endpoint.
+	parts map[partKey]clock.Millis
+	// untold holds the parts by endpoint that this entry has sent since it last told
+	// of them.
+	untold map[uint64][]uint64
+}
+
+func newKept() kept {
+	return kept{parts: make(map[partKey]clock.Millis), untold: make(map[uint64][]uint64)}
+}
+
+// own notes a prompt that this entry sends.
+func (k *kept) own(endpoint uint64, q Query) {
+	for _, p := range q.Parts {
+		h := p.hashOf(q.Model)
+		k.untold[endpoint] = append(k.untold[endpoint], h)
+		k.parts[partKey{endpoint, h}] = q.Now
+	}
+	k.bound(q.Now)
+}
+
+// hear notes parts that another entry sent.
+func (k *kept) hear(endpoint uint64, parts []uint64, now clock.Millis) {
+	for _, h := range parts {
+		k.parts[partKey{endpoint, h}] = now
+	}
+	k.bound(now)
+}
+
+// holds reports whether an endpoint is taken to hold a part.
+func (k *kept) holds(endpoint, part uint64, now clock.Millis) bool {
+	at, ok := k.parts[partKey{endpoint, part}]
+	return ok && now-at <= keptFor
+}
+
+// bound drops what is too old to matter once there is too much.
+func (k *kept) bound(now clock.Millis) {
+	if len(k.parts) <= maxParts {
+		return
+	}
+	for key, at := range k.parts {
+		if now-at > keptFor/2 {
+			delete(k.parts, key)
+		}
+	}
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -101,6 +101,14 @@
 	// homeCost spreads prompts over endpoints by their hashes, so that entries
 	// that know nothing of one another send a prompt's parts to the same place.
 	homeCost = 60.0
+	// readCost is what a token spares that need not be read, beyond the time that reading
+	// takes: it holds up all streams that run there, and reading a shared part again is
+	// charged for. It falls to nothing as the endpoint's load nears easyLoad, from where
+	// its streams gain more by going elsewhere. At 0,
+	// 0.05 and 0.1 the mean worth of 30 days with trouble was 0.764, 0.774 and 0.777 at a
+	// site of long shared parts, 0.729, 0.728 and 0.721 at one of short ones.
+	readCost = 0.05
+	easyLoad = 0.25
 	// failCost is what an endpoint costs that fails every time.
 	failCost = 2500.0
 	// fullAt is the load from which an endpoint gets no more: a queue half as long
@@ -205,7 +213,7 @@
 	if q.Patience > 0 && wait > float64(q.Patience) {
 		return 0, late
 	}
-	cost += wait
+	cost += wait - b.spared(e.ID, q)*max(1-load/easyLoad, 0)
 	if b.off.Has(experiment.Homes) {
 		return cost, o
 	}
--- a/placement/told.go
+++ b/placement/told.go
@@ -34,12 +34,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, m := range b.marks {
-		parts := b.untold[m.hash]
+		parts := b.kept.untold[m.hash]
 		if m.unanswered > 0 || len(parts) > 0 {
 			out = append(out, Told{Endpoint: m.hash, Pending: m.pending, Unanswered: m.unanswered, Parts: parts})
 		}
 	}
-	clear(b.untold)
+	clear(b.kept.untold)
 	return out
 }
 
@@ -49,11 +49,8 @@
 	defer b.mu.Unlock()
 	p := peerWork{at: now, work: make(map[uint64]Told, len(told))}
 	for _, t := range told {
-		for _, h := range t.Parts {
-			if b.off.Has(experiment.ToldParts) {
-				break
-			}
-			b.parts[partKey{t.Endpoint, h}] = now
+		if !b.off.Has(experiment.ToldParts) {
+			b.kept.hear(t.Endpoint, t.Parts, now)
 		}
 		t.Parts = nil
 		if !b.off.Has(experiment.ToldWork) {
@@ -61,9 +58,6 @@
 		}
 	}
 	b.peers[entry] = p
-	if len(b.parts) > maxParts {
-		b.forget(now)
-	}
 }
 
 // told sums what other entries have at an endpoint.
