--- /dev/null
+++ b/account/account.go
@@ -0,0 +1,147 @@
+// Package account sums up what became of the requests in the log lines of entries: by
+// route, by second and by cause, with the time that each cause took.
+package account
+
+import (
+	"bufio"
+	"io"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/parsleydeal/parsleydeal/clock"
+)
+
+// maxLine bounds a log line that is read.
+const maxLine = 1 << 20
+
+// Request is the end of a request as an entry logged it.
+type Request struct {
+	// At is the writer's wall clock at the end.
+	At    time.Time
+	Route string
+	// Cause is why the request was not answered in time, or "answered".
+	Cause string
+	// Took is its whole time at the entry, First the time to the first byte; 0 when
+	// none came.
+	Took  clock.Millis
+	First clock.Millis
+}
+
+// Attempt is an attempt that did not bring the answer.
+type Attempt struct {
+	// Result is what became of it, in the words of the log.
+	Result string
+	Model  string
+	After  clock.Millis
+}
+
+// Log holds what log lines told.
+type Log struct {
+	Requests []Request
+	Attempts []Attempt
+	// Torn counts lines of requests and attempts that lack a field or cannot be read;
+	// Other counts lines that tell of something else.
+	Torn  int
+	Other int
+}
+
+// Causes of requests that were not answered, or late.
+const (
+	// Answered requests had their whole answer in time.
+	Answered = "answered"
+	// LateFirst and LatePause are answers whose first byte came after its aim, or that
+	// paused for longer than their route allows.
+	LateFirst = "late: first byte"
+	LatePause = "late: pause"
+	// Left requests ended because their caller went away.
+	Left = "left by caller"
+)
+
+var (
+	stamp = regexp.MustCompile(`[A-Z][a-z]{2} [ \d]\d \d\d:\d\d:\d\d\.\d{3}`)
+	pairs = regexp.MustCompile(`([a-z-]+)=("(?:[^"\\]|\\.)*"|\S*)`)
+)
+
+// Read adds the lines of a log.
+func (l *Log) Read(r io.Reader) (err error) {
+	s := bufio.NewScanner(r)
+	s.Buffer(make([]byte, 64<<10), maxLine)
+	for s.Scan() {
+		l.line(s.Text())
+	}
+	return s.Err()
+}
+
+func (l *Log) line(text string) {
+	switch {
+	case strings.Contains(text, "Request answered "), strings.Contains(text, "Request failed "):
+		l.request(text)
+	case strings.Contains(text, "Attempt did not answer "):
+		l.attempt(text)
+	default:
+		l.Other++
+	}
+}
+
+// fields of a line, by name.
+type fields map[string]string
+
+func fieldsOf(text string) fields {
+	f := make(fields)
+	for _, m := range pairs.FindAllStringSubmatch(text, -1) {
+		value := m[2]
+		if unquoted, err := strconv.Unquote(value); err == nil {
+			value = unquoted
+		}
+		f[m[1]] = value
+	}
+	return f
+}
+
+// span reads a field that holds a span of time.
+func (f fields) span(name string) (span clock.Millis, ok bool) {
+	d, err := time.ParseDuration(f[name])
+	return clock.Of(d), err == nil
+}
+
+func (l *Log) request(text string) {
+	f := fieldsOf(text)
+	at, err := time.Parse(time.StampMilli, stamp.FindString(text))
+	took, ok := f.span("took")
+	first, hasFirst := f.span("first")
+	if err != nil || !ok || !hasFirst || f["route"] == "" && f["error"] == "" {
+		l.Torn++
+		return
+	}
+	l.Requests = append(l.Requests, Request{At: at, Route: f["route"], Cause: causeOf(f), Took: took, First: first})
+}
+
+// causeOf names the cause by a line's fields.
+func causeOf(f fields) string {
+	code, _, _ := strings.Cut(f["error"], " (")
+	switch {
+	case f["left-by-caller"] == "true":
+		return Left
+	case f["error"] == "" && f["late"] == "first-byte":
+		return LateFirst
+	case f["error"] == "" && f["late"] == "pause":
+		return LatePause
+	case f["error"] == "":
+		return Answered
+	case f["sends"] == "0":
+		return "refused: " + code
+	}
+	return "failed: " + code
+}
+
+func (l *Log) attempt(text string) {
+	f := fieldsOf(text)
+	after, ok := f.span("after")
+	if !ok || f["result"] == "" {
+		l.Torn++
+		return
+	}
+	l.Attempts = append(l.Attempts, Attempt{Result: f["result"], Model: f["model"], After: after})
+}
--- /dev/null
+++ b/account/print.go
@@ -0,0 +1,142 @@
+package account
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/parsleydeal/parsleydeal/clock"
+)
+
+// ErrEmpty marks logs that tell of no request.
+var ErrEmpty = errors.New("account: the logs tell of no request")
+
+// barWidth is the length of the longest bar of the plot, in characters.
+const barWidth = 40
+
+// Print writes the account.
+func (l *Log) Print(w io.Writer) (err error) {
+	if len(l.Requests) == 0 {
+		return ErrEmpty
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	l.routes(t)
+	l.causes(t)
+	l.attempts(t)
+	l.seconds(t)
+	fmt.Fprintf(t, "\n%d lines of other things, %d torn ones passed over\n", l.Other, l.Torn)
+	return t.Flush()
+}
+
+// tally counts requests of one kind.
+type tally struct {
+	asked, answered, late, refused, failed, left int
+	first                                        []clock.Millis
+}
+
+func (c *tally) add(r Request) {
+	c.asked++
+	switch {
+	case r.Cause == Answered:
+		c.answered++
+	case r.Cause == LateFirst || r.Cause == LatePause:
+		c.late++
+	case r.Cause == Left:
+		c.left++
+	case strings.HasPrefix(r.Cause, "refused"):
+		c.refused++
+	default:
+		c.failed++
+	}
+	if r.First > 0 {
+		c.first = append(c.first, r.First)
+	}
+}
+
+// quantile is the time to the first byte below which a part of the requests lie.
+func (c *tally) quantile(part float64) clock.Millis {
+	if len(c.first) == 0 {
+		return 0
+	}
+	slices.Sort(c.first)
+	return c.first[int(math.Ceil(part*float64(len(c.first)-1)))]
+}
+
+func (l *Log) routes(w io.Writer) {
+	by := make(map[string]*tally)
+	for _, r := range l.Requests {
+		name := cmp.Or(r.Route, "-")
+		if by[name] == nil {
+			by[name] = &tally{}
+		}
+		by[name].add(r)
+	}
+	fmt.Fprintln(w, "route\tasked\tin time\tlate\trefused\tfailed\tleft\tfirst byte p50\tp99")
+	for _, name := range slices.Sorted(maps.Keys(by)) {
+		c := by[name]
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\n", name, c.asked, c.answered, c.late, c.refused, c.failed, c.left, c.quantile(0.5), c.quantile(0.99))
+	}
+}
+
+// sum is how many of something there were, and the time they took.
+type sum struct {
+	name string
+	n    int
+	took clock.Millis
+}
+
+// sums groups by name, the most time first.
+func sums[T any](all []T, of func(T) (name string, took clock.Millis)) (out []sum) {
+	by := make(map[string]sum)
+	for _, x := range all {
+		name, took := of(x)
+		s := by[name]
+		by[name] = sum{name, s.n + 1, s.took + took}
+	}
+	return slices.SortedFunc(maps.Values(by), func(a, b sum) int {
+		return cmp.Or(cmp.Compare(b.took, a.took), cmp.Compare(a.name, b.name))
+	})
+}
+
+func (l *Log) causes(w io.Writer) {
+	fmt.Fprintln(w, "\nwhat became of requests\tnumber\ttime at the entry")
+	for _, s := range sums(l.Requests, func(r Request) (string, clock.Millis) { return r.Cause, r.Took }) {
+		fmt.Fprintf(w, "%s\t%d\t%s\n", s.name, s.n, s.took)
+	}
+}
+
+func (l *Log) attempts(w io.Writer) {
+	fmt.Fprintln(w, "\nattempts that brought no answer\tnumber\ttime")
+	for _, s := range sums(l.Attempts, func(a Attempt) (string, clock.Millis) { return strings.TrimSpace(a.Result + " " + a.Model), a.After }) {
+		fmt.Fprintf(w, "%s\t%d\t%s\n", s.name, s.n, s.took)
+	}
+}
+
+// seconds plots the requests that were not answered in time by the second of their
+// end.
+func (l *Log) seconds(w io.Writer) {
+	by := make(map[time.Time]*tally)
+	most := 1
+	for _, r := range l.Requests {
+		at := r.At.Truncate(time.Second)
+		if by[at] == nil {
+			by[at] = &tally{}
+		}
+		by[at].add(r)
+		most = max(most, by[at].asked)
+	}
+	fmt.Fprintln(w, "\nended at\tin time\tlate\trefused\tfailed\tleft\t= in time, ~ late, x refused or failed")
+	for _, at := range slices.SortedFunc(maps.Keys(by), time.Time.Compare) {
+		c := by[at]
+		bar := func(n int, mark string) string { return strings.Repeat(mark, (n*barWidth+most-1)/most) }
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%s\n", at.Format(time.TimeOnly), c.answered, c.late, c.refused, c.failed, c.left,
+			bar(c.answered, "=")+bar(c.late, "~")+bar(c.refused+c.failed, "x"))
+	}
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -134,6 +134,10 @@
 	model    string
 	events   int
 	firstAt  clock.Millis
+	// emittedAt is when the last event was handed on, pause the longest span between
+	// two of them.
+	emittedAt clock.Millis
+	pause     clock.Millis
 }
 
 func (x *exchange) serve() (err error) {
@@ -176,7 +180,7 @@
 func (x *exchange) say(err error, took clock.Millis, gone bool) {
 	fields := []any{
 		"request", x.id(), "route", x.routeName(), "organisation", x.organisation, "status", x.status, "endpoint", x.endpoint, "version", x.version, "model", x.model,
-		"sends", x.sends, "events", x.events, "took", took, "first", x.firstAt, "config", x.configVersion(), "config-age", x.configAge(), "left-by-caller", gone,
+		"sends", x.sends, "events", x.events, "took", took, "first", x.firstAt, "late", x.late(took), "config", x.configVersion(), "config-age", x.configAge(), "left-by-caller", gone,
 	}
 	if err != nil {
 		x.server.cfg.Log.Warn("Request failed", append(fields, "error", logbook.Text(err))...)
@@ -185,6 +189,23 @@
 	x.server.cfg.Log.Info("Request answered", fields...)
 }
 
+// late says by what an answer was not of full use; empty for one in time.
+func (x *exchange) late(took clock.Millis) string {
+	first := x.firstAt
+	if x.events == 0 {
+		first = took
+	}
+	switch {
+	case x.route == nil:
+		return ""
+	case x.route.Aim > 0 && first > x.route.Aim:
+		return "first-byte"
+	case x.route.Gap > 0 && x.pause > x.route.Gap:
+		return "pause"
+	}
+	return ""
+}
+
 // id is the request's, or empty when it could not be read.
 func (x *exchange) id() string {
 	if x.req == nil {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -87,7 +87,12 @@
 	if err != nil {
 		return refusal.New(refusal.Cancelled, "caller takes nothing: "+err.Error()).WithRun(refusal.Ran)
 	}
+	now := x.server.cfg.Clock.Now()
+	if x.events > 0 {
+		x.pause = max(x.pause, now-x.emittedAt)
+	}
 	x.events++
+	x.emittedAt = now
 	if e.id != "" {
 		x.req.After, x.req.HasAfter = e.id, true
 	}
