A new version's share does not rise while the evidence leans against it

The judges saw 11 to 18 timed answers in 16 s, nearly all slow, while faults made every second answer of the old version slow too; a verdict wants evidence of 15 and a G statistic of 20, so that the share rose, the old version fell idle and the bad one was completed. Change: from half of the span on, half of that evidence with a G of 6 ends the move as rolled back. A good version of which that is said is ordered once more: 15 of 500 at most by the test, beside faults that slow both versions.

--- a/rollout/test.go
+++ b/rollout/test.go
@@ -103,7 +103,16 @@
 	return worse(t.since, beside) >= commonWorse
 }
 
+// Leans reports whether the evidence is half of what holds a version, and in the same
+// span it did worse than the versions beside it by a G statistic that one look passes by
+// chance in 1 of 70 cases. It is no verdict, but a reason not to give the version more.
+func (t *Test) Leans(control Sample) bool {
+	return t.evidence() >= threshold/2 && worse(t.since, control.minus(t.startedAt)) >= leaningWorse
+}
+
 const (
+	// leaningWorse is the G statistic of Leans.
+	leaningWorse = 6
 	// commonLeast is how much must have gone wrong beside the version by then if
 	// the cause were a common one.
 	commonLeast = 10
--- a/upgrade/evidence.go
+++ b/upgrade/evidence.go
@@ -126,3 +126,14 @@
 	}
 	return ""
 }
+
+// leaning names what the new version seems to be bad at, by evidence that is not enough
+// for a verdict.
+func (b *bench) leaning() string {
+	for i, m := range measures {
+		if b.tests[i].Leans(b.old[i]) {
+			return m.name
+		}
+	}
+	return ""
+}
--- a/upgrade/upgrade.go
+++ b/upgrade/upgrade.go
@@ -100,8 +100,8 @@
 	return b
 }
 
-// Judge finds the move's end: rolled back as soon as the new version is bad,
-// completed when the old version works on nothing any more. Old is the number of
+// Judge finds the move's end: rolled back as soon as the new version is bad, or when its
+// share is to rise while the evidence leans against it, completed when the old version works on nothing any more. Old is the number of
 // requests that run on the old version, all processes together.
 func (u *Upgrade) Judge(now clock.Millis, old int) (changed bool) {
 	if u.phase != Running {
@@ -112,6 +112,9 @@
 			return u.Set(RolledBack, v+" on "+nameOf(route))
 		}
 	}
+	if v := u.bench(allRoutes).leaning(); v != "" && u.Passed(now) >= firstPart {
+		return u.Set(RolledBack, "its share was to rise, and it seems "+v)
+	}
 	if old > 0 || u.Passed(now) < fullFrom {
 		u.idleSince = 0
 	} else if u.idleSince == 0 {
--- a/upgrade/upgrade_test.go
+++ b/upgrade/upgrade_test.go
@@ -123,6 +123,56 @@
 	})
 }
 
+// Endpoints are cut off while a slow version is brought in, and every second answer of
+// the old version is slow as well. Nearly all of the new one's are, but sixteen of them
+// are too few for a verdict: its share rose, the old version fell idle and it was
+// completed.
+func TestShareDoesNotRiseWhileEvidenceLeansAgainstIt(t *testing.T) {
+	kept := 0
+	for seed := range uint64(200) {
+		if u := judgedBeside(seed, 16, [3]int{55, 40, 6}, 97, 70, 20); u.Phase() != RolledBack {
+			kept++
+		}
+	}
+	if kept > 10 {
+		t.Errorf("the share of %d of 200 slow versions rose", kept)
+	}
+}
+
+// The same faults with a good version: both versions are as slow. Few are rolled back
+// for nothing; each is ordered once more.
+func TestGoodVersionStaysBesideFaults(t *testing.T) {
+	wrong := 0
+	for seed := range uint64(500) {
+		if u := judgedBeside(seed, 40, [3]int{55, 40, 6}, 55, 40, 6); u.Phase() != Running {
+			wrong++
+		}
+	}
+	if wrong > 15 {
+		t.Errorf("%d of 500 good versions were rolled back", wrong)
+	}
+}
+
+// judgedBeside plays so many answers of a new version until half of its span has passed,
+// one for every eight of an old one of which so many in a hundred are slow by each grade.
+func judgedBeside(seed uint64, answers int, slowOld [3]int, slow ...int) (u *Upgrade) {
+	const half = 10000
+	u = New(Order{Service: "s", Target: "v2", Span: 2 * half}, 0)
+	r := rand.New(rand.NewPCG(seed, 1))
+	var old, fresh Count
+	for i := range answers {
+		for range 8 {
+			old.add(r.IntN(100), slowOld[:]...)
+		}
+		fresh.add(r.IntN(100), slow...)
+		u.Take("a", Counts{{Route: "r", Target: true}: fresh, {Route: "r"}: old})
+		if u.Judge(clock.Millis((i+1)*half/answers), 1) {
+			break
+		}
+	}
+	return u
+}
+
 // judged plays 2,000 answers of the old version, and one of a new version for every
 // so many of these, of which so many in a hundred are slow by each grade. It ends with
 // the verdict.
