Work told to other entries keeps to its bytes at every size

The span between two reports was bounded by a second, so that 31 entries of a zone with 83 endpoints would have sent about 80 KB a second (reckoned).

--- a/placement/told.go
+++ b/placement/told.go
@@ -23,8 +23,8 @@
 	work map[uint64]Told
 }
 
-// toldFor is how long an entry's word on its work holds: twice the longest span
-// between two of them.
+// toldFor is how long an entry's word on its work holds: the largest model reads a long
+// prompt in a second, so that what waited earlier has been read.
 const toldFor = 2 * clock.Second
 
 // Tell returns this entry's work at all endpoints where it has any, and the parts
--- a/relay/share.go
+++ b/relay/share.go
@@ -13,10 +13,9 @@
 	// shareBytes bounds what an entry sends in a second to tell others of its work at
 	// endpoints: a quarter of what control may use.
 	shareBytes = 4096
-	// shareLeast and shareMost bound the span between two such reports. A prompt takes
-	// some tens of milliseconds to a second to read, so that older word says little.
+	// shareLeast is the least span between two such reports: the smallest model reads a
+	// long prompt in it.
 	shareLeast = 100 * clock.Millis(1)
-	shareMost  = clock.Second
 	// headBytes is what a datagram takes beside its report.
 	headBytes = 60
 )
@@ -40,11 +39,16 @@
 			s.cfg.Log.Warn("Work at endpoints was not told", "error", err)
 			continue
 		}
-		size := (headBytes + proto.Size(r)) * len(to)
-		pace = min(max(clock.Millis(size)*clock.Second/shareBytes, shareLeast), shareMost)
+		pace = sharePace(headBytes+proto.Size(r), len(to))
 	}
 }
 
+// sharePace is how long an entry waits after a report of some bytes to so many others, so
+// that it keeps to shareBytes.
+func sharePace(size, to int) clock.Millis {
+	return max(clock.Millis(size*to)*clock.Second/shareBytes, shareLeast)
+}
+
 // HearWork takes another entry's word on its work.
 func (s *Server) HearWork(r *wire.EntryReport) {
 	told := make([]placement.Told, 0, len(r.GetWork()))
