What entries tell of upgrades is not wiped out by their other reports

Logs with each attempt's session (trial): two sessions that ran on the old version at the readers' entries went to the new one at another zone's. Cause: a peer's newest report replaced the one before it, also when it was an answer on freshness, which says nothing of upgrades; so an entry that had just asked a reader forgot which sessions that one keeps, and judges which of its requests ran on the old version. Change: what was told of upgrades stays until the same process tells anew, and is published when the sessions kept change.

--- a/site/state.go
+++ b/site/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"github.com/parsleydeal/parsleydeal/catalog"
 	"github.com/parsleydeal/parsleydeal/clock"
@@ -89,6 +90,22 @@
 type peer struct {
 	report  *wire.EntryReport
 	heardAt clock.Millis
+	// upgrades is what the process last said of upgrades: not each of its reports
+	// does.
+	upgrades []*wire.UpgradeReport
+}
+
+// sameKept reports whether two words on an upgrade name the same sessions to keep.
+func sameKept(a, b *wire.UpgradeReport) bool {
+	return a.GetNumber() == b.GetNumber() && slices.Equal(a.GetKept(), b.GetKept())
+}
+
+// hear takes a newer report of the same entry.
+func (p *peer) hear(r *wire.EntryReport, now clock.Millis) {
+	if len(r.GetUpgrades()) > 0 || p.report.GetProcess() != r.GetProcess() {
+		p.upgrades = r.GetUpgrades()
+	}
+	p.report, p.heardAt = r, now
 }
 
 // NewState returns the state of a process that knows nothing yet.
@@ -340,7 +357,15 @@
 	if old == nil {
 		effects = append(effects, Say{Message: "Entry heard", Fields: []any{"entry", r.GetName(), "zone", r.GetZone()}}, Publish{})
 	}
-	s.peers[r.GetName()] = &peer{report: r, heardAt: e.Now}
+	if old == nil {
+		old = &peer{}
+		s.peers[r.GetName()] = old
+	}
+	before := old.upgrades
+	old.hear(r, e.Now)
+	if !slices.EqualFunc(before, old.upgrades, sameKept) {
+		effects = append(effects, Publish{})
+	}
 	if s.addresses[r.GetName()] != r.GetAddress() {
 		s.addresses[r.GetName()] = r.GetAddress()
 		effects = append(effects, Publish{})
@@ -412,7 +437,7 @@
 func (s *State) keptElsewhere(service string, o upgrade.Order) map[uint64]bool {
 	kept := make(map[uint64]bool)
 	for _, p := range s.peers {
-		for _, u := range p.report.GetUpgrades() {
+		for _, u := range p.upgrades {
 			if u.GetService() != service || u.GetNumber() != o.Number {
 				continue
 			}
--- a/site/upgrade.go
+++ b/site/upgrade.go
@@ -187,7 +187,7 @@
 		if s.now-p.heardAt > peerFresh {
 			continue
 		}
-		for _, u := range p.report.GetUpgrades() {
+		for _, u := range p.upgrades {
 			if u.GetService() == o.Service && u.GetNumber() == o.Number {
 				n += int(u.GetOld())
 			}
