Entries of large sites send where their work is told of, long prompts at once

Cause: with 68 entries in six zones each entry heard of the work of its own zone only, a report each second or so (4 KB/s over 11 neighbours), and sent 73 in 100 prompts to other zones, where it knew nothing.

Change: a prompt of 40 ms of reading or more is told at once, all else each 300 ms, in 8 KB/s; reports have four bytes for an endpoint or part in place of eight and the endpoints' own word on what waits; told work loses its weight over a second; an endpoint whose work is not told of costs 600 ms; where it is told, one not heard of is idle. One query per attempt in place of two. Attempts log what was expected.

The words of endpoints on what waits count prompts that found no slot, not those being read.

--- a/placement/board.go
+++ b/placement/board.go
@@ -4,7 +4,6 @@
 	"math"
 	"sync"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/parsleydeal/parsleydeal/choice"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/experiment"
@@ -30,11 +29,15 @@
 	mu       sync.Mutex
 	inflight *choice.Inflight
 	marks    map[string]*mark
-	kept     kept
+	// byHash holds the same marks by the endpoints' hashes.
+	byHash map[uint32]*mark
+	kept   kept
 	// peers holds what other entries have at endpoints, by entry.
 	peers map[string]peerWork
 	speed speeds
 	off   experiment.Off
+	// news has something in it from a prompt that others should hear of at once.
+	news chan struct{}
 	// usualOthers is how many prompts of others usually wait at an endpoint.
 	usualOthers float64
 }
@@ -42,7 +45,7 @@
 // mark is what is remembered of one endpoint.
 type mark struct {
 	// hash is that of the endpoint's ID.
-	hash uint64
+	hash uint32
 	// failed is the smoothed part of failures as of failedAt.
 	failed   float64
 	failedAt clock.Millis
@@ -61,9 +64,14 @@
 	// first byte has not come, and unanswered their number.
 	pending    float64
 	unanswered int
-	// others is how many prompts of others waited there as of othersAt.
-	others   float64
-	othersAt clock.Millis
+	// others is how many prompts waited there as of wordAt that neither this entry
+	// nor any other told of.
+	others float64
+	// word is how many waited in all by the endpoint's own word as of wordAt, and
+	// untoldWord says that this entry has it from the endpoint and told nobody yet.
+	word       int
+	wordAt     clock.Millis
+	untoldWord bool
 }
 
 // NewBoard makes a board that knows nothing.
@@ -71,14 +79,15 @@
 
 // NewBoardWithout makes a board that decides without some mechanisms.
 func NewBoardWithout(off experiment.Off) *Board {
-	return &Board{off: off, inflight: choice.NewInflight(), marks: make(map[string]*mark), kept: newKept(), peers: make(map[string]peerWork), speed: newSpeeds()}
+	return &Board{off: off, news: make(chan struct{}, 1), inflight: choice.NewInflight(), marks: make(map[string]*mark), byHash: make(map[uint32]*mark), kept: newKept(), peers: make(map[string]peerWork), speed: newSpeeds()}
 }
 
 func (b *Board) mark(id string) *mark {
 	m, ok := b.marks[id]
 	if !ok {
-		m = &mark{hash: xxhash.Sum64String(id)}
+		m = &mark{hash: shortHash(id)}
 		b.marks[id] = m
+		b.byHash[m.hash] = m
 	}
 	return m
 }
@@ -92,20 +101,33 @@
 	millis   float64
 	// alone is true when no other prompt was waiting there.
 	alone bool
-	begun clock.Millis
-	read  bool
+	// wait is what was known to stand before the first byte when the work began, and
+	// expected the span in which that byte was expected.
+	wait     float64
+	expected clock.Millis
+	begun    clock.Millis
+	read     bool
 }
 
+// Expected is how long the first byte was expected to take when the work began.
+func (w *Work) Expected() clock.Millis { return w.expected }
+
 // Begin counts a request that is sent to an endpoint.
-func (b *Board) Begin(id string, q Query) *Work {
+func (b *Board) Begin(e *fleet.Endpoint, q Query) *Work {
+	id := e.ID
 	b.inflight.Add(id, 1)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	m := b.mark(id)
 	unread := b.unread(id, q)
 	w := &Work{board: b, endpoint: id, model: q.Model, tokens: unread, millis: b.speed.millis(q.Model, unread), alone: m.unanswered == 0, begun: q.Now}
+	w.wait = b.waiting(e, q) + w.millis
+	w.expected = b.speed.first(q.Model, w.wait)
 	m.pending += w.millis
 	m.unanswered++
+	if w.millis >= newsLeast {
+		b.tellNews()
+	}
 	b.kept.own(m.hash, q)
 	return w
 }
@@ -119,6 +141,9 @@
 	if w.alone && !w.read {
 		b.speed.add(w.model, w.tokens, now-w.begun)
 	}
+	if !w.read {
+		b.speed.miss(w.model, float64(now-w.begun)-w.wait)
+	}
 	w.done()
 }
 
@@ -143,19 +168,24 @@
 
 // waiting is how long the prompts take that wait at an endpoint: those of this
 // entry, which it knows one by one, those that other entries told of, and the rest by
-// their number. An endpoint not heard of lately is taken to be like the others: taken
-// for idle, it would get work from another zone that its neighbours have filled it with.
-func (b *Board) waiting(id string, now clock.Millis) float64 {
-	m, ok := b.marks[id]
-	switch {
-	case b.off.Has(experiment.Waiting):
+// their number. Where others tell of their work, an endpoint not heard of lately is
+// idle; elsewhere it is taken to be like the others: taken for idle, it would get work
+// from another zone that its neighbours have filled it with.
+func (b *Board) waiting(e *fleet.Endpoint, q Query) float64 {
+	if b.off.Has(experiment.Waiting) {
 		return 0
-	case !ok:
-		return b.usualOthers * b.speed.mean
 	}
-	fresh := math.Exp2(-float64(now-m.othersAt) / float64(othersHalf))
-	pending, _ := b.told(m.hash, now)
-	return m.pending + pending + (m.others*fresh+b.usualOthers*(1-fresh))*b.speed.mean
+	usual := b.usualOthers
+	if q.told(e) {
+		usual = 0
+	}
+	m, ok := b.marks[e.ID]
+	if !ok {
+		return usual * b.speed.mean
+	}
+	fresh := math.Exp2(-float64(q.Now-m.wordAt) / float64(wordHalf))
+	pending, _ := b.told(m.hash, q.Now)
+	return m.pending + pending + (m.others*fresh+usual*(1-fresh))*b.speed.mean
 }
 
 // Waiting takes an endpoint's own word on how many prompts wait there.
@@ -163,18 +193,24 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	m := b.mark(id)
+	b.word(m, waiting, now, now)
+	m.untoldWord = true
+}
+
+// word takes an endpoint's word as of an instant.
+func (b *Board) word(m *mark, waiting int, at, now clock.Millis) {
 	_, told := b.told(m.hash, now)
-	m.others = max(float64(waiting-m.unanswered-told), 0)
-	m.othersAt = now
+	m.word, m.wordAt, m.untoldWord = waiting, at, false
+	m.others = max(float64(waiting-m.unanswered)-told, 0)
 	b.usualOthers += usualWeight * (m.others - b.usualOthers)
 }
 
 // usualWeight is the weight of one endpoint's word in what is usual.
 const usualWeight = 0.05
 
-// othersHalf is how fast an endpoint's word on the prompts that wait there loses
+// wordHalf is how fast an endpoint's word on the prompts that wait there loses
 // its weight: a prompt is read in a few hundred milliseconds.
-const othersHalf = 500 * clock.Millis(1)
+const wordHalf = 500 * clock.Millis(1)
 
 // Load takes an endpoint's own word on its load.
 func (b *Board) Load(id string, held, slots int, now clock.Millis) {
@@ -336,6 +372,7 @@
 	for id, m := range b.marks {
 		if s.Find(id) == nil {
 			delete(b.marks, id)
+			delete(b.byHash, m.hash)
 			delete(b.kept.untold, m.hash)
 		}
 	}
--- a/placement/kept.go
+++ b/placement/kept.go
@@ -16,12 +16,16 @@
 
 // partKey names a part at an endpoint by hashes.
 type partKey struct {
-	endpoint uint64
-	part     uint64
+	endpoint uint32
+	part     uint32
 }
 
 // hashOf hashes a part for a model: models keep their own.
-func (p Part) hashOf(model string) uint64 { return xxhash.Sum64String(model + "/" + p.ID) }
+func (p Part) hashOf(model string) uint32 { return shortHash(model + "/" + p.ID) }
+
+// shortHash names an endpoint or a part in reports. Of the parts kept at one time one
+// in a hundred thousand shares its hash with another; it is then read unforeseen.
+func shortHash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
 
 // kept knows which prompt parts the endpoints hold: those sent there by this entry or
 // by one that told of it.
@@ -30,15 +34,15 @@
 	parts map[partKey]clock.Millis
 	// untold holds the parts by endpoint that this entry has sent since it last told
 	// of them.
-	untold map[uint64][]uint64
+	untold map[uint32][]uint32
 }
 
 func newKept() kept {
-	return kept{parts: make(map[partKey]clock.Millis), untold: make(map[uint64][]uint64)}
+	return kept{parts: make(map[partKey]clock.Millis), untold: make(map[uint32][]uint32)}
 }
 
 // own notes a prompt that this entry sends.
-func (k *kept) own(endpoint uint64, q Query) {
+func (k *kept) own(endpoint uint32, q Query) {
 	for _, p := range q.Parts {
 		h := p.hashOf(q.Model)
 		k.untold[endpoint] = append(k.untold[endpoint], h)
@@ -48,7 +52,7 @@
 }
 
 // hear notes parts that another entry sent.
-func (k *kept) hear(endpoint uint64, parts []uint64, now clock.Millis) {
+func (k *kept) hear(endpoint uint32, parts []uint32, now clock.Millis) {
 	for _, h := range parts {
 		k.parts[partKey{endpoint, h}] = now
 	}
@@ -56,7 +60,7 @@
 }
 
 // holds reports whether an endpoint is taken to hold a part.
-func (k *kept) holds(endpoint, part uint64, now clock.Millis) bool {
+func (k *kept) holds(endpoint, part uint32, now clock.Millis) bool {
 	at, ok := k.parts[partKey{endpoint, part}]
 	return ok && now-at <= keptFor
 }
--- a/placement/kept_test.go
+++ b/placement/kept_test.go
@@ -17,11 +17,11 @@
 	b.speed.tokens["m"] = 0.005
 	parts := []Part{{"case", 13000}, {"own", 500}}
 	q := Query{Service: "s", Version: "v1", Zone: "a", Model: "m", Patience: 4 * clock.Second, Parts: parts}
-	b.Begin("e1", q).End()
-	b.Begin("e1", Query{Model: "m", Parts: []Part{{"long", 30000}}}) // 150 ms of reading
+	b.Begin(s.Find("e1"), q).End()
+	b.Begin(s.Find("e1"), Query{Model: "m", Parts: []Part{{"long", 30000}}}) // 150 ms of reading
 	e, _ := b.Pick(s, q)
 	is.Equal(e.ID, "e1")
-	b.Begin("e1", Query{Model: "m", Parts: []Part{{"longer", 300000}}}) // 1.5 s more
+	b.Begin(s.Find("e1"), Query{Model: "m", Parts: []Part{{"longer", 300000}}}) // 1.5 s more
 	e, _ = b.Pick(s, q)
 	is.True(e.ID != "e1")
 }
--- a/placement/load_test.go
+++ b/placement/load_test.go
@@ -128,7 +128,7 @@
 
 // run has an endpoint read the prompt and answer it.
 func (p *replay) run(b *Board, e *fleet.Endpoint, q Query, now clock.Millis) {
-	w := b.Begin(e.ID, q)
+	w := b.Begin(e, q)
 	p.held[e.ID]++
 	p.waiting[e.ID]++
 	p.free[e.ID] = max(p.free[e.ID], now) + clock.Millis(w.tokens/readsPerMillis)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -31,6 +31,9 @@
 	Parts []Part
 	// Bytes is the size of what is sent.
 	Bytes int
+	// AllTold says that the entries of all zones tell this one of their work, and not
+	// only those of its own zone.
+	AllTold bool
 	// Bounds limit how much one entry sends.
 	Bounds Bounds
 	// Patience is how long the prompt may take to be read, its wait included; 0
@@ -98,14 +101,18 @@
 	// are paid for; a kilobyte weighs as much as a hundredth of an endpoint's load.
 	awayCost     = 15.0
 	awayByteCost = 0.008
+	// blindCost is what an endpoint costs whose callers' entries do not tell this one of
+	// their work: about a long prompt of a large model, which may have been sent there a
+	// moment ago. Entries that choose among endpoints they know little of take those for
+	// idle that others have just filled, and theirs are filled by others in turn.
+	blindCost = 600.0
 	// homeCost spreads prompts over endpoints by their hashes, so that entries
 	// that know nothing of one another send a prompt's parts to the same place.
 	homeCost = 60.0
 	// readCost is what a token spares that need not be read, beyond the time that reading
 	// takes: it holds up all streams that run there, and reading a shared part again is
 	// charged for. It falls to nothing as the endpoint's load nears easyLoad, from where
-	// its streams gain more by going elsewhere. At 0, 0.05 and 0.1 the mean worth of 30 days with trouble was 0.764, 0.774 and 0.777 at a
-	// site of long shared parts, 0.729, 0.728 and 0.721 at one of short ones.
+	// its streams gain more by going elsewhere.
 	readCost = 0.05
 	easyLoad = 0.25
 	// failCost is what an endpoint costs that fails every time.
@@ -135,6 +142,18 @@
 	return e != nil
 }
 
+// Expect tells how long the first byte is expected to take at the endpoint that Pick
+// would find; not ok where it would find none.
+func (b *Board) Expect(s *fleet.Snapshot, q Query) (first clock.Millis, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e, _ := b.choose(s, q)
+	if e == nil {
+		return 0, false
+	}
+	return b.speed.first(q.Model, b.waiting(e, q)+b.speed.millis(q.Model, b.unread(e.ID, q))), true
+}
+
 func (b *Board) choose(s *fleet.Snapshot, q Query) (e *fleet.Endpoint, why Reason) {
 	all := q.candidates(s)
 	if len(all) == 0 {
@@ -209,7 +228,10 @@
 		return cost, o
 	}
 	unread := b.unread(e.ID, q)
-	wait := b.waiting(e.ID, q.Now) + b.speed.millis(q.Model, unread)
+	wait := b.waiting(e, q) + b.speed.millis(q.Model, unread)
+	if !q.told(e) {
+		cost += blindCost
+	}
 	if q.Patience > 0 && wait > float64(q.Patience) {
 		return 0, late
 	}
@@ -220,6 +242,10 @@
 	return cost + homeCost*far(e.ID, subject(q.Parts)), o
 }
 
+// told reports whether the entries that mostly send to an endpoint tell this one of
+// their work there.
+func (q Query) told(e *fleet.Endpoint) bool { return q.AllTold || e.Zone == q.Zone }
+
 // subject is the part by which a prompt's home is chosen: the last one that
 // other requests share.
 func subject(parts []Part) string {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -151,7 +151,7 @@
 		q := Query{Service: "s", Version: "v1", Zone: "a", Model: "m", Parts: []Part{{"common", 2500}, {"case-7", 3800}, {"own", 2900}}}
 		e, why := b.Pick(s, q)
 		is.Equal(why, Picked)
-		b.Begin(e.ID, q)
+		b.Begin(e, q)
 		used[e.ID]++
 	}
 	is.Equal(len(used), 9)
@@ -173,7 +173,7 @@
 		now := clock.Millis(i * 25)
 		q := Query{Service: "s", Version: "v1", Zone: "a", Now: now, Avoid: map[string]bool{}}
 		e, _ := b.Pick(s, q)
-		w := b.Begin(e.ID, q)
+		w := b.Begin(e, q)
 		b.Outcome(e.ID, e.ID == "e0" && i%2 == 0, now)
 		w.End()
 		if e.ID == "e0" {
@@ -209,7 +209,7 @@
 	s := fleetOf(2, nil)
 	b := NewBoard()
 	for range 60 {
-		b.Begin("e1", Query{}) // e1 is much busier than e0
+		b.Begin(s.Find("e1"), Query{}) // e1 is much busier than e0
 	}
 	b.Lost("e0", 0)
 	got := make(map[string]int)
@@ -262,7 +262,7 @@
 				refused++
 				continue
 			}
-			w := b.Begin(e.ID, q)
+			w := b.Begin(e, q)
 			free[e.ID] = max(free[e.ID], float64(now)) + 4000*reads
 			if free[e.ID]-float64(now) <= 1000 {
 				inTime++
@@ -288,12 +288,12 @@
 	b := NewBoard()
 	long := Query{Service: "s", Version: "v1", Zone: "a", Model: "m", Parts: []Part{{"long", 30000}}}
 	first, _ := b.Pick(s, long)
-	b.Begin(first.ID, long)
+	b.Begin(first, long)
 	other := ""
 	for i := range 4 {
 		short := Query{Service: "s", Version: "v1", Zone: "a", Model: "m", Parts: []Part{{string(rune('a' + i)), 300}}}
 		e, _ := b.Pick(s, short)
-		b.Begin(e.ID, short)
+		b.Begin(e, short)
 		other = e.ID
 		is.True(other != first.ID)
 	}
--- a/placement/speed.go
+++ b/placement/speed.go
@@ -16,6 +16,8 @@
 	speedStep = 0.1
 	// meanWeight is the weight of one prompt in the mean work.
 	meanWeight = 0.05
+	// beyondWeight is the weight of one first byte in how far they are missed.
+	beyondWeight = 0.05
 	// firstMean is the mean work of a prompt before any was measured.
 	firstMean = 40.0
 )
@@ -27,9 +29,25 @@
 	tokens map[string]float64
 	// mean is the mean work of a prompt, in milliseconds.
 	mean float64
+	// beyond holds by model how much longer first bytes take on average than what
+	// was known to stand before them: the way, the engine's steps, and prompts that
+	// nobody told of.
+	beyond map[string]float64
 }
 
-func newSpeeds() speeds { return speeds{tokens: make(map[string]float64), mean: firstMean} }
+func newSpeeds() speeds {
+	return speeds{tokens: make(map[string]float64), mean: firstMean, beyond: make(map[string]float64)}
+}
+
+// first is how long a first byte is expected to take behind some known wait.
+func (s *speeds) first(model string, wait float64) clock.Millis {
+	return clock.Millis(max(wait+s.beyond[model], 0))
+}
+
+// miss takes by how much a first byte missed what was known to stand before it.
+func (s *speeds) miss(model string, by float64) {
+	s.beyond[model] += beyondWeight * (by - s.beyond[model])
+}
 
 // millis is how long a model takes to read some tokens.
 func (s *speeds) millis(model string, tokens int) float64 {
--- a/placement/told_test.go
+++ b/placement/told_test.go
@@ -56,7 +56,7 @@
 		q := Query{Service: "s", Version: "v1", Zone: "a", Model: "m", Now: now, Parts: []Part{{subject, shared}, {fmt.Sprint("own", now), own}}}
 		b := boards[rnd.IntN(entries)]
 		e, _ := b.Pick(s, q)
-		w := b.Begin(e.ID, q)
+		w := b.Begin(e, q)
 		tokens := own
 		if !kept[e.ID+subject] {
 			tokens += shared
@@ -93,7 +93,7 @@
 
 func tellAll(boards []*Board, now clock.Millis) {
 	for i, b := range boards {
-		told := b.Tell()
+		told := b.Tell(now)
 		for j, other := range boards {
 			if i != j {
 				other.Hear(fmt.Sprint("entry", i), told, now)
@@ -109,8 +109,8 @@
 	s := fleetOf(2, nil)
 	b := NewBoard()
 	other := NewBoard()
-	other.Begin("e0", Query{Model: "m", Parts: []Part{{"long", 100000}}})
-	b.Hear("other", other.Tell(), 0)
+	other.Begin(s.Find("e0"), Query{Model: "m", Parts: []Part{{"long", 100000}}})
+	b.Hear("other", other.Tell(0), 0)
 	q := Query{Service: "s", Version: "v1", Zone: "a", Model: "m", Parts: []Part{{"x", 300}}, Now: 10}
 	e, _ := b.Pick(s, q)
 	is.Equal(e.ID, "e1")
@@ -124,12 +124,13 @@
 // report.
 func TestTellRepeatsWhatWaits(t *testing.T) {
 	is := is.New(t)
+	s := fleetOf(1, nil)
 	b := NewBoard()
-	w := b.Begin("e0", Query{Model: "m", Parts: []Part{{"long", 1000}}})
-	first, second := b.Tell(), b.Tell()
+	w := b.Begin(s.Find("e0"), Query{Model: "m", Parts: []Part{{"long", 1000}}})
+	first, second := b.Tell(0), b.Tell(0)
 	is.Equal(len(first[0].Parts), 1)
 	is.Equal(len(second[0].Parts), 0)
 	is.Equal(second[0].Unanswered, 1)
 	w.End()
-	is.Equal(len(b.Tell()), 0)
+	is.Equal(len(b.Tell(0)), 0)
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -25,6 +25,8 @@
 	firstAfter clock.Millis
 	status     int
 	confidence int
+	// expected is how long the head was expected to take.
+	expected clock.Millis
 	// events counts those of a stream, openedAt and lastAt are when the first and
 	// the last one came.
 	events   int
@@ -44,8 +46,8 @@
 	s := x.server
 	now := s.cfg.Clock.Now()
 	a.startedAt, a.confidence = now, -1
-	q := queryOf(x, a.plan, now)
-	work := s.board.Begin(a.endpoint.ID, q)
+	work := s.board.Begin(a.endpoint, x.query(a.plan))
+	a.expected = work.Expected()
 	defer work.End()
 	defer s.tally.begin(x.service, a.endpoint.Version)()
 	defer s.sessions.use(x.session, x.service, a.endpoint.Version, s.cfg.Clock.Now)()
--- a/relay/plan.go
+++ b/relay/plan.go
@@ -2,8 +2,6 @@
 
 import (
 	"github.com/parsleydeal/parsleydeal/cascade"
-	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/placement"
 )
 
 // plan is the way in which models answer a request: one, or a small one first
@@ -55,7 +53,3 @@
 }
 
 func (p plan) next() plan { return plan{models: p.models[1:]} }
-
-func queryOf(x *exchange, p plan, now clock.Millis) placement.Query {
-	return placement.Query{Model: p.model(), Parts: x.req.Parts, Now: now}
-}
--- a/relay/run.go
+++ b/relay/run.go
@@ -125,7 +125,7 @@
 	version := rule.Version(catalog.Fraction(x.session), s.sessions.version(x.session, x.service, now, x.view))
 	return placement.Query{
 		Service: x.service, Version: version, Rule: rule, Zone: s.cfg.Zone, Avoid: x.tried, Model: p.model(),
-		Parts: x.req.Parts, Bytes: len(x.req.body), Bounds: s.bounds(x.view, x.service), Patience: x.patience(now), Now: now,
+		Parts: x.req.Parts, Bytes: len(x.req.body), Bounds: s.bounds(x.view, x.service), AllTold: x.view.AllTold(), Patience: x.patience(now), Now: now,
 	}
 }
 
@@ -260,7 +260,7 @@
 	if r != done {
 		s.cfg.Log.Info("Attempt did not answer", "request", x.req.ID, "endpoint", a.endpoint.ID, "address", a.endpoint.Address, "zone", a.endpoint.Zone,
 			"version", a.endpoint.Version, "model", a.plan.model(), "result", r, "status", a.status, "confidence", a.confidence, "silent", a.silent,
-			"after", now-a.startedAt, "left", x.left(), "error", logbook.Text(err))
+			"after", now-a.startedAt, "expected", a.expected, "first", a.firstAfter, "left", x.left(), "error", logbook.Text(err))
 	}
 }
 
--- a/relay/share.go
+++ b/relay/share.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"time"
 
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
@@ -11,56 +13,89 @@
 
 const (
 	// shareBytes bounds what an entry sends in a second to tell others of its work at
-	// endpoints: a quarter of what control may use.
-	shareBytes = 4096
-	// shareLeast is the least span between two such reports: the smallest model reads a
-	// long prompt in it.
-	shareLeast = 100 * clock.Millis(1)
+	// endpoints: half of what control may use.
+	shareBytes = 8192
+	// shareBurst is the part of a second's bytes that may go out at once, when several
+	// long prompts come together.
+	shareBurst = 0.3
+	// sharePause is the span between two reports when nothing urgent happens: the
+	// largest model reads a long prompt in it.
+	sharePause = 300 * clock.Millis(1)
+	// shareLeast is the least span between two reports: the smallest model reads a long
+	// prompt in it.
+	shareLeast = 30 * clock.Millis(1)
 	// headBytes is what a datagram takes beside its report.
 	headBytes = 60
 )
 
-// ShareWork tells the entries near by of this one's work at endpoints until the
-// context ends. Entries that know only their own send a prompt where those of others
-// wait, and have its parts read again where another endpoint holds them: the mean worth
-// of 30 days with trouble at a site of five entries was 0.748 without and 0.771 with it.
+// allowance bounds the bytes that reports take over time.
+type allowance struct {
+	left float64
+	at   clock.Millis
+}
+
+// pass lets time go by.
+func (a *allowance) pass(now clock.Millis) {
+	a.left = min(a.left+shareBytes*float64(now-a.at)/float64(clock.Second), shareBytes*shareBurst)
+	a.at = now
+}
+
+// wait is how long it takes until another report may go out.
+func (a *allowance) wait() clock.Millis {
+	return clock.Millis(math.Ceil(max(-a.left, 0) * float64(clock.Second) / shareBytes))
+}
+
+// ShareWork tells the entries near by of this one's work at endpoints until the context
+// ends: a long prompt at once, all else now and then. Entries that know only their own
+// work send a prompt where those of others wait, and have its parts read again where
+// another endpoint holds them.
 func (s *Server) ShareWork(ctx context.Context, name string, send func(r *wire.EntryReport, to []string) error) {
-	pace := shareLeast
+	spent := allowance{at: s.cfg.Clock.Now()}
 	told := false
-	for clock.Pause(ctx, pace) {
+	for s.shareDue(ctx, &spent) {
 		to := s.cfg.View().Neighbours()
-		r := &wire.EntryReport{Process: name, Name: name, Work: workOf(s.board.Tell())}
-		pace = shareLeast
+		r := &wire.EntryReport{Process: name, Work: workOf(s.board.Tell(s.cfg.Clock.Now()))}
 		if len(to) == 0 || len(r.GetWork()) == 0 && !told {
 			continue
 		}
 		told = len(r.GetWork()) > 0
+		spent.left -= float64((headBytes + proto.Size(r)) * len(to))
 		if err := send(r, to); err != nil {
 			s.cfg.Log.Warn("Work at endpoints was not told", "error", err)
-			continue
 		}
-		pace = sharePace(headBytes+proto.Size(r), len(to))
 	}
 }
 
-// sharePace is how long an entry waits after a report of some bytes to so many others, so
-// that it keeps to shareBytes.
-func sharePace(size, to int) clock.Millis {
-	return max(clock.Millis(size*to)*clock.Second/shareBytes, shareLeast)
+// shareDue waits until a report is due; not if the context ends before.
+func (s *Server) shareDue(ctx context.Context, spent *allowance) bool {
+	spent.pass(s.cfg.Clock.Now())
+	if !clock.Pause(ctx, max(spent.wait(), shareLeast)) {
+		return false
+	}
+	spent.pass(s.cfg.Clock.Now())
+	rest := time.NewTimer((sharePause - shareLeast).Duration())
+	defer rest.Stop()
+	select {
+	case <-s.board.News():
+	case <-rest.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
 }
 
 // HearWork takes another entry's word on its work.
 func (s *Server) HearWork(r *wire.EntryReport) {
 	told := make([]placement.Told, 0, len(r.GetWork()))
 	for _, w := range r.GetWork() {
-		told = append(told, placement.Told{Endpoint: w.GetEndpoint(), Pending: float64(w.GetReadingMillis()), Unanswered: int(w.GetUnanswered()), Parts: w.GetParts()})
+		told = append(told, placement.Told{Endpoint: w.GetEndpoint(), Pending: float64(w.GetReadingMillis()), Unanswered: int(w.GetUnanswered()), Parts: w.GetParts(), Waiting: int(w.GetWaiting()), WordAge: clock.Millis(w.GetWordAgeMillis())})
 	}
-	s.board.Hear(r.GetName(), told, s.cfg.Clock.Now())
+	s.board.Hear(r.GetProcess(), told, s.cfg.Clock.Now())
 }
 
 func workOf(told []placement.Told) (out []*wire.EndpointWork) {
 	for _, t := range told {
-		out = append(out, &wire.EndpointWork{Endpoint: t.Endpoint, ReadingMillis: int32(t.Pending), Unanswered: int32(t.Unanswered), Parts: t.Parts})
+		out = append(out, &wire.EndpointWork{Endpoint: t.Endpoint, ReadingMillis: int32(t.Pending), Unanswered: int32(t.Unanswered), Parts: t.Parts, Waiting: int32(t.Waiting), WordAgeMillis: int32(t.WordAge)})
 	}
 	return out
 }
--- a/site/state.go
+++ b/site/state.go
@@ -398,7 +398,7 @@
 		config: s.config, confirmedAt: s.confirmedAt, fleet: s.fleet.Snapshot(), entries: len(sharers), shares: s.shares(sharers),
 		started: s.started(), leaving: s.leaving, moves: make(map[string]move), addresses: maps.Clone(s.addresses),
 		busy: s.moving(), duties: len(s.duties) > 0, reader: s.reader(), operatorNext: s.operatorNext, heardNext: s.heardNext,
-		fleetAt: s.fleetAt, strayAt: s.strayAt, leftToOthers: s.leftToOthers(), neighbours: s.neighbours(),
+		fleetAt: s.fleetAt, strayAt: s.strayAt, leftToOthers: s.leftToOthers(), neighbours: s.neighbours(), allTold: s.allTold(),
 	}
 	for service, version := range s.current {
 		v.moves[service] = move{rule: upgrade.Rule{Current: version}}
@@ -421,10 +421,13 @@
 // only those of its zone are.
 const mostNeighbours = 8
 
+// allTold reports whether the site is so small that all tell all of their work.
+func (s *State) allTold() bool { return len(s.addresses) <= mostNeighbours+1 }
+
 func (s *State) neighbours() (out []string) {
 	for name, address := range s.addresses {
 		p := s.peers[name]
-		if name != s.self.Name && (len(s.addresses) <= mostNeighbours+1 || p != nil && p.report.GetZone() == s.self.Zone) {
+		if name != s.self.Name && (s.allTold() || p != nil && p.report.GetZone() == s.self.Zone) {
 			out = append(out, address)
 		}
 	}
--- a/site/view.go
+++ b/site/view.go
@@ -21,6 +21,7 @@
 	moves      map[string]move
 	addresses  map[string]string
 	neighbours []string
+	allTold    bool
 	// busy is true while an upgrade is under way or its verdict still due, duties
 	// while this process may have to write one.
 	busy   bool
@@ -67,6 +68,9 @@
 // mostly use the same endpoints.
 func (v *View) Neighbours() []string { return v.neighbours }
 
+// AllTold reports whether the entries of all zones tell this one of their work.
+func (v *View) AllTold() bool { return v.allTold }
+
 // Started reports whether the process knows its site.
 func (v *View) Started() bool { return v.started }
 
