Fewer calls to the store: verdicts, starts, turned away entries, the register

Change: reports say whether a verdict stands on the status stream, and only those that may write it read that; registered entries count before they are heard, for as long as a live one may be silent; an entry that is turned away while two readers are served tries each 2 s; only readers look at the register again.

--- a/site/feed.go
+++ b/site/feed.go
@@ -32,8 +32,9 @@
 	// retryPause and retryMost bound the pause after a failed read.
 	retryPause = 150 * clock.Millis(1)
 	retryMost  = 600 * clock.Millis(1)
-	// othersPause is that pause where other entries try the store too: their next
-	// report, a second later at most, tells when it is back.
+	// othersPause is that pause where other entries try the store too, whose next
+	// report, a second later at most, tells when it is back; or where it turns this
+	// entry away and serves those from which it hears all changes.
 	othersPause = 2 * clock.Second
 	// leadPause is that pause while the operators' stream fails as well, whose feed
 	// goes on trying for all of this process. It ends as soon as that one is read; in
@@ -184,7 +185,7 @@
 	switch {
 	case s != OperatorStream && l.operatorFails.Load():
 		return leadPause
-	case l.View().leftToOthers:
+	case l.View().leftToOthers, l.View().served:
 		return othersPause
 	}
 	return 0
@@ -198,7 +199,7 @@
 	for ctx.Err() == nil {
 		err := l.registerOnce(ctx, &written)
 		if err == nil || ctx.Err() != nil {
-			clock.Pause(ctx, registerEvery)
+			l.waitToRegister(ctx)
 			continue
 		}
 		l.cfg.Log.Warn("Entries could not be read", "written", written, "error", logbook.Text(err))
@@ -206,6 +207,13 @@
 	}
 }
 
+// waitToRegister waits until the registered entries are to be looked at again. Those that
+// read the store for all do so, and make themselves heard by entries that nobody heard.
+func (l *Loop) waitToRegister(ctx context.Context) {
+	for clock.Pause(ctx, registerEvery) && !l.View().reader {
+	}
+}
+
 func (l *Loop) registerOnce(ctx context.Context, written *bool) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, (operatorWait + answerSlack).Duration())
 	defer cancel()
--- a/site/share.go
+++ b/site/share.go
@@ -56,6 +56,18 @@
 	return before >= readers
 }
 
+// othersServed reports whether the store answers entries that read it for all. One that
+// it turns away hears of all changes from these.
+func (s *State) othersServed() bool {
+	served := 0
+	for _, p := range s.peers {
+		if s.able(p) && p.report.GetStoreAgeMillis() == 0 {
+			served++
+		}
+	}
+	return served >= readers && !s.reader() && s.started()
+}
+
 // report is what every report says.
 func (s *State) report() *wire.EntryReport {
 	r := &wire.EntryReport{
--- a/site/state.go
+++ b/site/state.go
@@ -47,8 +47,10 @@
 	// duties holds the verdicts that are due on the status stream, by service.
 	duties map[string]duty
 	peers  map[string]*peer
-	// addresses holds the registered entries.
+	// addresses holds the registered entries and those that were heard, and entriesAt
+	// is when the registered ones were last read.
 	addresses map[string]string
+	entriesAt clock.Millis
 	// counts and running are this process's own.
 	counts  map[string]upgrade.Counts
 	running map[string]map[string]int
@@ -72,8 +74,9 @@
 	// and failedAt is when the first such call failed.
 	failing  bool
 	failedAt clock.Millis
-	// reads is whether the last view said that this entry reads the store for all,
-	// and waits whether it said that it leaves a failing store to others.
+	// acts is whether the last view said that this entry may have to write verdicts,
+	// reads whether it said that it reads the store for all, and waits whether it said that it leaves a failing store to others.
+	acts  bool
 	reads bool
 	waits bool
 	// operatorNext is the offset up to which the operators' stream is known, and
@@ -115,7 +118,7 @@
 		upgrades: make(map[string]*upgrade.Upgrade), verdicts: make(map[string]Verdict), statusEnd: -1,
 		current: make(map[string]string), duties: make(map[string]duty), peers: make(map[string]*peer),
 		addresses: make(map[string]string), counts: make(map[string]upgrade.Counts), kept: make(map[string][]uint64), lapsed: make(map[string]clock.Millis),
-		operatorNext: -1, heardNext: -1, fleetAt: never, confirmedAt: never, reads: true,
+		operatorNext: -1, heardNext: -1, fleetAt: never, confirmedAt: never, entriesAt: never, reads: true,
 	}
 }
 
@@ -137,7 +140,7 @@
 		effects = s.verdictsRead(e)
 	case EntriesRead:
 		s.now = e.Now
-		s.known[EntryStream] = true
+		s.known[EntryStream], s.entriesAt = true, e.Now
 		// An entry that was heard since the read began is not in it.
 		for name, address := range e.Addresses {
 			s.addresses[name] = address
@@ -397,8 +400,8 @@
 	v := &View{
 		config: s.config, confirmedAt: s.confirmedAt, fleet: s.fleet.Snapshot(), entries: len(sharers), shares: s.shares(sharers),
 		started: s.started(), leaving: s.leaving, moves: make(map[string]move), addresses: maps.Clone(s.addresses),
-		busy: s.moving(), duties: len(s.duties) > 0, reader: s.reader(), operatorNext: s.operatorNext, heardNext: s.heardNext,
-		fleetAt: s.fleetAt, strayAt: s.strayAt, leftToOthers: s.leftToOthers(), neighbours: s.neighbours(), allTold: s.allTold(),
+		busy: s.moving(), duties: len(s.duties) > 0 && s.rank() < judges, reader: s.reader(), operatorNext: s.operatorNext, heardNext: s.heardNext,
+		fleetAt: s.fleetAt, strayAt: s.strayAt, leftToOthers: s.leftToOthers(), served: s.othersServed(), neighbours: s.neighbours(), allTold: s.allTold(),
 	}
 	for service, version := range s.current {
 		v.moves[service] = move{rule: upgrade.Rule{Current: version}}
--- a/site/tell.go
+++ b/site/tell.go
@@ -98,6 +98,7 @@
 	o := u.Order()
 	r := &wire.UpgradeReport{
 		Service: service, Target: o.Target, Number: o.Number, AgeMillis: int64(u.Age(s.now)), Phase: int32(u.Phase()), Reason: u.Reason(), Kept: s.kept[service],
+		Agreed: s.verdicts[service] == Verdict{Service: service, Target: o.Target, Phase: u.Phase()},
 	}
 	for version, n := range s.running[service] {
 		if version != o.Target {
--- a/site/upgrade.go
+++ b/site/upgrade.go
@@ -59,13 +59,23 @@
 }
 
 // rank is the number of entries that come before this one in what one entry does
-// for all.
+// for all. Those registered count for a while before they are heard: of entries that
+// start together each would else do for all what one is to do, until it has heard the
+// others.
 func (s *State) rank() (rank int) {
 	for name, p := range s.peers {
 		if name < s.self.Name && s.able(p) {
 			rank++
 		}
 	}
+	if s.now-s.entriesAt >= peerLive {
+		return rank
+	}
+	for name := range s.addresses {
+		if name < s.self.Name && s.peers[name] == nil {
+			rank++
+		}
+	}
 	return rank
 }
 
@@ -128,9 +138,13 @@
 // end and the outcomes that it counted.
 func (s *State) heardUpgrade(process string, r *wire.UpgradeReport) (effects []Effect) {
 	u := s.upgrades[r.GetService()]
-	if u == nil || u.Order().Number != r.GetNumber() || u.Phase() != upgrade.Running {
+	if u == nil || u.Order().Number != r.GetNumber() {
 		return nil
 	}
+	effects = s.heardAgreed(u, r)
+	if u.Phase() != upgrade.Running {
+		return effects
+	}
 	u.Begun(s.now - clock.Millis(r.GetAgeMillis()))
 	counts := make(upgrade.Counts, len(r.GetCounts()))
 	for _, c := range r.GetCounts() {
@@ -141,9 +155,20 @@
 	u.Take(process, counts)
 	if p := upgrade.Phase(r.GetPhase()); u.Set(p, "heard: "+r.GetReason()) {
 		s.due(Verdict{Service: r.GetService(), Target: u.Order().Target, Phase: p})
-		return s.ended(u)
+		return append(effects, s.ended(u)...)
 	}
-	return s.judge(u)
+	return append(effects, s.judge(u)...)
+}
+
+// heardAgreed takes another entry's word that a verdict stands on the status stream, so
+// that not every entry reads that for itself.
+func (s *State) heardAgreed(u *upgrade.Upgrade, r *wire.UpgradeReport) (effects []Effect) {
+	v := Verdict{Service: r.GetService(), Target: u.Order().Target, Phase: upgrade.Phase(r.GetPhase())}
+	if !r.GetAgreed() || s.verdicts[v.Service] == v || v.Phase == upgrade.Running && u.Phase() != upgrade.Running {
+		return nil
+	}
+	s.verdicts[v.Service] = v
+	return append(s.agreed(v, "agreed, as heard"), Publish{})
 }
 
 func (s *State) counted(e Counted) (effects []Effect) {
@@ -204,7 +229,7 @@
 		}
 	}
 	for service, d := range s.duties {
-		if s.now < d.dueAt || s.statusEnd < 0 {
+		if s.now < d.dueAt || s.statusEnd < 0 || s.rank() >= judges {
 			continue
 		}
 		d.dueAt = s.now + again
@@ -212,6 +237,11 @@
 		effects = append(effects, Write{Verdict: d.verdict, At: s.statusEnd})
 	}
 	effects = append(effects, s.dropLapsed()...)
+	if acts := s.rank() < judges; acts != s.acts {
+		// The view says whether this entry reads the status stream for its duties.
+		s.acts = acts
+		effects = append(effects, Publish{})
+	}
 	if reads := s.reader(); reads != s.reads {
 		// No event tells that a reader has fallen silent. Unless the view is made
 		// anew, this entry goes on waiting to hear from it.
--- a/site/view.go
+++ b/site/view.go
@@ -23,7 +23,7 @@
 	neighbours []string
 	allTold    bool
 	// busy is true while an upgrade is under way or its verdict still due, duties
-	// while this process may have to write one.
+	// while this process is among those that may have to write one.
 	busy   bool
 	duties bool
 	// reader is true when this process reads the store for others too.
@@ -32,6 +32,8 @@
 	heardNext    int64
 	fleetAt      clock.Millis
 	strayAt      clock.Millis
+	// served is true while the store answers others that read it for all.
+	served bool
 	// leftToOthers is true while the store fails all entries and others try it.
 	leftToOthers bool
 }
