Entries that act for all stand in different zones

Cause: the first entries by name read the store and judge upgrades; they stand in one zone and are lost with it.

Change: the order is the first of each zone by name, then the second of each; worked out at most each 100 ms, or when an entry is heard to have changed.

--- a/site/calls_test.go
+++ b/site/calls_test.go
@@ -88,7 +88,7 @@
 	is := is.New(t)
 	f := &flakyStore{calls: make(map[Stream]int)}
 	l := NewLoop(Config{
-		Self: Self{Name: "entry-m", Process: "entry-m/1"}, Clock: clock.Boot(), Log: log.New(io.Discard), Store: f.store(),
+		Self: Self{Name: "entry-m", Process: "entry-m/1", Zone: "a"}, Clock: clock.Boot(), Log: log.New(io.Discard), Store: f.store(),
 		Codec: Codec{
 			Operator:  func([]Record) OperatorNews { return OperatorNews{Config: (&catalog.Config{Version: 1}).Index()} },
 			Endpoints: func([]Record, clock.Millis) []fleet.Change { return nil },
--- a/site/state.go
+++ b/site/state.go
@@ -51,6 +51,8 @@
 	// is when the registered ones were last read.
 	addresses map[string]string
 	entriesAt clock.Millis
+	// order is what acting worked out last.
+	order order
 	// counts and running are this process's own.
 	counts  map[string]upgrade.Counts
 	running map[string]map[string]int
@@ -103,6 +105,12 @@
 	return a.GetNumber() == b.GetNumber() && slices.Equal(a.GetKept(), b.GetKept())
 }
 
+// changes reports whether a newer report changes who can act for all.
+func (p *peer) changes(r *wire.EntryReport) bool {
+	return p.report == nil || p.report.GetLeaving() != r.GetLeaving() || p.report.GetZone() != r.GetZone() ||
+		(clock.Millis(p.report.GetStoreAgeMillis()) < reachable) != (clock.Millis(r.GetStoreAgeMillis()) < reachable)
+}
+
 // hear takes a newer report of the same entry.
 func (p *peer) hear(r *wire.EntryReport, now clock.Millis) {
 	if len(r.GetUpgrades()) > 0 || p.report.GetProcess() != r.GetProcess() {
@@ -363,6 +371,9 @@
 		s.peers[r.GetName()] = old
 	}
 	before := old.upgrades
+	if old.changes(r) {
+		s.order = order{}
+	}
 	old.hear(r, e.Now)
 	if !slices.EqualFunc(before, old.upgrades, sameKept) {
 		effects = append(effects, Publish{})
--- a/site/tell.go
+++ b/site/tell.go
@@ -64,7 +64,7 @@
 
 // tellFirst sends a report to the entries that act for all.
 func (s *State) tellFirst(r *wire.EntryReport) (effects []Effect) {
-	for i, name := range s.liveByName() {
+	for i, name := range s.acting() {
 		if i >= judges {
 			break
 		}
--- a/site/upgrade.go
+++ b/site/upgrade.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -63,11 +64,7 @@
 // start together each would else do for all what one is to do, until it has heard the
 // others.
 func (s *State) rank() (rank int) {
-	for name, p := range s.peers {
-		if name < s.self.Name && s.able(p) {
-			rank++
-		}
-	}
+	rank = slices.Index(s.acting(), s.self.Name)
 	if s.now-s.entriesAt >= peerLive {
 		return rank
 	}
@@ -84,16 +81,50 @@
 	return s.now-p.heardAt < peerLive && !p.report.GetLeaving() && clock.Millis(p.report.GetStoreAgeMillis()) < reachable
 }
 
-// liveByName returns the entries that can do so, this one among them, in the order
-// of their names.
-func (s *State) liveByName() []string {
-	names := []string{s.self.Name}
+// order is the order of the entries that can act for all, as of an instant.
+type order struct {
+	at    clock.Millis
+	names []string
+}
+
+// orderFor is how long an order holds unless an entry is heard to have changed: entries
+// that fall silent are noticed that much later.
+const orderFor = 100 * clock.Millis(1)
+
+// acting returns the entries that can act for all, this one among them, in the order in
+// which they do: the first of each zone by name, then the second of each. A zone that is
+// lost with all its entries takes one reader of the store and one judge of upgrades with
+// it, and the others go on.
+func (s *State) acting() []string {
+	if s.order.names != nil && s.now-s.order.at < orderFor {
+		return s.order.names
+	}
+	zones := map[string][]string{s.self.Zone: {s.self.Name}}
 	for name, p := range s.peers {
 		if s.able(p) {
-			names = append(names, name)
+			zone := cmp.Or(p.report.GetZone(), s.self.Zone)
+			zones[zone] = append(zones[zone], name)
+		}
+	}
+	s.order = order{at: s.now, names: inTurn(zones)}
+	return s.order.names
+}
+
+// inTurn lists the names of all zones, one of each zone in turn.
+func inTurn(zones map[string][]string) (names []string) {
+	most := 0
+	for _, all := range zones {
+		slices.Sort(all)
+		most = max(most, len(all))
+	}
+	byName := slices.Sorted(maps.Keys(zones))
+	for i := range most {
+		for _, zone := range byName {
+			if i < len(zones[zone]) {
+				names = append(names, zones[zone][i])
+			}
 		}
 	}
-	slices.Sort(names)
 	return names
 }
 
