The larger model is asked by this request's expected first byte

Cause: a small answer was dropped by the usual first byte of its route at the larger model.

Change: the first byte is expected from the tokens that the endpoint lacks, what waits there, and by how much expectations were missed lately (Board.Expect); where no endpoint has room the answer is kept, as before.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -132,7 +132,7 @@
 		return failed, refusal.New(refusal.EngineFailed, "answer with status "+strconv.Itoa(h.Status)+" is not the endpoint's own").WithRun(refusal.Unknown)
 	case h.Status >= http.StatusInternalServerError:
 		return a.failure(h, answer)
-	case h.Status == http.StatusOK && a.poor(h.Confidence) && a.mayClimb():
+	case h.Status == http.StatusOK && a.mayClimb() && a.poor(h.Confidence):
 		return poor, refusal.New(refusal.EngineFailed, "answer is probably poor").WithRun(refusal.Ran)
 	case x.route.Kind == catalog.Streaming && h.Status == http.StatusOK:
 		return a.stream(h, answer)
@@ -140,17 +140,10 @@
 	return a.whole(h, answer)
 }
 
-// mayClimb reports whether a poor answer may be dropped for a larger model's. It
-// may not when no endpoint has room for that: the caller would be left with
-// nothing, though it had an answer that may do.
+// mayClimb reports whether the request may have another attempt in place of this answer.
 func (a *attempt) mayClimb() bool {
 	x := a.exchange
-	if x.written || !x.mayRepeat() || x.left() <= climbLeast || !x.budget().Has(x.server.cfg.Clock.Now()) {
-		return false
-	}
-	q := x.query(a.plan.next())
-	q.Avoid = nil
-	return x.server.board.Room(x.view.Fleet(), q)
+	return !x.written && x.mayRepeat() && x.left() > climbLeast && x.budget().Has(x.server.cfg.Clock.Now())
 }
 
 // climbLeast is the time that a larger model needs to be of use.
--- a/relay/pace.go
+++ b/relay/pace.go
@@ -117,13 +117,6 @@
 	return p.spans[k].grade(span, factor)
 }
 
-// usual is how long a model's first byte takes by now; 0 when that is not known.
-func (p *pace) usual(route, model string) clock.Millis {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return clock.Millis(p.means[paceKey{route, model}])
-}
-
 func (p *pace) patience(r *catalog.Route, model string) clock.Millis {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/relay/plan.go
+++ b/relay/plan.go
@@ -40,16 +40,25 @@
 	return p.models[1]
 }
 
-// poor reports whether an answer is to be dropped for the larger model's.
+// poor reports whether an answer is to be dropped for the larger model's. That one's first
+// byte is expected as for this request now, by the length of its prompt and what waits
+// where it would go: by what is usual on its route a long prompt was taken for one of
+// middling length, and its answer dropped for one that came too late. It is kept when no
+// endpoint has room for the larger model: the caller would be left with nothing, though
+// it had an answer that may do.
 func (a *attempt) poor(confidence int) bool {
-	model := a.plan.larger()
-	if model == "" {
+	if a.plan.larger() == "" {
 		return false
 	}
 	x := a.exchange
-	now := x.server.cfg.Clock.Now()
-	answer := cascade.Answer{Confidence: confidence, Left: x.startedAt + x.route.Aim - now}
-	return cascade.Drops(answer, x.server.pace.usual(x.route.Name, model), x.server.cfg.Off)
+	q := x.query(a.plan.next())
+	q.Avoid = nil
+	first, room := x.server.board.Expect(x.view.Fleet(), q)
+	if !room {
+		return false
+	}
+	answer := cascade.Answer{Confidence: confidence, Left: x.startedAt + x.route.Aim - q.Now}
+	return cascade.Drops(answer, first, x.server.cfg.Off)
 }
 
 func (p plan) next() plan { return plan{models: p.models[1:]} }
