--- a/cascade/cascade.go
+++ b/cascade/cascade.go
@@ -19,8 +19,7 @@
 const (
 	// worth is what a good answer is worth to its caller, as a multiple of what the
 	// largest model charges for it. Operators who let a model answer at all hold its
-	// answers to be worth several times its price. Between 2.5 and 7 the mean
-	// worth of 30 days with trouble stayed within 0.003.
+	// answers to be worth several times its price.
 	worth = 4.0
 	// spread is how far a model's opinion of its answer lies from the truth, as a
 	// standard deviation in points of confidence. At 50 an answer is as often good as
--- a/choice/affinity.go
+++ b/choice/affinity.go
@@ -11,9 +11,7 @@
 	// maxPrefixes bounds the remembered prefixes; the least recently used falls
 	// out first.
 	maxPrefixes = 16384
-	// prefixLife is how long an engine may be hoped to keep a prefix unused. Its
-	// own word on what it dropped is not asked for: it measured no better, see
-	// docs/decisions/endpoints.md.
+	// prefixLife is how long an engine may be hoped to keep a prefix unused.
 	prefixLife = 5 * clock.Minute
 )
 
--- a/choice/subset.go
+++ b/choice/subset.go
@@ -18,8 +18,7 @@
 	// the rest lies elsewhere, so that a lost zone leaves some at once.
 	nearPart = 0.75
 	// slack is how far above the mean an endpoint's share of entries may lie. More
-	// moves less when the list changes, but loads the endpoints less evenly, and
-	// that measured worse.
+	// moves less when the list changes, but loads the endpoints less evenly.
 	slack = 1.0
 )
 
--- a/placement/board.go
+++ b/placement/board.go
@@ -313,9 +313,7 @@
 // warmFactor is how much more than its even share of what an endpoint bears an
 // entry may send to one that is warm as far as anybody knows. An entry of 31 has a
 // share of one request in a second; kept to it, it refuses a caller whenever two
-// meet, and passes endpoints over that hold a prompt's parts. At 1, 2 and 4 times
-// the share the mean worth of six days at a site of 31 entries was 0.609, 0.632
-// and 0.642.
+// meet, and passes endpoints over that hold a prompt's parts.
 const warmFactor = 4
 
 // inBounds reports whether one more request keeps this entry's share of what an
--- a/placement/kept.go
+++ b/placement/kept.go
@@ -7,8 +7,7 @@
 
 const (
 	// keptFor is how long a prompt part that was sent to an endpoint is taken to be in
-	// its memory. Following instead what is read there until a memory is full was worth
-	// nothing: mean worths of 0.7725 and 0.7732 over 40 days with trouble.
+	// its memory.
 	keptFor = 20 * clock.Second
 	// maxParts bounds the parts remembered; when it is passed, old ones go.
 	maxParts = 20000
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -102,8 +102,8 @@
 	return nil
 }
 
-// still refuses an attempt that a newer configuration no longer allows.
-func (x *exchange) still() (err error) {
+// checkAllowed refuses an attempt that a newer configuration no longer allows.
+func (x *exchange) checkAllowed() (err error) {
 	v := x.server.cfg.View()
 	if v.Config() != x.view.Config() {
 		c := v.Config()
--- a/relay/plan_test.go
+++ b/relay/plan_test.go
@@ -20,7 +20,6 @@
 // Its answer was dropped, and the better one came too late to be of full use. For a
 // short prompt at an idle endpoint the same answer is dropped.
 func TestAnswersAreKeptWhenTheLargerModelWouldBeLate(t *testing.T) {
-	is := is.New(t)
 	for _, x := range []struct {
 		name    string
 		tokens  int
@@ -32,6 +31,7 @@
 		{"long queue", 500, 60000, false},
 	} {
 		t.Run(x.name, func(t *testing.T) {
+			is := is.New(t)
 			a := smallAnswer(x.tokens)
 			if x.waiting > 0 {
 				e := a.exchange.view.Fleet().Find("i-1")
--- a/relay/run.go
+++ b/relay/run.go
@@ -52,14 +52,14 @@
 	var kept *held
 	for {
 		if x.left() < leastLeft {
-			return x.give(kept, x.truth(x.overdue(err)))
+			return x.giveUp(kept, x.markRun(x.overdue(err)))
 		}
-		if err = x.still(); err != nil {
-			return x.give(kept, x.truth(err))
+		if err = x.checkAllowed(); err != nil {
+			return x.giveUp(kept, x.markRun(err))
 		}
 		e, why := x.pick(p)
 		if why != placement.Picked {
-			return x.give(kept, x.truth(x.unplaced(p, why)))
+			return x.giveUp(kept, x.markRun(x.unplaced(p, why)))
 		}
 		x.tried[e.ID] = true
 		a := &attempt{exchange: x, plan: p, endpoint: e}
@@ -71,18 +71,18 @@
 		x.note(a, r, err)
 		switch {
 		case r == done, r == ended:
-			return x.truth(err)
+			return x.markRun(err)
 		case ctx.Err() != nil, x.left() < leastLeft:
-			return x.give(kept, x.truth(x.overdue(err)))
+			return x.giveUp(kept, x.markRun(x.overdue(err)))
 		case r == poor:
 			p = p.next()
 			clear(x.tried)
 			x.tried[e.ID] = true
 		case !x.mayGoOn(r):
-			return x.give(kept, x.truth(err))
+			return x.giveUp(kept, x.markRun(err))
 		}
 		if !x.budget().Take(x.server.cfg.Clock.Now()) && r != notRun {
-			return x.give(kept, x.truth(err))
+			return x.giveUp(kept, x.markRun(err))
 		}
 	}
 }
@@ -169,9 +169,9 @@
 	return err.Error()
 }
 
-// truth corrects a refusal's word on whether the request ran: once an attempt
+// markRun corrects a refusal's word on whether the request ran: once an attempt
 // may have run, later refusals do not make it unrun.
-func (x *exchange) truth(err error) error {
+func (x *exchange) markRun(err error) error {
 	r, ok := refusal.As(err)
 	if ok && r.Run() == refusal.NotRun && x.runs > 0 {
 		return r.WithRun(refusal.Unknown)
@@ -186,9 +186,9 @@
 	body []byte
 }
 
-// give ends a request with a failure that an endpoint reported, if there is one,
+// giveUp ends a request with a failure that an endpoint reported, if there is one,
 // or with an error.
-func (x *exchange) give(kept *held, err error) error {
+func (x *exchange) giveUp(kept *held, err error) error {
 	if kept == nil || x.written || x.r.Context().Err() != nil {
 		return err
 	}
@@ -218,9 +218,8 @@
 
 // bounds is what one endpoint of a service takes in a second. In a cold start that is
 // the overage that operators allow without its slack, which is left for requests that
-// were held up on their way. All entries seldom use their shares in the same second:
-// with shares that add up to the rate itself, four days with cold starts had a mean
-// worth of 0.655, with these 0.665.
+// were held up on their way. All entries seldom use their shares in the same second, so
+// that shares which add up to the rate itself would leave half of it unused.
 func (s *Server) bounds(v *site.View, service string) placement.Bounds {
 	c, ok := v.Config().Services[service]
 	if !ok || c.ColdPerSecond <= 0 {
--- a/relay/server.go
+++ b/relay/server.go
@@ -164,7 +164,7 @@
 	s := x.server
 	took := s.cfg.Clock.Since(x.startedAt)
 	gone := x.r.Context().Err() != nil
-	x.say(err, took, gone)
+	x.logEnd(err, took, gone)
 	switch {
 	case err == nil:
 	case x.written || gone:
@@ -176,8 +176,8 @@
 	}
 }
 
-// say writes the request's line in the log.
-func (x *exchange) say(err error, took clock.Millis, gone bool) {
+// logEnd writes the request's line in the log.
+func (x *exchange) logEnd(err error, took clock.Millis, gone bool) {
 	fields := []any{
 		"request", x.id(), "route", x.routeName(), "organisation", x.organisation, "status", x.status, "endpoint", x.endpoint, "version", x.version, "model", x.model,
 		"sends", x.sends, "events", x.events, "took", took, "first", x.firstAt, "late", x.late(took), "config", x.configVersion(), "config-age", x.configAge(), "left-by-caller", gone,
--- a/site/feed.go
+++ b/site/feed.go
@@ -210,7 +210,10 @@
 // waitToRegister waits until the registered entries are to be looked at again. Those that
 // read the store for all do so, and make themselves heard by entries that nobody heard.
 func (l *Loop) waitToRegister(ctx context.Context) {
-	for clock.Pause(ctx, registerEvery) && !l.View().reader {
+	for clock.Pause(ctx, registerEvery) {
+		if l.View().reader {
+			return
+		}
 	}
 }
 
--- a/site/share.go
+++ b/site/share.go
@@ -36,9 +36,8 @@
 func (s *State) reader() bool { return s.rank() < readers }
 
 // leftToOthers reports whether this entry may leave it to others to find out when a
-// store that fails all of them is back. Each call is paid for, also a refused one:
-// 31 entries that tried for themselves made 1,900 calls on a day with an outage of
-// ten seconds.
+// store that fails all of them is back. Each call is paid for, also a refused one, and
+// trying for themselves they would call it several times a second each.
 func (s *State) leftToOthers() bool {
 	if !s.failing {
 		return false
--- a/site/sharer.go
+++ b/site/sharer.go
@@ -18,9 +18,8 @@
 	// homePart is the part of what an endpoint may get that the entries of its own
 	// zone share. Divided evenly among all, an entry could send to the endpoints of
 	// its zone less than its callers ask, and half of its requests went to other
-	// zones, where bytes are dear, while those of its own were half idle. With three
-	// quarters an entry whose few neighbours fail finds too little elsewhere: 13 in
-	// 1,000 requests were refused on a day of failures, and 4 with a half.
+	// zones, where bytes are dear, while those of its own were half idle. With most of it
+	// at home an entry whose few neighbours fail finds too little elsewhere.
 	homePart = 0.5
 )
 
--- a/site/tell.go
+++ b/site/tell.go
@@ -14,8 +14,8 @@
 	countPace = 300 * clock.Millis(1)
 	// allPace is the span between two reports to all, for each entry there is, and
 	// allMost its bound, a third of the span after which an entry that is not heard
-	// counts as gone. When all told all each second, a day of 300 entries with an upgrade
-	// in it had 174 KB a second at the middle one and a worth of 0.656; so 162 and 0.676.
+	// counts as gone. Told each second, the reports of some hundred entries are most of
+	// what an entry sends.
 	allPace = 100 * clock.Millis(1)
 	allMost = 10 * clock.Second
 	// settleIn is how long an entry that starts tells all each second: until it has
--- a/site/upgrade.go
+++ b/site/upgrade.go
@@ -215,9 +215,8 @@
 	return effects
 }
 
-// judges is how many entries judge upgrades. Only these hear what the others
-// counted. When all told all, a quiet day of 31 entries had 0.063 GB between zones,
-// with this 0.053 GB.
+// judges is how many entries judge upgrades. Only these hear what the others counted,
+// which spares most of the reports between zones.
 const judges = 3
 
 // judge ends an upgrade when it is time, tells all others at once and makes the
--- a/upgrade/evidence.go
+++ b/upgrade/evidence.go
@@ -56,10 +56,9 @@
 
 // Grades are the ways in which answers may be slow. A version that is several times
 // slower throughout is told soonest by a high rank, unless the old version has many
-// slow answers itself: where the load gave its streams 21 to 106 ms between events,
-// a slow version's 71 to 204 ms lay hardly beyond the 0.8 quantile, and 57 answers did
-// not tell. One that is slow at times only is told by a multiple: two fifths of its
-// answers are beyond it, and 3 in 100 of the old version's.
+// slow answers itself: where the load makes its streams' pauses differ several times, a
+// slow version's lie hardly beyond the 0.8 quantile. One that is slow at times only is
+// told by a multiple, beyond which the old version has few answers.
 var Grades = [...]Grade{
 	{Rank: 0.65, Factor: 1, limit: 0.4},
 	{Rank: 0.8, Factor: 1, limit: 0.25},
