A request stays where it is while no other endpoint would answer in time

Change: past the usual span a request leaves its endpoint only when another has room and would answer in time; else it looks again each 100 ms.

Test: fails on the code before with three sends in place of one.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -104,9 +104,24 @@
 	if x.server.board.HeardSince(a.endpoint.ID, a.startedAt) {
 		patience = clock.Millis(aliveFactor * float64(patience))
 	}
+	if waited >= patience && !a.roomElsewhere() {
+		return min(stayFor, left)
+	}
 	return min(patience-waited, left)
 }
 
+// stayFor is how long a request that has nowhere else to go waits on before it looks
+// again.
+const stayFor = 100 * clock.Millis(1)
+
+// roomElsewhere reports whether another endpoint would answer in time. A request that
+// leaves a slow endpoint while all others are full is failed at once, though it might
+// have had its answer a moment later.
+func (a *attempt) roomElsewhere() bool {
+	x := a.exchange
+	return x.server.board.Room(x.view.Fleet(), x.query(a.plan))
+}
+
 // learn takes what the head of an answer says of the endpoint.
 func (a *attempt) learn(h Head) {
 	s := a.exchange.server
--- a/relay/run_test.go
+++ b/relay/run_test.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
@@ -74,3 +76,60 @@
 	is.Equal(r.HonestStatus(), http.StatusGatewayTimeout)
 	is.Equal(x.sends, 1)
 }
+
+// One endpoint is slow and the other full. The request left the slow one after the usual
+// span, found no place, and its caller was failed at once, a moment before the answer
+// would have come. It stays where it is until another endpoint would answer in time.
+func TestRequestStaysWhereNoOtherEndpointHasRoom(t *testing.T) {
+	for _, full := range []bool{true, false} {
+		t.Run(fmt.Sprintf("other full %t", full), func(t *testing.T) { leaveSlowEndpoint(t, full) })
+	}
+}
+
+func leaveSlowEndpoint(t *testing.T, otherFull bool) {
+	t.Helper()
+	is := is.New(t)
+	c := clock.Boot()
+	slow, err := standin.StartEndpoint("i-slow", func(*http.Request) standin.Act { return standin.Act{Delay: 900 * time.Millisecond} })
+	is.NoErr(err)
+	defer slow.Close()
+	other, err := standin.StartEndpoint("i-other", nil)
+	is.NoErr(err)
+	defer other.Close()
+	route := &catalog.Route{Name: "r", Kind: catalog.Idempotent, Timeout: 3000, Aim: 500, MaxAttempts: 3, Targets: []catalog.Target{{Service: "app", Weight: 1}}}
+	config := &catalog.Config{Version: 1, Routes: []*catalog.Route{route}, Services: map[string]catalog.Service{"app": {Name: "app"}}}
+	s := site.NewState(site.Self{Name: "e"}, 0)
+	site.Reduce(s, site.VerdictsRead{Now: 1})
+	site.Reduce(s, site.OperatorRead{Now: 1, Whole: true, News: site.OperatorNews{Config: config.Index()}})
+	site.Reduce(s, site.EndpointsRead{Now: 1, Whole: true, Changes: []fleet.Change{
+		{ID: "i-slow", Endpoint: &fleet.Endpoint{ID: "i-slow", Service: "app", Address: slow.Address(), Version: "v1", Slots: 4}},
+		{ID: "i-other", Endpoint: &fleet.Endpoint{ID: "i-other", Service: "app", Address: other.Address(), Version: "v1", Slots: 4}},
+	}})
+	view := s.View()
+	server := New(Config{
+		Clock: c, Log: log.New(io.Discard), View: func() *site.View { return view }, Pool: upstream.NewPool(c), RetryRatio: 1, RetrySlack: 100, RetrySpan: 1000,
+		Dialect: Dialect{
+			Call: func(req *Request, o Order, _ []byte) upstream.Call {
+				return upstream.Call{Address: o.Address, Method: "GET", Target: "/x", Host: "h", Header: http.Header{"Request-Id": {req.ID}}}
+			},
+			Head: func(status int, h http.Header) Head {
+				return Head{Status: status, Signed: true, Confidence: -1, Header: h}
+			},
+		},
+	})
+	server.board.Load("i-other", 100, 4, c.Now())
+	w := httptest.NewRecorder()
+	x := &exchange{
+		server: server, view: view, w: w, r: httptest.NewRequest(http.MethodGet, "/x", nil), startedAt: c.Now(), deadline: c.Now() + 3000,
+		req: &Request{ID: "r-1", Method: http.MethodGet}, route: route, service: "app",
+	}
+	go func() {
+		time.Sleep(50 * time.Millisecond)
+		if !otherFull {
+			server.board.Load("i-other", 0, 4, c.Now()+10000) // long after, so that the word replaces the old one
+		}
+	}()
+	is.NoErr(x.run(context.Background()))
+	is.Equal(w.Code, http.StatusOK)
+	is.Equal(x.sends, map[bool]int{true: 1, false: 2}[otherFull])
+}
