Between whole reports of work, partial ones tell what has changed

Change: a report between two whole ones (each 500 ms) has only the endpoints where work has changed; shared parts are told when they were not known there lately, a request's own part never.

Test: a partial report adds to what was told, and what ended is told.

--- a/emulator/play.go
+++ b/emulator/play.go
@@ -13,10 +13,11 @@
 )
 
 const (
-	// newsApart is the least span between two reports of an entry, reportsApart the
-	// greatest: about what the bound on their bytes leaves at a dozen neighbours.
-	newsApart    = 150 * clock.Millis(1)
-	reportsApart = 300 * clock.Millis(1)
+	// newsApart is the least span between two reports of an entry, wholeApart that
+	// between two whole ones: about what the bound on their bytes leaves at a dozen
+	// neighbours.
+	newsApart  = 80 * clock.Millis(1)
+	wholeApart = 500 * clock.Millis(1)
 	// sureness is how far a model's opinion of a good answer lies from that of a poor
 	// one, in points of confidence to either side of 50, and noise its spread.
 	sureness = 13.0
@@ -62,10 +63,12 @@
 
 // entry is one entry and what it knows.
 type entry struct {
-	name   string
-	zone   string
-	board  *placement.Board
-	toldAt clock.Millis
+	name  string
+	zone  string
+	board *placement.Board
+	// toldAt is when it last told others, wholeAt when it last told them all.
+	toldAt  clock.Millis
+	wholeAt clock.Millis
 	// urgent is true while it has news that its allowance did not let out.
 	urgent bool
 }
@@ -116,15 +119,18 @@
 			e.urgent = true
 		default:
 		}
-		passed := now - e.toldAt
-		if passed < newsApart || !e.urgent && passed < reportsApart {
+		whole := now-e.wholeAt >= wholeApart
+		if now-e.toldAt < newsApart || !e.urgent && !whole {
 			continue
 		}
 		e.toldAt, e.urgent = now, false
-		told := e.board.Tell(now)
+		if whole {
+			e.wholeAt = now
+		}
+		told := e.board.Tell(now, whole)
 		for _, other := range p.entries {
 			if other != e && other.zone == e.zone {
-				other.board.Hear(e.name, told, now)
+				other.board.Hear(e.name, told, whole, now)
 			}
 		}
 	}
--- a/placement/board.go
+++ b/placement/board.go
@@ -62,8 +62,10 @@
 	heardAt clock.Millis
 	// pending is the reading work, in milliseconds, of the prompts sent there whose
 	// first byte has not come, and unanswered their number.
+	// changed says that these changed since others were told.
 	pending    float64
 	unanswered int
+	changed    bool
 	// others is how many prompts waited there as of wordAt that neither this entry
 	// nor any other told of.
 	others float64
@@ -125,6 +127,7 @@
 	w.expected = b.speed.first(q.Model, w.wait)
 	m.pending += w.millis
 	m.unanswered++
+	m.changed = true
 	if w.millis >= newsLeast {
 		b.tellNews()
 	}
@@ -156,6 +159,7 @@
 	m := w.board.mark(w.endpoint)
 	m.pending = max(m.pending-w.millis, 0)
 	m.unanswered--
+	m.changed = true
 }
 
 // End counts a request that ended at an endpoint.
@@ -374,9 +378,5 @@
 			delete(b.kept.untold, m.hash)
 		}
 	}
-	for entry, p := range b.peers {
-		if now-p.at > toldFor {
-			delete(b.peers, entry)
-		}
-	}
+	b.forget(now)
 }
--- a/placement/kept.go
+++ b/placement/kept.go
@@ -31,8 +31,9 @@
 type kept struct {
 	// parts holds when a part was last sent to an endpoint.
 	parts map[partKey]clock.Millis
-	// untold holds the parts by endpoint that this entry has sent since it last told
-	// of them.
+	// untold holds the shared parts by endpoint that this entry has sent since it last
+	// told of them, but for those that were known there lately. The last part of a
+	// prompt is its request's or session's own, which stays with its entry.
 	untold map[uint32][]uint32
 }
 
@@ -42,10 +43,14 @@
 
 // own notes a prompt that this entry sends.
 func (k *kept) own(endpoint uint32, q Query) {
-	for _, p := range q.Parts {
-		h := p.hashOf(q.Model)
-		k.untold[endpoint] = append(k.untold[endpoint], h)
-		k.parts[partKey{endpoint, h}] = q.Now
+	for i, p := range q.Parts {
+		key := partKey{endpoint, p.hashOf(q.Model)}
+		at, ok := k.parts[key]
+		lately := ok && q.Now-at <= keptFor/2
+		if i < len(q.Parts)-1 && !lately {
+			k.untold[endpoint] = append(k.untold[endpoint], key.part)
+		}
+		k.parts[key] = q.Now
 	}
 	k.bound(q.Now)
 }
--- a/placement/told.go
+++ b/placement/told.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"maps"
+
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/experiment"
 )
@@ -22,10 +24,13 @@
 	WordAge clock.Millis
 }
 
-// peerWork is what another entry told last.
-type peerWork struct {
-	at   clock.Millis
-	work map[uint32]Told
+// peerWork is what another entry told last, by endpoint.
+type peerWork map[uint32]heardWork
+
+// heardWork is its word on one endpoint, and when it came.
+type heardWork struct {
+	Told
+	at clock.Millis
 }
 
 // toldFor is how long an entry's word on its work holds. It loses its weight steadily,
@@ -46,60 +51,85 @@
 	}
 }
 
-// Tell returns this entry's work at all endpoints where it has any, the parts sent and
-// what endpoints said of themselves since the last call. A report that is lost is made
-// up for by the next one, but for its parts, whose prompts are then read once more at
-// most.
-func (b *Board) Tell(now clock.Millis) (out []Told) {
+// Tell returns this entry's work at all endpoints where it has any, the shared parts sent
+// and what endpoints said of themselves since the last whole report; or only its work
+// where that has changed since the last one. A report that is lost is made up for by the
+// next whole one, but for its parts, whose prompts are then read once more at most.
+func (b *Board) Tell(now clock.Millis, whole bool) (out []Told) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, m := range b.marks {
-		t := Told{Endpoint: m.hash, Pending: m.pending, Unanswered: m.unanswered, Parts: b.kept.untold[m.hash]}
-		if m.untoldWord {
-			t.Waiting, t.WordAge = m.word, max(now-m.wordAt, 1)
+		t := Told{Endpoint: m.hash, Pending: m.pending, Unanswered: m.unanswered}
+		tells := m.changed
+		if whole {
+			t.Parts = b.kept.untold[m.hash]
+			if m.untoldWord {
+				t.Waiting, t.WordAge = m.word, max(now-m.wordAt, 1)
+			}
 			m.untoldWord = false
+			tells = t.Unanswered > 0 || len(t.Parts) > 0 || t.WordAge > 0
 		}
-		if t.Unanswered > 0 || len(t.Parts) > 0 || t.WordAge > 0 {
+		m.changed = false
+		if tells {
 			out = append(out, t)
 		}
 	}
-	clear(b.kept.untold)
+	if whole {
+		clear(b.kept.untold)
+	}
 	return out
 }
 
-// Hear takes another entry's word on its work in place of its last one.
-func (b *Board) Hear(entry string, told []Told, now clock.Millis) {
+// Hear takes another entry's word on its work, in place of all that it told before when
+// the report is whole.
+func (b *Board) Hear(entry string, told []Told, whole bool, now clock.Millis) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	p := peerWork{at: now, work: make(map[uint32]Told, len(told))}
+	p := b.peers[entry]
+	if whole || p == nil {
+		p = make(peerWork, len(told))
+		b.peers[entry] = p
+	}
 	for _, t := range told {
-		if !b.off.Has(experiment.ToldParts) {
-			b.kept.hear(t.Endpoint, t.Parts, now)
-		}
-		t.Parts = nil
-		if !b.off.Has(experiment.ToldWork) {
-			p.work[t.Endpoint] = t
-		}
+		b.hear(p, t, now)
 	}
-	b.peers[entry] = p
-	for _, t := range p.work {
-		m := b.byHash[t.Endpoint]
-		if m != nil && t.WordAge > 0 && now-t.WordAge > m.wordAt {
-			b.word(m, t.Waiting, now-t.WordAge, now)
-		}
+}
+
+func (b *Board) hear(p peerWork, t Told, now clock.Millis) {
+	if !b.off.Has(experiment.ToldParts) {
+		b.kept.hear(t.Endpoint, t.Parts, now)
+	}
+	if b.off.Has(experiment.ToldWork) {
+		return
+	}
+	t.Parts = nil
+	p[t.Endpoint] = heardWork{t, now}
+	m := b.byHash[t.Endpoint]
+	if m != nil && t.WordAge > 0 && now-t.WordAge > m.wordAt {
+		b.word(m, t.Waiting, now-t.WordAge, now)
 	}
 }
 
 // told sums what other entries have at an endpoint.
 func (b *Board) told(endpoint uint32, now clock.Millis) (pending, unanswered float64) {
 	for _, p := range b.peers {
-		left := 1 - float64(now-p.at)/float64(toldFor)
-		if left <= 0 {
+		w, ok := p[endpoint]
+		left := 1 - float64(now-w.at)/float64(toldFor)
+		if !ok || left <= 0 {
 			continue
 		}
-		t := p.work[endpoint]
-		pending += t.Pending * left
-		unanswered += float64(t.Unanswered) * left
+		pending += w.Pending * left
+		unanswered += float64(w.Unanswered) * left
 	}
 	return pending, unanswered
 }
+
+// forget drops what other entries told too long ago.
+func (b *Board) forget(now clock.Millis) {
+	for entry, p := range b.peers {
+		maps.DeleteFunc(p, func(_ uint32, w heardWork) bool { return now-w.at > toldFor })
+		if len(p) == 0 {
+			delete(b.peers, entry)
+		}
+	}
+}
--- a/placement/told_test.go
+++ b/placement/told_test.go
@@ -93,10 +93,10 @@
 
 func tellAll(boards []*Board, now clock.Millis) {
 	for i, b := range boards {
-		told := b.Tell(now)
+		told := b.Tell(now, true)
 		for j, other := range boards {
 			if i != j {
-				other.Hear(fmt.Sprint("entry", i), told, now)
+				other.Hear(fmt.Sprint("entry", i), told, true, now)
 			}
 		}
 	}
@@ -110,7 +110,7 @@
 	b := NewBoard()
 	other := NewBoard()
 	other.Begin(s.Find("e0"), Query{Model: "m", Parts: []Part{{"long", 100000}}})
-	b.Hear("other", other.Tell(0), 0)
+	b.Hear("other", other.Tell(0, true), true, 0)
 	q := Query{Service: "s", Version: "v1", Zone: "a", Model: "m", Parts: []Part{{"x", 300}}, Now: 10}
 	e, _ := b.Pick(s, q)
 	is.Equal(e.ID, "e1")
@@ -120,17 +120,41 @@
 	is.Equal(pending, 0.0)
 }
 
-// A report gives parts once, and what waits again and again: the latter heals a lost
-// report.
+// A whole report gives shared parts once, and what waits again and again: the latter
+// heals a lost report. A request's own part is of use to nobody else.
 func TestTellRepeatsWhatWaits(t *testing.T) {
 	is := is.New(t)
 	s := fleetOf(1, nil)
 	b := NewBoard()
-	w := b.Begin(s.Find("e0"), Query{Model: "m", Parts: []Part{{"long", 1000}}})
-	first, second := b.Tell(0), b.Tell(0)
+	w := b.Begin(s.Find("e0"), Query{Model: "m", Parts: []Part{{"long", 1000}, {"own", 100}}})
+	first, second := b.Tell(0, true), b.Tell(0, true)
 	is.Equal(len(first[0].Parts), 1)
 	is.Equal(len(second[0].Parts), 0)
 	is.Equal(second[0].Unanswered, 1)
 	w.End()
-	is.Equal(len(b.Tell(0)), 0)
+	is.Equal(len(b.Tell(0, true)), 0)
+}
+
+// A long prompt is sent between two whole reports. Others hear of that endpoint alone, and
+// what they heard of others holds.
+func TestPartialReportsAddToWhatWasTold(t *testing.T) {
+	is := is.New(t)
+	s := fleetOf(2, nil)
+	teller, hearer := NewBoard(), NewBoard()
+	q := Query{Model: "m", Parts: []Part{{"long", 10000}}}
+	teller.Begin(s.Find("e0"), q)
+	hearer.Hear("teller", teller.Tell(0, true), true, 0)
+	w := teller.Begin(s.Find("e1"), q)
+	partial := teller.Tell(10, false)
+	is.Equal(len(partial), 1)
+	hearer.Hear("teller", partial, false, 10)
+	for _, id := range []string{"e0", "e1"} {
+		pending, _ := hearer.told(hearer.mark(id).hash, 10)
+		is.True(pending > 0)
+	}
+	is.Equal(len(teller.Tell(20, false)), 0) // nothing has changed
+	w.End()
+	hearer.Hear("teller", teller.Tell(30, false), false, 30)
+	pending, _ := hearer.told(hearer.mark("e1").hash, 30)
+	is.Equal(pending, 0.0)
 }
--- a/placement/zones_test.go
+++ b/placement/zones_test.go
@@ -92,10 +92,10 @@
 			continue
 		}
 		p.toldAt[i] = now
-		told := b.Tell(now)
+		told := b.Tell(now, true)
 		for j := i % p.zones; j < len(p.entries); j += p.zones {
 			if j != i {
-				p.entries[j].Hear(fmt.Sprint("entry", i), told, now)
+				p.entries[j].Hear(fmt.Sprint("entry", i), told, true, now)
 			}
 		}
 	}
--- a/relay/share.go
+++ b/relay/share.go
@@ -18,14 +18,15 @@
 	// shareBurst is the part of a second's bytes that may go out at once, when several
 	// long prompts come together.
 	shareBurst = 0.3
-	// sharePause is the span between two reports when nothing urgent happens: the
-	// largest model reads a long prompt in it.
-	sharePause = 300 * clock.Millis(1)
+	// sharePause is the span between two whole reports: half of that for which an
+	// entry's word holds.
+	sharePause = 500 * clock.Millis(1)
 	// shareLeast is the least span between two reports: the smallest model reads a long
 	// prompt in it.
 	shareLeast = 30 * clock.Millis(1)
-	// headBytes is what a datagram takes beside its report.
-	headBytes = 60
+	// headBytes is what a datagram takes beside its report: the headers of IP, UDP and
+	// the link.
+	headBytes = 46
 )
 
 // allowance bounds the bytes that reports take over time.
@@ -51,14 +52,17 @@
 // another endpoint holds them.
 func (s *Server) ShareWork(ctx context.Context, name string, send func(r *wire.EntryReport, to []string) error) {
 	spent := allowance{at: s.cfg.Clock.Now()}
-	told := false
-	for s.shareDue(ctx, &spent) {
+	wholeAt := spent.at
+	for s.shareDue(ctx, &spent, wholeAt+sharePause) {
+		whole := spent.at >= wholeAt+sharePause
+		if whole {
+			wholeAt = spent.at
+		}
 		to := s.cfg.View().Neighbours()
-		r := &wire.EntryReport{Process: name, Work: workOf(s.board.Tell(s.cfg.Clock.Now()))}
-		if len(to) == 0 || len(r.GetWork()) == 0 && !told {
+		r := &wire.EntryReport{Process: name, Work: workOf(s.board.Tell(spent.at, whole)), Partial: !whole}
+		if len(to) == 0 || len(r.GetWork()) == 0 {
 			continue
 		}
-		told = len(r.GetWork()) > 0
 		spent.left -= float64((headBytes + proto.Size(r)) * len(to))
 		if err := send(r, to); err != nil {
 			s.cfg.Log.Warn("Work at endpoints was not told", "error", err)
@@ -66,14 +70,15 @@
 	}
 }
 
-// shareDue waits until a report is due; not if the context ends before.
-func (s *Server) shareDue(ctx context.Context, spent *allowance) bool {
+// shareDue waits until there are news to tell or a whole report is due, and there are
+// bytes left for it; not if the context ends before.
+func (s *Server) shareDue(ctx context.Context, spent *allowance, whole clock.Millis) bool {
 	spent.pass(s.cfg.Clock.Now())
 	if !clock.Pause(ctx, max(spent.wait(), shareLeast)) {
 		return false
 	}
 	spent.pass(s.cfg.Clock.Now())
-	rest := time.NewTimer((sharePause - shareLeast).Duration())
+	rest := time.NewTimer(max(whole-spent.at, 0).Duration())
 	defer rest.Stop()
 	select {
 	case <-s.board.News():
@@ -81,6 +86,7 @@
 	case <-ctx.Done():
 		return false
 	}
+	spent.pass(s.cfg.Clock.Now())
 	return true
 }
 
@@ -90,7 +96,7 @@
 	for _, w := range r.GetWork() {
 		told = append(told, placement.Told{Endpoint: w.GetEndpoint(), Pending: float64(w.GetReadingMillis()), Unanswered: int(w.GetUnanswered()), Parts: w.GetParts(), Waiting: int(w.GetWaiting()), WordAge: clock.Millis(w.GetWordAgeMillis())})
 	}
-	s.board.Hear(r.GetProcess(), told, s.cfg.Clock.Now())
+	s.board.Hear(r.GetProcess(), told, !r.GetPartial(), s.cfg.Clock.Now())
 }
 
 func workOf(told []placement.Told) (out []*wire.EndpointWork) {
