--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -46,6 +46,9 @@
 	s := x.server
 	now := s.cfg.Clock.Now()
 	a.startedAt, a.confidence = now, -1
+	if x.placedAt == 0 {
+		x.placedAt = now
+	}
 	work := s.board.Begin(a.endpoint, x.query(a.plan))
 	a.expected = work.Expected()
 	defer work.End()
@@ -63,6 +66,7 @@
 	}
 	defer answer.Close()
 	a.firstAfter = max(s.cfg.Clock.Now()-a.startedAt, 1)
+	x.connected += answer.Connected()
 	work.Read(s.cfg.Clock.Now())
 	s.board.Heard(a.endpoint.ID, s.cfg.Clock.Now())
 	h := s.cfg.Dialect.Head(answer.Status, answer.Header)
--- a/relay/run_test.go
+++ b/relay/run_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -133,3 +134,16 @@
 	is.Equal(w.Code, http.StatusOK)
 	is.Equal(x.sends, map[bool]int{true: 1, false: 2}[otherFull])
 }
+
+// A plain request took half a second at its entry and a few milliseconds at its endpoint.
+// Its line says in which phase the rest went: the caller's body, the first attempt's
+// beginning, or a connection.
+func TestEndOfARequestNamesItsPhases(t *testing.T) {
+	is := is.New(t)
+	out := &bytes.Buffer{}
+	s := site.NewState(site.Self{Name: "e"}, 0)
+	server := New(Config{Clock: clock.New(func() clock.Millis { return 2000 }), Log: log.New(out), View: s.View})
+	x := &exchange{server: server, view: s.View(), r: httptest.NewRequest(http.MethodGet, "/x", nil), startedAt: 1500, bodyTook: 120, placedAt: 1630, connected: 240}
+	x.logEnd(nil, 500, false)
+	is.True(strings.Contains(out.String(), "took=500ms body=120ms placed=130ms connect=240ms"))
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -134,6 +134,12 @@
 	model    string
 	events   int
 	firstAt  clock.Millis
+	// bodyTook is how long the caller's body took to come, placedAt when the first
+	// attempt began, and connected how long attempts that were answered waited for a
+	// connection.
+	bodyTook  clock.Millis
+	placedAt  clock.Millis
+	connected clock.Millis
 	// emittedAt is when the last event was handed on, pause the longest span between
 	// two of them.
 	emittedAt clock.Millis
@@ -148,9 +154,11 @@
 	if err = x.admit(); err != nil {
 		return err
 	}
+	begun := s.cfg.Clock.Now()
 	if err = x.readBody(); err != nil {
 		return err
 	}
+	x.bodyTook = s.cfg.Clock.Since(begun)
 	ctx, cancel := context.WithTimeout(x.r.Context(), x.left().Duration())
 	defer cancel()
 	return x.run(ctx)
@@ -180,7 +188,7 @@
 func (x *exchange) logEnd(err error, took clock.Millis, gone bool) {
 	fields := []any{
 		"request", x.id(), "route", x.routeName(), "organisation", x.organisation, "status", x.status, "endpoint", x.endpoint, "version", x.version, "model", x.model,
-		"sends", x.sends, "events", x.events, "took", took, "first", x.firstAt, "late", x.late(took), "config", x.configVersion(), "config-age", x.configAge(), "left-by-caller", gone,
+		"sends", x.sends, "events", x.events, "took", took, "body", x.bodyTook, "placed", x.placed(), "connect", x.connected, "first", x.firstAt, "late", x.late(took), "config", x.configVersion(), "config-age", x.configAge(), "left-by-caller", gone,
 	}
 	if err != nil {
 		x.server.cfg.Log.Warn("Request failed", append(fields, "error", logbook.Text(err))...)
@@ -189,6 +197,14 @@
 	x.server.cfg.Log.Info("Request answered", fields...)
 }
 
+// placed is how long after its start the request's first attempt began; 0 when none did.
+func (x *exchange) placed() clock.Millis {
+	if x.placedAt == 0 {
+		return 0
+	}
+	return x.placedAt - x.startedAt
+}
+
 // late says by what an answer was not of full use; empty for one in time.
 func (x *exchange) late(took clock.Millis) string {
 	first := x.firstAt
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -70,6 +70,8 @@
 	bodySent chan struct{}
 	sendErr  *atomic.Pointer[error]
 	stop     func() bool
+	// connected is how long it took to have a connection.
+	connected clock.Millis
 	// whole is true once the body was read to its end.
 	whole bool
 	// keep says that the connection may be used again after the answer.
@@ -84,11 +86,12 @@
 // Do sends a call and waits for the head of its answer. The connection is closed
 // as soon as the context ends, so that the endpoint stops its work.
 func (p *Pool) Do(ctx context.Context, call Call) (a *Answer, err error) {
+	begun := p.clock.Now()
 	c, err := p.take(ctx, call)
 	if err != nil {
 		return nil, ErrNotSent.Wrap(err, "connect to %s", call.Address)
 	}
-	a = &Answer{conn: c, bodySent: make(chan struct{}), sendErr: &atomic.Pointer[error]{}}
+	a = &Answer{conn: c, connected: p.clock.Since(begun), bodySent: make(chan struct{}), sendErr: &atomic.Pointer[error]{}}
 	a.stop = context.AfterFunc(ctx, func() { _ = c.net.Close() })
 	go a.send(call)
 	if err = a.await(call); err == nil {
@@ -104,6 +107,9 @@
 	return nil, ErrLost.Wrap(err, "no answer from %s", call.Address)
 }
 
+// Connected returns how long it took to have a connection; 0 for a kept one.
+func (a *Answer) Connected() clock.Millis { return a.connected }
+
 // headPatience bounds the rest of a head once its first byte is there.
 const headPatience = 2 * clock.Second
 
