--- a/relay/plan_test.go
+++ b/relay/plan_test.go
@@ -45,14 +45,9 @@
 // smallAnswer is an attempt at the smallest of two models, whose answer has come.
 func smallAnswer(tokens int) *attempt {
 	c := clock.New(func() clock.Millis { return 1000 })
-	s := site.NewState(site.Self{Name: "e"}, 0)
 	route := &catalog.Route{Name: "r", Kind: catalog.Idempotent, Timeout: 8000, Aim: 1500, MaxAttempts: 3, Models: []string{"small", "large"}, Targets: []catalog.Target{{Service: "app", Weight: 1}}}
-	config := &catalog.Config{Version: 1, Routes: []*catalog.Route{route}, Services: map[string]catalog.Service{"app": {Name: "app"}}}
 	endpoint := &fleet.Endpoint{ID: "i-1", Service: "app", Address: "10.0.0.1:1", Version: "v1", Slots: 24}
-	site.Reduce(s, site.VerdictsRead{Now: 1})
-	site.Reduce(s, site.OperatorRead{Now: 1, Whole: true, News: site.OperatorNews{Config: config.Index()}})
-	site.Reduce(s, site.EndpointsRead{Now: 1, Whole: true, Changes: []fleet.Change{{ID: "i-1", Endpoint: endpoint}}})
-	view := s.View()
+	view := viewOf(route, []fleet.Change{{ID: "i-1", Endpoint: endpoint}})
 	server := New(Config{Clock: c, Log: log.New(io.Discard), View: func() *site.View { return view }, Pool: upstream.NewPool(c), RetryRatio: 1, RetrySlack: 100, RetrySpan: 1000})
 	return &attempt{plan: plan{models: []string{"small", "large"}}, exchange: &exchange{
 		server: server, view: view, startedAt: 900, deadline: 8900, route: route, service: "app",
--- a/relay/run_test.go
+++ b/relay/run_test.go
@@ -23,6 +23,16 @@
 	"github.com/parsleydeal/parsleydeal/upstream"
 )
 
+// viewOf is the view of an entry with one route and some endpoints of the service app.
+func viewOf(route *catalog.Route, changes []fleet.Change) *site.View {
+	s := site.NewState(site.Self{Name: "e"}, 0)
+	config := &catalog.Config{Version: 1, Routes: []*catalog.Route{route}, Services: map[string]catalog.Service{"app": {Name: "app"}}}
+	site.Reduce(s, site.VerdictsRead{Now: 1})
+	site.Reduce(s, site.OperatorRead{Now: 1, Whole: true, News: site.OperatorNews{Config: config.Index()}})
+	site.Reduce(s, site.EndpointsRead{Now: 1, Whole: true, Changes: changes})
+	return s.View()
+}
+
 // A request's time is up by the process's clock a moment before its timer fires,
 // while its endpoint has just failed it. No further attempt is made:
 // each would open a connection, or begin the request, in vain.
@@ -40,9 +50,7 @@
 	var now atomic.Int64
 	now.Store(1000)
 	c := clock.New(func() clock.Millis { return clock.Millis(now.Load()) })
-	s := site.NewState(site.Self{Name: "e"}, 0)
 	route := &catalog.Route{Name: "r", Kind: kind, Timeout: 500, Aim: 100, MaxAttempts: 5, Targets: []catalog.Target{{Service: "app", Weight: 1}}}
-	config := &catalog.Config{Version: 1, Routes: []*catalog.Route{route}, Services: map[string]catalog.Service{"app": {Name: "app"}}}
 	var changes []fleet.Change
 	for i := range 4 {
 		name := fmt.Sprintf("i-%d", i)
@@ -54,10 +62,7 @@
 		defer e.Close()
 		changes = append(changes, fleet.Change{ID: name, Endpoint: &fleet.Endpoint{ID: name, Service: "app", Address: e.Address(), Version: "v1", Slots: 4}})
 	}
-	site.Reduce(s, site.VerdictsRead{Now: 1})
-	site.Reduce(s, site.OperatorRead{Now: 1, Whole: true, News: site.OperatorNews{Config: config.Index()}})
-	site.Reduce(s, site.EndpointsRead{Now: 1, Whole: true, Changes: changes})
-	view := s.View()
+	view := viewOf(route, changes)
 	server := New(Config{
 		Clock: c, Log: log.New(&bytes.Buffer{}), View: func() *site.View { return view }, Pool: upstream.NewPool(c), RetryRatio: 1, RetrySlack: 100, RetrySpan: 1000,
 		Dialect: Dialect{
@@ -98,15 +103,10 @@
 	is.NoErr(err)
 	defer other.Close()
 	route := &catalog.Route{Name: "r", Kind: catalog.Idempotent, Timeout: 3000, Aim: 500, MaxAttempts: 3, Targets: []catalog.Target{{Service: "app", Weight: 1}}}
-	config := &catalog.Config{Version: 1, Routes: []*catalog.Route{route}, Services: map[string]catalog.Service{"app": {Name: "app"}}}
-	s := site.NewState(site.Self{Name: "e"}, 0)
-	site.Reduce(s, site.VerdictsRead{Now: 1})
-	site.Reduce(s, site.OperatorRead{Now: 1, Whole: true, News: site.OperatorNews{Config: config.Index()}})
-	site.Reduce(s, site.EndpointsRead{Now: 1, Whole: true, Changes: []fleet.Change{
+	view := viewOf(route, []fleet.Change{
 		{ID: "i-slow", Endpoint: &fleet.Endpoint{ID: "i-slow", Service: "app", Address: slow.Address(), Version: "v1", Slots: 4}},
 		{ID: "i-other", Endpoint: &fleet.Endpoint{ID: "i-other", Service: "app", Address: other.Address(), Version: "v1", Slots: 4}},
-	}})
-	view := s.View()
+	})
 	server := New(Config{
 		Clock: c, Log: log.New(io.Discard), View: func() *site.View { return view }, Pool: upstream.NewPool(c), RetryRatio: 1, RetrySlack: 100, RetrySpan: 1000,
 		Dialect: Dialect{
--- a/site/calls_test.go
+++ b/site/calls_test.go
@@ -3,15 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"testing"
 	"time"
 
-	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
 	"github.com/parsleydeal/parsleydeal/catalog"
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/fleet"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/upgrade"
 )
@@ -87,15 +84,7 @@
 func TestEntryThatIsTurnedAwayTriesSeldom(t *testing.T) {
 	is := is.New(t)
 	f := &flakyStore{calls: make(map[Stream]int)}
-	l := NewLoop(Config{
-		Self: Self{Name: "entry-m", Process: "entry-m/1", Zone: "a"}, Clock: clock.Boot(), Log: log.New(io.Discard), Store: f.store(),
-		Codec: Codec{
-			Operator:  func([]Record) OperatorNews { return OperatorNews{Config: (&catalog.Config{Version: 1}).Index()} },
-			Endpoints: func([]Record, clock.Millis) []fleet.Change { return nil },
-			Verdicts:  func([]Record) []Verdict { return nil },
-		},
-		Send: func(*wire.EntryReport, []string) error { return nil }, Counted: func() Counted { return Counted{} },
-	})
+	l := f.loop(Self{Name: "entry-m", Process: "entry-m/1", Zone: "a"})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go l.Run(ctx)
--- a/site/outage_test.go
+++ b/site/outage_test.go
@@ -57,6 +57,19 @@
 	}
 }
 
+// loop makes the loop of an entry that calls the store.
+func (f *flakyStore) loop(self Self) *Loop {
+	return NewLoop(Config{
+		Self: self, Clock: clock.Boot(), Log: log.New(io.Discard), Store: f.store(),
+		Codec: Codec{
+			Operator:  func([]Record) OperatorNews { return OperatorNews{Config: (&catalog.Config{Version: 1}).Index()} },
+			Endpoints: func([]Record, clock.Millis) []fleet.Change { return nil },
+			Verdicts:  func([]Record) []Verdict { return nil },
+		},
+		Send: func(*wire.EntryReport, []string) error { return nil }, Counted: func() Counted { return Counted{} },
+	})
+}
+
 // All entries lost their power and start while the store is down for ten seconds.
 // Each tried it with every one of its reads, four times as often as it takes to find
 // out, and all of these calls are paid for. Now one read of each tries; the others
@@ -65,15 +78,7 @@
 	is := is.New(t)
 	f := &flakyStore{calls: make(map[Stream]int)}
 	f.fails.Store(true)
-	l := NewLoop(Config{
-		Self: Self{Name: "entry-a", Process: "entry-a/1"}, Clock: clock.Boot(), Log: log.New(io.Discard), Store: f.store(),
-		Codec: Codec{
-			Operator:  func([]Record) OperatorNews { return OperatorNews{Config: (&catalog.Config{Version: 1}).Index()} },
-			Endpoints: func([]Record, clock.Millis) []fleet.Change { return nil },
-			Verdicts:  func([]Record) []Verdict { return nil },
-		},
-		Send: func(*wire.EntryReport, []string) error { return nil }, Counted: func() Counted { return Counted{} },
-	})
+	l := f.loop(Self{Name: "entry-a", Process: "entry-a/1"})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go l.Run(ctx)
