--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -32,11 +32,17 @@
 	Failures Mechanism = "failures"
 	// Silence leaves an endpoint that sends nothing to anybody.
 	Silence Mechanism = "silence"
+	// Near keeps prompts where the entries that send there tell of their work.
+	Near Mechanism = "near"
+	// News tells a long prompt at once, and not only now and then.
+	News Mechanism = "news"
+	// Stay leaves a slow endpoint only for one with room.
+	Stay Mechanism = "stay"
 )
 
 // All lists the mechanisms.
 var All = []Mechanism{
-	Objective, Crowding, ToldWork, ToldParts, KeptParts, Homes, Waiting, LatePrompts, LostEndpoints, Failures, Silence,
+	Objective, Crowding, ToldWork, ToldParts, KeptParts, Homes, Waiting, LatePrompts, LostEndpoints, Failures, Silence, Near, News, Stay,
 }
 
 // Known reports whether there is a mechanism of a name.
--- a/placement/board.go
+++ b/placement/board.go
@@ -128,7 +128,7 @@
 	m.pending += w.millis
 	m.unanswered++
 	m.changed = true
-	if w.millis >= newsLeast {
+	if w.millis >= newsLeast && !b.off.Has(experiment.News) {
 		b.tellNews()
 	}
 	b.kept.own(m.hash, q)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -235,7 +235,7 @@
 	}
 	unread := b.unread(e.ID, q)
 	wait := b.waiting(e, q) + b.speed.millis(q.Model, unread)
-	if !q.told(e) {
+	if !q.told(e) && !b.off.Has(experiment.Near) {
 		cost += blindCost
 	}
 	if q.Patience > 0 && wait > float64(q.Patience) {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -108,7 +108,7 @@
 	if x.server.board.HeardSince(a.endpoint.ID, a.startedAt) {
 		patience = clock.Millis(aliveFactor * float64(patience))
 	}
-	if waited >= patience && !a.roomElsewhere() {
+	if waited >= patience && !x.server.cfg.Off.Has(experiment.Stay) && !a.roomElsewhere() {
 		return min(stayFor, left)
 	}
 	return min(patience-waited, left)
