A model that was not measured is held for slower, and turns nobody away

Cause: an entry that starts took each model to read a token in 0.02 ms; the users' largest read in 0.032 to 0.053. In the two seconds after a mass restart it asked the largest for more than endpoints could read. But a slower guess refuses long prompts that a small model reads in time.

Change: the guess is 0.03 ms; prompts are turned away for their own reading only once the model was measured eight times.

Test: fails before, when a prompt of 90,000 tokens is refused by a process that knows nothing.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -234,11 +234,12 @@
 		return cost, o
 	}
 	unread := b.unread(e.ID, q)
-	wait := b.waiting(e, q) + b.speed.millis(q.Model, unread)
+	queue := b.waiting(e, q)
+	wait := queue + b.speed.millis(q.Model, unread)
 	if !q.told(e) && !b.off.Has(experiment.Near) {
 		cost += blindCost
 	}
-	if q.Patience > 0 && wait > float64(q.Patience) {
+	if q.Patience > 0 && queue+b.speed.least(q.Model, unread) > float64(q.Patience) {
 		return 0, late
 	}
 	cost += wait - spared(q, unread)*max(1-load/easyLoad, 0)
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -298,3 +298,19 @@
 		is.True(other != first.ID)
 	}
 }
+
+// An entry has just started and has measured no model yet. A long prompt to one that reads
+// fast was refused at every endpoint, by what is usual of slow ones.
+func TestUnmeasuredModelsTurnNobodyAway(t *testing.T) {
+	is := is.New(t)
+	s := fleetOf(3, nil)
+	b := NewBoard()
+	q := Query{Service: "s", Version: "v1", Zone: "a", Model: "m", Patience: 1500, Parts: []Part{{"own", 90000}}}
+	_, why := b.Pick(s, q)
+	is.Equal(why, Picked)
+	for range surelyKnown {
+		b.speed.add("m", 90000, 3000) // it reads them in three seconds
+	}
+	_, why = b.Pick(s, q)
+	is.Equal(why, Full)
+}
--- a/placement/speed.go
+++ b/placement/speed.go
@@ -8,8 +8,12 @@
 
 const (
 	// firstSpeed is how long a token takes to read before anything was measured,
-	// in milliseconds: that of the usual engines with their largest model.
-	firstSpeed = 0.02
+	// in milliseconds: that of the usual engines with their largest model. Too fast, an
+	// entry that has just started asks it for more than endpoints can read.
+	firstSpeed = 0.03
+	// leastSpeed is that of a small model at fast engines: a model that was not measured
+	// yet is not held to be too slow for a prompt by its usual speed.
+	leastSpeed = 0.005
 	// leastTokens is the least that a prompt has for its time to say something of
 	// the reading; a shorter one shows the way there and back.
 	leastTokens = 500
@@ -22,6 +26,9 @@
 	// stepHalf the number of measurements after which half of that is left.
 	firstSteps = 5.0
 	stepHalf   = 8.0
+	// surelyKnown is how many measurements a speed must rest on for prompts to be turned
+	// away by it.
+	surelyKnown = 8
 	// meanWeight is the weight of one prompt in the mean work.
 	meanWeight = 0.05
 	// beyondWeight is the weight of one first byte in how far they are missed.
@@ -49,6 +56,14 @@
 	return speeds{tokens: make(map[string]float64), measured: make(map[string]int), mean: firstMean, beyond: make(map[string]float64)}
 }
 
+// least is how long a model takes at the least to read some tokens.
+func (s *speeds) least(model string, tokens int) float64 {
+	if s.measured[model] < surelyKnown {
+		return leastSpeed * float64(tokens)
+	}
+	return s.millis(model, tokens)
+}
+
 // first is how long a first byte is expected to take behind some known wait.
 func (s *speeds) first(model string, wait float64) clock.Millis {
 	return clock.Millis(max(wait+s.beyond[model], 0))
