News of many endpoints and of a large configuration reach all entries packed

Cause: news of more than 16 KB were announced only, and each entry then read all endpoints, or the configuration, from the store.

Change: records go compressed in as many reports as it takes, until one piece of news takes 16 MB at all entries together. A last empty report of work ends what others believe of it.

--- a/relay/share.go
+++ b/relay/share.go
@@ -52,7 +52,7 @@
 // another endpoint holds them.
 func (s *Server) ShareWork(ctx context.Context, name string, send func(r *wire.EntryReport, to []string) error) {
 	spent := allowance{at: s.cfg.Clock.Now()}
-	wholeAt := spent.at
+	wholeAt, busy := spent.at, false
 	for s.shareDue(ctx, &spent, wholeAt+sharePause) {
 		whole := spent.at >= wholeAt+sharePause
 		if whole {
@@ -60,9 +60,12 @@
 		}
 		to := s.cfg.View().Neighbours()
 		r := &wire.EntryReport{Process: name, Work: workOf(s.board.Tell(spent.at, whole)), Partial: !whole}
-		if len(to) == 0 || len(r.GetWork()) == 0 {
+		// An empty report follows the last one that had work: others would else take it
+		// for work that goes on.
+		if len(to) == 0 || len(r.GetWork()) == 0 && (!whole || !busy) {
 			continue
 		}
+		busy = len(r.GetWork()) > 0
 		spent.left -= float64((headBytes + proto.Size(r)) * len(to))
 		if err := send(r, to); err != nil {
 			s.cfg.Log.Warn("Work at endpoints was not told", "error", err)
--- a/site/loop.go
+++ b/site/loop.go
@@ -60,7 +60,8 @@
 // View returns the newest view. It never blocks.
 func (l *Loop) View() *View { return l.view.Load() }
 
-// Lost counts the reports that were dropped because control was busy.
+// Lost counts the reports that were dropped because control was busy, or because their
+// records could not be unpacked.
 func (l *Loop) Lost() int64 { return l.lost.Load() }
 
 // Leave tells the other entries that this one stops.
@@ -69,6 +70,10 @@
 // Hear takes a report of another entry. One that finds the queue full is
 // dropped, since the next repeats what it said.
 func (l *Loop) Hear(r *wire.EntryReport) {
+	if err := unpack(r); err != nil {
+		l.lost.Add(1)
+		return
+	}
 	h := Heard{Now: l.cfg.Clock.Now(), Report: r}
 	if len(r.GetRecords()) > 0 {
 		h.News = l.cfg.Codec.Operator(recordsOn(r, OperatorStream))
@@ -130,19 +135,30 @@
 		}
 		l.cfg.Log.Info(f.Message, f.Fields...)
 	case Tell:
-		f.Report.Address = l.cfg.Address
-		to := []string{f.To}
-		if f.To == "" {
-			to = l.others()
-		}
-		if err := l.cfg.Send(f.Report, to); err != nil {
-			l.cfg.Log.Warn("Report to other entries was not sent", "error", logbook.Text(err))
-		}
+		l.send(f)
 	case Write:
 		go l.write(ctx, f)
 	}
 }
 
+// send sends a report, its records packed.
+func (l *Loop) send(f Tell) {
+	f.Report.Address = l.cfg.Address
+	to := []string{f.To}
+	if f.To == "" {
+		to = l.others()
+	}
+	reports, err := pack(f.Report, len(to))
+	for _, r := range reports {
+		if err == nil {
+			err = l.cfg.Send(r, to)
+		}
+	}
+	if err != nil {
+		l.cfg.Log.Warn("Report to other entries was not sent", "error", logbook.Text(err))
+	}
+}
+
 // others returns the addresses of the other entries.
 func (l *Loop) others() (to []string) {
 	for name, address := range l.View().addresses {
--- a/site/share.go
+++ b/site/share.go
@@ -25,9 +25,6 @@
 	// strayFor is how long an entry may know other endpoints than a reader before
 	// it reads them itself: the news may still be on its way.
 	strayFor = 300 * clock.Millis(1)
-	// mostPushed bounds the news in one report, in bytes. Larger news is only
-	// announced, and each entry reads it.
-	mostPushed = 16 << 10
 	// never is an instant before all others.
 	never = -clock.Hour
 )
@@ -88,14 +85,9 @@
 	if stream == OperatorStream {
 		r.OperatorFrom, r.OperatorNext = from, next
 	}
-	size := 0
 	for _, x := range records {
-		size += len(x.Key) + len(x.Value)
 		r.Records = append(r.Records, &wire.StoreRecord{Stream: int32(stream), Key: x.Key, Value: x.Value, Offset: x.Offset})
 	}
-	if size > mostPushed {
-		r.Records = nil
-	}
 	return Tell{Report: r}
 }
 
