--- a/site/state.go
+++ b/site/state.go
@@ -77,7 +77,8 @@
 	failing  bool
 	failedAt clock.Millis
 	// acts is whether the last view said that this entry may have to write verdicts,
-	// reads whether it said that it reads the store for all, and waits whether it said that it leaves a failing store to others.
+	// reads whether it said that it reads the store for all, and waits whether it said
+	// that it leaves a failing store to others.
 	acts  bool
 	reads bool
 	waits bool
