--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -3,8 +3,10 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
+	"github.com/joomcode/errorx"
 	"github.com/matryer/is"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/experiment"
@@ -77,19 +79,22 @@
 
 // A mistake in a site's file is named before anything is played.
 func TestUnplayableSitesAreNamed(t *testing.T) {
-	for name, change := range map[string]func(x *replay){
-		"no endpoints":  func(x *replay) { x.Site.Endpoints = 0 },
-		"no slots":      func(x *replay) { x.Site.Slots = 0 },
-		"no model":      func(x *replay) { x.Site.Models = nil },
-		"negative rate": func(x *replay) { x.Load.PerSecond = -1 },
-		"no aim":        func(x *replay) { x.Load.Kinds[0].AimMillis = 0 },
-		"too hard":      func(x *replay) { x.Load.Kinds[0].Hard = 1.5 },
+	for names, change := range map[string]func(x *replay){
+		"endpoints":  func(x *replay) { x.Site.Endpoints = 0 },
+		"slots":      func(x *replay) { x.Site.Slots = 0 },
+		"models":     func(x *replay) { x.Site.Models = nil },
+		"per-second": func(x *replay) { x.Load.PerSecond = -1 },
+		"draft":      func(x *replay) { x.Load.Kinds[0].AimMillis = 0 },
+		"summary":    func(x *replay) { x.Load.Kinds[1].Hard = 1.5 },
 	} {
-		t.Run(name, func(t *testing.T) {
+		t.Run(names, func(t *testing.T) {
+			is := is.New(t)
 			x := read(t, "testdata/six-zones.toml")
 			change(&x)
-			_, err := Play(x.Site, x.Load, experiment.Off{})
-			is.New(t).True(err != nil)
+			r, err := Play(x.Site, x.Load, experiment.Off{})
+			is.True(errorx.IsOfType(err, ErrSite))
+			is.True(strings.Contains(err.Error(), names))
+			is.Equal(r, Result{}) // nothing was played
 		})
 	}
 }
--- a/site/pack.go
+++ b/site/pack.go
@@ -15,8 +15,8 @@
 // endpoints, and each entry read all of the endpoints from the store.
 
 const (
-	// mostInReport is how many records of endpoints go into one report: some ten
-	// kilobytes of it, so that a lost datagram costs little.
+	// mostInReport is how many records of endpoints go into one report: a few kilobytes,
+	// so that a lost datagram costs little.
 	mostInReport = 200
 	// mostPacked bounds the records in a report, in bytes: a datagram holds a little
 	// more.
