Idle connections keep to an entry's share of what an endpoint takes; a new one is watched before it carries a request that may run once

Change: the pool keeps at most an entry's part of half of what the configuration says an endpoint takes; a fresh connection is watched for 3 ms before an unrepeatable request is sent, and one that was ended by then carried nothing.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -100,6 +100,9 @@
 	// ColdPerSecond is how many requests a second an endpoint in cold start
 	// takes; 0 where there is no bound.
 	ColdPerSecond float64
+	// MaxConnections is how many connections an endpoint takes from all entries
+	// together; 0 where there is no bound.
+	MaxConnections int
 }
 
 // Organisation is a customer with its keys.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 
@@ -12,6 +13,7 @@
 	"github.com/parsleydeal/parsleydeal/experiment"
 	"github.com/parsleydeal/parsleydeal/fleet"
 	"github.com/parsleydeal/parsleydeal/refusal"
+	"github.com/parsleydeal/parsleydeal/site"
 	"github.com/parsleydeal/parsleydeal/upstream"
 )
 
@@ -88,9 +90,34 @@
 	c := x.server.cfg.Dialect.Call(x.req, o, x.req.body)
 	c.HasBody = x.req.hasBody
 	c.Wait = a.wait
+	if c.Fresh {
+		c.Settle = settleFor
+	}
+	c.MostIdle = x.server.mostIdle(x.view, x.service)
 	return c
 }
 
+const (
+	// settleFor is how long a new connection is watched for a request that may run only
+	// once: the way to an endpoint and back, and its handshake.
+	settleFor = 3 * clock.Millis(1)
+	// idlePart is the part of the connections that an endpoint takes which all entries
+	// together may keep idle. The rest is for requests under way.
+	idlePart = 0.5
+	// defaultIdle is how many idle connections to an endpoint are kept where operators
+	// set no bound.
+	defaultIdle = 32
+)
+
+// mostIdle is how many idle connections this entry may keep to an endpoint.
+func (s *Server) mostIdle(v *site.View, service string) int {
+	c, ok := v.Config().Services[service]
+	if !ok || c.MaxConnections <= 0 {
+		return defaultIdle
+	}
+	return int(math.Round(idlePart * float64(c.MaxConnections) / float64(v.Entries())))
+}
+
 // aliveFactor is how much longer than usual a request waits at an endpoint that
 // answers others meanwhile. It stands in a queue there, and would stand at the
 // end of one elsewhere.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -16,8 +16,6 @@
 	// connectTimeout bounds the making of a connection. Within a region one takes
 	// a few milliseconds; an endpoint without power does not answer at all.
 	connectTimeout = 300 * clock.Millis(1)
-	// maxIdle bounds the idle connections to one endpoint.
-	maxIdle = 32
 	// readBuffer fits the head of an answer and the events of a stream.
 	readBuffer = 4 << 10
 	// silentAfter is how long sent bytes may stay unacknowledged before the
@@ -31,8 +29,8 @@
 	clock  clock.Clock
 	dialer net.Dialer
 	mu     sync.Mutex
-	// idle holds at most maxIdle connections of each address, the one used last
-	// at the end.
+	// idle holds at most as many connections of each address as the last call to it
+	// allowed, the one used last at the end.
 	idle map[string][]*conn
 	// opened counts the connections open, made those ever made.
 	opened atomic.Int64
@@ -57,6 +55,7 @@
 			break
 		}
 		if p.clock.Now()-c.idleSince <= c.idleFor && c.quiet() {
+			c.mostIdle = call.MostIdle
 			return c, nil
 		}
 		c.release(false)
@@ -68,9 +67,32 @@
 	p.opened.Add(1)
 	p.made.Add(1)
 	limitSilence(raw)
-	return &conn{net: raw, r: bufio.NewReaderSize(raw, readBuffer), pool: p, to: call.Address}, nil
+	c = &conn{net: raw, r: bufio.NewReaderSize(raw, readBuffer), pool: p, to: call.Address, mostIdle: call.MostIdle}
+	if err = c.settle(call.Settle); err != nil {
+		c.release(false)
+		return nil, err
+	}
+	return c, nil
+}
+
+// settle watches a new connection for a while, and fails if the endpoint ends it.
+func (c *conn) settle(span clock.Millis) (err error) {
+	if span <= 0 {
+		return nil
+	}
+	if err = c.net.SetReadDeadline(time.Now().Add(span.Duration())); err != nil {
+		return err
+	}
+	if _, err = c.r.Peek(1); !TimedOut(err) {
+		return errUnsettled.WithUnderlyingErrors(err)
+	}
+	return c.net.SetReadDeadline(time.Time{})
 }
 
+// errUnsettled tells of a new connection that was ended, or brought bytes, before
+// anything was sent on it.
+var errUnsettled = ErrNotSent.New("new connection was not kept open")
+
 func (p *Pool) pop(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -91,7 +113,7 @@
 	c.idleSince = p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[c.to]) >= maxIdle {
+	if len(p.idle[c.to]) >= c.mostIdle {
 		return false
 	}
 	p.idle[c.to] = append(p.idle[c.to], c)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -51,6 +51,12 @@
 	// Fresh asks for a new connection. A kept one may have been closed by the
 	// other side, which shows only after the request was sent on it.
 	Fresh bool
+	// Settle is how long a new connection is watched before anything is sent on it. An
+	// endpoint that has as many connections as it takes accepts one more and resets it;
+	// a request that was sent by then may have run as far as its caller can know.
+	Settle clock.Millis
+	// MostIdle bounds the idle connections to the address.
+	MostIdle int
 	// Own reports whether an answer belongs to this call.
 	Own func(h http.Header) bool
 	// Wait is asked how long to wait for the answer's first byte, with what has been
@@ -255,6 +261,8 @@
 	to   string
 	// dirty connections have brought bytes that belonged to no request.
 	dirty bool
+	// mostIdle bounds the idle connections to the endpoint, by the last call.
+	mostIdle int
 	// idleSince and idleFor bound its use after the last answer.
 	idleSince clock.Millis
 	idleFor   clock.Millis
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -40,7 +40,7 @@
 
 func callTo(address string) Call {
 	return Call{
-		Address: address, Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{"Id": {"1"}},
+		Address: address, Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{"Id": {"1"}}, MostIdle: 2,
 		Own:  func(h http.Header) bool { return h.Get("Id") == "1" },
 		Wait: func(waited clock.Millis) clock.Millis { return 300 - waited },
 	}
@@ -147,3 +147,47 @@
 		a.Close()
 	}
 }
+
+// A request that may run only once is lost on a connection that a full endpoint accepts
+// and resets.
+func TestConnectionBeyondTheEndpointsBoundCarriesNothing(t *testing.T) {
+	is := is.New(t)
+	got := make(chan struct{}, 1)
+	address := script(t, func(c net.Conn, r *bufio.Reader) {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+		if _, err := r.ReadByte(); err == nil {
+			got <- struct{}{}
+		}
+	})
+	call := callTo(address)
+	call.Fresh, call.Settle = true, 50
+	_, err := NewPool(clock.System()).Do(context.Background(), call)
+	is.True(errorx.IsOfType(err, ErrNotSent))
+	is.Equal(len(got), 0)
+}
+
+// Idle connections of many entries fill the bound of an endpoint, which then resets new ones.
+func TestIdleConnectionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	address := script(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, own)
+		}
+	})
+	p := NewPool(clock.System())
+	call := callTo(address)
+	call.Fresh = true
+	for range 5 {
+		a, err := p.Do(context.Background(), call)
+		is.NoErr(err)
+		_, err = io.ReadAll(a)
+		is.NoErr(err)
+		a.Close()
+	}
+	is.Equal(p.Made(), int64(5))
+	is.Equal(p.Open(), int64(2))
+}
