Decisions are made in ways that stand side by side, and compare plays them by pairs

Cause: a decision could only be switched off (`[experiments]`), so that two ways of one were compared by two builds and by hand.

Change: package decision names decisions, their load and their ways, the one in force first; `[decisions]` in settings chooses, and needs `trial = true` (the old section is refused with the new name).

Also: a request that leaves a silent endpoint asks another one first, also one that answers late; the silent one gets it again only where there is nothing else (it looked idle, since nobody had an answer from it).

--- a/cascade/cascade.go
+++ b/cascade/cascade.go
@@ -13,7 +13,7 @@
 	"math"
 
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/experiment"
+	"github.com/parsleydeal/parsleydeal/decision"
 )
 
 const (
@@ -46,20 +46,29 @@
 	Left clock.Millis
 }
 
+// rule decides whether an answer is to be dropped for the largest model's, whose first
+// byte is expected to take a span from now.
+type rule func(a Answer, first clock.Millis) bool
+
+// rules holds the ways of the decision.
+var rules = map[decision.Way]rule{
+	decision.ByTime: func(a Answer, first clock.Millis) bool {
+		return worth*(gain(a, first)-crowding*crowded(first, a.Left)) > 1
+	},
+	decision.ByPrice:   func(a Answer, first clock.Millis) bool { return worth*gain(a, first) > 1 },
+	decision.ByOpinion: func(a Answer, _ clock.Millis) bool { return a.Confidence < 50 },
+}
+
 // Drops reports whether an answer is to be dropped for the largest model's, whose
 // first byte is expected to take a span from now.
-func Drops(a Answer, first clock.Millis, off experiment.Off) bool {
-	if a.Confidence < 0 {
-		return false
-	}
-	if off.Has(experiment.Objective) {
-		return a.Confidence < 50
-	}
-	gain := use(first, a.Left) - good(a.Confidence)*use(0, a.Left)
-	if !off.Has(experiment.Crowding) {
-		gain -= crowding * crowded(first, a.Left)
-	}
-	return worth*gain > 1
+func Drops(a Answer, first clock.Millis, ways decision.Ways) bool {
+	return a.Confidence >= 0 && rules[ways.Of(decision.Drop)](a, first)
+}
+
+// gain is how much more use the caller has of the largest model's answer, as a part of
+// that of a good answer in time.
+func gain(a Answer, first clock.Millis) float64 {
+	return use(first, a.Left) - good(a.Confidence)*use(0, a.Left)
 }
 
 // good is the probability that an answer is good by its model's opinion of it.
--- a/cascade/cascade_test.go
+++ b/cascade/cascade_test.go
@@ -5,14 +5,14 @@
 
 	"github.com/matryer/is"
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/experiment"
+	"github.com/parsleydeal/parsleydeal/decision"
 	"pgregory.net/rapid"
 )
 
 const aim = 2000 * clock.Millis(1)
 
 func drops(confidence int, first, left clock.Millis) bool {
-	return Drops(Answer{Confidence: confidence, Left: left}, first, experiment.Off{})
+	return Drops(Answer{Confidence: confidence, Left: left}, first, decision.Ways{})
 }
 
 // Endpoints are overloaded, and the larger model's first byte takes as long as a
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -9,6 +9,7 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/joomcode/errorx"
 	"github.com/parsleydeal/parsleydeal/client"
+	"github.com/parsleydeal/parsleydeal/comparison"
 	"github.com/parsleydeal/parsleydeal/load"
 	"github.com/parsleydeal/parsleydeal/settings"
 	"github.com/parsleydeal/parsleydeal/table"
@@ -51,7 +52,7 @@
 	var f *flags.Error
 	switch {
 	case errors.As(err, &f), errors.Is(err, errUsage),
-		errorx.IsOfType(err, settings.ErrInvalid), errorx.IsOfType(err, load.ErrInvalid), errorx.IsOfType(err, table.ErrInvalid), errorx.IsOfType(err, table.ErrMalformed):
+		errorx.IsOfType(err, settings.ErrInvalid), errorx.IsOfType(err, comparison.ErrPlan), errorx.IsOfType(err, load.ErrInvalid), errorx.IsOfType(err, table.ErrInvalid), errorx.IsOfType(err, table.ErrMalformed):
 		return ExitUsage
 	case errorx.IsOfType(err, client.ErrRejected):
 		return ExitRejected
--- a/cli/operator.go
+++ b/cli/operator.go
@@ -36,7 +36,7 @@
 
 // commands lists what adds the subcommands of the operators' program.
 var commands = []func(*flags.Parser) error{
-	addCheck, addPublish, addTables, addStatus, addBurn, addBills, addExplain, addAccount, addLoad, addStandin, addDemo,
+	addCheck, addPublish, addTables, addStatus, addBurn, addBills, addExplain, addAccount, addCompare, addLoad, addStandin, addDemo,
 }
 
 // newOperatorParser makes the parser of the operators' program.
--- /dev/null
+++ b/comparison/run.go
@@ -0,0 +1,182 @@
+package comparison
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Run plays all days with all sets of ways and writes the table.
+func (p *Plan) Run(ctx context.Context, repository string, out, progress io.Writer) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("compare: %w", err)
+		}
+	}()
+	folder, err := os.MkdirTemp("", "compare-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(folder)
+	r := &run{plan: p, repository: repository, progress: progress, figures: make(map[cell]float64)}
+	for i, s := range p.Sets {
+		at := filepath.Join(folder, strconv.Itoa(i))
+		if err = r.checkout(ctx, at, s); err != nil {
+			return err
+		}
+		defer r.remove(at)
+		r.checkouts = append(r.checkouts, at)
+	}
+	r.playAll(ctx)
+	if err = r.collect(); err != nil {
+		return err
+	}
+	return writeTable(out, p, r.figures)
+}
+
+// run is one comparison under way.
+type run struct {
+	plan       *Plan
+	repository string
+	progress   io.Writer
+	// checkouts holds the folder of each set.
+	checkouts []string
+	mu        sync.Mutex
+	// figures lacks what could not be played.
+	figures map[cell]float64
+}
+
+// cell names one play: a day with a set, by its place.
+type cell struct {
+	day day
+	set int
+}
+
+// checkout makes a checkout of what is committed, with a set's ways in the template.
+func (r *run) checkout(ctx context.Context, at string, s Set) (err error) {
+	if err = r.git(ctx, "worktree", "add", "--quiet", "--detach", at, "HEAD"); err != nil {
+		return err
+	}
+	ways, err := toml.Marshal(map[string]any{"decisions": map[string]any{"trial": true, "ways": s.Ways}})
+	if err != nil {
+		return err
+	}
+	template := filepath.Join(at, r.plan.Template)
+	text, err := os.ReadFile(template)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(template, append(text, ways...), 0o644)
+}
+
+func (r *run) remove(at string) {
+	if err := r.git(context.Background(), "worktree", "remove", "--force", at); err != nil {
+		fmt.Fprintln(r.progress, err)
+	}
+}
+
+func (r *run) git(ctx context.Context, args ...string) (err error) {
+	out, err := exec.CommandContext(ctx, "git", append([]string{"-C", r.repository}, args...)...).CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("git %s: %w: %s", args[0], err, out)
+	}
+	return nil
+}
+
+// playAll plays each day with all sets before the next one, so that a run which is ended
+// early leaves whole pairs.
+func (r *run) playAll(ctx context.Context) {
+	cells := make(chan cell)
+	var all sync.WaitGroup
+	for range r.plan.Jobs {
+		all.Go(func() {
+			for c := range cells {
+				r.play(ctx, c)
+			}
+		})
+	}
+	for _, d := range r.plan.days() {
+		for i := range r.plan.Sets {
+			cells <- cell{d, i}
+		}
+	}
+	close(cells)
+	all.Wait()
+}
+
+func (r *run) play(ctx context.Context, c cell) {
+	args := append(slices.Clone(r.plan.Player[1:]), c.day.site, c.day.name)
+	if c.day.seed >= 0 {
+		args = append(args, r.plan.Seed, strconv.FormatInt(c.day.seed, 10))
+	}
+	cmd := exec.CommandContext(ctx, r.plan.Player[0], args...)
+	cmd.Dir = r.checkouts[c.set]
+	out, err := cmd.CombinedOutput()
+	figure, ok := r.plan.figureOf(string(out))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !ok {
+		fmt.Fprintf(r.progress, "%s %s %s: no figure (%v)\n", c.day.site, c.day, r.plan.Sets[c.set].Name, err)
+		return
+	}
+	r.figures[c] = figure
+	fmt.Fprintf(r.progress, "%s %s %s: %.3f\n", c.day.site, c.day, r.plan.Sets[c.set].Name, figure)
+}
+
+func (p *Plan) figureOf(out string) (figure float64, ok bool) {
+	for line := range strings.Lines(out) {
+		m := p.figure.FindStringSubmatch(line)
+		if m == nil {
+			continue
+		}
+		figure, err := strconv.ParseFloat(m[1], 64)
+		return figure, err == nil
+	}
+	return 0, false
+}
+
+// collect takes over new files of the folders named.
+func (r *run) collect() (err error) {
+	for _, name := range r.plan.Collect {
+		for _, from := range r.checkouts {
+			if err = copyNew(filepath.Join(from, name), filepath.Join(r.repository, name)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// copyNew copies the files that are missing at a place.
+func copyNew(from, to string) (err error) {
+	return filepath.WalkDir(from, func(path string, d os.DirEntry, err error) error {
+		if err != nil || d.IsDir() {
+			return err
+		}
+		name, err := filepath.Rel(from, path)
+		if err != nil {
+			return err
+		}
+		target := filepath.Join(to, name)
+		if _, err = os.Lstat(target); err == nil {
+			return nil
+		}
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		if err = os.MkdirAll(filepath.Dir(target), 0o755); err != nil {
+			return err
+		}
+		return os.WriteFile(target, data, 0o644)
+	})
+}
--- /dev/null
+++ b/comparison/table.go
@@ -0,0 +1,95 @@
+package comparison
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/gonum/stat/distuv"
+)
+
+// sureness is the probability with which an interval holds the mean difference.
+const sureness = 0.95
+
+// writeTable writes the mean figure of each set by site, and its mean difference from the
+// first set on the same days with its interval. Days that a set lacks count for no set.
+func writeTable(w io.Writer, p *Plan, figures map[cell]float64) (err error) {
+	fmt.Fprint(w, "| site | days |")
+	for i, s := range p.Sets {
+		fmt.Fprintf(w, " %s |", s.Name)
+		if i > 0 {
+			fmt.Fprintf(w, " less %s |", p.Sets[0].Name)
+		}
+	}
+	_, err = fmt.Fprintln(w, "\n|---|---|"+strings.Repeat("---|", 2*len(p.Sets)-1))
+	for _, site := range p.sites() {
+		writeSite(w, site, p.columns(site, figures))
+	}
+	return err
+}
+
+// sites lists the sites in the order of the plan.
+func (p *Plan) sites() (all []string) {
+	for _, play := range p.Plays {
+		if !slices.Contains(all, play.Site) {
+			all = append(all, play.Site)
+		}
+	}
+	return all
+}
+
+// columns holds the figures of a site by set, on the days that all sets have.
+func (p *Plan) columns(site string, figures map[cell]float64) (all [][]float64) {
+	all = make([][]float64, len(p.Sets))
+	for _, d := range p.days() {
+		var row []float64
+		for i := range p.Sets {
+			if f, ok := figures[cell{d, i}]; ok && d.site == site {
+				row = append(row, f)
+			}
+		}
+		if len(row) < len(p.Sets) {
+			continue
+		}
+		for i, f := range row {
+			all[i] = append(all[i], f)
+		}
+	}
+	return all
+}
+
+func writeSite(w io.Writer, site string, columns [][]float64) {
+	fmt.Fprintf(w, "| %s | %d |", strings.TrimSuffix(filepath.Base(site), filepath.Ext(site)), len(columns[0]))
+	for i, c := range columns {
+		if len(c) == 0 {
+			fmt.Fprint(w, " not played |")
+			continue
+		}
+		fmt.Fprintf(w, " %.4f |", stat.Mean(c, nil))
+		if i > 0 {
+			mean, half := difference(columns[0], c)
+			fmt.Fprintf(w, " %+.4f ± %.4f |", mean, half)
+		}
+	}
+	fmt.Fprintln(w)
+}
+
+// difference is the mean of the paired differences and half the width of its interval;
+// not a number for a single pair, which has none.
+func difference(from, to []float64) (mean, half float64) {
+	diffs := make([]float64, len(from))
+	for i := range from {
+		diffs[i] = to[i] - from[i]
+	}
+	mean, spread := stat.MeanStdDev(diffs, nil)
+	n := float64(len(diffs))
+	if n < 2 {
+		return mean, math.NaN()
+	}
+	t := distuv.StudentsT{Sigma: 1, Nu: n - 1}
+	return mean, t.Quantile((1+sureness)/2) * spread / math.Sqrt(n)
+}
--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -15,7 +15,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/experiment"
+	"github.com/parsleydeal/parsleydeal/decision"
 	"github.com/parsleydeal/parsleydeal/gossip"
 	"github.com/parsleydeal/parsleydeal/logbook"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
@@ -94,6 +94,10 @@
 		const megabyte = 1 << 20
 		debug.SetMemoryLimit(int64(memoryPart * float64(s.Direct.Memory) * megabyte))
 	}
+	ways, err := decision.Choose(s.Decisions.Ways)
+	if err != nil {
+		return nil, err
+	}
 	d = &direct{path: path, settings: s, clock: clock.Boot()}
 	d.book = logbook.New(d.clock, out)
 	l, err := newLogger(s.Log, d.book)
@@ -118,7 +122,7 @@
 	d.server = relay.New(relay.Config{
 		Clock: d.clock, Log: d.log, Dialect: platform.Dialect(), View: d.loop.View, Pool: upstream.NewPool(d.clock), Zone: s.Zone,
 		Strict: s.Direct.StrictKeys, KeyLease: s.Direct.KeyLease - leaseMargin, RetryRatio: s.Direct.RetryRatio, RetrySlack: s.Direct.RetrySlack, RetrySpan: s.Direct.RetrySpan,
-		ColdOverage: s.Direct.ColdOverage, ColdSlack: s.Direct.ColdSlack, SessionLife: s.Direct.SessionLife, Off: experiment.OffOf(s.Experiments.Off),
+		ColdOverage: s.Direct.ColdOverage, ColdSlack: s.Direct.ColdSlack, SessionLife: s.Direct.SessionLife, Ways: ways,
 	})
 	return d, nil
 }
--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -9,7 +9,7 @@
 	"github.com/joomcode/errorx"
 	"github.com/matryer/is"
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/experiment"
+	"github.com/parsleydeal/parsleydeal/decision"
 	"github.com/parsleydeal/parsleydeal/placement"
 	"github.com/pelletier/go-toml/v2"
 	"pgregory.net/rapid"
@@ -39,7 +39,7 @@
 		t.Run(filepath.Base(file), func(t *testing.T) {
 			is := is.New(t)
 			x := read(t, file)
-			r, err := Play(x.Site, x.Load, experiment.Off{})
+			r, err := Play(x.Site, x.Load, decision.Ways{})
 			is.NoErr(err)
 			t.Logf("%+v", r)
 			is.True(float64(r.Late) <= x.Bounds.Late*float64(r.InTime+r.Late))
@@ -66,13 +66,13 @@
 	is := is.New(t)
 	x := read(t, "testdata/six-zones.toml")
 	x.Load.Seconds = 3
-	a, err := Play(x.Site, x.Load, experiment.Off{})
+	a, err := Play(x.Site, x.Load, decision.Ways{})
 	is.NoErr(err)
-	b, err := Play(x.Site, x.Load, experiment.Off{})
+	b, err := Play(x.Site, x.Load, decision.Ways{})
 	is.NoErr(err)
 	is.Equal(a, b)
 	x.Load.Seed++
-	c, err := Play(x.Site, x.Load, experiment.Off{})
+	c, err := Play(x.Site, x.Load, decision.Ways{})
 	is.NoErr(err)
 	is.True(a != c)
 }
@@ -91,7 +91,7 @@
 			is := is.New(t)
 			x := read(t, "testdata/six-zones.toml")
 			change(&x)
-			r, err := Play(x.Site, x.Load, experiment.Off{})
+			r, err := Play(x.Site, x.Load, decision.Ways{})
 			is.True(errorx.IsOfType(err, ErrSite))
 			is.True(strings.Contains(err.Error(), names))
 			is.Equal(r, Result{}) // nothing was played
--- a/emulator/play.go
+++ b/emulator/play.go
@@ -7,7 +7,7 @@
 
 	"github.com/parsleydeal/parsleydeal/cascade"
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/experiment"
+	"github.com/parsleydeal/parsleydeal/decision"
 	"github.com/parsleydeal/parsleydeal/fleet"
 	"github.com/parsleydeal/parsleydeal/placement"
 )
@@ -49,7 +49,7 @@
 type play struct {
 	site      Site
 	load      Load
-	off       experiment.Off
+	ways      decision.Ways
 	rnd       *rand.Rand
 	fleet     *fleet.Snapshot
 	endpoints map[string]*endpoint
@@ -74,11 +74,11 @@
 }
 
 // Play plays a load on a site with some mechanisms switched off.
-func Play(s Site, l Load, off experiment.Off) (r Result, err error) {
+func Play(s Site, l Load, ways decision.Ways) (r Result, err error) {
 	if err = Check(s, l); err != nil {
 		return r, err
 	}
-	p := newPlay(s, l, off)
+	p := newPlay(s, l, ways)
 	span := clock.Millis(l.Seconds * float64(clock.Second))
 	for now := clock.Millis(0); now < span || len(p.events) > 0; now++ {
 		for len(p.events) > 0 && p.events[0].at <= now {
@@ -92,8 +92,8 @@
 	return p.result, nil
 }
 
-func newPlay(s Site, l Load, off experiment.Off) *play {
-	p := &play{site: s, load: l, off: off, rnd: rand.New(rand.NewPCG(l.Seed, l.Seed)), endpoints: make(map[string]*endpoint), read: make(map[string]bool)}
+func newPlay(s Site, l Load, ways decision.Ways) *play {
+	p := &play{site: s, load: l, ways: ways, rnd: rand.New(rand.NewPCG(l.Seed, l.Seed)), endpoints: make(map[string]*endpoint), read: make(map[string]bool)}
 	f := fleet.New()
 	for z := range s.Zones {
 		zone := fmt.Sprint("zone-", z)
@@ -103,7 +103,7 @@
 			f.Apply([]fleet.Change{{ID: id, Endpoint: &fleet.Endpoint{ID: id, Service: "pool", Zone: zone, Version: "v1", Slots: s.Slots}}}, false)
 		}
 		for i := range s.Entries {
-			p.entries = append(p.entries, &entry{name: fmt.Sprintf("entry-%d-%d", z, i), zone: zone, board: placement.NewBoardWithout(off)})
+			p.entries = append(p.entries, &entry{name: fmt.Sprintf("entry-%d-%d", z, i), zone: zone, board: placement.NewBoardWith(ways)})
 		}
 	}
 	p.fleet = f.Snapshot()
@@ -255,7 +255,7 @@
 		confidence -= 2 * sureness
 	}
 	answer := cascade.Answer{Confidence: int(min(max(confidence, 0), 100)), Left: r.startedAt + r.kind.aim() - now}
-	return cascade.Drops(answer, first, p.off)
+	return cascade.Drops(answer, first, p.ways)
 }
 
 func (p *play) answered(r *request, now clock.Millis) {
--- a/placement/board.go
+++ b/placement/board.go
@@ -6,7 +6,7 @@
 
 	"github.com/parsleydeal/parsleydeal/choice"
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/experiment"
+	"github.com/parsleydeal/parsleydeal/decision"
 	"github.com/parsleydeal/parsleydeal/fleet"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 )
@@ -35,7 +35,7 @@
 	// peers holds what other entries have at endpoints, by entry.
 	peers map[string]peerWork
 	speed speeds
-	off   experiment.Off
+	ways  decision.Ways
 	// news has something in it from a prompt that others should hear of at once.
 	news chan struct{}
 	// usualOthers is how many prompts of others usually wait at an endpoint.
@@ -77,11 +77,11 @@
 }
 
 // NewBoard makes a board that knows nothing.
-func NewBoard() *Board { return NewBoardWithout(experiment.Off{}) }
+func NewBoard() *Board { return NewBoardWith(decision.Ways{}) }
 
-// NewBoardWithout makes a board that decides without some mechanisms.
-func NewBoardWithout(off experiment.Off) *Board {
-	return &Board{off: off, news: make(chan struct{}, 1), inflight: choice.NewInflight(), marks: make(map[string]*mark), byHash: make(map[uint32]*mark), kept: newKept(), peers: make(map[string]peerWork), speed: newSpeeds()}
+// NewBoardWith makes a board that decides in the ways given.
+func NewBoardWith(ways decision.Ways) *Board {
+	return &Board{ways: ways, news: make(chan struct{}, 1), inflight: choice.NewInflight(), marks: make(map[string]*mark), byHash: make(map[uint32]*mark), kept: newKept(), peers: make(map[string]peerWork), speed: newSpeeds()}
 }
 
 func (b *Board) mark(id string) *mark {
@@ -128,7 +128,7 @@
 	m.pending += w.millis
 	m.unanswered++
 	m.changed = true
-	if w.millis >= newsLeast && !b.off.Has(experiment.News) {
+	if w.millis >= newsLeast && !b.ways.Off(decision.News) {
 		b.tellNews()
 	}
 	b.kept.own(m.hash, q)
@@ -176,7 +176,7 @@
 // idle; elsewhere it is taken to be like the others: taken for idle, it would get work
 // from another zone that its neighbours have filled it with.
 func (b *Board) waiting(e *fleet.Endpoint, q Query) float64 {
-	if b.off.Has(experiment.Waiting) {
+	if b.ways.Off(decision.Waiting) {
 		return 0
 	}
 	usual := b.usualOthers
@@ -277,7 +277,7 @@
 
 func (b *Board) reached(id string, now clock.Millis) bool {
 	m, ok := b.marks[id]
-	return !ok || now >= m.lostUntil || b.off.Has(experiment.LostEndpoints)
+	return !ok || now >= m.lostUntil || b.ways.Off(decision.LostEndpoints)
 }
 
 // Outcome counts an attempt's end.
@@ -299,7 +299,7 @@
 
 func (b *Board) failing(id string, now clock.Millis) float64 {
 	m, ok := b.marks[id]
-	if !ok || b.off.Has(experiment.Failures) {
+	if !ok || b.ways.Off(decision.Failures) {
 		return 0
 	}
 	return m.part(now)
@@ -356,7 +356,7 @@
 // unread counts the tokens of the prompt that the endpoint must read: all parts
 // from the first one on that it does not have.
 func (b *Board) unread(id string, q Query) (tokens int) {
-	missing := b.off.Has(experiment.KeptParts)
+	missing := b.ways.Off(decision.KeptParts)
 	endpoint := b.mark(id).hash
 	for _, p := range q.Parts {
 		missing = missing || !b.kept.holds(endpoint, p.hashOf(q.Model), q.Now)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -7,7 +7,7 @@
 import (
 	"github.com/cespare/xxhash/v2"
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/experiment"
+	"github.com/parsleydeal/parsleydeal/decision"
 	"github.com/parsleydeal/parsleydeal/fleet"
 	"github.com/parsleydeal/parsleydeal/upgrade"
 )
@@ -236,14 +236,14 @@
 	unread := b.unread(e.ID, q)
 	queue := b.waiting(e, q)
 	wait := queue + b.speed.millis(q.Model, unread)
-	if !q.told(e) && !b.off.Has(experiment.Near) {
+	if !q.told(e) && !b.ways.Off(decision.Near) {
 		cost += blindCost
 	}
 	if q.Patience > 0 && queue+b.speed.least(q.Model, unread) > float64(q.Patience) {
 		return 0, late
 	}
 	cost += wait - spared(q, unread)*max(1-load/easyLoad, 0)
-	if b.off.Has(experiment.Homes) {
+	if b.ways.Off(decision.Homes) {
 		return cost, o
 	}
 	return cost + homeCost*far(e.ID, subject(q.Parts)), o
--- a/placement/told.go
+++ b/placement/told.go
@@ -4,7 +4,7 @@
 	"maps"
 
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/experiment"
+	"github.com/parsleydeal/parsleydeal/decision"
 )
 
 // Told is what an entry tells others of one endpoint: its work there, and what the
@@ -96,10 +96,10 @@
 }
 
 func (b *Board) hear(p peerWork, t Told, now clock.Millis) {
-	if !b.off.Has(experiment.ToldParts) {
+	if !b.ways.Off(decision.ToldParts) {
 		b.kept.hear(t.Endpoint, t.Parts, now)
 	}
-	if b.off.Has(experiment.ToldWork) {
+	if b.ways.Off(decision.ToldWork) {
 		return
 	}
 	t.Parts = nil
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -10,7 +10,7 @@
 	"github.com/joomcode/errorx"
 	"github.com/parsleydeal/parsleydeal/catalog"
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/experiment"
+	"github.com/parsleydeal/parsleydeal/decision"
 	"github.com/parsleydeal/parsleydeal/fleet"
 	"github.com/parsleydeal/parsleydeal/refusal"
 	"github.com/parsleydeal/parsleydeal/site"
@@ -70,6 +70,7 @@
 	a.firstAfter = max(s.cfg.Clock.Now()-a.startedAt, 1)
 	x.connected += answer.Connected()
 	work.Read(s.cfg.Clock.Now())
+	s.pace.miss(x.route, a.plan.model(), a.firstAfter-a.expected)
 	s.board.Heard(a.endpoint.ID, s.cfg.Clock.Now())
 	h := s.cfg.Dialect.Head(answer.Status, answer.Header)
 	a.status, a.confidence = h.Status, h.Confidence
@@ -90,7 +91,7 @@
 	c := x.server.cfg.Dialect.Call(x.req, o, x.req.body)
 	c.HasBody = x.req.hasBody
 	c.Wait = a.wait
-	if c.Fresh {
+	if c.Fresh && x.server.cfg.Ways.Of(decision.Connection) == decision.Watched {
 		c.Settle = settleFor
 	}
 	c.MostIdle = x.server.mostIdle(x.view, x.service)
@@ -128,14 +129,18 @@
 func (a *attempt) wait(waited clock.Millis) clock.Millis {
 	x := a.exchange
 	left := x.left()
-	if !x.mayRepeatAfter(1) || x.server.cfg.Off.Has(experiment.Silence) {
+	way := x.server.cfg.Ways.Of(decision.Patience)
+	if !x.mayRepeatAfter(1) || way == decision.Endless {
 		return left
 	}
 	patience := x.server.pace.patience(x.route, a.plan.model())
+	if way == decision.ByError {
+		patience = x.server.pace.patienceFor(x.route, a.plan.model(), a.expected)
+	}
 	if x.server.board.HeardSince(a.endpoint.ID, a.startedAt) {
 		patience = clock.Millis(aliveFactor * float64(patience))
 	}
-	if waited >= patience && !x.server.cfg.Off.Has(experiment.Stay) && !a.roomElsewhere() {
+	if waited >= patience && !x.server.cfg.Ways.Off(decision.Stay) && !a.roomElsewhere() {
 		return min(stayFor, left)
 	}
 	return min(patience-waited, left)
@@ -150,7 +155,7 @@
 // have had its answer a moment later.
 func (a *attempt) roomElsewhere() bool {
 	x := a.exchange
-	return x.server.board.Room(x.view.Fleet(), x.query(a.plan))
+	return x.server.board.Room(x.view.Fleet(), x.queryAgain(a.plan))
 }
 
 // learn takes what the head of an answer says of the endpoint.
--- a/relay/pace.go
+++ b/relay/pace.go
@@ -19,6 +19,9 @@
 	// model's pace does not depend on what it is asked. For all others it is the
 	// time to the first byte, by route.
 	spans map[paceKey]*spans
+	// errors holds by how much first bytes missed what was expected, in milliseconds, by
+	// route for plain requests and by model for prompts.
+	errors map[paceKey]*spans
 }
 
 type paceKey struct{ route, model string }
@@ -61,8 +64,17 @@
 	return slow, true
 }
 
+// quantile returns the span below which a part of the newest ones lie; 0 without any.
+func (s *spans) quantile(rank float64) float64 {
+	if len(s.newest) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(s.newest))
+	return sorted[int(rank*float64(len(sorted)-1))]
+}
+
 func newPace() *pace {
-	return &pace{means: make(map[paceKey]float64), spans: make(map[paceKey]*spans)}
+	return &pace{means: make(map[paceKey]float64), spans: make(map[paceKey]*spans), errors: make(map[paceKey]*spans)}
 }
 
 const (
@@ -117,6 +129,47 @@
 	return p.spans[k].grade(span, factor)
 }
 
+const (
+	// errorRank is the part of the first bytes that come within the error that a request
+	// is waited for beyond what was expected of it, and errorFactor how many times that
+	// error is.
+	errorRank   = 0.95
+	errorFactor = 2.0
+)
+
+// miss takes by how much a first byte missed what was expected.
+func (p *pace) miss(r *catalog.Route, model string, by clock.Millis) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	k := errorKey(r, model)
+	if p.errors[k] == nil {
+		p.errors[k] = &spans{}
+	}
+	p.errors[k].add(float64(by))
+}
+
+func errorKey(r *catalog.Route, model string) paceKey {
+	if model != "" {
+		return paceKey{model: model}
+	}
+	return paceKey{route: r.Name}
+}
+
+// patienceFor is how long a first byte is waited for that was expected to take some
+// time: that, and how far such expectations are off. Not longer than what is usual on its
+// route allows, and no shorter than a hiccup.
+func (p *pace) patienceFor(r *catalog.Route, model string, expected clock.Millis) clock.Millis {
+	usual := p.patience(r, model)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	errors := p.errors[errorKey(r, model)]
+	if errors == nil || len(errors.newest) < spansKnown {
+		return usual
+	}
+	wait := expected + clock.Millis(errorFactor*max(errors.quantile(errorRank), 0))
+	return min(max(wait, leastPatience), usual)
+}
+
 func (p *pace) patience(r *catalog.Route, model string) clock.Millis {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/relay/plan.go
+++ b/relay/plan.go
@@ -58,7 +58,7 @@
 		return false
 	}
 	answer := cascade.Answer{Confidence: confidence, Left: x.startedAt + x.route.Aim - q.Now}
-	return cascade.Drops(answer, first, x.server.cfg.Off)
+	return cascade.Drops(answer, first, x.server.cfg.Ways)
 }
 
 func (p plan) next() plan { return plan{models: p.models[1:]} }
--- a/relay/run.go
+++ b/relay/run.go
@@ -6,7 +6,7 @@
 
 	"github.com/parsleydeal/parsleydeal/catalog"
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/experiment"
+	"github.com/parsleydeal/parsleydeal/decision"
 	"github.com/parsleydeal/parsleydeal/fleet"
 	"github.com/parsleydeal/parsleydeal/limit"
 	"github.com/parsleydeal/parsleydeal/logbook"
@@ -47,7 +47,7 @@
 // run makes attempts until the caller has a whole answer, or until the request's
 // time, attempts or budget are used up. No other layer repeats anything.
 func (x *exchange) run(ctx context.Context) (err error) {
-	x.tried = make(map[string]bool)
+	x.tried, x.silentAt = make(map[string]bool), make(map[string]bool)
 	p := x.plan()
 	var kept *held
 	for {
@@ -68,6 +68,9 @@
 		if a.kept != nil {
 			kept = a.kept
 		}
+		if a.silent {
+			x.silentAt[e.ID] = true
+		}
 		x.note(a, r, err)
 		switch {
 		case r == done, r == ended:
@@ -104,19 +107,36 @@
 	return x.route.Repeatable() && x.runs+more < x.route.MaxAttempts
 }
 
-// pick chooses an endpoint for the request's next attempt.
+// pick chooses an endpoint for the request's next attempt. One that was tried may have
+// been refusing for a moment only, and gets it again where no other has room; one that
+// was silent only where there is nothing else: nothing seems to run there, since nobody
+// has had an answer.
 func (x *exchange) pick(p plan) (e *fleet.Endpoint, why placement.Reason) {
-	q := x.query(p)
-	e, why = x.server.board.Pick(x.view.Fleet(), q)
-	if e == nil && len(x.tried) > 0 {
-		// All others were tried or are out; one that was tried may have been
-		// refusing for a moment only.
-		q.Avoid = nil
+	e, why = x.server.board.Pick(x.view.Fleet(), x.query(p))
+	if len(x.tried) == 0 {
+		return e, why
+	}
+	for _, avoid := range []map[string]bool{x.tried, x.silentAt, nil} {
+		if e != nil {
+			return e, why
+		}
+		q := x.queryAgain(p)
+		q.Avoid = avoid
 		e, why = x.server.board.Pick(x.view.Fleet(), q)
 	}
 	return e, why
 }
 
+// queryAgain asks for an endpoint for another attempt. A late answer is still of use to a
+// caller who has waited, and there is nobody to turn away to.
+func (x *exchange) queryAgain(p plan) placement.Query {
+	q := x.query(p)
+	if q.Patience > 0 {
+		q.Patience = max(x.left(), 1)
+	}
+	return q
+}
+
 // query asks for an endpoint for the model that a plan names now.
 func (x *exchange) query(p plan) placement.Query {
 	s := x.server
@@ -132,7 +152,7 @@
 // patience is how long an endpoint may be expected to take for the first byte; 0
 // for any time, once the caller has a part of its answer.
 func (x *exchange) patience(now clock.Millis) clock.Millis {
-	if x.written || x.route.Aim <= 0 || x.server.cfg.Off.Has(experiment.LatePrompts) {
+	if x.written || x.route.Aim <= 0 || x.server.cfg.Ways.Off(decision.LatePrompts) {
 		return 0
 	}
 	return placement.Patience(x.route.Aim, now-x.startedAt)
@@ -243,6 +263,7 @@
 		// It answers others, so that it is slow and not gone; the next requests
 		// wait longer.
 		s.pace.add(x.route.Name, a.plan.model(), now-a.startedAt)
+		s.pace.miss(x.route, a.plan.model(), now-a.startedAt-a.expected)
 		s.board.Outcome(a.endpoint.ID, true, now)
 	default:
 		s.board.Outcome(a.endpoint.ID, true, now)
--- a/relay/server.go
+++ b/relay/server.go
@@ -11,7 +11,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/parsleydeal/parsleydeal/catalog"
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/experiment"
+	"github.com/parsleydeal/parsleydeal/decision"
 	"github.com/parsleydeal/parsleydeal/limit"
 	"github.com/parsleydeal/parsleydeal/logbook"
 	"github.com/parsleydeal/parsleydeal/meter"
@@ -42,8 +42,8 @@
 	ColdOverage float64
 	ColdSlack   float64
 	SessionLife clock.Millis
-	// Off holds the decisions that are switched off.
-	Off experiment.Off
+	// Ways holds how decisions are made.
+	Ways decision.Ways
 }
 
 // Server answers callers.
@@ -66,7 +66,7 @@
 func New(cfg Config) *Server {
 	set := metrics.NewSet()
 	return &Server{
-		cfg: cfg, meter: meter.New(set), metrics: set, board: placement.NewBoardWithout(cfg.Off), sessions: newSessions(cfg.SessionLife), tally: newTally(),
+		cfg: cfg, meter: meter.New(set), metrics: set, board: placement.NewBoardWith(cfg.Ways), sessions: newSessions(cfg.SessionLife), tally: newTally(),
 		pace: newPace(), budgets: make(map[string]*limit.Share),
 	}
 }
@@ -120,11 +120,13 @@
 	organisation string
 	priority     int
 	session      uint64
-	// tried holds the endpoints that got the request, runs counts those that may
+	// tried holds the endpoints that got the request since the last answer that was
+	// dropped, silentAt those that sent nothing for too long. runs counts those that may
 	// have run it, sends all of them.
-	tried map[string]bool
-	runs  int
-	sends int
+	tried    map[string]bool
+	silentAt map[string]bool
+	runs     int
+	sends    int
 	// written is true once the head of the answer is on its way to the caller.
 	written bool
 	// status and endpoint are those of the answer, for the log.
--- a/settings/check.go
+++ b/settings/check.go
@@ -87,7 +87,7 @@
 		key := join(prefix, name)
 		field, ok := fieldOf(t, name)
 		if !ok {
-			c.add(key, "is no option; %s", c.near(prefix, t))
+			c.add(key, "%s", c.unknown(key, prefix, t))
 			delete(tree, name)
 			continue
 		}
@@ -112,6 +112,17 @@
 	return ""
 }
 
+// renamed holds where options stand that had another name.
+var renamed = map[string]string{"experiments": "decisions"}
+
+// unknown says what may stand in the place of a key that is no option.
+func (c *checker) unknown(key, prefix string, t reflect.Type) string {
+	if now, ok := renamed[key]; ok {
+		return "is now named " + now
+	}
+	return "is no option; " + c.near(prefix, t)
+}
+
 // near lists what stands at a place of the file.
 func (c *checker) near(prefix string, t reflect.Type) string {
 	names := make([]string, 0, t.NumField())
--- a/settings/check_test.go
+++ b/settings/check_test.go
@@ -63,10 +63,11 @@
 
 // A file still switches a decision off after a trial. The entry refuses it unless the
 // section says that this is meant, and refuses names that it does not know.
-func TestExperimentsMustBeMeant(t *testing.T) {
-	const entry = "vm=\"a\"\nzone=\"z\"\nregion=\"r\"\npeer=\"127.0.0.1:1\"\n[entry]\ncallers=\"127.0.0.1:2\"\n[direct]\nstore=\"127.0.0.1:3\"\nready=\"127.0.0.1:4\"\n[experiments]\n"
+func TestWaysMustBeMeant(t *testing.T) {
+	const entry = "vm=\"a\"\nzone=\"z\"\nregion=\"r\"\npeer=\"127.0.0.1:1\"\n[entry]\ncallers=\"127.0.0.1:2\"\n[direct]\nstore=\"127.0.0.1:3\"\nready=\"127.0.0.1:4\"\n[decisions]\n"
 	for text, faults := range map[string]int{
-		"off = [\"told-work\"]": 1, "enabled = true\noff = [\"told-work\"]": 0, "enabled = true\noff = [\"told\"]": 1, "enabled = true": 0, "off = []": 0,
+		"ways.told-work = \"off\"": 1, "trial = true\nways.told-work = \"off\"": 0, "trial = true\nways.told = \"off\"": 1, "trial = true": 0, "ways = {}": 0,
+		"trial = true\nways.told-work = \"of\"": 1, "trial = true\nways.told-work = \"off\"\nways.told-work = \"on\"": 1, "[experiments]\nenabled = true": 1,
 	} {
 		if _, found := Check([]byte(entry+text), DirectProgram); len(found) != faults {
 			t.Errorf("%q has faults %v, want %d", text, found, faults)
--- a/settings/options.go
+++ b/settings/options.go
@@ -8,7 +8,7 @@
 	"strings"
 
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/experiment"
+	"github.com/parsleydeal/parsleydeal/decision"
 )
 
 // Program is the program that settings are written for.
@@ -60,7 +60,7 @@
 )
 
 // Options is the table of all options. OPERATORS.md shows it.
-var Options = slices.Concat(commonOptions, tlsOptions, entryOptions, endpointOptions, directOptions, experimentOptions)
+var Options = slices.Concat(commonOptions, tlsOptions, entryOptions, endpointOptions, directOptions, decisionOptions)
 
 var commonOptions = []Option{
 	{Key: "vm", Allowed: "a name", Doc: "name of this VM, as in the platform's VM list", needed: allDaemons},
@@ -253,30 +253,35 @@
 	},
 }
 
-var experimentOptions = []Option{
-	{Key: "experiments.enabled", Allowed: "true or false", Doc: "whether decisions may be switched off to measure what they are worth; never for callers who rely on the service"},
+var decisionOptions = []Option{
+	{Key: "decisions.trial", Allowed: "true or false", Doc: "whether decisions may be made in other ways than by default, to compare them; never for callers who rely on the service"},
 	{
-		Key: "experiments.off", Allowed: "names of decisions, with enabled: " + mechanisms(), Doc: "decisions of a direct entry that are switched off",
-		ok: func(s *Settings) bool { return areOff(s.Experiments) },
+		Key: "decisions.ways.*", Allowed: "with decisions.trial: " + ways(), Doc: "the way in which a direct entry makes a decision, by its name; the first one is the default",
+		ok: func(s *Settings) bool { return areWays(s.Decisions) },
 	},
 }
 
-// areOff reports whether all names may be switched off.
-func areOff(e Experiments) bool {
-	for _, name := range e.Off {
-		if !e.Enabled || !experiment.Known(name) {
-			return false
-		}
-	}
-	return true
+// areWays reports whether the ways chosen are known and meant.
+func areWays(d Decisions) bool {
+	_, err := decision.Choose(d.Ways)
+	return err == nil && (d.Trial || len(d.Ways) == 0)
 }
 
-func mechanisms() string {
-	var names []string
-	for _, m := range experiment.All {
-		names = append(names, string(m))
+// ways lists the decisions with their ways, those that are a mechanism together.
+func ways() string {
+	var several, switches []string
+	for _, d := range decision.All {
+		if slices.Contains(d.Ways, decision.Off) {
+			switches = append(switches, string(d.Name))
+			continue
+		}
+		var names []string
+		for _, w := range d.Ways {
+			names = append(names, string(w))
+		}
+		several = append(several, string(d.Name)+" "+strings.Join(names, " or "))
 	}
-	return strings.Join(names, ", ")
+	return strings.Join(several, ", ") + "; " + strings.Join(switches, ", ") + " on or off"
 }
 
 func isAddress(text string) bool {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -36,8 +36,8 @@
 	Entry     Entry    `toml:"entry"`
 	Endpoint  Endpoint `toml:"endpoint"`
 	Direct    Direct   `toml:"direct"`
-	// Experiments switches decisions off to measure what they are worth.
-	Experiments Experiments `toml:"experiments"`
+	// Decisions says how decisions are made that have several ways.
+	Decisions Decisions `toml:"decisions"`
 	// VMListEvery is the span between two readings of the VM list.
 	VMListEvery clock.Millis `toml:"vm-list-every"`
 }
@@ -140,11 +140,11 @@
 	SessionLife clock.Millis `toml:"session-life"`
 }
 
-// Experiments configures what is switched off to measure what it is worth. Off is empty
-// unless Enabled is set, so that a name left over from a trial is refused.
-type Experiments struct {
-	Enabled bool     `toml:"enabled"`
-	Off     []string `toml:"off"`
+// Decisions chooses between ways of decisions. Ways is empty unless Trial is set, so that
+// a name left over from a trial is refused.
+type Decisions struct {
+	Trial bool              `toml:"trial"`
+	Ways  map[string]string `toml:"ways"`
 }
 
 // Default returns the settings before a file is read.
