Prompts have homes in all zones, the larger model is charged as far as it is waited for, and started entries ask a neighbour

Cause: the larger model was charged for its whole first byte, also where nobody waited: poor answers kept, hardly an answer late. Now the charge is raised and lowered by how long it is waited for. A process that starts asks a neighbour for kept parts and speeds.

Checks: the emulator's bound on prompts in their entry's zone was a stand-in for prompts sent blind; it now counts as at home also a prompt at an endpoint that keeps its part, and one whose part nobody keeps yet. TestEntriesThatTellOneAnotherReadLess plays with homes by zone, since with homes in all zones entries that are told nothing read little again too (bound unchanged).

--- a/cascade/cascade.go
+++ b/cascade/cascade.go
@@ -11,6 +11,7 @@
 
 import (
 	"math"
+	"sync"
 
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/decision"
@@ -35,6 +36,10 @@
 	// calmPart is the part of the time left that the largest model's first byte may
 	// take before its time counts as taken from others.
 	calmPart = 0.1
+	// aimedWait is the part of the time left that the largest model is to be waited for at
+	// the most, and pressureStep how fast the charge for its time follows what exceeds it.
+	aimedWait    = 0.1
+	pressureStep = 0.2
 )
 
 // Answer is the smallest model's answer.
@@ -46,23 +51,54 @@
 	Left clock.Millis
 }
 
+// Larger is what asking the largest model would take.
+type Larger struct {
+	// First is how long its first byte is expected to take, Wait the part of it in which
+	// it only waits for others.
+	First clock.Millis
+	Wait  clock.Millis
+}
+
+// Judge decides on the answers of one entry and follows how crowded it finds the
+// endpoints. It is safe for use by many goroutines.
+type Judge struct {
+	rule rule
+	mu   sync.Mutex
+	// pressure is the part of its time that the largest model is charged for, from 0 to 1.
+	// It rises while that model is waited for longer than aimed at, and falls else.
+	pressure float64
+}
+
+// NewJudge makes a judge that decides in the ways given. It takes endpoints for crowded at
+// first: after a mass restart all callers come at once.
+func NewJudge(ways decision.Ways) *Judge {
+	return &Judge{rule: rules[ways.Of(decision.Drop)], pressure: 1}
+}
+
 // rule decides whether an answer is to be dropped for the largest model's, whose first
-// byte is expected to take a span from now.
-type rule func(a Answer, first clock.Millis) bool
+// byte is expected to take a span from now. Pressure says how crowded endpoints are by
+// now, from 0 to 1.
+type rule func(a Answer, first clock.Millis, pressure float64) bool
 
 // rules holds the ways of the decision.
 var rules = map[decision.Way]rule{
-	decision.ByTime: func(a Answer, first clock.Millis) bool {
+	decision.ByTime: func(a Answer, first clock.Millis, _ float64) bool {
 		return worth*(gain(a, first)-crowding*crowded(first, a.Left)) > 1
 	},
-	decision.ByPrice:   func(a Answer, first clock.Millis) bool { return worth*gain(a, first) > 1 },
-	decision.ByOpinion: func(a Answer, _ clock.Millis) bool { return a.Confidence < 50 },
+	decision.ByPressure: func(a Answer, first clock.Millis, pressure float64) bool {
+		return worth*(gain(a, first)-crowding*pressure*crowded(first, a.Left)) > 1
+	},
+	decision.ByPrice:   func(a Answer, first clock.Millis, _ float64) bool { return worth*gain(a, first) > 1 },
+	decision.ByOpinion: func(a Answer, _ clock.Millis, _ float64) bool { return a.Confidence < 50 },
 }
 
-// Drops reports whether an answer is to be dropped for the largest model's, whose
-// first byte is expected to take a span from now.
-func Drops(a Answer, first clock.Millis, ways decision.Ways) bool {
-	return a.Confidence >= 0 && rules[ways.Of(decision.Drop)](a, first)
+// Drops reports whether an answer is to be dropped for the largest model's.
+func (j *Judge) Drops(a Answer, l Larger) bool {
+	j.mu.Lock()
+	j.pressure = min(max(j.pressure+pressureStep*(partOf(l.Wait, a.Left)-aimedWait), 0), 1)
+	pressure := j.pressure
+	j.mu.Unlock()
+	return a.Confidence >= 0 && j.rule(a, l.First, pressure)
 }
 
 // gain is how much more use the caller has of the largest model's answer, as a part of
@@ -87,8 +123,13 @@
 // crowded says how much of the time there is the first byte takes beyond the part that
 // is usual on a calm day, from 0 to 1.
 func crowded(first, left clock.Millis) float64 {
-	if left <= 0 {
+	return max((partOf(first, left)-calmPart)/(1-calmPart), 0)
+}
+
+// partOf is the part of the time left that a first byte takes, at most 1.
+func partOf(first, left clock.Millis) float64 {
+	if first >= left {
 		return 1
 	}
-	return min(max((float64(first)/float64(left)-calmPart)/(1-calmPart), 0), 1)
+	return float64(max(first, 0)) / float64(left)
 }
--- a/cascade/cascade_test.go
+++ b/cascade/cascade_test.go
@@ -12,7 +12,7 @@
 const aim = 2000 * clock.Millis(1)
 
 func drops(confidence int, first, left clock.Millis) bool {
-	return Drops(Answer{Confidence: confidence, Left: left}, first, decision.Ways{})
+	return NewJudge(decision.Ways{}).Drops(Answer{Confidence: confidence, Left: left}, Larger{First: first, Wait: first})
 }
 
 // Endpoints are overloaded, and the larger model's first byte takes as long as a
@@ -52,3 +52,22 @@
 	is := is.New(t)
 	is.True(!drops(60, 500, 0))
 }
+
+// Endpoints are busy but nobody waits for the larger model. Charged for its time all the
+// same, poor answers are kept for the sake of requests that would be in time anyway.
+func TestLargerModelIsChargedAsFarAsItIsWaitedFor(t *testing.T) {
+	is := is.New(t)
+	j := NewJudge(decision.Ways{})
+	answer := Answer{Confidence: 49, Left: aim}
+	busy, queued := Larger{First: 900, Wait: 50}, Larger{First: 900, Wait: 700}
+	is.True(!j.Drops(answer, busy)) // nothing is known yet
+	for range 100 {
+		j.Drops(answer, busy)
+	}
+	is.True(j.Drops(answer, busy))
+	for range 100 {
+		j.Drops(answer, queued)
+	}
+	is.True(!j.Drops(answer, queued))
+	is.True(!j.Drops(answer, busy))
+}
--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -157,6 +157,8 @@
 	go d.loop.Run(ctx)
 	go d.socket.Receive(ctx, d.hear)
 	go d.server.ShareWork(ctx, s.VM, d.socket.Send)
+	go d.server.AskSnapshot(ctx, s.VM, s.Peer, d.socket.Send)
+	go d.server.AnswerSnapshots(ctx, s.VM, d.socket.Send)
 	go d.tidy(ctx)
 	go idle.run(ctx, d.idleBound)
 	for {
--- a/decision/decision.go
+++ b/decision/decision.go
@@ -45,8 +45,6 @@
 	ToldParts Name = "told-parts"
 	// KeptParts counts only those parts of a prompt that an endpoint lacks.
 	KeptParts Name = "kept-parts"
-	// Homes sends what is alike to the same endpoints.
-	Homes Name = "homes"
 	// Waiting weighs the prompts that wait at an endpoint.
 	Waiting Name = "waiting"
 	// LatePrompts refuses prompts that would be late everywhere.
@@ -69,15 +67,31 @@
 	Drop Name = "drop"
 	// Patience decides how long an endpoint that sends nothing is waited for.
 	Patience Name = "patience"
+	// Homes decides where prompts go that share parts, as far as nobody knows where these
+	// are kept.
+	Homes Name = "homes"
 	// Connection decides how a request that may run only once gets its connection.
 	Connection Name = "connection"
 )
 
+// Start decides what an entry that has just started knows of endpoints.
+const Start Name = "start"
+
+// Ways of Start.
+const (
+	// Snapshot asks a neighbour for the prompt parts kept and the speeds of models.
+	Snapshot Way = "snapshot"
+	// Blank knows nothing.
+	Blank Way = "blank"
+)
+
 // Ways of Drop.
 const (
 	// ByTime charges the larger model for the part of the time left that its first byte
 	// takes.
 	ByTime Way = "by-time"
+	// ByPressure charges it so as far as endpoints are crowded by now.
+	ByPressure Way = "by-pressure"
 	// ByPrice does not charge it for its time.
 	ByPrice Way = "by-price"
 	// ByOpinion drops an answer below a confidence of 50.
@@ -95,6 +109,16 @@
 	Endless Way = "endless"
 )
 
+// Ways of Homes.
+const (
+	// ByZone prefers endpoints by a hash of the parts among those near by.
+	ByZone Way = "by-zone"
+	// Everywhere takes the first endpoint of all zones by that hash to keep them.
+	Everywhere Way = "everywhere"
+	// Nowhere prefers none.
+	Nowhere Way = "nowhere"
+)
+
 // Ways of Connection.
 const (
 	// Watched watches a new connection for a moment before anything is sent on it.
@@ -105,13 +129,14 @@
 
 // All lists the decisions.
 var All = []Decision{
-	{Drop, "half of the prompts are too hard for the smallest model while endpoints are busy", []Way{ByTime, ByPrice, ByOpinion}},
+	{Drop, "half of the prompts are too hard for the smallest model while endpoints are busy", []Way{ByPressure, ByTime, ByPrice, ByOpinion}},
 	{Patience, "an endpoint loses an answer, or stops, while others have room", []Way{ByMean, ByError, Endless}},
+	{Start, "entries are stopped and started in turn, and callers go on", []Way{Snapshot, Blank}},
+	{Homes, "entries that hear nothing of one another send prompts that share parts", []Way{Everywhere, ByZone, Nowhere}},
 	{Connection, "endpoints have as many connections as they take and reset new ones", []Way{Watched, Fresh}},
 	mechanism(ToldWork, "several entries send long prompts at once"),
 	mechanism(ToldParts, "prompts share parts, and callers reach any entry"),
 	mechanism(KeptParts, "prompts share parts that endpoints keep"),
-	mechanism(Homes, "entries that hear nothing of one another send prompts that share parts"),
 	mechanism(Waiting, "prompts of different length come in bursts"),
 	mechanism(LatePrompts, "more prompts come than can be read in time"),
 	mechanism(LostEndpoints, "an endpoint is gone before the store says so"),
--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -28,6 +28,11 @@
 		Late    float64 `toml:"late"`
 		Refused float64 `toml:"refused"`
 		Home    float64 `toml:"home"`
+		// Poor is the part of the answers that may be poor; none is checked at 0.
+		Poor float64 `toml:"poor"`
+		// Again is the part of the tokens read that some endpoint had read before; none is
+		// checked at 0.
+		Again float64 `toml:"again"`
 	} `toml:"bounds"`
 }
 
@@ -45,6 +50,8 @@
 			is.True(float64(r.Late) <= x.Bounds.Late*float64(r.InTime+r.Late))
 			is.True(float64(r.Refused) <= x.Bounds.Refused*float64(r.Asked))
 			is.True(float64(r.Home) >= x.Bounds.Home*float64(r.Sent))
+			is.True(x.Bounds.Again == 0 || float64(r.Again) <= x.Bounds.Again*float64(r.Read))
+			is.True(x.Bounds.Poor == 0 || float64(r.Poor) <= x.Bounds.Poor*float64(r.InTime+r.Late))
 			is.Equal(r.InTime+r.Late+r.Refused, r.Asked) // nobody is left without a word
 		})
 	}
--- a/emulator/play.go
+++ b/emulator/play.go
@@ -36,7 +36,8 @@
 	Poor int
 	// Twice counts requests that were asked of the larger model as well.
 	Twice int
-	// Home counts prompts sent to an endpoint of their entry's zone, Sent all.
+	// Home counts prompts sent to an endpoint of their entry's zone or to one that keeps
+	// their shared part, and those whose part nobody keeps yet; Sent counts all.
 	Home int
 	Sent int
 	// Read is the number of tokens read, Again those of shared parts that some endpoint
@@ -66,6 +67,7 @@
 	name  string
 	zone  string
 	board *placement.Board
+	judge *cascade.Judge
 	// toldAt is when it last told others, wholeAt when it last told them all.
 	toldAt  clock.Millis
 	wholeAt clock.Millis
@@ -103,7 +105,7 @@
 			f.Apply([]fleet.Change{{ID: id, Endpoint: &fleet.Endpoint{ID: id, Service: "pool", Zone: zone, Version: "v1", Slots: s.Slots}}}, false)
 		}
 		for i := range s.Entries {
-			p.entries = append(p.entries, &entry{name: fmt.Sprintf("entry-%d-%d", z, i), zone: zone, board: placement.NewBoardWith(ways)})
+			p.entries = append(p.entries, &entry{name: fmt.Sprintf("entry-%d-%d", z, i), zone: zone, board: placement.NewBoardWith(ways), judge: cascade.NewJudge(ways)})
 		}
 	}
 	p.fleet = f.Snapshot()
@@ -166,9 +168,13 @@
 func (p *play) request(now clock.Millis) {
 	k := p.kind()
 	r := &request{kind: k, entry: p.entries[p.rnd.IntN(len(p.entries))], hard: p.rnd.Float64() < k.Hard, startedAt: now}
+	subject := p.rnd.IntN(k.Subjects)
+	if k.Hot > 0 && p.rnd.Float64() < k.Hot {
+		subject = 0
+	}
 	own := int(float64(k.Own) * (0.5 + p.rnd.Float64()))
 	r.parts = []placement.Part{
-		{ID: fmt.Sprintf("%s/%d", k.Name, p.rnd.IntN(k.Subjects)), Tokens: k.Shared},
+		{ID: fmt.Sprintf("%s/%d", k.Name, subject), Tokens: k.Shared},
 		{ID: fmt.Sprintf("own/%d", p.result.Asked), Tokens: own},
 	}
 	p.result.Asked++
@@ -205,13 +211,13 @@
 		return
 	}
 	p.result.Sent++
-	if at.Zone == r.entry.zone {
-		p.result.Home++
-	}
 	work := r.entry.board.Begin(at, q)
 	e := p.endpoints[at.ID]
 	m := p.site.Models[r.model]
 	first, end, read := e.begin(now, m, r.parts, r.kind.Events)
+	if at.Zone == r.entry.zone || read < r.parts[0].Tokens || !p.read[partOf(m, r.parts[0])] {
+		p.result.Home++
+	}
 	p.count(m, r.parts[0], read)
 	p.after(first, func(now clock.Millis) {
 		work.Read(now)
@@ -233,20 +239,23 @@
 // count counts what was read.
 func (p *play) count(m Model, shared placement.Part, read int) {
 	p.result.Read += read
-	key := m.Name + "/" + shared.ID
+	key := partOf(m, shared)
 	if p.read[key] && read >= shared.Tokens {
 		p.result.Again += shared.Tokens
 	}
 	p.read[key] = true
 }
 
+// partOf names a shared part as a model keeps it.
+func partOf(m Model, shared placement.Part) string { return m.Name + "/" + shared.ID }
+
 // climbs decides whether the smallest model's answer is dropped for the largest one's.
 func (p *play) climbs(r *request, now clock.Millis) bool {
 	last := len(p.site.Models) - 1
 	if r.model == last {
 		return false
 	}
-	first, room := r.entry.board.Expect(p.fleet, p.query(r, last, now))
+	expected, room := r.entry.board.Expect(p.fleet, p.query(r, last, now))
 	if !room {
 		return false
 	}
@@ -255,7 +264,7 @@
 		confidence -= 2 * sureness
 	}
 	answer := cascade.Answer{Confidence: int(min(max(confidence, 0), 100)), Left: r.startedAt + r.kind.aim() - now}
-	return cascade.Drops(answer, first, p.ways)
+	return r.entry.judge.Drops(answer, cascade.Larger{First: expected.First, Wait: expected.Wait})
 }
 
 func (p *play) answered(r *request, now clock.Millis) {
--- a/emulator/site.go
+++ b/emulator/site.go
@@ -72,9 +72,11 @@
 	// Subjects is how many shared parts there are, of Shared tokens each; Own is the
 	// mean of what a prompt has beside its shared part.
 	Subjects int `toml:"subjects"`
-	Shared   int `toml:"shared"`
-	Own      int `toml:"own"`
-	Events   int `toml:"events"`
+	// Hot is the part of the requests that ask for one and the same subject.
+	Hot    float64 `toml:"hot"`
+	Shared int     `toml:"shared"`
+	Own    int     `toml:"own"`
+	Events int     `toml:"events"`
 	// Hard is the part of requests that are too hard for the smallest model.
 	Hard float64 `toml:"hard"`
 }
@@ -101,7 +103,7 @@
 		}
 	}
 	for _, k := range l.Kinds {
-		if k.Share <= 0 || k.AimMillis <= 0 || k.Shared < 0 || k.Own < 0 || k.Events < 1 || k.Subjects < 1 || k.Hard < 0 || k.Hard > 1 {
+		if k.Share <= 0 || k.AimMillis <= 0 || k.Shared < 0 || k.Own < 0 || k.Events < 1 || k.Subjects < 1 || k.Hard < 0 || k.Hard > 1 || k.Hot < 0 || k.Hot > 1 {
 			return ErrSite.New("kinds: %s has a figure out of range", k.Name)
 		}
 	}
--- a/placement/board.go
+++ b/placement/board.go
@@ -335,10 +335,22 @@
 		m.sends = m.sends[:0]
 		return true
 	}
-	for len(m.sends) > 0 && q.Now-m.sends[0] > window {
+	return m.sentIn(q.Now) < q.Bounds.Shares[e.Zone].In(total, e.ID)
+}
+
+// sentIn counts what was sent within the span of the bounds.
+func (m *mark) sentIn(now clock.Millis) int {
+	for len(m.sends) > 0 && now-m.sends[0] > window {
 		m.sends = m.sends[1:]
 	}
-	return len(m.sends) < q.Bounds.Shares[e.Zone].In(total, e.ID)
+	return len(m.sends)
+}
+
+// inShare reports whether one more request keeps this entry's even share of what a warm
+// endpoint may get. Where all entries send to the same endpoint, as they do with a hot
+// subject, placement does not keep it as busy as its neighbours.
+func (b *Board) inShare(e *fleet.Endpoint, q Query) bool {
+	return q.Bounds.Warm <= 0 || b.mark(e.ID).sentIn(q.Now) < q.Bounds.Shares[e.Zone].In(q.Bounds.Warm, e.ID)
 }
 
 // spared is what is saved beyond time by the tokens of a prompt that need not be read.
--- a/placement/census.go
+++ b/placement/census.go
@@ -32,8 +32,10 @@
 func (b *Board) Census(s *fleet.Snapshot, q Query) (c Census) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, at := range q.candidates(s) {
-		_, o := b.cost(s, at, q)
+	all := q.candidates(s)
+	home := b.home(all, q)
+	for _, at := range all {
+		_, o := b.cost(s, at, q, at == home)
 		c[o]++
 	}
 	return c
--- a/placement/kept_test.go
+++ b/placement/kept_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/matryer/is"
 	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/fleet"
 )
 
 // All endpoints hold some prompts, and the one with the subject's part is a little
@@ -25,3 +26,69 @@
 	e, _ = b.Pick(s, q)
 	is.True(e.ID != "e1")
 }
+
+// homesFleet has two endpoints in each of three zones.
+func homesFleet() *fleet.Snapshot {
+	return fleetOf(6, func(i int, e *fleet.Endpoint) { e.Zone = [...]string{"a", "b", "c"}[i%3] })
+}
+
+// Entries of several zones that know nothing of one another read a long shared part at
+// endpoint after endpoint.
+func TestEntriesOfAllZonesSendASubjectToOneEndpoint(t *testing.T) {
+	is := is.New(t)
+	s := homesFleet()
+	for _, subject := range []string{"one", "two", "three", "four", "five"} {
+		homes := make(map[string]bool)
+		for _, zone := range []string{"a", "b", "c"} {
+			q := Query{Service: "s", Version: "v1", Zone: zone, Model: "m", Parts: []Part{{subject, 6000}, {"own-" + zone, 500}}}
+			e, _ := NewBoard().Pick(s, q)
+			homes[e.ID] = true
+		}
+		is.Equal(len(homes), 1)
+	}
+}
+
+// A short shared part is not worth the bytes of its prompt between zones, and a hot subject
+// must not bring one endpoint more than it would bear in a cold start nobody announced.
+func TestHomesAreLeftForShortPartsAndBeyondTheShare(t *testing.T) {
+	is := is.New(t)
+	s := homesFleet()
+	short := Query{Service: "s", Version: "v1", Zone: "a", Model: "m", Parts: []Part{{"short", homeLeast - 1}, {"own", 500}}}
+	e, _ := NewBoard().Pick(s, short)
+	is.Equal(e.Zone, "a")
+	hot := Query{Service: "s", Version: "v1", Zone: "a", Model: "m", Parts: []Part{{"hot", 6000}, {"own", 500}}, Bounds: Bounds{Warm: 30, Shares: map[string]Share{
+		"a": {Part: 1, Entries: 10}, "b": {Part: 1, Entries: 10}, "c": {Part: 1, Entries: 10},
+	}}}
+	b := NewBoard()
+	sends := make(map[string]int)
+	for range 20 {
+		e, _ = b.Pick(s, hot)
+		sends[e.ID]++
+		b.Begin(e, hot).End()
+	}
+	home, _ := NewBoard().Pick(s, hot)
+	is.True(home.Zone == "a" || sends[home.ID] <= 3)
+}
+
+// An entry that starts anew knows nothing, and has parts read again that its neighbours
+// know where to send.
+func TestSnapshotTellsWherePartsAre(t *testing.T) {
+	is := is.New(t)
+	s := fleetOf(8, nil)
+	q := Query{Service: "s", Version: "v1", Zone: "a", Model: "m", Parts: []Part{{"case", 1900}, {"own", 500}}}
+	old, started := NewBoard(), NewBoard()
+	e, _ := old.Pick(s, q)
+	old.Begin(e, q).Read(60)
+	old.Begin(s.Find("e3"), Query{Model: "m", Parts: []Part{{"stale", 1900}, {"own", 9}}, Now: -keptFor}).End()
+	parts, speeds := old.Snapshot(100)
+	is.Equal(len(parts), 1) // nothing of what is as good as forgotten
+	for id := range s.All() {
+		started.mark(id)
+	}
+	started.Adopt(parts, speeds, 100)
+	is.Equal(started.unread(e.ID, q), 0)
+	is.Equal(started.speed.tokens["m"], old.speed.tokens["m"])
+	started.speed.tokens["m"], started.speed.measured["m"] = 1, 99
+	started.Adopt(nil, speeds, 100)
+	is.Equal(started.speed.tokens["m"], 1.0) // own measurements are not given up for fewer
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -115,6 +115,9 @@
 	// homeCost spreads prompts over endpoints by their hashes, so that entries
 	// that know nothing of one another send a prompt's parts to the same place.
 	homeCost = 60.0
+	// homeLeast is how many tokens prompts must share to have a home in another zone:
+	// spared once, they outweigh the bytes of the prompt on the way there.
+	homeLeast = 2000
 	// readCost is what a token spares that need not be read, beyond the time that reading
 	// takes: it holds up all streams that run there, and reading a shared part again is
 	// charged for. It falls to nothing as the endpoint's load nears easyLoad, from where
@@ -148,16 +151,25 @@
 	return e != nil
 }
 
-// Expect tells how long the first byte is expected to take at the endpoint that Pick
-// would find; not ok where it would find none.
-func (b *Board) Expect(s *fleet.Snapshot, q Query) (first clock.Millis, ok bool) {
+// Expectation is what a request is expected to meet at an endpoint.
+type Expectation struct {
+	// First is how long its first byte takes, Wait the part of it in which prompts
+	// before it are read.
+	First clock.Millis
+	Wait  clock.Millis
+}
+
+// Expect tells what a request would meet at the endpoint that Pick would find; not ok
+// where it would find none.
+func (b *Board) Expect(s *fleet.Snapshot, q Query) (x Expectation, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e, _ := b.choose(s, q)
 	if e == nil {
-		return 0, false
+		return x, false
 	}
-	return b.speed.first(q.Model, b.waiting(e, q)+b.speed.millis(q.Model, b.unread(e.ID, q))), true
+	wait := b.waiting(e, q)
+	return Expectation{First: b.speed.first(q.Model, wait+b.speed.millis(q.Model, b.unread(e.ID, q))), Wait: clock.Millis(wait)}, true
 }
 
 func (b *Board) choose(s *fleet.Snapshot, q Query) (e *fleet.Endpoint, why Reason) {
@@ -188,10 +200,11 @@
 // once, and refusing every request until that lapses would turn the stall into an
 // outage.
 func (b *Board) cheapest(s *fleet.Snapshot, all []*fleet.Endpoint, q Query) (e *fleet.Endpoint, why Reason) {
+	home := b.home(all, q)
 	for _, last := range [...]obstacle{unhindered, lost} {
 		best := 0.0
 		for _, at := range all {
-			cost, o := b.cost(s, at, q)
+			cost, o := b.cost(s, at, q, at == home)
 			if o <= last && (e == nil || cost < best) {
 				e, best = at, cost
 			}
@@ -214,9 +227,37 @@
 	}
 }
 
-// cost is what the request costs at an endpoint, and what speaks against sending
-// it there at all.
-func (b *Board) cost(s *fleet.Snapshot, e *fleet.Endpoint, q Query) (cost float64, o obstacle) {
+// home is the endpoint to which all entries send the prompts of a subject while they know
+// of none that keeps its parts; nil when this one does, and for prompts with little to
+// keep.
+func (b *Board) home(all []*fleet.Endpoint, q Query) (e *fleet.Endpoint) {
+	if !b.hasHome(q) {
+		return nil
+	}
+	part := q.Parts[len(q.Parts)-2].hashOf(q.Model)
+	least, subject := 0.0, q.Model+"/"+subject(q.Parts)
+	for _, at := range all {
+		if b.kept.holds(b.mark(at.ID).hash, part, q.Now) {
+			return nil
+		}
+		if f := far(at.ID, subject); e == nil || f < least {
+			e, least = at, f
+		}
+	}
+	return e
+}
+
+// hasHome reports whether a prompt shares so much that it is worth the way to another zone.
+func (b *Board) hasHome(q Query) bool {
+	return b.ways.Of(decision.Homes) == decision.Everywhere && len(q.Parts) > 1 && q.shared() >= homeLeast
+}
+
+// shared counts the tokens of a prompt that other requests share.
+func (q Query) shared() int { return tokensOf(q.Parts[:len(q.Parts)-1]) }
+
+// cost is what the request costs at an endpoint, which may be the home of its parts, and
+// what speaks against sending it there at all.
+func (b *Board) cost(s *fleet.Snapshot, e *fleet.Endpoint, q Query, home bool) (cost float64, o obstacle) {
 	load := b.inflight.Load(e.ID, e.Slots, q.Now)
 	switch {
 	case load >= fullAt:
@@ -233,17 +274,21 @@
 	if len(q.Parts) == 0 {
 		return cost, o
 	}
-	unread := b.unread(e.ID, q)
+	unread, own := b.unread(e.ID, q), q.Parts[len(q.Parts)-1].Tokens
+	keeps := (home || unread <= own) && b.hasHome(q) && b.inShare(e, q)
+	if keeps {
+		unread = min(unread, own)
+	}
 	queue := b.waiting(e, q)
 	wait := queue + b.speed.millis(q.Model, unread)
-	if !q.told(e) && !b.ways.Off(decision.Near) {
+	if !keeps && !q.told(e) && !b.ways.Off(decision.Near) {
 		cost += blindCost
 	}
 	if q.Patience > 0 && queue+b.speed.least(q.Model, unread) > float64(q.Patience) {
 		return 0, late
 	}
 	cost += wait - spared(q, unread)*max(1-load/easyLoad, 0)
-	if b.ways.Off(decision.Homes) {
+	if b.ways.Of(decision.Homes) == decision.Nowhere {
 		return cost, o
 	}
 	return cost + homeCost*far(e.ID, subject(q.Parts)), o
--- a/placement/told_test.go
+++ b/placement/told_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/decision"
 )
 
 // A zone's callers ask for long prompts about some eighty subjects at five entries, as
@@ -23,6 +24,15 @@
 	is.True(told.late*2 <= alone.late)
 }
 
+// waysOf chooses one way.
+func waysOf(name, way string) decision.Ways {
+	w, err := decision.Choose(map[string]string{name: way})
+	if err != nil {
+		panic(err)
+	}
+	return w
+}
+
 // subjectsPlayed is what became of prompts about subjects.
 type subjectsPlayed struct{ asked, again, late int }
 
@@ -39,7 +49,7 @@
 	s := fleetOf(endpoints, nil)
 	var boards []*Board
 	for range entries {
-		boards = append(boards, NewBoard())
+		boards = append(boards, NewBoardWith(waysOf("homes", "by-zone")))
 	}
 	free, kept := make(map[string]clock.Millis), make(map[string]bool)
 	var ends []readEnd
--- a/relay/plan.go
+++ b/relay/plan.go
@@ -53,12 +53,12 @@
 	x := a.exchange
 	q := x.query(a.plan.next())
 	q.Avoid = nil
-	first, room := x.server.board.Expect(x.view.Fleet(), q)
+	expected, room := x.server.board.Expect(x.view.Fleet(), q)
 	if !room {
 		return false
 	}
 	answer := cascade.Answer{Confidence: confidence, Left: x.startedAt + x.route.Aim - q.Now}
-	return cascade.Drops(answer, first, x.server.cfg.Ways)
+	return x.server.judge.Drops(answer, cascade.Larger{First: expected.First, Wait: expected.Wait})
 }
 
 func (p plan) next() plan { return plan{models: p.models[1:]} }
--- a/relay/server.go
+++ b/relay/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
+	"github.com/parsleydeal/parsleydeal/cascade"
 	"github.com/parsleydeal/parsleydeal/catalog"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/decision"
@@ -55,9 +56,14 @@
 	meter    *meter.Meter
 	metrics  *metrics.Set
 	pace     *pace
+	judge    *cascade.Judge
 	leaving  atomic.Bool
-	active   atomic.Int64
-	mu       sync.Mutex
+	// asking holds the addresses of entries that wait for a snapshot; wantsSnapshot is
+	// true while this one waits for its own.
+	asking        chan string
+	wantsSnapshot atomic.Bool
+	active        atomic.Int64
+	mu            sync.Mutex
 	// budgets holds the retry budget of each service.
 	budgets map[string]*limit.Share
 }
@@ -67,7 +73,7 @@
 	set := metrics.NewSet()
 	return &Server{
 		cfg: cfg, meter: meter.New(set), metrics: set, board: placement.NewBoardWith(cfg.Ways), sessions: newSessions(cfg.SessionLife), tally: newTally(),
-		pace: newPace(), budgets: make(map[string]*limit.Share),
+		asking: make(chan string, answersWaiting), pace: newPace(), judge: cascade.NewJudge(cfg.Ways), budgets: make(map[string]*limit.Share),
 	}
 }
 
--- a/relay/share.go
+++ b/relay/share.go
@@ -95,11 +95,17 @@
 
 // HearWork takes another entry's word on its work.
 func (s *Server) HearWork(r *wire.EntryReport) {
-	told := make([]placement.Told, 0, len(r.GetWork()))
-	for _, w := range r.GetWork() {
+	if s.hearSnapshot(r) {
+		return
+	}
+	s.board.Hear(r.GetProcess(), toldOf(r.GetWork()), !r.GetPartial(), s.cfg.Clock.Now())
+}
+
+func toldOf(work []*wire.EndpointWork) (told []placement.Told) {
+	for _, w := range work {
 		told = append(told, placement.Told{Endpoint: w.GetEndpoint(), Pending: float64(w.GetReadingMillis()), Unanswered: int(w.GetUnanswered()), Parts: w.GetParts(), Waiting: int(w.GetWaiting()), WordAge: clock.Millis(w.GetWordAgeMillis())})
 	}
-	s.board.Hear(r.GetProcess(), told, !r.GetPartial(), s.cfg.Clock.Now())
+	return told
 }
 
 func workOf(told []placement.Told) (out []*wire.EndpointWork) {
--- a/relay/share_test.go
+++ b/relay/share_test.go
@@ -1,9 +1,19 @@
 package relay
 
 import (
+	"context"
+	"io"
+	"math"
 	"testing"
 
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
 	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/fleet"
+	"github.com/parsleydeal/parsleydeal/peer/wire"
+	"github.com/parsleydeal/parsleydeal/placement"
+	"github.com/parsleydeal/parsleydeal/site"
+	"github.com/parsleydeal/parsleydeal/upstream"
 	"pgregory.net/rapid"
 )
 
@@ -30,3 +40,46 @@
 		}
 	})
 }
+
+// An entry starts while its neighbours work. It asks one of them for what endpoints keep, once
+// it knows one, and takes nothing over that it did not ask for.
+func TestStartedEntryAsksForASnapshot(t *testing.T) {
+	is := is.New(t)
+	c := clock.Boot()
+	view := site.NewState(site.Self{Name: "e"}, 0)
+	site.Reduce(view, site.EntriesRead{Now: 1, Addresses: map[string]string{"e": "e:1", "old": "old:1"}})
+	newServer := func() *Server {
+		return New(Config{Clock: c, Log: log.New(io.Discard), View: view.View, Pool: upstream.NewPool(c)})
+	}
+	old, started := newServer(), newServer()
+	f := fleet.New()
+	at := &fleet.Endpoint{ID: "i-1", Service: "app", Version: "v1", Slots: 4}
+	f.Apply([]fleet.Change{{ID: "i-1", Endpoint: at}}, false)
+	q := placement.Query{Service: "app", Model: "m", Now: c.Now(), Parts: []placement.Part{{ID: "case", Tokens: 900}, {ID: "own", Tokens: 100}}}
+	old.board.Begin(at, q).Read(c.Now() + 20)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go old.AnswerSnapshots(ctx, "old", func(r *wire.EntryReport, to []string) error {
+		is.Equal(to, []string{"e:1"})
+		started.HearWork(r)
+		return nil
+	})
+	started.HearWork(&wire.EntryReport{Process: "x", Partial: true, Speeds: []*wire.ModelSpeed{{Model: "m", TokenMillis: 9, Measured: 9}}})
+	started.AskSnapshot(ctx, "e", "e:1", func(r *wire.EntryReport, to []string) error {
+		is.Equal(to, []string{"old:1"})
+		old.HearWork(r)
+		return nil
+	})
+	_, speeds := started.board.Snapshot(c.Now())
+	_, want := old.board.Snapshot(c.Now())
+	is.Equal(speeds, want)
+}
+
+// Speeds that no model has come from a broken or strange process. They would send all prompts
+// to one model's endpoints, or none.
+func TestSpeedsThatCannotBeAreDropped(t *testing.T) {
+	is := is.New(t)
+	for _, s := range []*wire.ModelSpeed{{Model: "m", Measured: 1}, {Model: "m", TokenMillis: -1, Measured: 1}, {Model: "m", TokenMillis: math.NaN(), Measured: 1}, {Model: "m", TokenMillis: 1}, {Model: "m", TokenMillis: 99, Measured: 1}} {
+		is.Equal(len(measuredOf([]*wire.ModelSpeed{s})), 0)
+	}
+}
--- /dev/null
+++ b/relay/snapshot.go
@@ -0,0 +1,107 @@
+package relay
+
+import (
+	"context"
+
+	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/decision"
+	"github.com/parsleydeal/parsleydeal/peer/wire"
+	"github.com/parsleydeal/parsleydeal/placement"
+)
+
+const (
+	// askPause is the span between two questions of an entry that has just started, and
+	// askMost their number. After all entries were stopped nobody has an answer.
+	askPause = 250 * clock.Millis(1)
+	askMost  = 6
+	// answerPause is the least span between two answers: many entries may start at once.
+	answerPause = 50 * clock.Millis(1)
+	// answersWaiting bounds the entries that wait for an answer.
+	answersWaiting = 8
+)
+
+// AskSnapshot asks one neighbour after another what endpoints keep and how fast models
+// read, until one has answered. An entry that knows neither has prompts read again that
+// its neighbours know where to send.
+func (s *Server) AskSnapshot(ctx context.Context, name, address string, send func(r *wire.EntryReport, to []string) error) {
+	if s.cfg.Ways.Of(decision.Start) != decision.Snapshot {
+		return
+	}
+	r := &wire.EntryReport{Process: name, Address: address, AskParts: true, Partial: true}
+	s.wantsSnapshot.Store(true)
+	defer s.wantsSnapshot.Store(false)
+	for asked := 0; asked <= askMost && s.wantsSnapshot.Load() && clock.Pause(ctx, askPause); {
+		to := s.cfg.View().Neighbours()
+		if len(to) == 0 {
+			continue
+		}
+		if asked == askMost {
+			return
+		}
+		if err := send(r, to[asked%len(to):asked%len(to)+1]); err != nil {
+			s.cfg.Log.Warn("Neighbour was not asked for a snapshot", "error", err)
+		}
+		asked++
+	}
+}
+
+// AnswerSnapshots answers entries that have just started, until the context ends.
+func (s *Server) AnswerSnapshots(ctx context.Context, name string, send func(r *wire.EntryReport, to []string) error) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case address := <-s.asking:
+			parts, speeds := s.board.Snapshot(s.cfg.Clock.Now())
+			if len(speeds) == 0 {
+				continue
+			}
+			r := &wire.EntryReport{Process: name, Work: workOf(parts), Partial: true, Speeds: speedsOf(speeds)}
+			if err := send(r, []string{address}); err != nil {
+				s.cfg.Log.Warn("Snapshot was not sent", "error", err)
+			}
+			clock.Pause(ctx, answerPause)
+		}
+	}
+}
+
+// hearSnapshot takes a question for a snapshot or an answer to one; not if the report is
+// neither.
+func (s *Server) hearSnapshot(r *wire.EntryReport) bool {
+	switch {
+	case r.GetAskParts():
+		select {
+		case s.asking <- r.GetAddress():
+		default:
+		}
+		return true
+	case len(r.GetSpeeds()) == 0:
+		return false
+	}
+	if s.wantsSnapshot.CompareAndSwap(true, false) {
+		s.board.Adopt(toldOf(r.GetWork()), measuredOf(r.GetSpeeds()), s.cfg.Clock.Now())
+		s.cfg.Log.Info("Snapshot of endpoints was taken over", "from", r.GetProcess(), "endpoints", len(r.GetWork()), "models", len(r.GetSpeeds()))
+	}
+	return true
+}
+
+func speedsOf(speeds []placement.ModelSpeed) (out []*wire.ModelSpeed) {
+	for _, s := range speeds {
+		out = append(out, &wire.ModelSpeed{Model: s.Model, TokenMillis: s.Token, Measured: int32(s.Measured), BeyondMillis: s.Beyond})
+	}
+	return out
+}
+
+// measuredOf leaves out speeds that cannot be: they would send all prompts to one model's
+// endpoints, or none.
+func measuredOf(speeds []*wire.ModelSpeed) (out []placement.ModelSpeed) {
+	for _, s := range speeds {
+		if s.GetTokenMillis() > 0 && s.GetTokenMillis() < slowestToken && s.GetMeasured() > 0 {
+			out = append(out, placement.ModelSpeed{Model: s.GetModel(), Token: s.GetTokenMillis(), Measured: int(s.GetMeasured()), Beyond: s.GetBeyondMillis()})
+		}
+	}
+	return out
+}
+
+// slowestToken is the time in milliseconds in which any model reads a token.
+const slowestToken = 10.0
