A pick hashes a prompt's parts once and finds an endpoint's mark once

Cause: profile of BenchmarkPick (48 endpoints, a prompt of three parts): a third of the time went to hashing model and part anew at each endpoint, a quarter to finding the endpoint's mark six times.

Also: homes in all zones only where not all entries tell one another what they sent.

--- a/placement/board.go
+++ b/placement/board.go
@@ -36,6 +36,8 @@
 	peers map[string]peerWork
 	speed speeds
 	ways  decision.Ways
+	// homes is the way of decision.Homes, which is asked for at each endpoint.
+	homes decision.Way
 	// news has something in it from a prompt that others should hear of at once.
 	news chan struct{}
 	// usualOthers is how many prompts of others usually wait at an endpoint.
@@ -81,7 +83,7 @@
 
 // NewBoardWith makes a board that decides in the ways given.
 func NewBoardWith(ways decision.Ways) *Board {
-	return &Board{ways: ways, news: make(chan struct{}, 1), inflight: choice.NewInflight(), marks: make(map[string]*mark), byHash: make(map[uint32]*mark), kept: newKept(), peers: make(map[string]peerWork), speed: newSpeeds()}
+	return &Board{ways: ways, homes: ways.Of(decision.Homes), news: make(chan struct{}, 1), inflight: choice.NewInflight(), marks: make(map[string]*mark), byHash: make(map[uint32]*mark), kept: newKept(), peers: make(map[string]peerWork), speed: newSpeeds()}
 }
 
 func (b *Board) mark(id string) *mark {
@@ -120,10 +122,10 @@
 	b.inflight.Add(id, 1)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	m := b.mark(id)
-	unread := b.unread(id, q)
+	m, q := b.mark(id), q.hashed()
+	unread := b.unread(m, q)
 	w := &Work{board: b, endpoint: id, model: q.Model, tokens: unread, millis: b.speed.millis(q.Model, unread), alone: m.unanswered == 0, begun: q.Now}
-	w.wait = b.waiting(e, q) + w.millis
+	w.wait = b.waiting(e, m, q) + w.millis
 	w.expected = b.speed.first(q.Model, w.wait)
 	m.pending += w.millis
 	m.unanswered++
@@ -175,7 +177,7 @@
 // their number. Where others tell of their work, an endpoint not heard of lately is
 // idle; elsewhere it is taken to be like the others: taken for idle, it would get work
 // from another zone that its neighbours have filled it with.
-func (b *Board) waiting(e *fleet.Endpoint, q Query) float64 {
+func (b *Board) waiting(e *fleet.Endpoint, m *mark, q Query) float64 {
 	if b.ways.Off(decision.Waiting) {
 		return 0
 	}
@@ -183,10 +185,6 @@
 	if q.told(e) {
 		usual = 0
 	}
-	m, ok := b.marks[e.ID]
-	if !ok {
-		return usual * b.speed.mean
-	}
 	fresh := math.Exp2(-float64(q.Now-m.wordAt) / float64(wordHalf))
 	pending, _ := b.told(m.hash, q.Now)
 	return m.pending + pending + (m.others*fresh+usual*(1-fresh))*b.speed.mean
@@ -275,9 +273,8 @@
 	return ok && m.heardAt > at
 }
 
-func (b *Board) reached(id string, now clock.Millis) bool {
-	m, ok := b.marks[id]
-	return !ok || now >= m.lostUntil || b.ways.Off(decision.LostEndpoints)
+func (b *Board) reached(m *mark, now clock.Millis) bool {
+	return now >= m.lostUntil || b.ways.Off(decision.LostEndpoints)
 }
 
 // Outcome counts an attempt's end.
@@ -297,9 +294,8 @@
 	return m.failed * math.Exp2(-float64(now-m.failedAt)/float64(failHalf))
 }
 
-func (b *Board) failing(id string, now clock.Millis) float64 {
-	m, ok := b.marks[id]
-	if !ok || b.ways.Off(decision.Failures) {
+func (b *Board) failing(m *mark, now clock.Millis) float64 {
+	if b.ways.Off(decision.Failures) {
 		return 0
 	}
 	return m.part(now)
@@ -325,8 +321,7 @@
 // crashes, so that the shares of all entries add up to what it bears. One that may
 // have turned cold unannounced is safe by another reason: as long as its load is
 // like that of its neighbours, placement gives it no more than these.
-func (b *Board) inBounds(s *fleet.Snapshot, e *fleet.Endpoint, q Query) bool {
-	m := b.mark(e.ID)
+func inBounds(s *fleet.Snapshot, e *fleet.Endpoint, m *mark, q Query) bool {
 	total := q.Bounds.Warm * warmFactor
 	if s.Cold(e, q.Now) || m.coldUntil > q.Now {
 		total = q.Bounds.Cold
@@ -349,8 +344,8 @@
 // inShare reports whether one more request keeps this entry's even share of what a warm
 // endpoint may get. Where all entries send to the same endpoint, as they do with a hot
 // subject, placement does not keep it as busy as its neighbours.
-func (b *Board) inShare(e *fleet.Endpoint, q Query) bool {
-	return q.Bounds.Warm <= 0 || b.mark(e.ID).sentIn(q.Now) < q.Bounds.Shares[e.Zone].In(q.Bounds.Warm, e.ID)
+func inShare(e *fleet.Endpoint, m *mark, q Query) bool {
+	return q.Bounds.Warm <= 0 || m.sentIn(q.Now) < q.Bounds.Shares[e.Zone].In(q.Bounds.Warm, e.ID)
 }
 
 // spared is what is saved beyond time by the tokens of a prompt that need not be read.
@@ -367,11 +362,10 @@
 
 // unread counts the tokens of the prompt that the endpoint must read: all parts
 // from the first one on that it does not have.
-func (b *Board) unread(id string, q Query) (tokens int) {
+func (b *Board) unread(m *mark, q Query) (tokens int) {
 	missing := b.ways.Off(decision.KeptParts)
-	endpoint := b.mark(id).hash
-	for _, p := range q.Parts {
-		missing = missing || !b.kept.holds(endpoint, p.hashOf(q.Model), q.Now)
+	for i, p := range q.Parts {
+		missing = missing || !b.kept.holds(m.hash, q.hashes[i], q.Now)
 		if missing {
 			tokens += p.Tokens
 		}
--- a/placement/kept.go
+++ b/placement/kept.go
@@ -43,8 +43,8 @@
 
 // own notes a prompt that this entry sends.
 func (k *kept) own(endpoint uint32, q Query) {
-	for i, p := range q.Parts {
-		key := partKey{endpoint, p.hashOf(q.Model)}
+	for i, hash := range q.hashes {
+		key := partKey{endpoint, hash}
 		at, ok := k.parts[key]
 		lately := ok && q.Now-at <= keptFor/2
 		if i < len(q.Parts)-1 && !lately {
--- a/placement/kept_test.go
+++ b/placement/kept_test.go
@@ -86,7 +86,7 @@
 		started.mark(id)
 	}
 	started.Adopt(parts, speeds, 100)
-	is.Equal(started.unread(e.ID, q), 0)
+	is.Equal(started.unread(started.mark(e.ID), q.hashed()), 0)
 	is.Equal(started.speed.tokens["m"], old.speed.tokens["m"])
 	started.speed.tokens["m"], started.speed.measured["m"] = 1, 99
 	started.Adopt(nil, speeds, 100)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -40,6 +40,21 @@
 	// for any time.
 	Patience clock.Millis
 	Now      clock.Millis
+
+	// hashes holds those of the parts for the model once they were needed.
+	hashes []uint32
+}
+
+// hashed returns the query with the hashes of its parts.
+func (q Query) hashed() Query {
+	if len(q.hashes) == len(q.Parts) {
+		return q
+	}
+	q.hashes = make([]uint32, len(q.Parts))
+	for i, p := range q.Parts {
+		q.hashes[i] = p.hashOf(q.Model)
+	}
+	return q
 }
 
 // Bounds limit what all entries together send to one endpoint in a second.
@@ -168,8 +183,9 @@
 	if e == nil {
 		return x, false
 	}
-	wait := b.waiting(e, q)
-	return Expectation{First: b.speed.first(q.Model, wait+b.speed.millis(q.Model, b.unread(e.ID, q))), Wait: clock.Millis(wait)}, true
+	m, q := b.mark(e.ID), q.hashed()
+	wait := b.waiting(e, m, q)
+	return Expectation{First: b.speed.first(q.Model, wait+b.speed.millis(q.Model, b.unread(m, q))), Wait: clock.Millis(wait)}, true
 }
 
 func (b *Board) choose(s *fleet.Snapshot, q Query) (e *fleet.Endpoint, why Reason) {
@@ -177,7 +193,7 @@
 	if len(all) == 0 {
 		return nil, None
 	}
-	return b.cheapest(s, all, q)
+	return b.cheapest(s, all, q.hashed())
 }
 
 // candidates lists the endpoints that may get the request.
@@ -234,7 +250,7 @@
 	if !b.hasHome(q) {
 		return nil
 	}
-	part := q.Parts[len(q.Parts)-2].hashOf(q.Model)
+	part := q.hashes[len(q.Parts)-2]
 	least, subject := 0.0, q.Model+"/"+subject(q.Parts)
 	for _, at := range all {
 		if b.kept.holds(b.mark(at.ID).hash, part, q.Now) {
@@ -248,8 +264,9 @@
 }
 
 // hasHome reports whether a prompt shares so much that it is worth the way to another zone.
+// Where all entries tell one another what they sent, each knows where parts are.
 func (b *Board) hasHome(q Query) bool {
-	return b.ways.Of(decision.Homes) == decision.Everywhere && len(q.Parts) > 1 && q.shared() >= homeLeast
+	return b.homes == decision.Everywhere && !q.AllTold && len(q.Parts) > 1 && q.shared() >= homeLeast
 }
 
 // shared counts the tokens of a prompt that other requests share.
@@ -258,28 +275,29 @@
 // cost is what the request costs at an endpoint, which may be the home of its parts, and
 // what speaks against sending it there at all.
 func (b *Board) cost(s *fleet.Snapshot, e *fleet.Endpoint, q Query, home bool) (cost float64, o obstacle) {
+	m := b.mark(e.ID)
 	load := b.inflight.Load(e.ID, e.Slots, q.Now)
 	switch {
 	case load >= fullAt:
 		return 0, loaded
-	case !b.inBounds(s, e, q):
+	case !inBounds(s, e, m, q):
 		return 0, bounded
-	case !b.reached(e.ID, q.Now):
+	case !b.reached(m, q.Now):
 		o = lost
 	}
-	cost = load*loadCost + b.failing(e.ID, q.Now)*failCost
+	cost = load*loadCost + b.failing(m, q.Now)*failCost
 	if e.Zone != q.Zone {
 		cost += awayCost + awayByteCost*float64(q.Bytes)
 	}
 	if len(q.Parts) == 0 {
 		return cost, o
 	}
-	unread, own := b.unread(e.ID, q), q.Parts[len(q.Parts)-1].Tokens
-	keeps := (home || unread <= own) && b.hasHome(q) && b.inShare(e, q)
+	unread, own := b.unread(m, q), q.Parts[len(q.Parts)-1].Tokens
+	keeps := (home || unread <= own) && b.hasHome(q) && inShare(e, m, q)
 	if keeps {
 		unread = min(unread, own)
 	}
-	queue := b.waiting(e, q)
+	queue := b.waiting(e, m, q)
 	wait := queue + b.speed.millis(q.Model, unread)
 	if !keeps && !q.told(e) && !b.ways.Off(decision.Near) {
 		cost += blindCost
@@ -288,7 +306,7 @@
 		return 0, late
 	}
 	cost += wait - spared(q, unread)*max(1-load/easyLoad, 0)
-	if b.ways.Of(decision.Homes) == decision.Nowhere {
+	if b.homes == decision.Nowhere {
 		return cost, o
 	}
 	return cost + homeCost*far(e.ID, subject(q.Parts)), o
