--- a/account/account.go
+++ b/account/account.go
@@ -25,6 +25,22 @@
 	// none came.
 	Took  clock.Millis
 	First clock.Millis
+	// Phases holds how long the phases of an answered request took; nil where its line
+	// does not say.
+	Phases *Phases
+}
+
+// Phases are the parts of a request's time, one after another.
+type Phases struct {
+	// Body is the reading of the caller's body, Placed what passed after it until the
+	// first attempt began.
+	Body   clock.Millis
+	Placed clock.Millis
+	// Connect is the making of connections, Answer the rest until the first byte, and
+	// Stream what came after it.
+	Connect clock.Millis
+	Answer  clock.Millis
+	Stream  clock.Millis
 }
 
 // Attempt is an attempt that did not bring the answer.
@@ -33,6 +49,10 @@
 	Result string
 	Model  string
 	After  clock.Millis
+	// First is how long the first byte took, Expected how long it was expected to take;
+	// First is 0 when none came.
+	First    clock.Millis
+	Expected clock.Millis
 }
 
 // Log holds what log lines told.
@@ -110,7 +130,21 @@
 		l.Torn++
 		return
 	}
-	l.Requests = append(l.Requests, Request{At: at, Route: f["route"], Cause: causeOf(f), Took: took, First: first})
+	l.Requests = append(l.Requests, Request{At: at, Route: f["route"], Cause: causeOf(f), Took: took, First: first, Phases: phasesOf(f, took, first)})
+}
+
+// phasesOf parts the time of a request that was answered.
+func phasesOf(f fields, took, first clock.Millis) *Phases {
+	body, hasBody := f.span("body")
+	placed, hasPlaced := f.span("placed")
+	connect, hasConnect := f.span("connect")
+	if !hasBody || !hasPlaced || !hasConnect || f["error"] != "" {
+		return nil
+	}
+	if first == 0 {
+		first = took
+	}
+	return &Phases{Body: body, Placed: max(placed-body, 0), Connect: connect, Answer: max(first-placed-connect, 0), Stream: max(took-first, 0)}
 }
 
 // causeOf names the cause by a line's fields.
@@ -138,5 +172,8 @@
 		l.Torn++
 		return
 	}
-	l.Attempts = append(l.Attempts, Attempt{Result: f["result"], Model: f["model"], After: after})
+	a := Attempt{Result: f["result"], Model: f["model"], After: after}
+	a.First, _ = f.span("first")
+	a.Expected, _ = f.span("expected")
+	l.Attempts = append(l.Attempts, a)
 }
--- a/account/print.go
+++ b/account/print.go
@@ -30,6 +30,8 @@
 	l.routes(t)
 	l.causes(t)
 	l.attempts(t)
+	l.phases(t)
+	l.errors(t)
 	l.seconds(t)
 	fmt.Fprintf(t, "\n%d lines of other things, %d torn ones passed over\n", l.Other, l.Torn)
 	return t.Flush()
@@ -60,13 +62,13 @@
 	}
 }
 
-// quantile is the time to the first byte below which a part of the requests lie.
-func (c *tally) quantile(part float64) clock.Millis {
-	if len(c.first) == 0 {
+// quantile is the span below which a part of the spans lie; 0 without any.
+func quantile(spans []clock.Millis, part float64) clock.Millis {
+	if len(spans) == 0 {
 		return 0
 	}
-	slices.Sort(c.first)
-	return c.first[int(math.Ceil(part*float64(len(c.first)-1)))]
+	slices.Sort(spans)
+	return spans[int(math.Ceil(part*float64(len(spans)-1)))]
 }
 
 func (l *Log) routes(w io.Writer) {
@@ -81,7 +83,7 @@
 	fmt.Fprintln(w, "route\tasked\tin time\tlate\trefused\tfailed\tleft\tfirst byte p50\tp99")
 	for _, name := range slices.Sorted(maps.Keys(by)) {
 		c := by[name]
-		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\n", name, c.asked, c.answered, c.late, c.refused, c.failed, c.left, c.quantile(0.5), c.quantile(0.99))
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\n", name, c.asked, c.answered, c.late, c.refused, c.failed, c.left, quantile(c.first, 0.5), quantile(c.first, 0.99))
 	}
 }
 
@@ -119,6 +121,60 @@
 	}
 }
 
+// phases tells by route how long the phases of answered requests took.
+func (l *Log) phases(w io.Writer) {
+	by := make(map[string][]Phases)
+	for _, r := range l.Requests {
+		if r.Phases != nil {
+			by[r.Route] = append(by[r.Route], *r.Phases)
+		}
+	}
+	if len(by) == 0 {
+		return
+	}
+	columns := []func(p Phases) clock.Millis{
+		func(p Phases) clock.Millis { return p.Body },
+		func(p Phases) clock.Millis { return p.Placed },
+		func(p Phases) clock.Millis { return p.Connect },
+		func(p Phases) clock.Millis { return p.Answer },
+		func(p Phases) clock.Millis { return p.Stream },
+	}
+	fmt.Fprintln(w, "\nphases of answered requests, p50 and p99\tnumber\tbody\tplaced\tconnect\tfirst byte\tstream")
+	for _, route := range slices.Sorted(maps.Keys(by)) {
+		fmt.Fprintf(w, "%s\t%d", route, len(by[route]))
+		for _, of := range columns {
+			spans := make([]clock.Millis, len(by[route]))
+			for i, p := range by[route] {
+				spans[i] = of(p)
+			}
+			fmt.Fprintf(w, "\t%s %s", quantile(spans, 0.5), quantile(spans, 0.99))
+		}
+		fmt.Fprintln(w)
+	}
+}
+
+// errors tells by model how far first bytes were off what was expected. Only attempts
+// that did not bring the answer have a line of their own.
+func (l *Log) errors(w io.Writer) {
+	by := make(map[string][]clock.Millis)
+	for _, a := range l.Attempts {
+		if a.Model != "" && a.First > 0 {
+			by[a.Model] = append(by[a.Model], a.First-a.Expected)
+		}
+	}
+	if len(by) == 0 {
+		return
+	}
+	fmt.Fprintln(w, "\nfirst bytes less what was expected\tnumber\tp1\tp10\tp50\tp90\tp99")
+	for _, model := range slices.Sorted(maps.Keys(by)) {
+		fmt.Fprintf(w, "%s\t%d", model, len(by[model]))
+		for _, part := range [...]float64{0.01, 0.1, 0.5, 0.9, 0.99} {
+			fmt.Fprintf(w, "\t%s", quantile(by[model], part))
+		}
+		fmt.Fprintln(w)
+	}
+}
+
 // seconds plots the requests that were not answered in time by the second of their
 // end.
 func (l *Log) seconds(w io.Writer) {
