Entries that stop together log no failure: whoever takes nothing over says so

Cause: the demo, the first thing a newcomer runs, ended in two warnings with stack traces: a stopping entry hands its counts to others, which stop too and answered with an error. Now they decline, and it is told as information. Errors in log lines are one line everywhere.

--- a/cli/local.go
+++ b/cli/local.go
@@ -15,6 +15,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/parsleydeal/parsleydeal/client"
 	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/logbook"
 	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/settings"
 	"github.com/parsleydeal/parsleydeal/standin"
@@ -148,7 +149,7 @@
 	l.operators = append(l.operators, s.Operators)
 	l.processes = append(l.processes, func() {
 		if err := run(ctx, s, l.log, l.listen); err != nil {
-			l.log.Error("Process failed", "vm", s.VM, "error", err)
+			l.log.Error("Process failed", "vm", s.VM, "error", logbook.Text(err))
 		}
 	})
 }
@@ -243,7 +244,7 @@
 func (l *local) reserve() (address string) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		l.log.Error("No address is free", "error", err)
+		l.log.Error("No address is free", "error", logbook.Text(err))
 		return ""
 	}
 	address = lis.Addr().String()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/endpoint"
 	"github.com/parsleydeal/parsleydeal/entry"
+	"github.com/parsleydeal/parsleydeal/logbook"
 	"github.com/parsleydeal/parsleydeal/node"
 	"github.com/parsleydeal/parsleydeal/operations"
 	"github.com/parsleydeal/parsleydeal/peer"
@@ -191,7 +192,7 @@
 	p.log.Info("Operators' interface is open", "vm", p.settings.VM, "address", lis.Addr())
 	go func() {
 		if err := p.port.Serve(ctx, secure(p.certificates.operators, lis)); err != nil {
-			p.log.Error("Operators' interface failed", "vm", p.settings.VM, "error", err)
+			p.log.Error("Operators' interface failed", "vm", p.settings.VM, "error", logbook.Text(err))
 		}
 	}()
 	return nil
@@ -239,8 +240,11 @@
 	}()
 	l.Info("Entry serves callers", "vm", s.VM, "address", callers.Addr())
 	err = e.Serve(serving, secure(p.certificates.callers, callers))
-	if handErr := e.HandBurn(inner); handErr != nil {
-		l.Warn("What was counted for the burn report could not be handed on", "vm", s.VM, "error", handErr)
+	switch handErr := e.HandBurn(inner); {
+	case errorx.IsOfType(handErr, node.ErrNoHeir):
+		l.Info("Nobody takes over what was counted for the burn report", "vm", s.VM, "reason", logbook.Text(handErr))
+	case handErr != nil:
+		l.Warn("What was counted for the burn report could not be handed on", "vm", s.VM, "error", logbook.Text(handErr))
 	}
 	settle(inner, p.node, l)
 	l.Info("Entry stopped", "vm", s.VM)
--- a/daemon/secure.go
+++ b/daemon/secure.go
@@ -7,6 +7,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/parsleydeal/parsleydeal/certificate"
+	"github.com/parsleydeal/parsleydeal/logbook"
 	"github.com/parsleydeal/parsleydeal/peer"
 	"github.com/parsleydeal/parsleydeal/settings"
 )
@@ -69,7 +70,7 @@
 
 func reportCertificate(l *log.Logger, name string, k *certificate.Keeper, err error) {
 	if err != nil {
-		l.Error("New certificate is not taken, the old one goes on", "interface", name, "expires", k.NotAfter(), "error", err)
+		l.Error("New certificate is not taken, the old one goes on", "interface", name, "expires", k.NotAfter(), "error", logbook.Text(err))
 		return
 	}
 	l.Info("New certificate is in use", "interface", name, "expires", k.NotAfter())
--- a/endpoint/order.go
+++ b/endpoint/order.go
@@ -7,6 +7,7 @@
 	"github.com/parsleydeal/parsleydeal/engine"
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/lease"
+	"github.com/parsleydeal/parsleydeal/logbook"
 	"github.com/parsleydeal/parsleydeal/provider"
 )
 
@@ -26,7 +27,7 @@
 	defer cancel()
 	err := e.node.Weights().Fetch(ctx, f.Version)
 	if err != nil {
-		e.node.Log().Warn("Weights could not be fetched.", "version", f.Version, "error", err)
+		e.node.Log().Warn("Weights could not be fetched.", "version", f.Version, "error", logbook.Text(err))
 	}
 	e.node.Loop().Post(e.aborted, event.WeightsDone{Now: e.node.Clock().Now(), Version: f.Version, Err: err})
 }
--- a/endpoint/watch.go
+++ b/endpoint/watch.go
@@ -8,6 +8,7 @@
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/engine"
 	"github.com/parsleydeal/parsleydeal/event"
+	"github.com/parsleydeal/parsleydeal/logbook"
 )
 
 const (
@@ -57,7 +58,7 @@
 	if err != nil {
 		if before && errorx.IsOfType(err, engine.ErrNotStarted) {
 			e.gate.Close()
-			e.node.Log().Warn("Engine takes no connection; the window is closed.", "error", err)
+			e.node.Log().Warn("Engine takes no connection; the window is closed.", "error", logbook.Text(err))
 		}
 		return !errorx.IsOfType(err, engine.ErrNotStarted)
 	}
--- a/entry/cascade.go
+++ b/entry/cascade.go
@@ -7,6 +7,7 @@
 
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/event"
+	"github.com/parsleydeal/parsleydeal/logbook"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/quality"
@@ -85,7 +86,7 @@
 	now := e.node.Clock().Now()
 	if err != nil {
 		e.judge.restUntil.Store(int64(now + judgeRest))
-		e.node.Log().Warn("Rater gave no word on a first answer", "request", req.id, "error", err)
+		e.node.Log().Warn("Rater gave no word on a first answer", "request", req.id, "error", logbook.Text(err))
 		return false
 	}
 	score = min(max(score, 0), 1)
--- a/node/inherit.go
+++ b/node/inherit.go
@@ -16,7 +16,9 @@
 	handTimeout = 2 * clock.Second
 )
 
-var errNoHeir = errorx.NewNamespace("node").NewType("no-heir")
+// ErrNoHeir means that no entry takes over what this one counted: all stop, or there is
+// no other.
+var ErrNoHeir = errorx.NewNamespace("node").NewType("no-heir")
 
 // SetInherit gives the function that takes what a stopping entry hands on.
 func (n *Node) SetInherit(f func(life []byte) error) { n.inherit.Store(&f) }
@@ -25,13 +27,14 @@
 func (n *Node) Inherit(_ context.Context, in *wire.InheritRequest) (out *wire.InheritReply, err error) {
 	f := n.inherit.Load()
 	if f == nil || n.View().Draining() {
-		return nil, errNoHeir.New("this process takes nothing over")
+		return &wire.InheritReply{Declined: true}, nil
 	}
 	return &wire.InheritReply{}, (*f)(in.GetLife())
 }
 
 // Hand gives packed lives to other entries, by rendezvous. Two take each, so
-// that one that vanishes loses nothing; whoever merges counts a life once.
+// that one that vanishes loses nothing; whoever merges counts a life once. ErrNoHeir
+// means that none took any.
 func (n *Node) Hand(ctx context.Context, lives [][]byte) (err error) {
 	m := n.View().Members()
 	var able []provider.VM
@@ -40,19 +43,25 @@
 			able = append(able, v)
 		}
 	}
+	taken := len(lives) == 0
 	for _, v := range spread.First("burn/"+n.cfg.Settings.VM, heirs, able) {
 		for _, life := range lives {
-			if handErr := n.hand(ctx, v, life); handErr != nil {
+			ok, handErr := n.hand(ctx, v, life)
+			if handErr != nil {
 				err = handErr
 			}
+			taken = taken || ok
 		}
 	}
+	if err == nil && !taken {
+		return ErrNoHeir.New("none of %d entries takes over", len(able))
+	}
 	return err
 }
 
-func (n *Node) hand(ctx context.Context, v provider.VM, life []byte) (err error) {
+func (n *Node) hand(ctx context.Context, v provider.VM, life []byte) (taken bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, handTimeout.Duration())
 	defer cancel()
-	_, err = n.cfg.Peers.Peer(ctx, v.Address).Inherit(ctx, &wire.InheritRequest{Life: life})
-	return err
+	r, err := n.cfg.Peers.Peer(ctx, v.Address).Inherit(ctx, &wire.InheritRequest{Life: life})
+	return err == nil && !r.GetDeclined(), err
 }
--- a/relay/share.go
+++ b/relay/share.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/logbook"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/placement"
 	"google.golang.org/protobuf/proto"
@@ -68,7 +69,7 @@
 		busy = len(r.GetWork()) > 0
 		spent.left -= float64((headBytes + proto.Size(r)) * len(to))
 		if err := send(r, to); err != nil {
-			s.cfg.Log.Warn("Work at endpoints was not told", "error", err)
+			s.cfg.Log.Warn("Work at endpoints was not told", "error", logbook.Text(err))
 		}
 	}
 }
--- a/relay/snapshot.go
+++ b/relay/snapshot.go
@@ -5,6 +5,7 @@
 
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/decision"
+	"github.com/parsleydeal/parsleydeal/logbook"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/placement"
 )
@@ -39,7 +40,7 @@
 			return
 		}
 		if err := send(r, to[asked%len(to):asked%len(to)+1]); err != nil {
-			s.cfg.Log.Warn("Neighbour was not asked for a snapshot", "error", err)
+			s.cfg.Log.Warn("Neighbour was not asked for a snapshot", "error", logbook.Text(err))
 		}
 		asked++
 	}
@@ -58,7 +59,7 @@
 			}
 			r := &wire.EntryReport{Process: name, Work: workOf(parts), Partial: true, Speeds: speedsOf(speeds)}
 			if err := send(r, []string{address}); err != nil {
-				s.cfg.Log.Warn("Snapshot was not sent", "error", err)
+				s.cfg.Log.Warn("Snapshot was not sent", "error", logbook.Text(err))
 			}
 			clock.Pause(ctx, answerPause)
 		}
