--- a/relay/run_test.go
+++ b/relay/run_test.go
@@ -17,6 +17,7 @@
 	"github.com/parsleydeal/parsleydeal/catalog"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/fleet"
+	"github.com/parsleydeal/parsleydeal/placement"
 	"github.com/parsleydeal/parsleydeal/platform/standin"
 	"github.com/parsleydeal/parsleydeal/refusal"
 	"github.com/parsleydeal/parsleydeal/site"
@@ -147,3 +148,42 @@
 	x.logEnd(nil, 500, false)
 	is.True(strings.Contains(out.String(), "took=500ms body=120ms placed=130ms connect=240ms"))
 }
+
+// An endpoint lost an answer while the others were busy. The request was sent there again,
+// since nothing seemed to run there, until its caller's time was up, though a late answer
+// was to be had elsewhere.
+func TestSilentEndpointIsNotAskedAgain(t *testing.T) {
+	is := is.New(t)
+	c := clock.Boot()
+	silent, err := standin.StartEndpoint("i-silent", func(*http.Request) standin.Act { return standin.Act{Delay: 20 * time.Second} })
+	is.NoErr(err)
+	defer silent.Close()
+	busy, err := standin.StartEndpoint("i-busy", func(*http.Request) standin.Act { return standin.Act{Events: 2, BreakAfter: -1} })
+	is.NoErr(err)
+	defer busy.Close()
+	route := &catalog.Route{Name: "r", Kind: catalog.Streaming, Resumable: true, Timeout: 5000, Aim: 300, MaxAttempts: 3, Targets: []catalog.Target{{Service: "app", Weight: 1}}}
+	view := viewOf(route, []fleet.Change{
+		{ID: "i-silent", Endpoint: &fleet.Endpoint{ID: "i-silent", Service: "app", Address: silent.Address(), Version: "v1", Slots: 4}},
+		{ID: "i-busy", Endpoint: &fleet.Endpoint{ID: "i-busy", Service: "app", Address: busy.Address(), Version: "v1", Slots: 4}},
+	})
+	server := New(Config{
+		Clock: c, Log: log.New(io.Discard), View: func() *site.View { return view }, Pool: upstream.NewPool(c), RetryRatio: 1, RetrySlack: 100, RetrySpan: 1000,
+		Dialect: Dialect{
+			Call: func(req *Request, o Order, _ []byte) upstream.Call {
+				return upstream.Call{Address: o.Address, Method: "GET", Target: "/x", Host: "h", Header: http.Header{"Request-Id": {req.ID}}}
+			},
+			Head: func(status int, h http.Header) Head {
+				return Head{Status: status, Signed: true, Confidence: -1, Header: h}
+			},
+		},
+	})
+	server.board.Waiting("i-busy", 20, c.Now()+1000) // its word stays fresh for a while
+	x := &exchange{
+		server: server, view: view, w: httptest.NewRecorder(), r: httptest.NewRequest(http.MethodGet, "/x", nil), startedAt: c.Now(), deadline: c.Now() + 5000,
+		req: &Request{ID: "r-1", Method: http.MethodGet, Model: "m", Parts: []placement.Part{{ID: "own", Tokens: 900}}}, route: route, service: "app",
+	}
+	is.NoErr(x.run(context.Background()))
+	is.Equal(x.endpoint, "i-busy")
+	is.Equal(x.sends, 2)
+	is.True(silent.Seen() == 1)
+}
