--- a/relay/run_test.go
+++ b/relay/run_test.go
@@ -186,4 +186,5 @@
 	is.Equal(x.endpoint, "i-busy")
 	is.Equal(x.sends, 2)
 	is.True(silent.Seen() == 1)
+	is.True(c.Since(x.startedAt) < clock.Second) // it does not wait for the others to be idle
 }
