--- a/placement/placement.go
+++ b/placement/placement.go
@@ -130,10 +130,9 @@
 	// homeCost spreads prompts over endpoints by their hashes, so that entries
 	// that know nothing of one another send a prompt's parts to the same place.
 	homeCost = 60.0
-	// homeLeast is how long the shared parts of a prompt must take to read for it to have
-	// a home in another zone. Bytes between zones are paid for; shorter reading holds
-	// nobody up.
-	homeLeast = 100.0
+	// homeLeast is how many tokens prompts must share to have a home in another zone:
+	// spared once, they outweigh the bytes of the prompt on the way there.
+	homeLeast = 2000
 	// readCost is what a token spares that need not be read, beyond the time that reading
 	// takes: it holds up all streams that run there, and reading a shared part again is
 	// charged for. It falls to nothing as the endpoint's load nears easyLoad, from where
@@ -274,7 +273,7 @@
 // Where all entries tell one another what they sent, each knows where parts are.
 func (b *Board) hasHome(q Query) bool {
 	wanted := b.homes == decision.Everywhere || b.homes == decision.AtStart && q.Now-b.firstAt < newFor
-	return wanted && !q.AllTold && len(q.Parts) > 1 && b.speed.millis(q.Model, q.shared()) >= homeLeast
+	return wanted && !q.AllTold && len(q.Parts) > 1 && q.shared() >= homeLeast
 }
 
 // shared counts the tokens of a prompt that other requests share.
