--- a/cascade/cascade.go
+++ b/cascade/cascade.go
@@ -38,8 +38,8 @@
 	calmPart = 0.1
 	// aimedWait is the part of the time left that the largest model is to be waited for at
 	// the most, and pressureStep how fast the charge for its time follows what exceeds it.
-	aimedWait    = 0.1
-	pressureStep = 0.2
+	aimedWait    = 0.12
+	pressureStep = 0.1
 )
 
 // Answer is the smallest model's answer.
--- a/decision/decision.go
+++ b/decision/decision.go
@@ -113,8 +113,6 @@
 const (
 	// ByZone prefers endpoints by a hash of the parts among those near by.
 	ByZone Way = "by-zone"
-	// AtStart does as Everywhere while the entry has just started, and as ByZone later.
-	AtStart Way = "at-start"
 	// Everywhere takes the first endpoint of all zones by that hash to keep them.
 	Everywhere Way = "everywhere"
 	// Nowhere prefers none.
@@ -134,7 +132,7 @@
 	{Drop, "half of the prompts are too hard for the smallest model while endpoints are busy", []Way{ByPressure, ByTime, ByPrice, ByOpinion}},
 	{Patience, "an endpoint loses an answer, or stops, while others have room", []Way{ByMean, ByError, Endless}},
 	{Start, "entries are stopped and started in turn, and callers go on", []Way{Snapshot, Blank}},
-	{Homes, "entries that hear nothing of one another send prompts that share parts", []Way{AtStart, ByZone, Everywhere, Nowhere}},
+	{Homes, "entries that hear nothing of one another send prompts that share parts", []Way{ByZone, Everywhere, Nowhere}},
 	{Connection, "endpoints have as many connections as they take and reset new ones", []Way{Watched, Fresh}},
 	mechanism(ToldWork, "several entries send long prompts at once"),
 	mechanism(ToldParts, "prompts share parts, and callers reach any entry"),
--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -18,9 +18,11 @@
 // replay is a file of testdata: a load that callers once suffered under, and what they
 // may expect of it.
 type replay struct {
-	Story  string `toml:"story"`
-	Site   Site   `toml:"site"`
-	Load   Load   `toml:"load"`
+	Story string `toml:"story"`
+	// Ways are those that the replay is for; the ways in force else.
+	Ways   map[string]string `toml:"ways"`
+	Site   Site              `toml:"site"`
+	Load   Load              `toml:"load"`
 	Bounds struct {
 		// Late is the part of the answers that may be late, Refused the part of the
 		// requests that may be refused, Home the least part of prompts in their entry's
@@ -44,7 +46,9 @@
 		t.Run(filepath.Base(file), func(t *testing.T) {
 			is := is.New(t)
 			x := read(t, file)
-			r, err := Play(x.Site, x.Load, decision.Ways{})
+			ways, err := decision.Choose(x.Ways)
+			is.NoErr(err)
+			r, err := Play(x.Site, x.Load, ways)
 			is.NoErr(err)
 			t.Logf("%+v", r)
 			is.True(float64(r.Late) <= x.Bounds.Late*float64(r.InTime+r.Late))
--- a/emulator/play.go
+++ b/emulator/play.go
@@ -36,8 +36,7 @@
 	Poor int
 	// Twice counts requests that were asked of the larger model as well.
 	Twice int
-	// Home counts prompts sent to an endpoint of their entry's zone or to one that keeps
-	// their shared part, and those whose part nobody keeps yet; Sent counts all.
+	// Home counts prompts sent to an endpoint of their entry's zone, Sent all.
 	Home int
 	Sent int
 	// Read is the number of tokens read, Again those of shared parts that some endpoint
@@ -215,7 +214,7 @@
 	e := p.endpoints[at.ID]
 	m := p.site.Models[r.model]
 	first, end, read := e.begin(now, m, r.parts, r.kind.Events)
-	if at.Zone == r.entry.zone || read < r.parts[0].Tokens || !p.read[partOf(m, r.parts[0])] {
+	if at.Zone == r.entry.zone {
 		p.result.Home++
 	}
 	p.count(m, r.parts[0], read)
@@ -239,16 +238,13 @@
 // count counts what was read.
 func (p *play) count(m Model, shared placement.Part, read int) {
 	p.result.Read += read
-	key := partOf(m, shared)
+	key := m.Name + "/" + shared.ID
 	if p.read[key] && read >= shared.Tokens {
 		p.result.Again += shared.Tokens
 	}
 	p.read[key] = true
 }
 
-// partOf names a shared part as a model keeps it.
-func partOf(m Model, shared placement.Part) string { return m.Name + "/" + shared.ID }
-
 // climbs decides whether the smallest model's answer is dropped for the largest one's.
 func (p *play) climbs(r *request, now clock.Millis) bool {
 	last := len(p.site.Models) - 1
--- a/placement/board.go
+++ b/placement/board.go
@@ -38,8 +38,6 @@
 	ways  decision.Ways
 	// homes is the way of decision.Homes, which is asked for at each endpoint.
 	homes decision.Way
-	// firstAt is when an endpoint was first asked for.
-	firstAt clock.Millis
 	// news has something in it from a prompt that others should hear of at once.
 	news chan struct{}
 	// usualOthers is how many prompts of others usually wait at an endpoint.
@@ -80,15 +78,12 @@
 	untoldWord bool
 }
 
-// never is an instant before all others.
-const never = clock.Millis(math.MinInt64)
-
 // NewBoard makes a board that knows nothing.
 func NewBoard() *Board { return NewBoardWith(decision.Ways{}) }
 
 // NewBoardWith makes a board that decides in the ways given.
 func NewBoardWith(ways decision.Ways) *Board {
-	return &Board{ways: ways, homes: ways.Of(decision.Homes), firstAt: never, news: make(chan struct{}, 1), inflight: choice.NewInflight(), marks: make(map[string]*mark), byHash: make(map[uint32]*mark), kept: newKept(), peers: make(map[string]peerWork), speed: newSpeeds()}
+	return &Board{ways: ways, homes: ways.Of(decision.Homes), news: make(chan struct{}, 1), inflight: choice.NewInflight(), marks: make(map[string]*mark), byHash: make(map[uint32]*mark), kept: newKept(), peers: make(map[string]peerWork), speed: newSpeeds()}
 }
 
 func (b *Board) mark(id string) *mark {
--- a/placement/kept_test.go
+++ b/placement/kept_test.go
@@ -32,6 +32,8 @@
 	return fleetOf(6, func(i int, e *fleet.Endpoint) { e.Zone = [...]string{"a", "b", "c"}[i%3] })
 }
 
+func everywhere() *Board { return NewBoardWith(waysOf("homes", "everywhere")) }
+
 // Entries of several zones that know nothing of one another read a long shared part at
 // endpoint after endpoint.
 func TestEntriesOfAllZonesSendASubjectToOneEndpoint(t *testing.T) {
@@ -41,7 +43,7 @@
 		homes := make(map[string]bool)
 		for _, zone := range []string{"a", "b", "c"} {
 			q := Query{Service: "s", Version: "v1", Zone: zone, Model: "m", Parts: []Part{{subject, 6000}, {"own-" + zone, 500}}}
-			e, _ := NewBoard().Pick(s, q)
+			e, _ := everywhere().Pick(s, q)
 			homes[e.ID] = true
 		}
 		is.Equal(len(homes), 1)
@@ -54,19 +56,19 @@
 	is := is.New(t)
 	s := homesFleet()
 	short := Query{Service: "s", Version: "v1", Zone: "a", Model: "m", Parts: []Part{{"short", homeLeast - 1}, {"own", 500}}}
-	e, _ := NewBoard().Pick(s, short)
+	e, _ := everywhere().Pick(s, short)
 	is.Equal(e.Zone, "a")
 	hot := Query{Service: "s", Version: "v1", Zone: "a", Model: "m", Parts: []Part{{"hot", 6000}, {"own", 500}}, Bounds: Bounds{Warm: 30, Shares: map[string]Share{
 		"a": {Part: 1, Entries: 10}, "b": {Part: 1, Entries: 10}, "c": {Part: 1, Entries: 10},
 	}}}
-	b := NewBoard()
+	b := everywhere()
 	sends := make(map[string]int)
 	for range 20 {
 		e, _ = b.Pick(s, hot)
 		sends[e.ID]++
 		b.Begin(e, hot).End()
 	}
-	home, _ := NewBoard().Pick(s, hot)
+	home, _ := everywhere().Pick(s, hot)
 	is.True(home.Zone == "a" || sends[home.ID] <= 3)
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -139,9 +139,6 @@
 	// its streams gain more by going elsewhere.
 	readCost = 0.05
 	easyLoad = 0.25
-	// newFor is how long after its first prompt an entry knows too little of what endpoints
-	// keep: by then most parts in use were sent once, by it or by a neighbour.
-	newFor = 10 * clock.Second
 	// failCost is what an endpoint costs that fails every time.
 	failCost = 2500.0
 	// fullAt is the load from which an endpoint gets no more: a queue half as long
@@ -196,9 +193,6 @@
 	if len(all) == 0 {
 		return nil, None
 	}
-	if b.firstAt == never {
-		b.firstAt = q.Now
-	}
 	return b.cheapest(s, all, q.hashed())
 }
 
@@ -272,8 +266,7 @@
 // hasHome reports whether a prompt shares so much that it is worth the way to another zone.
 // Where all entries tell one another what they sent, each knows where parts are.
 func (b *Board) hasHome(q Query) bool {
-	wanted := b.homes == decision.Everywhere || b.homes == decision.AtStart && q.Now-b.firstAt < newFor
-	return wanted && !q.AllTold && len(q.Parts) > 1 && q.shared() >= homeLeast
+	return b.homes == decision.Everywhere && !q.AllTold && len(q.Parts) > 1 && q.shared() >= homeLeast
 }
 
 // shared counts the tokens of a prompt that other requests share.
--- a/placement/told_test.go
+++ b/placement/told_test.go
@@ -49,7 +49,7 @@
 	s := fleetOf(endpoints, nil)
 	var boards []*Board
 	for range entries {
-		boards = append(boards, NewBoardWith(waysOf("homes", "by-zone")))
+		boards = append(boards, NewBoard())
 	}
 	free, kept := make(map[string]clock.Millis), make(map[string]bool)
 	var ends []readEnd
