Names of the field: affinity, blind cost, urgent reports, hash score, reading saved

Settings keys of ways renamed: homes, near, news, stay are affinity, blind-cost, urgent-reports, stay-if-busy. The cost of a prompt stands in a function of its own.

--- a/cascade/cascade.go
+++ b/cascade/cascade.go
@@ -104,16 +104,16 @@
 // gain is how much more use the caller has of the largest model's answer, as a part of
 // that of a good answer in time.
 func gain(a Answer, first clock.Millis) float64 {
-	return use(first, a.Left) - good(a.Confidence)*use(0, a.Left)
+	return usefulness(first, a.Left) - chanceGood(a.Confidence)*usefulness(0, a.Left)
 }
 
-// good is the probability that an answer is good by its model's opinion of it.
-func good(confidence int) float64 {
+// chanceGood is the probability that an answer is good by its model's opinion of it.
+func chanceGood(confidence int) float64 {
 	return 0.5 * (1 + math.Erf(float64(confidence-50)/spread/math.Sqrt2))
 }
 
-// use is what is left of an answer's use when its first byte takes some time.
-func use(first, left clock.Millis) float64 {
+// usefulness is what is left of an answer's use when its first byte takes some time.
+func usefulness(first, left clock.Millis) float64 {
 	if first > left {
 		return lateUse
 	}
--- a/decision/decision.go
+++ b/decision/decision.go
@@ -53,12 +53,12 @@
 	LostEndpoints Name = "lost-endpoints"
 	// Failures keeps from endpoints that failed lately.
 	Failures Name = "failures"
-	// Near keeps prompts where the entries that send there tell of their work.
-	Near Name = "near"
-	// News tells a long prompt at once, and not only now and then.
-	News Name = "news"
-	// Stay leaves a slow endpoint only for one with room.
-	Stay Name = "stay"
+	// BlindCost keeps prompts where the entries that send there report their work.
+	BlindCost Name = "blind-cost"
+	// UrgentReports reports a long prompt at once, and not only now and then.
+	UrgentReports Name = "urgent-reports"
+	// StayIfBusy leaves a slow endpoint only for one with room.
+	StayIfBusy Name = "stay-if-busy"
 )
 
 // Decisions with several ways.
@@ -67,9 +67,9 @@
 	Drop Name = "drop"
 	// Patience decides how long an endpoint that sends nothing is waited for.
 	Patience Name = "patience"
-	// Homes decides where prompts go that share parts, as far as nobody knows where these
-	// are kept.
-	Homes Name = "homes"
+	// Affinity decides where prompts go that share parts, as far as nobody knows where
+	// these are kept.
+	Affinity Name = "affinity"
 	// Connection decides how a request that may run only once gets its connection.
 	Connection Name = "connection"
 )
@@ -109,14 +109,14 @@
 	Endless Way = "endless"
 )
 
-// Ways of Homes.
+// Ways of Affinity.
 const (
 	// ByZone prefers endpoints by a hash of the parts among those near by.
 	ByZone Way = "by-zone"
 	// Everywhere takes the first endpoint of all zones by that hash to keep them.
 	Everywhere Way = "everywhere"
-	// Nowhere prefers none.
-	Nowhere Way = "nowhere"
+	// NoAffinity prefers none.
+	NoAffinity Way = "none"
 )
 
 // Ways of Connection.
@@ -132,7 +132,7 @@
 	{Drop, "half of the prompts are too hard for the smallest model while endpoints are busy", []Way{ByPressure, ByTime, ByPrice, ByOpinion}},
 	{Patience, "an endpoint loses an answer, or stops, while others have room", []Way{ByMean, ByError, Endless}},
 	{Start, "entries are stopped and started in turn, and callers go on", []Way{Snapshot, Blank}},
-	{Homes, "entries that hear nothing of one another send prompts that share parts", []Way{ByZone, Everywhere, Nowhere}},
+	{Affinity, "entries that hear nothing of one another send prompts that share parts", []Way{ByZone, Everywhere, NoAffinity}},
 	{Connection, "endpoints have as many connections as they take and reset new ones", []Way{Watched, Fresh}},
 	mechanism(ToldWork, "several entries send long prompts at once"),
 	mechanism(ToldParts, "prompts share parts, and callers reach any entry"),
@@ -141,9 +141,9 @@
 	mechanism(LatePrompts, "more prompts come than can be read in time"),
 	mechanism(LostEndpoints, "an endpoint is gone before the store says so"),
 	mechanism(Failures, "an endpoint fails a part of its requests"),
-	mechanism(Near, "entries of other zones fill endpoints that this one hears nothing of"),
-	mechanism(News, "a long prompt is followed by others within half a second"),
-	mechanism(Stay, "all other endpoints are busy when one turns slow"),
+	mechanism(BlindCost, "entries of other zones fill endpoints that this one hears nothing of"),
+	mechanism(UrgentReports, "a long prompt is followed by others within half a second"),
+	mechanism(StayIfBusy, "all other endpoints are busy when one turns slow"),
 }
 
 func mechanism(n Name, load string) Decision { return Decision{n, load, []Way{On, Off}} }
--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -25,11 +25,11 @@
 	Load   Load              `toml:"load"`
 	Bounds struct {
 		// Late is the part of the answers that may be late, Refused the part of the
-		// requests that may be refused, Home the least part of prompts in their entry's
+		// requests that may be refused, InZone the least part of prompts in their entry's
 		// zone.
 		Late    float64 `toml:"late"`
 		Refused float64 `toml:"refused"`
-		Home    float64 `toml:"home"`
+		InZone  float64 `toml:"in-zone"`
 		// Poor is the part of the answers that may be poor; none is checked at 0.
 		Poor float64 `toml:"poor"`
 		// Again is the part of the tokens read that some endpoint had read before; none is
@@ -53,7 +53,7 @@
 			t.Logf("%+v", r)
 			is.True(float64(r.Late) <= x.Bounds.Late*float64(r.InTime+r.Late))
 			is.True(float64(r.Refused) <= x.Bounds.Refused*float64(r.Asked))
-			is.True(float64(r.Home) >= x.Bounds.Home*float64(r.Sent))
+			is.True(float64(r.InZone) >= x.Bounds.InZone*float64(r.Sent))
 			is.True(x.Bounds.Again == 0 || float64(r.Again) <= x.Bounds.Again*float64(r.Read))
 			is.True(x.Bounds.Poor == 0 || float64(r.Poor) <= x.Bounds.Poor*float64(r.InTime+r.Late))
 			is.Equal(r.InTime+r.Late+r.Refused, r.Asked) // nobody is left without a word
--- a/emulator/play.go
+++ b/emulator/play.go
@@ -13,11 +13,11 @@
 )
 
 const (
-	// newsApart is the least span between two reports of an entry, wholeApart that
+	// reportApart is the least span between two reports of an entry, wholeApart that
 	// between two whole ones: about what the bound on their bytes leaves at a dozen
 	// neighbours.
-	newsApart  = 80 * clock.Millis(1)
-	wholeApart = 500 * clock.Millis(1)
+	reportApart = 80 * clock.Millis(1)
+	wholeApart  = 500 * clock.Millis(1)
 	// sureness is how far a model's opinion of a good answer lies from that of a poor
 	// one, in points of confidence to either side of 50, and noise its spread.
 	sureness = 13.0
@@ -36,9 +36,9 @@
 	Poor int
 	// Twice counts requests that were asked of the larger model as well.
 	Twice int
-	// Home counts prompts sent to an endpoint of their entry's zone, Sent all.
-	Home int
-	Sent int
+	// InZone counts prompts sent to an endpoint of their entry's zone, Sent all.
+	InZone int
+	Sent   int
 	// Read is the number of tokens read, Again those of shared parts that some endpoint
 	// had read before.
 	Read  int
@@ -116,12 +116,12 @@
 func (p *play) tell(now clock.Millis) {
 	for _, e := range p.entries {
 		select {
-		case <-e.board.News():
+		case <-e.board.Urgent():
 			e.urgent = true
 		default:
 		}
 		whole := now-e.wholeAt >= wholeApart
-		if now-e.toldAt < newsApart || !e.urgent && !whole {
+		if now-e.toldAt < reportApart || !e.urgent && !whole {
 			continue
 		}
 		e.toldAt, e.urgent = now, false
@@ -215,7 +215,7 @@
 	m := p.site.Models[r.model]
 	first, end, read := e.begin(now, m, r.parts, r.kind.Events)
 	if at.Zone == r.entry.zone {
-		p.result.Home++
+		p.result.InZone++
 	}
 	p.count(m, r.parts[0], read)
 	p.after(first, func(now clock.Millis) {
--- a/placement/board.go
+++ b/placement/board.go
@@ -36,10 +36,10 @@
 	peers map[string]peerWork
 	speed speeds
 	ways  decision.Ways
-	// homes is the way of decision.Homes, which is asked for at each endpoint.
-	homes decision.Way
-	// news has something in it from a prompt that others should hear of at once.
-	news chan struct{}
+	// affinity is the way of decision.Affinity, which is asked for at each endpoint.
+	affinity decision.Way
+	// urgent has something in it from a prompt that others should hear of at once.
+	urgent chan struct{}
 	// usualOthers is how many prompts of others usually wait at an endpoint.
 	usualOthers float64
 }
@@ -83,7 +83,7 @@
 
 // NewBoardWith makes a board that decides in the ways given.
 func NewBoardWith(ways decision.Ways) *Board {
-	return &Board{ways: ways, homes: ways.Of(decision.Homes), news: make(chan struct{}, 1), inflight: choice.NewInflight(), marks: make(map[string]*mark), byHash: make(map[uint32]*mark), kept: newKept(), peers: make(map[string]peerWork), speed: newSpeeds()}
+	return &Board{ways: ways, affinity: ways.Of(decision.Affinity), urgent: make(chan struct{}, 1), inflight: choice.NewInflight(), marks: make(map[string]*mark), byHash: make(map[uint32]*mark), kept: newKept(), peers: make(map[string]peerWork), speed: newSpeeds()}
 }
 
 func (b *Board) mark(id string) *mark {
@@ -130,8 +130,8 @@
 	m.pending += w.millis
 	m.unanswered++
 	m.changed = true
-	if w.millis >= newsLeast && !b.ways.Off(decision.News) {
-		b.tellNews()
+	if w.millis >= urgentLeast && !b.ways.Off(decision.UrgentReports) {
+		b.signalUrgent()
 	}
 	b.kept.own(m.hash, q)
 	return w
@@ -182,7 +182,7 @@
 		return 0
 	}
 	usual := b.usualOthers
-	if q.told(e) {
+	if q.visible(e) {
 		usual = 0
 	}
 	fresh := math.Exp2(-float64(q.Now-m.wordAt) / float64(wordHalf))
@@ -349,7 +349,7 @@
 }
 
 // spared is what is saved beyond time by the tokens of a prompt that need not be read.
-func spared(q Query, unread int) float64 {
+func readingSaved(q Query, unread int) float64 {
 	return readCost * float64(tokensOf(q.Parts)-unread)
 }
 
--- a/placement/census.go
+++ b/placement/census.go
@@ -33,9 +33,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	all := q.candidates(s)
-	home := b.home(all, q)
+	preferred := b.preferred(all, q)
 	for _, at := range all {
-		_, o := b.cost(s, at, q, at == home)
+		_, o := b.cost(s, at, q, at == preferred)
 		c[o]++
 	}
 	return c
--- a/placement/kept_test.go
+++ b/placement/kept_test.go
@@ -27,18 +27,18 @@
 	is.True(e.ID != "e1")
 }
 
-// homesFleet has two endpoints in each of three zones.
-func homesFleet() *fleet.Snapshot {
+// threeZones has two endpoints in each of three zones.
+func threeZones() *fleet.Snapshot {
 	return fleetOf(6, func(i int, e *fleet.Endpoint) { e.Zone = [...]string{"a", "b", "c"}[i%3] })
 }
 
-func everywhere() *Board { return NewBoardWith(waysOf("homes", "everywhere")) }
+func everywhere() *Board { return NewBoardWith(waysOf("affinity", "everywhere")) }
 
 // Entries of several zones that know nothing of one another read a long shared part at
 // endpoint after endpoint.
 func TestEntriesOfAllZonesSendASubjectToOneEndpoint(t *testing.T) {
 	is := is.New(t)
-	s := homesFleet()
+	s := threeZones()
 	for _, subject := range []string{"one", "two", "three", "four", "five"} {
 		homes := make(map[string]bool)
 		for _, zone := range []string{"a", "b", "c"} {
@@ -54,8 +54,8 @@
 // must not bring one endpoint more than it would bear in a cold start nobody announced.
 func TestHomesAreLeftForShortPartsAndBeyondTheShare(t *testing.T) {
 	is := is.New(t)
-	s := homesFleet()
-	short := Query{Service: "s", Version: "v1", Zone: "a", Model: "m", Parts: []Part{{"short", homeLeast - 1}, {"own", 500}}}
+	s := threeZones()
+	short := Query{Service: "s", Version: "v1", Zone: "a", Model: "m", Parts: []Part{{"short", affinityLeast - 1}, {"own", 500}}}
 	e, _ := everywhere().Pick(s, short)
 	is.Equal(e.Zone, "a")
 	hot := Query{Service: "s", Version: "v1", Zone: "a", Model: "m", Parts: []Part{{"hot", 6000}, {"own", 500}}, Bounds: Bounds{Warm: 30, Shares: map[string]Share{
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -127,12 +127,12 @@
 	// moment ago. Entries that choose among endpoints they know little of take those for
 	// idle that others have just filled, and theirs are filled by others in turn.
 	blindCost = 600.0
-	// homeCost spreads prompts over endpoints by their hashes, so that entries
+	// affinityCost spreads prompts over endpoints by their hashes, so that entries
 	// that know nothing of one another send a prompt's parts to the same place.
-	homeCost = 60.0
-	// homeLeast is how many tokens prompts must share to have a home in another zone:
+	affinityCost = 60.0
+	// affinityLeast is how many tokens prompts must share to be sent to another zone for them:
 	// spared once, they outweigh the bytes of the prompt on the way there.
-	homeLeast = 2000
+	affinityLeast = 2000
 	// readCost is what a token spares that need not be read, beyond the time that reading
 	// takes: it holds up all streams that run there, and reading a shared part again is
 	// charged for. It falls to nothing as the endpoint's load nears easyLoad, from where
@@ -216,11 +216,11 @@
 // once, and refusing every request until that lapses would turn the stall into an
 // outage.
 func (b *Board) cheapest(s *fleet.Snapshot, all []*fleet.Endpoint, q Query) (e *fleet.Endpoint, why Reason) {
-	home := b.home(all, q)
+	preferred := b.preferred(all, q)
 	for _, last := range [...]obstacle{unhindered, lost} {
 		best := 0.0
 		for _, at := range all {
-			cost, o := b.cost(s, at, q, at == home)
+			cost, o := b.cost(s, at, q, at == preferred)
 			if o <= last && (e == nil || cost < best) {
 				e, best = at, cost
 			}
@@ -243,11 +243,11 @@
 	}
 }
 
-// home is the endpoint to which all entries send the prompts of a subject while they know
+// preferred is the endpoint to which all entries send the prompts of a subject while they know
 // of none that keeps its parts; nil when this one does, and for prompts with little to
 // keep.
-func (b *Board) home(all []*fleet.Endpoint, q Query) (e *fleet.Endpoint) {
-	if !b.hasHome(q) {
+func (b *Board) preferred(all []*fleet.Endpoint, q Query) (e *fleet.Endpoint) {
+	if !b.hasAffinity(q) {
 		return nil
 	}
 	part := q.hashes[len(q.Parts)-2]
@@ -256,25 +256,25 @@
 		if b.kept.holds(b.mark(at.ID).hash, part, q.Now) {
 			return nil
 		}
-		if f := far(at.ID, subject); e == nil || f < least {
+		if f := hashScore(at.ID, subject); e == nil || f < least {
 			e, least = at, f
 		}
 	}
 	return e
 }
 
-// hasHome reports whether a prompt shares so much that it is worth the way to another zone.
+// hasAffinity reports whether a prompt shares so much that it is worth the way to another zone.
 // Where all entries tell one another what they sent, each knows where parts are.
-func (b *Board) hasHome(q Query) bool {
-	return b.homes == decision.Everywhere && !q.AllTold && len(q.Parts) > 1 && q.shared() >= homeLeast
+func (b *Board) hasAffinity(q Query) bool {
+	return b.affinity == decision.Everywhere && !q.AllTold && len(q.Parts) > 1 && q.shared() >= affinityLeast
 }
 
 // shared counts the tokens of a prompt that other requests share.
 func (q Query) shared() int { return tokensOf(q.Parts[:len(q.Parts)-1]) }
 
-// cost is what the request costs at an endpoint, which may be the home of its parts, and
+// cost is what the request costs at an endpoint, which may be the one preferred for its parts, and
 // what speaks against sending it there at all.
-func (b *Board) cost(s *fleet.Snapshot, e *fleet.Endpoint, q Query, home bool) (cost float64, o obstacle) {
+func (b *Board) cost(s *fleet.Snapshot, e *fleet.Endpoint, q Query, preferred bool) (cost float64, o obstacle) {
 	m := b.mark(e.ID)
 	load := b.inflight.Load(e.ID, e.Slots, q.Now)
 	switch {
@@ -292,39 +292,49 @@
 	if len(q.Parts) == 0 {
 		return cost, o
 	}
+	prompt, inTime := b.promptCost(e, m, q, load, preferred)
+	if !inTime {
+		return 0, late
+	}
+	return cost + prompt, o
+}
+
+// promptCost is what reading a prompt costs at an endpoint, and whether it can be read in
+// time there.
+func (b *Board) promptCost(e *fleet.Endpoint, m *mark, q Query, load float64, preferred bool) (cost float64, inTime bool) {
 	unread, own := b.unread(m, q), q.Parts[len(q.Parts)-1].Tokens
-	keeps := (home || unread <= own) && b.hasHome(q) && inShare(e, m, q)
+	keeps := (preferred || unread <= own) && b.hasAffinity(q) && inShare(e, m, q)
 	if keeps {
 		unread = min(unread, own)
 	}
 	queue := b.waiting(e, m, q)
 	wait := queue + b.speed.millis(q.Model, unread)
-	if !keeps && !q.told(e) && !b.ways.Off(decision.Near) {
+	if !keeps && !q.visible(e) && !b.ways.Off(decision.BlindCost) {
 		cost += blindCost
 	}
 	if q.Patience > 0 && queue+b.speed.least(q.Model, unread) > float64(q.Patience) {
-		return 0, late
+		return 0, false
 	}
-	cost += wait - spared(q, unread)*max(1-load/easyLoad, 0)
-	if b.homes == decision.Nowhere {
-		return cost, o
+	cost += wait - readingSaved(q, unread)*max(1-load/easyLoad, 0)
+	if b.affinity == decision.NoAffinity {
+		return cost, true
 	}
-	return cost + homeCost*far(e.ID, subject(q.Parts)), o
+	return cost + affinityCost*hashScore(e.ID, subject(q.Parts)), true
 }
 
-// told reports whether the entries that mostly send to an endpoint tell this one of
+// visible reports whether the entries that mostly send to an endpoint tell this one of
 // their work there.
-func (q Query) told(e *fleet.Endpoint) bool { return q.AllTold || e.Zone == q.Zone }
+func (q Query) visible(e *fleet.Endpoint) bool { return q.AllTold || e.Zone == q.Zone }
 
-// subject is the part by which a prompt's home is chosen: the last one that
+// subject is the part by which the preferred endpoint is chosen: the last one that
 // other requests share.
 func subject(parts []Part) string {
 	return parts[max(len(parts)-2, 0)].ID
 }
 
-// far is a number in [0, 1) that differs from endpoint to endpoint and is the
-// same at every entry; the lowest one is the subject's home.
-func far(id, subject string) float64 {
+// hashScore is a number in [0, 1) that differs from endpoint to endpoint and is the
+// same at every entry; the endpoint with the lowest one is preferred for the subject.
+func hashScore(id, subject string) float64 {
 	const fraction = 1 << 53
 	return float64(xxhash.Sum64String(id+"/"+subject)>>11) / fraction
 }
--- a/placement/told.go
+++ b/placement/told.go
@@ -37,16 +37,16 @@
 // as the endpoint reads on: the largest model reads a long prompt in a second.
 const toldFor = clock.Second
 
-// newsLeast is the reading work, in milliseconds, that a prompt must have for others to
+// urgentLeast is the reading work, in milliseconds, that a prompt must have for others to
 // be told of it at once: an entry that sends its own behind it notices.
-const newsLeast = 40.0
+const urgentLeast = 40.0
 
-// News returns a channel that has something in it when others should be told at once.
-func (b *Board) News() <-chan struct{} { return b.news }
+// Urgent returns a channel that has something in it when others should be told at once.
+func (b *Board) Urgent() <-chan struct{} { return b.urgent }
 
-func (b *Board) tellNews() {
+func (b *Board) signalUrgent() {
 	select {
-	case b.news <- struct{}{}:
+	case b.urgent <- struct{}{}:
 	default:
 	}
 }
--- a/placement/zones_test.go
+++ b/placement/zones_test.go
@@ -80,7 +80,7 @@
 	for i, b := range p.entries {
 		due := now-p.toldAt[i] >= reportsDue
 		select {
-		case <-b.News():
+		case <-b.Urgent():
 			due = true
 		default:
 		}
@@ -88,7 +88,7 @@
 			continue
 		}
 		if now-p.toldAt[i] < reportsApart {
-			b.tellNews()
+			b.signalUrgent()
 			continue
 		}
 		p.toldAt[i] = now
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -140,15 +140,15 @@
 	if x.server.board.HeardSince(a.endpoint.ID, a.startedAt) {
 		patience = clock.Millis(aliveFactor * float64(patience))
 	}
-	if waited >= patience && !x.server.cfg.Ways.Off(decision.Stay) && !a.roomElsewhere() {
-		return min(stayFor, left)
+	if waited >= patience && !x.server.cfg.Ways.Off(decision.StayIfBusy) && !a.roomElsewhere() {
+		return min(recheckAfter, left)
 	}
 	return min(patience-waited, left)
 }
 
-// stayFor is how long a request that has nowhere else to go waits on before it looks
+// recheckAfter is how long a request that has nowhere else to go waits on before it looks
 // again.
-const stayFor = 100 * clock.Millis(1)
+const recheckAfter = 100 * clock.Millis(1)
 
 // roomElsewhere reports whether another endpoint would answer in time. A request that
 // leaves a slow endpoint while all others are full is failed at once, though it might
--- a/relay/share.go
+++ b/relay/share.go
@@ -85,7 +85,7 @@
 	rest := time.NewTimer(max(whole-spent.at, 0).Duration())
 	defer rest.Stop()
 	select {
-	case <-s.board.News():
+	case <-s.board.Urgent():
 	case <-rest.C:
 	case <-ctx.Done():
 		return false
