--- a/relay/run_test.go
+++ b/relay/run_test.go
@@ -34,6 +34,26 @@
 	return s.View()
 }
 
+// serverOn makes a server that speaks plain HTTP to the endpoints of a view.
+func serverOn(c clock.Clock, view *site.View) *Server {
+	return New(Config{
+		Clock: c, Log: log.New(io.Discard), View: func() *site.View { return view }, Pool: upstream.NewPool(c), RetryRatio: 1, RetrySlack: 100, RetrySpan: 1000,
+		Dialect: Dialect{
+			Call: func(req *Request, o Order, _ []byte) upstream.Call {
+				return upstream.Call{Address: o.Address, Method: "GET", Target: "/x", Host: "h", Header: http.Header{"Request-Id": {req.ID}}}
+			},
+			Head: func(status int, h http.Header) Head {
+				return Head{Status: status, Signed: true, Confidence: -1, Header: h}
+			},
+		},
+	})
+}
+
+// slotsOf makes an endpoint of the service app with four slots.
+func slotsOf(id, address string) fleet.Change {
+	return fleet.Change{ID: id, Endpoint: &fleet.Endpoint{ID: id, Service: "app", Address: address, Version: "v1", Slots: 4}}
+}
+
 // A request's time is up by the process's clock a moment before its timer fires,
 // while its endpoint has just failed it. No further attempt is made:
 // each would open a connection, or begin the request, in vain.
@@ -61,17 +81,10 @@
 		})
 		is.NoErr(err)
 		defer e.Close()
-		changes = append(changes, fleet.Change{ID: name, Endpoint: &fleet.Endpoint{ID: name, Service: "app", Address: e.Address(), Version: "v1", Slots: 4}})
+		changes = append(changes, slotsOf(name, e.Address()))
 	}
 	view := viewOf(route, changes)
-	server := New(Config{
-		Clock: c, Log: log.New(&bytes.Buffer{}), View: func() *site.View { return view }, Pool: upstream.NewPool(c), RetryRatio: 1, RetrySlack: 100, RetrySpan: 1000,
-		Dialect: Dialect{
-			Call: func(req *Request, o Order, _ []byte) upstream.Call {
-				return upstream.Call{Address: o.Address, Method: "GET", Target: "/x", Host: "h", Header: http.Header{"Request-Id": {req.ID}}}
-			},
-		},
-	})
+	server := serverOn(c, view)
 	x := &exchange{
 		server: server, view: view, w: httptest.NewRecorder(), r: httptest.NewRequest(http.MethodGet, "/x", nil), startedAt: 1000, deadline: 1500,
 		req: &Request{ID: "r-1", Method: http.MethodGet}, route: route, service: "app",
@@ -105,20 +118,10 @@
 	defer other.Close()
 	route := &catalog.Route{Name: "r", Kind: catalog.Idempotent, Timeout: 3000, Aim: 500, MaxAttempts: 3, Targets: []catalog.Target{{Service: "app", Weight: 1}}}
 	view := viewOf(route, []fleet.Change{
-		{ID: "i-slow", Endpoint: &fleet.Endpoint{ID: "i-slow", Service: "app", Address: slow.Address(), Version: "v1", Slots: 4}},
-		{ID: "i-other", Endpoint: &fleet.Endpoint{ID: "i-other", Service: "app", Address: other.Address(), Version: "v1", Slots: 4}},
-	})
-	server := New(Config{
-		Clock: c, Log: log.New(io.Discard), View: func() *site.View { return view }, Pool: upstream.NewPool(c), RetryRatio: 1, RetrySlack: 100, RetrySpan: 1000,
-		Dialect: Dialect{
-			Call: func(req *Request, o Order, _ []byte) upstream.Call {
-				return upstream.Call{Address: o.Address, Method: "GET", Target: "/x", Host: "h", Header: http.Header{"Request-Id": {req.ID}}}
-			},
-			Head: func(status int, h http.Header) Head {
-				return Head{Status: status, Signed: true, Confidence: -1, Header: h}
-			},
-		},
+		slotsOf("i-slow", slow.Address()),
+		slotsOf("i-other", other.Address()),
 	})
+	server := serverOn(c, view)
 	server.board.Load("i-other", 100, 4, c.Now())
 	w := httptest.NewRecorder()
 	x := &exchange{
@@ -163,20 +166,10 @@
 	defer busy.Close()
 	route := &catalog.Route{Name: "r", Kind: catalog.Streaming, Resumable: true, Timeout: 5000, Aim: 300, MaxAttempts: 3, Targets: []catalog.Target{{Service: "app", Weight: 1}}}
 	view := viewOf(route, []fleet.Change{
-		{ID: "i-silent", Endpoint: &fleet.Endpoint{ID: "i-silent", Service: "app", Address: silent.Address(), Version: "v1", Slots: 4}},
-		{ID: "i-busy", Endpoint: &fleet.Endpoint{ID: "i-busy", Service: "app", Address: busy.Address(), Version: "v1", Slots: 4}},
-	})
-	server := New(Config{
-		Clock: c, Log: log.New(io.Discard), View: func() *site.View { return view }, Pool: upstream.NewPool(c), RetryRatio: 1, RetrySlack: 100, RetrySpan: 1000,
-		Dialect: Dialect{
-			Call: func(req *Request, o Order, _ []byte) upstream.Call {
-				return upstream.Call{Address: o.Address, Method: "GET", Target: "/x", Host: "h", Header: http.Header{"Request-Id": {req.ID}}}
-			},
-			Head: func(status int, h http.Header) Head {
-				return Head{Status: status, Signed: true, Confidence: -1, Header: h}
-			},
-		},
+		slotsOf("i-silent", silent.Address()),
+		slotsOf("i-busy", busy.Address()),
 	})
+	server := serverOn(c, view)
 	server.board.Waiting("i-busy", 20, c.Now()+1000) // its word stays fresh for a while
 	x := &exchange{
 		server: server, view: view, w: httptest.NewRecorder(), r: httptest.NewRequest(http.MethodGet, "/x", nil), startedAt: c.Now(), deadline: c.Now() + 5000,
