--- a/relay/share_test.go
+++ b/relay/share_test.go
@@ -42,19 +42,18 @@
 }
 
 // An entry starts while its neighbours work. It asks one of them for what endpoints keep, once
-// it knows one, and takes nothing over that it did not ask for.
+// it knows one, and takes nothing over that it did not ask for; strangers get no answer.
 func TestStartedEntryAsksForASnapshot(t *testing.T) {
 	is := is.New(t)
 	c := clock.Boot()
-	view := site.NewState(site.Self{Name: "e"}, 0)
-	site.Reduce(view, site.EntriesRead{Now: 1, Addresses: map[string]string{"e": "e:1", "old": "old:1"}})
-	newServer := func() *Server {
+	// serverOf makes the server of an entry that knows another one near by.
+	serverOf := func(name, other string) *Server {
+		view := site.NewState(site.Self{Name: name, Zone: "a"}, 0)
+		site.Reduce(view, site.EntriesRead{Now: 1, Addresses: map[string]string{name: name + ":1", other: other + ":1"}})
 		return New(Config{Clock: c, Log: log.New(io.Discard), View: view.View, Pool: upstream.NewPool(c)})
 	}
-	old, started := newServer(), newServer()
-	f := fleet.New()
+	old, started := serverOf("old", "e"), serverOf("e", "old")
 	at := &fleet.Endpoint{ID: "i-1", Service: "app", Version: "v1", Slots: 4}
-	f.Apply([]fleet.Change{{ID: "i-1", Endpoint: at}}, false)
 	q := placement.Query{Service: "app", Model: "m", Now: c.Now(), Parts: []placement.Part{{ID: "case", Tokens: 900}, {ID: "own", Tokens: 100}}}
 	old.board.Begin(at, q).Read(c.Now() + 20)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -64,6 +63,7 @@
 		started.HearWork(r)
 		return nil
 	})
+	old.HearWork(&wire.EntryReport{Process: "x", Address: "stranger:1", AskParts: true})
 	started.HearWork(&wire.EntryReport{Process: "x", Partial: true, Speeds: []*wire.ModelSpeed{{Model: "m", TokenMillis: 9, Measured: 9}}})
 	started.AskSnapshot(ctx, "e", "e:1", func(r *wire.EntryReport, to []string) error {
 		is.Equal(to, []string{"old:1"})
@@ -79,7 +79,7 @@
 // to one model's endpoints, or none.
 func TestSpeedsThatCannotBeAreDropped(t *testing.T) {
 	is := is.New(t)
-	for _, s := range []*wire.ModelSpeed{{Model: "m", Measured: 1}, {Model: "m", TokenMillis: -1, Measured: 1}, {Model: "m", TokenMillis: math.NaN(), Measured: 1}, {Model: "m", TokenMillis: 1}, {Model: "m", TokenMillis: 99, Measured: 1}} {
+	for _, s := range []*wire.ModelSpeed{{Model: "m", Measured: 1}, {Model: "m", TokenMillis: -1, Measured: 1}, {Model: "m", TokenMillis: math.NaN(), Measured: 1}, {Model: "m", TokenMillis: 1}, {Model: "m", TokenMillis: 99, Measured: 1}, {Model: "m", TokenMillis: 1, Measured: 1, BeyondMillis: math.NaN()}, {Model: "m", TokenMillis: 1, Measured: 1, BeyondMillis: -1e9}} {
 		is.Equal(len(measuredOf([]*wire.ModelSpeed{s})), 0)
 	}
 }
--- a/relay/snapshot.go
+++ b/relay/snapshot.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"slices"
 
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/decision"
@@ -53,6 +55,10 @@
 		case <-ctx.Done():
 			return
 		case address := <-s.asking:
+			// Whoever reaches the port could else have snapshots sent to others.
+			if !slices.Contains(s.cfg.View().Neighbours(), address) {
+				continue
+			}
 			parts, speeds := s.board.Snapshot(s.cfg.Clock.Now())
 			if len(speeds) == 0 {
 				continue
@@ -97,12 +103,17 @@
 // endpoints, or none.
 func measuredOf(speeds []*wire.ModelSpeed) (out []placement.ModelSpeed) {
 	for _, s := range speeds {
-		if s.GetTokenMillis() > 0 && s.GetTokenMillis() < slowestToken && s.GetMeasured() > 0 {
+		beyond := math.Abs(s.GetBeyondMillis()) < mostBeyond
+		if beyond && s.GetTokenMillis() > 0 && s.GetTokenMillis() < slowestToken && s.GetMeasured() > 0 {
 			out = append(out, placement.ModelSpeed{Model: s.GetModel(), Token: s.GetTokenMillis(), Measured: int(s.GetMeasured()), Beyond: s.GetBeyondMillis()})
 		}
 	}
 	return out
 }
 
-// slowestToken is the time in milliseconds in which any model reads a token.
-const slowestToken = 10.0
+const (
+	// slowestToken is the time in milliseconds in which any model reads a token.
+	slowestToken = 10.0
+	// mostBeyond is the most by which first bytes miss what is expected, in milliseconds.
+	mostBeyond = 10000.0
+)
