Test of a full endpoint's reset: it comes after the connection stands

The guard was taken out to see the test fail: it passed, since on loopback the reset came before the connection was made. Now the endpoint resets 10 ms later; without the guard it fails. Also: a method and a field of the start's reports renamed.

--- a/site/state.go
+++ b/site/state.go
@@ -71,9 +71,9 @@
 	// entries, and the judges of upgrades were told.
 	lastTold    clock.Millis
 	lastToldAll clock.Millis
-	// startsTold counts the reports to all since the registered entries were read.
-	startsTold  int
-	lastCounted clock.Millis
+	// startReportsSent counts the reports to all since the registered entries were read.
+	startReportsSent int
+	lastCounted      clock.Millis
 	// failing is true from a call that the store did not answer to one that it did,
 	// and failedAt is when the first such call failed.
 	failing  bool
@@ -370,7 +370,7 @@
 	old := s.peers[r.GetName()]
 	if old == nil {
 		effects = append(effects, Say{Message: "Entry heard", Fields: []any{"entry", r.GetName(), "zone", r.GetZone()}}, Publish{})
-		effects = append(effects, s.welcome(r)...)
+		effects = append(effects, s.answerStart(r)...)
 		old = &peer{}
 		s.peers[r.GetName()] = old
 	}
--- a/site/tell.go
+++ b/site/tell.go
@@ -28,7 +28,7 @@
 func (s *State) tell() Effect {
 	s.lastTold, s.lastToldAll = s.now, s.now
 	if s.known[EntryStream] {
-		s.startsTold++
+		s.startReportsSent++
 	}
 	return Tell{Report: s.asking()}
 }
@@ -59,16 +59,16 @@
 // that start or leave, and of any while an upgrade moves, in which all must know which
 // sessions stay where; of the others now and then, so that they are known to live.
 func (s *State) tellsAll() bool {
-	if s.rank() < judges || s.leaving || s.moving() || s.startsTold < startReports {
+	if s.rank() < judges || s.leaving || s.moving() || s.startReportsSent < startReports {
 		return true
 	}
 	pace := min(clock.Millis(len(s.addresses))*allPace, allMost)
 	return s.now-s.lastToldAll >= pace
 }
 
-// welcome reports to an entry of the own zone that is heard for the first time. It may have
+// answerStart reports to an entry of the own zone that is heard for the first time. It may have
 // started after this one's last report to all, and both tell each other of their work.
-func (s *State) welcome(r *wire.EntryReport) []Effect {
+func (s *State) answerStart(r *wire.EntryReport) []Effect {
 	if r.GetZone() == "" || r.GetZone() != s.self.Zone || r.GetAddress() == "" {
 		return nil
 	}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -154,11 +154,12 @@
 	is := is.New(t)
 	got := make(chan struct{}, 1)
 	address := script(t, func(c net.Conn, r *bufio.Reader) {
-		_ = c.(*net.TCPConn).SetLinger(0)
-		_ = c.Close()
+		_ = c.SetReadDeadline(time.Now().Add(10 * time.Millisecond))
 		if _, err := r.ReadByte(); err == nil {
 			got <- struct{}{}
 		}
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
 	})
 	call := callTo(address)
 	call.Fresh, call.Settle = true, 50
