Read again: one way to read a quantile, checks that can fail, tests of two bounds

Found in the last read of the change: pace.grade and the quantile beside it ranked sorted spans each for itself; the test of a hot subject could not fail where its preferred endpoint stood in the caller's zone (it does not, which is asserted now); patience by-error and the share of idle connections had no test of their own. No behaviour changes.

--- a/decision/decision.go
+++ b/decision/decision.go
@@ -70,13 +70,12 @@
 	// Affinity decides where prompts go that share parts, as far as nobody knows where
 	// these are kept.
 	Affinity Name = "affinity"
+	// Start decides what an entry that has just started knows of endpoints.
+	Start Name = "start"
 	// Connection decides how a request that may run only once gets its connection.
 	Connection Name = "connection"
 )
 
-// Start decides what an entry that has just started knows of endpoints.
-const Start Name = "start"
-
 // Ways of Start.
 const (
 	// Snapshot asks a neighbour for the prompt parts kept and the speeds of models.
--- a/placement/kept_test.go
+++ b/placement/kept_test.go
@@ -40,19 +40,19 @@
 	is := is.New(t)
 	s := threeZones()
 	for _, subject := range []string{"one", "two", "three", "four", "five"} {
-		homes := make(map[string]bool)
+		preferred := make(map[string]bool)
 		for _, zone := range []string{"a", "b", "c"} {
 			q := Query{Service: "s", Version: "v1", Zone: zone, Model: "m", Parts: []Part{{subject, 6000}, {"own-" + zone, 500}}}
 			e, _ := everywhere().Pick(s, q)
-			homes[e.ID] = true
+			preferred[e.ID] = true
 		}
-		is.Equal(len(homes), 1)
+		is.Equal(len(preferred), 1)
 	}
 }
 
 // A short shared part is not worth the bytes of its prompt between zones, and a hot subject
 // must not bring one endpoint more than it would bear in a cold start nobody announced.
-func TestHomesAreLeftForShortPartsAndBeyondTheShare(t *testing.T) {
+func TestAffinityIsLeftForShortPartsAndBeyondTheShare(t *testing.T) {
 	is := is.New(t)
 	s := threeZones()
 	short := Query{Service: "s", Version: "v1", Zone: "a", Model: "m", Parts: []Part{{"short", affinityLeast - 1}, {"own", 500}}}
@@ -68,8 +68,9 @@
 		sends[e.ID]++
 		b.Begin(e, hot).End()
 	}
-	home, _ := everywhere().Pick(s, hot)
-	is.True(home.Zone == "a" || sends[home.ID] <= 3)
+	preferred, _ := everywhere().Pick(s, hot)
+	is.True(preferred.Zone != "a") // or the bound below would not be met
+	is.True(sends[preferred.ID] <= 3)
 }
 
 // An entry that starts anew knows nothing, and has parts read again that its neighbours
--- a/relay/pace.go
+++ b/relay/pace.go
@@ -58,7 +58,7 @@
 	}
 	sorted := slices.Sorted(slices.Values(s.newest))
 	for i, g := range upgrade.Grades {
-		usual := sorted[int(g.Rank*float64(len(sorted)-1))]
+		usual := ranked(sorted, g.Rank)
 		slow[i] = span > usual*g.Factor*factor
 	}
 	return slow, true
@@ -69,7 +69,11 @@
 	if len(s.newest) == 0 {
 		return 0
 	}
-	sorted := slices.Sorted(slices.Values(s.newest))
+	return ranked(slices.Sorted(slices.Values(s.newest)), rank)
+}
+
+// ranked returns the span below which a part of some sorted ones lie.
+func ranked(sorted []float64, rank float64) float64 {
 	return sorted[int(rank*float64(len(sorted)-1))]
 }
 
--- a/relay/plan_test.go
+++ b/relay/plan_test.go
@@ -54,3 +54,45 @@
 		req: &Request{ID: "r-1", AnyModel: true, Parts: []placement.Part{{ID: "own", Tokens: tokens}}},
 	}}
 }
+
+// An endpoint loses an answer that was expected at once, and its request waits for as long as
+// the route's longest prompts take.
+func TestPatienceFollowsHowFarExpectationsAreOff(t *testing.T) {
+	is := is.New(t)
+	p := newPace()
+	r := &catalog.Route{Name: "r", Aim: 2000}
+	p.add(r.Name, "m", 400)
+	usual := p.patience(r, "m")
+	is.Equal(usual, clock.Millis(1600))
+	is.Equal(p.patienceFor(r, "m", 100), usual) // too little is known
+	for i := range 2 * spansKept {
+		p.miss(r, "m", clock.Millis(i%2*150))
+	}
+	is.Equal(p.patienceFor(r, "m", 100), clock.Millis(400))
+	is.Equal(p.patienceFor(r, "m", 5000), usual)
+	p = newPace()
+	p.add(r.Name, "m", 400)
+	for range spansKept {
+		p.miss(r, "m", -300)
+	}
+	is.Equal(p.patienceFor(r, "m", 0), leastPatience)
+}
+
+// Entries that each keep what one may keep fill the endpoints' bound together.
+func TestIdleConnectionsAreAShareOfTheBound(t *testing.T) {
+	is := is.New(t)
+	s := site.NewState(site.Self{Name: "e"}, 0)
+	services := map[string]catalog.Service{"app": {Name: "app", MaxConnections: 220}, "free": {Name: "free"}}
+	site.Reduce(s, site.OperatorRead{Now: 1, Whole: true, News: site.OperatorNews{Config: (&catalog.Config{Version: 1, Services: services}).Index()}})
+	addresses := make(map[string]string)
+	for i := range 26 {
+		addresses[string(rune('a'+i))] = "x"
+	}
+	site.Reduce(s, site.EntriesRead{Now: 1, Addresses: addresses})
+	v := s.View()
+	server := New(Config{View: s.View})
+	is.Equal(server.mostIdle(v, "app"), 4)
+	is.True(server.mostIdle(v, "app")*v.Entries() <= 110)
+	is.Equal(server.mostIdle(v, "free"), defaultIdle)
+	is.Equal(server.mostIdle(v, "gone"), defaultIdle)
+}
