What endpoints say of their rate is decoded, logged and counted

The change: the header is decoded in platform/ into a typed statement, kept by endpoint and start of it, logged when it changes, and sends to endpoints that name a rate are counted, first attempts apart from further ones. No decision asks it yet.

--- a/placement/board.go
+++ b/placement/board.go
@@ -62,6 +62,8 @@
 	lostUntil clock.Millis
 	// heardAt is when it last sent anything.
 	heardAt clock.Millis
+	// stated is what the endpoint said of itself last.
+	stated stated
 	// pending is the reading work, in milliseconds, of the prompts sent there whose
 	// first byte has not come, and unanswered their number.
 	// changed says that these changed since others were told.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -56,6 +56,7 @@
 	defer work.End()
 	defer s.tally.begin(x.service, a.endpoint.Version)()
 	defer s.sessions.use(x.session, x.service, a.endpoint.Version, s.cfg.Clock.Now)()
+	a.countLimited()
 	x.sends++
 	answer, err := s.cfg.Pool.Do(ctx, a.call())
 	if errorx.IsOfType(err, upstream.ErrNotSent) {
@@ -78,6 +79,18 @@
 	return a.judge(h, answer)
 }
 
+// countLimited counts an attempt at an endpoint that names a rate.
+func (a *attempt) countLimited() {
+	s := a.exchange.server
+	switch {
+	case !s.board.Stated(a.endpoint).HasRate:
+	case a.exchange.sends == 0:
+		s.limitedFirst.Inc()
+	default:
+		s.limitedFurther.Inc()
+	}
+}
+
 // call makes the request for the endpoint.
 func (a *attempt) call() upstream.Call {
 	x := a.exchange
@@ -169,6 +182,12 @@
 	if h.ColdFor > 0 {
 		s.board.Cold(a.endpoint.ID, now+h.ColdFor)
 	}
+	own := !h.Elsewhere && (h.Signed || h.NotRun)
+	if own && s.board.State(a.endpoint, h.Statement, a.startedAt, now) {
+		s.statements.Inc()
+		s.cfg.Log.Info("Endpoint's statement changed", "endpoint", a.endpoint.ID, "address", a.endpoint.Address, "zone", a.endpoint.Zone, "born", a.endpoint.Born,
+			"has-rate", h.Statement.HasRate, "rate", h.Statement.Rate, "request", a.exchange.req.ID, "status", h.Status, "after", now-a.startedAt)
+	}
 }
 
 // judge decides by the head what becomes of an answer.
--- a/relay/server.go
+++ b/relay/server.go
@@ -55,9 +55,14 @@
 	tally    *tally
 	meter    *meter.Meter
 	metrics  *metrics.Set
-	pace     *pace
-	judge    *cascade.Judge
-	leaving  atomic.Bool
+	// statements counts how often what an endpoint says of itself changed.
+	statements *metrics.Counter
+	// limitedFirst and limitedFurther count the attempts at endpoints that name a rate.
+	limitedFirst   *metrics.Counter
+	limitedFurther *metrics.Counter
+	pace           *pace
+	judge          *cascade.Judge
+	leaving        atomic.Bool
 	// asking holds the addresses of entries that wait for a snapshot; wantsSnapshot is
 	// true while this one waits for its own.
 	asking        chan string
@@ -72,7 +77,8 @@
 func New(cfg Config) *Server {
 	set := metrics.NewSet()
 	return &Server{
-		cfg: cfg, meter: meter.New(set), metrics: set, board: placement.NewBoardWith(cfg.Ways), sessions: newSessions(cfg.SessionLife), tally: newTally(),
+		cfg: cfg, meter: meter.New(set), metrics: set, statements: set.NewCounter("parsleydeal_endpoint_statements_total"),
+		limitedFirst: set.NewCounter(`parsleydeal_limited_sends_total{attempt="first"}`), limitedFurther: set.NewCounter(`parsleydeal_limited_sends_total{attempt="further"}`), board: placement.NewBoardWith(cfg.Ways), sessions: newSessions(cfg.SessionLife), tally: newTally(),
 		asking: make(chan string, answersWaiting), pace: newPace(), judge: cascade.NewJudge(cfg.Ways), budgets: make(map[string]*limit.Share),
 	}
 }
