A rate that an endpoint names is kept to by all entries together

What callers and operators saw: endpoints in need that name a rate in their answers (1.6 and 2.4 requests a second) got 24 and 25 requests in 4 s, where 15 and 19 are allowed; the entry of the endpoint's own zone alone sent three times the rate.

Cause: the statement was read by nothing, so that no decision could keep to it. The class: what an endpoint says of itself in answers and nobody keeps. Ruled out: entries that know the rate and overstep it only together (one entry alone did), further attempts that pass by the first pick (all attempts go through one pick, which asked for no rate), planned work and the configuration (nothing changes at 8 s, when the rate is named).

The change: the statement of an endpoint, by its start, rules placement for every attempt. Shares of the rate over 4.2 s are even by the zone rule that cold starts use, and add up to less than the rate and two requests; entries without a share hear its end from those with one, or try in turn. Reports between entries carry the statement: at once when new, then as long as it holds.

--- a/placement/board.go
+++ b/placement/board.go
@@ -51,8 +51,8 @@
 	// failed is the smoothed part of failures as of failedAt.
 	failed   float64
 	failedAt clock.Millis
-	// sends holds when requests were sent, the newest last, no older than the
-	// widest window.
+	// sends holds when requests were sent, the newest last, for as long as any bound
+	// looks back (rateSpan).
 	sends []clock.Millis
 	// coldUntil is what the endpoint itself said in an answer.
 	coldUntil clock.Millis
@@ -307,6 +307,9 @@
 func (b *Board) sent(id string, now clock.Millis) {
 	m := b.mark(id)
 	m.sends = append(m.sends, now)
+	for m.sends[0] < now-rateSpan {
+		m.sends = m.sends[1:]
+	}
 	if m.losses > 0 {
 		m.lostUntil = max(m.lostUntil, now+trialFor)
 	}
@@ -328,26 +331,22 @@
 	if s.Cold(e, q.Now) || m.coldUntil > q.Now {
 		total = q.Bounds.Cold
 	}
-	if total <= 0 {
-		m.sends = m.sends[:0]
-		return true
-	}
-	return m.sentIn(q.Now) < q.Bounds.Shares[e.Zone].In(total, e.ID)
+	return total <= 0 || m.sentSince(q.Now-window) < q.Bounds.Shares[e.Zone].In(total, e.ID)
 }
 
-// sentIn counts what was sent within the span of the bounds.
-func (m *mark) sentIn(now clock.Millis) int {
-	for len(m.sends) > 0 && now-m.sends[0] > window {
-		m.sends = m.sends[1:]
+// sentSince counts what was sent at an instant or later.
+func (m *mark) sentSince(at clock.Millis) (n int) {
+	for n < len(m.sends) && m.sends[len(m.sends)-1-n] >= at {
+		n++
 	}
-	return len(m.sends)
+	return n
 }
 
 // inShare reports whether one more request keeps this entry's even share of what a warm
 // endpoint may get. Where all entries send to the same endpoint, as they do with a hot
 // subject, placement does not keep it as busy as its neighbours.
 func inShare(e *fleet.Endpoint, m *mark, q Query) bool {
-	return q.Bounds.Warm <= 0 || m.sentIn(q.Now) < q.Bounds.Shares[e.Zone].In(q.Bounds.Warm, e.ID)
+	return q.Bounds.Warm <= 0 || m.sentSince(q.Now-window) < q.Bounds.Shares[e.Zone].In(q.Bounds.Warm, e.ID)
 }
 
 // spared is what is saved beyond time by the tokens of a prompt that need not be read.
--- a/placement/census.go
+++ b/placement/census.go
@@ -19,6 +19,8 @@
 	loaded
 	// bounded means that this entry has sent its share of what the endpoint bears.
 	bounded
+	// limited means that this entry has sent its share of the rate that the endpoint names.
+	limited
 	// late means that the prompts before it would take longer than the request has.
 	late
 	obstacles
@@ -43,5 +45,5 @@
 
 // String names the counts for a refusal's message.
 func (c Census) String() string {
-	return fmt.Sprintf("%d loaded, %d at this entry's share, %d too late", c[loaded], c[bounded], c[late])
+	return fmt.Sprintf("%d loaded, %d at this entry's share, %d at the rate they name, %d too late", c[loaded], c[bounded], c[limited], c[late])
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -64,7 +64,8 @@
 	// 0 stands for no bound.
 	Cold float64
 	Warm float64
-	// Shares holds this entry's share of both by the endpoint's zone.
+	// Shares holds this entry's share of these, and of the rates that endpoints name, by
+	// the endpoint's zone.
 	Shares map[string]Share
 }
 
@@ -82,14 +83,28 @@
 // Where there are more entries than the bound allows requests, the rest may send
 // it nothing: if all might, they could do so in the same second.
 func (s Share) In(total float64, id string) int {
-	n, whole := uint64(max(s.Entries, 1)), uint64(total*s.Part)
+	n, whole := s.entries(), uint64(total*s.Part)
 	share := whole / n
-	if turn := (uint64(s.Index) + xxhash.Sum64String(id)) % n; turn < whole%n {
+	if s.turn(id) < whole%n {
 		share++
 	}
 	return int(share)
 }
 
+// without counts the entries that may send an endpoint nothing, where this is one of them,
+// and tells its place among these from 1.
+func (s Share) without(total float64, id string) (place, entries clock.Millis) {
+	whole := uint64(total * s.Part)
+	return clock.Millis(s.turn(id)-whole) + 1, clock.Millis(s.entries() - whole)
+}
+
+// turn is this entry's number at an endpoint, from 0: another one at each.
+func (s Share) turn(id string) uint64 {
+	return (uint64(s.Index) + xxhash.Sum64String(id)) % s.entries()
+}
+
+func (s Share) entries() uint64 { return uint64(max(s.Entries, 1)) }
+
 // Patience is how long the first byte of a request may take that was to come within an
 // aim and has waited for some of it. A prompt that would be late holds up those behind
 // it, which are late then too; turned away at once, its caller may come back in time.
@@ -154,6 +169,7 @@
 	defer b.mu.Unlock()
 	if e, why = b.choose(s, q); e != nil {
 		b.sent(e.ID, q.Now)
+		b.mark(e.ID).tries(e, q)
 	}
 	return e, why
 }
@@ -282,6 +298,8 @@
 		return 0, loaded
 	case !inBounds(s, e, m, q):
 		return 0, bounded
+	case !m.withinRate(e, q):
+		return 0, limited
 	case !b.reached(m, q.Now):
 		o = lost
 	}
--- a/placement/statement.go
+++ b/placement/statement.go
@@ -19,34 +19,66 @@
 	// born is the start of the endpoint that made it: the next process under the same
 	// ID has said nothing yet.
 	born int64
-	// at is when it was heard, rateSince since when the endpoint names a rate.
+	// at is when it was heard, rateSince since when the endpoint names a rate, and
+	// rateEnded when it last ceased to; 0 for never.
 	at        clock.Millis
 	rateSince clock.Millis
+	rateEnded clock.Millis
+	// own says that this entry has it from the endpoint itself, and untold that others
+	// were not told of the change.
+	own    bool
+	untold bool
 }
 
+const (
+	// rateSpan is the span over which the rate that an endpoint names is kept, with what
+	// requests may differ in the time that they take to reach it. Over a second a rate of
+	// one or two could not be shared.
+	rateSpan = 4200 * clock.Millis(1)
+	// rateExtra is how many requests beyond its rate an endpoint may get in that span, so
+	// that an entry of its zone and one elsewhere always have a share and hear when it
+	// ends.
+	rateExtra = 2.0
+	// trialPause is the span between two requests by which the entries without a share, of
+	// those that share one part of a rate, find out that it has ended.
+	trialPause = 10 * clock.Second
+	// stateFor is how long a statement is told on after it was heard.
+	stateFor = 2 * clock.Second
+)
+
 // State takes an endpoint's statement, by the answer to a request that was sent at an
 // instant, and reports whether it differs from the one before.
 func (b *Board) State(e *fleet.Endpoint, s Statement, sentAt, now clock.Millis) (changed bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.mark(e.ID).state(e, s, sentAt, now)
-}
-
-func (m *mark) state(e *fleet.Endpoint, s Statement, sentAt, now clock.Millis) (changed bool) {
+	m := b.mark(e.ID)
 	known := m.statedOf(e)
-	// Answers may overtake one another: one that was asked for before the limit was named
+	// Answers may overtake one another: one that was asked for before the rate was named
 	// does not lift it.
 	if known.HasRate && !s.HasRate && sentAt < known.at {
 		return false
 	}
-	next := stated{Statement: s, born: e.Born, at: now, rateSince: now}
-	if known.HasRate && s.HasRate {
-		next.rateSince = known.rateSince
+	m.stated = known.followedBy(s, now)
+	m.stated.own = true
+	m.stated.untold = known.untold || known.Statement != s
+	if m.stated.untold {
+		b.signalUrgent()
 	}
-	m.stated = next
 	return known.Statement != s
 }
 
+// followedBy returns what is known after a later statement of the same process.
+func (known stated) followedBy(s Statement, now clock.Millis) stated {
+	next := stated{Statement: s, born: known.born, at: now, rateSince: now, rateEnded: known.rateEnded}
+	switch {
+	case known.HasRate && s.HasRate:
+		next.rateSince = known.rateSince
+	case known.HasRate:
+		next.rateEnded = now
+	}
+	return next
+}
+
 // statedOf returns what an endpoint has said since its start.
 func (m *mark) statedOf(e *fleet.Endpoint) stated {
 	if m.stated.born != e.Born {
@@ -73,3 +105,65 @@
 	}
 	return n
 }
+
+// withinRate reports whether one more request keeps this entry's share of the rate that an
+// endpoint names. The shares of all entries add up to that rate, as each of them knows
+// only its own sends.
+func (m *mark) withinRate(e *fleet.Endpoint, q Query) bool {
+	s := m.statedOf(e)
+	if !s.HasRate {
+		return true
+	}
+	share, total := q.Bounds.Shares[e.Zone], rateTotal(s.Rate)
+	if n := share.In(total, e.ID); n > 0 {
+		return m.sentSince(max(q.Now-rateSpan, s.rateSince)) < n
+	}
+	place, others := share.without(total, e.ID)
+	wait := others * trialPause
+	if s.at == s.rateSince {
+		// Most of them hear of a rate at about the same time.
+		wait = place * trialPause
+	}
+	return q.Now-s.at >= wait
+}
+
+// rateTotal is what all entries may send within rateSpan to an endpoint that names a rate.
+func rateTotal(rate float64) float64 {
+	return rate*float64(rateSpan)/float64(clock.Second) + rateExtra
+}
+
+// tries notes a request to an endpoint that names a rate: an entry without a share may send
+// the next one only after its pause.
+func (m *mark) tries(e *fleet.Endpoint, q Query) {
+	s := m.statedOf(e)
+	if s.HasRate && q.Bounds.Shares[e.Zone].In(rateTotal(s.Rate), e.ID) == 0 {
+		m.stated.at = q.Now
+	}
+}
+
+// tellState adds an endpoint's statement to what others are told of it: at once where it is
+// new, and in whole reports while it holds or has just ended, since a report may be lost.
+func (m *mark) tellState(t *Told, now clock.Millis, whole bool) (tells bool) {
+	s := m.stated
+	recent := s.HasRate && now-s.at <= stateFor || s.rateEnded > 0 && now-s.rateEnded <= stateFor
+	if !s.own || !s.untold && !(whole && recent) {
+		return false
+	}
+	t.Statement, t.StatementAge, t.Born = s.Statement, max(now-s.at, 1), s.born
+	m.stated.untold = false
+	return true
+}
+
+// hearState takes another entry's word on an endpoint's statement, if it is newer than what
+// is known.
+func (m *mark) hearState(t Told, now clock.Millis) {
+	at := now - t.StatementAge
+	if t.StatementAge <= 0 || t.Born < m.stated.born || t.Born == m.stated.born && at <= m.stated.at {
+		return
+	}
+	known := m.stated
+	if known.born != t.Born {
+		known = stated{born: t.Born}
+	}
+	m.stated = known.followedBy(t.Statement, at)
+}
--- /dev/null
+++ b/placement/statement_test.go
@@ -0,0 +1,138 @@
+package placement
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/fleet"
+	"pgregory.net/rapid"
+)
+
+// limitedSite has one endpoint and some entries, half of them in its zone, which all know
+// that it names a rate.
+type limitedSite struct {
+	fleet    *fleet.Snapshot
+	endpoint *fleet.Endpoint
+	boards   []*Board
+}
+
+func newLimitedSite(entries int, rate float64) *limitedSite {
+	s := &limitedSite{fleet: fleetOf(1, nil)}
+	s.endpoint = s.fleet.Find("e0")
+	for range entries {
+		b := NewBoard()
+		b.State(s.endpoint, Statement{Rate: rate, HasRate: true}, 0, 1)
+		s.boards = append(s.boards, b)
+	}
+	return s
+}
+
+func (s *limitedSite) pick(i int, now clock.Millis) Reason {
+	half := max(len(s.boards)/2, 1)
+	share := Share{Part: 0.5, Entries: half, Index: i}
+	if i >= half {
+		share = Share{Part: 0.5, Entries: len(s.boards) - half, Index: i - half}
+	}
+	_, why := s.boards[i].Pick(s.fleet, Query{Service: "s", Version: "v1", Zone: "a", Now: now, Bounds: Bounds{Shares: map[string]Share{"a": share}}})
+	return why
+}
+
+// Entries that know a rate each took it for themselves, and the endpoint got many times as
+// much as it can bear.
+func TestEntriesTogetherKeepToARate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.Float64Range(0, 20).Draw(t, "rate")
+		s := newLimitedSite(rapid.IntRange(1, 70).Draw(t, "entries"), rate)
+		var sends []clock.Millis
+		for now := clock.Millis(1); now < 15*clock.Second; now += clock.Millis(rapid.IntRange(1, 40).Draw(t, "step")) {
+			if s.pick(rapid.IntRange(0, len(s.boards)-1).Draw(t, "entry"), now) == Picked {
+				sends = append(sends, now)
+			}
+		}
+		for i := range sends {
+			n := 0
+			for _, at := range sends[i:] {
+				if at-sends[i] < 4*clock.Second {
+					n++
+				}
+			}
+			if float64(n) > 1.5*4*rate+5 {
+				t.Fatalf("%d requests in 4 s at a rate of %g", n, rate)
+			}
+		}
+	})
+}
+
+// An endpoint ceases to name a rate, and all entries send to it again: those that hear it
+// from the endpoint, and those that may not send to it and are told.
+func TestRateThatEndsBindsNobody(t *testing.T) {
+	is := is.New(t)
+	s := newLimitedSite(40, 1)
+	var first, last *Board
+	for i, b := range s.boards {
+		if s.pick(i, 2) == Picked {
+			first = b
+		} else {
+			last = b
+		}
+	}
+	is.True(first != nil && last != nil)
+	is.True(first.State(s.endpoint, Statement{}, 3, 100))
+	is.True(!first.Stated(s.endpoint).HasRate)
+	is.True(last.Stated(s.endpoint).HasRate)
+	last.Hear("first", first.Tell(110, false), false, 120)
+	is.True(!last.Stated(s.endpoint).HasRate)
+	again := NewBoard()
+	again.State(s.endpoint, Statement{Rate: 1, HasRate: true}, 0, 1)
+	again.Hear("first", first.Tell(600, true), true, 610)
+	is.True(!again.Stated(s.endpoint).HasRate) // told again in whole reports
+}
+
+// Nobody tells an entry without a share that a rate has ended. It finds out by itself, and
+// not all such entries at once.
+func TestEntriesWithoutAShareTryInTurn(t *testing.T) {
+	is := is.New(t)
+	s := newLimitedSite(40, 1)
+	for i := range s.boards {
+		s.pick(i, 2) // shares are used up
+	}
+	var tries []int
+	for now := clock.Millis(1000); now < 4*trialPause; now += 10 {
+		for i, b := range s.boards {
+			if len(b.mark("e0").sends) == 0 && s.pick(i, now) == Picked {
+				tries = append(tries, i)
+			}
+		}
+	}
+	is.True(len(tries) >= 4)
+	is.True(len(tries) <= 8)
+}
+
+// An answer to a request that was sent before a rate was named comes after the one that
+// names it.
+func TestLateAnswerDoesNotLiftARate(t *testing.T) {
+	is := is.New(t)
+	e := fleetOf(1, nil).Find("e0")
+	b := NewBoard()
+	is.True(b.State(e, Statement{Rate: 2, HasRate: true}, 100, 150))
+	is.True(!b.State(e, Statement{}, 90, 160))
+	is.True(b.Stated(e).HasRate)
+	is.True(b.State(e, Statement{}, 151, 200))
+	is.True(!b.Stated(e).HasRate)
+}
+
+// An endpoint starts again under its ID. What its last process said does not bind the new
+// one, and a report of it that comes late changes nothing.
+func TestStatementEndsWithItsProcess(t *testing.T) {
+	is := is.New(t)
+	old := fleetOf(1, func(_ int, e *fleet.Endpoint) { e.Born = 5 }).Find("e0")
+	fresh := fleetOf(1, func(_ int, e *fleet.Endpoint) { e.Born = 6 }).Find("e0")
+	b, other := NewBoard(), NewBoard()
+	b.State(old, Statement{Rate: 2, HasRate: true}, 0, 10)
+	told := b.Tell(11, true)
+	is.True(!b.Stated(fresh).HasRate)
+	other.State(fresh, Statement{}, 0, 5)
+	other.Hear("b", told, true, 12)
+	is.True(!other.Stated(fresh).HasRate)
+}
--- a/placement/told.go
+++ b/placement/told.go
@@ -22,6 +22,11 @@
 	// that is; 0 when it said nothing since the last time.
 	Waiting int
 	WordAge clock.Millis
+	// Statement is what the endpoint said of itself, StatementAge how old that is, and
+	// Born the start of the endpoint that it is of; 0 when there is nothing to tell.
+	Statement    Statement
+	StatementAge clock.Millis
+	Born         int64
 }
 
 // peerWork is what another entry told last, by endpoint.
@@ -70,7 +75,7 @@
 			tells = t.Unanswered > 0 || len(t.Parts) > 0 || t.WordAge > 0
 		}
 		m.changed = false
-		if tells {
+		if m.tellState(&t, now, whole) || tells {
 			out = append(out, t)
 		}
 	}
@@ -99,12 +104,15 @@
 	if !b.ways.Off(decision.ToldParts) {
 		b.kept.hear(t.Endpoint, t.Parts, now)
 	}
+	m := b.byHash[t.Endpoint]
+	if m != nil {
+		m.hearState(t, now)
+	}
 	if b.ways.Off(decision.ToldWork) {
 		return
 	}
 	t.Parts = nil
 	p[t.Endpoint] = heardWork{t, now}
-	m := b.byHash[t.Endpoint]
 	if m != nil && t.WordAge > 0 && now-t.WordAge > m.wordAt {
 		b.word(m, t.Waiting, now-t.WordAge, now)
 	}
--- a/relay/run.go
+++ b/relay/run.go
@@ -235,13 +235,11 @@
 // were held up on their way. All entries seldom use their shares in the same second, so
 // that shares which add up to the rate itself would leave half of it unused.
 func (s *Server) bounds(v *site.View, service string) placement.Bounds {
-	c, ok := v.Config().Services[service]
-	if !ok || c.ColdPerSecond <= 0 {
-		return placement.Bounds{}
-	}
-	return placement.Bounds{
-		Cold: c.ColdPerSecond * s.cfg.ColdOverage, Warm: c.ColdPerSecond*s.cfg.ColdOverage + s.cfg.ColdSlack, Shares: v.Shares(),
+	b := placement.Bounds{Shares: v.Shares()}
+	if c, ok := v.Config().Services[service]; ok && c.ColdPerSecond > 0 {
+		b.Cold, b.Warm = c.ColdPerSecond*s.cfg.ColdOverage, c.ColdPerSecond*s.cfg.ColdOverage+s.cfg.ColdSlack
 	}
+	return b
 }
 
 // note takes an attempt's end into what is known of endpoints and versions, and
--- a/relay/share.go
+++ b/relay/share.go
@@ -104,14 +104,32 @@
 
 func toldOf(work []*wire.EndpointWork) (told []placement.Told) {
 	for _, w := range work {
-		told = append(told, placement.Told{Endpoint: w.GetEndpoint(), Pending: float64(w.GetReadingMillis()), Unanswered: int(w.GetUnanswered()), Parts: w.GetParts(), Waiting: int(w.GetWaiting()), WordAge: clock.Millis(w.GetWordAgeMillis())})
+		t := placement.Told{Endpoint: w.GetEndpoint(), Pending: float64(w.GetReadingMillis()), Unanswered: int(w.GetUnanswered()), Parts: w.GetParts(), Waiting: int(w.GetWaiting()), WordAge: clock.Millis(w.GetWordAgeMillis())}
+		if s := w.GetStatement(); possible(s) {
+			t.Statement = placement.Statement{Rate: s.GetRate(), HasRate: s.Rate != nil}
+			t.StatementAge, t.Born = clock.Millis(s.GetAgeMillis()), s.GetBorn()
+		}
+		told = append(told, t)
 	}
 	return told
 }
 
+// possible reports whether an endpoint can have made a statement: a rate that is no number
+// would keep everything from it for good.
+func possible(s *wire.EndpointStatement) bool {
+	return s.GetAgeMillis() > 0 && s.GetRate() >= 0 && !math.IsInf(s.GetRate(), 0)
+}
+
 func workOf(told []placement.Told) (out []*wire.EndpointWork) {
 	for _, t := range told {
-		out = append(out, &wire.EndpointWork{Endpoint: t.Endpoint, ReadingMillis: int32(t.Pending), Unanswered: int32(t.Unanswered), Parts: t.Parts, Waiting: int32(t.Waiting), WordAgeMillis: int32(t.WordAge)})
+		w := &wire.EndpointWork{Endpoint: t.Endpoint, ReadingMillis: int32(t.Pending), Unanswered: int32(t.Unanswered), Parts: t.Parts, Waiting: int32(t.Waiting), WordAgeMillis: int32(t.WordAge)}
+		if t.StatementAge > 0 {
+			w.Statement = &wire.EndpointStatement{Born: t.Born, AgeMillis: int32(t.StatementAge)}
+			if t.Statement.HasRate {
+				w.Statement.Rate = &t.Statement.Rate
+			}
+		}
+		out = append(out, w)
 	}
 	return out
 }
