--- a/placement/statement.go
+++ b/placement/statement.go
@@ -11,6 +11,8 @@
 	// it holds where HasRate says that the endpoint names one.
 	Rate    float64
 	HasRate bool
+	// Leaving says that the endpoint finishes what it has and takes nothing new.
+	Leaving bool
 }
 
 // stated is the last statement of an endpoint.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -186,7 +186,7 @@
 	if own && s.board.State(a.endpoint, h.Statement, a.startedAt, now) {
 		s.statements.Inc()
 		s.cfg.Log.Info("Endpoint's statement changed", "endpoint", a.endpoint.ID, "address", a.endpoint.Address, "zone", a.endpoint.Zone, "born", a.endpoint.Born,
-			"has-rate", h.Statement.HasRate, "rate", h.Statement.Rate, "request", a.exchange.req.ID, "status", h.Status, "after", now-a.startedAt)
+			"leaving", h.Statement.Leaving, "has-rate", h.Statement.HasRate, "rate", h.Statement.Rate, "request", a.exchange.req.ID, "status", h.Status, "after", now-a.startedAt)
 	}
 }
 
