--- a/daemon/statement_test.go
+++ b/daemon/statement_test.go
@@ -54,6 +54,57 @@
 	}
 }
 
+// The store is away, and an endpoint that leaves can say so in its answers only. Entries
+// went on sending to it, by first attempts, further ones and resumptions, until it was gone.
+func TestEndpointThatSaysItLeavesGetsNothingNew(t *testing.T) {
+	t.Parallel()
+	w := newTown(t)
+	begun := time.Now()
+	leaves := func() bool { return time.Since(begun) > 2*time.Second }
+	acts := map[string]standin.Act{
+		"app":  {BreakAfter: -1},
+		"pool": {BreakAfter: 1, Events: 3, Confidence: 30},
+	}
+	var leaving []*standin.Endpoint
+	for service, act := range acts {
+		for i := range 3 {
+			e := w.endpoint(fmt.Sprintf("i-%s-%d", service, i), service, "v1", func(*http.Request) standin.Act {
+				a := act
+				a.Leaving = i == 0 && leaves()
+				return a
+			})
+			if i == 0 {
+				leaving = append(leaving, e)
+			}
+		}
+	}
+	w.publish()
+	entries := []*entryAt{w.entry("entry-a"), w.entry("entry-b")}
+	for _, e := range entries {
+		e.door.Set(standin.Silent)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	w.trickle(ctx, entries, "GET", "/read/1")
+	w.trickle(ctx, entries, "POST", "/chat/1")
+	time.Sleep(time.Until(begun.Add(4500 * time.Millisecond)))
+	const drain = 500 * time.Millisecond
+	for _, e := range leaving {
+		late := 0
+		for _, r := range e.Runs() {
+			if r.At.Sub(begun) > 2*time.Second+drain {
+				late++
+			}
+		}
+		if late > 0 {
+			t.Errorf("%s ran %d requests more than %s after it had said that it leaves", e.Name, late, drain)
+		}
+		if len(e.Runs()) == 0 {
+			t.Errorf("%s got nothing before", e.Name)
+		}
+	}
+}
+
 // trickle sends some hundred requests a second through entries until the test ends.
 func (w *town) trickle(ctx context.Context, entries []*entryAt, method, path string) {
 	for n := range 10 {
