An endpoint that says in an answer that it leaves gets nothing new

What callers saw: while the platform's store was away, requests went on to an endpoint that leaves, up to 13 s after its answers had said so; some were cut there and ran a second time elsewhere.

Cause: entries heard of leaving from the store alone; the header of the answers was read by nothing. Ruled out: kept connections, further attempts or waiting requests that pass the pick by (the histories show first attempts, sent seconds after the answer), and an endpoint that was taken back by an older announcement (no 'Endpoint changed' line in the outage).

The change: the pick leaves out an endpoint whose own process has said that it leaves, for good; the next process under its ID starts anew. Other entries are told at once, and believe that for ten seconds, after which the endpoint's own answer decides: a wrong report keeps no endpoint out for good.

--- a/placement/census.go
+++ b/placement/census.go
@@ -34,7 +34,7 @@
 func (b *Board) Census(s *fleet.Snapshot, q Query) (c Census) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	all := q.candidates(s)
+	all := b.candidates(s, q)
 	preferred := b.preferred(all, q)
 	for _, at := range all {
 		_, o := b.cost(s, at, q, at == preferred)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -205,7 +205,7 @@
 }
 
 func (b *Board) choose(s *fleet.Snapshot, q Query) (e *fleet.Endpoint, why Reason) {
-	all := q.candidates(s)
+	all := b.candidates(s, q)
 	if len(all) == 0 {
 		return nil, None
 	}
@@ -213,10 +213,10 @@
 }
 
 // candidates lists the endpoints that may get the request.
-func (q Query) candidates(s *fleet.Snapshot) (all []*fleet.Endpoint) {
+func (b *Board) candidates(s *fleet.Snapshot, q Query) (all []*fleet.Endpoint) {
 	for _, match := range q.passes() {
 		for _, at := range s.Of(q.Service) {
-			if s.Usable(at) && !q.Avoid[at.ID] && match(at) {
+			if s.Usable(at) && !q.Avoid[at.ID] && match(at) && !b.mark(at.ID).leaves(at, q.Now) {
 				all = append(all, at)
 			}
 		}
--- a/placement/statement.go
+++ b/placement/statement.go
@@ -26,6 +26,8 @@
 	at        clock.Millis
 	rateSince clock.Millis
 	rateEnded clock.Millis
+	// leavingUntil is until when it is taken to leave on the word of another entry.
+	leavingUntil clock.Millis
 	// own says that this entry has it from the endpoint itself, and untold that others
 	// were not told of the change.
 	own    bool
@@ -44,6 +46,9 @@
 	// trialPause is the span between two requests by which the entries without a share, of
 	// those that share one part of a rate, find out that it has ended.
 	trialPause = 10 * clock.Second
+	// toldLeavingFor is how long an endpoint is taken to leave on the word of another entry,
+	// which may be wrong. One that still runs after it says so itself.
+	toldLeavingFor = 10 * clock.Second
 	// stateFor is how long a statement is told on after it was heard.
 	stateFor = 2 * clock.Second
 )
@@ -57,21 +62,25 @@
 	known := m.statedOf(e)
 	// Answers may overtake one another: one that was asked for before the rate was named
 	// does not lift it.
+	heardAt := now
 	if known.HasRate && !s.HasRate && sentAt < known.at {
-		return false
+		s.Rate, s.HasRate, heardAt = known.Rate, true, known.at
 	}
-	m.stated = known.followedBy(s, now)
+	m.stated = known.followedBy(s, heardAt)
 	m.stated.own = true
-	m.stated.untold = known.untold || known.Statement != s
+	changed = known.Statement != m.stated.Statement
+	m.stated.untold = known.untold || changed
 	if m.stated.untold {
 		b.signalUrgent()
 	}
-	return known.Statement != s
+	return changed
 }
 
-// followedBy returns what is known after a later statement of the same process.
+// followedBy returns what is known after a later statement of the same process. One that
+// leaves does not come back, and its later answers may have been made before.
 func (known stated) followedBy(s Statement, now clock.Millis) stated {
-	next := stated{Statement: s, born: known.born, at: now, rateSince: now, rateEnded: known.rateEnded}
+	next := stated{Statement: s, born: known.born, at: now, rateSince: now, rateEnded: known.rateEnded, leavingUntil: known.leavingUntil}
+	next.Leaving = s.Leaving || known.Leaving
 	switch {
 	case known.HasRate && s.HasRate:
 		next.rateSince = known.rateSince
@@ -89,6 +98,12 @@
 	return m.stated
 }
 
+// leaves reports whether an endpoint is known to leave by answers.
+func (m *mark) leaves(e *fleet.Endpoint, now clock.Millis) bool {
+	s := m.statedOf(e)
+	return s.Leaving || s.leavingUntil > now
+}
+
 // Stated returns what an endpoint has said of itself since its start.
 func (b *Board) Stated(e *fleet.Endpoint) Statement {
 	b.mu.Lock()
@@ -147,7 +162,7 @@
 // new, and in whole reports while it holds or has just ended, since a report may be lost.
 func (m *mark) tellState(t *Told, now clock.Millis, whole bool) (tells bool) {
 	s := m.stated
-	recent := s.HasRate && now-s.at <= stateFor || s.rateEnded > 0 && now-s.rateEnded <= stateFor
+	recent := (s.HasRate || s.Leaving) && now-s.at <= stateFor || s.rateEnded > 0 && now-s.rateEnded <= stateFor
 	if !s.own || !s.untold && !(whole && recent) {
 		return false
 	}
@@ -167,5 +182,8 @@
 	if known.born != t.Born {
 		known = stated{born: t.Born}
 	}
-	m.stated = known.followedBy(t.Statement, at)
+	m.stated = known.followedBy(Statement{Rate: t.Statement.Rate, HasRate: t.Statement.HasRate}, at)
+	if t.Statement.Leaving {
+		m.stated.leavingUntil = now + toldLeavingFor
+	}
 }
--- a/placement/statement_test.go
+++ b/placement/statement_test.go
@@ -136,3 +136,42 @@
 	other.Hear("b", told, true, 12)
 	is.True(!other.Stated(fresh).HasRate)
 }
+
+// The answers of an endpoint that leaves overtake one another, and nothing else is left to
+// send to. It gets nothing more until its next process is announced.
+func TestLeavingOfAnEndpointIsNotTakenBack(t *testing.T) {
+	is := is.New(t)
+	s := fleetOf(1, func(_ int, e *fleet.Endpoint) { e.Born = 5 })
+	e := s.Find("e0")
+	b := NewBoard()
+	q := Query{Service: "s", Version: "v1", Zone: "a", Now: 10}
+	_, why := b.Pick(s, q)
+	is.Equal(why, Picked)
+	is.True(b.State(e, Statement{Leaving: true}, 10, 20))
+	is.True(!b.State(e, Statement{}, 10, 30))
+	q.Now = 20 * clock.Second
+	_, why = b.Pick(s, q)
+	is.Equal(why, None)
+	_, why = b.Pick(fleetOf(1, func(_ int, e *fleet.Endpoint) { e.Born = 6 }), q)
+	is.Equal(why, Picked)
+}
+
+// One entry hears that an endpoint leaves, and the others would each send it one more
+// request to hear it too. A wrong word of another entry does not keep an endpoint out for
+// good.
+func TestLeavingIsToldToOthers(t *testing.T) {
+	is := is.New(t)
+	s := fleetOf(1, nil)
+	first, other := NewBoard(), NewBoard()
+	q := Query{Service: "s", Version: "v1", Zone: "a", Now: 10}
+	_, why := other.Pick(s, q)
+	is.Equal(why, Picked)
+	first.State(s.Find("e0"), Statement{Leaving: true}, 10, 20)
+	other.Hear("first", first.Tell(30, false), false, 40)
+	q.Now = 50
+	_, why = other.Pick(s, q)
+	is.Equal(why, None)
+	q.Now = 40 + toldLeavingFor
+	_, why = other.Pick(s, q)
+	is.Equal(why, Picked)
+}
--- a/relay/share.go
+++ b/relay/share.go
@@ -106,7 +106,7 @@
 	for _, w := range work {
 		t := placement.Told{Endpoint: w.GetEndpoint(), Pending: float64(w.GetReadingMillis()), Unanswered: int(w.GetUnanswered()), Parts: w.GetParts(), Waiting: int(w.GetWaiting()), WordAge: clock.Millis(w.GetWordAgeMillis())}
 		if s := w.GetStatement(); possible(s) {
-			t.Statement = placement.Statement{Rate: s.GetRate(), HasRate: s.Rate != nil}
+			t.Statement = placement.Statement{Rate: s.GetRate(), HasRate: s.Rate != nil, Leaving: s.GetLeaving()}
 			t.StatementAge, t.Born = clock.Millis(s.GetAgeMillis()), s.GetBorn()
 		}
 		told = append(told, t)
@@ -124,7 +124,7 @@
 	for _, t := range told {
 		w := &wire.EndpointWork{Endpoint: t.Endpoint, ReadingMillis: int32(t.Pending), Unanswered: int32(t.Unanswered), Parts: t.Parts, Waiting: int32(t.Waiting), WordAgeMillis: int32(t.WordAge)}
 		if t.StatementAge > 0 {
-			w.Statement = &wire.EndpointStatement{Born: t.Born, AgeMillis: int32(t.StatementAge)}
+			w.Statement = &wire.EndpointStatement{Born: t.Born, AgeMillis: int32(t.StatementAge), Leaving: t.Statement.Leaving}
 			if t.Statement.HasRate {
 				w.Statement.Rate = &t.Statement.Rate
 			}
