An endpoint that refuses with a time to come back gets nothing until then

Cause: the Retry-After of an endpoint's 503 was read by nothing. Where another endpoint has room the part of failures kept an entry away by chance; where all endpoints of a service refuse, each request of the entry found them again.

The change: the pause is kept by endpoint and start, for this entry alone, and the pick leaves the endpoint out until it ends.

--- a/daemon/statement_test.go
+++ b/daemon/statement_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -105,6 +107,51 @@
 	}
 }
 
+// All endpoints of a service refuse with a time to come back, and each further request of an
+// entry found them again.
+func TestEndpointsThatAskForAPauseGetIt(t *testing.T) {
+	t.Parallel()
+	const pause = time.Second
+	w := newTown(t)
+	var mu sync.Mutex
+	refused := make(map[int][]time.Time)
+	for i := range 2 {
+		w.endpoint(fmt.Sprintf("i-%d", i), "app", "v1", func(*http.Request) standin.Act {
+			mu.Lock()
+			defer mu.Unlock()
+			refused[i] = append(refused[i], time.Now())
+			return standin.Act{NotRun: true, Pause: pause}
+		})
+	}
+	w.publish()
+	entry := w.entry("entry-a")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	w.trickle(ctx, []*entryAt{entry}, "GET", "/read/1")
+	time.Sleep(4 * time.Second)
+	mu.Lock()
+	defer mu.Unlock()
+	for i, all := range refused {
+		if last := all[len(all)-1]; last.Sub(all[0]) < pause {
+			t.Errorf("i-%d is not tried again after its pause", i)
+		}
+		if n := withinPause(all, pause); n > 0 {
+			t.Errorf("i-%d got %d requests while it wanted none", i, n)
+		}
+	}
+}
+
+// withinPause counts the requests in the second half of a pause that an endpoint asked for
+// with an earlier one.
+func withinPause(refused []time.Time, pause time.Duration) (n int) {
+	for i, at := range refused {
+		if slices.ContainsFunc(refused[:i], func(told time.Time) bool { return at.Sub(told) > pause/2 && at.Sub(told) < pause }) {
+			n++
+		}
+	}
+	return n
+}
+
 // trickle sends some hundred requests a second through entries until the test ends.
 func (w *town) trickle(ctx context.Context, entries []*entryAt, method, path string) {
 	for n := range 10 {
--- a/placement/census.go
+++ b/placement/census.go
@@ -21,6 +21,8 @@
 	bounded
 	// limited means that this entry has sent its share of the rate that the endpoint names.
 	limited
+	// paused means that the endpoint wants nothing from this entry for a while.
+	paused
 	// late means that the prompts before it would take longer than the request has.
 	late
 	obstacles
@@ -45,5 +47,5 @@
 
 // String names the counts for a refusal's message.
 func (c Census) String() string {
-	return fmt.Sprintf("%d loaded, %d at this entry's share, %d at the rate they name, %d too late", c[loaded], c[bounded], c[limited], c[late])
+	return fmt.Sprintf("%d loaded, %d at this entry's share, %d at the rate they name, %d that want nothing for now, %d too late", c[loaded], c[bounded], c[limited], c[paused], c[late])
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -300,6 +300,8 @@
 		return 0, bounded
 	case !m.withinRate(e, q):
 		return 0, limited
+	case m.statedOf(e).pausedUntil > q.Now:
+		return 0, paused
 	case !b.reached(m, q.Now):
 		o = lost
 	}
--- a/placement/statement.go
+++ b/placement/statement.go
@@ -28,6 +28,8 @@
 	rateEnded clock.Millis
 	// leavingUntil is until when it is taken to leave on the word of another entry.
 	leavingUntil clock.Millis
+	// pausedUntil is until when it wants nothing from this entry.
+	pausedUntil clock.Millis
 	// own says that this entry has it from the endpoint itself, and untold that others
 	// were not told of the change.
 	own    bool
@@ -79,7 +81,7 @@
 // followedBy returns what is known after a later statement of the same process. One that
 // leaves does not come back, and its later answers may have been made before.
 func (known stated) followedBy(s Statement, now clock.Millis) stated {
-	next := stated{Statement: s, born: known.born, at: now, rateSince: now, rateEnded: known.rateEnded, leavingUntil: known.leavingUntil}
+	next := stated{Statement: s, born: known.born, at: now, rateSince: now, rateEnded: known.rateEnded, leavingUntil: known.leavingUntil, pausedUntil: known.pausedUntil}
 	next.Leaving = s.Leaving || known.Leaving
 	switch {
 	case known.HasRate && s.HasRate:
@@ -104,6 +106,15 @@
 	return s.Leaving || s.leavingUntil > now
 }
 
+// Pause takes an endpoint's word that it wants nothing from this entry until an instant.
+func (b *Board) Pause(e *fleet.Endpoint, until clock.Millis) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	m := b.mark(e.ID)
+	m.stated = m.statedOf(e)
+	m.stated.pausedUntil = max(m.stated.pausedUntil, until)
+}
+
 // Stated returns what an endpoint has said of itself since its start.
 func (b *Board) Stated(e *fleet.Endpoint) Statement {
 	b.mu.Lock()
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -183,6 +183,10 @@
 		s.board.Cold(a.endpoint.ID, now+h.ColdFor)
 	}
 	own := !h.Elsewhere && (h.Signed || h.NotRun)
+	if own && h.PauseFor > 0 {
+		s.board.Pause(a.endpoint, now+h.PauseFor)
+		s.cfg.Log.Info("Endpoint asked for a pause", "endpoint", a.endpoint.ID, "address", a.endpoint.Address, "zone", a.endpoint.Zone, "pause", h.PauseFor, "request", a.exchange.req.ID)
+	}
 	if own && s.board.State(a.endpoint, h.Statement, a.startedAt, now) {
 		s.statements.Inc()
 		s.cfg.Log.Info("Endpoint's statement changed", "endpoint", a.endpoint.ID, "address", a.endpoint.Address, "zone", a.endpoint.Zone, "born", a.endpoint.Born,
--- a/relay/request.go
+++ b/relay/request.go
@@ -80,6 +80,8 @@
 	Confidence int
 	// ColdFor is how long the endpoint's cold start lasts.
 	ColdFor clock.Millis
+	// PauseFor is how long the endpoint wants nothing from this entry.
+	PauseFor clock.Millis
 	// Statement is what else the answer says of its endpoint.
 	Statement placement.Statement
 	// Header holds what is handed on to the caller.
