--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -57,6 +57,7 @@
 			is.True(x.Bounds.Again == 0 || float64(r.Again) <= x.Bounds.Again*float64(r.Read))
 			is.True(x.Bounds.Poor == 0 || float64(r.Poor) <= x.Bounds.Poor*float64(r.InTime+r.Late))
 			is.Equal(r.InTime+r.Late+r.Refused, r.Asked) // nobody is left without a word
+			is.Equal(r.OverRate, 0)
 		})
 	}
 }
@@ -116,7 +117,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s := Site{Slots: rapid.IntRange(1, 4).Draw(t, "slots"), Memory: 1000}
 		m := Model{Name: "m", Token: 0.1, Foot: 5, Event: 10}
-		e := newEndpoint(s)
+		e := newEndpoint(s, nil)
 		now, readUntil := clock.Millis(0), clock.Millis(0)
 		for range rapid.IntRange(1, 60).Draw(t, "prompts") {
 			now += clock.Millis(rapid.IntRange(0, 50).Draw(t, "pause"))
--- a/emulator/endpoint.go
+++ b/emulator/endpoint.go
@@ -21,10 +21,15 @@
 	kept map[string]float64
 	size map[string]int
 	used int
+	// limits holds when it names a rate, toldAt when it first told each entry of the one
+	// in force, and arrivals when those entries sent something, within limitSpan.
+	limits   []Limit
+	toldAt   map[string]clock.Millis
+	arrivals []clock.Millis
 }
 
-func newEndpoint(s Site) *endpoint {
-	return &endpoint{slots: s.Slots, memory: s.Memory, kept: make(map[string]float64), size: make(map[string]int)}
+func newEndpoint(s Site, limits []Limit) *endpoint {
+	return &endpoint{slots: s.Slots, memory: s.Memory, kept: make(map[string]float64), size: make(map[string]int), limits: limits, toldAt: make(map[string]clock.Millis)}
 }
 
 // begin takes a prompt and tells when its first byte and its end come, and how many
--- a/emulator/play.go
+++ b/emulator/play.go
@@ -43,6 +43,8 @@
 	// had read before.
 	Read  int
 	Again int
+	// OverRate counts the requests that an endpoint got beyond the rate that it names.
+	OverRate int
 }
 
 // play is one play. The same site, load and switches give the same result.
@@ -67,6 +69,8 @@
 	zone  string
 	board *placement.Board
 	judge *cascade.Judge
+	// shares holds its share of what endpoints take, by their zone.
+	shares map[string]placement.Share
 	// toldAt is when it last told others, wholeAt when it last told them all.
 	toldAt  clock.Millis
 	wholeAt clock.Millis
@@ -100,17 +104,40 @@
 		zone := fmt.Sprint("zone-", z)
 		for i := range s.Endpoints {
 			id := fmt.Sprintf("i-%d-%d", z, i)
-			p.endpoints[id] = newEndpoint(s)
+			p.endpoints[id] = newEndpoint(s, l.limitsOf(i))
 			f.Apply([]fleet.Change{{ID: id, Endpoint: &fleet.Endpoint{ID: id, Service: "pool", Zone: zone, Version: "v1", Slots: s.Slots}}}, false)
 		}
 		for i := range s.Entries {
-			p.entries = append(p.entries, &entry{name: fmt.Sprintf("entry-%d-%d", z, i), zone: zone, board: placement.NewBoardWith(ways), judge: cascade.NewJudge(ways)})
+			p.entries = append(p.entries, &entry{name: fmt.Sprintf("entry-%d-%d", z, i), zone: zone, board: placement.NewBoardWith(ways), judge: cascade.NewJudge(ways), shares: sharesOf(s, z, i)})
 		}
 	}
 	p.fleet = f.Snapshot()
 	return p
 }
 
+// homePart is the part of what an endpoint takes that the entries of its zone share.
+const homePart = 0.5
+
+// sharesOf are the shares of an entry, by its place in its zone.
+func sharesOf(s Site, zone, place int) map[string]placement.Share {
+	shares := make(map[string]placement.Share)
+	for z := range s.Zones {
+		share := placement.Share{Part: homePart, Entries: s.Entries, Index: place}
+		switch {
+		case s.Zones == 1:
+			share.Part = 1
+		case z != zone:
+			others := zone
+			if z < zone {
+				others--
+			}
+			share = placement.Share{Part: 1 - homePart, Entries: (s.Zones - 1) * s.Entries, Index: others*s.Entries + place}
+		}
+		shares[fmt.Sprint("zone-", z)] = share
+	}
+	return shares
+}
+
 // tell has entries tell the others of their zone: at once when there is news, as far as
 // their allowance goes, and else now and then.
 func (p *play) tell(now clock.Millis) {
@@ -197,7 +224,7 @@
 func (p *play) query(r *request, model int, now clock.Millis) placement.Query {
 	return placement.Query{
 		Service: "pool", Version: "v1", Zone: r.entry.zone, Model: p.site.Models[model].Name, Parts: r.parts, Bytes: r.parts[1].Tokens,
-		AllTold: p.site.Zones == 1, Patience: placement.Patience(r.kind.aim(), now-r.startedAt), Now: now,
+		AllTold: p.site.Zones == 1, Bounds: placement.Bounds{Shares: r.entry.shares}, Patience: placement.Patience(r.kind.aim(), now-r.startedAt), Now: now,
 	}
 }
 
@@ -212,6 +239,7 @@
 	p.result.Sent++
 	work := r.entry.board.Begin(at, q)
 	e := p.endpoints[at.ID]
+	p.result.OverRate += e.arrived(r.entry.name, now)
 	m := p.site.Models[r.model]
 	first, end, read := e.begin(now, m, r.parts, r.kind.Events)
 	if at.Zone == r.entry.zone {
@@ -222,6 +250,7 @@
 		work.Read(now)
 		r.entry.board.Heard(at.ID, now)
 		r.entry.board.Load(at.ID, e.held, e.slots, now)
+		r.entry.board.State(at, e.state(r.entry.name, now), q.Now, now)
 		if !p.climbs(r, now) {
 			p.answered(r, now)
 			p.after(end, func(clock.Millis) { e.held--; work.End() })
--- a/emulator/site.go
+++ b/emulator/site.go
@@ -6,7 +6,8 @@
 // What is modelled: an endpoint reads prompts one after another, by model and length,
 // keeps shared parts in a limited memory, and streams answers in a limited number of
 // slots; entries hear of one another's work within their zone; the smallest model's
-// opinion of its answer is a noisy word on how good that is. What is not: how running
+// opinion of its answer is a noisy word on how good that is; endpoints may name a rate that
+// they take. What is not: how running
 // streams slow one another, pre-emption, cold starts, faults, upgrades and the store.
 package emulator
 
@@ -52,6 +53,7 @@
 	Seconds   float64 `toml:"seconds"`
 	PerSecond float64 `toml:"per-second"`
 	Bursts    []Burst `toml:"bursts"`
+	Limits    []Limit `toml:"limits"`
 	Kinds     []Kind  `toml:"kinds"`
 }
 
@@ -62,6 +64,15 @@
 	Factor float64 `toml:"factor"`
 }
 
+// Limit is a span in which the first endpoints of each zone name a rate in their answers.
+type Limit struct {
+	From      float64 `toml:"from"`
+	Until     float64 `toml:"until"`
+	Endpoints int     `toml:"endpoints"`
+	// Rate is how many requests a second each of them takes from all entries.
+	Rate float64 `toml:"rate"`
+}
+
 // Kind is a kind of request.
 type Kind struct {
 	Name string `toml:"name"`
@@ -102,6 +113,11 @@
 			return ErrSite.New("models: %s has a negative span", m.Name)
 		}
 	}
+	for _, x := range l.Limits {
+		if x.Until <= x.From || x.Endpoints < 1 || x.Endpoints > s.Endpoints || x.Rate < 0 {
+			return ErrSite.New("limits: one has a figure out of range")
+		}
+	}
 	for _, k := range l.Kinds {
 		if k.Share <= 0 || k.AimMillis <= 0 || k.Shared < 0 || k.Own < 0 || k.Events < 1 || k.Subjects < 1 || k.Hard < 0 || k.Hard > 1 || k.Hot < 0 || k.Hot > 1 {
 			return ErrSite.New("kinds: %s has a figure out of range", k.Name)
