Versions are compared within the load of the endpoints that answered

Cause: a new version has a twentieth of the requests at first, and its endpoints hold one or two.

The change: spans are kept by class of what the endpoint held by its own word, and an answer is compared within its class, or the next higher one that is known. A span is slow only if it is also a quarter beyond the middle one: within a class all may be alike.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -27,6 +27,8 @@
 	firstAfter clock.Millis
 	status     int
 	confidence int
+	// held is how many requests the endpoint held by its own word when it answered.
+	held int
 	// expected is how long the head was expected to take.
 	expected clock.Millis
 	// events counts those of a stream, openedAt and lastAt are when the first and
@@ -175,6 +177,7 @@
 func (a *attempt) learn(h Head) {
 	s := a.exchange.server
 	now := s.cfg.Clock.Now()
+	a.held = h.Held
 	if h.HasLoad && !h.Elsewhere {
 		s.board.Load(a.endpoint.ID, h.Held, h.Slots, now)
 		s.board.Waiting(a.endpoint.ID, h.Waiting, now)
--- a/relay/pace.go
+++ b/relay/pace.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math/bits"
 	"slices"
 	"sync"
 
@@ -14,11 +15,11 @@
 	mu sync.Mutex
 	// means holds the time to the first byte, by route and model.
 	means map[paceKey]float64
-	// spans holds those of the old version by which versions are compared. For
-	// streams that is the span between two events, by model alone: a
-	// model's pace does not depend on what it is asked. For all others it is the
-	// time to the first byte, by route.
-	spans map[paceKey]*spans
+	// spans holds those of the old version by which versions are compared, by what the
+	// endpoint held. For streams that is the span between two events, by model alone: a
+	// model's pace does not depend on what it is asked. For all others it is the time to
+	// the first byte, by route.
+	spans map[paceKey]*[loadClasses]spans
 	// errors holds by how much first bytes missed what was expected, in milliseconds, by
 	// route for plain requests and by model for prompts.
 	errors map[paceKey]*spans
@@ -26,6 +27,15 @@
 
 type paceKey struct{ route, model string }
 
+// loadClasses is how many classes of load answers are compared within. A new version has
+// the least load of all while its share is small, and a slow one there is as fast as the old
+// version's endpoints are under load.
+const loadClasses = 6
+
+// loadClass is the class of an endpoint that holds so many requests: 0 or 1, 2 or 3, 4 to 7
+// and so on.
+func loadClass(held int) int { return min(bits.Len(uint(max(held, 0)/2)), loadClasses-1) }
+
 // spans holds the newest spans measured, in milliseconds.
 type spans struct {
 	// newest holds at most spansKept; next is where the next one goes.
@@ -39,8 +49,13 @@
 	spansKept = 100
 	// spansKnown is how many must have been seen to be relied on.
 	spansKnown = 10
+	// leastSlower is how many times the middle one a slow span is at the least. Where all
+	// are alike, as at idle endpoints, a hair's breadth would else tell two versions apart.
+	leastSlower = 1.25
 )
 
+func (s *spans) known() bool { return s != nil && len(s.newest) >= spansKnown }
+
 func (s *spans) add(x float64) {
 	if len(s.newest) < spansKept {
 		s.newest = append(s.newest, x)
@@ -53,13 +68,13 @@
 // grade compares a span with those kept, by each grade times a factor; not known
 // while too few are.
 func (s *spans) grade(span, factor float64) (slow [len(upgrade.Grades)]bool, known bool) {
-	if s == nil || len(s.newest) < spansKnown {
+	if !s.known() {
 		return slow, false
 	}
 	sorted := slices.Sorted(slices.Values(s.newest))
 	for i, g := range upgrade.Grades {
 		usual := ranked(sorted, g.Rank)
-		slow[i] = span > usual*g.Factor*factor
+		slow[i] = span > max(usual, ranked(sorted, 0.5)*leastSlower)*g.Factor*factor
 	}
 	return slow, true
 }
@@ -78,7 +93,7 @@
 }
 
 func newPace() *pace {
-	return &pace{means: make(map[paceKey]float64), spans: make(map[paceKey]*spans), errors: make(map[paceKey]*spans)}
+	return &pace{means: make(map[paceKey]float64), spans: make(map[paceKey]*[loadClasses]spans), errors: make(map[paceKey]*spans)}
 }
 
 const (
@@ -100,7 +115,8 @@
 	// to be slower than the old one. With more it has more of the load, and reads
 	// prompts anew that the old one has in its memory.
 	earlyShare = 0.5
-	// loadedFactor is how much slower it may be then.
+	// loadedFactor is how much slower it may be then, or beside answers of endpoints that
+	// held less than its own.
 	loadedFactor = 2.0
 )
 
@@ -115,22 +131,39 @@
 	p.means[k] = mean + paceWeight*(float64(took)-mean)
 }
 
-// addSpan takes the span of an answer of the old version.
-func (p *pace) addSpan(k paceKey, span float64) {
+// addSpan takes the span of an answer of the old version, from an endpoint that held so
+// many requests.
+func (p *pace) addSpan(k paceKey, held int, span float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.spans[k] == nil {
-		p.spans[k] = &spans{}
+		p.spans[k] = &[loadClasses]spans{}
 	}
-	p.spans[k].add(span)
+	p.spans[k][loadClass(held)].add(span)
 }
 
-// grade reports by which grades a span is longer than usual; not known while too few
-// were seen.
-func (p *pace) grade(k paceKey, span, factor float64) (slow [len(upgrade.Grades)]bool, known bool) {
+// grade reports by which grades a span is longer than usual at the load of its endpoint; not
+// known while too few were seen. Where there are too few at that load, those at the next
+// higher one are usual, and else those at the next lower one with a margin.
+func (p *pace) grade(k paceKey, held int, span, factor float64) (slow [len(upgrade.Grades)]bool, known bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.spans[k].grade(span, factor)
+	all := p.spans[k]
+	if all == nil {
+		return slow, false
+	}
+	class := loadClass(held)
+	for i := class; i < loadClasses; i++ {
+		if all[i].known() {
+			return all[i].grade(span, factor)
+		}
+	}
+	for i := class - 1; i >= 0; i-- {
+		if all[i].known() {
+			return all[i].grade(span, factor*loadedFactor)
+		}
+	}
+	return slow, false
 }
 
 const (
--- a/relay/run.go
+++ b/relay/run.go
@@ -311,9 +311,9 @@
 	if x.view.Rule(x.service, s.cfg.Clock.Now()).Share > earlyShare {
 		factor = loadedFactor
 	}
-	c.slow, c.timed = s.pace.grade(k, span, factor)
+	c.slow, c.timed = s.pace.grade(k, a.held, span, factor)
 	if !c.target {
-		s.pace.addSpan(k, span)
+		s.pace.addSpan(k, a.held, span)
 	}
 }
 
