Dropped answers tell a version's pace by their first bytes

Cause: the answers of the smallest model that are dropped for the larger one's have no events, so that half of the evidence and more was thrown away where few requests come.

The change: such an answer counts by how much later than expected its first byte came; what must be read and what waits there is in that expectation. Slow is one that is 50 ms beyond the middle one of the old version at the same load, at the least.

--- a/relay/pace.go
+++ b/relay/pace.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"math/bits"
 	"slices"
 	"sync"
@@ -25,7 +26,11 @@
 	errors map[paceKey]*spans
 }
 
-type paceKey struct{ route, model string }
+type paceKey struct {
+	route, model string
+	// delay is true for how much later than expected first bytes come.
+	delay bool
+}
 
 // loadClasses is how many classes of load answers are compared within. A new version has
 // the least load of all while its share is small, and a slow one there is as fast as the old
@@ -49,9 +54,11 @@
 	spansKept = 100
 	// spansKnown is how many must have been seen to be relied on.
 	spansKnown = 10
-	// leastSlower is how many times the middle one a slow span is at the least. Where all
-	// are alike, as at idle endpoints, a hair's breadth would else tell two versions apart.
-	leastSlower = 1.25
+	// leastSlower is the part of the middle span by which a slow one is beyond it at the
+	// least, and leastDelay the same for delays, in milliseconds. Where all are alike, as at
+	// idle endpoints, a hair's breadth would else tell two versions apart.
+	leastSlower = 0.25
+	leastDelay  = 50.0
 )
 
 func (s *spans) known() bool { return s != nil && len(s.newest) >= spansKnown }
@@ -66,19 +73,29 @@
 }
 
 // grade compares a span with those kept, by each grade times a factor; not known
-// while too few are.
-func (s *spans) grade(span, factor float64) (slow [len(upgrade.Grades)]bool, known bool) {
+// while too few are. A slow one is beyond the middle one by a margin.
+func (s *spans) grade(span, factor float64, margin func(middle float64) float64) (slow [len(upgrade.Grades)]bool, known bool) {
 	if !s.known() {
 		return slow, false
 	}
 	sorted := slices.Sorted(slices.Values(s.newest))
+	middle := ranked(sorted, 0.5)
 	for i, g := range upgrade.Grades {
-		usual := ranked(sorted, g.Rank)
-		slow[i] = span > max(usual, ranked(sorted, 0.5)*leastSlower)*g.Factor*factor
+		usual := max(ranked(sorted, g.Rank), middle+margin(middle))
+		// Delays may be below zero, of which a multiple is no longer span.
+		slow[i] = span > usual+(g.Factor*factor-1)*math.Abs(usual)
 	}
 	return slow, true
 }
 
+// margin is how far beyond the middle span a slow one is at the least.
+func (k paceKey) margin(middle float64) float64 {
+	if k.delay {
+		return leastDelay
+	}
+	return leastSlower * middle
+}
+
 // quantile returns the span below which a part of the newest ones lie; 0 without any.
 func (s *spans) quantile(rank float64) float64 {
 	if len(s.newest) == 0 {
@@ -123,7 +140,7 @@
 func (p *pace) add(route, model string, took clock.Millis) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	k := paceKey{route, model}
+	k := paceKey{route: route, model: model}
 	mean, ok := p.means[k]
 	if !ok {
 		mean = float64(took)
@@ -155,12 +172,12 @@
 	class := loadClass(held)
 	for i := class; i < loadClasses; i++ {
 		if all[i].known() {
-			return all[i].grade(span, factor)
+			return all[i].grade(span, factor, k.margin)
 		}
 	}
 	for i := class - 1; i >= 0; i-- {
 		if all[i].known() {
-			return all[i].grade(span, factor*loadedFactor)
+			return all[i].grade(span, factor*loadedFactor, k.margin)
 		}
 	}
 	return slow, false
@@ -210,7 +227,7 @@
 func (p *pace) patience(r *catalog.Route, model string) clock.Millis {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	mean, ok := p.means[paceKey{r.Name, model}]
+	mean, ok := p.means[paceKey{route: r.Name, model: model}]
 	if !ok {
 		return max(r.Aim, leastPatience)
 	}
--- a/relay/pace_test.go
+++ b/relay/pace_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/parsleydeal/parsleydeal/catalog"
 )
 
 // gapAt draws a span between events at an endpoint that holds so many requests: the base, a
@@ -68,3 +69,31 @@
 	grades, _ = p.grade(k, 9, 51, 1)
 	is.True(grades[0])
 }
+
+// A small model's answers are dropped for a larger one's before their events come. A slow
+// version was completed on a handful of timed answers where most of its own were dropped.
+func TestDroppedAnswersTellAVersionsPace(t *testing.T) {
+	is := is.New(t)
+	route := &catalog.Route{Name: "r", Kind: catalog.Streaming}
+	x := &exchange{route: route}
+	a := &attempt{exchange: x, plan: plan{models: []string{"small", "large"}}, firstAfter: 300, expected: 160}
+	k, span, ok := a.span()
+	is.True(ok)
+	is.Equal(k, paceKey{model: "small", delay: true})
+	is.Equal(span, 140.0)
+
+	p := newPace()
+	for i := range 40 {
+		p.addSpan(k, 1, float64(-80+3*i)) // first bytes come up to 80 ms before they are expected
+	}
+	for delay, want := range map[float64]bool{-80: false, 0: false, 20: false, 140: true} {
+		grades, known := p.grade(k, 1, delay, 1)
+		is.True(known)
+		is.Equal(grades[0], want) // by the delay
+		is.Equal(grades[1], want)
+	}
+
+	a.firstAfter = 0
+	_, _, ok = a.span()
+	is.True(!ok) // nothing came
+}
--- a/relay/run.go
+++ b/relay/run.go
@@ -317,16 +317,18 @@
 	}
 }
 
-// span is what tells an answer's pace: for a stream the span between its events,
-// for another one the time to its first byte, which depends less on what was asked
-// there.
+// span is what tells an answer's pace: for a stream the span between its events, or how much
+// later than expected its first byte came where it was dropped before them; for another one
+// the time to its first byte, which depends less on what was asked there.
 func (a *attempt) span() (k paceKey, span float64, ok bool) {
 	x := a.exchange
-	if x.route.Kind != catalog.Streaming {
-		return paceKey{route: x.route.Name, model: a.plan.model()}, float64(a.firstAfter), a.firstAfter > 0
-	}
-	if a.events < gapEvents {
+	switch {
+	case a.firstAfter == 0:
 		return k, 0, false
+	case x.route.Kind != catalog.Streaming:
+		return paceKey{route: x.route.Name, model: a.plan.model()}, float64(a.firstAfter), true
+	case a.events >= gapEvents:
+		return paceKey{model: a.plan.model()}, float64(a.lastAt-a.openedAt) / float64(a.events-1), true
 	}
-	return paceKey{model: a.plan.model()}, float64(a.lastAt-a.openedAt) / float64(a.events-1), true
+	return paceKey{model: a.plan.model(), delay: true}, float64(a.firstAfter - a.expected), true
 }
