Requests that come before an entry knows its site wait for it

Cause: a request was refused at once while the process had no view of its site, though it has one 0.44 to 0.61 s after its start. Ruled out: the listener, which is open before anything else.

The change: the decision early-requests with two ways. Hold, now in force, keeps a request for half of its caller's time, until 1.5 s after the start at the most, and serves it then; Refuse is what stood. A store that is away has callers refused at once after those 1.5 s. The log says how long a request waited and when the site was known.

TestEarlyRequestWaitsForItsEntry fails with the way that stood.

--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -120,7 +120,7 @@
 		Counted: func() site.Counted { return d.server.Counted() },
 	})
 	d.server = relay.New(relay.Config{
-		Clock: d.clock, Log: d.log, Dialect: platform.Dialect(), View: d.loop.View, Pool: upstream.NewPool(d.clock), Zone: s.Zone,
+		Clock: d.clock, Log: d.log, Dialect: platform.Dialect(), View: d.loop.View, Started: d.loop.Started(), Pool: upstream.NewPool(d.clock), Zone: s.Zone,
 		Strict: s.Direct.StrictKeys, KeyLease: s.Direct.KeyLease - leaseMargin, RetryRatio: s.Direct.RetryRatio, RetrySlack: s.Direct.RetrySlack, RetrySpan: s.Direct.RetrySpan,
 		ColdOverage: s.Direct.ColdOverage, ColdSlack: s.Direct.ColdSlack, SessionLife: s.Direct.SessionLife, Ways: ways,
 	})
--- a/decision/decision.go
+++ b/decision/decision.go
@@ -72,6 +72,9 @@
 	Affinity Name = "affinity"
 	// Start decides what an entry that has just started knows of endpoints.
 	Start Name = "start"
+	// Early decides what becomes of requests that come before an entry that has just started
+	// knows its site.
+	Early Name = "early-requests"
 	// Connection decides how a request that may run only once gets its connection.
 	Connection Name = "connection"
 )
@@ -84,6 +87,14 @@
 	Blank Way = "blank"
 )
 
+// Ways of Early.
+const (
+	// Hold keeps them for a part of their time until the entry knows its site.
+	Hold Way = "hold"
+	// Refuse tells their callers to come back.
+	Refuse Way = "refuse"
+)
+
 // Ways of Drop.
 const (
 	// ByTime charges the larger model for the part of the time left that its first byte
@@ -131,6 +142,7 @@
 	{Drop, "half of the prompts are too hard for the smallest model while endpoints are busy", []Way{ByPressure, ByTime, ByPrice, ByOpinion}},
 	{Patience, "an endpoint loses an answer, or stops, while others have room", []Way{ByMean, ByError, Endless}},
 	{Start, "entries are stopped and started in turn, and callers go on", []Way{Snapshot, Blank}},
+	{Early, "all entries are stopped at once, and callers go on", []Way{Hold, Refuse}},
 	{Affinity, "entries that hear nothing of one another send prompts that share parts", []Way{ByZone, Everywhere, NoAffinity}},
 	{Connection, "endpoints have as many connections as they take and reset new ones", []Way{Watched, Fresh}},
 	mechanism(ToldWork, "several entries send long prompts at once"),
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -9,6 +9,7 @@
 
 	"github.com/parsleydeal/parsleydeal/catalog"
 	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/decision"
 	"github.com/parsleydeal/parsleydeal/refusal"
 )
 
@@ -48,6 +49,40 @@
 	return nil
 }
 
+const (
+	// startPart is the part of a caller's time for which its request is held until the entry
+	// knows its site. The rest is for the answer, here or elsewhere.
+	startPart = 0.5
+	// startFor is how long after an entry's start requests are held. A start takes less
+	// unless the store is away, and nobody knows for how long that will be.
+	startFor = 1500 * clock.Millis(1)
+)
+
+// awaitStart holds a request that comes before the entry knows its site. After all entries
+// were stopped there is no other to go to.
+func (x *exchange) awaitStart() {
+	s := x.server
+	if x.view.Started() || s.cfg.Ways.Of(decision.Early) != decision.Hold {
+		return
+	}
+	hold := s.startedAt + startFor - x.startedAt
+	if x.req.Patience > 0 {
+		hold = min(hold, clock.Millis(startPart*float64(x.req.Patience)))
+	}
+	if hold <= 0 {
+		return
+	}
+	rest := time.NewTimer(hold.Duration())
+	defer rest.Stop()
+	select {
+	case <-s.cfg.Started:
+	case <-rest.C:
+	case <-x.r.Context().Done():
+	}
+	x.waited = s.cfg.Clock.Since(x.startedAt)
+	x.view = s.cfg.View()
+}
+
 // limits refuses headers that are too large.
 func (x *exchange) limits(l catalog.Limits) error {
 	size := len(x.r.RequestURI) + len(x.r.Method)
--- /dev/null
+++ b/relay/admit_test.go
@@ -0,0 +1,75 @@
+package relay
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/parsleydeal/parsleydeal/catalog"
+	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/decision"
+	"github.com/parsleydeal/parsleydeal/fleet"
+	"github.com/parsleydeal/parsleydeal/platform/standin"
+	"github.com/parsleydeal/parsleydeal/site"
+)
+
+// All entries start at once, and their callers come before they know their site. Hundreds
+// were refused, though the entry would have known half a second later.
+func TestEarlyRequestWaitsForItsEntry(t *testing.T) {
+	for _, x := range []struct {
+		name     string
+		patience clock.Millis
+		knownIn  clock.Millis
+		way      string
+		status   int
+	}{
+		{"known in time", 2000, 200, "hold", http.StatusOK},
+		{"known too late for the caller", 300, 5000, "hold", http.StatusServiceUnavailable},
+		{"never known", 60000, 1 << 40, "hold", http.StatusServiceUnavailable},
+		{"refused", 2000, 200, "refuse", http.StatusServiceUnavailable},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			e, err := standin.StartEndpoint("i-1", nil)
+			is.NoErr(err)
+			defer e.Close()
+			c := clock.Boot()
+			begun := c.Now()
+			known := make(chan struct{})
+			route := &catalog.Route{Name: "r", Host: "h", Prefix: "/", Public: true, Kind: catalog.Idempotent, Timeout: 2000, Aim: 500, MaxAttempts: 2, Targets: []catalog.Target{{Service: "app", Weight: 1}}}
+			before, after := site.NewState(site.Self{Name: "e"}, 0).View(), viewOf(route, []fleet.Change{slotsOf("i-1", e.Address())})
+			server := serverOn(c, nil)
+			server.cfg.Started = known
+			server.cfg.View = func() *site.View {
+				select {
+				case <-known:
+					return after
+				default:
+					return before
+				}
+			}
+			server.cfg.Dialect.Read = func(r *http.Request) (*Request, error) {
+				return &Request{ID: "r-1", Method: r.Method, Path: "/x", Host: "h", Patience: x.patience}, nil
+			}
+			server.cfg.Dialect.Refuse = func(http.Header, string) {}
+			server.cfg.Ways, err = decision.Choose(map[string]string{"early-requests": x.way})
+			is.NoErr(err)
+			go func() {
+				clock.Pause(t.Context(), x.knownIn)
+				close(known)
+			}()
+			w := httptest.NewRecorder()
+			server.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/x", nil))
+			is.Equal(w.Code, x.status)
+			took := c.Since(begun)
+			is.True(took < startFor+300)
+			if x.status != http.StatusOK {
+				is.True(w.Header().Get("Retry-After") != "")
+				is.True(took <= x.patience/2+200)
+				is.Equal(e.Seen(), 0)
+			}
+		})
+	}
+}
--- a/relay/plan_test.go
+++ b/relay/plan_test.go
@@ -90,7 +90,7 @@
 	}
 	site.Reduce(s, site.EntriesRead{Now: 1, Addresses: addresses})
 	v := s.View()
-	server := New(Config{View: s.View})
+	server := New(Config{Clock: clock.Boot(), View: s.View})
 	is.Equal(server.mostIdle(v, "app"), 4)
 	is.True(server.mostIdle(v, "app")*v.Entries() <= 110)
 	is.Equal(server.mostIdle(v, "free"), defaultIdle)
--- a/relay/server.go
+++ b/relay/server.go
@@ -29,8 +29,10 @@
 	Dialect Dialect
 	// View returns what is believed of the site; it never blocks.
 	View func() *site.View
-	Pool *upstream.Pool
-	Zone string
+	// Started is closed once the view knows its site.
+	Started <-chan struct{}
+	Pool    *upstream.Pool
+	Zone    string
 	// Strict has keys refused that were not confirmed for KeyLease.
 	Strict   bool
 	KeyLease clock.Millis
@@ -63,6 +65,8 @@
 	pace           *pace
 	judge          *cascade.Judge
 	leaving        atomic.Bool
+	// startedAt is when the server was made.
+	startedAt clock.Millis
 	// asking holds the addresses of entries that wait for a snapshot; wantsSnapshot is
 	// true while this one waits for its own.
 	asking        chan string
@@ -77,7 +81,7 @@
 func New(cfg Config) *Server {
 	set := metrics.NewSet()
 	return &Server{
-		cfg: cfg, meter: meter.New(set), metrics: set, statements: set.NewCounter("parsleydeal_endpoint_statements_total"),
+		cfg: cfg, startedAt: cfg.Clock.Now(), meter: meter.New(set), metrics: set, statements: set.NewCounter("parsleydeal_endpoint_statements_total"),
 		limitedFirst: set.NewCounter(`parsleydeal_limited_sends_total{attempt="first"}`), limitedFurther: set.NewCounter(`parsleydeal_limited_sends_total{attempt="further"}`), board: placement.NewBoardWith(cfg.Ways), sessions: newSessions(cfg.SessionLife), tally: newTally(),
 		asking: make(chan string, answersWaiting), pace: newPace(), judge: cascade.NewJudge(cfg.Ways), budgets: make(map[string]*limit.Share),
 	}
@@ -148,6 +152,8 @@
 	model    string
 	events   int
 	firstAt  clock.Millis
+	// waited is how long the request was held until the entry knew its site.
+	waited clock.Millis
 	// bodyTook is how long the caller's body took to come, placedAt when the first
 	// attempt began, and connected how long attempts that were answered waited for a
 	// connection.
@@ -165,6 +171,7 @@
 	if x.req, err = s.cfg.Dialect.Read(x.r); err != nil {
 		return err
 	}
+	x.awaitStart()
 	if err = x.admit(); err != nil {
 		return err
 	}
@@ -202,7 +209,7 @@
 func (x *exchange) logEnd(err error, took clock.Millis, gone bool) {
 	fields := []any{
 		"request", x.id(), "route", x.routeName(), "organisation", x.organisation, "status", x.status, "endpoint", x.endpoint, "version", x.version, "model", x.model,
-		"sends", x.sends, "events", x.events, "took", took, "body", x.bodyTook, "placed", x.placed(), "connect", x.connected, "first", x.firstAt, "late", x.late(took), "config", x.configVersion(), "config-age", x.configAge(), "left-by-caller", gone,
+		"sends", x.sends, "events", x.events, "waited", x.waited, "took", took, "body", x.bodyTook, "placed", x.placed(), "connect", x.connected, "first", x.firstAt, "late", x.late(took), "config", x.configVersion(), "config-age", x.configAge(), "left-by-caller", gone,
 	}
 	if err != nil {
 		x.server.cfg.Log.Warn("Request failed", append(fields, "error", logbook.Text(err))...)
--- a/site/loop.go
+++ b/site/loop.go
@@ -43,6 +43,8 @@
 	state  *State
 	events chan Event
 	view   atomic.Pointer[View]
+	// started is closed once the process knows its site.
+	started chan struct{}
 	// lost counts reports that found the queue full.
 	lost atomic.Int64
 	// operatorFails is true from a read of the operators' stream that failed to one
@@ -52,7 +54,7 @@
 
 // NewLoop makes a loop that knows nothing yet.
 func NewLoop(cfg Config) *Loop {
-	l := &Loop{cfg: cfg, state: NewState(cfg.Self, cfg.Clock.Now()), events: make(chan Event, queueLength)}
+	l := &Loop{cfg: cfg, state: NewState(cfg.Self, cfg.Clock.Now()), events: make(chan Event, queueLength), started: make(chan struct{})}
 	l.view.Store(l.state.View())
 	return l
 }
@@ -60,6 +62,9 @@
 // View returns the newest view. It never blocks.
 func (l *Loop) View() *View { return l.view.Load() }
 
+// Started returns a channel that is closed once the process knows its site.
+func (l *Loop) Started() <-chan struct{} { return l.started }
+
 // Lost counts the reports that were dropped because control was busy, or because their
 // records could not be unpacked.
 func (l *Loop) Lost() int64 { return l.lost.Load() }
@@ -119,13 +124,24 @@
 		}
 	}
 	if publish {
-		l.view.Store(l.state.View())
+		l.publish()
 	}
 	for _, f := range effects {
 		l.perform(ctx, f)
 	}
 }
 
+// publish hands traffic a new view.
+func (l *Loop) publish() {
+	before := l.View().Started()
+	v := l.state.View()
+	l.view.Store(v)
+	if !before && v.Started() {
+		close(l.started)
+		l.cfg.Log.Info("Site is known", "after", l.state.now-l.state.startedAt, "config", v.Config().Version, "endpoints", v.Fleet().Size())
+	}
+}
+
 func (l *Loop) perform(ctx context.Context, f Effect) {
 	switch f := f.(type) {
 	case Say:
