What endpoints say of themselves is one statement, kept by process

Cause: cold starts, pauses, rates and leaving came by three ways into placement, of which one outlived the process that spoke: a cold start told in an answer was kept by ID alone, so that it could bind the next process under it.

The change: ColdFor and PauseFor are fields of the statement, decoded and kept in the same place, by endpoint and start; Board.Cold and Board.Pause are gone. An endpoint that was lost and answers again is taken to be cold by a field of its own. Two tests of real entries share their endpoints.

--- a/daemon/statement_test.go
+++ b/daemon/statement_test.go
@@ -18,23 +18,7 @@
 	t.Parallel()
 	const rate = 1.6
 	w := newTown(t)
-	acts := map[string]standin.Act{
-		"app":  {BreakAfter: -1},
-		"pool": {BreakAfter: 1, Events: 3, Confidence: 30},
-	}
-	var limited []*standin.Endpoint
-	for service, act := range acts {
-		for i := range 3 {
-			a := act
-			if i == 0 {
-				a.Rate = rate
-			}
-			e := w.endpoint(fmt.Sprintf("i-%s-%d", service, i), service, "v1", func(*http.Request) standin.Act { return a })
-			if i == 0 {
-				limited = append(limited, e)
-			}
-		}
-	}
+	limited := w.startTroubled(func(a *standin.Act) { a.Rate = rate })
 	w.publish()
 	var entries []*entryAt
 	for _, name := range []string{"entry-a", "entry-b", "entry-c", "entry-d"} {
@@ -63,23 +47,7 @@
 	w := newTown(t)
 	begun := time.Now()
 	leaves := func() bool { return time.Since(begun) > 2*time.Second }
-	acts := map[string]standin.Act{
-		"app":  {BreakAfter: -1},
-		"pool": {BreakAfter: 1, Events: 3, Confidence: 30},
-	}
-	var leaving []*standin.Endpoint
-	for service, act := range acts {
-		for i := range 3 {
-			e := w.endpoint(fmt.Sprintf("i-%s-%d", service, i), service, "v1", func(*http.Request) standin.Act {
-				a := act
-				a.Leaving = i == 0 && leaves()
-				return a
-			})
-			if i == 0 {
-				leaving = append(leaving, e)
-			}
-		}
-	}
+	leaving := w.startTroubled(func(a *standin.Act) { a.Leaving = leaves() })
 	w.publish()
 	entries := []*entryAt{w.entry("entry-a"), w.entry("entry-b")}
 	for _, e := range entries {
@@ -152,6 +120,29 @@
 	return n
 }
 
+// startTroubled starts three endpoints of each service, and returns the first of each, whose
+// answers are changed. Streams break off and go on elsewhere, and answers are poor.
+func (w *town) startTroubled(change func(a *standin.Act)) (troubled []*standin.Endpoint) {
+	for service, act := range map[string]standin.Act{
+		"app":  {BreakAfter: -1},
+		"pool": {BreakAfter: 1, Events: 3, Confidence: 30},
+	} {
+		for i := range 3 {
+			e := w.endpoint(fmt.Sprintf("i-%s-%d", service, i), service, "v1", func(*http.Request) standin.Act {
+				a := act
+				if i == 0 {
+					change(&a)
+				}
+				return a
+			})
+			if i == 0 {
+				troubled = append(troubled, e)
+			}
+		}
+	}
+	return troubled
+}
+
 // trickle sends some hundred requests a second through entries until the test ends.
 func (w *town) trickle(ctx context.Context, entries []*entryAt, method, path string) {
 	for n := range 10 {
--- a/placement/board.go
+++ b/placement/board.go
@@ -54,8 +54,8 @@
 	// sends holds when requests were sent, the newest last, for as long as any bound
 	// looks back (rateSpan).
 	sends []clock.Millis
-	// coldUntil is what the endpoint itself said in an answer.
-	coldUntil clock.Millis
+	// backUntil is until when it is taken to be cold, as it was lost and answers again.
+	backUntil clock.Millis
 	// losses counts how often in a row it could not be reached or sent nothing, and
 	// lostUntil is until when it is left alone for that.
 	losses    int
@@ -221,13 +221,6 @@
 	b.inflight.Report(&wire.Load{Vm: id, Held: int32(held), Window: int32(slots)}, now)
 }
 
-// Cold takes an endpoint's own word that it is in cold start.
-func (b *Board) Cold(id string, until clock.Millis) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.mark(id).coldUntil = until
-}
-
 const (
 	// lostFirst and lostMost bound how long an endpoint that was lost is left
 	// alone; the span doubles with each loss in a row.
@@ -257,7 +250,7 @@
 	m := b.mark(id)
 	m.heardAt = now
 	if m.losses > 0 {
-		m.coldUntil = max(m.coldUntil, now+backSpan)
+		m.backUntil = now + backSpan
 	}
 	m.losses, m.lostUntil = 0, 0
 }
@@ -328,7 +321,7 @@
 // like that of its neighbours, placement gives it no more than these.
 func inBounds(s *fleet.Snapshot, e *fleet.Endpoint, m *mark, q Query) bool {
 	total := q.Bounds.Warm * warmFactor
-	if s.Cold(e, q.Now) || m.coldUntil > q.Now {
+	if s.Cold(e, q.Now) || m.backUntil > q.Now || m.statedOf(e).coldUntil > q.Now {
 		total = q.Bounds.Cold
 	}
 	return total <= 0 || m.sentSince(q.Now-window) < q.Bounds.Shares[e.Zone].In(total, e.ID)
--- a/placement/statement.go
+++ b/placement/statement.go
@@ -13,10 +13,21 @@
 	HasRate bool
 	// Leaving says that the endpoint finishes what it has and takes nothing new.
 	Leaving bool
+	// ColdFor is how long its cold start lasts, PauseFor how long it wants nothing from
+	// this entry; 0 where it says nothing of that.
+	ColdFor  clock.Millis
+	PauseFor clock.Millis
+}
+
+// lasting is the part of a statement that holds until the next one.
+func (s Statement) lasting() Statement {
+	s.ColdFor, s.PauseFor = 0, 0
+	return s
 }
 
 // stated is the last statement of an endpoint.
 type stated struct {
+	// Statement holds what lasts of it.
 	Statement
 	// born is the start of the endpoint that made it: the next process under the same
 	// ID has said nothing yet.
@@ -28,7 +39,9 @@
 	rateEnded clock.Millis
 	// leavingUntil is until when it is taken to leave on the word of another entry.
 	leavingUntil clock.Millis
-	// pausedUntil is until when it wants nothing from this entry.
+	// coldUntil is the end of its cold start, and pausedUntil until when it wants nothing
+	// from this entry.
+	coldUntil   clock.Millis
 	pausedUntil clock.Millis
 	// own says that this entry has it from the endpoint itself, and untold that others
 	// were not told of the change.
@@ -56,7 +69,7 @@
 )
 
 // State takes an endpoint's statement, by the answer to a request that was sent at an
-// instant, and reports whether it differs from the one before.
+// instant, and reports whether what lasts of it differs from the one before.
 func (b *Board) State(e *fleet.Endpoint, s Statement, sentAt, now clock.Millis) (changed bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -81,8 +94,13 @@
 // followedBy returns what is known after a later statement of the same process. One that
 // leaves does not come back, and its later answers may have been made before.
 func (known stated) followedBy(s Statement, now clock.Millis) stated {
-	next := stated{Statement: s, born: known.born, at: now, rateSince: now, rateEnded: known.rateEnded, leavingUntil: known.leavingUntil, pausedUntil: known.pausedUntil}
+	next := known
+	next.Statement, next.at, next.rateSince, next.own, next.untold = s.lasting(), now, now, false, false
 	next.Leaving = s.Leaving || known.Leaving
+	next.pausedUntil = max(known.pausedUntil, now+s.PauseFor)
+	if s.ColdFor > 0 {
+		next.coldUntil = now + s.ColdFor
+	}
 	switch {
 	case known.HasRate && s.HasRate:
 		next.rateSince = known.rateSince
@@ -106,15 +124,6 @@
 	return s.Leaving || s.leavingUntil > now
 }
 
-// Pause takes an endpoint's word that it wants nothing from this entry until an instant.
-func (b *Board) Pause(e *fleet.Endpoint, until clock.Millis) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	m := b.mark(e.ID)
-	m.stated = m.statedOf(e)
-	m.stated.pausedUntil = max(m.stated.pausedUntil, until)
-}
-
 // Stated returns what an endpoint has said of itself since its start.
 func (b *Board) Stated(e *fleet.Endpoint) Statement {
 	b.mu.Lock()
--- a/placement/statement_test.go
+++ b/placement/statement_test.go
@@ -181,9 +181,9 @@
 	is := is.New(t)
 	s := fleetOf(1, nil)
 	b := NewBoard()
-	b.Pause(s.Find("e0"), 2000)
+	b.State(s.Find("e0"), Statement{PauseFor: 1990}, 0, 10)
 	b.State(s.Find("e0"), Statement{}, 10, 20)
-	b.Pause(s.Find("e0"), 500)
+	b.State(s.Find("e0"), Statement{PauseFor: 470}, 20, 30)
 	for now, want := range map[clock.Millis]Reason{1000: Full, 1999: Full, 2000: Picked} {
 		_, why := b.Pick(s, Query{Service: "s", Version: "v1", Zone: "a", Now: now})
 		is.Equal(why, want) // by the instant
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -182,18 +182,23 @@
 		s.board.Load(a.endpoint.ID, h.Held, h.Slots, now)
 		s.board.Waiting(a.endpoint.ID, h.Waiting, now)
 	}
-	if h.ColdFor > 0 {
-		s.board.Cold(a.endpoint.ID, now+h.ColdFor)
+	if !h.Elsewhere && (h.Signed || h.NotRun) {
+		a.state(h, now)
 	}
-	own := !h.Elsewhere && (h.Signed || h.NotRun)
-	if own && h.PauseFor > 0 {
-		s.board.Pause(a.endpoint, now+h.PauseFor)
-		s.cfg.Log.Info("Endpoint asked for a pause", "endpoint", a.endpoint.ID, "address", a.endpoint.Address, "zone", a.endpoint.Zone, "pause", h.PauseFor, "request", a.exchange.req.ID)
+}
+
+// state takes the endpoint's statement, and logs what is new in it.
+func (a *attempt) state(h Head, now clock.Millis) {
+	s, e, said := a.exchange.server, a.endpoint, h.Statement
+	log := func(message string, fields ...any) {
+		s.cfg.Log.Info(message, append(fields, "endpoint", e.ID, "address", e.Address, "zone", e.Zone, "request", a.exchange.req.ID, "status", h.Status)...)
 	}
-	if own && s.board.State(a.endpoint, h.Statement, a.startedAt, now) {
+	if s.board.State(e, said, a.startedAt, now) {
 		s.statements.Inc()
-		s.cfg.Log.Info("Endpoint's statement changed", "endpoint", a.endpoint.ID, "address", a.endpoint.Address, "zone", a.endpoint.Zone, "born", a.endpoint.Born,
-			"leaving", h.Statement.Leaving, "has-rate", h.Statement.HasRate, "rate", h.Statement.Rate, "request", a.exchange.req.ID, "status", h.Status, "after", now-a.startedAt)
+		log("Endpoint's statement changed", "born", e.Born, "leaving", said.Leaving, "has-rate", said.HasRate, "rate", said.Rate, "after", now-a.startedAt)
+	}
+	if said.PauseFor > 0 {
+		log("Endpoint asked for a pause", "pause", said.PauseFor)
 	}
 }
 
--- a/relay/request.go
+++ b/relay/request.go
@@ -78,10 +78,6 @@
 	// Confidence is the model's own opinion of its answer, 0 to 100; -1 when it
 	// has none.
 	Confidence int
-	// ColdFor is how long the endpoint's cold start lasts.
-	ColdFor clock.Millis
-	// PauseFor is how long the endpoint wants nothing from this entry.
-	PauseFor clock.Millis
 	// Statement is what else the answer says of its endpoint.
 	Statement placement.Statement
 	// Header holds what is handed on to the caller.
