--- a/relay/snapshot.go
+++ b/relay/snapshot.go
@@ -17,6 +17,9 @@
 	// askMost their number. After all entries were stopped nobody has an answer.
 	askPause = 250 * clock.Millis(1)
 	askMost  = 6
+	// askFor is how long an entry looks for neighbours to ask. By then it has learned
+	// itself what they would tell.
+	askFor = 15 * clock.Second
 	// answerPause is the least span between two answers: many entries may start at once.
 	answerPause = 50 * clock.Millis(1)
 	// answersWaiting bounds the entries that wait for an answer.
@@ -33,7 +36,8 @@
 	r := &wire.EntryReport{Process: name, Address: address, AskParts: true, Partial: true}
 	s.wantsSnapshot.Store(true)
 	defer s.wantsSnapshot.Store(false)
-	for asked := 0; asked <= askMost && s.wantsSnapshot.Load() && clock.Pause(ctx, askPause); {
+	until := s.cfg.Clock.Now() + askFor
+	for asked := 0; asked <= askMost && s.cfg.Clock.Now() < until && s.wantsSnapshot.Load() && clock.Pause(ctx, askPause); {
 		to := s.cfg.View().Neighbours()
 		if len(to) == 0 {
 			continue
