A prompt that finds no room is refused, and its connection is not cut

What callers saw: where all endpoints were full or at their bounds a request with a prompt got no answer at all; its connection was closed.

Cause: the refusal counts what speaks against each endpoint, and looked up the parts of the prompt without their hashes: index out of range, which net/http answers by closing the connection. Ruled out: limits on connections and descriptors (the log of the entry has the panic for each of them).

The change: the count is made by the same query as the pick.

The test panics before.

--- a/placement/census.go
+++ b/placement/census.go
@@ -36,6 +36,7 @@
 func (b *Board) Census(s *fleet.Snapshot, q Query) (c Census) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	q = q.hashed()
 	all := b.candidates(s, q)
 	preferred := b.preferred(all, q)
 	for _, at := range all {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -314,3 +314,17 @@
 	_, why = b.Pick(s, q)
 	is.Equal(why, Full)
 }
+
+// All endpoints are full, and a prompt is to be refused. The entry looked up its parts without
+// their hashes, and its caller's connection was closed without a word.
+func TestCensusOfAPromptThatFindsNoRoom(t *testing.T) {
+	is := is.New(t)
+	s := fleetOf(3, nil)
+	b := NewBoard()
+	q := Query{Service: "s", Version: "v1", Zone: "a", Model: "m", Now: 10, Parts: []Part{{"a", 100}, {"b", 50}}}
+	b.Load("e0", 200, 64, 10)
+	b.Load("e1", 200, 64, 10)
+	c := b.Census(s, q)
+	is.Equal(c[loaded], 2)
+	is.Equal(c[unhindered], 1)
+}
