An endpoint that was lost lately is no room for another answer

Cause: whether the larger model has room was answered by the pick that falls back on endpoints that were lost lately. The small model's answer was dropped for one of those, five of which refused the connection one after the other.

The change: room for the larger model, and room to leave a slow endpoint for, is at endpoints that were not lost. A request without any answer goes on falling back.

The test fails before.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -27,8 +27,10 @@
 	Zone    string
 	// Avoid holds endpoints that this request has tried.
 	Avoid map[string]bool
-	Model string
-	Parts []Part
+	// Reached leaves out endpoints that were lost lately, also where there is no other.
+	Reached bool
+	Model   string
+	Parts   []Part
 	// Bytes is the size of what is sent.
 	Bytes int
 	// AllTold says that the entries of all zones tell this one of their work, and not
@@ -174,10 +176,11 @@
 	return e, why
 }
 
-// Room reports whether Pick would find an endpoint.
+// Room reports whether Pick would find an endpoint that was not lost lately.
 func (b *Board) Room(s *fleet.Snapshot, q Query) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	q.Reached = true
 	e, _ := b.choose(s, q)
 	return e != nil
 }
@@ -191,10 +194,11 @@
 }
 
 // Expect tells what a request would meet at the endpoint that Pick would find; not ok
-// where it would find none.
+// where it would find none, or only such that were lost lately.
 func (b *Board) Expect(s *fleet.Snapshot, q Query) (x Expectation, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	q.Reached = true
 	e, _ := b.choose(s, q)
 	if e == nil {
 		return x, false
@@ -237,7 +241,7 @@
 		best := 0.0
 		for _, at := range all {
 			cost, o := b.cost(s, at, q, at == preferred)
-			if o <= last && (e == nil || cost < best) {
+			if o <= last && (e == nil || cost < best) && (o != lost || !q.Reached) {
 				e, best = at, cost
 			}
 		}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -328,3 +328,22 @@
 	is.Equal(c[loaded], 2)
 	is.Equal(c[unhindered], 1)
 }
+
+// A third of the endpoints are gone and the others full. A model's answer that may do was
+// dropped for a larger one's, which then found only endpoints that were gone.
+func TestLostEndpointIsNoRoomForAnotherAnswer(t *testing.T) {
+	is := is.New(t)
+	s := fleetOf(3, nil)
+	b := NewBoard()
+	q := Query{Service: "s", Version: "v1", Zone: "a", Model: "m", Now: 10, Parts: []Part{{"a", 100}}}
+	b.Load("e0", 200, 64, 10)
+	b.Load("e1", 200, 64, 10)
+	is.True(b.Room(s, q))
+	b.Lost("e2", 10)
+	is.True(!b.Room(s, q))
+	_, ok := b.Expect(s, q)
+	is.True(!ok)
+	e, why := b.Pick(s, q) // with no answer at all a lost endpoint is better than none
+	is.Equal(why, Picked)
+	is.Equal(e.ID, "e2")
+}
