--- a/placement/board.go
+++ b/placement/board.go
@@ -367,12 +367,13 @@
 	return tokens
 }
 
-// Keep drops what is known of endpoints that are gone.
+// Keep drops what is known of endpoints that are gone, but for what they said of themselves
+// lately: an announcement that lapsed while the store was away comes back.
 func (b *Board) Keep(s *fleet.Snapshot, now clock.Millis) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, m := range b.marks {
-		if s.Find(id) == nil {
+		if s.Find(id) == nil && !m.stated.holds(now) {
 			delete(b.marks, id)
 			delete(b.byHash, m.hash)
 			delete(b.kept.untold, m.hash)
--- a/placement/statement.go
+++ b/placement/statement.go
@@ -64,6 +64,8 @@
 	// toldLeavingFor is how long an endpoint is taken to leave on the word of another entry,
 	// which may be wrong. One that still runs after it says so itself.
 	toldLeavingFor = 10 * clock.Second
+	// stateKept is how long a statement is kept of an endpoint that is not announced.
+	stateKept = clock.Minute
 	// stateFor is how long a statement is told on after it was heard.
 	stateFor = 2 * clock.Second
 )
@@ -110,6 +112,12 @@
 	return next
 }
 
+// holds reports whether a statement must be kept though its endpoint is not announced.
+func (s stated) holds(now clock.Millis) bool {
+	binds := s.Leaving || s.HasRate || s.pausedUntil > now || s.leavingUntil > now
+	return binds && now-s.at <= stateKept
+}
+
 // statedOf returns what an endpoint has said since its start.
 func (m *mark) statedOf(e *fleet.Endpoint) stated {
 	if m.stated.born != e.Born {
--- a/placement/statement_test.go
+++ b/placement/statement_test.go
@@ -189,3 +189,21 @@
 		is.Equal(why, want) // by the instant
 	}
 }
+
+// The announcement of an endpoint lapses while the store is away, and is back a moment later.
+// What the endpoint had said by then was forgotten with it.
+func TestStatementOutlivesALapsedAnnouncement(t *testing.T) {
+	is := is.New(t)
+	s := fleetOf(3, nil)
+	b := NewBoard()
+	b.State(s.Find("e0"), Statement{Leaving: true}, 0, 10)
+	b.State(s.Find("e1"), Statement{Rate: 2, HasRate: true}, 0, 10)
+	b.State(s.Find("e2"), Statement{}, 0, 10)
+	none := fleet.New().Snapshot()
+	b.Keep(none, 1000)
+	is.Equal(len(b.marks), 2)
+	is.True(b.Stated(s.Find("e0")).Leaving)
+	is.True(b.Stated(s.Find("e1")).HasRate)
+	b.Keep(none, 20+stateKept)
+	is.Equal(len(b.marks), 0)
+}
