Delays of dropped answers count only where few answers are timed

Cause: on a site where entries do not hear of all work first bytes are foretold roughly: a new version's idle endpoints answer 90 ms after an expectation of 0, the old one's at the median in time.

The change: delays are counted apart, and asked only when the share is to rise and fewer than 100 answers of the new version are timed; the margin for larger shares does not hold for them.

--- a/relay/evidence.go
+++ b/relay/evidence.go
@@ -34,10 +34,11 @@
 		return
 	}
 	factor := 1.0
-	if x.view.Rule(x.service, s.cfg.Clock.Now()).Share > earlyShare {
+	if !k.delay && x.view.Rule(x.service, s.cfg.Clock.Now()).Share > earlyShare {
 		factor = loadedFactor
 	}
 	c.slow, c.timed = s.pace.grade(k, a.held, span, factor)
+	c.delay = k.delay
 	if !c.target {
 		s.pace.addSpan(k, a.held, span)
 	}
--- a/relay/tally.go
+++ b/relay/tally.go
@@ -17,6 +17,8 @@
 	// timed says that the answer's pace could be told, slow by which grades it was.
 	timed bool
 	slow  [len(upgrade.Grades)]bool
+	// delay says that it was told by the delay of a dropped answer's first byte.
+	delay bool
 }
 
 // tally counts outcomes and running requests by version.
@@ -58,6 +60,9 @@
 	c := t.counts[o.service][k]
 	c.Ended++
 	c.Bad += number(o.bad)
+	t.counts[o.service][k] = c
+	k.Delay = o.delay
+	c = t.counts[o.service][k]
 	c.Timed += number(o.timed)
 	for i, slow := range o.slow {
 		c.Slow[i] += number(slow)
--- a/site/tell.go
+++ b/site/tell.go
@@ -122,7 +122,7 @@
 		return r
 	}
 	for k, c := range s.counts[service] {
-		r.Counts = append(r.Counts, &wire.UpgradeCount{Route: k.Route, Target: k.Target, Ended: c.Ended, Bad: c.Bad, Timed: c.Timed, Slow: c.Slow[:]})
+		r.Counts = append(r.Counts, &wire.UpgradeCount{Route: k.Route, Target: k.Target, Delay: k.Delay, Ended: c.Ended, Bad: c.Bad, Timed: c.Timed, Slow: c.Slow[:]})
 	}
 	return r
 }
--- a/site/upgrade.go
+++ b/site/upgrade.go
@@ -181,7 +181,7 @@
 	for _, c := range r.GetCounts() {
 		count := upgrade.Count{Ended: c.GetEnded(), Bad: c.GetBad(), Timed: c.GetTimed()}
 		copy(count.Slow[:], c.GetSlow())
-		counts[upgrade.Key{Route: c.GetRoute(), Target: c.GetTarget()}] = count
+		counts[upgrade.Key{Route: c.GetRoute(), Target: c.GetTarget(), Delay: c.GetDelay()}] = count
 	}
 	u.Take(process, counts)
 	if p := upgrade.Phase(r.GetPhase()); u.Set(p, "heard: "+r.GetReason()) {
--- a/upgrade/evidence.go
+++ b/upgrade/evidence.go
@@ -6,11 +6,12 @@
 	"github.com/parsleydeal/parsleydeal/rollout"
 )
 
-// Key names what outcomes are counted by: a route, and whether the new version
-// answered.
+// Key names what outcomes are counted by: a route, whether the new version answered, and
+// whether it is only the delays of first bytes of answers that were dropped.
 type Key struct {
 	Route  string
 	Target bool
+	Delay  bool
 }
 
 // Count adds up outcomes of one key.
--- a/upgrade/upgrade.go
+++ b/upgrade/upgrade.go
@@ -22,6 +22,8 @@
 	// seen holds the last cumulative counts of each process.
 	seen    map[string]Counts
 	benches map[string]*bench
+	// thin has the delays of dropped answers besides, of all routes.
+	thin bench
 	// total sums all outcomes of the new version.
 	total Count
 	// idleSince is when the old version was first seen idle; 0 while it works.
@@ -83,6 +85,10 @@
 		if d == (Count{}) {
 			continue
 		}
+		u.thin.add(d, k.Target)
+		if k.Delay {
+			continue
+		}
 		if k.Target {
 			u.total = u.total.plus(d, 1)
 		}
@@ -113,7 +119,7 @@
 			return u.Set(RolledBack, v+" on "+nameOf(route))
 		}
 	}
-	if v := u.bench(allRoutes).leaning(); v != "" && u.Passed(now) >= firstPart {
+	if v := u.leaning(); v != "" && u.Passed(now) >= firstPart {
 		return u.Set(RolledBack, "its share was to rise, and it seems "+v)
 	}
 	if old > 0 || u.Passed(now) < fullFrom {
@@ -130,6 +136,18 @@
 	return false
 }
 
+// fewTimed is how many timed answers of the new version are so few that the delays of dropped
+// ones are asked as well: these tell less, since what a prompt meets is foretold roughly.
+const fewTimed = 100
+
+// leaning names what the new version seems to be bad at.
+func (u *Upgrade) leaning() string {
+	if v := u.bench(allRoutes).leaning(); v != "" || u.total.Timed >= fewTimed {
+		return v
+	}
+	return u.thin.leaning()
+}
+
 func nameOf(route string) string {
 	if route == allRoutes {
 		return "all routes"
--- a/upgrade/upgrade_test.go
+++ b/upgrade/upgrade_test.go
@@ -211,3 +211,43 @@
 		}
 	}
 }
+
+// delayed plays so many timed and dropped answers of a new version, beside ten times as many
+// of an old one, and returns the state of the order at half of its span.
+func delayed(answers int64, slow, delayedSlow func(n int64) [len(Grades)]int64) *Upgrade {
+	u := New(Order{Service: "s", Target: "v2", Span: 20000}, 0)
+	for i := range answers + 1 {
+		n := 10 * i
+		old := [len(Grades)]int64{n * 35 / 100, n / 5, n * 3 / 100}
+		u.Take("a", Counts{
+			{Route: "r"}:                            {Ended: 2 * n, Timed: n, Slow: old},
+			{Route: "r", Delay: true}:               {Timed: n, Slow: old},
+			{Route: "r", Target: true}:              {Ended: 2 * i, Timed: i, Slow: slow(i)},
+			{Route: "r", Target: true, Delay: true}: {Timed: i, Slow: delayedSlow(i)},
+		})
+	}
+	u.Judge(10000, 1)
+	return u
+}
+
+// A slow version gets few requests, and most of its answers are dropped before their events.
+// It was completed on a handful of timed answers.
+func TestDelaysTellWhereFewAnswersAreTimed(t *testing.T) {
+	is := is.New(t)
+	all := func(n int64) [len(Grades)]int64 { return [len(Grades)]int64{n, n, 0} }
+	u := delayed(5, all, all)
+	is.Equal(u.Total(), Count{Ended: 10, Timed: 5, Slow: all(5)})
+	is.Equal(u.Phase(), RolledBack)
+	u = delayed(5, all, func(int64) [len(Grades)]int64 { return [len(Grades)]int64{} })
+	is.Equal(u.Phase(), Running)
+}
+
+// On a busy site prompts are foretold roughly, and many first bytes of a good version are
+// late beside its timed answers. These decide there.
+func TestDelaysDoNotOutweighTimedAnswers(t *testing.T) {
+	is := is.New(t)
+	few := func(n int64) [len(Grades)]int64 { return [len(Grades)]int64{n / 3, n / 5, 0} }
+	all := func(n int64) [len(Grades)]int64 { return [len(Grades)]int64{n, n, 0} }
+	is.Equal(delayed(2*fewTimed, few, all).Phase(), Running)
+	is.Equal(delayed(fewTimed/2, few, all).Phase(), RolledBack)
+}
