--- a/placement/statement.go
+++ b/placement/statement.go
@@ -113,9 +113,9 @@
 }
 
 // holds reports whether a statement must be kept though its endpoint is not announced.
-func (s stated) holds(now clock.Millis) bool {
-	binds := s.Leaving || s.HasRate || s.pausedUntil > now || s.leavingUntil > now
-	return binds && now-s.at <= stateKept
+func (known stated) holds(now clock.Millis) bool {
+	binds := known.Leaving || known.HasRate || known.pausedUntil > now || known.leavingUntil > now
+	return binds && now-known.at <= stateKept
 }
 
 // statedOf returns what an endpoint has said since its start.
