A late answer of an older process does not end the new one's statement

Cause, found in the last read: a request that was sent before the next process under an ID was announced may be answered after that one has said that it leaves or names a rate, and took its place.

--- a/placement/statement.go
+++ b/placement/statement.go
@@ -76,6 +76,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	m := b.mark(e.ID)
+	if e.Born < m.stated.born {
+		return false
+	}
 	known := m.statedOf(e)
 	// Answers may overtake one another: one that was asked for before the rate was named
 	// does not lift it.
--- a/placement/statement_test.go
+++ b/placement/statement_test.go
@@ -132,6 +132,9 @@
 	b.State(old, Statement{Rate: 2, HasRate: true}, 0, 10)
 	told := b.Tell(11, true)
 	is.True(!b.Stated(fresh).HasRate)
+	b.State(fresh, Statement{Leaving: true}, 12, 13)
+	is.True(!b.State(old, Statement{}, 11, 14)) // asked before the new process was announced
+	is.True(b.Stated(fresh).Leaving)
 	other.State(fresh, Statement{}, 0, 5)
 	other.Hear("b", told, true, 12)
 	is.True(!other.Stated(fresh).HasRate)
