A pause lasts to its end by the endpoint's clock as well

Cause: the process's clock counts whole milliseconds, so that a pause heard within one began up to a millisecond too early. Ruled out: requests that were placed before the pause was heard (the arrivals are a second apart, each the first after its pause).

The change: a pause ends a millisecond later. The check stays as it is.

--- a/placement/statement.go
+++ b/placement/statement.go
@@ -102,7 +102,10 @@
 	next := known
 	next.Statement, next.at, next.rateSince, next.own, next.untold = s.lasting(), now, now, false, false
 	next.Leaving = s.Leaving || known.Leaving
-	next.pausedUntil = max(known.pausedUntil, now+s.PauseFor)
+	if s.PauseFor > 0 {
+		// The clock counts whole milliseconds, of which this one has begun already.
+		next.pausedUntil = max(known.pausedUntil, now+s.PauseFor+1)
+	}
 	if s.ColdFor > 0 {
 		next.coldUntil = now + s.ColdFor
 	}
