Read the load of endpoints that report more than three figures

The load header was used only with exactly three figures. Endpoints that append a fourth one, how long work takes on their VM, lost all of it without a log line: entries knew their running and waiting requests and slots from their own sends and reports only.

Three figures are now enough, further ones are ignored but the pace, and a header that cannot be used is counted and logged by reason, at most one line in 10 s a reason.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -178,16 +178,39 @@
 func (a *attempt) recordHead(h Head) {
 	s := a.exchange.server
 	now := s.cfg.Clock.Now()
-	a.outstanding = h.Outstanding
-	if h.HasLoad && !h.WrongEndpoint {
-		s.selector.RecordLoad(a.endpoint.ID, h.Outstanding, h.Slots, now)
-		s.selector.RecordQueueLength(a.endpoint.ID, h.QueueLength, now)
+	a.outstanding = h.Load.Outstanding
+	if h.Load.Invalid != "" {
+		s.recordLoadDefect(a, h.Load.Invalid, now)
+	}
+	if h.Load.Known && !h.WrongEndpoint {
+		s.selector.RecordLoad(a.endpoint.ID, h.Load.Outstanding, h.Load.Slots, now)
+		s.selector.RecordQueueLength(a.endpoint.ID, h.Load.QueueLength, now)
 	}
 	if !h.WrongEndpoint && (h.Signed || h.NotRun) {
 		a.recordAdvertisement(h, now)
 	}
 }
 
+// loadDefectLogInterval is the minimum time between two log lines about reported loads with the same
+// defect.
+const loadDefectLogInterval = 10 * clock.Second
+
+// recordLoadDefect counts a reported load that could not be used, and logs the first one in each
+// loadDefectLogInterval.
+func (s *Server) recordLoadDefect(a *attempt, d LoadDefect, now clock.Millis) {
+	s.metrics.GetOrCreateCounter(`parsleydeal_endpoint_load_invalid_total{reason="` + string(d) + `"}`).Inc()
+	s.mu.Lock()
+	at, logged := s.loadDefectLoggedAt[d]
+	due := !logged || now-at >= loadDefectLogInterval
+	if due {
+		s.loadDefectLoggedAt[d] = now
+	}
+	s.mu.Unlock()
+	if due {
+		s.cfg.Log.Warn("Endpoint's load cannot be used", "reason", d, "endpoint", a.endpoint.ID, "address", a.endpoint.Address, "request", a.exchange.req.ID)
+	}
+}
+
 // recordAdvertisement records the endpoint's advertisement and logs changes in it.
 func (a *attempt) recordAdvertisement(h Head, now clock.Millis) {
 	s, e, ad := a.exchange.server, a.endpoint, h.Advertisement
--- a/relay/request.go
+++ b/relay/request.go
@@ -69,13 +69,8 @@
 	// Encoded is true if the body has a content encoding. Endpoints never set one, so such an
 	// answer comes from an intermediary.
 	Encoded bool
-	// Outstanding is the number of requests running or queued at the endpoint, Slots how many it
-	// runs at once. HasLoad is true if both are known.
-	Outstanding int
-	Slots       int
-	HasLoad     bool
-	// QueueLength is the number of requests that have not started yet.
-	QueueLength int
+	// Load is the load that the endpoint reported with the answer.
+	Load Load
 	// Confidence is the model's rating of its own answer, 0 to 100; -1 if it has none.
 	Confidence int
 	// Advertisement is what the endpoint advertises about itself with the answer.
@@ -84,6 +79,34 @@
 	Header http.Header
 }
 
+// Load is the load of an endpoint as reported by itself.
+type Load struct {
+	// Known is true if the endpoint reported its numbers of requests and slots.
+	Known bool
+	// Outstanding is the number of requests running or queued, QueueLength the number of those
+	// that have not started yet, and Slots how many the endpoint runs at once.
+	Outstanding int
+	QueueLength int
+	Slots       int
+	// Pace is how long work takes on the endpoint's VM at the moment, as a multiple of usual; 0 if
+	// it is not known.
+	Pace float64
+	// Invalid is the defect of a report that could not be used, or only in part.
+	Invalid LoadDefect
+}
+
+// LoadDefect is the reason why a reported load could not be used; empty if there is none.
+type LoadDefect string
+
+// The defects. With LoadBadPace, the other figures are used.
+const (
+	LoadRepeated   LoadDefect = "repeated"
+	LoadTooShort   LoadDefect = "too-short"
+	LoadNotNumeric LoadDefect = "not-numeric"
+	LoadNoSlots    LoadDefect = "no-slots"
+	LoadBadPace    LoadDefect = "bad-pace"
+)
+
 // Dialect translates between the types of this package and the headers that callers and endpoints
 // use.
 type Dialect struct {
--- a/relay/server.go
+++ b/relay/server.go
@@ -77,6 +77,8 @@
 	mu               sync.Mutex
 	// budgets holds the retry budget of each service.
 	budgets map[string]*limit.Share
+	// loadDefectLoggedAt is when each defect of a reported load was last logged.
+	loadDefectLoggedAt map[LoadDefect]clock.Millis
 }
 
 // New returns a server with the given configuration.
@@ -85,7 +87,7 @@
 	return &Server{
 		cfg: cfg, startedAt: cfg.Clock.Now(), meter: meter.New(set), metrics: set, advertisementChanges: set.NewCounter("parsleydeal_endpoint_statements_total"),
 		limitedFirst: set.NewCounter(`parsleydeal_limited_sends_total{attempt="first"}`), limitedFurther: set.NewCounter(`parsleydeal_limited_sends_total{attempt="further"}`), selector: placement.NewSelectorWith(cfg.Strategies), sessions: newSessions(cfg.SessionIdleTimeout), counts: newVersionCounts(),
-		snapshotRequests: make(chan string, maxSnapshotQueue), latency: newLatencyTracker(), escalator: cascade.NewEscalator(cfg.Strategies), budgets: make(map[string]*limit.Share),
+		snapshotRequests: make(chan string, maxSnapshotQueue), latency: newLatencyTracker(), escalator: cascade.NewEscalator(cfg.Strategies), budgets: make(map[string]*limit.Share), loadDefectLoggedAt: make(map[LoadDefect]clock.Millis),
 	}
 }
 
