Expect work at an endpoint to take as long as its VM lets it

Endpoints report how long work takes on their VM at the moment.

Hypothesis: entries fill slow endpoints while fast ones have room. Waiting and prefill at an endpoint, and its load, are now multiplied by its typical pace and its last deviation, whose weight falls to 0 over 600 ms. Prefill speeds of models are learned from samples divided by the pace. Entries of a zone report paces to each other, a change by half at once.

--- a/decision/decision.go
+++ b/decision/decision.go
@@ -78,6 +78,8 @@
 	// EarlyRequests decides what happens to requests that arrive at an entry before it has loaded
 	// the state of its site.
 	EarlyRequests Name = "early-requests"
+	// Pace decides how the pace that an endpoint reports changes the expected time of work there.
+	Pace Name = "pace"
 	// Connection decides how to send a request that may run only once on a new connection.
 	Connection Name = "connection"
 )
@@ -135,6 +137,17 @@
 	NoAffinity Strategy = "none"
 )
 
+// Strategies of Pace.
+const (
+	// Recent uses the endpoint's typical pace and its last reported deviation from it, with a
+	// weight that falls with the age of the report.
+	Recent Strategy = "recent"
+	// Typical uses the endpoint's typical pace only.
+	Typical Strategy = "typical"
+	// Ignored assumes that every endpoint is as fast as usual.
+	Ignored Strategy = "ignored"
+)
+
 // Strategies of Connection.
 const (
 	// Watched waits a short time on a new connection, in case the endpoint resets it, before it
@@ -152,6 +165,7 @@
 	{EarlyRequests, "all entries are stopped at once, and callers go on", []Strategy{Hold, Refuse}},
 	{Affinity, "entries that hear nothing of one another send prompts that share parts", []Strategy{ByZone, AllZones, NoAffinity}},
 	{Connection, "endpoints have as many connections as they take and reset new ones", []Strategy{Watched, Immediate}},
+	{Pace, "endpoints share their VMs with others and turn slow for parts of a second", []Strategy{Recent, Typical, Ignored}},
 	mechanism(ReportedWork, "several entries send long prompts at once"),
 	mechanism(ReportedBlocks, "prompts share parts, and callers reach any entry"),
 	mechanism(CachedBlocks, "prompts share parts that endpoints keep"),
--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -118,7 +118,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s := Site{Slots: rapid.IntRange(1, 4).Draw(t, "slots"), CacheTokens: 1000}
 		m := Model{Name: "m", TokenMillis: 0.1, OverheadMillis: 5, EventMillis: 10}
-		e := newEndpoint(s, nil)
+		e := newEndpoint(s, "i", 0, nil)
 		now, lastFirstByte := clock.Millis(0), clock.Millis(0)
 		for range rapid.IntRange(1, 60).Draw(t, "prompts") {
 			now += clock.Millis(rapid.IntRange(0, 50).Draw(t, "pause"))
--- a/emulator/endpoint.go
+++ b/emulator/endpoint.go
@@ -1,8 +1,10 @@
 package emulator
 
 import (
+	"fmt"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/placement"
 )
@@ -10,7 +12,11 @@
 // endpoint prefills prompts in the order of their arrival and streams answers. Times are in
 // milliseconds of virtual time.
 type endpoint struct {
+	id    string
 	slots int
+	// typicalPace is the pace without neighbours.
+	typicalPace float64
+	neighbours  Neighbours
 	// cacheCapacity is in tokens.
 	cacheCapacity int
 	// prefillFreeAt is when the endpoint will have prefilled all prompts received so far.
@@ -32,8 +38,13 @@
 	arrivals        []clock.Millis
 }
 
-func newEndpoint(s Site, limits []Limit) *endpoint {
-	return &endpoint{slots: s.Slots, cacheCapacity: s.CacheTokens, lastUsed: make(map[string]float64), blockTokens: make(map[string]int), limits: limits, limitReceivedAt: make(map[string]clock.Millis)}
+// newEndpoint returns the endpoint of a zone with the given number, from 0.
+func newEndpoint(s Site, id string, number int, limits []Limit) *endpoint {
+	pace := 1.0
+	if len(s.Paces) > 0 {
+		pace = s.Paces[number%len(s.Paces)]
+	}
+	return &endpoint{id: id, typicalPace: pace, neighbours: s.Neighbours, slots: s.Slots, cacheCapacity: s.CacheTokens, lastUsed: make(map[string]float64), blockTokens: make(map[string]int), limits: limits, limitReceivedAt: make(map[string]clock.Millis)}
 }
 
 // start starts a request. It returns when the first byte and the end of the answer will be sent,
@@ -41,14 +52,29 @@
 func (e *endpoint) start(now clock.Millis, m Model, blocks []placement.Block, events int) (first, end clock.Millis, uncached int) {
 	start := max(e.prefillFreeAt, float64(now), e.nextSlotAt(float64(now)))
 	uncached = e.prefill(start, m, blocks)
-	e.prefillFreeAt = start + m.TokenMillis*float64(uncached)
+	pace := e.paceAt(start)
+	e.prefillFreeAt = start + m.TokenMillis*float64(uncached)*pace
 	firstByteAt := e.prefillFreeAt + m.OverheadMillis
-	endAt := firstByteAt + m.EventMillis*float64(events-1)
+	endAt := firstByteAt + m.EventMillis*float64(events-1)*pace
 	e.outstanding++
 	e.answerEnds = append(e.answerEnds, endAt)
 	return clock.Millis(firstByteAt), clock.Millis(endAt), uncached
 }
 
+// paceAt returns how long work that starts at the time now takes, as a multiple of usual.
+func (e *endpoint) paceAt(now float64) float64 {
+	n := e.neighbours
+	if n.Fraction == 0 {
+		return e.typicalPace
+	}
+	const fractions = 1 << 32
+	draw := xxhash.Sum64String(fmt.Sprint(e.id, "/", int64(now)/n.Millis)) % fractions
+	if float64(draw)/fractions < n.Fraction {
+		return e.typicalPace * n.Factor
+	}
+	return e.typicalPace
+}
+
 // nextSlotAt returns the time at which a slot becomes free for one more request, after all
 // requests that already have a slot or wait for one.
 func (e *endpoint) nextSlotAt(now float64) float64 {
--- a/emulator/run.go
+++ b/emulator/run.go
@@ -108,7 +108,7 @@
 		zone := fmt.Sprint("zone-", z)
 		for i := range s.Endpoints {
 			id := fmt.Sprintf("i-%d-%d", z, i)
-			sim.endpoints[id] = newEndpoint(s, l.limitsOf(i))
+			sim.endpoints[id] = newEndpoint(s, id, i, l.limitsOf(i))
 			f.Apply([]fleet.Change{{ID: id, Endpoint: &fleet.Endpoint{ID: id, Service: "pool", Zone: zone, Version: "v1", Slots: s.Slots}}}, false)
 		}
 		for i := range s.Entries {
@@ -255,9 +255,11 @@
 	}
 	sim.countTokens(m, r.blocks[0], uncached)
 	sim.schedule(first, func(now clock.Millis) {
-		work.FirstByte(now)
+		pace := e.paceAt(float64(now))
+		work.FirstByte(now, pace)
 		r.entry.selector.RecordActivity(target.ID, now)
 		r.entry.selector.RecordLoad(target.ID, e.outstanding, e.slots, now)
+		r.entry.selector.RecordPace(target.ID, pace, now)
 		r.entry.selector.RecordAdvertisement(target, e.advertisement(r.entry.name, now), q.Now, now)
 		if !sim.escalates(r, now) {
 			sim.recordAnswer(r, now)
--- a/placement/load_test.go
+++ b/placement/load_test.go
@@ -136,7 +136,7 @@
 	prefilledAt := sim.freeAt[e.ID] + 80
 	heap.Push(&sim.events, event{prefilledAt, func(now clock.Millis) {
 		sim.waiting[e.ID]--
-		w.FirstByte(now)
+		w.FirstByte(now, 0)
 		sel.RecordActivity(e.ID, now)
 		sel.RecordLoad(e.ID, sim.outstanding[e.ID], e.Slots, now)
 		sel.RecordQueueLength(e.ID, sim.waiting[e.ID], now)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -214,8 +214,9 @@
 		return x, false
 	}
 	st, q := sel.stateOf(e.ID), q.hashed()
-	wait := sel.queueMillis(e, st, q)
-	return Expectation{FirstByte: sel.estimates.firstByte(q.Model, wait+sel.estimates.millis(q.Model, sel.uncachedTokens(st, q))), Wait: clock.Millis(wait)}, true
+	pace := st.pace.expected(sel.paceStrategy, q.Now)
+	wait := sel.queueMillis(e, st, q) * pace
+	return Expectation{FirstByte: sel.estimates.firstByte(q.Model, wait+sel.estimates.millis(q.Model, sel.uncachedTokens(st, q))*pace), Wait: clock.Millis(wait)}, true
 }
 
 func (sel *Selector) find(s *fleet.Snapshot, q Query) (e *fleet.Endpoint, reason Reason) {
@@ -319,7 +320,7 @@
 	case !sel.isReachable(st, q.Now):
 		o = unreachable
 	}
-	cost = load*loadCost + sel.failureRatio(st, q.Now)*failureCost
+	cost = load*loadCost*st.pace.expected(sel.paceStrategy, q.Now) + sel.failureRatio(st, q.Now)*failureCost
 	if e.Zone != q.Zone {
 		cost += crossZoneCost + crossZoneByteCost*float64(q.Bytes)
 	}
@@ -341,8 +342,9 @@
 	if hasAffinity {
 		uncached = min(uncached, own)
 	}
-	queue := sel.queueMillis(e, st, q)
-	wait := queue + sel.estimates.millis(q.Model, uncached)
+	pace := st.pace.expected(sel.paceStrategy, q.Now)
+	queue := sel.queueMillis(e, st, q) * pace
+	wait := queue + sel.estimates.millis(q.Model, uncached)*pace
 	if !hasAffinity && !q.reported(e) && !sel.strategies.Disabled(decision.UnreportedCost) {
 		cost += unreportedCost
 	}
--- a/placement/prefix_cache_test.go
+++ b/placement/prefix_cache_test.go
@@ -82,7 +82,7 @@
 	q := Query{Service: "s", Version: "v1", Zone: "a", Model: "m", Blocks: []Block{{"case", 1900}, {"own", 500}}}
 	old, started := NewSelector(), NewSelector()
 	e, _ := old.Select(s, q)
-	old.Begin(e, q).FirstByte(60)
+	old.Begin(e, q).FirstByte(60, 0)
 	old.Begin(s.Find("e3"), Query{Model: "m", Blocks: []Block{{"stale", 1900}, {"own", 9}}, Now: -prefixTTL}).End()
 	reports, speeds := old.Snapshot(100)
 	is.Equal(len(reports), 1) // stale blocks are omitted
--- a/placement/report.go
+++ b/placement/report.go
@@ -22,6 +22,10 @@
 	// QueueLengthAge how old it is; 0 if the endpoint reported none since the last full report.
 	QueueLength    int
 	QueueLengthAge clock.Millis
+	// Pace is the pace that the endpoint reported, and PaceAge how old it is; 0 if there is nothing
+	// to report.
+	Pace    float64
+	PaceAge clock.Millis
 	// Advertisement is what the endpoint advertised, AdvertisementAge how long ago (0 if there is
 	// nothing to report), and Incarnation the endpoint's incarnation that advertised it.
 	Advertisement    Advertisement
@@ -78,7 +82,8 @@
 			include = r.Unanswered > 0 || len(r.Blocks) > 0 || r.QueueLengthAge > 0
 		}
 		st.changed = false
-		if st.reportAdvertisement(&r, now, full) || include {
+		hasPace := st.pace.report(&r, now, full)
+		if st.reportAdvertisement(&r, now, full) || hasPace || include {
 			reports = append(reports, r)
 		}
 	}
@@ -110,6 +115,7 @@
 	st := sel.byHash[r.Endpoint]
 	if st != nil {
 		st.receiveAdvertisement(r, now)
+		st.pace.receive(r, now)
 	}
 	if sel.strategies.Disabled(decision.ReportedWork) {
 		return
--- a/placement/report_test.go
+++ b/placement/report_test.go
@@ -97,7 +97,7 @@
 			remaining = append(remaining, e)
 			continue
 		}
-		e.work.FirstByte(now)
+		e.work.FirstByte(now, 0)
 		e.work.End()
 	}
 	return remaining
--- a/placement/selector.go
+++ b/placement/selector.go
@@ -36,9 +36,10 @@
 	peers      map[string]peerReports
 	estimates  speedEstimates
 	strategies decision.Strategies
-	// affinityStrategy caches the strategy of decision.Affinity, which is looked up for each
-	// candidate endpoint.
+	// affinityStrategy and paceStrategy cache the strategies of decision.Affinity and decision.Pace,
+	// which are looked up for each candidate endpoint.
 	affinityStrategy decision.Strategy
+	paceStrategy     decision.Strategy
 	// urgent holds a value while something must be reported to other entries at once: a long
 	// prompt or a changed advertisement.
 	urgent chan struct{}
@@ -82,6 +83,7 @@
 	queueLength           int
 	queueLengthAt         clock.Millis
 	queueLengthUnreported bool
+	pace                  pace
 }
 
 // NewSelector returns an empty selector that uses the default strategies.
@@ -89,7 +91,7 @@
 
 // NewSelectorWith returns an empty selector that uses the given strategies.
 func NewSelectorWith(strategies decision.Strategies) *Selector {
-	return &Selector{strategies: strategies, affinityStrategy: strategies.For(decision.Affinity), urgent: make(chan struct{}, 1), inflight: choice.NewInflight(), states: make(map[string]*endpointState), byHash: make(map[uint32]*endpointState), prefixes: newPrefixCache(), peers: make(map[string]peerReports), estimates: newSpeedEstimates()}
+	return &Selector{strategies: strategies, affinityStrategy: strategies.For(decision.Affinity), paceStrategy: strategies.For(decision.Pace), urgent: make(chan struct{}, 1), inflight: choice.NewInflight(), states: make(map[string]*endpointState), byHash: make(map[uint32]*endpointState), prefixes: newPrefixCache(), peers: make(map[string]peerReports), estimates: newSpeedEstimates()}
 }
 
 // stateOf returns the state of an endpoint and creates it if there is none.
@@ -134,7 +136,7 @@
 	st, q := sel.stateOf(id), q.hashed()
 	uncached := sel.uncachedTokens(st, q)
 	w := &Work{selector: sel, endpoint: id, model: q.Model, uncachedTokens: uncached, prefillMillis: sel.estimates.millis(q.Model, uncached), onlyPending: st.unanswered == 0, startedAt: q.Now}
-	w.expectedWait = sel.queueMillis(e, st, q) + w.prefillMillis
+	w.expectedWait = (sel.queueMillis(e, st, q) + w.prefillMillis) * st.pace.expected(sel.paceStrategy, q.Now)
 	w.expectedFirstByte = sel.estimates.firstByte(q.Model, w.expectedWait)
 	st.pendingMillis += w.prefillMillis
 	st.unanswered++
@@ -147,12 +149,14 @@
 }
 
 // FirstByte records that the first byte of the answer has arrived: the prompt has been prefilled.
-func (w *Work) FirstByte(now clock.Millis) {
+// reportedPace is the pace that the endpoint reported with the answer; 0 if it reported none. The
+// prefill speed is learned without it, so that a busy VM does not make its model look slow.
+func (w *Work) FirstByte(now clock.Millis, reportedPace float64) {
 	sel := w.selector
 	sel.mu.Lock()
 	defer sel.mu.Unlock()
 	if w.onlyPending && !w.prefilled {
-		sel.estimates.recordSample(w.model, w.uncachedTokens, now-w.startedAt)
+		sel.estimates.recordSample(w.model, w.uncachedTokens, float64(now-w.startedAt)/sel.samplePace(reportedPace))
 	}
 	if !w.prefilled {
 		sel.estimates.recordExcess(w.model, float64(now-w.startedAt)-w.expectedWait)
--- a/placement/speed.go
+++ b/placement/speed.go
@@ -90,12 +90,12 @@
 
 // recordSample updates the estimate of a model's speed, which follows the speedQuantile of the
 // samples.
-func (s *speedEstimates) recordSample(model string, tokens int, took clock.Millis) {
+func (s *speedEstimates) recordSample(model string, tokens int, tookMillis float64) {
 	if tokens < minSampleTokens {
 		return
 	}
 	s.meanMillis += meanWeight * (s.millis(model, tokens) - s.meanMillis)
-	sample := float64(took) / float64(tokens)
+	sample := tookMillis / float64(tokens)
 	perToken, ok := s.millisPerToken[model]
 	step := s.step(model)
 	switch {
--- a/placement/zones_test.go
+++ b/placement/zones_test.go
@@ -121,7 +121,7 @@
 	}
 	sim.freeAt[e.ID] = max(sim.freeAt[e.ID], now) + prefill
 	heap.Push(&sim.events, event{sim.freeAt[e.ID], func(now clock.Millis) {
-		w.FirstByte(now)
+		w.FirstByte(now, 0)
 		sel.RecordActivity(e.ID, now)
 		w.End()
 	}})
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -72,10 +72,11 @@
 	defer answer.Close()
 	a.timeToFirstByte = max(s.cfg.Clock.Now()-a.startedAt, 1)
 	x.connectTook += answer.ConnectTime()
-	work.FirstByte(s.cfg.Clock.Now())
+	h := s.cfg.Dialect.Head(answer.Status, answer.Header)
+	x.pace = h.Load.Pace
+	work.FirstByte(s.cfg.Clock.Now(), h.Load.Pace)
 	s.latency.addError(x.route, a.plan.model(), a.timeToFirstByte-a.expectedFirstByte)
 	s.selector.RecordActivity(a.endpoint.ID, s.cfg.Clock.Now())
-	h := s.cfg.Dialect.Head(answer.Status, answer.Header)
 	a.status, a.confidence = h.Status, h.Confidence
 	a.recordHead(h)
 	return a.classify(h, answer)
@@ -185,6 +186,9 @@
 	if h.Load.Known && !h.WrongEndpoint {
 		s.selector.RecordLoad(a.endpoint.ID, h.Load.Outstanding, h.Load.Slots, now)
 		s.selector.RecordQueueLength(a.endpoint.ID, h.Load.QueueLength, now)
+		if h.Load.Pace > 0 {
+			s.selector.RecordPace(a.endpoint.ID, h.Load.Pace, now)
+		}
 	}
 	if !h.WrongEndpoint && (h.Signed || h.NotRun) {
 		a.recordAdvertisement(h, now)
--- a/relay/server.go
+++ b/relay/server.go
@@ -166,6 +166,8 @@
 	bodyTook       clock.Millis
 	firstAttemptAt clock.Millis
 	connectTook    clock.Millis
+	// pace is the pace that the endpoint reported with the last answer; 0 if it reported none.
+	pace float64
 	// lastEventAt is when the last event was sent to the caller, longestPause the longest time
 	// between two events.
 	lastEventAt  clock.Millis
@@ -215,7 +217,7 @@
 func (x *exchange) logRequest(err error, took clock.Millis, callerLeft bool) {
 	fields := []any{
 		"request", x.id(), "route", x.routeName(), "organisation", x.organisation, "status", x.status, "endpoint", x.endpoint, "version", x.version, "model", x.model,
-		"sends", x.sends, "events", x.events, "waited", x.startWait, "took", took, "body", x.bodyTook, "placed", x.firstAttemptAfter(), "connect", x.connectTook, "first", x.timeToFirstByte, "late", x.late(took), "config", x.configVersion(), "config-age", x.configAge(), "left-by-caller", callerLeft,
+		"sends", x.sends, "events", x.events, "waited", x.startWait, "took", took, "body", x.bodyTook, "placed", x.firstAttemptAfter(), "connect", x.connectTook, "first", x.timeToFirstByte, "pace", x.pace, "late", x.late(took), "config", x.configVersion(), "config-age", x.configAge(), "left-by-caller", callerLeft,
 	}
 	if err != nil {
 		x.server.cfg.Log.Warn("Request failed", append(fields, "error", logbook.Text(err))...)
--- a/relay/share.go
+++ b/relay/share.go
@@ -28,6 +28,10 @@
 	// packetOverheadBytes is the size of a datagram without its report: the IP, UDP and link
 	// headers.
 	packetOverheadBytes = 46
+	// percent converts a pace to the unit of reports, and maxPacePercent is the largest plausible
+	// pace in this unit.
+	percent        = 100
+	maxPacePercent = 100 * percent
 )
 
 // byteBudget is a token bucket for the bytes of reports; available may be negative.
@@ -107,6 +111,9 @@
 func workFromWire(work []*wire.EndpointWork) (reports []placement.EndpointReport) {
 	for _, w := range work {
 		e := placement.EndpointReport{Endpoint: w.GetEndpoint(), PendingMillis: float64(w.GetReadingMillis()), Unanswered: int(w.GetUnanswered()), Blocks: w.GetParts(), QueueLength: int(w.GetWaiting()), QueueLengthAge: clock.Millis(w.GetWordAgeMillis())}
+		if w.GetPacePercent() > 0 && w.GetPacePercent() <= maxPacePercent {
+			e.Pace, e.PaceAge = float64(w.GetPacePercent())/percent, clock.Millis(w.GetPaceAgeMillis())
+		}
 		if ad := w.GetStatement(); validAdvertisement(ad) {
 			e.Advertisement = placement.Advertisement{Rate: ad.GetRate(), HasRate: ad.Rate != nil, Leaving: ad.GetLeaving()}
 			e.AdvertisementAge, e.Incarnation = clock.Millis(ad.GetAgeMillis()), ad.GetBorn()
@@ -124,7 +131,7 @@
 
 func workToWire(reports []placement.EndpointReport) (out []*wire.EndpointWork) {
 	for _, e := range reports {
-		w := &wire.EndpointWork{Endpoint: e.Endpoint, ReadingMillis: int32(e.PendingMillis), Unanswered: int32(e.Unanswered), Parts: e.Blocks, Waiting: int32(e.QueueLength), WordAgeMillis: int32(e.QueueLengthAge)}
+		w := &wire.EndpointWork{Endpoint: e.Endpoint, ReadingMillis: int32(e.PendingMillis), Unanswered: int32(e.Unanswered), Parts: e.Blocks, Waiting: int32(e.QueueLength), WordAgeMillis: int32(e.QueueLengthAge), PacePercent: int32(math.Round(e.Pace * percent)), PaceAgeMillis: int32(e.PaceAge)}
 		if e.AdvertisementAge > 0 {
 			w.Statement = &wire.EndpointStatement{Born: e.Incarnation, AgeMillis: int32(e.AdvertisementAge), Leaving: e.Advertisement.Leaving}
 			if e.Advertisement.HasRate {
--- a/relay/share_test.go
+++ b/relay/share_test.go
@@ -56,7 +56,7 @@
 	old, started := serverOf("old", "e"), serverOf("e", "old")
 	at := &fleet.Endpoint{ID: "i-1", Service: "app", Version: "v1", Slots: 4}
 	q := placement.Query{Service: "app", Model: "m", Now: c.Now(), Blocks: []placement.Block{{ID: "case", Tokens: 900}, {ID: "own", Tokens: 100}}}
-	old.selector.Begin(at, q).FirstByte(c.Now() + 20)
+	old.selector.Begin(at, q).FirstByte(c.Now()+20, 0)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go old.ServeSnapshots(ctx, "old", func(r *wire.EntryReport, to []string) error {
