Bound what is held for callers and endpoints that read slowly

An entry read the next event of a stream only when the caller had taken the one before, so that a caller that stopped for some seconds had its answer cut off by the endpoint, which waits no longer. Nothing bounded the memory of all slow callers and of bodies in flight together.

While a write takes longer than 50 ms an entry now reads ahead, at most 256 KB an answer; then the endpoint waits. All callers together may have an eighth of the process's memory: beyond it the caller of the lowest rank that has been slow for the longest time is cut off, logged with held bytes and age. Bodies may take a quarter; a request without room is refused before it is sent. Plain answers are written in parts of 64 KB, each within 5 s, where they had no limit at all.

An answer above 8 MB was cut there and delivered as complete, with a length to match; it is passed on as it arrives (TestLargeAnswerIsDeliveredWhole fails on the code before).

--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -92,10 +92,12 @@
 	return err
 }
 
+// megabyte is the unit of direct.memory, in bytes.
+const megabyte = 1 << 20
+
 // newDirect returns an entry that writes its log lines to out.
 func newDirect(path string, s settings.Settings, out io.Writer) (d *direct, err error) {
 	if s.Direct.Memory > 0 {
-		const megabyte = 1 << 20
 		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.Direct.Memory) * megabyte))
 	}
 	strategies, err := decision.Choose(s.Decisions.Strategies)
@@ -126,7 +128,7 @@
 	d.server = relay.New(relay.Config{
 		Clock: d.clock, Log: d.log, Dialect: platform.Dialect(), View: d.loop.View, Started: d.loop.Started(), Pool: upstream.NewPool(d.clock), Zone: s.Zone,
 		Strict: s.Direct.StrictKeys, KeyLease: s.Direct.KeyLease - leaseMargin, RetryRatio: s.Direct.RetryRatio, RetrySlack: s.Direct.RetrySlack, RetryWindow: s.Direct.RetryWindow,
-		ColdOverage: s.Direct.ColdOverage, ColdSlack: s.Direct.ColdSlack, SessionIdleTimeout: s.Direct.SessionIdleTimeout, Strategies: strategies,
+		ColdOverage: s.Direct.ColdOverage, ColdSlack: s.Direct.ColdSlack, SessionIdleTimeout: s.Direct.SessionIdleTimeout, Memory: s.Direct.Memory * megabyte, Strategies: strategies,
 	})
 	return d, nil
 }
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -194,6 +194,9 @@
 	if !x.req.hasBody {
 		return nil
 	}
+	if err = x.reserve(int(max(x.r.ContentLength, 0))); err != nil {
+		return err
+	}
 	control := http.NewResponseController(x.w)
 	if err = control.SetReadDeadline(time.Now().Add(x.remaining().Duration())); err != nil {
 		return err
@@ -212,5 +215,23 @@
 	}
 	// Without this reset, the deadline would close the connection while it waits for the next
 	// request.
-	return control.SetReadDeadline(time.Time{})
+	if err = control.SetReadDeadline(time.Time{}); err != nil {
+		return err
+	}
+	return x.reserve(len(x.req.body))
+}
+
+// reserve reserves the memory for a body of n bytes, unless it is reserved already. Without memory
+// the request is refused before it is sent to any endpoint.
+func (x *exchange) reserve(n int) (err error) {
+	more := bodyCopies*n - x.reserved
+	if more <= 0 {
+		return nil
+	}
+	if !x.server.bodies.reserve(more) {
+		x.w.Header().Set("Connection", "close")
+		return refusal.New(refusal.Saturated, fmt.Sprintf("no memory for a body of %d bytes", n))
+	}
+	x.reserved += more
+	return nil
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math"
 	"net/http"
@@ -265,21 +266,56 @@
 const maxAnswerBytes = 8 << 20
 
 // readAnswer buffers the full answer before any of it is sent to the caller, so that the request
-// can be repeated if the connection breaks.
+// can be repeated if the connection breaks. A larger answer is passed on as it arrives.
 func (a *attempt) readAnswer(h Head, answer *upstream.Answer) (r result, err error) {
 	x := a.exchange
 	if err = answer.SetReadTimeout(x.eventTimeout()); err != nil {
 		return failed, interrupted(err)
 	}
-	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes+1))
 	if err != nil {
 		a.silent, a.cause = upstream.TimedOut(err), err
 		return failed, interrupted(err)
 	}
+	if len(body) > maxAnswerBytes {
+		return a.passOn(h, answer, body)
+	}
 	answer.Close()
 	return done, x.deliver(&bufferedAnswer{head: h, body: body})
 }
 
+// passOn sends the caller an answer of which only the beginning is buffered. If it breaks off, no
+// other attempt can complete it.
+func (a *attempt) passOn(h Head, answer *upstream.Answer, beginning []byte) (r result, err error) {
+	x := a.exchange
+	x.writeHead(h)
+	if err = x.writeBody(beginning); err != nil {
+		return ended, err
+	}
+	buf := make([]byte, maxWriteBytes)
+	for {
+		if err = answer.SetReadTimeout(x.eventTimeout()); err != nil {
+			return ended, interrupted(err)
+		}
+		n, err := answer.Read(buf)
+		if n > 0 {
+			if err := x.write(buf[:n]); err != nil {
+				return ended, err
+			}
+		}
+		if err == io.EOF {
+			return done, nil
+		}
+		if err != nil {
+			a.cause = err
+			return ended, interrupted(err)
+		}
+	}
+}
+
+// errAnswerTooLarge is the cause of a failure response that is not passed on.
+var errAnswerTooLarge = errors.New("relay: failure response is too large")
+
 // readFailure buffers the failure response of an endpoint. It is sent to the caller if no other
 // attempt is made or succeeds.
 func (a *attempt) readFailure(h Head, answer *upstream.Answer) (r result, err error) {
@@ -287,7 +323,10 @@
 	if err = answer.SetReadTimeout(x.eventTimeout()); err != nil {
 		return failed, interrupted(err)
 	}
-	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		err = errAnswerTooLarge
+	}
 	if err != nil {
 		a.cause = err
 		return failed, interrupted(err)
@@ -305,10 +344,7 @@
 	if x.r.Method == http.MethodHead {
 		return nil
 	}
-	if _, err = x.w.Write(answer.body); err != nil {
-		return refusal.New(refusal.Cancelled, "caller went away").WithRun(refusal.Ran)
-	}
-	return nil
+	return x.writeBody(answer.body)
 }
 
 func copyHeader(to, from http.Header) {
--- a/relay/server.go
+++ b/relay/server.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -47,6 +48,8 @@
 	ColdOverage        float64
 	ColdSlack          float64
 	SessionIdleTimeout clock.Millis
+	// Memory is the memory of the process in bytes; 0 if it is not limited.
+	Memory int
 	// Strategies holds the strategy for each kind of decision.
 	Strategies decision.Strategies
 }
@@ -77,6 +80,9 @@
 	mu               sync.Mutex
 	// budgets holds the retry budget of each service.
 	budgets map[string]*limit.Share
+	// held counts what waits for callers, bodies the bodies of requests in flight.
+	held   *heldBytes
+	bodies *memoryBudget
 	// loadDefectLoggedAt is when each defect of a reported load was last logged.
 	loadDefectLoggedAt map[LoadDefect]clock.Millis
 }
@@ -84,10 +90,12 @@
 // New returns a server with the given configuration.
 func New(cfg Config) *Server {
 	set := metrics.NewSet()
+	memory := float64(cmp.Or(cfg.Memory, defaultMemory))
 	return &Server{
 		cfg: cfg, startedAt: cfg.Clock.Now(), meter: meter.New(set), metrics: set, advertisementChanges: set.NewCounter("parsleydeal_endpoint_statements_total"),
 		limitedFirst: set.NewCounter(`parsleydeal_limited_sends_total{attempt="first"}`), limitedFurther: set.NewCounter(`parsleydeal_limited_sends_total{attempt="further"}`), selector: placement.NewSelectorWith(cfg.Strategies), sessions: newSessions(cfg.SessionIdleTimeout), counts: newVersionCounts(),
 		snapshotRequests: make(chan string, maxSnapshotQueue), latency: newLatencyTracker(), escalator: cascade.NewEscalator(cfg.Strategies), budgets: make(map[string]*limit.Share), loadDefectLoggedAt: make(map[LoadDefect]clock.Millis),
+		held: newHeldBytes(cfg.Clock, int(heldAnswersRatio*memory)), bodies: &memoryBudget{limit: int(heldBodiesRatio * memory)},
 	}
 }
 
@@ -125,6 +133,7 @@
 	end := s.meter.Begin()
 	err := x.serve()
 	end(x.routeName(), uint32(x.sends), err)
+	s.bodies.release(x.reserved)
 	x.finish(err)
 }
 
@@ -168,6 +177,10 @@
 	connectTook    clock.Millis
 	// pace is the pace that the endpoint reported with the last answer; 0 if it reported none.
 	pace float64
+	// cutOff is true once the caller is cut off because too much is held for slow callers.
+	cutOff atomic.Bool
+	// reserved is the memory that the request's body takes, in bytes.
+	reserved int
 	// lastEventAt is when the last event was sent to the caller, longestPause the longest time
 	// between two events.
 	lastEventAt  clock.Millis
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/parsleydeal/parsleydeal/clock"
@@ -23,6 +24,8 @@
 	// writeTimeout bounds a write to the caller. A caller that stops reading would otherwise hold
 	// its request, and its slot at an endpoint, until the request's deadline.
 	writeTimeout = 5 * clock.Second
+	// maxWriteBytes is the largest part of a body that is written at once.
+	maxWriteBytes = 64 << 10
 	// maxEventBytes bounds the size of an event.
 	maxEventBytes = 1 << 20
 )
@@ -31,14 +34,12 @@
 // that fails may stop in the middle of one.
 func (a *attempt) streamAnswer(h Head, answer *upstream.Answer) (r result, err error) {
 	x := a.exchange
-	events := &eventReader{r: bufio.NewReader(answer)}
+	events := a.readAhead(answer)
+	defer events.close()
 	if !x.written {
 		x.writeHead(h)
 	}
 	for {
-		if err = answer.SetReadTimeout(x.eventTimeout()); err != nil {
-			return broken, interrupted(err)
-		}
 		e, err := events.next()
 		if err == io.EOF {
 			return done, nil
@@ -47,18 +48,53 @@
 			a.silent, a.cause = upstream.TimedOut(err), err
 			return broken, interrupted(err)
 		}
-		a.lastEventAt = x.server.cfg.Clock.Now()
+		a.lastEventAt = e.at
 		if a.events == 0 {
 			a.firstEventAt = a.lastEventAt
 		}
 		a.events++
 		x.server.selector.RecordActivity(a.endpoint.ID, a.lastEventAt)
-		if err = x.writeEvent(e); err != nil {
+		if err = events.during(func() error { return x.writeEvent(e) }); err != nil {
 			return ended, err
 		}
 	}
 }
 
+// readAhead returns a reader of the events of an answer.
+func (a *attempt) readAhead(answer *upstream.Answer) *readAhead {
+	x, events := a.exchange, &eventReader{r: bufio.NewReader(answer)}
+	r := &readAhead{
+		prepare: func() error { return answer.SetReadTimeout(x.eventTimeout()) },
+		read: func() (e event, err error) {
+			e, err = events.next()
+			e.at = x.server.cfg.Clock.Now()
+			return e, err
+		},
+		interrupt: func() { _ = answer.SetReadTimeout(0) },
+		held:      x.server.held,
+		caller:    x.heldAnswer(),
+	}
+	r.changed = sync.NewCond(&r.mu)
+	return r
+}
+
+// heldAnswer returns the answer to this request, of which nothing is held yet.
+func (x *exchange) heldAnswer() heldAnswer {
+	control := http.NewResponseController(x.w)
+	return heldAnswer{rank: x.priority, cut: func(bytes int, age clock.Millis) {
+		x.cutOff.Store(true)
+		_ = control.SetWriteDeadline(time.Now())
+		x.logCut("memory", bytes, age)
+	}}
+}
+
+// logCut counts and logs that the caller is cut off because it reads too slowly.
+func (x *exchange) logCut(reason string, bytes int, age clock.Millis) {
+	s := x.server
+	s.metrics.GetOrCreateCounter(`parsleydeal_callers_cut_total{reason="` + reason + `"}`).Inc()
+	s.cfg.Log.Info("Caller is cut off", "request", x.req.ID, "reason", reason, "held", bytes, "age", age, "rank", x.priority)
+}
+
 // eventTimeout returns how long to wait for the next event.
 func (x *exchange) eventTimeout() clock.Millis {
 	if !x.mayRepeat() {
@@ -80,13 +116,8 @@
 // writeEvent sends one event to the caller and records its ID, from which the stream can be
 // resumed.
 func (x *exchange) writeEvent(e event) (err error) {
-	control := http.NewResponseController(x.w)
-	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout.Duration()))
-	if _, err = x.w.Write(e.raw); err == nil {
-		err = control.Flush()
-	}
-	if err != nil {
-		return refusal.New(refusal.Cancelled, "caller takes nothing: "+err.Error()).WithRun(refusal.Ran)
+	if err = x.write(e.raw); err != nil {
+		return err
 	}
 	now := x.server.cfg.Clock.Now()
 	if x.events > 0 {
@@ -100,10 +131,47 @@
 	return nil
 }
 
-// event is one event of a stream, as received.
+// write sends a part of the answer to the caller.
+func (x *exchange) write(data []byte) (err error) {
+	control := http.NewResponseController(x.w)
+	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout.Duration()))
+	if x.cutOff.Load() {
+		return refusal.New(refusal.Cancelled, "caller was cut off").WithRun(refusal.Ran)
+	}
+	if _, err = x.w.Write(data); err == nil {
+		err = control.Flush()
+	}
+	if err == nil {
+		return nil
+	}
+	if upstream.TimedOut(err) && !x.cutOff.Load() {
+		x.logCut("write-timeout", len(data), writeTimeout)
+	}
+	return refusal.New(refusal.Cancelled, "caller takes nothing: "+err.Error()).WithRun(refusal.Ran)
+}
+
+// writeBody sends a buffered body in parts, so that a caller that takes some of it within
+// writeTimeout is not cut off.
+func (x *exchange) writeBody(body []byte) (err error) {
+	held, rest := x.heldAnswer(), len(body)
+	x.server.held.hold(&held, rest)
+	defer func() { x.server.held.release(&held, rest) }()
+	for rest > 0 {
+		n := min(rest, maxWriteBytes)
+		if err = x.write(body[len(body)-rest:][:n]); err != nil {
+			return err
+		}
+		x.server.held.release(&held, n)
+		rest -= n
+	}
+	return nil
+}
+
+// event is one event of a stream, as received at the time at.
 type event struct {
 	raw []byte
 	id  string
+	at  clock.Millis
 }
 
 // eventReader splits a stream into events.
