--- /dev/null
+++ b/daemon/bootstrap_test.go
@@ -0,0 +1,61 @@
+package daemon
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/parsleydeal/parsleydeal/platform/standin"
+	address "github.com/parsleydeal/parsleydeal/standin"
+)
+
+// neighbourSite returns a site whose entries ask the first one for its state.
+func neighbourSite(t *testing.T) *testSite {
+	ts := newTestSite(t)
+	_, ts.peerPort, _ = net.SplitHostPort(address.FreeAddress())
+	ts.neighbours = []string{"127.0.1.1:9", "127.0.1.99:9"}
+	ts.publish()
+	ts.endpoint("i-1", "app", "v1", nil)
+	return ts
+}
+
+// Guards against calls to the store by every entry that starts: an entry must take the state of a
+// running one, and serve callers from it.
+func TestStartedEntryTakesStateOfNeighbour(t *testing.T) {
+	is := is.New(t)
+	ts := neighbourSite(t)
+	ts.entry("e-1")
+	for i := range 5 {
+		e := ts.entry(fmt.Sprint("f-", i))
+		is.True(strings.Contains(e.log.String(), "State of another entry was taken"))
+		is.Equal(e.do(e.request("GET", "/read/x", "")).status, 200)
+		time.Sleep(100 * time.Millisecond)
+		is.True(!strings.Contains(e.log.String(), "Store was read in full"))
+	}
+}
+
+// Guards against entries that never start because the store is down while their neighbours know the
+// site.
+func TestEntryStartsFromNeighbourInOutage(t *testing.T) {
+	is := is.New(t)
+	ts := neighbourSite(t)
+	first := ts.entry("e-1")
+	e := ts.startEntry("f-1")
+	e.storeHandler.SetFault(standin.Down)
+	ts.eventually(3*time.Second, "entry is ready without the store", func() bool { ready, _ := e.ready(); return ready })
+	is.Equal(e.do(e.request("GET", "/read/x", "")).status, 200)
+	is.True(strings.Contains(first.log.String(), "Site is known"))
+}
+
+// An entry whose neighbours are all gone must read the store.
+func TestEntryWithoutNeighboursReadsStore(t *testing.T) {
+	is := is.New(t)
+	ts := neighbourSite(t)
+	ts.neighbours = []string{"127.0.1.98:9", "127.0.1.99:9"}
+	e := ts.entry("f-1")
+	is.True(strings.Contains(e.log.String(), "State of the site is read from the store"))
+	is.Equal(e.do(e.request("GET", "/read/x", "")).status, 200)
+}
--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -13,7 +13,9 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
+	"github.com/parsleydeal/parsleydeal/bootstrap"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/decision"
 	"github.com/parsleydeal/parsleydeal/gossip"
@@ -24,6 +26,7 @@
 	"github.com/parsleydeal/parsleydeal/settings"
 	"github.com/parsleydeal/parsleydeal/site"
 	"github.com/parsleydeal/parsleydeal/upstream"
+	"google.golang.org/protobuf/proto"
 )
 
 const (
@@ -55,6 +58,9 @@
 	loop      *site.Loop
 	server    *relay.Server
 	socket    *gossip.Socket
+	traffic   *traffic
+	// bootstrapHandler gives this entry's state of the site to entries that start.
+	bootstrapHandler *bootstrap.Handler
 }
 
 // RunDirectOn serves callers directly until the context ends and writes its log
@@ -104,7 +110,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d = &direct{path: path, settings: s, clock: clock.Boot()}
+	d = &direct{path: path, settings: s, clock: clock.Boot(), traffic: newTraffic()}
 	d.logWriter = logbook.New(d.clock, out)
 	l, err := newLogger(s.Log, d.logWriter)
 	if err != nil {
@@ -114,17 +120,28 @@
 	if d.socket, err = gossip.Open(s.Peer); err != nil {
 		return nil, err
 	}
-	store := platform.NewStore(s.Direct.Store, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DisableCompression: true}})
+	store := platform.NewStore(s.Direct.Store, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DisableCompression: true}}, func(size int) {
+		d.traffic.add(flowStore, false, size, 1, 1)
+	})
 	d.loop = site.NewLoop(site.Config{
-		Self:    site.Self{Name: s.VM, Process: d.processID(), Zone: s.Zone, Exposure: s.Direct.Exposure},
-		Clock:   d.clock,
-		Log:     d.log,
-		Store:   site.Store{Newest: store.Newest, Read: store.Read, Append: store.Append},
-		Codec:   site.Codec{Operator: platform.DecodeOperator, Endpoints: platform.DecodeEndpoints, Verdicts: platform.DecodeVerdicts, VerdictRecord: platform.EncodeVerdict},
-		Address: s.Peer,
-		Send:    d.socket.Send,
-		Counts:  func() site.TrafficCounts { return d.server.TrafficCounts() },
+		Self:        site.Self{Name: s.VM, Process: d.processID(), Zone: s.Zone, Exposure: s.Direct.Exposure},
+		Clock:       d.clock,
+		Log:         d.log,
+		Store:       site.Store{Newest: store.Newest, Read: store.Read, Append: store.Append},
+		Codec:       site.Codec{Operator: platform.DecodeOperator, Endpoints: platform.DecodeEndpoints, Verdicts: platform.DecodeVerdicts, VerdictRecord: platform.EncodeVerdict},
+		Address:     s.Peer,
+		Send:        d.send,
+		Counts:      func() site.TrafficCounts { return d.server.TrafficCounts() },
+		TakeState:   d.takeState,
+		TakeEntries: d.takeEntries,
 	})
+	d.bootstrapHandler = &bootstrap.Handler{Clock: d.clock, Started: d.loop.Started(), State: d.loop.State, Entries: d.loop.Entries, OnAnswer: func(size int, zone string) {
+		inZone := 0
+		if zone == s.Zone {
+			inZone = 1
+		}
+		d.traffic.add(flowState, true, size, 1, inZone)
+	}}
 	d.server = relay.New(relay.Config{
 		Clock: d.clock, Log: d.log, Dialect: platform.Dialect(), View: d.loop.View, Started: d.loop.Started(), Pool: upstream.NewPool(d.clock), Zone: s.Zone,
 		Strict: s.Direct.StrictKeys, KeyLease: s.Direct.KeyLease - leaseMargin, RetryRatio: s.Direct.RetryRatio, RetrySlack: s.Direct.RetrySlack, RetryWindow: s.Direct.RetryWindow,
@@ -155,18 +172,20 @@
 	if err != nil {
 		return err
 	}
-	failed := make(chan error, 3)
+	failed := make(chan error, 4)
 	go func() { failed <- callers.Serve(lis) }()
 	go func() { failed <- d.serveInternal(s.Direct.Ready, d.readinessHandler()) }()
+	go func() { failed <- d.serveInternal(s.Peer, d.bootstrapHandler) }()
 	if s.Operators != "" {
 		go func() { failed <- d.serveInternal(s.Operators, d.metricsHandler()) }()
 	}
 	go d.loop.Run(ctx)
 	go d.socket.Receive(ctx, d.receive)
-	go d.server.SendReports(ctx, s.VM, d.socket.Send)
-	go d.server.RequestSnapshot(ctx, s.VM, s.Peer, d.socket.Send)
-	go d.server.ServeSnapshots(ctx, s.VM, d.socket.Send)
+	go d.server.SendReports(ctx, s.VM, d.send)
+	go d.server.RequestSnapshot(ctx, s.VM, s.Peer, d.send)
+	go d.server.ServeSnapshots(ctx, s.VM, d.send)
 	go d.sweep(ctx)
+	go d.logTraffic(ctx)
 	go idle.run(ctx, d.idleTimeout)
 	for {
 		select {
@@ -183,9 +202,52 @@
 	}
 }
 
+// maxCatchUpAttempts is how many entries an entry that has fallen behind asks for their state before
+// it reads the store.
+const maxCatchUpAttempts = 3
+
+// takeState takes the state of the site from another entry. It begins with the given entries or, if
+// there are none, with those of the settings.
+func (d *direct) takeState(ctx context.Context, from []site.EntryAddress) (err error) {
+	self := bootstrap.Entry{Name: d.settings.VM, Address: d.settings.Peer, Zone: d.settings.Zone}
+	attempts := maxCatchUpAttempts
+	var seeds []bootstrap.Entry
+	for _, x := range from {
+		seeds = append(seeds, bootstrap.Entry{Name: x.Name, Address: x.Address, Zone: x.Zone})
+	}
+	if len(from) == 0 {
+		attempts = bootstrap.Unlimited
+		if seeds, err = bootstrap.SeedsAt(d.settings.Direct.Neighbours, d.settings.Peer); err != nil {
+			return err
+		}
+	}
+	startedAt := d.clock.Now()
+	client := bootstrap.NewClient(bootstrap.Client{
+		Self: self, Clock: d.clock,
+		Apply: func(m *wire.SiteState, sentAt clock.Millis) error { return d.loop.ApplyState(ctx, m, sentAt) },
+		OnRejected: func(address string, err error) {
+			d.log.Info("State of another entry cannot be used", "from", address, "error", logbook.Text(err))
+		},
+	})
+	address, err := client.Run(ctx, bootstrap.NewSearch(self, seeds, attempts, xxhash.Sum64String(d.processID()), startedAt))
+	if err != nil {
+		return err
+	}
+	d.log.Info("State of another entry was taken", "from", address, "after", d.clock.Since(startedAt))
+	return nil
+}
+
+// takeEntries asks one of some entries which entries are running. Which one depends on this process,
+// so that all of them are asked about equally often.
+func (d *direct) takeEntries(ctx context.Context, from []site.EntryAddress) (*wire.SiteState, error) {
+	x := from[xxhash.Sum64String(d.processID())%uint64(len(from))]
+	return bootstrap.NewClient(bootstrap.Client{Clock: d.clock, Self: bootstrap.Entry{Zone: d.settings.Zone}}).Entries(ctx, bootstrap.Entry{Name: x.Name, Address: x.Address, Zone: x.Zone})
+}
+
 // receive passes a report from another entry to the loop or, if it is about work at endpoints, to
 // the server. Only reports for the loop name a zone.
 func (d *direct) receive(r *wire.EntryReport) {
+	d.traffic.add(flowOf(r), false, proto.Size(r)+datagramOverhead, 1, 1)
 	if r.GetZone() == "" {
 		d.server.ReceiveReport(r)
 		return
@@ -270,6 +332,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		v := d.loop.View()
 		d.server.WriteMetrics(w)
+		d.traffic.writeMetrics(w)
 		ready, _ := d.ready()
 		fmt.Fprintf(w, "parsleydeal_ready %d\n", boolToInt(ready))
 		fmt.Fprintf(w, "parsleydeal_draining %d\n", boolToInt(v.Leaving()))
--- a/daemon/test_site_test.go
+++ b/daemon/test_site_test.go
@@ -35,6 +35,12 @@
 	// coldPerSecond is how many requests per second an endpoint of the service
 	// "pool" accepts during cold start.
 	coldPerSecond int
+	// neighbours are the addresses in the settings of entries. peerPort is the port on which all
+	// entries receive reports, each at an IP address of its own; 0 for the same IP address and any
+	// port.
+	neighbours []string
+	peerPort   string
+	started    int
 }
 
 // testEntry is one entry of a test site.
@@ -121,6 +127,11 @@
 	ts.t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
 	s := settings.Default()
 	s.VM, s.Zone, s.Region, s.Peer = name, "a", "r", address.FreeAddress()
+	s.Direct.Neighbours = ts.neighbours
+	if ts.peerPort != "" {
+		ts.started++
+		s.Peer = fmt.Sprintf("127.0.1.%d:%s", ts.started, ts.peerPort)
+	}
 	s.Entry.Callers = address.FreeAddress()
 	s.Direct.Store, s.Direct.Ready = strings.TrimPrefix(srv.URL, "http://"), address.FreeAddress()
 	s.Direct.Grace, s.Direct.KeyLease, s.Direct.RetryRatio, s.Direct.RetrySlack, s.Direct.Exposure = ts.stopGrace, ts.keyLease, 1, 1000, 0.2
--- a/settings/options.go
+++ b/settings/options.go
@@ -209,6 +209,12 @@
 		Key: "direct.ready", Allowed: "an IP number and port", Doc: "address at which the balancer asks for readiness", requiredBy: directOnly,
 		valid: func(s *Settings) bool { return s.Direct.Ready == "" || isAddress(s.Direct.Ready) },
 	},
+	{
+		Key: "direct.neighbours", Allowed: "a list of IP numbers and ports", Doc: "some other entries, which an entry that starts asks for the state of the site, at its own peer port, before it reads the store; some may be gone",
+		valid: func(s *Settings) bool {
+			return !slices.ContainsFunc(s.Direct.Neighbours, func(a string) bool { return !isAddress(a) })
+		},
+	},
 	{
 		Key: "direct.memory", Allowed: "0 to 1000000 megabytes", Doc: "memory that the process may use; 0 for no bound",
 		valid: func(s *Settings) bool { return inRange(s.Direct.Memory, 0, 1000000) },
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -116,6 +116,9 @@
 	Store string `toml:"store"`
 	// Ready is the IP address and port of the readiness check for the platform's load balancer.
 	Ready string `toml:"ready"`
+	// Neighbours are IP addresses and ports of some other entries, of which only the IP addresses
+	// matter. An entry that starts asks them for the state of the site.
+	Neighbours []string `toml:"neighbours"`
 	// Memory limits the memory of the process, in megabytes; 0 means no limit.
 	Memory int `toml:"memory"`
 	// Grace is the time between the signal to stop and the end of the process.
--- /dev/null
+++ b/site/content.go
@@ -0,0 +1,273 @@
+package site
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+	"maps"
+	"slices"
+
+	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/fleet"
+	"github.com/parsleydeal/parsleydeal/peer/wire"
+	"google.golang.org/protobuf/proto"
+)
+
+// StateReceived is the state of another entry. It is applied as far as it is newer than this
+// entry's own state.
+type StateReceived struct {
+	Now clock.Millis
+	// ConfirmedAt and FleetConfirmedAt are times, on this process's clock, at which the sender's
+	// configuration and endpoints matched the store.
+	ConfirmedAt      clock.Millis
+	FleetConfirmedAt clock.Millis
+	// Update is decoded from Records, the newest records of the operators' stream up to
+	// OperatorNext.
+	Update       OperatorUpdate
+	Records      []Record
+	OperatorNext int64
+	Verdicts     []Verdict
+	// StatusEnd is the offset at which the status stream ended.
+	StatusEnd int64
+	// Changes lists all endpoints.
+	Changes []fleet.Change
+	Entries []EntryAddress
+}
+
+// EntryAddress is where another entry receives reports.
+type EntryAddress struct {
+	Name    string
+	Address string
+	// Zone is empty if it is not known.
+	Zone string
+}
+
+// EntriesListed lists the entries that another one knows to be running.
+type EntriesListed struct {
+	Now     clock.Millis
+	Entries []EntryAddress
+}
+
+func (StateReceived) event() {}
+func (EntriesListed) event() {}
+
+// maxStateAge is the largest age of a confirmation in another entry's state that is applied. The
+// rest of maxConfirmationAge is left for this entry's first query to a reader.
+const maxStateAge = 2 * clock.Second
+
+// ErrStale is returned for a state of another entry that was not confirmed recently, and ErrTorn
+// for one whose content does not match its digest.
+var (
+	ErrStale = Errors.NewType("stale")
+	ErrTorn  = Errors.NewType("torn")
+)
+
+// stateReceived applies another entry's state. It is never more binding than the store: leases
+// count from the sender's own confirmations.
+func (s *State) stateReceived(e StateReceived) (effects []Effect) {
+	first := !s.started()
+	s.statusEnd = max(s.statusEnd, e.StatusEnd)
+	for _, v := range e.Verdicts {
+		if first || s.verdicts[v.Service] != v {
+			s.verdicts[v.Service] = v
+			effects = append(effects, s.applyVerdict(v, "agreed, as heard")...)
+		}
+	}
+	if first {
+		s.tookStateAt = s.now
+	}
+	if first || e.OperatorNext > s.operatorNext {
+		s.keepOperatorRecords(e.Records, e.Update, true)
+		s.operatorNext = max(s.operatorNext, e.OperatorNext)
+		effects = append(effects, s.applyOperatorUpdate(OperatorRead{Now: e.Now, Full: true, Update: e.Update}, first)...)
+	}
+	if e.OperatorNext == s.operatorNext {
+		s.confirmedAt = max(s.confirmedAt, e.ConfirmedAt)
+	}
+	if first || e.FleetConfirmedAt > s.fleetConfirmedAt {
+		s.fleetConfirmedAt, s.divergedAt = max(s.fleetConfirmedAt, e.FleetConfirmedAt), 0
+		effects = append(effects, s.fleetChanged(s.fleet.Apply(e.Changes, true))...)
+	}
+	for _, stream := range [...]Stream{OperatorStream, EndpointStream, StatusStream} {
+		s.loaded[stream] = true
+	}
+	effects = append(effects, s.selectVersions()...)
+	return append(effects, s.entriesReceived(e.Entries)...)
+}
+
+// entriesReceived adds entries that another one knows.
+func (s *State) entriesReceived(entries []EntryAddress) (effects []Effect) {
+	first := !s.loaded[EntryStream]
+	s.entriesMissing = false
+	for _, x := range entries {
+		if x.Name == s.self.Name {
+			if first {
+				s.registeredAt = x.Address
+			}
+			continue
+		}
+		if _, known := s.addresses[x.Name]; !known {
+			s.addresses[x.Name] = x.Address
+		}
+		s.listed[x.Name] = listedEntry{x.Zone, s.now}
+	}
+	effects = []Effect{Publish{}}
+	if first && len(entries) > 0 {
+		s.loaded[EntryStream], s.entriesReadAt = true, s.now
+		effects = append(effects, s.broadcast())
+	}
+	return effects
+}
+
+// keepOperatorRecords keeps the newest records of the operators' stream for entries that start. A
+// full read of a stream whose history was dropped may lack the configuration, which stays in force.
+func (s *State) keepOperatorRecords(records []Record, u OperatorUpdate, full bool) {
+	if u.ConfigKey != "" {
+		s.configKey = u.ConfigKey
+	}
+	if full {
+		maps.DeleteFunc(s.operatorRecords, func(key string, _ Record) bool { return key != s.configKey })
+	}
+	for _, r := range records {
+		if len(r.Value) == 0 {
+			delete(s.operatorRecords, r.Key)
+			continue
+		}
+		s.operatorRecords[r.Key] = r
+	}
+}
+
+// content returns what another entry needs to start; the verdicts are added by the loop, which has
+// the codec.
+func (s *State) content() *wire.SiteContent {
+	c := &wire.SiteContent{OperatorNext: s.operatorNext, StatusEnd: s.statusEnd, FleetDigest: s.fleet.Snapshot().Digest()}
+	for _, key := range slices.Sorted(maps.Keys(s.operatorRecords)) {
+		r := s.operatorRecords[key]
+		c.Records = append(c.Records, &wire.StoreRecord{Stream: int32(OperatorStream), Key: r.Key, Value: r.Value, Offset: r.Offset})
+	}
+	all := s.fleet.Snapshot().All()
+	for _, id := range slices.Sorted(maps.Keys(all)) {
+		e := all[id]
+		c.Endpoints = append(c.Endpoints, &wire.EndpointState{
+			Id: e.ID, Service: e.Service, Address: e.Address, Zone: e.Zone, Version: e.Version, Slots: int32(e.Slots), Leaving: e.Leaving,
+			ColdMillis: int64(max(e.ColdUntil-s.now, 0)), Born: e.Incarnation, Sequence: e.Sequence,
+		})
+	}
+	c.Entries = s.entriesToWire()
+	return c
+}
+
+func (s *State) entriesToWire() (out []*wire.EntryAddress) {
+	for _, x := range s.liveEntries() {
+		out = append(out, &wire.EntryAddress{Name: x.Name, Address: x.Address, Zone: x.Zone})
+	}
+	return out
+}
+
+func entriesFromWire(all []*wire.EntryAddress) (entries []EntryAddress) {
+	for _, x := range all {
+		entries = append(entries, EntryAddress{Name: x.GetName(), Address: x.GetAddress(), Zone: x.GetZone()})
+	}
+	return entries
+}
+
+// liveEntries returns this entry and those that are probably running, by name.
+func (s *State) liveEntries() (entries []EntryAddress) {
+	for _, x := range s.sharers() {
+		if address := s.addresses[x.name]; address != "" {
+			entries = append(entries, EntryAddress{Name: x.name, Address: address, Zone: x.zone})
+		}
+	}
+	return entries
+}
+
+// packContent compresses a content.
+func packContent(c *wire.SiteContent) (packed []byte, err error) {
+	data, err := proto.Marshal(c)
+	if err != nil {
+		return nil, err
+	}
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err = w.Write(data); err != nil {
+		return nil, err
+	}
+	err = w.Close()
+	return b.Bytes(), err
+}
+
+func unpackContent(packed []byte) (c *wire.SiteContent, err error) {
+	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxUnpackedBytes+1))
+	if err != nil {
+		return nil, ErrUnpack.Wrap(err, "state of another entry")
+	}
+	if len(data) > maxUnpackedBytes {
+		return nil, ErrUnpack.New("state of another entry unpacks to more than %d bytes", maxUnpackedBytes)
+	}
+	c = &wire.SiteContent{}
+	if err = proto.Unmarshal(data, c); err != nil {
+		return nil, ErrUnpack.Wrap(err, "state of another entry")
+	}
+	return c, nil
+}
+
+// decodeState decodes the state that another entry was asked for at sentAt.
+func decodeState(codec Codec, m *wire.SiteState, sentAt, now clock.Millis) (e StateReceived, err error) {
+	c, err := unpackContent(m.GetPacked())
+	if err != nil {
+		return e, err
+	}
+	for _, age := range [...]int64{m.GetHeldMillis(), m.GetConfirmedAgeMillis(), m.GetFleetAgeMillis(), m.GetBuiltAgeMillis()} {
+		if age < 0 {
+			return e, ErrStale.New("an age is negative")
+		}
+	}
+	// The sender answered no earlier than HeldMillis after the request was sent.
+	answeredAt := min(sentAt+clock.Millis(m.GetHeldMillis()), now)
+	e = StateReceived{
+		Now: now, ConfirmedAt: answeredAt - clock.Millis(m.GetConfirmedAgeMillis()), FleetConfirmedAt: answeredAt - clock.Millis(m.GetFleetAgeMillis()),
+		OperatorNext: c.GetOperatorNext(), StatusEnd: c.GetStatusEnd(),
+	}
+	if oldest := min(e.ConfirmedAt, e.FleetConfirmedAt); now-oldest > maxStateAge {
+		return e, ErrStale.New("state was confirmed %s ago", now-oldest)
+	}
+	var verdicts []Record
+	for _, r := range c.GetRecords() {
+		record := Record{Key: r.GetKey(), Value: r.GetValue(), Offset: r.GetOffset()}
+		if Stream(r.GetStream()) == StatusStream {
+			verdicts = append(verdicts, record)
+		} else {
+			e.Records = append(e.Records, record)
+		}
+	}
+	e.Update, e.Verdicts = codec.Operator(e.Records), codec.Verdicts(verdicts)
+	if e.Update.Config == nil {
+		return e, ErrTorn.New("state has no configuration")
+	}
+	e.Changes = endpointsFromWire(c.GetEndpoints(), answeredAt-clock.Millis(m.GetBuiltAgeMillis()), now)
+	check := fleet.New()
+	check.Apply(e.Changes, true)
+	if check.Snapshot().Digest() != c.GetFleetDigest() {
+		return e, ErrTorn.New("endpoints do not match their digest")
+	}
+	e.Entries = entriesFromWire(c.GetEntries())
+	return e, nil
+}
+
+// endpointsFromWire returns the endpoints of a state that was built at the time builtAt.
+func endpointsFromWire(all []*wire.EndpointState, builtAt, now clock.Millis) (changes []fleet.Change) {
+	for _, x := range all {
+		e := &fleet.Endpoint{
+			ID: x.GetId(), Service: x.GetService(), Address: x.GetAddress(), Zone: x.GetZone(), Version: x.GetVersion(), Slots: max(int(x.GetSlots()), 1),
+			Leaving: x.GetLeaving(), Incarnation: x.GetBorn(), Sequence: x.GetSequence(),
+		}
+		if coldUntil := builtAt + clock.Millis(x.GetColdMillis()); x.GetColdMillis() > 0 && coldUntil > now {
+			e.ColdUntil = coldUntil
+		}
+		changes = append(changes, fleet.Change{ID: e.ID, Endpoint: e})
+	}
+	return changes
+}
--- /dev/null
+++ b/site/content_test.go
@@ -0,0 +1,159 @@
+package site
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/joomcode/errorx"
+	"github.com/matryer/is"
+	"github.com/parsleydeal/parsleydeal/catalog"
+	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/fleet"
+	"github.com/parsleydeal/parsleydeal/peer/wire"
+	"github.com/parsleydeal/parsleydeal/upgrade"
+	"google.golang.org/protobuf/proto"
+)
+
+// contentCodec decodes the records of these tests: the key "config" is a configuration whose
+// version is the record's offset.
+var contentCodec = Codec{
+	Operator: func(records []Record) (u OperatorUpdate) {
+		for _, r := range records {
+			if r.Key == "config" {
+				u.Config, u.ConfigKey = (&catalog.Config{Version: r.Offset}).Index(), r.Key
+			}
+		}
+		return u
+	},
+	Verdicts: func(records []Record) (out []Verdict) {
+		for _, r := range records {
+			out = append(out, Verdict{Service: r.Key, Target: string(r.Value), Phase: upgrade.Completed})
+		}
+		return out
+	},
+}
+
+// runningEntry returns the state of an entry that read the store at time 1000.
+func runningEntry(endpoints int) *State {
+	s := NewState(Self{Name: "entry-a", Process: "entry-a/1", Zone: "a"}, 0)
+	records := []Record{{Key: "config", Value: []byte("x"), Offset: 7}}
+	var changes []fleet.Change
+	for i := range endpoints {
+		id := fmt.Sprint("i-", i)
+		changes = append(changes, fleet.Change{ID: id, Endpoint: &fleet.Endpoint{ID: id, Service: "pool", Zone: "a", Address: "10.0.0.1:1", Version: "v1", Slots: 4, ColdUntil: 3000}})
+	}
+	Reduce(s, VerdictsRead{Now: 1000, Next: 3})
+	Reduce(s, OperatorRead{Now: 1000, SentAt: 1000, Full: true, Next: 8, Records: records, Update: contentCodec.Operator(records)})
+	Reduce(s, EndpointsRead{Now: 1000, SentAt: 1000, Full: true, Changes: changes})
+	Reduce(s, EntriesRead{Now: 1000, Addresses: map[string]string{"entry-a": "a:1", "entry-z": "z:1"}})
+	return s
+}
+
+// stateOf returns the message by which an entry gives its state at the time now.
+func stateOf(t *testing.T, s *State, now clock.Millis) *wire.SiteState {
+	t.Helper()
+	s.now = now
+	packed, err := packContent(s.content())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &wire.SiteState{Packed: packed, ConfirmedAgeMillis: int64(now - s.confirmedAt), FleetAgeMillis: int64(now - s.fleetConfirmedAt)}
+}
+
+// An entry that starts from another one's state must know the same as that one, and must not take
+// it for newer than the other's own confirmation.
+func TestStateOfOtherEntryIsTakenOver(t *testing.T) {
+	is := is.New(t)
+	other := runningEntry(642)
+	m := stateOf(t, other, 1500)
+	t.Logf("%d bytes for 642 endpoints", len(m.GetPacked()))
+	s := NewState(Self{Name: "entry-z", Process: "entry-z/2", Zone: "b"}, 90_000)
+	e, err := decodeState(contentCodec, m, 91_000, 91_020)
+	is.NoErr(err)
+	Reduce(s, e)
+	is.True(s.started())
+	is.Equal(s.View().Config().Version, int64(7))
+	is.Equal(s.fleet.Snapshot().Digest(), other.fleet.Snapshot().Digest())
+	is.Equal(s.confirmedAt, clock.Millis(90_500)) // 500 ms before it was asked for
+	is.Equal(s.fleet.Find("i-0").ColdUntil, clock.Millis(92_500))
+	is.Equal(s.operatorNext, int64(8))
+	is.Equal(s.statusEnd, int64(3))
+	is.Equal(s.registeredAt, "z:1")
+	is.True(!s.reader()) // the other entry reads the store
+	for now := clock.Millis(91_100); now < 91_000+peerTimeout+2*clock.Second; now += 100 {
+		Reduce(s, Tick{Now: now})
+	}
+	is.True(s.reader()) // unless nothing more is heard of it
+}
+
+// State that is old, torn, empty or from the future must not be used.
+func TestUnusableStateIsRejected(t *testing.T) {
+	other := runningEntry(3)
+	for name, test := range map[string]struct {
+		change func(m *wire.SiteState)
+		want   *errorx.Type
+	}{
+		"old configuration": {func(m *wire.SiteState) { m.ConfirmedAgeMillis = int64(maxStateAge) }, ErrStale},
+		"old endpoints":     {func(m *wire.SiteState) { m.FleetAgeMillis = int64(clock.Hour) }, ErrStale},
+		"from the future":   {func(m *wire.SiteState) { m.ConfirmedAgeMillis = -5000 }, ErrStale},
+		"torn":              {func(m *wire.SiteState) { m.Packed = m.Packed[:len(m.Packed)-9] }, ErrUnpack},
+		"no content":        {func(m *wire.SiteState) { m.Packed = nil }, ErrUnpack},
+		"forged endpoint": {func(m *wire.SiteState) {
+			repack(t, m, func(c *wire.SiteContent) { c.Endpoints[0].Address = "10.9.9.9:1" })
+		}, ErrTorn},
+		"no configuration": {func(m *wire.SiteState) { repack(t, m, func(c *wire.SiteContent) { c.Records = nil }) }, ErrTorn},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := stateOf(t, other, 1100)
+			test.change(m)
+			_, err := decodeState(contentCodec, m, 50_000, 50_010)
+			is.True(errorx.IsOfType(err, test.want))
+		})
+	}
+}
+
+func repack(t *testing.T, m *wire.SiteState, change func(c *wire.SiteContent)) {
+	t.Helper()
+	c, err := unpackContent(m.GetPacked())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c = proto.CloneOf(c)
+	change(c)
+	if m.Packed, err = packContent(c); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// An entry that asks for state because it missed an update must not go back to older endpoints or
+// an older configuration of an entry that has missed more.
+func TestOlderStateChangesNothing(t *testing.T) {
+	is := is.New(t)
+	old := stateOf(t, runningEntry(3), 1100)
+	s := runningEntry(4)
+	Reduce(s, OperatorRead{Now: 1200, SentAt: 1200, Next: 12, Records: []Record{{Key: "config", Value: []byte("y"), Offset: 11}}, Update: OperatorUpdate{Config: (&catalog.Config{Version: 11}).Index(), ConfigKey: "config"}})
+	Reduce(s, EndpointsRead{Now: 1200, SentAt: 1200})
+	e, err := decodeState(contentCodec, old, 1150, 1160)
+	is.NoErr(err)
+	Reduce(s, e)
+	is.Equal(s.View().Config().Version, int64(11))
+	is.Equal(s.fleet.Snapshot().Size(), 4)
+	is.Equal(s.operatorNext, int64(12))
+}
+
+// Guards against shares of limits that are too large, after many entries have started at once: each
+// was given a list that lacked those which started later. A reader that knows more entries than the
+// asking one says so, and the list is completed.
+func TestMissingEntriesAreNoticed(t *testing.T) {
+	is := is.New(t)
+	s := runningEntry(1)
+	reply := &wire.EntryReport{Process: "r/1", Name: "entry-0", Zone: "a", Address: "r", ReplyMillis: 1000, ReplyTo: s.self.Process, Entries: 5}
+	Reduce(s, ReportReceived{Now: 1100, Report: reply})
+	is.True(s.View().entriesMissing)
+	Reduce(s, EntriesListed{Now: 1200, Entries: []EntryAddress{{"entry-0", "r", "a"}, {"entry-x", "x", "b"}, {"entry-y", "y", "b"}, {"entry-z", "z:1", "b"}}})
+	is.True(!s.View().entriesMissing)
+	is.Equal(s.View().Entries(), 5)
+	Reduce(s, ReportReceived{Now: 1300, Report: reply})
+	is.True(!s.View().entriesMissing)
+}
--- a/site/feed.go
+++ b/site/feed.go
@@ -55,9 +55,13 @@
 	pause clock.Millis
 	// handle posts the event for a result.
 	handle func(ctx context.Context, res readResult)
-	// next is the offset to read from; negative until the first full read.
-	next  int64
-	fails int
+	// next is the offset to read from; negative until the first full read. expired is true if the
+	// records from next on are gone, so that only a full read can continue.
+	next    int64
+	expired bool
+	fails   int
+	// catchUps counts the times in a row that the stream was taken from another entry.
+	catchUps int
 }
 
 // readResult is the result of one read of a stream.
@@ -97,10 +101,14 @@
 func (f *feed) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		v := f.loop.View()
-		if f.next >= 0 && !v.wants(f.stream, f.loop.cfg.Clock.Now()) {
+		if (f.next >= 0 || v.Started()) && !f.expired && !v.wants(f.stream, f.loop.cfg.Clock.Now()) {
+			f.catchUps = 0
 			clock.Pause(ctx, pollInterval)
 			continue
 		}
+		if f.catchUp(ctx, v) {
+			continue
+		}
 		f.setOffset(v)
 		res, err := f.read(ctx)
 		if ctx.Err() != nil {
@@ -113,25 +121,50 @@
 		if f.fails > 0 {
 			f.loop.cfg.Log.Info("Store answers again", "stream", f.stream, "failures", f.fails)
 		}
-		f.fails = 0
+		f.fails, f.expired, f.catchUps = 0, false, 0
 		if f.stream == OperatorStream {
 			f.loop.operatorFailing.Store(false)
 		}
+		if res.full {
+			f.loop.cfg.Log.Info("Store was read in full", "stream", f.stream, "records", len(res.records), "took", res.now-res.sentAt, "reader", v.reader, "started", v.Started(), "config-age", res.sentAt-v.confirmedAt, "fleet-age", res.sentAt-v.fleetConfirmedAt, "diverged", v.divergedAt > 0)
+		}
 		f.next = res.next
 		f.handle(ctx, res)
 		clock.Pause(ctx, f.pause)
 	}
 }
 
-// setOffset sets the offset of the next read. Operators' records that peers have sent are not
-// read again. An entry that reads the endpoints' stream only occasionally reads it in full, since
-// the stream changes all the time.
+// maxCatchUps is how often in a row an entry takes the state of another one before it reads the
+// store.
+const maxCatchUps = 2
+
+// catchUp takes the state of a reader, or of an entry that has it from a reader, instead of reading
+// the store. It returns false if the store has to be read.
+func (f *feed) catchUp(ctx context.Context, v *View) bool {
+	if f.loop.cfg.TakeState == nil || f.stream == StatusStream || !v.Started() || v.reader || len(v.delegates) == 0 || f.catchUps >= maxCatchUps {
+		return false
+	}
+	f.catchUps++
+	if err := f.loop.cfg.TakeState(ctx, v.delegates); err != nil {
+		return false
+	}
+	f.expired = false
+	clock.Pause(ctx, pollInterval)
+	return true
+}
+
+// setOffset sets the offset of the next read. Records that other entries have sent are not read
+// again. An entry that reads the endpoints' stream only occasionally reads it in full, since the
+// stream changes all the time.
 func (f *feed) setOffset(v *View) {
 	switch {
-	case f.next < 0:
+	case f.expired:
+		f.next = -1
 	case f.stream == OperatorStream:
 		f.next = max(f.next, v.operatorNext)
-	case f.stream == EndpointStream && !v.reader:
+	case f.stream == StatusStream:
+		f.next = max(f.next, v.statusEnd)
+	case !v.reader:
 		f.next = -1
 	}
 }
@@ -153,7 +186,7 @@
 func (f *feed) handleError(ctx context.Context, err error) {
 	if errorx.IsOfType(err, provider.ErrExpired) {
 		f.loop.cfg.Log.Info("Store forgot records; the stream is read anew", "stream", f.stream, "from", f.next)
-		f.next = -1
+		f.expired = true
 		return
 	}
 	f.fails++
@@ -191,45 +224,53 @@
 	return 0
 }
 
-// register writes this entry's address to the store and then reads the addresses of the others.
-// The write comes first: of two entries that start at the same time, at least one then finds the
-// other and sends it a report.
+// register writes this entry's address to the store, unless it is there from an earlier start, and
+// reads those of the others if no entry has listed them. The write comes first: of two entries that start at the same time, at least one
+// then finds the other and sends it a report.
 func (l *Loop) register(ctx context.Context) {
-	written := false
+	written, readAt := false, never
 	for ctx.Err() == nil {
-		err := l.registerOnce(ctx, &written)
-		if err == nil || ctx.Err() != nil {
-			l.waitToRegister(ctx)
+		v, now := l.View(), l.cfg.Clock.Now()
+		write := !written && v.registeredAt != l.cfg.Address
+		// Readers of the store read the addresses again and then send reports also to entries from
+		// which no report has arrived.
+		read := !v.entriesKnown || v.reader && now-readAt >= registerInterval
+		if !write && !read {
+			clock.Pause(ctx, pollInterval)
 			continue
 		}
-		l.cfg.Log.Warn("Could not register this entry or read the others", "written", written, "error", logbook.Text(err))
-		l.waitAfterFailure(ctx, EntryStream, clock.Second)
-	}
-}
-
-// waitToRegister waits until the registered entries have to be read again. Only readers of the
-// store read them; they then send reports also to entries from which no report has arrived.
-func (l *Loop) waitToRegister(ctx context.Context) {
-	for clock.Pause(ctx, registerInterval) {
-		if l.View().reader {
-			return
+		if readAt == never && !read {
+			readAt = now
+		}
+		err := l.registerOnce(ctx, write, read)
+		if err != nil {
+			l.cfg.Log.Warn("Could not register this entry or read the others", "written", written, "error", logbook.Text(err))
+			l.waitAfterFailure(ctx, EntryStream, clock.Second)
+			continue
+		}
+		written = written || write
+		if read {
+			readAt = now
 		}
 	}
 }
 
-func (l *Loop) registerOnce(ctx context.Context, written *bool) (err error) {
+func (l *Loop) registerOnce(ctx context.Context, write, read bool) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, (operatorWait + readSlack).Duration())
 	defer cancel()
-	if !*written {
+	if write {
 		if err = l.cfg.Store.Append(ctx, EntryStream, l.cfg.Self.Name, []byte(l.cfg.Address), -1); err != nil {
 			return err
 		}
-		*written = true
+	}
+	if !read {
+		return nil
 	}
 	records, _, err := l.cfg.Store.Newest(ctx, EntryStream)
 	if err != nil {
 		return err
 	}
+	l.cfg.Log.Info("Store was read in full", "stream", EntryStream, "records", len(records))
 	addresses := map[string]string{l.cfg.Self.Name: l.cfg.Address}
 	for _, r := range records {
 		if len(r.Value) > 0 && r.Key != l.cfg.Self.Name {
--- a/site/loop.go
+++ b/site/loop.go
@@ -32,6 +32,12 @@
 	Address string
 	// Send sends a report to the addresses of other entries. It must not block for long.
 	Send func(r *wire.EntryReport, to []string) error
+	// TakeState asks other entries for their state of the site until one has given it and
+	// ApplyState has accepted it. It begins with the given entries or, if there are none, with
+	// those of the settings. Nil if no other entry can be asked.
+	TakeState func(ctx context.Context, from []EntryAddress) error
+	// TakeEntries asks one of the given entries which entries are running.
+	TakeEntries func(ctx context.Context, from []EntryAddress) (*wire.SiteState, error)
 	// Counts returns what this process has counted in its traffic since it started.
 	Counts func() TrafficCounts
 }
@@ -42,6 +48,9 @@
 	state  *State
 	events chan Event
 	view   atomic.Pointer[View]
+	// stateRequests holds requests for this entry's state, which only the loop's goroutine reads.
+	stateRequests chan chan builtState
+	lastBuilt     builtState
 	// started is closed once all streams were read.
 	started chan struct{}
 	// dropped counts reports that found the queue full or could not be unpacked.
@@ -53,7 +62,7 @@
 
 // NewLoop returns a loop with an empty state. Run starts it.
 func NewLoop(cfg Config) *Loop {
-	l := &Loop{cfg: cfg, state: NewState(cfg.Self, cfg.Clock.Now()), events: make(chan Event, eventQueueSize), started: make(chan struct{})}
+	l := &Loop{cfg: cfg, state: NewState(cfg.Self, cfg.Clock.Now()), events: make(chan Event, eventQueueSize), stateRequests: make(chan chan builtState), started: make(chan struct{})}
 	l.view.Store(l.state.View())
 	return l
 }
@@ -93,10 +102,7 @@
 
 // Run processes events and reads the store until the context ends.
 func (l *Loop) Run(ctx context.Context) {
-	for _, f := range l.feeds() {
-		go f.run(ctx)
-	}
-	go l.register(ctx)
+	go l.start(ctx)
 	go l.tick(ctx)
 	for {
 		select {
@@ -104,8 +110,134 @@
 			return
 		case e := <-l.events:
 			l.step(ctx, e)
+		case reply := <-l.stateRequests:
+			reply <- l.builtState()
+		}
+	}
+}
+
+// start takes the state of another entry, if one has it, and then reads the store as far as that is
+// necessary.
+func (l *Loop) start(ctx context.Context) {
+	if l.cfg.TakeState != nil {
+		err := l.cfg.TakeState(ctx, nil)
+		if err == nil {
+			select {
+			case <-l.started:
+			case <-ctx.Done():
+			}
+		}
+		if err != nil && ctx.Err() == nil {
+			l.cfg.Log.Info("State of the site is read from the store", "after", l.cfg.Clock.Now()-l.state.startedAt, "reason", logbook.Text(err))
+		}
+	}
+	for _, f := range l.feeds() {
+		go f.run(ctx)
+	}
+	go l.completeEntries(ctx)
+	l.register(ctx)
+}
+
+// entriesInterval is the minimum time between two queries for the entries that are running.
+const entriesInterval = 1500 * clock.Millis(1)
+
+// completeEntries asks a delegate for the running entries whenever it knows more of them. An entry
+// that starts together with others gets a list that lacks some.
+func (l *Loop) completeEntries(ctx context.Context) {
+	for clock.Pause(ctx, entriesInterval) {
+		v := l.View()
+		if !v.entriesMissing || len(v.delegates) == 0 || l.cfg.TakeEntries == nil {
+			continue
 		}
+		m, err := l.cfg.TakeEntries(ctx, v.delegates)
+		if err != nil {
+			continue
+		}
+		c, err := unpackContent(m.GetPacked())
+		if err != nil {
+			l.cfg.Log.Warn("List of entries cannot be used", "error", logbook.Text(err))
+			continue
+		}
+		l.post(ctx, EntriesListed{Now: l.cfg.Clock.Now(), Entries: entriesFromWire(c.GetEntries())})
+	}
+}
+
+// builtState is this entry's state for others. The times are on this process's clock.
+type builtState struct {
+	packed []byte
+	// entries is a content with nothing but the entries.
+	entries          []byte
+	builtAt          clock.Millis
+	confirmedAt      clock.Millis
+	fleetConfirmedAt clock.Millis
+	err              error
+}
+
+// builtStateTTL is how long a state is sent to entries that ask for it before it is built again:
+// many may ask at once.
+const builtStateTTL = 200 * clock.Millis(1)
+
+// builtState is called on the loop's goroutine only.
+func (l *Loop) builtState() builtState {
+	now := l.cfg.Clock.Now()
+	if l.lastBuilt.packed != nil && now-l.lastBuilt.builtAt < builtStateTTL {
+		return l.lastBuilt
+	}
+	l.state.now = max(l.state.now, now)
+	c := l.state.content()
+	for _, v := range l.state.verdicts {
+		key, value := l.cfg.Codec.VerdictRecord(v)
+		c.Records = append(c.Records, &wire.StoreRecord{Stream: int32(StatusStream), Key: key, Value: value})
+	}
+	b := builtState{builtAt: now, confirmedAt: l.state.confirmedAt, fleetConfirmedAt: l.state.fleetConfirmedAt}
+	if b.packed, b.err = packContent(c); b.err == nil {
+		b.entries, b.err = packContent(&wire.SiteContent{Entries: c.GetEntries()})
+	}
+	l.lastBuilt = b
+	return b
+}
+
+// Entries returns the entries that this one knows to be running.
+func (l *Loop) Entries(ctx context.Context) (m *wire.SiteState, err error) {
+	b, err := l.requestState(ctx)
+	return &wire.SiteState{Packed: b.entries}, err
+}
+
+// State returns this entry's state of the site for another entry.
+func (l *Loop) State(ctx context.Context) (m *wire.SiteState, err error) {
+	b, err := l.requestState(ctx)
+	if err != nil {
+		return nil, err
+	}
+	now := l.cfg.Clock.Now()
+	if oldest := min(b.confirmedAt, b.fleetConfirmedAt); now-oldest > maxStateAge {
+		return nil, ErrStale.New("state was confirmed %s ago", now-oldest)
+	}
+	return &wire.SiteState{
+		Packed: b.packed, ConfirmedAgeMillis: int64(now - b.confirmedAt), FleetAgeMillis: int64(now - b.fleetConfirmedAt), BuiltAgeMillis: int64(now - b.builtAt),
+	}, nil
+}
+
+func (l *Loop) requestState(ctx context.Context) (b builtState, err error) {
+	reply := make(chan builtState, 1)
+	select {
+	case l.stateRequests <- reply:
+		b = <-reply
+		return b, b.err
+	case <-ctx.Done():
+		return b, ctx.Err()
+	}
+}
+
+// ApplyState applies another entry's state that was asked for at sentAt. The error says why it
+// cannot be used.
+func (l *Loop) ApplyState(ctx context.Context, m *wire.SiteState, sentAt clock.Millis) (err error) {
+	e, err := decodeState(l.cfg.Codec, m, sentAt, l.cfg.Clock.Now())
+	if err != nil {
+		return err
 	}
+	l.post(ctx, e)
+	return nil
 }
 
 func (l *Loop) post(ctx context.Context, e Event) {
--- a/site/report.go
+++ b/site/report.go
@@ -89,6 +89,16 @@
 	return effects
 }
 
+// delegateAddresses returns the addresses of the first delegates but this entry.
+func (s *State) delegateAddresses() (out []EntryAddress) {
+	for _, name := range s.delegates()[:min(judgeCount, len(s.delegates()))] {
+		if p := s.peers[name]; p != nil {
+			out = append(out, EntryAddress{Name: name, Address: s.addresses[name], Zone: p.report.GetZone()})
+		}
+	}
+	return out
+}
+
 // sendCounts sends the traffic counts to the judges.
 func (s *State) sendCounts() []Effect {
 	r := s.newReport()
--- a/site/report_test.go
+++ b/site/report_test.go
@@ -99,3 +99,25 @@
 	read.Now += 10
 	is.Equal(broadcasts(Reduce(s, read)), 0)
 }
+
+// Guards against a start that writes a log line for every entry of a large site.
+func TestHeardEntriesAreLoggedByNumber(t *testing.T) {
+	is := is.New(t)
+	s := stateWithPeers(0)
+	lines := 0
+	count := func(effects []Effect) {
+		for _, e := range effects {
+			if l, ok := e.(LogLine); ok && (l.Message == "Entry heard" || l.Message == "Entries heard") {
+				lines++
+			}
+		}
+	}
+	for i := range 710 {
+		name := fmt.Sprintf("entry-a%03d", i)
+		count(Reduce(s, ReportReceived{Now: clock.Millis(20 + i), Report: &wire.EntryReport{Process: name, Name: name, Address: name, OperatorNext: 5}}))
+	}
+	count(Reduce(s, Tick{Now: 2000}))
+	count(Reduce(s, Tick{Now: 2100}))
+	is.Equal(lines, maxHeardLines+1)
+	is.Equal(s.heardUnlogged, 0)
+}
--- a/site/share.go
+++ b/site/share.go
@@ -131,6 +131,7 @@
 	s.peerOperatorNext = max(s.peerOperatorNext, r.GetOperatorNext())
 	complete := len(recordsOn(r, OperatorStream)) > 0 && r.GetOperatorFrom() >= 0 && r.GetOperatorFrom() <= s.operatorNext
 	if complete {
+		s.keepOperatorRecords(recordsOn(r, OperatorStream), e.Update, false)
 		effects = s.applyOperatorUpdate(OperatorRead{Now: e.Now, Update: e.Update}, false)
 		s.operatorNext = r.GetOperatorNext()
 	}
@@ -144,6 +145,7 @@
 	r.ReplyMillis, r.ReplyTo = query.GetAskMillis(), query.GetProcess()
 	r.ConfirmedAgeMillis = int64(s.now - s.confirmedAt)
 	r.FleetAgeMillis = int64(s.now - s.fleetConfirmedAt)
+	r.Entries = int32(len(s.sharers()))
 	return SendReport{Report: r, To: query.GetAddress()}
 }
 
@@ -155,6 +157,7 @@
 	if r.GetReplyTo() != s.self.Process || queriedAt > s.now {
 		return nil
 	}
+	s.entriesMissing = int(r.GetEntries()) > len(s.sharers())
 	if r.GetOperatorNext() == s.operatorNext {
 		s.confirmedAt = max(s.confirmedAt, queriedAt-clock.Millis(r.GetConfirmedAgeMillis()))
 	}
--- a/site/sharer.go
+++ b/site/sharer.go
@@ -47,8 +47,8 @@
 		case name == s.self.Name, p != nil && p.report.GetLeaving():
 		case p != nil && s.now-p.lastSeenAt < peerExpiry:
 			all = append(all, sharer{name, p.report.GetZone()})
-		case p == nil && s.now-s.startedAt < startupGrace:
-			all = append(all, sharer{name: name})
+		case p == nil && s.now-max(s.startedAt, s.listed[name].at) < startupGrace:
+			all = append(all, sharer{name, s.listed[name].zone})
 		}
 	}
 	slices.SortFunc(all, func(a, b sharer) int { return strings.Compare(a.name, b.name) })
--- a/site/state.go
+++ b/site/state.go
@@ -51,6 +51,23 @@
 	// the registered ones were last read.
 	addresses     map[string]string
 	entriesReadAt clock.Millis
+	// listed holds the entries that another one listed as running. entriesMissing is true if a reader
+	// knows more entries than this one.
+	listed         map[string]listedEntry
+	entriesMissing bool
+	// operatorRecords holds the newest record of each key of the operators' stream, and configKey
+	// the key of the configuration.
+	operatorRecords map[string]Record
+	configKey       string
+	// tookStateAt is when this entry started with the state of another one; never if it did not.
+	tookStateAt clock.Millis
+	// registeredAt is the address at which another entry knew this one when it started: it is in
+	// the store from an earlier start.
+	registeredAt string
+	// heardUnlogged counts the entries heard for the first time since heardLoggedAt that have no log
+	// line of their own.
+	heardUnlogged int
+	heardLoggedAt clock.Millis
 	// delegateOrder caches the result of delegates.
 	delegateOrder delegateOrder
 	// counts and running are the Counts and Running of this process's last TrafficCounts.
@@ -101,6 +118,12 @@
 	upgrades []*wire.UpgradeReport
 }
 
+// listedEntry is an entry that another one listed as running at the time at.
+type listedEntry struct {
+	zone string
+	at   clock.Millis
+}
+
 // sameKept reports whether two reports of an upgrade list the same sessions that stay on the old
 // version.
 func sameKept(a, b *wire.UpgradeReport) bool {
@@ -128,8 +151,8 @@
 		self: self, now: now, startedAt: now, fleet: fleet.New(), loaded: make(map[Stream]bool),
 		upgrades: make(map[string]*upgrade.Upgrade), verdicts: make(map[string]Verdict), statusEnd: -1,
 		current: make(map[string]string), pendingVerdicts: make(map[string]pendingVerdict), peers: make(map[string]*peer),
-		addresses: make(map[string]string), counts: make(map[string]upgrade.Counts), keptSessions: make(map[string][]uint64), lapsed: make(map[string]clock.Millis),
-		operatorNext: -1, peerOperatorNext: -1, fleetConfirmedAt: never, confirmedAt: never, entriesReadAt: never, wasReader: true,
+		addresses: make(map[string]string), listed: make(map[string]listedEntry), operatorRecords: make(map[string]Record), counts: make(map[string]upgrade.Counts), keptSessions: make(map[string][]uint64), lapsed: make(map[string]clock.Millis),
+		operatorNext: -1, peerOperatorNext: -1, fleetConfirmedAt: never, confirmedAt: never, entriesReadAt: never, tookStateAt: never, wasReader: true,
 	}
 }
 
@@ -152,6 +175,12 @@
 	case EntriesRead:
 		s.now = e.Now
 		effects = s.entriesRead(e)
+	case StateReceived:
+		s.now = e.Now
+		effects = s.stateReceived(e)
+	case EntriesListed:
+		s.now = e.Now
+		effects = s.entriesReceived(e.Entries)
 	case ReportReceived:
 		s.now = e.Now
 		effects = s.reportReceived(e)
@@ -197,6 +226,7 @@
 	if s.reader() && len(e.Records) > 0 && !e.Full {
 		effects = append(effects, s.push(OperatorStream, e.Records, e.From, e.Next))
 	}
+	s.keepOperatorRecords(e.Records, e.Update, e.Full)
 	s.operatorNext = max(s.operatorNext, e.Next)
 	s.confirmedAt = max(s.confirmedAt, e.SentAt)
 	effects = append(effects, s.applyOperatorUpdate(e, first)...)
@@ -379,7 +409,7 @@
 	}
 	p := s.peers[r.GetName()]
 	if p == nil {
-		effects = append(effects, LogLine{Message: "Entry heard", Fields: []any{"entry", r.GetName(), "zone", r.GetZone()}}, Publish{})
+		effects = append(s.logHeard(r), Publish{})
 		effects = append(effects, s.replyToNewEntry(r)...)
 		p = &peer{}
 		s.peers[r.GetName()] = p
@@ -402,6 +432,30 @@
 	return append(effects, s.receiveUpdates(e)...)
 }
 
+// maxHeardLines is the number of other entries from which the first report is logged one by one.
+// Beyond it their number is logged once a second: on a large site each start would otherwise write
+// a line for every entry.
+const maxHeardLines = 16
+
+// logHeard logs the first report from another entry, or counts it.
+func (s *State) logHeard(r *wire.EntryReport) []Effect {
+	if len(s.peers) >= maxHeardLines {
+		s.heardUnlogged++
+		return nil
+	}
+	return []Effect{LogLine{Message: "Entry heard", Fields: []any{"entry", r.GetName(), "zone", r.GetZone()}}}
+}
+
+// logHeardCount logs how many entries were heard for the first time since the last such line.
+func (s *State) logHeardCount() []Effect {
+	if s.heardUnlogged == 0 || s.now-s.heardLoggedAt < clock.Second {
+		return nil
+	}
+	n := s.heardUnlogged
+	s.heardUnlogged, s.heardLoggedAt = 0, s.now
+	return []Effect{LogLine{Message: "Entries heard", Fields: []any{"entries", n, "known", len(s.peers)}}}
+}
+
 const (
 	// peerExpiry is how long after its last report an entry still counts among those that share a
 	// limit. It is longer than a restart or a network partition, during which the entry may
@@ -410,7 +464,7 @@
 	// peerReportTTL is how long an entry's report of its own work stays valid.
 	peerReportTTL = 5 * clock.Second
 	// startupGrace is how long after the start registered entries count as present although no
-	// report from them has arrived.
+	// report from them has arrived, and how long entries that another one listed do.
 	startupGrace = 10 * clock.Second
 )
 
@@ -425,8 +479,8 @@
 	v := &View{
 		config: s.config, confirmedAt: s.confirmedAt, fleet: s.fleet.Snapshot(), entries: len(sharers), shares: s.shares(sharers),
 		started: s.started(), leaving: s.leaving, versions: make(map[string]versionState), addresses: maps.Clone(s.addresses),
-		upgradeActive: s.hasActiveUpgrade(), mayWriteVerdict: len(s.pendingVerdicts) > 0 && s.rank() < judgeCount, reader: s.reader(), operatorNext: s.operatorNext, peerOperatorNext: s.peerOperatorNext,
-		fleetConfirmedAt: s.fleetConfirmedAt, divergedAt: s.divergedAt, probedByPeers: s.probedByPeers(), storeServesPeers: s.storeServesPeers(), neighbours: s.neighbours(), fullMesh: s.fullMesh(),
+		upgradeActive: s.hasActiveUpgrade(), mayWriteVerdict: len(s.pendingVerdicts) > 0 && s.rank() < judgeCount, reader: s.reader(), operatorNext: s.operatorNext, statusEnd: s.statusEnd, registeredAt: s.registeredAt, entriesKnown: s.loaded[EntryStream], entriesMissing: s.entriesMissing, delegates: s.delegateAddresses(), peerOperatorNext: s.peerOperatorNext,
+		fleetConfirmedAt: s.fleetConfirmedAt, divergedAt: s.divergedAt, probedByPeers: s.probedByPeers(), storeServesPeers: s.storeServesPeers(), neighbours: s.neighbours(s.fullMesh()), zoneAddresses: s.neighbours(false), fullMesh: s.fullMesh(),
 	}
 	for service, version := range s.current {
 		v.versions[service] = versionState{rule: upgrade.Rule{Current: version}}
@@ -453,10 +507,11 @@
 // other.
 func (s *State) fullMesh() bool { return len(s.addresses) <= maxNeighbours+1 }
 
-func (s *State) neighbours() (out []string) {
+// neighbours returns the addresses of the other entries, or of those of this entry's zone.
+func (s *State) neighbours(all bool) (out []string) {
 	for name, address := range s.addresses {
 		p := s.peers[name]
-		if name != s.self.Name && (s.fullMesh() || p != nil && p.report.GetZone() == s.self.Zone) {
+		if name != s.self.Name && (all || p != nil && p.report.GetZone() == s.self.Zone) {
 			out = append(out, address)
 		}
 	}
--- a/site/store.go
+++ b/site/store.go
@@ -70,11 +70,12 @@
 
 // OperatorUpdate is what operators published since the previous read.
 type OperatorUpdate struct {
-	// Config is nil if it did not change.
-	Config  *catalog.Config
-	Orders  []upgrade.Order
-	Zones   []ZoneChange
-	Invalid []InvalidRecord
+	// Config is nil if it did not change. ConfigKey is the key of its record.
+	Config    *catalog.Config
+	ConfigKey string
+	Orders    []upgrade.Order
+	Zones     []ZoneChange
+	Invalid   []InvalidRecord
 }
 
 // ZoneChange takes an availability zone out of service or back in.
--- a/site/upgrade.go
+++ b/site/upgrade.go
@@ -64,6 +64,11 @@
 // together would all take the first rank until they receive each other's reports.
 func (s *State) rank() (rank int) {
 	rank = slices.Index(s.delegates(), s.self.Name)
+	if s.now-s.tookStateAt < peerTimeout {
+		// The entry that gave its state has it from a reader, and reports from the entries that
+		// precede this one are still to come.
+		rank = max(rank, judgeCount)
+	}
 	if s.now-s.entriesReadAt >= peerTimeout {
 		return rank
 	}
@@ -267,6 +272,7 @@
 		s.pendingVerdicts[service] = p
 		effects = append(effects, Write{Verdict: p.verdict, At: s.statusEnd})
 	}
+	effects = append(effects, s.logHeardCount()...)
 	effects = append(effects, s.dropLapsed()...)
 	if isJudge := s.rank() < judgeCount; isJudge != s.wasJudge {
 		// The view contains whether this entry reads the status stream to write verdicts.
--- a/site/view.go
+++ b/site/view.go
@@ -14,14 +14,17 @@
 	confirmedAt clock.Millis
 	fleet       *fleet.Snapshot
 	// entries is the number of entries that share the site's limits; at least 1.
-	entries    int
-	shares     map[string]placement.Share
-	started    bool
-	leaving    bool
-	versions   map[string]versionState
-	addresses  map[string]string
-	neighbours []string
-	fullMesh   bool
+	entries   int
+	shares    map[string]placement.Share
+	started   bool
+	leaving   bool
+	versions  map[string]versionState
+	addresses map[string]string
+	// delegates holds the first delegates but this entry.
+	delegates     []EntryAddress
+	neighbours    []string
+	zoneAddresses []string
+	fullMesh      bool
 	// upgradeActive is true while an upgrade is in progress or its verdict pending,
 	// mayWriteVerdict while a verdict is pending and this entry is one of those that may have to
 	// write it.
@@ -31,6 +34,13 @@
 	reader           bool
 	operatorNext     int64
 	peerOperatorNext int64
+	statusEnd        int64
+	// registeredAt is this entry's address in the store from an earlier start; empty if it is not
+	// known to be there. entriesKnown is true if the other entries are known.
+	registeredAt string
+	entriesKnown bool
+	// entriesMissing is true if a reader knows more entries than this one.
+	entriesMissing   bool
 	fleetConfirmedAt clock.Millis
 	divergedAt       clock.Millis
 	// storeServesPeers is true while the store serves the entries that read it on behalf of all.
@@ -71,6 +81,10 @@
 // same endpoints.
 func (v *View) Neighbours() []string { return v.neighbours }
 
+// ZoneAddresses returns the addresses of the other entries of this entry's zone, as far as reports
+// from them have arrived.
+func (v *View) ZoneAddresses() []string { return v.zoneAddresses }
+
 // FullMesh reports whether the entries of all zones report their work to this one.
 func (v *View) FullMesh() bool { return v.fullMesh }
 
