Count no attempt of which nothing was sent

TestRequestFindsRunningEndpointAmongCrashedOnes fails on the code before.

Kept because a caller is served at once instead of being told to come back.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -63,6 +63,7 @@
 	x.sends++
 	answer, err := s.cfg.Pool.Do(ctx, a.call())
 	if errorx.IsOfType(err, upstream.ErrNotSent) {
+		x.unsent++
 		return notRun, refusal.New(refusal.EndpointLost, err.Error())
 	}
 	x.runs++
--- a/relay/run.go
+++ b/relay/run.go
@@ -14,9 +14,15 @@
 	"github.com/parsleydeal/parsleydeal/site"
 )
 
-// maxRefusals is how many attempts a request may make in addition to the route's maximum, if
-// endpoints refuse it without running it.
-const maxRefusals = 2
+const (
+	// maxRefusals is how many attempts a request may make in addition to the route's maximum, if
+	// endpoints refuse it without running it.
+	maxRefusals = 2
+	// maxUnsent is how many attempts may fail before anything is sent. Nothing of these reaches an
+	// endpoint, so that they do not count as attempts. When four of five endpoints have just
+	// crashed, all but one of a hundred requests find a running one within as many.
+	maxUnsent = 24
+)
 
 // minRemaining is the remaining time below which no attempt is made; it is less than a round trip
 // to an endpoint. Without it a request whose time is up would be sent to one endpoint after
@@ -92,7 +98,7 @@
 // mayRetry reports whether the request may have another attempt.
 func (x *exchange) mayRetry(r result) bool {
 	if r == notRun {
-		return x.sends < x.route.MaxAttempts+maxRefusals
+		return x.sends-x.unsent < x.route.MaxAttempts+maxRefusals && x.unsent < maxUnsent
 	}
 	return x.route.Repeatable() && x.runs < x.route.MaxAttempts
 }
--- a/relay/run_test.go
+++ b/relay/run_test.go
@@ -181,3 +181,31 @@
 	is.True(silent.Received() == 1)
 	is.True(c.Since(x.startedAt) < clock.Second) // it does not wait until the other endpoint is idle
 }
+
+// Most endpoints crash at the same moment and refuse connections. The failure was that a request
+// was refused after five of them although nothing had been sent and others were running.
+func TestRequestFindsRunningEndpointAmongCrashedOnes(t *testing.T) {
+	is := is.New(t)
+	c := clock.Boot()
+	running, err := standin.StartEndpoint("i-running", func(*http.Request) standin.Reply { return standin.Reply{} })
+	is.NoErr(err)
+	defer running.Close()
+	var changes []fleet.Change
+	for i := range 12 {
+		crashed, err := standin.StartEndpoint("crashed", nil)
+		is.NoErr(err)
+		changes = append(changes, slotsOf(fmt.Sprint("i-", i), crashed.Address()))
+		crashed.Close()
+	}
+	route := &catalog.Route{Name: "r", Kind: catalog.NonIdempotent, Timeout: 5000, MaxAttempts: 1, Targets: []catalog.Target{{Service: "app", Weight: 1}}}
+	view := viewOf(route, append(changes, slotsOf("i-running", running.Address())))
+	server := serverOn(c, view)
+	server.selector.RecordLoad("i-running", 3, 4, c.Now()) // it looks busier than those that crashed
+	x := &exchange{
+		server: server, view: view, w: httptest.NewRecorder(), r: httptest.NewRequest(http.MethodGet, "/x", nil), startedAt: c.Now(), deadline: c.Now() + 5000,
+		req: &Request{ID: "r-1", Method: http.MethodGet}, route: route, service: "app",
+	}
+	is.NoErr(x.run(context.Background()))
+	is.Equal(x.endpoint, "i-running")
+	is.Equal(running.Received(), 1)
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -154,11 +154,12 @@
 	session      uint64
 	// tried holds the endpoints that got the request since the last time an answer was dropped,
 	// silentEndpoints those that timed out without sending anything. runs counts the attempts that
-	// may have run, sends counts all attempts.
+	// may have run, sends counts all attempts, and unsent those of which nothing was sent.
 	tried           map[string]bool
 	silentEndpoints map[string]bool
 	runs            int
 	sends           int
+	unsent          int
 	// written is true once the head of the answer was sent to the caller.
 	written bool
 	// status, endpoint, version and model are those of the answer, for the log.
