Wait for a confirmation that is late before asking for one

When the store keeps silent for a second, the confirmations of all entries become too old at the same moment.

An entry now waits up to 0.9 s, by its process, before it asks; a change that it is known to miss is still asked for at once, and two feeds that are behind ask once. TestAgedConfirmationsAreAwaited: no call to the store where a reply comes 0.45 s after the limit.

--- a/site/content_test.go
+++ b/site/content_test.go
@@ -1,6 +1,8 @@
 package site
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"testing"
 
@@ -157,3 +159,45 @@
 	Reduce(s, ReportReceived{Now: 1300, Report: reply})
 	is.True(!s.View().entriesMissing)
 }
+
+// The store keeps silent for a while, so that the confirmations of all entries become too old at the
+// same moment. Guards against all of them reading the store then: a moment later the readers have a
+// new confirmation, and replies bring it to the others.
+func TestAgedConfirmationsAreAwaited(t *testing.T) {
+	is := is.New(t)
+	f := &flakyStore{calls: make(map[Stream]int)}
+	l := f.loop(Self{Name: "entry-m", Process: "entry-m/1", Zone: "a"})
+	l.agedPatience = agedPatience
+	l.cfg.Codec.Operator, l.cfg.Codec.Verdicts = contentCodec.Operator, contentCodec.Verdicts
+	taken := 0
+	l.cfg.TakeState = func(ctx context.Context, _ []EntryAddress) error {
+		if taken++; taken > 1 {
+			return errors.New("no entry has a newer state")
+		}
+		now := l.cfg.Clock.Now()
+		l.post(ctx, StateReceived{Now: now, ConfirmedAt: now, FleetConfirmedAt: now, OperatorNext: 5, Update: contentCodec.Operator([]Record{{Key: "config"}}), Entries: []EntryAddress{{"entry-a", "a", "a"}}})
+		return nil
+	}
+	silentUntil := l.cfg.Clock.Now() + maxConfirmationAge + agedPatience/2
+	l.cfg.Send = func(r *wire.EntryReport, _ []string) error {
+		if now := l.cfg.Clock.Now(); r.GetAskMillis() > 0 && now > silentUntil {
+			l.Receive(&wire.EntryReport{Process: "entry-a", Name: "entry-a", Address: "a", Zone: "a", OperatorNext: 5, FleetDigest: r.GetFleetDigest(), ReplyMillis: r.GetAskMillis(), ReplyTo: "entry-m/1"})
+		}
+		return nil
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go l.Run(ctx)
+	go func() {
+		for clock.Pause(ctx, 200) {
+			for _, name := range []string{"entry-a", "entry-b", "entry-c"} {
+				l.Receive(&wire.EntryReport{Process: name, Name: name, Address: name, Zone: "a", OperatorNext: 5})
+			}
+		}
+	}()
+	clock.Pause(ctx, maxConfirmationAge+2*clock.Second)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t.Logf("%v calls, state taken %d times", f.calls, taken)
+	is.Equal(f.calls[OperatorStream]+f.calls[EndpointStream], 0)
+}
--- a/site/feed.go
+++ b/site/feed.go
@@ -62,6 +62,8 @@
 	fails   int
 	// catchUps counts the times in a row that the stream was taken from another entry.
 	catchUps int
+	// behindSince is since when the stream has to be read; 0 if it need not be.
+	behindSince clock.Millis
 }
 
 // readResult is the result of one read of a stream.
@@ -102,7 +104,7 @@
 	for ctx.Err() == nil {
 		v := f.loop.View()
 		if (f.next >= 0 || v.Started()) && !f.expired && !v.wants(f.stream, f.loop.cfg.Clock.Now()) {
-			f.catchUps = 0
+			f.catchUps, f.behindSince = 0, 0
 			clock.Pause(ctx, pollInterval)
 			continue
 		}
@@ -121,7 +123,7 @@
 		if f.fails > 0 {
 			f.loop.cfg.Log.Info("Store answers again", "stream", f.stream, "failures", f.fails)
 		}
-		f.fails, f.expired, f.catchUps = 0, false, 0
+		f.fails, f.expired, f.catchUps, f.behindSince = 0, false, 0, 0
 		if f.stream == OperatorStream {
 			f.loop.operatorFailing.Store(false)
 		}
@@ -134,18 +136,39 @@
 	}
 }
 
-// maxCatchUps is how often in a row an entry takes the state of another one before it reads the
-// store.
-const maxCatchUps = 2
+const (
+	// maxCatchUps is how often in a row an entry takes the state of another one before it reads the
+	// store.
+	maxCatchUps = 2
+	// agedPatience is how long at most an entry waits for a confirmation that is due before it asks
+	// for one. When the store keeps silent for a while, the confirmations of all entries become too
+	// old at the same moment, and a moment later the readers have a new one.
+	agedPatience = 900 * clock.Millis(1)
+)
 
-// catchUp takes the state of a reader, or of an entry that has it from a reader, instead of reading
-// the store. It returns false if the store has to be read.
+// catchUp waits for or takes the state of a reader, or of an entry that has it from a reader,
+// instead of reading the store. It returns false if the store has to be read.
 func (f *feed) catchUp(ctx context.Context, v *View) bool {
-	if f.loop.cfg.TakeState == nil || f.stream == StatusStream || !v.Started() || v.reader || len(v.delegates) == 0 || f.catchUps >= maxCatchUps {
+	l := f.loop
+	if l.cfg.TakeState == nil || f.stream == StatusStream || !v.Started() || v.reader || len(v.delegates) == 0 || f.catchUps >= maxCatchUps {
 		return false
 	}
+	now := l.cfg.Clock.Now()
+	if f.behindSince == 0 {
+		f.behindSince = now
+	}
+	if !v.missesChange(f.stream, now) && now-f.behindSince < l.agedPatience {
+		clock.Pause(ctx, pollInterval)
+		return true
+	}
+	l.catchUpMu.Lock()
+	defer l.catchUpMu.Unlock()
+	if !l.View().wants(f.stream, l.cfg.Clock.Now()) {
+		// The other feed has taken a state in the meantime.
+		return true
+	}
 	f.catchUps++
-	if err := f.loop.cfg.TakeState(ctx, v.delegates); err != nil {
+	if err := l.cfg.TakeState(ctx, v.delegates); err != nil {
 		return false
 	}
 	f.expired = false
--- a/site/loop.go
+++ b/site/loop.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/logbook"
@@ -51,6 +53,10 @@
 	// stateRequests holds requests for this entry's state, which only the loop's goroutine reads.
 	stateRequests chan chan builtState
 	lastBuilt     builtState
+	// catchUpMu is held while the state of another entry is taken. agedPatience is this process's
+	// part of the constant of that name.
+	catchUpMu    sync.Mutex
+	agedPatience clock.Millis
 	// started is closed once all streams were read.
 	started chan struct{}
 	// dropped counts reports that found the queue full or could not be unpacked.
@@ -63,6 +69,8 @@
 // NewLoop returns a loop with an empty state. Run starts it.
 func NewLoop(cfg Config) *Loop {
 	l := &Loop{cfg: cfg, state: NewState(cfg.Self, cfg.Clock.Now()), events: make(chan Event, eventQueueSize), stateRequests: make(chan chan builtState), started: make(chan struct{})}
+	const fractions = 1 << 16
+	l.agedPatience = clock.Millis(float64(xxhash.Sum64String(cfg.Self.Process)%fractions) / fractions * float64(agedPatience))
 	l.view.Store(l.state.View())
 	return l
 }
--- a/site/view.go
+++ b/site/view.go
@@ -108,6 +108,18 @@
 	}
 }
 
+// missesChange reports whether another entry is known to have records of a stream that this process
+// lacks.
+func (v *View) missesChange(s Stream, now clock.Millis) bool {
+	switch s {
+	case OperatorStream:
+		return v.peerOperatorNext > v.operatorNext
+	case EndpointStream:
+		return v.divergedAt > 0 && now-v.divergedAt > divergenceTimeout
+	}
+	return false
+}
+
 // hasActiveUpgrade reports whether an upgrade is in progress or its verdict still pending.
 func (v *View) hasActiveUpgrade() bool { return v.upgradeActive }
 
