--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -221,10 +221,13 @@
 			return err
 		}
 	}
-	startedAt := d.clock.Now()
+	startedAt, size := d.clock.Now(), 0
 	client := bootstrap.NewClient(bootstrap.Client{
 		Self: self, Clock: d.clock,
-		Apply: func(m *wire.SiteState, sentAt clock.Millis) error { return d.loop.ApplyState(ctx, m, sentAt) },
+		Apply: func(m *wire.SiteState, sentAt clock.Millis) error {
+			size = len(m.GetPacked())
+			return d.loop.ApplyState(ctx, m, sentAt)
+		},
 		OnRejected: func(address string, err error) {
 			d.log.Info("State of another entry cannot be used", "from", address, "error", logbook.Text(err))
 		},
@@ -233,7 +236,7 @@
 	if err != nil {
 		return err
 	}
-	d.log.Info("State of another entry was taken", "from", address, "after", d.clock.Since(startedAt))
+	d.log.Info("State of another entry was taken", "from", address, "after", d.clock.Since(startedAt), "bytes", size)
 	return nil
 }
 
