Mend two known reds: order of a refusal, and idle connections on a busy machine

TestKeyedChatCanBeRetriedAfterFailures: an endpoint sent the refusal of a failed run and dropped its retained answer afterwards, so that an entry which asked at once was told of an answer that is not kept. What the attempt holds is now released before the refusal is sent.

TestIdleConnectionsAreBounded: Close kept a connection only if the goroutine that sent the request had already said so, which a busy machine may delay past the whole answer. Close now waits up to 20 ms for it.

--- a/endpoint/run.go
+++ b/endpoint/run.go
@@ -26,24 +26,30 @@
 	if err = e.open(a); err != nil {
 		return a.refuse(err)
 	}
+	if err = e.serve(a, first); err != nil {
+		// The entry may ask for the retained answer, or repeat the call, as soon as it has the
+		// refusal.
+		e.close(a)
+		return a.refuse(err)
+	}
 	defer e.close(a)
+	return a.awaitBilling()
+}
+
+// serve admits an attempt and runs it.
+func (e *Endpoint) serve(a *attempt, first *wire.RunFrame) (err error) {
 	if err = e.admitBeforeDeadline(a); err != nil {
-		return a.refuse(err)
+		return err
 	}
 	ctx, cancel := a.context()
 	defer cancel()
 	if err = a.dispatch(); err != nil {
-		return a.refuse(err)
+		return err
 	}
 	if a.head.GetService() != "" {
-		err = e.runPlain(ctx, a, first)
-	} else {
-		err = e.runChat(ctx, a, first.GetBody())
-	}
-	if err != nil {
-		return a.refuse(err)
+		return e.runPlain(ctx, a, first)
 	}
-	return a.awaitBilling()
+	return e.runChat(ctx, a, first.GetBody())
 }
 
 // admitBeforeDeadline admits an attempt unless its deadline passes or its entry disconnects
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -241,16 +241,31 @@
 	}
 	a.closed = true
 	active := a.stop()
-	sent := false
+	// Bytes after the answer belong to no request: the next request on this connection would
+	// read them as its answer.
+	clean := active && a.complete && a.reusable && !a.conn.dirty && a.conn.r.Buffered() == 0
+	a.conn.release(clean && a.sent())
+}
+
+// sendGrace is how long Close waits for the end of sending. The endpoint has answered, so that
+// usually only the goroutine that sent the request has yet to be scheduled.
+const sendGrace = 20 * clock.Millis(1)
+
+// sent reports whether the whole request was sent.
+func (a *Answer) sent() bool {
 	select {
 	case <-a.bodySent:
-		sent = a.sendErr.Load() == nil
+		return a.sendErr.Load() == nil
 	default:
 	}
-	// Bytes after the answer belong to no request: the next request on this connection would
-	// read them as its answer.
-	clean := active && sent && a.complete && a.reusable && !a.conn.dirty && a.conn.r.Buffered() == 0
-	a.conn.release(clean)
+	timer := time.NewTimer(sendGrace.Duration())
+	defer timer.Stop()
+	select {
+	case <-a.bodySent:
+		return a.sendErr.Load() == nil
+	case <-timer.C:
+		return false
+	}
 }
 
 // conn is one connection to an endpoint. It is used by one call at a time.
