Ask again for a change that the delegates cannot give to all at once

An entry that misses a change now asks again each 0.1 s for up to 0.5 s, while the tree of those that have it grows. TestMissedChangeIsAskedForAgain fails with one round of questions.

--- a/site/content_test.go
+++ b/site/content_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 
 	"github.com/joomcode/errorx"
@@ -168,16 +169,12 @@
 	f := &flakyStore{calls: make(map[Stream]int)}
 	l := f.loop(Self{Name: "entry-m", Process: "entry-m/1", Zone: "a"})
 	l.agedPatience = agedPatience
-	l.cfg.Codec.Operator, l.cfg.Codec.Verdicts = contentCodec.Operator, contentCodec.Verdicts
-	taken := 0
-	l.cfg.TakeState = func(ctx context.Context, _ []EntryAddress) error {
-		if taken++; taken > 1 {
-			return errors.New("no entry has a newer state")
+	taken := giveStates(l, func(taken int) int64 {
+		if taken > 1 {
+			return -1
 		}
-		now := l.cfg.Clock.Now()
-		l.post(ctx, StateReceived{Now: now, ConfirmedAt: now, FleetConfirmedAt: now, OperatorNext: 5, Update: contentCodec.Operator([]Record{{Key: "config"}}), Entries: []EntryAddress{{"entry-a", "a", "a"}}})
-		return nil
-	}
+		return 5
+	})
 	silentUntil := l.cfg.Clock.Now() + maxConfirmationAge + agedPatience/2
 	l.cfg.Send = func(r *wire.EntryReport, _ []string) error {
 		if now := l.cfg.Clock.Now(); r.GetAskMillis() > 0 && now > silentUntil {
@@ -188,16 +185,74 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go l.Run(ctx)
-	go func() {
-		for clock.Pause(ctx, 200) {
-			for _, name := range []string{"entry-a", "entry-b", "entry-c"} {
-				l.Receive(&wire.EntryReport{Process: name, Name: name, Address: name, Zone: "a", OperatorNext: 5})
-			}
-		}
-	}()
+	go reportDelegates(ctx, l, func() int64 { return 5 })
 	clock.Pause(ctx, maxConfirmationAge+2*clock.Second)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	t.Logf("%v calls, state taken %d times", f.calls, taken)
+	t.Logf("%v calls, state asked for %d times", f.calls, taken.Load())
 	is.Equal(f.calls[OperatorStream]+f.calls[EndpointStream], 0)
 }
+
+// A reader reads a stream anew, so that all entries miss the change at the same moment and the
+// delegates cannot give their state to all of them at once. Guards against those that were referred
+// elsewhere reading the store.
+func TestMissedChangeIsAskedForAgain(t *testing.T) {
+	is := is.New(t)
+	f := &flakyStore{calls: make(map[Stream]int)}
+	l := f.loop(Self{Name: "entry-m", Process: "entry-m/1", Zone: "a"})
+	taken := giveStates(l, func(taken int) int64 {
+		switch {
+		case taken == 1:
+			return 5
+		case taken < 4:
+			return -1
+		}
+		return 9
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go l.Run(ctx)
+	startedAt := l.cfg.Clock.Now()
+	go reportDelegates(ctx, l, func() int64 {
+		if l.cfg.Clock.Since(startedAt) < clock.Second {
+			return 5
+		}
+		return 9
+	})
+	clock.Pause(ctx, 2*clock.Second)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t.Logf("%v calls, state asked for %d times", f.calls, taken.Load())
+	is.Equal(f.calls[OperatorStream]+f.calls[EndpointStream], 0)
+	is.Equal(l.View().operatorNext, int64(9))
+}
+
+// giveStates lets other entries give a loop their state, up to the offset of the operators' stream
+// that next returns for the number of times they were asked; a negative one refuses it.
+func giveStates(l *Loop, next func(taken int) int64) *atomic.Int64 {
+	l.cfg.Codec.Operator, l.cfg.Codec.Verdicts = contentCodec.Operator, contentCodec.Verdicts
+	var taken atomic.Int64
+	l.cfg.TakeState = func(ctx context.Context, _ []EntryAddress) error {
+		offset := next(int(taken.Add(1)))
+		if offset < 0 {
+			return errors.New("no entry gave its state")
+		}
+		now := l.cfg.Clock.Now()
+		l.post(ctx, StateReceived{
+			Now: now, ConfirmedAt: now, FleetConfirmedAt: now, OperatorNext: offset, Update: contentCodec.Operator([]Record{{Key: "config", Offset: offset}}),
+			Entries: []EntryAddress{{"entry-a", "a", "a"}},
+		})
+		return nil
+	}
+	return &taken
+}
+
+// reportDelegates lets three other entries report to a loop that they have the operators' stream up
+// to the offset that next returns.
+func reportDelegates(ctx context.Context, l *Loop, next func() int64) {
+	for clock.Pause(ctx, 200) {
+		for _, name := range []string{"entry-a", "entry-b", "entry-c"} {
+			l.Receive(&wire.EntryReport{Process: name, Name: name, Address: name, Zone: "a", OperatorNext: next()})
+		}
+	}
+}
--- a/site/feed.go
+++ b/site/feed.go
@@ -144,6 +144,11 @@
 	// for one. When the store keeps silent for a while, the confirmations of all entries become too
 	// old at the same moment, and a moment later the readers have a new one.
 	agedPatience = 900 * clock.Millis(1)
+	// changePatience is how long an entry that misses a change asks others for it before it reads the
+	// store. When a reader reads a stream anew, all entries miss it at the same moment, and the
+	// delegates refer most of them to those that have it.
+	changePatience   = 500 * clock.Millis(1)
+	changeRetryDelay = 100 * clock.Millis(1)
 )
 
 // catchUp waits for or takes the state of a reader, or of an entry that has it from a reader,
@@ -167,10 +172,14 @@
 		// The other feed has taken a state in the meantime.
 		return true
 	}
-	f.catchUps++
 	if err := l.cfg.TakeState(ctx, v.delegates); err != nil {
+		if v.missesChange(f.stream, now) && l.cfg.Clock.Since(f.behindSince) < changePatience {
+			return clock.Pause(ctx, changeRetryDelay)
+		}
+		f.catchUps++
 		return false
 	}
+	f.catchUps++
 	f.expired = false
 	clock.Pause(ctx, pollInterval)
 	return true
