--- a/site/feed.go
+++ b/site/feed.go
@@ -257,8 +257,8 @@
 }
 
 // register writes this entry's address to the store, unless it is there from an earlier start, and
-// reads those of the others if no entry has listed them. The write comes first: of two entries that start at the same time, at least one
-// then finds the other and sends it a report.
+// reads those of the others if no entry has listed them. The write comes first: of two entries that
+// start at the same time, at least one then finds the other and sends it a report.
 func (l *Loop) register(ctx context.Context) {
 	written, readAt := false, never
 	for ctx.Err() == nil {
--- a/site/loop.go
+++ b/site/loop.go
@@ -191,7 +191,6 @@
 	if l.lastBuilt.packed != nil && now-l.lastBuilt.builtAt < builtStateTTL {
 		return l.lastBuilt
 	}
-	l.state.now = max(l.state.now, now)
 	c := l.state.content()
 	for _, v := range l.state.verdicts {
 		key, value := l.cfg.Codec.VerdictRecord(v)
