Let a cut-off entry start with its neighbours, and read the register once

An entry without state whose reads fail now asks others again each 0.3 s (TestEntryCutOffFromStoreStartsWithNeighbours).

It now keeps the time of the read itself; the test counts the reads of the first entry.

--- a/bootstrap/search.go
+++ b/bootstrap/search.go
@@ -22,7 +22,7 @@
 const (
 	// hedgeDelay is how long after an entry was asked another one is asked as well, unless the
 	// first one has answered. silentHedgeDelay is the same while no VM has answered.
-	hedgeDelay       = 600 * clock.Millis(1)
+	hedgeDelay       = 250 * clock.Millis(1)
 	silentHedgeDelay = 100 * clock.Millis(1)
 	// maxAsked is the maximum number of entries that are asked at the same time.
 	maxAsked = 3
--- a/daemon/bootstrap_test.go
+++ b/daemon/bootstrap_test.go
@@ -27,7 +27,10 @@
 func TestStartedEntryTakesStateOfNeighbour(t *testing.T) {
 	is := is.New(t)
 	ts := neighbourSite(t)
-	ts.entry("e-1")
+	first := ts.entry("e-1")
+	ts.eventually(time.Second, "the first entry knows the register", func() bool { return first.loop.View().Entries() == 1 })
+	time.Sleep(100 * time.Millisecond)
+	is.Equal(strings.Count(first.log.String(), "Store was read in full"), 4) // each stream once
 	for i := range 5 {
 		e := ts.entry(fmt.Sprint("f-", i))
 		is.True(strings.Contains(e.log.String(), "State of another entry was taken"))
@@ -59,3 +62,16 @@
 	is.True(strings.Contains(e.log.String(), "State of the site is read from the store"))
 	is.Equal(e.do(e.request("GET", "/read/x", "")).status, 200)
 }
+
+// An entry is cut off from the store and starts before its neighbours. Guards against it waiting for
+// the store while they have the state.
+func TestEntryCutOffFromStoreStartsWithNeighbours(t *testing.T) {
+	ts := neighbourSite(t)
+	ts.started++ // the first address is left for the neighbour
+	e := ts.startEntry("f-1")
+	e.storeHandler.SetFault(standin.Down)
+	time.Sleep(2500 * time.Millisecond)
+	ts.started = 0
+	ts.entry("e-1")
+	ts.eventually(2*time.Second, "entry is ready without the store", func() bool { ready, _ := e.ready(); return ready })
+}
--- a/site/feed.go
+++ b/site/feed.go
@@ -260,20 +260,21 @@
 // reads those of the others if no entry has listed them. The write comes first: of two entries that
 // start at the same time, at least one then finds the other and sends it a report.
 func (l *Loop) register(ctx context.Context) {
+	// readAt is when the addresses were last known to be complete.
 	written, readAt := false, never
 	for ctx.Err() == nil {
 		v, now := l.View(), l.cfg.Clock.Now()
+		if readAt == never && v.entriesKnown {
+			readAt = now
+		}
 		write := !written && v.registeredAt != l.cfg.Address
 		// Readers of the store read the addresses again and then send reports also to entries from
 		// which no report has arrived.
-		read := !v.entriesKnown || v.reader && now-readAt >= registerInterval
+		read := readAt == never || v.reader && now-readAt >= registerInterval
 		if !write && !read {
 			clock.Pause(ctx, pollInterval)
 			continue
 		}
-		if readAt == never && !read {
-			readAt = now
-		}
 		err := l.registerOnce(ctx, write, read)
 		if err != nil {
 			l.cfg.Log.Warn("Could not register this entry or read the others", "written", written, "error", logbook.Text(err))
--- a/site/loop.go
+++ b/site/loop.go
@@ -143,9 +143,25 @@
 		go f.run(ctx)
 	}
 	go l.completeEntries(ctx)
+	go l.retryStart(ctx)
 	l.register(ctx)
 }
 
+// startRetryInterval is the interval at which an entry that has no state asks others again while the
+// store fails it.
+const startRetryInterval = 300 * clock.Millis(1)
+
+// retryStart asks other entries for their state until this one has started. An entry that was cut
+// off from the store, or that asked before the others had the state, would otherwise wait for the
+// store.
+func (l *Loop) retryStart(ctx context.Context) {
+	for l.cfg.TakeState != nil && clock.Pause(ctx, startRetryInterval) && !l.View().Started() {
+		if l.operatorFailing.Load() {
+			_ = l.cfg.TakeState(ctx, nil)
+		}
+	}
+}
+
 // entriesInterval is the minimum time between two queries for the entries that are running.
 const entriesInterval = 1500 * clock.Millis(1)
 
