Bound what an entry remembers of those that ask, and join two ways of packing

A question for the state may name an entry with at most 1 KB. Packed contents and packed records use the same code.

--- a/bootstrap/http.go
+++ b/bootstrap/http.go
@@ -40,6 +40,8 @@
 	answerTimeout  = 1500 * clock.Millis(1)
 	// maxStateBytes bounds an answer.
 	maxStateBytes = 4 << 20
+	// maxEntryBytes bounds the name, address and zone of an entry that asks, which are remembered.
+	maxEntryBytes = 1 << 10
 	// maxHeld bounds the requests that are held at the same time.
 	maxHeld = 512
 )
@@ -72,6 +74,10 @@
 	arrivedAt := h.Clock.Now()
 	query := r.URL.Query()
 	e := Entry{Name: query.Get("name"), Address: query.Get("address"), Zone: query.Get("zone")}
+	if len(e.Name)+len(e.Address)+len(e.Zone) > maxEntryBytes {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	if query.Get("only") == "entries" && h.awaitStart(r.Context(), false) {
 		if state, err := h.Entries(r.Context()); err == nil {
 			h.write(w, http.StatusOK, state, e)
--- a/site/content.go
+++ b/site/content.go
@@ -1,16 +1,12 @@
 package site
 
 import (
-	"bytes"
-	"compress/flate"
-	"io"
 	"maps"
 	"slices"
 
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/fleet"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"google.golang.org/protobuf/proto"
 )
 
 // StateReceived is the state of another entry. It is applied as far as it is newer than this
@@ -181,34 +177,11 @@
 	return entries
 }
 
-// packContent compresses a content.
-func packContent(c *wire.SiteContent) (packed []byte, err error) {
-	data, err := proto.Marshal(c)
-	if err != nil {
-		return nil, err
-	}
-	var b bytes.Buffer
-	w, err := flate.NewWriter(&b, flate.BestSpeed)
-	if err != nil {
-		return nil, err
-	}
-	if _, err = w.Write(data); err != nil {
-		return nil, err
-	}
-	err = w.Close()
-	return b.Bytes(), err
-}
+func packContent(c *wire.SiteContent) (packed []byte, err error) { return deflate(c) }
 
 func unpackContent(packed []byte) (c *wire.SiteContent, err error) {
-	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxUnpackedBytes+1))
-	if err != nil {
-		return nil, ErrUnpack.Wrap(err, "state of another entry")
-	}
-	if len(data) > maxUnpackedBytes {
-		return nil, ErrUnpack.New("state of another entry unpacks to more than %d bytes", maxUnpackedBytes)
-	}
 	c = &wire.SiteContent{}
-	if err = proto.Unmarshal(data, c); err != nil {
+	if err = inflate(packed, c); err != nil {
 		return nil, ErrUnpack.Wrap(err, "state of another entry")
 	}
 	return c, nil
--- a/site/content_test.go
+++ b/site/content_test.go
@@ -256,3 +256,21 @@
 		}
 	}
 }
+
+// FuzzState decodes states of other entries from arbitrary data. Nothing may panic, and no state
+// without a configuration may be accepted.
+func FuzzState(f *testing.F) {
+	good, err := packContent(runningEntry(2).content())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good, int64(0), int64(100))
+	f.Add(good[:len(good)/2], int64(-1), int64(1)<<62)
+	f.Fuzz(func(t *testing.T, packed []byte, held, age int64) {
+		m := &wire.SiteState{Packed: packed, HeldMillis: held, ConfirmedAgeMillis: age, FleetAgeMillis: age}
+		e, err := decodeState(contentCodec, m, 1000, 1010)
+		if err == nil && (e.Update.Config == nil || e.ConfirmedAt > 1010) {
+			t.Fatalf("state without configuration or from the future: %+v", e)
+		}
+	})
+}
--- a/site/pack.go
+++ b/site/pack.go
@@ -39,7 +39,7 @@
 			// split.
 			n = min(n, maxRecordsPerReport)
 		}
-		packed, err := deflate(records[:n])
+		packed, err := deflate(&wire.StoreRecords{Records: records[:n]})
 		if err != nil {
 			return nil, err
 		}
@@ -59,8 +59,9 @@
 	return out, nil
 }
 
-func deflate(records []*wire.StoreRecord) (packed []byte, err error) {
-	data, err := proto.Marshal(&wire.StoreRecords{Records: records})
+// deflate returns a message encoded and compressed.
+func deflate(m proto.Message) (packed []byte, err error) {
+	data, err := proto.Marshal(m)
 	if err != nil {
 		return nil, err
 	}
@@ -76,7 +77,19 @@
 	return b.Bytes(), err
 }
 
-// ErrUnpack is returned for a report whose records cannot be unpacked.
+// inflate decodes a message that deflate has packed.
+func inflate(packed []byte, m proto.Message) (err error) {
+	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxUnpackedBytes+1))
+	if err != nil {
+		return err
+	}
+	if len(data) > maxUnpackedBytes {
+		return ErrUnpack.New("more than %d bytes", maxUnpackedBytes)
+	}
+	return proto.Unmarshal(data, m)
+}
+
+// ErrUnpack is returned for a report or state that cannot be unpacked.
 var ErrUnpack = Errors.NewType("packed")
 
 // unpack replaces the packed records of a report by the records themselves.
@@ -84,15 +97,8 @@
 	if len(r.GetPacked()) == 0 {
 		return nil
 	}
-	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(r.GetPacked())), maxUnpackedBytes+1))
-	if err != nil {
-		return ErrUnpack.Wrap(err, "report of %s", r.GetName())
-	}
-	if len(data) > maxUnpackedBytes {
-		return ErrUnpack.New("report of %s unpacks to more than %d bytes", r.GetName(), maxUnpackedBytes)
-	}
 	var records wire.StoreRecords
-	if err = proto.Unmarshal(data, &records); err != nil {
+	if err = inflate(r.GetPacked(), &records); err != nil {
 		return ErrUnpack.Wrap(err, "report of %s", r.GetName())
 	}
 	r.Records, r.Packed = records.GetRecords(), nil
--- a/site/pack_test.go
+++ b/site/pack_test.go
@@ -78,7 +78,7 @@
 // FuzzUnpack unpacks arbitrary data, such as truncated, forged or endless records. Nothing may
 // panic, and no record may be accepted if unpacking fails.
 func FuzzUnpack(f *testing.F) {
-	good, err := deflate(registrations(3).GetRecords())
+	good, err := deflate(&wire.StoreRecords{Records: registrations(3).GetRecords()})
 	if err != nil {
 		f.Fatal(err)
 	}
