Find neighbours in the register, not through the control plane

The role no longer serves control_plane, so that the platform names no seeds. An entry that starts takes them from the store with one call: three registered entries, far apart by name and the same at every entry. At the first start of a site it registers itself before it looks. The setting direct.neighbours stays for operators who know some.

--- a/bootstrap/http.go
+++ b/bootstrap/http.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -311,20 +310,3 @@
 	}
 	return state, nil
 }
-
-// SeedsAt returns the seeds as entries that are asked at the given port, whatever port their
-// addresses name.
-func SeedsAt(addresses []string, peer string) (seeds []Entry, err error) {
-	_, port, err := net.SplitHostPort(peer)
-	if err != nil {
-		return nil, err
-	}
-	for _, address := range addresses {
-		host, _, err := net.SplitHostPort(address)
-		if err != nil {
-			return nil, fmt.Errorf("neighbour %q: %w", address, err)
-		}
-		seeds = append(seeds, Entry{Address: net.JoinHostPort(host, port)})
-	}
-	return seeds, nil
-}
--- a/daemon/bootstrap_test.go
+++ b/daemon/bootstrap_test.go
@@ -75,3 +75,21 @@
 	ts.entry("e-1")
 	ts.eventually(2*time.Second, "entry is ready without the store", func() bool { ready, _ := e.ready(); return ready })
 }
+
+// The settings name no neighbours. An entry that starts must find some among the registered entries
+// and not read the whole store.
+func TestStartedEntryFindsNeighboursInRegister(t *testing.T) {
+	is := is.New(t)
+	ts := newTestSite(t)
+	ts.publish()
+	ts.endpoint("i-1", "app", "v1", nil)
+	first := ts.entry("e-1")
+	ts.eventually(time.Second, "the first entry knows the register", func() bool { return first.loop.View().Entries() == 1 })
+	for i := range 5 {
+		before := ts.store.Calls()
+		e := ts.startEntry(fmt.Sprint("f-", i))
+		ts.eventually(3*time.Second, "entry is ready", func() bool { ready, _ := e.ready(); return ready })
+		is.True(strings.Contains(e.log.String(), "State of another entry was taken"))
+		is.True(ts.store.Calls()-before <= 6) // two of its own, the rest of the readers
+	}
+}
--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -123,16 +123,21 @@
 	store := platform.NewStore(s.Direct.Store, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DisableCompression: true}}, func(size int) {
 		d.traffic.add(flowStore, false, size, 1, 1)
 	})
+	seeds, err := seedsOf(s)
+	if err != nil {
+		return nil, err
+	}
 	d.loop = site.NewLoop(site.Config{
 		Self:        site.Self{Name: s.VM, Process: d.processID(), Zone: s.Zone, Exposure: s.Direct.Exposure},
 		Clock:       d.clock,
 		Log:         d.log,
-		Store:       site.Store{Newest: store.Newest, Read: store.Read, Append: store.Append},
+		Store:       site.Store{Newest: store.Newest, Sample: store.Sample, Read: store.Read, Append: store.Append},
 		Codec:       site.Codec{Operator: platform.DecodeOperator, Endpoints: platform.DecodeEndpoints, Verdicts: platform.DecodeVerdicts, VerdictRecord: platform.EncodeVerdict},
 		Address:     s.Peer,
 		Send:        d.send,
 		Counts:      func() site.TrafficCounts { return d.server.TrafficCounts() },
 		TakeState:   d.takeState,
+		Seeds:       seeds,
 		TakeEntries: d.takeEntries,
 	})
 	d.bootstrapHandler = &bootstrap.Handler{Clock: d.clock, Started: d.loop.Started(), State: d.loop.State, Entries: d.loop.Entries, OnAnswer: func(size int, zone string) {
@@ -206,21 +211,17 @@
 // it reads the store.
 const maxCatchUpAttempts = 3
 
-// takeState takes the state of the site from another entry. It begins with the given entries or, if
-// there are none, with those of the settings.
-func (d *direct) takeState(ctx context.Context, from []site.EntryAddress) (err error) {
+// takeState takes the state of the site from another entry, beginning with the given ones.
+func (d *direct) takeState(ctx context.Context, from []site.EntryAddress, starts bool) (err error) {
 	self := bootstrap.Entry{Name: d.settings.VM, Address: d.settings.Peer, Zone: d.settings.Zone}
 	attempts := maxCatchUpAttempts
+	if starts {
+		attempts = bootstrap.Unlimited
+	}
 	var seeds []bootstrap.Entry
 	for _, x := range from {
 		seeds = append(seeds, bootstrap.Entry{Name: x.Name, Address: x.Address, Zone: x.Zone})
 	}
-	if len(from) == 0 {
-		attempts = bootstrap.Unlimited
-		if seeds, err = bootstrap.SeedsAt(d.settings.Direct.Neighbours, d.settings.Peer); err != nil {
-			return err
-		}
-	}
 	startedAt, size := d.clock.Now(), 0
 	client := bootstrap.NewClient(bootstrap.Client{
 		Self: self, Clock: d.clock,
@@ -240,6 +241,22 @@
 	return nil
 }
 
+// seedsOf returns the neighbours of the settings, at this entry's own peer port.
+func seedsOf(s settings.Settings) (seeds []site.EntryAddress, err error) {
+	_, port, err := net.SplitHostPort(s.Peer)
+	if err != nil {
+		return nil, err
+	}
+	for _, address := range s.Direct.Neighbours {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, err
+		}
+		seeds = append(seeds, site.EntryAddress{Address: net.JoinHostPort(host, port)})
+	}
+	return seeds, nil
+}
+
 // takeEntries asks one of some entries which entries are running. Which one depends on this process,
 // so that all of them are asked about equally often.
 func (d *direct) takeEntries(ctx context.Context, from []site.EntryAddress) (*wire.SiteState, error) {
--- a/site/content_test.go
+++ b/site/content_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 
@@ -232,7 +233,7 @@
 func giveStates(l *Loop, next func(taken int) int64) *atomic.Int64 {
 	l.cfg.Codec.Operator, l.cfg.Codec.Verdicts = contentCodec.Operator, contentCodec.Verdicts
 	var taken atomic.Int64
-	l.cfg.TakeState = func(ctx context.Context, _ []EntryAddress) error {
+	l.cfg.TakeState = func(ctx context.Context, _ []EntryAddress, _ bool) error {
 		offset := next(int(taken.Add(1)))
 		if offset < 0 {
 			return errors.New("no entry gave its state")
@@ -274,3 +275,18 @@
 		}
 	})
 }
+
+// All entries that start must ask the same few ones, and those must be far apart by name.
+func TestSeedsAreTheSameEverywhere(t *testing.T) {
+	is := is.New(t)
+	var records []Record
+	for i := range 12 {
+		records = append(records, Record{Key: fmt.Sprintf("entry-%c-%d", 'a'+i/4, i%4), Value: []byte{byte('0' + i)}})
+	}
+	want := []EntryAddress{{Name: "entry-a-0", Address: "0"}, {Name: "entry-b-0", Address: "4"}, {Name: "entry-c-0", Address: "8"}}
+	is.Equal(seedsOf(records), want)
+	slices.Reverse(records)
+	is.Equal(seedsOf(append(records, Record{Key: "entry-deleted"})), want)
+	is.Equal(len(seedsOf(records[:2])), 2)
+	is.Equal(len(seedsOf(nil)), 0)
+}
--- a/site/feed.go
+++ b/site/feed.go
@@ -172,7 +172,7 @@
 		// The other feed has taken a state in the meantime.
 		return true
 	}
-	if err := l.cfg.TakeState(ctx, v.delegates); err != nil {
+	if err := l.cfg.TakeState(ctx, v.delegates, false); err != nil {
 		if v.missesChange(f.stream, now) && l.cfg.Clock.Since(f.behindSince) < changePatience {
 			return clock.Pause(ctx, changeRetryDelay)
 		}
@@ -258,10 +258,11 @@
 
 // register writes this entry's address to the store, unless it is there from an earlier start, and
 // reads those of the others if no entry has listed them. The write comes first: of two entries that
-// start at the same time, at least one then finds the other and sends it a report.
-func (l *Loop) register(ctx context.Context) {
+// start at the same time, at least one then finds the other and sends it a report. written is true if
+// the address has been written.
+func (l *Loop) register(ctx context.Context, written bool) {
 	// readAt is when the addresses were last known to be complete.
-	written, readAt := false, never
+	readAt := never
 	for ctx.Err() == nil {
 		v, now := l.View(), l.cfg.Clock.Now()
 		if readAt == never && v.entriesKnown {
--- a/site/loop.go
+++ b/site/loop.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -35,9 +37,12 @@
 	// Send sends a report to the addresses of other entries. It must not block for long.
 	Send func(r *wire.EntryReport, to []string) error
 	// TakeState asks other entries for their state of the site until one has given it and
-	// ApplyState has accepted it. It begins with the given entries or, if there are none, with
-	// those of the settings. Nil if no other entry can be asked.
-	TakeState func(ctx context.Context, from []EntryAddress) error
+	// ApplyState has accepted it. It begins with the given entries. An entry that starts asks more
+	// patiently than one that has fallen behind. Nil if no other entry can be asked.
+	TakeState func(ctx context.Context, from []EntryAddress, starts bool) error
+	// Seeds are entries that this one asks when it starts. If there are none, it takes some from the
+	// store.
+	Seeds []EntryAddress
 	// TakeEntries asks one of the given entries which entries are running.
 	TakeEntries func(ctx context.Context, from []EntryAddress) (*wire.SiteState, error)
 	// Counts returns what this process has counted in its traffic since it started.
@@ -127,8 +132,13 @@
 // start takes the state of another entry, if one has it, and then reads the store as far as that is
 // necessary.
 func (l *Loop) start(ctx context.Context) {
+	written := false
 	if l.cfg.TakeState != nil {
-		err := l.cfg.TakeState(ctx, nil)
+		seeds := l.cfg.Seeds
+		if len(seeds) == 0 {
+			seeds, written = l.seedsFromStore(ctx)
+		}
+		err := l.cfg.TakeState(ctx, seeds, true)
 		if err == nil {
 			select {
 			case <-l.started:
@@ -137,14 +147,46 @@
 		}
 		if err != nil && ctx.Err() == nil {
 			l.cfg.Log.Info("State of the site is read from the store", "after", l.cfg.Clock.Now()-l.state.startedAt, "reason", logbook.Text(err))
+			go l.retryStart(ctx, seeds)
 		}
 	}
 	for _, f := range l.feeds() {
 		go f.run(ctx)
 	}
 	go l.completeEntries(ctx)
-	go l.retryStart(ctx)
-	l.register(ctx)
+	l.register(ctx, written)
+}
+
+// seedCount is the number of entries that others ask first when they start.
+const seedCount = 3
+
+// seedsFromStore returns the same few registered entries at every entry that starts. If none is
+// registered yet, as at the first start of a site, it registers this entry; written then is true.
+func (l *Loop) seedsFromStore(ctx context.Context) (seeds []EntryAddress, written bool) {
+	ctx, cancel := context.WithTimeout(ctx, (operatorWait + readSlack).Duration())
+	defer cancel()
+	records, err := l.cfg.Store.Sample(ctx, EntryStream)
+	if err == nil && len(records) == 0 {
+		written = l.cfg.Store.Append(ctx, EntryStream, l.cfg.Self.Name, []byte(l.cfg.Address), -1) == nil
+		records, err = l.cfg.Store.Sample(ctx, EntryStream)
+	}
+	if err != nil {
+		l.cfg.Log.Warn("Registered entries could not be read", "error", logbook.Text(err))
+	}
+	return seedsOf(records), written
+}
+
+// seedsOf selects the seeds among registered entries, far apart in the order of names: names that
+// are close to each other often are of one zone.
+func seedsOf(records []Record) (seeds []EntryAddress) {
+	records = slices.DeleteFunc(slices.Clone(records), func(r Record) bool { return len(r.Value) == 0 })
+	slices.SortFunc(records, func(a, b Record) int { return strings.Compare(a.Key, b.Key) })
+	n := min(seedCount, len(records))
+	for i := range n {
+		r := records[i*len(records)/n]
+		seeds = append(seeds, EntryAddress{Name: r.Key, Address: string(r.Value)})
+	}
+	return seeds
 }
 
 // startRetryInterval is the interval at which an entry that has no state asks others again while the
@@ -154,10 +196,10 @@
 // retryStart asks other entries for their state until this one has started. An entry that was cut
 // off from the store, or that asked before the others had the state, would otherwise wait for the
 // store.
-func (l *Loop) retryStart(ctx context.Context) {
-	for l.cfg.TakeState != nil && clock.Pause(ctx, startRetryInterval) && !l.View().Started() {
+func (l *Loop) retryStart(ctx context.Context, seeds []EntryAddress) {
+	for len(seeds) > 0 && clock.Pause(ctx, startRetryInterval) && !l.View().Started() {
 		if l.operatorFailing.Load() {
-			_ = l.cfg.TakeState(ctx, nil)
+			_ = l.cfg.TakeState(ctx, seeds, true)
 		}
 	}
 }
--- a/site/outage_test.go
+++ b/site/outage_test.go
@@ -45,6 +45,7 @@
 
 func (f *flakyStore) store() Store {
 	return Store{
+		Sample: func(_ context.Context, s Stream) ([]Record, error) { return nil, f.call(s) },
 		Newest: func(_ context.Context, s Stream) ([]Record, int64, error) { return []Record{{Key: "x"}}, 0, f.call(s) },
 		Read: func(ctx context.Context, s Stream, from int64, wait clock.Millis) ([]Record, int64, error) {
 			err := f.call(s)
--- a/site/store.go
+++ b/site/store.go
@@ -52,6 +52,8 @@
 type Store struct {
 	// Newest returns the newest record of each key and the offset at which Read continues.
 	Newest func(ctx context.Context, s Stream) (records []Record, next int64, err error)
+	// Sample returns the newest records of some keys, as many as one call brings.
+	Sample func(ctx context.Context, s Stream) (records []Record, err error)
 	// Read returns the records from an offset on, waiting up to wait for the first one. It
 	// returns provider.ErrExpired if the offset is below the first retained one.
 	Read func(ctx context.Context, s Stream, from int64, wait clock.Millis) (records []Record, next int64, err error)
