--- a/settings/options.go
+++ b/settings/options.go
@@ -210,7 +210,7 @@
 		valid: func(s *Settings) bool { return s.Direct.Ready == "" || isAddress(s.Direct.Ready) },
 	},
 	{
-		Key: "direct.neighbours", Allowed: "a list of IP numbers and ports", Doc: "some other entries, which an entry that starts asks for the state of the site, at its own peer port, before it reads the store; some may be gone",
+		Key: "direct.neighbours", Allowed: "a list of IP numbers and ports", Doc: "some other entries, which an entry that starts asks for the state of the site, at its own peer port; without them it takes three registered ones from the store",
 		valid: func(s *Settings) bool {
 			return !slices.ContainsFunc(s.Direct.Neighbours, func(a string) bool { return !isAddress(a) })
 		},
