--- a/relay/run_test.go
+++ b/relay/run_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -196,6 +197,7 @@
 		is.NoErr(err)
 		changes = append(changes, slotsOf(fmt.Sprint("i-", i), crashed.Address()))
 		crashed.Close()
+		awaitRefusal(crashed.Address())
 	}
 	route := &catalog.Route{Name: "r", Kind: catalog.NonIdempotent, Timeout: 5000, MaxAttempts: 1, Targets: []catalog.Target{{Service: "app", Weight: 1}}}
 	view := viewOf(route, append(changes, slotsOf("i-running", running.Address())))
@@ -209,3 +211,15 @@
 	is.Equal(x.endpoint, "i-running")
 	is.Equal(running.Received(), 1)
 }
+
+// awaitRefusal waits until an address refuses connections: a server that is closed while it starts
+// may still hold its listener for a moment.
+func awaitRefusal(address string) {
+	for {
+		c, err := net.Dial("tcp4", address)
+		if err != nil {
+			return
+		}
+		_ = c.Close()
+	}
+}
