Let attempts of which nothing was sent cost no retry

The budget bounds what reaches endpoints beyond the first attempt; after an attempt that sent nothing the next one is free.

A body whose length is above the limit was refused for want of memory, with a time to come back, where memory was short; it is refused as too large at once. Both tests fail on the code before.

--- a/relay/admit.go
+++ b/relay/admit.go
@@ -194,6 +194,10 @@
 	if !x.req.hasBody {
 		return nil
 	}
+	if x.r.ContentLength > maxBytes {
+		x.w.Header().Set("Connection", "close")
+		return refusal.New(refusal.TooLarge, fmt.Sprintf("body has %d bytes, %d are allowed", x.r.ContentLength, maxBytes))
+	}
 	if err = x.reserve(int(max(x.r.ContentLength, 0))); err != nil {
 		return err
 	}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -39,6 +39,8 @@
 	lastEventAt  clock.Millis
 	// silent is true when the endpoint sent nothing for longer than the timeout.
 	silent bool
+	// unsent is true when nothing of the request was sent.
+	unsent bool
 	// wrongEndpoint is true when the address now belongs to another endpoint.
 	wrongEndpoint bool
 	failureAnswer *bufferedAnswer
@@ -63,6 +65,7 @@
 	x.sends++
 	answer, err := s.cfg.Pool.Do(ctx, a.call())
 	if errorx.IsOfType(err, upstream.ErrNotSent) {
+		a.unsent = true
 		x.unsent++
 		return notRun, refusal.New(refusal.EndpointLost, err.Error())
 	}
--- a/relay/held_test.go
+++ b/relay/held_test.go
@@ -1,9 +1,12 @@
 package relay
 
 import (
+	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -161,3 +164,26 @@
 	is.Equal(received, 0)
 	is.Equal(s.bodies.bytes(), 0)
 }
+
+// A body above the limit can never be served. The caller must be told so, and not to come back when
+// there is memory.
+func TestBodyAboveLimitIsTooLarge(t *testing.T) {
+	is := is.New(t)
+	route := &catalog.Route{Host: "h", Prefix: "/", Kind: catalog.Idempotent, MaxAttempts: 2, Public: true, Targets: []catalog.Target{{Service: "app", Weight: 1}}}
+	s := serverOn(clock.Boot(), viewOf(route, []fleet.Change{slotsOf("i-1", "127.0.0.1:9")}))
+	s.bodies.limit = 1000
+	s.cfg.Dialect.Read = func(*http.Request) (*Request, error) {
+		return &Request{ID: "r", Method: http.MethodPost, Target: "/x", Path: "/x", Host: "h"}, nil
+	}
+	s.cfg.Dialect.SetRefusalHeaders = func(http.Header, string) {}
+	entry := httptest.NewServer(s)
+	defer entry.Close()
+	c, err := net.Dial("tcp", entry.Listener.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	_, err = fmt.Fprintf(c, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", defaultMaxBodyBytes+1)
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusRequestEntityTooLarge)
+}
--- a/relay/run.go
+++ b/relay/run.go
@@ -89,12 +89,22 @@
 		case !x.mayRetry(r):
 			return x.giveUp(failure, x.correctRunState(err))
 		}
-		if !x.budget().TryRetry(x.server.cfg.Clock.Now()) && r != notRun {
+		if !x.countRetry(a, r) {
 			return x.giveUp(failure, x.correctRunState(err))
 		}
 	}
 }
 
+// countRetry counts the attempt that follows another one against the retry budget, and reports
+// whether it is allowed. After an attempt of which nothing was sent it costs nothing: the budget
+// bounds what reaches endpoints beyond the first attempt.
+func (x *exchange) countRetry(a *attempt, r result) bool {
+	if a.unsent {
+		return true
+	}
+	return x.budget().TryRetry(x.server.cfg.Clock.Now()) || r == notRun
+}
+
 // mayRetry reports whether the request may have another attempt.
 func (x *exchange) mayRetry(r result) bool {
 	if r == notRun {
--- a/relay/run_test.go
+++ b/relay/run_test.go
@@ -202,7 +202,8 @@
 	route := &catalog.Route{Name: "r", Kind: catalog.NonIdempotent, Timeout: 5000, MaxAttempts: 1, Targets: []catalog.Target{{Service: "app", Weight: 1}}}
 	view := viewOf(route, append(changes, slotsOf("i-running", running.Address())))
 	server := serverOn(c, view)
-	server.selector.RecordLoad("i-running", 3, 4, c.Now()) // it looks busier than those that crashed
+	server.cfg.RetrySlack = float64(view.Entries()) / retrySlackFraction // one retry
+	server.selector.RecordLoad("i-running", 3, 4, c.Now())               // it looks busier than those that crashed
 	x := &exchange{
 		server: server, view: view, w: httptest.NewRecorder(), r: httptest.NewRequest(http.MethodGet, "/x", nil), startedAt: c.Now(), deadline: c.Now() + 5000,
 		req: &Request{ID: "r-1", Method: http.MethodGet}, route: route, service: "app",
@@ -210,6 +211,8 @@
 	is.NoErr(x.run(context.Background()))
 	is.Equal(x.endpoint, "i-running")
 	is.Equal(running.Received(), 1)
+	is.True(x.unsent > 0)
+	is.True(x.budget().CanRetry(c.Now())) // nothing that was sent needed it
 }
 
 // awaitRefusal waits until an address refuses connections: a server that is closed while it starts
