Complete the list of entries from whichever entry knows more

Four entries started together; three took the state of the fourth, which comes last by name, with a list of nobody else. Each of the three took itself for a reader, asked no reader, and was never told of the others: shares of limits were too large by half, and three read the store, for the 45 s until the register is read again.

Every report now states how many entries its sender knows, not only a reader's reply, and an entry that knows fewer takes the list from that sender.

--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -257,11 +257,10 @@
 	return seeds, nil
 }
 
-// takeEntries asks one of some entries which entries are running. Which one depends on this process,
-// so that all of them are asked about equally often.
-func (d *direct) takeEntries(ctx context.Context, from []site.EntryAddress) (*wire.SiteState, error) {
-	x := from[xxhash.Sum64String(d.processID())%uint64(len(from))]
-	return bootstrap.NewClient(bootstrap.Client{Clock: d.clock, Self: bootstrap.Entry{Zone: d.settings.Zone}}).Entries(ctx, bootstrap.Entry{Name: x.Name, Address: x.Address, Zone: x.Zone})
+// takeEntries asks an entry which entries are running.
+func (d *direct) takeEntries(ctx context.Context, from site.EntryAddress) (*wire.SiteState, error) {
+	client := bootstrap.NewClient(bootstrap.Client{Clock: d.clock, Self: bootstrap.Entry{Zone: d.settings.Zone}})
+	return client.Entries(ctx, bootstrap.Entry{Name: from.Name, Address: from.Address, Zone: from.Zone})
 }
 
 // receive passes a report from another entry to the loop or, if it is about work at endpoints, to
--- a/site/content.go
+++ b/site/content.go
@@ -94,7 +94,7 @@
 // entriesReceived adds entries that another one knows.
 func (s *State) entriesReceived(entries []EntryAddress) (effects []Effect) {
 	first := !s.loaded[EntryStream]
-	s.entriesMissing = false
+	s.fullerList = EntryAddress{}
 	for _, x := range entries {
 		if x.Name == s.self.Name {
 			if first {
@@ -107,6 +107,7 @@
 		}
 		s.listed[x.Name] = listedEntry{x.Zone, s.now}
 	}
+	s.counted.at = never
 	effects = []Effect{Publish{}}
 	if first && len(entries) > 0 {
 		s.loaded[EntryStream], s.entriesReadAt = true, s.now
--- a/site/content_test.go
+++ b/site/content_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -147,19 +148,79 @@
 }
 
 // Guards against shares of limits that are too large, after many entries have started at once: each
-// was given a list that lacked those which started later. A reader that knows more entries than the
-// asking one says so, and the list is completed.
+// was given a list that lacked those which started later. An entry that knows more says so in its
+// reports, and the list is taken from it.
 func TestMissingEntriesAreNoticed(t *testing.T) {
 	is := is.New(t)
 	s := runningEntry(1)
 	reply := &wire.EntryReport{Process: "r/1", Name: "entry-0", Zone: "a", Address: "r", ReplyMillis: 1000, ReplyTo: s.self.Process, Entries: 5}
 	Reduce(s, ReportReceived{Now: 1100, Report: reply})
-	is.True(s.View().entriesMissing)
+	is.Equal(s.View().fullerList, EntryAddress{"entry-0", "r", "a"})
 	Reduce(s, EntriesListed{Now: 1200, Entries: []EntryAddress{{"entry-0", "r", "a"}, {"entry-x", "x", "b"}, {"entry-y", "y", "b"}, {"entry-z", "z:1", "b"}}})
-	is.True(!s.View().entriesMissing)
+	is.Equal(s.View().fullerList, EntryAddress{})
 	is.Equal(s.View().Entries(), 5)
 	Reduce(s, ReportReceived{Now: 1300, Report: reply})
-	is.True(!s.View().entriesMissing)
+	is.Equal(s.View().fullerList, EntryAddress{})
+}
+
+// Entries that start together were each given a list with nobody but the entry that gave it, which
+// comes last in the order of names. The failure was that each of them took itself for a reader, asked
+// nobody, and never knew the others, so that all used too large a share of limits.
+func TestEntriesWithShortListsFindAllOthers(t *testing.T) {
+	for _, n := range []int{4, 60, 355} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			is := is.New(t)
+			all := make(map[string]*State)
+			var queue []func(now clock.Millis)
+			deliver := func(from *State, effects []Effect) {
+				for _, e := range effects {
+					f, ok := e.(SendReport)
+					if !ok {
+						continue
+					}
+					f.Report.Address = from.self.Name
+					to := []string{f.To}
+					if f.To == "" {
+						to = slices.Collect(maps.Values(from.addresses))
+					}
+					for _, name := range to {
+						if s := all[name]; s != nil && s != from {
+							queue = append(queue, func(now clock.Millis) { Reduce(s, ReportReceived{Now: now, Report: f.Report}) })
+						}
+					}
+				}
+			}
+			giver := fmt.Sprintf("entry-%03d", n-1)
+			for i := range n {
+				name := fmt.Sprintf("entry-%03d", i)
+				s := NewState(Self{Name: name, Process: name + "/1", Zone: fmt.Sprint("zone-", i%6)}, 0)
+				all[name] = s
+				given := []EntryAddress{{giver, giver, ""}}
+				deliver(s, Reduce(s, StateReceived{Now: 1, ConfirmedAt: 1, FleetConfirmedAt: 1, Update: contentCodec.Operator([]Record{{Key: "config"}}), Entries: given}))
+			}
+			names := slices.Sorted(maps.Keys(all))
+			knowsAll := func() bool {
+				return !slices.ContainsFunc(names, func(name string) bool { return len(all[name].sharers()) != n })
+			}
+			now := clock.Millis(100)
+			for ; now < 10*clock.Second && !knowsAll(); now += 100 {
+				due := queue
+				queue = nil
+				for _, f := range due {
+					f(now)
+				}
+				for _, name := range names {
+					s := all[name]
+					deliver(s, Reduce(s, Tick{Now: now}))
+					if fuller := all[s.fullerList.Address]; fuller != nil && now%entriesInterval == 0 {
+						deliver(s, Reduce(s, EntriesListed{Now: now, Entries: entriesFromWire(fuller.entriesToWire())}))
+					}
+				}
+			}
+			t.Logf("all know all after %s", now)
+			is.True(now < 6*clock.Second)
+		})
+	}
 }
 
 // The store keeps silent for a while, so that the confirmations of all entries become too old at the
--- a/site/loop.go
+++ b/site/loop.go
@@ -43,8 +43,8 @@
 	// Seeds are entries that this one asks when it starts. If there are none, it takes some from the
 	// store.
 	Seeds []EntryAddress
-	// TakeEntries asks one of the given entries which entries are running.
-	TakeEntries func(ctx context.Context, from []EntryAddress) (*wire.SiteState, error)
+	// TakeEntries asks an entry which entries are running.
+	TakeEntries func(ctx context.Context, from EntryAddress) (*wire.SiteState, error)
 	// Counts returns what this process has counted in its traffic since it started.
 	Counts func() TrafficCounts
 }
@@ -207,25 +207,32 @@
 // entriesInterval is the minimum time between two queries for the entries that are running.
 const entriesInterval = 1500 * clock.Millis(1)
 
-// completeEntries asks a delegate for the running entries whenever it knows more of them. An entry
-// that starts together with others gets a list that lacks some.
+// completeEntries asks an entry that knows more of the running entries for their list. An entry that
+// starts together with others gets a list that lacks some.
 func (l *Loop) completeEntries(ctx context.Context) {
 	for clock.Pause(ctx, entriesInterval) {
 		v := l.View()
-		if !v.entriesMissing || len(v.delegates) == 0 || l.cfg.TakeEntries == nil {
+		if v.fullerList.Address == "" || l.cfg.TakeEntries == nil {
 			continue
 		}
-		m, err := l.cfg.TakeEntries(ctx, v.delegates)
+		entries, err := l.takeEntries(ctx, v.fullerList)
 		if err != nil {
-			continue
-		}
-		c, err := unpackContent(m.GetPacked())
-		if err != nil {
-			l.cfg.Log.Warn("List of entries cannot be used", "error", logbook.Text(err))
-			continue
+			l.cfg.Log.Warn("List of entries was not taken", "from", v.fullerList.Name, "error", logbook.Text(err))
 		}
-		l.post(ctx, EntriesListed{Now: l.cfg.Clock.Now(), Entries: entriesFromWire(c.GetEntries())})
+		l.post(ctx, EntriesListed{Now: l.cfg.Clock.Now(), Entries: entries})
+	}
+}
+
+func (l *Loop) takeEntries(ctx context.Context, from EntryAddress) (entries []EntryAddress, err error) {
+	m, err := l.cfg.TakeEntries(ctx, from)
+	if err != nil {
+		return nil, err
+	}
+	c, err := unpackContent(m.GetPacked())
+	if err != nil {
+		return nil, err
 	}
+	return entriesFromWire(c.GetEntries()), nil
 }
 
 // builtState is this entry's state for others. The times are on this process's clock.
--- a/site/share.go
+++ b/site/share.go
@@ -76,6 +76,9 @@
 	if s.config != nil {
 		r.Version = s.config.Version
 	}
+	if s.loaded[EntryStream] {
+		r.Entries = int32(s.entryCount())
+	}
 	return r
 }
 
@@ -145,7 +148,6 @@
 	r.ReplyMillis, r.ReplyTo = query.GetAskMillis(), query.GetProcess()
 	r.ConfirmedAgeMillis = int64(s.now - s.confirmedAt)
 	r.FleetAgeMillis = int64(s.now - s.fleetConfirmedAt)
-	r.Entries = int32(s.entryCount())
 	return SendReport{Report: r, To: query.GetAddress()}
 }
 
@@ -157,7 +159,6 @@
 	if r.GetReplyTo() != s.self.Process || queriedAt > s.now {
 		return nil
 	}
-	s.entriesMissing = int(r.GetEntries()) > s.entryCount()
 	if r.GetOperatorNext() == s.operatorNext {
 		s.confirmedAt = max(s.confirmedAt, queriedAt-clock.Millis(r.GetConfirmedAgeMillis()))
 	}
--- a/site/state.go
+++ b/site/state.go
@@ -51,10 +51,10 @@
 	// the registered ones were last read.
 	addresses     map[string]string
 	entriesReadAt clock.Millis
-	// listed holds the entries that another one listed as running. entriesMissing is true if a reader
-	// knows more entries than this one.
-	listed         map[string]listedEntry
-	entriesMissing bool
+	// listed holds the entries that another one listed as running. fullerList is an entry that knows
+	// more entries than this one; without an address if none is known.
+	listed     map[string]listedEntry
+	fullerList EntryAddress
 	// counted caches the result of entryCount.
 	counted entryCount
 	// operatorRecords holds the newest record of each key of the operators' stream, and configKey
@@ -431,6 +431,10 @@
 	for _, u := range r.GetUpgrades() {
 		effects = append(effects, s.receiveUpgrade(r.GetProcess(), u)...)
 	}
+	if s.fullerList.Address == "" && int(r.GetEntries()) > s.entryCount() {
+		s.fullerList = EntryAddress{Name: r.GetName(), Address: r.GetAddress(), Zone: r.GetZone()}
+		effects = append(effects, Publish{})
+	}
 	return append(effects, s.receiveUpdates(e)...)
 }
 
@@ -481,7 +485,7 @@
 	v := &View{
 		config: s.config, confirmedAt: s.confirmedAt, fleet: s.fleet.Snapshot(), entries: len(sharers), shares: s.shares(sharers),
 		started: s.started(), leaving: s.leaving, versions: make(map[string]versionState), addresses: maps.Clone(s.addresses),
-		upgradeActive: s.hasActiveUpgrade(), mayWriteVerdict: len(s.pendingVerdicts) > 0 && s.rank() < judgeCount, reader: s.reader(), operatorNext: s.operatorNext, statusEnd: s.statusEnd, registeredAt: s.registeredAt, entriesKnown: s.loaded[EntryStream], entriesMissing: s.entriesMissing, delegates: s.delegateAddresses(), peerOperatorNext: s.peerOperatorNext,
+		upgradeActive: s.hasActiveUpgrade(), mayWriteVerdict: len(s.pendingVerdicts) > 0 && s.rank() < judgeCount, reader: s.reader(), operatorNext: s.operatorNext, statusEnd: s.statusEnd, registeredAt: s.registeredAt, entriesKnown: s.loaded[EntryStream], fullerList: s.fullerList, delegates: s.delegateAddresses(), peerOperatorNext: s.peerOperatorNext,
 		fleetConfirmedAt: s.fleetConfirmedAt, divergedAt: s.divergedAt, probedByPeers: s.probedByPeers(), storeServesPeers: s.storeServesPeers(), neighbours: s.neighbours(s.fullMesh()), zoneAddresses: s.neighbours(false), fullMesh: s.fullMesh(),
 	}
 	for service, version := range s.current {
--- a/site/view.go
+++ b/site/view.go
@@ -39,8 +39,9 @@
 	// known to be there. entriesKnown is true if the other entries are known.
 	registeredAt string
 	entriesKnown bool
-	// entriesMissing is true if a reader knows more entries than this one.
-	entriesMissing   bool
+	// fullerList is an entry that knows more entries than this one; without an address if none is
+	// known.
+	fullerList       EntryAddress
 	fleetConfirmedAt clock.Millis
 	divergedAt       clock.Millis
 	// storeServesPeers is true while the store serves the entries that read it on behalf of all.
