Bound how long an entry that has fallen behind asks others

A delegate that accepts the question and hangs could take up to 1.8 s of the 1.5 s that are left between the limit of a confirmation's age and the end of the lease of keys, and two feeds could wait one for the other: keyed requests would be refused where the store would have answered. Asking now takes half a second at the most, and after that and the patience before it the store is read (TestHangingDelegateDoesNotCostTheLease). A state with an endpoint without slots is rejected; it was given one slot without a word.

--- a/daemon/bootstrap_test.go
+++ b/daemon/bootstrap_test.go
@@ -29,11 +29,12 @@
 	ts := neighbourSite(t)
 	first := ts.entry("e-1")
 	ts.eventually(time.Second, "the first entry knows the register", func() bool { return first.loop.View().Entries() == 1 })
+	ts.eventually(time.Second, "each stream is read", func() bool { return strings.Count(first.log.String(), "Store was read in full") >= 4 })
 	time.Sleep(100 * time.Millisecond)
 	is.Equal(strings.Count(first.log.String(), "Store was read in full"), 4) // each stream once
 	for i := range 5 {
 		e := ts.entry(fmt.Sprint("f-", i))
-		is.True(strings.Contains(e.log.String(), "State of another entry was taken"))
+		ts.eventuallyLogs(e, "State of another entry was taken")
 		is.Equal(e.do(e.request("GET", "/read/x", "")).status, 200)
 		time.Sleep(100 * time.Millisecond)
 		is.True(!strings.Contains(e.log.String(), "Store was read in full"))
@@ -50,7 +51,7 @@
 	e.storeHandler.SetFault(standin.Down)
 	ts.eventually(3*time.Second, "entry is ready without the store", func() bool { ready, _ := e.ready(); return ready })
 	is.Equal(e.do(e.request("GET", "/read/x", "")).status, 200)
-	is.True(strings.Contains(first.log.String(), "Site is known"))
+	ts.eventuallyLogs(first, "Site is known")
 }
 
 // An entry whose neighbours are all gone must read the store.
@@ -59,7 +60,7 @@
 	ts := neighbourSite(t)
 	ts.neighbours = []string{"127.0.1.98:9", "127.0.1.99:9"}
 	e := ts.entry("f-1")
-	is.True(strings.Contains(e.log.String(), "State of the site is read from the store"))
+	ts.eventuallyLogs(e, "State of the site is read from the store")
 	is.Equal(e.do(e.request("GET", "/read/x", "")).status, 200)
 }
 
@@ -89,7 +90,13 @@
 		before := ts.store.Calls()
 		e := ts.startEntry(fmt.Sprint("f-", i))
 		ts.eventually(3*time.Second, "entry is ready", func() bool { ready, _ := e.ready(); return ready })
-		is.True(strings.Contains(e.log.String(), "State of another entry was taken"))
+		ts.eventuallyLogs(e, "State of another entry was taken")
 		is.True(ts.store.Calls()-before <= 6) // two of its own, the rest of the readers
 	}
 }
+
+// eventuallyLogs waits for a text in the log of an entry, which is written in the background.
+func (ts *testSite) eventuallyLogs(e *testEntry, text string) {
+	ts.t.Helper()
+	ts.eventually(time.Second, "log line "+text, func() bool { return strings.Contains(e.log.String(), text) })
+}
--- a/site/content.go
+++ b/site/content.go
@@ -52,7 +52,7 @@
 const maxStateAge = 2 * clock.Second
 
 // ErrStale is returned for a state of another entry that was not confirmed recently, and ErrTorn
-// for one whose content does not match its digest.
+// for one that is incomplete or does not match its digest.
 var (
 	ErrStale = Errors.NewType("stale")
 	ErrTorn  = Errors.NewType("torn")
@@ -225,6 +225,9 @@
 	if e.Update.Config == nil {
 		return e, ErrTorn.New("state has no configuration")
 	}
+	if slices.ContainsFunc(c.GetEndpoints(), func(x *wire.EndpointState) bool { return x.GetSlots() <= 0 || x.GetAddress() == "" }) {
+		return e, ErrTorn.New("an endpoint has no slots or no address")
+	}
 	e.Changes = endpointsFromWire(c.GetEndpoints(), answeredAt-clock.Millis(m.GetBuiltAgeMillis()), now)
 	check := fleet.New()
 	check.Apply(e.Changes, true)
@@ -239,7 +242,7 @@
 func endpointsFromWire(all []*wire.EndpointState, builtAt, now clock.Millis) (changes []fleet.Change) {
 	for _, x := range all {
 		e := &fleet.Endpoint{
-			ID: x.GetId(), Service: x.GetService(), Address: x.GetAddress(), Zone: x.GetZone(), Version: x.GetVersion(), Slots: max(int(x.GetSlots()), 1),
+			ID: x.GetId(), Service: x.GetService(), Address: x.GetAddress(), Zone: x.GetZone(), Version: x.GetVersion(), Slots: int(x.GetSlots()),
 			Leaving: x.GetLeaving(), Incarnation: x.GetBorn(), Sequence: x.GetSequence(),
 		}
 		if coldUntil := builtAt + clock.Millis(x.GetColdMillis()); x.GetColdMillis() > 0 && coldUntil > now {
--- a/site/content_test.go
+++ b/site/content_test.go
@@ -223,6 +223,36 @@
 	}
 }
 
+// Guards against keyed requests that are refused because other entries are asked for too long: a
+// delegate that accepts a question and hangs must leave time to read the store before the lease of
+// keys ends, 4.7 s after the last confirmation.
+func TestHangingDelegateDoesNotCostTheLease(t *testing.T) {
+	is := is.New(t)
+	const lease = 4700 * clock.Millis(1)
+	is.True(maxConfirmationAge+maxAgedPatience+catchUpTimeout < lease)
+	f := &flakyStore{calls: make(map[Stream]int)}
+	l := f.loop(Self{Name: "entry-m", Process: "entry-m/1", Zone: "a"})
+	l.agedPatience = maxAgedPatience
+	taken := giveStates(l, func(int) int64 { return 5 })
+	first := l.cfg.TakeState
+	l.cfg.TakeState = func(ctx context.Context, from []EntryAddress, starts bool) error {
+		if starts {
+			return first(ctx, from, starts)
+		}
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go l.Run(ctx)
+	go reportDelegates(ctx, l, func() int64 { return 5 })
+	clock.Pause(ctx, lease)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	is.Equal(taken.Load(), int64(1))
+	is.True(f.calls[OperatorStream] > 0)
+}
+
 // The store keeps silent for a while, so that the confirmations of all entries become too old at the
 // same moment. Guards against all of them reading the store then: a moment later the readers have a
 // new confirmation, and replies bring it to the others.
@@ -230,14 +260,14 @@
 	is := is.New(t)
 	f := &flakyStore{calls: make(map[Stream]int)}
 	l := f.loop(Self{Name: "entry-m", Process: "entry-m/1", Zone: "a"})
-	l.agedPatience = agedPatience
+	l.agedPatience = maxAgedPatience
 	taken := giveStates(l, func(taken int) int64 {
 		if taken > 1 {
 			return -1
 		}
 		return 5
 	})
-	silentUntil := l.cfg.Clock.Now() + maxConfirmationAge + agedPatience/2
+	silentUntil := l.cfg.Clock.Now() + maxConfirmationAge + maxAgedPatience/2
 	l.cfg.Send = func(r *wire.EntryReport, _ []string) error {
 		if now := l.cfg.Clock.Now(); r.GetAskMillis() > 0 && now > silentUntil {
 			l.Receive(&wire.EntryReport{Process: "entry-a", Name: "entry-a", Address: "a", Zone: "a", OperatorNext: 5, FleetDigest: r.GetFleetDigest(), ReplyMillis: r.GetAskMillis(), ReplyTo: "entry-m/1"})
--- a/site/feed.go
+++ b/site/feed.go
@@ -140,10 +140,13 @@
 	// maxCatchUps is how often in a row an entry takes the state of another one before it reads the
 	// store.
 	maxCatchUps = 2
-	// agedPatience is how long at most an entry waits for a confirmation that is due before it asks
-	// for one. When the store keeps silent for a while, the confirmations of all entries become too
-	// old at the same moment, and a moment later the readers have a new one.
-	agedPatience = 900 * clock.Millis(1)
+	// maxAgedPatience is how long at most an entry waits for a confirmation that is due before it
+	// asks for one. When the store keeps silent for a while, the confirmations of all entries become
+	// too old at the same moment, and a moment later the readers have a new one.
+	maxAgedPatience = 900 * clock.Millis(1)
+	// catchUpTimeout bounds asking others for their state. Together with maxConfirmationAge and
+	// maxAgedPatience it leaves time to read the store before the lease of keys ends.
+	catchUpTimeout = 500 * clock.Millis(1)
 	// changePatience is how long an entry that misses a change asks others for it before it reads the
 	// store. When a reader reads a stream anew, all entries miss it at the same moment, and the
 	// delegates refer most of them to those that have it.
@@ -166,20 +169,28 @@
 		clock.Pause(ctx, pollInterval)
 		return true
 	}
-	l.catchUpMu.Lock()
+	if now-f.behindSince >= l.agedPatience+catchUpTimeout {
+		return false
+	}
+	if !l.catchUpMu.TryLock() {
+		// The state that the other feed is taking may do for this one too.
+		return clock.Pause(ctx, pollInterval)
+	}
 	defer l.catchUpMu.Unlock()
 	if !l.View().wants(f.stream, l.cfg.Clock.Now()) {
-		// The other feed has taken a state in the meantime.
 		return true
 	}
-	if err := l.cfg.TakeState(ctx, v.delegates, false); err != nil {
-		if v.missesChange(f.stream, now) && l.cfg.Clock.Since(f.behindSince) < changePatience {
-			return clock.Pause(ctx, changeRetryDelay)
-		}
-		f.catchUps++
-		return false
+	asking, cancel := context.WithTimeout(ctx, catchUpTimeout.Duration())
+	defer cancel()
+	err := l.cfg.TakeState(asking, v.delegates, false)
+	if err != nil && v.missesChange(f.stream, now) && l.cfg.Clock.Since(f.behindSince) < changePatience {
+		return clock.Pause(ctx, changeRetryDelay)
 	}
 	f.catchUps++
+	if err != nil {
+		l.cfg.Log.Info("Stream is read from the store", "stream", f.stream, "behind", l.cfg.Clock.Since(f.behindSince), "reason", logbook.Text(err))
+		return false
+	}
 	f.expired = false
 	clock.Pause(ctx, pollInterval)
 	return true
--- a/site/loop.go
+++ b/site/loop.go
@@ -59,7 +59,7 @@
 	stateRequests chan chan builtState
 	lastBuilt     builtState
 	// catchUpMu is held while the state of another entry is taken. agedPatience is this process's
-	// part of the constant of that name.
+	// part of maxAgedPatience.
 	catchUpMu    sync.Mutex
 	agedPatience clock.Millis
 	// started is closed once all streams were read.
@@ -75,7 +75,7 @@
 func NewLoop(cfg Config) *Loop {
 	l := &Loop{cfg: cfg, state: NewState(cfg.Self, cfg.Clock.Now()), events: make(chan Event, eventQueueSize), stateRequests: make(chan chan builtState), started: make(chan struct{})}
 	const fractions = 1 << 16
-	l.agedPatience = clock.Millis(float64(xxhash.Sum64String(cfg.Self.Process)%fractions) / fractions * float64(agedPatience))
+	l.agedPatience = clock.Millis(float64(xxhash.Sum64String(cfg.Self.Process)%fractions) / fractions * float64(maxAgedPatience))
 	l.view.Store(l.state.View())
 	return l
 }
@@ -199,6 +199,7 @@
 func (l *Loop) retryStart(ctx context.Context, seeds []EntryAddress) {
 	for len(seeds) > 0 && clock.Pause(ctx, startRetryInterval) && !l.View().Started() {
 		if l.operatorFailing.Load() {
+			// Why the first attempt failed is in the log; the last one shows in the state being there.
 			_ = l.cfg.TakeState(ctx, seeds, true)
 		}
 	}
