--- a/daemon/test_site_test.go
+++ b/daemon/test_site_test.go
@@ -36,7 +36,7 @@
 	// "pool" accepts during cold start.
 	coldPerSecond int
 	// neighbours are the addresses in the settings of entries. peerPort is the port on which all
-	// entries receive reports, each at an IP address of its own; 0 for the same IP address and any
+	// entries receive reports, each at an IP address of its own; empty for the same IP address and any
 	// port.
 	neighbours []string
 	peerPort   string
--- a/emulator/endpoint.go
+++ b/emulator/endpoint.go
@@ -14,9 +14,9 @@
 type endpoint struct {
 	id    string
 	slots int
-	// typicalPace is the pace without neighbours.
+	// typicalPace is the pace without other work on the VM.
 	typicalPace float64
-	neighbours  Neighbours
+	otherWork   OtherWork
 	// cacheCapacity is in tokens.
 	cacheCapacity int
 	// prefillFreeAt is when the endpoint will have prefilled all prompts received so far.
@@ -44,7 +44,7 @@
 	if len(s.Paces) > 0 {
 		pace = s.Paces[number%len(s.Paces)]
 	}
-	return &endpoint{id: id, typicalPace: pace, neighbours: s.Neighbours, slots: s.Slots, cacheCapacity: s.CacheTokens, lastUsed: make(map[string]float64), blockTokens: make(map[string]int), limits: limits, limitReceivedAt: make(map[string]clock.Millis)}
+	return &endpoint{id: id, typicalPace: pace, otherWork: s.OtherWork, slots: s.Slots, cacheCapacity: s.CacheTokens, lastUsed: make(map[string]float64), blockTokens: make(map[string]int), limits: limits, limitReceivedAt: make(map[string]clock.Millis)}
 }
 
 // start starts a request. It returns when the first byte and the end of the answer will be sent,
@@ -63,14 +63,14 @@
 
 // paceAt returns how long work that starts at the time now takes, as a multiple of usual.
 func (e *endpoint) paceAt(now float64) float64 {
-	n := e.neighbours
-	if n.Fraction == 0 {
+	w := e.otherWork
+	if w.Fraction == 0 {
 		return e.typicalPace
 	}
 	const fractions = 1 << 32
-	draw := xxhash.Sum64String(fmt.Sprint(e.id, "/", int64(now)/n.Millis)) % fractions
-	if float64(draw)/fractions < n.Fraction {
-		return e.typicalPace * n.Factor
+	draw := xxhash.Sum64String(fmt.Sprint(e.id, "/", int64(now)/w.Millis)) % fractions
+	if float64(draw)/fractions < w.Fraction {
+		return e.typicalPace * w.Factor
 	}
 	return e.typicalPace
 }
--- a/emulator/site.go
+++ b/emulator/site.go
@@ -7,9 +7,9 @@
 // depends on the model and the length; it caches shared blocks in a limited memory and streams
 // answers in a limited number of slots; entries report their work to each other within their zone
 // only; the smallest model's confidence in its answer is a noisy measure of the answer's quality;
-// endpoints may advertise a rate limit, and differ in
-// pace, which other work on their VMs changes. The model does not cover how concurrent streams slow each
-// other down, pre-emption, cold starts, faults, upgrades and the store.
+// endpoints may advertise a rate limit, and differ in pace, which other work on their VMs changes.
+// The model does not cover how concurrent streams slow each other down, pre-emption, cold starts,
+// faults, upgrades and the store.
 package emulator
 
 import (
@@ -39,12 +39,12 @@
 	Models []Model `toml:"models"`
 	// Paces are the typical paces of the endpoints, as multiples of usual, which the endpoints of a
 	// zone have in turn; all are as fast as usual if it is empty. Endpoints report their pace.
-	Paces      []float64  `toml:"paces"`
-	Neighbours Neighbours `toml:"neighbours"`
+	Paces     []float64 `toml:"paces"`
+	OtherWork OtherWork `toml:"other-work"`
 }
 
-// Neighbours is other work on the VMs of endpoints.
-type Neighbours struct {
+// OtherWork is work on the VMs of endpoints that is not theirs.
+type OtherWork struct {
 	// Fraction of the endpoints are slower by Factor for Millis, then others are.
 	Fraction float64 `toml:"fraction"`
 	Factor   float64 `toml:"factor"`
@@ -126,8 +126,8 @@
 		return ErrSite.New("seconds and per-second must be more than 0")
 	case slices.ContainsFunc(s.Paces, func(p float64) bool { return p <= 0 }):
 		return ErrSite.New("paces must be more than 0")
-	case s.Neighbours.Fraction < 0, s.Neighbours.Fraction > 1, s.Neighbours.Fraction > 0 && (s.Neighbours.Factor <= 0 || s.Neighbours.Millis <= 0):
-		return ErrSite.New("neighbours: a value is out of range")
+	case s.OtherWork.Fraction < 0, s.OtherWork.Fraction > 1, s.OtherWork.Fraction > 0 && (s.OtherWork.Factor <= 0 || s.OtherWork.Millis <= 0):
+		return ErrSite.New("other-work: a value is out of range")
 	case len(l.Kinds) == 0:
 		return ErrSite.New("kinds: at least one is required")
 	}
--- a/placement/pace.go
+++ b/placement/pace.go
@@ -5,6 +5,9 @@
 	"github.com/parsleydeal/parsleydeal/decision"
 )
 
+// MaxPace is the largest plausible pace: work takes a hundred times as long as usual.
+const MaxPace = 100.0
+
 const (
 	// usualPace is the pace of an endpoint that has reported none.
 	usualPace = 1.0
@@ -81,7 +84,7 @@
 	return p.unsent && (p.reported >= p.sent*urgentPaceRatio || p.reported*urgentPaceRatio <= p.sent)
 }
 
-// reportPace adds the endpoint's pace to a report and reports whether it did.
+// report adds the endpoint's pace to a report and reports whether it did.
 func (p *pace) report(r *EndpointReport, now clock.Millis, full bool) (added bool) {
 	if !p.direct || !p.unsent || !full && !p.urgent() {
 		return false
--- a/relay/share.go
+++ b/relay/share.go
@@ -28,10 +28,8 @@
 	// packetOverheadBytes is the size of a datagram without its report: the IP, UDP and link
 	// headers.
 	packetOverheadBytes = 46
-	// percent converts a pace to the unit of reports, and maxPacePercent is the largest plausible
-	// pace in this unit.
-	percent        = 100
-	maxPacePercent = 100 * percent
+	// percent converts a pace to the unit of reports.
+	percent = 100
 )
 
 // byteBudget is a token bucket for the bytes of reports; available may be negative.
@@ -111,8 +109,8 @@
 func workFromWire(work []*wire.EndpointWork) (reports []placement.EndpointReport) {
 	for _, w := range work {
 		e := placement.EndpointReport{Endpoint: w.GetEndpoint(), PendingMillis: float64(w.GetReadingMillis()), Unanswered: int(w.GetUnanswered()), Blocks: w.GetParts(), QueueLength: int(w.GetWaiting()), QueueLengthAge: clock.Millis(w.GetWordAgeMillis())}
-		if w.GetPacePercent() > 0 && w.GetPacePercent() <= maxPacePercent {
-			e.Pace, e.PaceAge = float64(w.GetPacePercent())/percent, clock.Millis(w.GetPaceAgeMillis())
+		if pace := float64(w.GetPacePercent()) / percent; pace > 0 && pace <= placement.MaxPace {
+			e.Pace, e.PaceAge = pace, clock.Millis(w.GetPaceAgeMillis())
 		}
 		if ad := w.GetStatement(); validAdvertisement(ad) {
 			e.Advertisement = placement.Advertisement{Rate: ad.GetRate(), HasRate: ad.Rate != nil, Leaving: ad.GetLeaving()}
