Count an entry's own record on the status stream once

Cause: the first judge's long poll returned its own record before the answer to its append arrived. The read set the end of the stream to 1, and the answer counted the record again: 2. All further appends of that judge named offset 2 and were refused with 412, without a log line. The next judge steps in 1.5 s later, when the store was away.

Change: the end of the stream after an append is the append's offset plus one, if no read has found a later end. A refused append has a log line.

--- a/site/event.go
+++ b/site/event.go
@@ -80,11 +80,12 @@
 // Leave reports that the process was asked to stop.
 type Leave struct{}
 
-// WriteDone reports that an append of a verdict ended. Err is ErrMoved if the stream ended at
-// another offset.
+// WriteDone reports that an append of a verdict at offset At ended. Err is ErrMoved if the stream
+// ended at another offset.
 type WriteDone struct {
 	Now     clock.Millis
 	Verdict Verdict
+	At      int64
 	Err     error
 }
 
--- a/site/loop.go
+++ b/site/loop.go
@@ -395,7 +395,7 @@
 	defer cancel()
 	key, value := l.cfg.Codec.VerdictRecord(w.Verdict)
 	err := l.cfg.Store.Append(call, StatusStream, key, value, w.At)
-	l.post(ctx, WriteDone{Now: l.cfg.Clock.Now(), Verdict: w.Verdict, Err: err})
+	l.post(ctx, WriteDone{Now: l.cfg.Clock.Now(), Verdict: w.Verdict, At: w.At, Err: err})
 }
 
 func (l *Loop) tick(ctx context.Context) {
--- a/site/state_test.go
+++ b/site/state_test.go
@@ -85,9 +85,9 @@
 	case "written":
 		v := parseVerdicts(t, d.Input)[0]
 		if a.has("moved") {
-			return WriteDone{Now: now, Verdict: v, Err: ErrMoved.New("elsewhere")}
+			return WriteDone{Now: now, Verdict: v, At: a.number("offset"), Err: ErrMoved.New("elsewhere")}
 		}
-		return WriteDone{Now: now, Verdict: v}
+		return WriteDone{Now: now, Verdict: v, At: a.number("offset")}
 	case "counted":
 		return parseCounts(a, now)
 	case "heard":
--- a/site/upgrade.go
+++ b/site/upgrade.go
@@ -302,7 +302,8 @@
 // pending.
 func (s *State) writeDone(e WriteDone) (effects []Effect) {
 	if e.Err == nil {
-		s.statusEnd++
+		// A read may have returned this record before the answer to the append.
+		s.statusEnd = max(s.statusEnd, e.At+1)
 		s.verdicts[e.Verdict.Service] = e.Verdict
 		if s.pendingVerdicts[e.Verdict.Service].verdict == e.Verdict {
 			delete(s.pendingVerdicts, e.Verdict.Service)
@@ -310,7 +311,7 @@
 		return []Effect{LogLine{Message: "Verdict written", Fields: []any{"service", e.Verdict.Service, "target", e.Verdict.Target, "phase", e.Verdict.Phase}}, Publish{}}
 	}
 	if errorx.IsOfType(e.Err, ErrMoved) {
-		return []Effect{Publish{}}
+		return []Effect{LogLine{Message: "Verdict was not written: the stream has moved", Fields: []any{"service", e.Verdict.Service, "phase", e.Verdict.Phase, "offset", e.At}}, Publish{}}
 	}
 	return []Effect{LogLine{Message: "Verdict could not be written", Fields: []any{"service", e.Verdict.Service, "phase", e.Verdict.Phase, "error", logbook.Text(e.Err)}, Warn: true}, Publish{}}
 }
