Compare the latency of versions over all entries, by load

Cause: each entry compared its answers of the new version with its own samples of the old one. The new version's endpoints have 0 or 1 requests, where one of 31 entries has next to no samples of the old version; it then compared with endpoints under more load, whose answers are as slow as the new version's at idle, or did not compare at all. Samples also came only when an answer had ended, and a slow version's last several times as long.

Refuted: no attempt ended at the request's deadline, and none was left out because of a cold start.

Change: entries count latency samples by route, model, load class and logarithmic bucket, and send the judges what has changed; the judges pool the old version's samples and grade all of them. A stream's gap is recorded after six events. The samples are bounded (1,024 buckets a service) and of the last two half minutes before an upgrade.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -37,6 +37,8 @@
 	events       int
 	firstEventAt clock.Millis
 	lastEventAt  clock.Millis
+	// latencyRecorded is true once the latency was recorded for the comparison of versions.
+	latencyRecorded bool
 	// silent is true when the endpoint sent nothing for longer than the timeout.
 	silent bool
 	// unsent is true when nothing of the request was sent.
--- a/relay/latency.go
+++ b/relay/latency.go
@@ -1,14 +1,11 @@
 package relay
 
 import (
-	"math"
-	"math/bits"
 	"slices"
 	"sync"
 
 	"github.com/parsleydeal/parsleydeal/catalog"
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/upgrade"
 )
 
 // latencyTracker tracks the typical latency of answers.
@@ -16,11 +13,6 @@
 	mu sync.Mutex
 	// means holds the mean time to the first byte in milliseconds, by route and model.
 	means map[latencyKey]float64
-	// baseline holds the latency samples of the old version, by load class of the endpoint.
-	// Answers of a new version are compared with them; latencySample defines a sample. Samples of
-	// streams are grouped by model alone, because a model's speed does not depend on the prompt,
-	// all others also by route.
-	baseline map[latencyKey]*[loadClasses]sampleWindow
 	// errors holds the prediction errors of the time to the first byte in milliseconds, by model,
 	// or by route for requests without a model.
 	errors map[latencyKey]*sampleWindow
@@ -28,19 +20,8 @@
 
 type latencyKey struct {
 	route, model string
-	// delay is true for first-byte delays: how much later than predicted the first byte arrived.
-	delay bool
 }
 
-// loadClasses is the number of load classes. Latencies are compared within a class, because the
-// endpoints of a new version have little load while its share is small: even a slow version would
-// look as fast as the old version's endpoints under load.
-const loadClasses = 6
-
-// loadClass returns the load class for a number of requests at an endpoint: class 0 for 0 or 1,
-// class 1 for 2 or 3, class 2 for 4 to 7 and so on. The last class has no upper bound.
-func loadClass(outstanding int) int { return min(bits.Len(uint(max(outstanding, 0)/2)), loadClasses-1) }
-
 // sampleWindow holds the most recent samples, in milliseconds.
 type sampleWindow struct {
 	// samples holds at most maxSamples; next is the index that is overwritten next.
@@ -54,16 +35,8 @@
 	maxSamples = 100
 	// minSamples is the number of samples below which a window is not used.
 	minSamples = 10
-	// minSlowdown is by how much a slow sample must exceed the median, as a fraction of the
-	// median; minExtraDelayMillis is the same for first-byte delays, in milliseconds. Without
-	// these margins tiny differences would count as slow where all samples are alike, as at idle
-	// endpoints.
-	minSlowdown         = 0.25
-	minExtraDelayMillis = 50.0
 )
 
-func (s *sampleWindow) sufficient() bool { return s != nil && len(s.samples) >= minSamples }
-
 func (s *sampleWindow) add(sample float64) {
 	if len(s.samples) < maxSamples {
 		s.samples = append(s.samples, sample)
@@ -73,31 +46,6 @@
 	s.next = (s.next + 1) % maxSamples
 }
 
-// grade compares a sample with the window and reports for each of upgrade.SlowThresholds whether
-// the sample is slow; factor multiplies the factor of each threshold. A slow sample exceeds the
-// median at least by the margin. known is false while the window has too few samples.
-func (s *sampleWindow) grade(sample, factor float64, margin func(median float64) float64) (slow [len(upgrade.SlowThresholds)]bool, known bool) {
-	if !s.sufficient() {
-		return slow, false
-	}
-	sorted := slices.Sorted(slices.Values(s.samples))
-	median := quantileOf(sorted, 0.5)
-	for i, g := range upgrade.SlowThresholds {
-		limit := max(quantileOf(sorted, g.Quantile), median+margin(median))
-		// First-byte delays may be negative, and multiplying a negative limit would make it lower.
-		slow[i] = sample > limit+(g.Factor*factor-1)*math.Abs(limit)
-	}
-	return slow, true
-}
-
-// margin returns by how many milliseconds a slow sample must exceed the median.
-func (k latencyKey) margin(median float64) float64 {
-	if k.delay {
-		return minExtraDelayMillis
-	}
-	return minSlowdown * median
-}
-
 // quantile returns a quantile of the window; 0 if it is empty.
 func (s *sampleWindow) quantile(rank float64) float64 {
 	if len(s.samples) == 0 {
@@ -112,7 +60,7 @@
 }
 
 func newLatencyTracker() *latencyTracker {
-	return &latencyTracker{means: make(map[latencyKey]float64), baseline: make(map[latencyKey]*[loadClasses]sampleWindow), errors: make(map[latencyKey]*sampleWindow)}
+	return &latencyTracker{means: make(map[latencyKey]float64), errors: make(map[latencyKey]*sampleWindow)}
 }
 
 const (
@@ -120,6 +68,9 @@
 	meanWeight = 0.1
 	// minGapEvents is the least number of events from which a stream's mean gap is computed.
 	minGapEvents = 2
+	// sampledEvents is the number of events after which a stream's mean gap is recorded. At the end
+	// of the stream it would come too late: a slow version's answers last several times as long.
+	sampledEvents = 6
 	// timeoutFactor and targetRatio set the first-byte timeout after which a request goes to
 	// another endpoint: timeoutFactor times the mean time to the first byte or, if that is longer,
 	// targetRatio times the route's latency target. The rest of the target is left for a second
@@ -131,16 +82,6 @@
 	minFirstByteTimeout = 200 * clock.Millis(1)
 )
 
-const (
-	// earlyShare is the new version's share of requests up to which a good version is expected to
-	// be as fast as the old one. At a higher share the new version has more load than the old one,
-	// and must process prompts whose prefixes only the old version has cached.
-	earlyShare = 0.5
-	// loadedFactor is how much slower a new version may be above earlyShare, or when its answers
-	// are compared with those of endpoints that had less load.
-	loadedFactor = 2.0
-)
-
 func (l *latencyTracker) addFirstByte(route, model string, took clock.Millis) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -152,42 +93,6 @@
 	l.means[k] = mean + meanWeight*(float64(took)-mean)
 }
 
-// addSample adds a latency of the old version, from an endpoint with the given number of
-// outstanding requests.
-func (l *latencyTracker) addSample(k latencyKey, outstanding int, sample float64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.baseline[k] == nil {
-		l.baseline[k] = &[loadClasses]sampleWindow{}
-	}
-	l.baseline[k][loadClass(outstanding)].add(sample)
-}
-
-// grade reports for each of upgrade.SlowThresholds whether a sample is slow for the load of its
-// endpoint. If the load class of the endpoint has too few samples, the sample is compared with the
-// next higher class that has enough, or else with the next lower one and a larger factor. known is
-// false if no class has enough samples.
-func (l *latencyTracker) grade(k latencyKey, outstanding int, sample, factor float64) (slow [len(upgrade.SlowThresholds)]bool, known bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	all := l.baseline[k]
-	if all == nil {
-		return slow, false
-	}
-	class := loadClass(outstanding)
-	for i := class; i < loadClasses; i++ {
-		if all[i].sufficient() {
-			return all[i].grade(sample, factor, k.margin)
-		}
-	}
-	for i := class - 1; i >= 0; i-- {
-		if all[i].sufficient() {
-			return all[i].grade(sample, factor*loadedFactor, k.margin)
-		}
-	}
-	return slow, false
-}
-
 const (
 	// errorQuantile and errorFactor set the margin of first-byte timeouts: this quantile of the
 	// prediction errors, multiplied by errorFactor, is added to the predicted time.
--- a/relay/server.go
+++ b/relay/server.go
@@ -93,7 +93,7 @@
 	memory := float64(cmp.Or(cfg.Memory, defaultMemory))
 	return &Server{
 		cfg: cfg, startedAt: cfg.Clock.Now(), meter: meter.New(set), metrics: set, advertisementChanges: set.NewCounter("parsleydeal_endpoint_statements_total"),
-		limitedFirst: set.NewCounter(`parsleydeal_limited_sends_total{attempt="first"}`), limitedFurther: set.NewCounter(`parsleydeal_limited_sends_total{attempt="further"}`), selector: placement.NewSelectorWith(cfg.Strategies), sessions: newSessions(cfg.SessionIdleTimeout), counts: newVersionCounts(),
+		limitedFirst: set.NewCounter(`parsleydeal_limited_sends_total{attempt="first"}`), limitedFurther: set.NewCounter(`parsleydeal_limited_sends_total{attempt="further"}`), selector: placement.NewSelectorWith(cfg.Strategies), sessions: newSessions(cfg.SessionIdleTimeout), counts: newVersionCounts(cfg.Clock, set.NewCounter("parsleydeal_latency_samples_dropped_total")),
 		snapshotRequests: make(chan string, maxSnapshotQueue), latency: newLatencyTracker(), escalator: cascade.NewEscalator(cfg.Strategies), budgets: make(map[string]*limit.Share), loadDefectLoggedAt: make(map[LoadDefect]clock.Millis),
 		held: newHeldBytes(cfg.Clock, int(heldAnswersRatio*memory)), bodies: &memoryBudget{limit: int(heldBodiesRatio * memory)},
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -53,6 +53,9 @@
 			a.firstEventAt = a.lastEventAt
 		}
 		a.events++
+		if a.events == sampledEvents {
+			a.recordLatency()
+		}
 		x.server.selector.RecordActivity(a.endpoint.ID, a.lastEventAt)
 		if err = events.during(func() error { return x.writeEvent(e) }); err != nil {
 			return ended, err
--- a/relay/version_counts.go
+++ b/relay/version_counts.go
@@ -4,33 +4,55 @@
 	"maps"
 	"sync"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/site"
 	"github.com/parsleydeal/parsleydeal/upgrade"
 )
 
+// noOrder is the number of the running order if there is none.
+const noOrder = -1
+
 // outcome is the outcome of one attempt, counted for the comparison of versions.
 type outcome struct {
 	service string
 	route   string
-	target  bool
-	bad     bool
-	// timed is true if the latency could be compared with that of the old version; slow reports
-	// for each of upgrade.SlowThresholds whether it was slow.
-	timed bool
-	slow  [len(upgrade.SlowThresholds)]bool
-	// delay is true if the latency is a first-byte delay; see latencySample.
-	delay bool
+	// order is the number of the running order for the service, or noOrder. target is true
+	// if the attempt was made at the order's new version.
+	order  int64
+	target bool
+	bad    bool
 }
 
-// versionCounts counts outcomes and requests in flight by version.
+// versionCounts counts outcomes, latencies and requests in flight by version.
 type versionCounts struct {
-	mu      sync.Mutex
-	counts  map[string]upgrade.Counts
-	running map[string]map[string]int
+	mu       sync.Mutex
+	clock    clock.Clock
+	services map[string]*serviceCounts
+	running  map[string]map[string]int
+	// dropped counts latency samples beyond maxLatencyBuckets.
+	dropped *metrics.Counter
 }
 
-func newVersionCounts() *versionCounts {
-	return &versionCounts{counts: make(map[string]upgrade.Counts), running: make(map[string]map[string]int)}
+// serviceCounts counts outcomes and latencies of one service.
+type serviceCounts struct {
+	outcomes upgrade.Counts
+	// latencies holds the samples since startedAt, and earlier those of the generation before it.
+	latencies upgrade.Latencies
+	earlier   upgrade.Latencies
+	startedAt clock.Millis
+}
+
+const (
+	// maxLatencyBuckets bounds the buckets of latency samples of one service.
+	maxLatencyBuckets = 1024
+	// latencyGeneration is how long samples are collected between upgrades before they make up a
+	// generation. An upgrade begins with two of them, so that it is compared with recent answers.
+	latencyGeneration = 30 * clock.Second
+)
+
+func newVersionCounts(c clock.Clock, dropped *metrics.Counter) *versionCounts {
+	return &versionCounts{clock: c, dropped: dropped, services: make(map[string]*serviceCounts), running: make(map[string]map[string]int)}
 }
 
 // beginRequest counts a request in flight; the returned function counts its end.
@@ -51,40 +73,59 @@
 	}
 }
 
+// of returns the counts of a service.
+func (v *versionCounts) of(service string) *serviceCounts {
+	c, ok := v.services[service]
+	if !ok {
+		c = &serviceCounts{outcomes: make(upgrade.Counts), latencies: make(upgrade.Latencies), startedAt: v.clock.Now()}
+		v.services[service] = c
+	}
+	return c
+}
+
 func (v *versionCounts) record(o outcome) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.counts[o.service] == nil {
-		v.counts[o.service] = make(upgrade.Counts)
-	}
+	c := v.of(o.service)
 	k := upgrade.Key{Route: o.route, Target: o.target}
-	c := v.counts[o.service][k]
-	c.Ended++
-	c.Bad += toInt(o.bad)
-	v.counts[o.service][k] = c
-	k.Delay = o.delay
-	c = v.counts[o.service][k]
-	c.Timed += toInt(o.timed)
-	for i, slow := range o.slow {
-		c.Slow[i] += toInt(slow)
+	n := c.outcomes[k]
+	n.Ended++
+	if o.bad {
+		n.Bad++
 	}
-	v.counts[o.service][k] = c
+	c.outcomes[k] = n
 }
 
-func toInt(b bool) int64 {
-	if b {
-		return 1
+// recordLatency records a latency sample. order is the number of the running order, or noOrder.
+func (v *versionCounts) recordLatency(service string, order int64, b upgrade.LatencyBucket) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	c := v.of(service)
+	if now := v.clock.Now(); order == noOrder && now-c.startedAt >= latencyGeneration {
+		c.earlier, c.latencies, c.startedAt = c.latencies, make(upgrade.Latencies), now
+	}
+	if _, ok := c.latencies[b]; !ok && len(c.latencies) >= maxLatencyBuckets {
+		v.dropped.Inc()
+		return
 	}
-	return 0
+	c.latencies[b]++
 }
 
 // snapshot returns a copy of all counts.
 func (v *versionCounts) snapshot() site.TrafficCounts {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	c := site.TrafficCounts{Counts: make(map[string]upgrade.Counts, len(v.counts)), Running: make(map[string]map[string]int, len(v.running))}
-	for service, counts := range v.counts {
-		c.Counts[service] = maps.Clone(counts)
+	c := site.TrafficCounts{
+		Counts: make(map[string]upgrade.Counts, len(v.services)), Latencies: make(map[string]upgrade.Latencies, len(v.services)),
+		Running: make(map[string]map[string]int, len(v.running)),
+	}
+	for service, x := range v.services {
+		c.Counts[service] = maps.Clone(x.outcomes)
+		latencies := maps.Clone(x.latencies)
+		for b, n := range x.earlier {
+			latencies[b] += n
+		}
+		c.Latencies[service] = latencies
 	}
 	for service, running := range v.running {
 		c.Running[service] = maps.Clone(running)
--- a/site/event.go
+++ b/site/event.go
@@ -70,6 +70,8 @@
 type TrafficCounts struct {
 	Now    clock.Millis
 	Counts map[string]upgrade.Counts
+	// Latencies holds the latency samples by service.
+	Latencies map[string]upgrade.Latencies
 	// Running is the number of requests in progress by service and version.
 	Running map[string]map[string]int
 	// KeptSessions lists by service the hashes of the sessions that stay on the old version of an
--- a/site/report.go
+++ b/site/report.go
@@ -102,6 +102,7 @@
 // sendCounts sends the traffic counts to the judges.
 func (s *State) sendCounts() []Effect {
 	r := s.newReport()
+	s.latencyReports.begin(s.delegates()[:min(judgeCount, len(s.delegates()))], s.now)
 	r.Upgrades = s.upgradeReports(true)
 	return s.sendToJudges(r)
 }
@@ -136,5 +137,6 @@
 	for k, c := range s.counts[service] {
 		r.Counts = append(r.Counts, &wire.UpgradeCount{Route: k.Route, Target: k.Target, Delay: k.Delay, Ended: c.Ended, Bad: c.Bad, Timed: c.Timed, Slow: c.Slow[:]})
 	}
+	r.Latencies = latenciesToWire(s.latencyReports.changed(service, s.latencies[service]))
 	return r
 }
--- a/site/state.go
+++ b/site/state.go
@@ -72,9 +72,11 @@
 	heardLoggedAt clock.Millis
 	// delegateOrder caches the result of delegates.
 	delegateOrder delegateOrder
-	// counts and running are the Counts and Running of this process's last TrafficCounts.
-	counts  map[string]upgrade.Counts
-	running map[string]map[string]int
+	// counts, latencies and running are those of this process's last TrafficCounts.
+	counts         map[string]upgrade.Counts
+	latencies      map[string]upgrade.Latencies
+	running        map[string]map[string]int
+	latencyReports latencyReports
 	// keptSessions holds by service this process's sessions that stay on the old version although
 	// their hash is in the new version's share.
 	keptSessions map[string][]uint64
--- a/site/upgrade.go
+++ b/site/upgrade.go
@@ -165,7 +165,7 @@
 	t := u.Total()
 	return []Effect{LogLine{Message: "Upgrade ended", Fields: []any{
 		"service", o.Service, "target", o.Target, "phase", u.Phase(), "reason", u.Reason(), "age", u.Age(s.now),
-		"ended", t.Ended, "bad", t.Bad, "timed", t.Timed, "slow", t.Slow,
+		"ended", t.Ended, "bad", t.Bad, "timed", t.Timed, "slow", t.Slow, "reporters", u.Reporters(), "entries", s.entryCount(),
 	}}, Publish{}}
 }
 
@@ -188,6 +188,7 @@
 		counts[upgrade.Key{Route: c.GetRoute(), Target: c.GetTarget(), Delay: c.GetDelay()}] = count
 	}
 	u.AddCounts(process, counts)
+	s.addLatencies(u, process, latenciesFromWire(r.GetLatencies()))
 	if p := upgrade.Phase(r.GetPhase()); u.Set(p, "heard: "+r.GetReason()) {
 		s.scheduleVerdict(Verdict{Service: r.GetService(), Target: u.Order().Target, Phase: p})
 		return append(effects, s.upgradeEnded(u)...)
@@ -207,18 +208,23 @@
 }
 
 func (s *State) trafficCounts(e TrafficCounts) (effects []Effect) {
-	s.counts, s.running, s.keptSessions = e.Counts, e.Running, e.KeptSessions
+	s.counts, s.latencies, s.running, s.keptSessions = e.Counts, e.Latencies, e.Running, e.KeptSessions
 	for service, counts := range e.Counts {
 		u := s.upgrades[service]
 		if u == nil || u.Phase() != upgrade.Running {
 			continue
 		}
 		u.AddCounts(s.self.Process, counts)
+		s.addLatencies(u, s.self.Process, e.Latencies[service])
 		effects = append(effects, s.judge(u)...)
 	}
 	return effects
 }
 
+func (s *State) addLatencies(u *upgrade.Upgrade, process string, samples upgrade.Latencies) {
+	u.AddLatencies(process, samples, upgrade.Share(u.ElapsedRatio(s.now), s.self.Exposure))
+}
+
 // judgeCount is the number of delegates that judge upgrades. Only they receive the traffic counts
 // of the other entries; sending these counts to all entries would multiply the reports between
 // zones.
--- a/site/upgrade_report_test.go
+++ b/site/upgrade_report_test.go
@@ -29,6 +29,27 @@
 	is.Equal(s.oldRequests(s.upgrades["pool"].Order()), 0)
 }
 
+// Datagrams are lost, and judges change. Guards against samples that never reach a judge, and against
+// reports that repeat all samples each time.
+func TestLatenciesReachJudges(t *testing.T) {
+	is := is.New(t)
+	var l latencyReports
+	bucket := func(index int) upgrade.LatencyBucket { return upgrade.LatencyBucket{Index: index} }
+	all := upgrade.Latencies{bucket(1): 5}
+	l.begin([]string{"a"}, 0)
+	is.Equal(l.changed("s", all), all)
+	all = upgrade.Latencies{bucket(1): 5, bucket(2): 1}
+	for i := range latencyRepeats {
+		l.begin([]string{"a"}, clock.Millis(300*(i+1)))
+		is.Equal(l.changed("s", all)[bucket(2)], int64(1))
+	}
+	l.begin([]string{"a"}, 1200)
+	is.Equal(len(l.changed("s", all)), 0)
+	l.begin([]string{"a", "b"}, 1500)
+	is.Equal(l.changed("s", all), all) // a judge was added
+	is.Equal(latenciesFromWire(latenciesToWire(all)), all)
+}
+
 // upgradingState returns the state of an entry during an upgrade.
 func upgradingState() *State {
 	s := NewState(Self{Name: "entry-c", Process: "c/1", Zone: "c", Exposure: 0.15}, 0)
--- a/upgrade/upgrade.go
+++ b/upgrade/upgrade.go
@@ -19,20 +19,27 @@
 	phase     Phase
 	// reason is why the upgrade ended; empty while it runs.
 	reason string
-	// lastCounts holds the last cumulative counts of each process.
-	lastCounts   map[string]Counts
+	// lastCounts and lastLatencies hold the last cumulative counts of each process; nil once the
+	// upgrade has ended.
+	lastCounts    map[string]Counts
+	lastLatencies map[string]Latencies
+	baseline      baseline
+	// ungraded holds samples of the new version for which the baseline has too few samples so far.
+	ungraded     Latencies
 	testsByRoute map[string]*routeTests
 	// withDelays holds tests over all routes that include the delays of dropped answers.
 	withDelays routeTests
 	// total sums all outcomes of the new version.
 	total Count
+	// reporters is the number of processes whose counts were recorded.
+	reporters int
 	// idleSince is when the old version became idle; 0 while it is in use.
 	idleSince clock.Millis
 }
 
 // New starts tracking an order that takes effect at startedAt.
 func New(o Order, startedAt clock.Millis) *Upgrade {
-	return &Upgrade{order: o, startedAt: startedAt, lastCounts: make(map[string]Counts), testsByRoute: make(map[string]*routeTests)}
+	return &Upgrade{order: o, startedAt: startedAt, lastCounts: make(map[string]Counts), lastLatencies: make(map[string]Latencies), baseline: make(baseline), testsByRoute: make(map[string]*routeTests)}
 }
 
 // Order returns the order.
@@ -44,6 +51,9 @@
 // Reason returns why the upgrade ended; empty while it runs.
 func (u *Upgrade) Reason() string { return u.reason }
 
+// Reporters returns the number of processes whose counts were recorded.
+func (u *Upgrade) Reporters() int { return u.reporters }
+
 // Total sums the recorded outcomes of the new version.
 func (u *Upgrade) Total() Count { return u.total }
 
@@ -68,6 +78,7 @@
 		return false
 	}
 	u.phase, u.reason = p, reason
+	u.lastCounts, u.lastLatencies, u.baseline = nil, nil, nil
 	return true
 }
 
@@ -75,29 +86,110 @@
 // changed. A restarted process must have another name, so that the counts of a process never
 // decrease.
 func (u *Upgrade) AddCounts(process string, counts Counts) {
+	if u.phase != Running {
+		return
+	}
 	last, ok := u.lastCounts[process]
 	if !ok {
 		last = make(Counts)
 		u.lastCounts[process] = last
+		u.reporters++
 	}
+	added := make(Counts, len(counts))
 	for k, c := range counts {
-		d := c.minus(last[k])
+		added[k] = c.minus(last[k])
 		last[k] = c
-		if d == (Count{}) {
-			continue
+	}
+	u.addAllOutcomes(added)
+}
+
+// AddLatencies records the cumulative latency samples of one process; see AddCounts. share is the
+// new version's share of requests.
+func (u *Upgrade) AddLatencies(process string, samples Latencies, share float64) {
+	if u.phase != Running {
+		return
+	}
+	last, ok := u.lastLatencies[process]
+	if !ok {
+		last = make(Latencies, len(samples))
+		u.lastLatencies[process] = last
+	}
+	added := make(Latencies)
+	for b, n := range samples {
+		if d := n - last[b]; d > 0 {
+			last[b], added[b] = n, d
 		}
-		u.withDelays.add(d, k.Target)
-		if k.Delay {
-			continue
+	}
+	u.gradeSamples(added, share)
+}
+
+// gradeSamples counts new samples as slow or not. Those of the old version come first: the new
+// version's are compared with them.
+func (u *Upgrade) gradeSamples(added Latencies, share float64) {
+	for b, n := range u.ungraded {
+		added[b] += n
+	}
+	u.ungraded = make(Latencies)
+	for b, n := range added {
+		if !b.Target {
+			u.baseline.add(b.LatencyKey, b.Index, n)
+		}
+	}
+	factor := 1.0
+	if share > earlyShare {
+		factor = loadedFactor
+	}
+	graded := make(Counts)
+	known := make(map[LatencyKey]limits)
+	for b, n := range added {
+		l, ok := known[b.LatencyKey]
+		if !ok {
+			keyFactor := factor
+			if b.Delay {
+				keyFactor = 1
+			}
+			if l, ok = u.baseline.limits(b.LatencyKey, keyFactor); !ok {
+				if b.Target {
+					u.ungraded[b] = n
+				}
+				continue
+			}
+			known[b.LatencyKey] = l
 		}
-		if k.Target {
-			u.total = u.total.plus(d, 1)
+		k := Key{Route: b.Route, Target: b.Target, Delay: b.Delay}
+		graded[k] = graded[k].plus(l.grade(b.Index, n), 1)
+	}
+	u.addAllOutcomes(graded)
+}
+
+// addAllOutcomes adds the new version's outcomes first: the old version's of the same report are
+// then part of what they are compared with.
+func (u *Upgrade) addAllOutcomes(added Counts) {
+	for _, target := range []bool{true, false} {
+		for k, c := range added {
+			if k.Target == target {
+				u.addOutcomes(k, c)
+			}
 		}
-		u.testsOf(k.Route).add(d, k.Target)
-		u.testsOf(allRoutes).add(d, k.Target)
 	}
 }
 
+// addOutcomes adds new outcomes to the tests.
+func (u *Upgrade) addOutcomes(k Key, c Count) {
+	if c == (Count{}) {
+		return
+	}
+	u.withDelays.add(c, k.Target)
+	if k.Delay {
+		return
+	}
+	if k.Target {
+		u.total = u.total.plus(c, 1)
+	}
+	u.testsOf(k.Route).add(c, k.Target)
+	u.testsOf(allRoutes).add(c, k.Target)
+}
+
 func (u *Upgrade) testsOf(route string) *routeTests {
 	tests, ok := u.testsByRoute[route]
 	if !ok {
