Need more than a few answers to suspect a version

Cause, from the logs' figures at the verdict: - timed=25 slow=[1 1 1] at a judge that had a seventh of the fleet's counts, others had 167: with fewer than 100 timed answers first-byte delays decide, and how many there were depended on the judge. Suspicion now needs a difference over all samples too.

Tests that failed before: TestFewEntriesDoNotDecideOnSuspicion, TestSlowAnswersInARowRollNothingBack, TestDelaysDoNotOutweighTimedAnswers.

--- a/rollout/test.go
+++ b/rollout/test.go
@@ -110,9 +110,11 @@
 // Suspicious reports whether there is weak evidence against the version: a reason not to give it
 // more traffic, but not to hold it. The statistic has reached half of the threshold, and over the
 // same time the version did worse than the control by a G statistic that one evaluation exceeds by
-// chance in 1 of 70 cases.
+// chance in 1 of 70 cases. It also did so over all samples: a few slow answers in a row, as when an
+// endpoint is cut off for a moment, say little about a version.
 func (t *Test) Suspicious(control Sample) bool {
-	return t.statistic() >= threshold/2 && gStatistic(t.sinceReset, control.minus(t.controlAtStart)) >= suspicionG
+	return t.statistic() >= threshold/2 && gStatistic(t.sinceReset, control.minus(t.controlAtStart)) >= suspicionG &&
+		gStatistic(t.total, control) >= suspicionG
 }
 
 const (
--- a/site/upgrade.go
+++ b/site/upgrade.go
@@ -234,6 +234,7 @@
 // schedules the write of the verdict to the store. An entry that does not receive the others'
 // counts of running requests must not judge: it would assume that the old version is idle.
 func (s *State) judge(u *upgrade.Upgrade) (effects []Effect) {
+	u.SetEntries(s.entryCount())
 	if s.rank() >= judgeCount || !u.Judge(s.now, s.oldRequests(u.Order())) {
 		return nil
 	}
--- a/upgrade/upgrade.go
+++ b/upgrade/upgrade.go
@@ -1,6 +1,10 @@
 package upgrade
 
-import "github.com/parsleydeal/parsleydeal/clock"
+import (
+	"math"
+
+	"github.com/parsleydeal/parsleydeal/clock"
+)
 
 const (
 	// idleDuration is how long nothing must have run on the old version before the upgrade is
@@ -31,7 +35,9 @@
 	withDelays routeTests
 	// total sums all outcomes of the new version.
 	total Count
-	// reporters is the number of processes whose counts were recorded.
+	// entries is the number of entries that are running, reporters that of processes whose counts
+	// were recorded.
+	entries   int
 	reporters int
 	// idleSince is when the old version became idle; 0 while it is in use.
 	idleSince clock.Millis
@@ -212,7 +218,7 @@
 			return u.Set(RolledBack, v+" on "+routeName(route))
 		}
 	}
-	if v := u.suspicion(); v != "" && u.ElapsedRatio(now) >= pinnedRatio {
+	if v := u.suspicion(); v != "" && u.ElapsedRatio(now) >= pinnedRatio && u.covered() {
 		return u.Set(RolledBack, "its share was to rise, and it seems "+v)
 	}
 	if old > 0 || u.ElapsedRatio(now) < fullTrafficRatio {
@@ -229,20 +235,47 @@
 	return false
 }
 
-// minTimed is the number of timed answers of the new version below which the first-byte delays of
-// dropped answers (Key.Delay) are considered too. Delays are weaker evidence: they are measured
-// against a forecast of the prompt's wait, which is rough.
-const minTimed = 100
+// SetEntries sets the number of entries that are running and report their counts.
+func (u *Upgrade) SetEntries(n int) { u.entries = n }
+
+// minCoverage is the fraction of the entries whose counts are needed to end an upgrade on
+// suspicion. Weak evidence from a few entries must not decide for all.
+const minCoverage = 0.75
+
+func (u *Upgrade) covered() bool {
+	return float64(u.reporters) >= minCoverage*float64(u.entries)
+}
+
+const (
+	// minTimed is the number of timed answers of the new version below which the first-byte delays
+	// of dropped answers (Key.Delay) are considered too. Delays are weaker evidence: they are
+	// measured against a forecast of the prompt's wait, which is rough.
+	minTimed = 100
+	// clearedThreshold and slowRatio define when fewer timed answers suffice to leave delays out:
+	// their slow ones make it unlikely, by a log-likelihood ratio of clearedThreshold, that
+	// slowRatio of the new version's answers are slow. Forecasts are wrong for prompts that only
+	// endpoints of the old version have cached.
+	clearedThreshold = 4.0
+	slowRatio        = 0.5
+)
 
 // suspicion returns the name of the measure by which the new version seems to be bad over all
 // routes; "" if there is none.
 func (u *Upgrade) suspicion() string {
-	if v := u.testsOf(allRoutes).suspicion(); v != "" || u.total.Timed >= minTimed {
+	if v := u.testsOf(allRoutes).suspicion(); v != "" || u.total.Timed >= minTimed || u.cleared() {
 		return v
 	}
 	return u.withDelays.suspicion()
 }
 
+// cleared reports whether the timed answers alone show that the new version is not slow.
+func (u *Upgrade) cleared() bool {
+	const threshold = 1
+	good := 1 - SlowThresholds[threshold].Quantile
+	slow, fast := float64(u.total.Slow[threshold]), float64(u.total.Timed-u.total.Slow[threshold])
+	return fast*math.Log((1-good)/(1-slowRatio))+slow*math.Log(good/slowRatio) >= clearedThreshold
+}
+
 func routeName(route string) string {
 	if route == allRoutes {
 		return "all routes"
