Judge a version by the outcomes of its own order

After a bad version was rolled back, the next version ordered for the service in the life of the same processes began with the failures of the first one, and a bad one with the successes of a good one.

Cause: entries counted outcomes of 'the new version' whatever order it belonged to, and a judge takes the first report of a process as what it has counted since its start.

Change: entries drop the new version's counts when an order with a higher number begins, leave out attempts that began during an earlier one, and report the number; a state that has a newer order than its counts drops them.

Tests: TestOutcomesOfEarlierOrderAreDropped and TestCountsOfEarlierOrderRollNothingBack fail without the two drops.

--- a/relay/version_counts.go
+++ b/relay/version_counts.go
@@ -36,6 +36,9 @@
 
 // serviceCounts counts outcomes and latencies of one service.
 type serviceCounts struct {
+	// order is the number of the last order during which something was counted. Counts of the new
+	// version are those of this order.
+	order    int64
 	outcomes upgrade.Counts
 	// latencies holds the samples since startedAt, and earlier those of the generation before it.
 	latencies upgrade.Latencies
@@ -73,20 +76,30 @@
 	}
 }
 
-// of returns the counts of a service.
-func (v *versionCounts) of(service string) *serviceCounts {
+// of returns the counts of a service. A new order drops the counts of the new version of an earlier
+// one. A lower order is that of a request that began before.
+func (v *versionCounts) of(service string, order int64) *serviceCounts {
 	c, ok := v.services[service]
 	if !ok {
-		c = &serviceCounts{outcomes: make(upgrade.Counts), latencies: make(upgrade.Latencies), startedAt: v.clock.Now()}
+		c = &serviceCounts{order: noOrder, outcomes: make(upgrade.Counts), latencies: make(upgrade.Latencies), startedAt: v.clock.Now()}
 		v.services[service] = c
 	}
+	if order > c.order {
+		c.order = order
+		maps.DeleteFunc(c.outcomes, func(k upgrade.Key, _ upgrade.Count) bool { return k.Target })
+		maps.DeleteFunc(c.latencies, func(b upgrade.LatencyBucket, _ int64) bool { return b.Target })
+		maps.DeleteFunc(c.earlier, func(b upgrade.LatencyBucket, _ int64) bool { return b.Target })
+	}
 	return c
 }
 
 func (v *versionCounts) record(o outcome) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	c := v.of(o.service)
+	c := v.of(o.service, o.order)
+	if o.target && o.order < c.order {
+		return
+	}
 	k := upgrade.Key{Route: o.route, Target: o.target}
 	n := c.outcomes[k]
 	n.Ended++
@@ -100,7 +113,10 @@
 func (v *versionCounts) recordLatency(service string, order int64, b upgrade.LatencyBucket) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	c := v.of(service)
+	c := v.of(service, order)
+	if b.Target && order < c.order {
+		return
+	}
 	if now := v.clock.Now(); order == noOrder && now-c.startedAt >= latencyGeneration {
 		c.earlier, c.latencies, c.startedAt = c.latencies, make(upgrade.Latencies), now
 	}
@@ -117,9 +133,10 @@
 	defer v.mu.Unlock()
 	c := site.TrafficCounts{
 		Counts: make(map[string]upgrade.Counts, len(v.services)), Latencies: make(map[string]upgrade.Latencies, len(v.services)),
-		Running: make(map[string]map[string]int, len(v.running)),
+		Orders: make(map[string]int64, len(v.services)), Running: make(map[string]map[string]int, len(v.running)),
 	}
 	for service, x := range v.services {
+		c.Orders[service] = x.order
 		c.Counts[service] = maps.Clone(x.outcomes)
 		latencies := maps.Clone(x.latencies)
 		for b, n := range x.earlier {
--- a/relay/version_counts_test.go
+++ b/relay/version_counts_test.go
@@ -9,6 +9,25 @@
 	"github.com/parsleydeal/parsleydeal/upgrade"
 )
 
+// A bad version was rolled back, and another one is ordered. Guards against the outcomes of the first
+// counting as those of the second, which would be rolled back before it has answered anything.
+func TestOutcomesOfEarlierOrderAreDropped(t *testing.T) {
+	is := is.New(t)
+	v := newVersionCounts(clock.Boot(), metrics.NewCounter("dropped_1"))
+	slow := upgrade.LatencyBucket{LatencyKey: upgrade.LatencyKey{Model: "m"}, Target: true, Index: 90}
+	for range 40 {
+		v.record(outcome{service: "s", route: "r", order: 1, target: true, bad: true})
+		v.recordLatency("s", 1, slow)
+	}
+	v.record(outcome{service: "s", route: "r", order: noOrder})
+	v.record(outcome{service: "s", route: "r", order: 2, target: true})
+	v.record(outcome{service: "s", route: "r", order: 1, target: true, bad: true}) // began during the first order
+	c := v.snapshot()
+	is.Equal(c.Orders["s"], int64(2))
+	is.Equal(c.Counts["s"], upgrade.Counts{{Route: "r"}: {Ended: 1}, {Route: "r", Target: true}: {Ended: 1}})
+	is.Equal(len(c.Latencies["s"]), 0)
+}
+
 // Entries collect latencies for as long as they run. Guards against memory and reports that grow
 // with that time, and against comparing a new version with answers of long ago.
 func TestLatencySamplesAreBounded(t *testing.T) {
--- a/site/event.go
+++ b/site/event.go
@@ -72,6 +72,8 @@
 	Counts map[string]upgrade.Counts
 	// Latencies holds the latency samples by service.
 	Latencies map[string]upgrade.Latencies
+	// Orders is the number of the order to which the counts of a service's new version belong.
+	Orders map[string]int64
 	// Running is the number of requests in progress by service and version.
 	Running map[string]map[string]int
 	// KeptSessions lists by service the hashes of the sessions that stay on the old version of an
--- a/site/state_test.go
+++ b/site/state_test.go
@@ -170,6 +170,7 @@
 	return TrafficCounts{
 		Now:     now,
 		Counts:  map[string]upgrade.Counts{"pool": {{Route: "chat", Target: true}: pair("new"), {Route: "chat"}: pair("old")}},
+		Orders:  map[string]int64{"pool": max(a.number("order"), 1)},
 		Running: map[string]map[string]int{"pool": {"v1": int(a.number("running"))}},
 	}
 }
--- a/site/upgrade.go
+++ b/site/upgrade.go
@@ -208,6 +208,11 @@
 }
 
 func (s *State) trafficCounts(e TrafficCounts) (effects []Effect) {
+	for service, u := range s.upgrades {
+		if e.Orders[service] < u.Order().Number {
+			dropTarget(e.Counts[service], e.Latencies[service])
+		}
+	}
 	s.counts, s.latencies, s.running, s.keptSessions = e.Counts, e.Latencies, e.Running, e.KeptSessions
 	for service, counts := range e.Counts {
 		u := s.upgrades[service]
@@ -221,6 +226,13 @@
 	return effects
 }
 
+// dropTarget removes the counts of the new version. They are those of an earlier order, from which
+// the version of this one must not be judged.
+func dropTarget(counts upgrade.Counts, latencies upgrade.Latencies) {
+	maps.DeleteFunc(counts, func(k upgrade.Key, _ upgrade.Count) bool { return k.Target })
+	maps.DeleteFunc(latencies, func(b upgrade.LatencyBucket, _ int64) bool { return b.Target })
+}
+
 func (s *State) addLatencies(u *upgrade.Upgrade, process string, samples upgrade.Latencies) {
 	u.AddLatencies(process, samples, upgrade.Share(u.ElapsedRatio(s.now), s.self.Exposure))
 }
--- a/site/upgrade_report_test.go
+++ b/site/upgrade_report_test.go
@@ -29,6 +29,19 @@
 	is.Equal(s.oldRequests(s.upgrades["pool"].Order()), 0)
 }
 
+// The last version was bad, and this entry has not counted anything of the new one yet. Guards against
+// the last version's failures counting as those of the new one.
+func TestCountsOfEarlierOrderRollNothingBack(t *testing.T) {
+	is := is.New(t)
+	s := upgradingState()
+	Reduce(s, TrafficCounts{
+		Now: 1000, Orders: map[string]int64{"pool": 6},
+		Counts: map[string]upgrade.Counts{"pool": {{Route: "r"}: {Ended: 1000}, {Route: "r", Target: true}: {Ended: 60, Bad: 50}}},
+	})
+	is.Equal(s.upgrades["pool"].Phase(), upgrade.Running)
+	is.Equal(s.upgrades["pool"].Total(), upgrade.Count{})
+}
+
 // Datagrams are lost, and judges change. Guards against samples that never reach a judge, and against
 // reports that repeat all samples each time.
 func TestLatenciesReachJudges(t *testing.T) {
