Let the retry budget follow the number of entries

On a site, an entry whose first request came before it had read the register refused retries and larger models for as long as it ran.

Cause: an entry assumes eight entries until it has read who is registered. The retry budget of a service was made at its first request with the slack of that moment, and never changed. An attempt at a larger model counts as a retry; with an eighth of the slack there is none.

Refuted: the first byte of the easy chat late by 300 and 800 ms passes.

Test: TestRetryBudgetFollowsEntries fails without the change.

--- a/limit/share.go
+++ b/limit/share.go
@@ -36,6 +36,14 @@
 	return &Share{windowLength: windowLength, ratio: ratio, slack: slack}
 }
 
+// SetSlack changes the retries that are allowed without any requests. It follows the number of
+// entries that share the common bound.
+func (s *Share) SetSlack(slack float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slack = slack
+}
+
 // RecordRequest counts a request.
 func (s *Share) RecordRequest(now clock.Millis) {
 	s.mu.Lock()
--- a/relay/run.go
+++ b/relay/run.go
@@ -235,14 +235,18 @@
 	retrySlackFraction = 0.5
 )
 
+// budget returns the retry budget of a service. Its slack follows the number of entries: an entry
+// that has just started assumes many, and would otherwise refuse retries for as long as it runs.
 func (s *Server) budget(service string, entries int) *limit.Share {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	slack := s.cfg.RetrySlack * retrySlackFraction / float64(entries)
 	b, ok := s.budgets[service]
 	if !ok {
-		b = limit.NewShare(s.cfg.RetryWindow, s.cfg.RetryRatio*retryRatioFraction, s.cfg.RetrySlack*retrySlackFraction/float64(entries))
+		b = limit.NewShare(s.cfg.RetryWindow, s.cfg.RetryRatio*retryRatioFraction, slack)
 		s.budgets[service] = b
 	}
+	b.SetSlack(slack)
 	return b
 }
 
--- a/relay/run_test.go
+++ b/relay/run_test.go
@@ -215,6 +215,17 @@
 	is.True(x.budget().CanRetry(c.Now())) // nothing that was sent needed it
 }
 
+// An entry gets its first request before it knows how many others there are, and assumes many. Guards
+// against its retry budget staying at that share for as long as it runs.
+func TestRetryBudgetFollowsEntries(t *testing.T) {
+	is := is.New(t)
+	server := serverOn(clock.Boot(), nil)
+	server.cfg.RetrySlack = 2 / retrySlackFraction
+	is.True(!server.budget("app", 8).CanRetry(1000))
+	is.True(server.budget("app", 1).CanRetry(1000))
+	is.True(!server.budget("app", 8).CanRetry(1000))
+}
+
 // awaitRefusal waits until an address refuses connections: a server that is closed while it starts
 // may still hold its listener for a moment.
 func awaitRefusal(address string) {
