Let the first entry of a site know that it is alone

Cause: the first entry of a site registers itself and samples the register, and then reads the register once more beside its other reads. Until that read had ended, the sample was only used to find seeds.

Change: a sample that follows the entry's own registration counts as the read of the register, as long as it cannot be cut off. The order (write, then read) is that of the read that it replaces, so of two entries that start together one still finds the other.

Test: TestFirstEntryKnowsThatItIsAlone failed before (8 entries in place of 1).

--- a/site/feed.go
+++ b/site/feed.go
@@ -316,6 +316,12 @@
 		return err
 	}
 	l.cfg.Log.Info("Store was read in full", "stream", EntryStream, "records", len(records))
+	l.postEntries(ctx, records)
+	return nil
+}
+
+// postEntries posts the entries that are registered.
+func (l *Loop) postEntries(ctx context.Context, records []Record) {
 	addresses := map[string]string{l.cfg.Self.Name: l.cfg.Address}
 	for _, r := range records {
 		if len(r.Value) > 0 && r.Key != l.cfg.Self.Name {
@@ -323,5 +329,4 @@
 		}
 	}
 	l.post(ctx, EntriesRead{Now: l.cfg.Clock.Now(), Addresses: addresses})
-	return nil
 }
--- a/site/loop.go
+++ b/site/loop.go
@@ -157,8 +157,12 @@
 	l.register(ctx, written)
 }
 
-// seedCount is the number of entries that others ask first when they start.
-const seedCount = 3
+const (
+	// seedCount is the number of entries that others ask first when they start.
+	seedCount = 3
+	// maxCompleteSample is the number of records from which a sample may lack some.
+	maxCompleteSample = 100
+)
 
 // seedsFromStore returns the same few registered entries at every entry that starts. If none is
 // registered yet, as at the first start of a site, it registers this entry; written then is true.
@@ -168,7 +172,10 @@
 	records, err := l.cfg.Store.Sample(ctx, EntryStream)
 	if err == nil && len(records) == 0 {
 		written = l.cfg.Store.Append(ctx, EntryStream, l.cfg.Self.Name, []byte(l.cfg.Address), -1) == nil
-		records, err = l.cfg.Store.Sample(ctx, EntryStream)
+		if records, err = l.cfg.Store.Sample(ctx, EntryStream); err == nil && written && len(records) < maxCompleteSample {
+			// The entry knows with how many others it shares limits before its first request comes.
+			l.postEntries(ctx, records)
+		}
 	}
 	if err != nil {
 		l.cfg.Log.Warn("Registered entries could not be read", "error", logbook.Text(err))
--- a/site/outage_test.go
+++ b/site/outage_test.go
@@ -92,3 +92,35 @@
 	time.Sleep(time.Second)
 	is.True(l.View().started) // all streams were read
 }
+
+// The first entry of a site registers itself, and the read of the register that follows hangs. Guards
+// against it sharing its limits with entries that do not exist: its callers got the small model's
+// answers, because an attempt at the larger model counts against a share of the retry budget.
+func TestFirstEntryKnowsThatItIsAlone(t *testing.T) {
+	is := is.New(t)
+	f := &flakyStore{calls: make(map[Stream]int)}
+	l := f.loop(Self{Name: "entry-a", Process: "entry-a/1"})
+	registered := make(chan struct{})
+	l.cfg.Store.Sample = func(context.Context, Stream) ([]Record, error) {
+		select {
+		case <-registered:
+			return []Record{{Key: "entry-a", Value: []byte("10.0.0.1:1")}}, nil
+		default:
+			return nil, nil
+		}
+	}
+	l.cfg.Store.Append = func(context.Context, Stream, string, []byte, int64) error { close(registered); return nil }
+	newest := l.cfg.Store.Newest
+	l.cfg.Store.Newest = func(ctx context.Context, s Stream) ([]Record, int64, error) {
+		if s == EntryStream {
+			<-ctx.Done()
+		}
+		return newest(ctx, s)
+	}
+	l.cfg.TakeState = func(context.Context, []EntryAddress, bool) error { return errors.New("no entry runs") }
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go l.Run(ctx)
+	<-l.Started()
+	is.Equal(l.View().Entries(), 1)
+}
