--- a/upgrade/upgrade.go
+++ b/upgrade/upgrade.go
@@ -253,8 +253,7 @@
 	minTimed = 100
 	// clearedThreshold and slowRatio define when fewer timed answers suffice to leave delays out:
 	// their slow ones make it unlikely, by a log-likelihood ratio of clearedThreshold, that
-	// slowRatio of the new version's answers are slow. Forecasts are wrong for prompts that only
-	// endpoints of the old version have cached.
+	// slowRatio of the new version's answers are slow.
 	clearedThreshold = 4.0
 	slowRatio        = 0.5
 )
