Log and count what becomes of each retry

The line of an attempt now names the decision about the next one (granted, denied, uncounted, none) and the state of the budget; parsleydeal_retries_total counts the decisions by service, reason and outcome (5 x 3 series a service), parsleydeal_retry_budget has the state. What is decided does not change; the decisions move to relay/retry.go.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -104,7 +104,7 @@
 		case strings.Contains(text, "Request answered"):
 			return "The request was answered" + attemptsText(text) + "."
 		case strings.Contains(text, "Request failed"):
-			return "The request failed" + attemptsText(text) + ": " + failureCause(text) + "."
+			return "The request failed" + attemptsText(text) + ": " + failureCause(text) + retryText(text) + "."
 		}
 	}
 	return ""
@@ -129,6 +129,14 @@
 	}
 }
 
+// retryText tells that the retry budget allowed no further attempt.
+func retryText(text string) string {
+	if !strings.Contains(text, " retry=denied ") {
+		return ""
+	}
+	return "; the retry budget allowed no further attempt"
+}
+
 func failureCause(text string) string {
 	m := errorField.FindStringSubmatch(text)
 	if m == nil {
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -28,6 +28,14 @@
 	is.Equal(Outcome(lines), "The request failed after 2 attempts: deadline-passed (unknown): time is up.")
 }
 
+// Guards against a request that the retry budget ended looking like one that its last endpoint failed.
+func TestOutcomeNamesRetryBudget(t *testing.T) {
+	is := is.New(t)
+	lines, err := Read(strings.NewReader(`Dec  3 02:00:01.900 WARN Request failed vm=a request=r-2 sends=3 retry=denied events=0 error="saturated (not-run): full"`), "a.log", "r-2")
+	is.NoErr(err)
+	is.Equal(Outcome(lines), "The request failed after 3 attempts: saturated (not-run): full; the retry budget allowed no further attempt.")
+}
+
 func TestTimelineOfEndpoint(t *testing.T) {
 	is := is.New(t)
 	lines, err := Read(strings.NewReader(logs), "a.log", "i-7")
--- a/limit/share.go
+++ b/limit/share.go
@@ -71,15 +71,28 @@
 	return s.hasRoom()
 }
 
+// State returns the retries of the current window and how many it allows.
+func (s *Share) State(now clock.Millis) (retries int, allowed float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.advance(now)
+	return s.state()
+}
+
 func (s *Share) hasRoom() bool {
-	requests, retries := 0, 0
+	retries, allowed := s.state()
+	return float64(retries+1) <= allowed
+}
+
+func (s *Share) state() (retries int, allowed float64) {
+	requests := 0
 	for i, x := range s.buckets {
 		retries += x.retries
 		if clock.Millis(i) != (s.current+1)%clock.Millis(len(s.buckets)) {
 			requests += x.requests
 		}
 	}
-	return float64(retries+1) <= s.ratio*float64(requests)+s.slack
+	return retries, s.ratio*float64(requests) + s.slack
 }
 
 // advance clears the buckets that are older than the window and returns the current one.
--- /dev/null
+++ b/relay/retry.go
@@ -0,0 +1,118 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/parsleydeal/parsleydeal/limit"
+)
+
+// retryOutcome is whether another attempt follows one that did not produce the answer.
+type retryOutcome int
+
+// The outcomes.
+const (
+	// noRetry means that no other attempt can help, or that the route or the time allows none.
+	noRetry retryOutcome = iota
+	// retryGranted means that the retry budget had room for the attempt, which is counted.
+	retryGranted
+	// retryDenied means that the retry budget was used up.
+	retryDenied
+	// retryUncounted means that the attempt is made without being counted.
+	retryUncounted
+)
+
+// String returns the name of the outcome for logs and metrics.
+func (o retryOutcome) String() string {
+	return [...]string{"none", "granted", "denied", "uncounted"}[o]
+}
+
+// decideRetry decides whether another attempt follows one that ended with r, and counts it.
+func (x *exchange) decideRetry(ctx context.Context, a *attempt, r result) retryOutcome {
+	switch {
+	case r == done, r == ended, ctx.Err() != nil, x.remaining() < minRemaining:
+		return noRetry
+	case r != poor && !x.mayRetry(r):
+		return noRetry
+	}
+	o := x.countRetry(a, r)
+	x.server.countRetryOutcome(x.service, a.retryReason(r), o)
+	return o
+}
+
+// retryReason returns why an attempt that ended with r needs another one, for metrics.
+func (a *attempt) retryReason(r result) string {
+	switch {
+	case a.unsent:
+		return "unsent"
+	case r == poor:
+		return "escalated"
+	case r == notRun:
+		return "refused"
+	case a.silent:
+		return "silent"
+	}
+	return "failed"
+}
+
+// countRetryOutcome counts the decision about a retry by service and reason.
+func (s *Server) countRetryOutcome(service, reason string, o retryOutcome) {
+	s.metrics.GetOrCreateCounter(fmt.Sprintf("parsleydeal_retries_total{service=%q,reason=%q,outcome=%q}", service, reason, o)).Inc()
+}
+
+// countRetry counts the attempt that follows another one against the retry budget, and reports
+// whether it is allowed. After an attempt of which nothing was sent it costs nothing: the budget
+// bounds what reaches endpoints beyond the first attempt.
+func (x *exchange) countRetry(a *attempt, r result) retryOutcome {
+	switch {
+	case a.unsent:
+		return retryUncounted
+	case x.budget().TryRetry(x.server.cfg.Clock.Now()):
+		return retryGranted
+	case r == notRun:
+		return retryUncounted
+	}
+	return retryDenied
+}
+
+// mayRetry reports whether the request may have another attempt.
+func (x *exchange) mayRetry(r result) bool {
+	if r == notRun {
+		return x.sends-x.unsent < x.route.MaxAttempts+maxRefusals && x.unsent < maxUnsent
+	}
+	return x.route.Repeatable() && x.runs < x.route.MaxAttempts
+}
+
+// mayRepeat reports whether an attempt in flight may be repeated elsewhere, so that it can be
+// abandoned.
+func (x *exchange) mayRepeat() bool { return x.mayRepeatAfter(0) }
+
+// mayRepeatAfter is like mayRepeat, but assumes that the given number of further attempts have run.
+func (x *exchange) mayRepeatAfter(more int) bool {
+	return x.route.Repeatable() && x.runs+more < x.route.MaxAttempts
+}
+
+// budget returns the retry budget of the request's service.
+func (x *exchange) budget() *limit.Share { return x.server.budget(x.service, x.view.Entries()) }
+
+// Fractions of the retry limits that this process uses. The rest is a reserve, because an entry's
+// part of the traffic differs from one retry window to the next.
+const (
+	retryRatioFraction = 0.8
+	retrySlackFraction = 0.5
+)
+
+// budget returns the retry budget of a service. Its slack follows the number of entries: an entry
+// that has just started assumes many, and would otherwise refuse retries for as long as it runs.
+func (s *Server) budget(service string, entries int) *limit.Share {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	slack := s.cfg.RetrySlack * retrySlackFraction / float64(entries)
+	b, ok := s.budgets[service]
+	if !ok {
+		b = limit.NewShare(s.cfg.RetryWindow, s.cfg.RetryRatio*retryRatioFraction, slack)
+		s.budgets[service] = b
+	}
+	b.SetSlack(slack)
+	return b
+}
--- a/relay/run.go
+++ b/relay/run.go
@@ -7,7 +7,6 @@
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/decision"
 	"github.com/parsleydeal/parsleydeal/fleet"
-	"github.com/parsleydeal/parsleydeal/limit"
 	"github.com/parsleydeal/parsleydeal/logbook"
 	"github.com/parsleydeal/parsleydeal/placement"
 	"github.com/parsleydeal/parsleydeal/refusal"
@@ -76,52 +75,24 @@
 		if a.silent {
 			x.silentEndpoints[e.ID] = true
 		}
-		x.recordAttempt(a, r, err)
+		x.recordAttempt(a, r)
+		x.retry = x.decideRetry(ctx, a, r)
+		x.logAttempt(a, r, err)
 		switch {
 		case r == done, r == ended:
 			return x.correctRunState(err)
 		case ctx.Err() != nil, x.remaining() < minRemaining:
 			return x.giveUp(failure, x.correctRunState(x.deadlineError(err)))
+		case x.retry == noRetry, x.retry == retryDenied:
+			return x.giveUp(failure, x.correctRunState(err))
 		case r == poor:
 			p = p.escalate()
 			clear(x.tried)
 			x.tried[e.ID] = true
-		case !x.mayRetry(r):
-			return x.giveUp(failure, x.correctRunState(err))
-		}
-		if !x.countRetry(a, r) {
-			return x.giveUp(failure, x.correctRunState(err))
 		}
 	}
 }
 
-// countRetry counts the attempt that follows another one against the retry budget, and reports
-// whether it is allowed. After an attempt of which nothing was sent it costs nothing: the budget
-// bounds what reaches endpoints beyond the first attempt.
-func (x *exchange) countRetry(a *attempt, r result) bool {
-	if a.unsent {
-		return true
-	}
-	return x.budget().TryRetry(x.server.cfg.Clock.Now()) || r == notRun
-}
-
-// mayRetry reports whether the request may have another attempt.
-func (x *exchange) mayRetry(r result) bool {
-	if r == notRun {
-		return x.sends-x.unsent < x.route.MaxAttempts+maxRefusals && x.unsent < maxUnsent
-	}
-	return x.route.Repeatable() && x.runs < x.route.MaxAttempts
-}
-
-// mayRepeat reports whether an attempt in flight may be repeated elsewhere, so that it can be
-// abandoned.
-func (x *exchange) mayRepeat() bool { return x.mayRepeatAfter(0) }
-
-// mayRepeatAfter is like mayRepeat, but assumes that the given number of further attempts have run.
-func (x *exchange) mayRepeatAfter(more int) bool {
-	return x.route.Repeatable() && x.runs+more < x.route.MaxAttempts
-}
-
 // selectEndpoint selects an endpoint for the next attempt. An endpoint that was tried is selected
 // again if no other one has room, because its refusal may have been temporary. An endpoint that
 // was silent is selected again only as the last resort: it seems to have no load only because it
@@ -225,31 +196,6 @@
 	return x.deliver(failure)
 }
 
-// budget returns the retry budget of the request's service.
-func (x *exchange) budget() *limit.Share { return x.server.budget(x.service, x.view.Entries()) }
-
-// Fractions of the retry limits that this process uses. The rest is a reserve, because an entry's
-// part of the traffic differs from one retry window to the next.
-const (
-	retryRatioFraction = 0.8
-	retrySlackFraction = 0.5
-)
-
-// budget returns the retry budget of a service. Its slack follows the number of entries: an entry
-// that has just started assumes many, and would otherwise refuse retries for as long as it runs.
-func (s *Server) budget(service string, entries int) *limit.Share {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	slack := s.cfg.RetrySlack * retrySlackFraction / float64(entries)
-	b, ok := s.budgets[service]
-	if !ok {
-		b = limit.NewShare(s.cfg.RetryWindow, s.cfg.RetryRatio*retryRatioFraction, slack)
-		s.budgets[service] = b
-	}
-	b.SetSlack(slack)
-	return b
-}
-
 // bounds returns how many requests per second all entries may send to one endpoint of a service.
 // For an endpoint in a cold start this is the configured rate times ColdOverage; ColdSlack is left
 // for requests that are delayed in transit. The bound exceeds the rate because all entries seldom
@@ -263,9 +209,8 @@
 	return b
 }
 
-// recordAttempt updates the state of the endpoint and the counts of its version, and logs an
-// attempt that did not produce the answer.
-func (x *exchange) recordAttempt(a *attempt, r result, err error) {
+// recordAttempt updates the state of the endpoint and the counts of its version.
+func (x *exchange) recordAttempt(a *attempt, r result) {
 	s := x.server
 	now := s.cfg.Clock.Now()
 	x.endpoint, x.version, x.model = a.endpoint.ID, a.endpoint.Version, a.plan.model()
@@ -290,11 +235,20 @@
 	if !callerLeft && r != notRun {
 		s.recordOutcome(x, a, r)
 	}
-	if r != done {
-		s.cfg.Log.Info("Attempt did not answer", "request", x.req.ID, "endpoint", a.endpoint.ID, "address", a.endpoint.Address, "zone", a.endpoint.Zone,
-			"version", a.endpoint.Version, "model", a.plan.model(), "result", r, "status", a.status, "confidence", a.confidence, "silent", a.silent,
-			"after", now-a.startedAt, "expected", a.expectedFirstByte, "first", a.timeToFirstByte, "left", x.remaining(), "error", logbook.Text(err))
+}
+
+// logAttempt logs an attempt that did not produce the answer, and whether another one follows.
+func (x *exchange) logAttempt(a *attempt, r result, err error) {
+	if r == done {
+		return
 	}
+	s := x.server
+	now := s.cfg.Clock.Now()
+	used, limit := x.budget().State(now)
+	s.cfg.Log.Info("Attempt did not answer", "request", x.req.ID, "endpoint", a.endpoint.ID, "address", a.endpoint.Address, "zone", a.endpoint.Zone,
+		"version", a.endpoint.Version, "model", a.plan.model(), "result", r, "status", a.status, "confidence", a.confidence, "silent", a.silent,
+		"after", now-a.startedAt, "expected", a.expectedFirstByte, "first", a.timeToFirstByte, "left", x.remaining(),
+		"retry", x.retry, "retries-used", used, "retries-allowed", int(limit), "error", logbook.Text(err))
 }
 
 // String returns the name of the result for logs.
