Replay of shedding endpoints in virtual time

It counts callers that were answered, in time and well, and checks the budget by what the endpoints see. Connections are in memory: the pool takes the function that opens them.

--- /dev/null
+++ b/relay/replay_test.go
@@ -0,0 +1,437 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+	"github.com/parsleydeal/parsleydeal/catalog"
+	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/fleet"
+	"github.com/parsleydeal/parsleydeal/peer/wire"
+	"github.com/parsleydeal/parsleydeal/placement"
+	"github.com/parsleydeal/parsleydeal/site"
+	"github.com/parsleydeal/parsleydeal/upstream"
+	"github.com/pelletier/go-toml/v2"
+)
+
+// The limits of the replayed sites.
+const (
+	replayWindow = 10 * clock.Second
+	replayRatio  = 0.9
+	replaySlack  = 52.0
+)
+
+// replayScript is a day that a site of entries and endpoints goes through in virtual time.
+type replayScript struct {
+	Entries           int            `toml:"entries"`
+	Endpoints         int            `toml:"endpoints"`
+	RequestsPerSecond float64        `toml:"requests-per-second"`
+	Duration          clock.Millis   `toml:"duration"`
+	Phase             []replayPhase  `toml:"phase"`
+	Restart           []replayReboot `toml:"restart"`
+}
+
+// replayPhase is a time with Load times the traffic, in which a fraction of the endpoints refuses a
+// fraction of the requests.
+type replayPhase struct {
+	From              clock.Millis `toml:"from"`
+	To                clock.Millis `toml:"to"`
+	Load              float64      `toml:"load"`
+	RefusingEndpoints float64      `toml:"refusing-endpoints"`
+	Refused           float64      `toml:"refused"`
+}
+
+type replayReboot struct {
+	Entry int          `toml:"entry"`
+	At    clock.Millis `toml:"at"`
+}
+
+// replay is a run of a script.
+type replay struct {
+	script    replayScript
+	start     time.Time
+	route     *catalog.Route
+	mu        sync.Mutex
+	random    *rand.Rand
+	endpoints map[string]*replayEndpoint
+	entries   []atomic.Pointer[Server]
+	changes   []fleet.Change
+	// sentAt holds the times at which requests were sent, arrivals how often each arrived at
+	// endpoints, and retriedAt the times of the arrivals beyond the first.
+	sentAt    []clock.Millis
+	arrivals  map[string]int
+	retriedAt []clock.Millis
+	outcomes  replayOutcomes
+}
+
+// replayOutcomes counts requests by what became of their last attempt by the caller.
+type replayOutcomes struct {
+	callers, answered, inTime, good int
+}
+
+func (o replayOutcomes) String() string {
+	share := func(n int) float64 { return float64(n) / float64(o.callers) }
+	return fmt.Sprintf("%d callers: %.3f answered, %.3f in time, %.3f of them well", o.callers, share(o.answered), share(o.inTime), share(o.good))
+}
+
+func (p *replay) now() clock.Millis { return clock.FromDuration(time.Since(p.start)) + clock.Minute }
+
+// phase returns the phase at the given time since the start.
+func (p *replay) phase(at clock.Millis) replayPhase {
+	for _, x := range p.script.Phase {
+		if at >= x.From && at < x.To {
+			return x
+		}
+	}
+	return replayPhase{Load: 1}
+}
+
+// draw returns a random number in [0, 1).
+func (p *replay) draw() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.random.Float64()
+}
+
+// replayEndpoint is an endpoint that prefills prompts one after another and then sends their
+// events.
+type replayEndpoint struct {
+	replay   *replay
+	index    int
+	mu       sync.Mutex
+	inFlight int
+	freeAt   clock.Millis
+	conns    chan net.Conn
+}
+
+const (
+	replaySlots        = 32
+	replayQueue        = 32
+	replayEvents       = 5
+	replayEventDelay   = 40 * time.Millisecond
+	replayLatency      = time.Millisecond
+	replaySmallPrefill = 20 * clock.Millis(1)
+	replayLargePrefill = 130 * clock.Millis(1)
+)
+
+// Accept, Close and Addr make the endpoint a listener of in-memory connections.
+func (e *replayEndpoint) Accept() (net.Conn, error) {
+	c, ok := <-e.conns
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+func (e *replayEndpoint) Close() error { return nil }
+
+func (e *replayEndpoint) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (e *replayEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	p := e.replay
+	time.Sleep(replayLatency)
+	p.recordArrival(r.Header.Get("Request-Id"))
+	h := w.Header()
+	h.Set("Request-Id", r.Header.Get("Request-Id"))
+	phase := p.phase(p.now() - clock.Minute)
+	if e.sheds(phase) || !e.begin() {
+		h.Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer e.end()
+	if !e.prefill(r) {
+		return
+	}
+	h.Set("Confidence", fmt.Sprint(confidenceOf(r.Header.Get("Request-Id"), r.Header.Get("Model"))))
+	w.WriteHeader(http.StatusOK)
+	for i := range replayEvents {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i+1)
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-time.After(replayEventDelay):
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// sheds reports whether the endpoint refuses the request although it has room.
+func (e *replayEndpoint) sheds(phase replayPhase) bool {
+	return float64(e.index) < phase.RefusingEndpoints*float64(e.replay.script.Endpoints) && e.replay.draw() < phase.Refused
+}
+
+func (e *replayEndpoint) begin() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.inFlight >= replaySlots+replayQueue {
+		return false
+	}
+	e.inFlight++
+	return true
+}
+
+func (e *replayEndpoint) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.inFlight--
+}
+
+// prefill waits until the prompt was prefilled, and reports whether the caller is still there.
+func (e *replayEndpoint) prefill(r *http.Request) bool {
+	took := replaySmallPrefill
+	if r.Header.Get("Model") == "large" {
+		took = replayLargePrefill
+	}
+	e.mu.Lock()
+	now := e.replay.now()
+	e.freeAt = max(e.freeAt, now) + took
+	wait := e.freeAt - now
+	e.mu.Unlock()
+	select {
+	case <-time.After(wait.Duration()):
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// confidenceOf returns a model's confidence in its answer to a request: the small model answers two
+// of five requests poorly.
+func confidenceOf(id, model string) int {
+	if model == "large" {
+		return 90
+	}
+	return 100 * int(catalog.HashOf(id+"/confidence")%100) / 99
+}
+
+func (p *replay) recordArrival(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.arrivals[id]++
+	if p.arrivals[id] > 1 {
+		p.retriedAt = append(p.retriedAt, p.now())
+	}
+}
+
+// dial connects to an endpoint of the replay.
+func (p *replay) dial(_ context.Context, _, address string) (net.Conn, error) {
+	near, far := net.Pipe()
+	p.endpoints[address].conns <- far
+	return near, nil
+}
+
+// newEntry returns an entry that knows the site.
+func (p *replay) newEntry(ctx context.Context, i int) *Server {
+	s := site.NewState(site.Self{Name: fmt.Sprint("entry-", i)}, p.now())
+	now := p.now()
+	config := &catalog.Config{Version: 1, Routes: []*catalog.Route{p.route}, Services: map[string]catalog.Service{"app": {Name: "app"}}}
+	site.Reduce(s, site.VerdictsRead{Now: now})
+	site.Reduce(s, site.OperatorRead{Now: now, SentAt: now, Full: true, Update: site.OperatorUpdate{Config: config.Index()}})
+	site.Reduce(s, site.EndpointsRead{Now: now, SentAt: now, Full: true, Changes: p.changes})
+	addresses := make(map[string]string)
+	for j := range p.script.Entries {
+		addresses[fmt.Sprint("entry-", j)] = fmt.Sprint(j)
+	}
+	site.Reduce(s, site.EntriesRead{Now: now, Addresses: addresses})
+	view := s.View()
+	c := clock.New(p.now)
+	server := New(Config{
+		Clock: c, Log: log.New(io.Discard), View: func() *site.View { return view }, Pool: upstream.NewPoolWith(c, p.dial),
+		RetryRatio: replayRatio, RetrySlack: replaySlack, RetryWindow: replayWindow, SessionIdleTimeout: 5 * clock.Second,
+		Dialect: Dialect{Read: readReplayRequest, Call: replayCall, Head: replayHead, SetRefusalHeaders: func(http.Header, string) {}},
+	})
+	send := func(r *wire.EntryReport, _ []string) error {
+		for j := range p.entries {
+			if other := p.entries[j].Load(); other != nil && other != server {
+				other.ReceiveReport(r)
+			}
+		}
+		return nil
+	}
+	go server.SendReports(ctx, fmt.Sprint("entry-", i, "/", now), send)
+	return server
+}
+
+func readReplayRequest(r *http.Request) (*Request, error) {
+	id := r.Header.Get("Request-Id")
+	return &Request{
+		ID: id, Method: r.Method, Path: r.URL.Path, Host: "h", AnyModel: true, CallerTimeout: 5 * clock.Second,
+		Blocks: []placement.Block{{ID: fmt.Sprint("shared-", catalog.HashOf(id)%100), Tokens: 300}, {ID: id, Tokens: 700}},
+	}, nil
+}
+
+func replayCall(req *Request, params AttemptParams, _ []byte) upstream.Call {
+	h := http.Header{"Request-Id": {req.ID}, "Model": {params.Model}}
+	if req.LastEventID != "" {
+		h.Set("Last-Event-Id", req.LastEventID)
+	}
+	return upstream.Call{Address: params.Address, Method: http.MethodGet, Target: "/x", Host: "h", Header: h}
+}
+
+func replayHead(status int, h http.Header) Head {
+	head := Head{Status: status, Signed: true, NotRun: h.Get("Not-Executed") != "", Confidence: -1, Header: http.Header{"Confidence": h["Confidence"]}}
+	_, _ = fmt.Sscan(h.Get("Confidence"), &head.Confidence)
+	return head
+}
+
+// call sends a request to an entry and returns the answer, whose status is 0 if it broke off.
+func (p *replay) call(id string, target clock.Millis) (status int, retryAfter time.Duration, inTime, good bool) {
+	p.mu.Lock()
+	p.sentAt = append(p.sentAt, p.now())
+	p.mu.Unlock()
+	server := p.entries[int(p.draw()*float64(len(p.entries)))].Load()
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest(http.MethodGet, "/x", nil)
+	r.Header.Set("Request-Id", id)
+	startedAt := p.now()
+	firstAt := clock.Millis(0)
+	first := &firstWrite{ResponseRecorder: w, written: func() { firstAt = p.now() }}
+	func() {
+		defer func() { _ = recover() }()
+		server.ServeHTTP(first, r)
+		status = w.Code
+	}()
+	var seconds float64
+	_, _ = fmt.Sscan(w.Header().Get("Retry-After"), &seconds)
+	confidence := 0
+	_, _ = fmt.Sscan(w.Header().Get("Confidence"), &confidence)
+	return status, time.Duration(seconds * float64(time.Second)), firstAt-startedAt <= target, confidence >= 50
+}
+
+// firstWrite notes the first write of an answer.
+type firstWrite struct {
+	*httptest.ResponseRecorder
+	once    sync.Once
+	written func()
+}
+
+func (w *firstWrite) Write(b []byte) (int, error) {
+	w.once.Do(w.written)
+	return w.ResponseRecorder.Write(b)
+}
+
+// caller sends a request and, if it was refused as not run, once more after the time that the
+// refusal names.
+func (p *replay) caller(i int) {
+	const target = 2 * clock.Second
+	status, wait, inTime, good := p.call(fmt.Sprint("r-", i), target)
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		time.Sleep(wait)
+		status, _, inTime, good = p.call(fmt.Sprint("r-", i, "-again"), target-clock.FromDuration(wait))
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.outcomes.callers++
+	if status != http.StatusOK {
+		return
+	}
+	p.outcomes.answered++
+	if inTime {
+		p.outcomes.inTime++
+		if good {
+			p.outcomes.good++
+		}
+	}
+}
+
+// run plays the script.
+func (p *replay) run(ctx context.Context) {
+	p.start = time.Now()
+	for i := range p.script.Endpoints {
+		address := fmt.Sprint("10.0.0.", i, ":1")
+		e := &replayEndpoint{replay: p, index: i, conns: make(chan net.Conn, 16)}
+		p.endpoints[address] = e
+		p.changes = append(p.changes, fleet.Change{ID: fmt.Sprint("i-", i), Endpoint: &fleet.Endpoint{ID: fmt.Sprint("i-", i), Service: "app", Address: address, Version: "v1", Slots: replaySlots}})
+		srv := &http.Server{Handler: e}
+		go func() { _ = srv.Serve(e) }()
+		defer func() { close(e.conns); _ = srv.Close() }()
+	}
+	p.entries = make([]atomic.Pointer[Server], p.script.Entries)
+	for i := range p.entries {
+		p.entries[i].Store(p.newEntry(ctx, i))
+	}
+	for _, r := range p.script.Restart {
+		time.AfterFunc(r.At.Duration(), func() { p.entries[r.Entry].Store(p.newEntry(ctx, r.Entry)) })
+	}
+	var callers sync.WaitGroup
+	for i := 0; ; i++ {
+		at := p.now() - clock.Minute
+		if at >= p.script.Duration {
+			break
+		}
+		callers.Go(func() { p.caller(i) })
+		time.Sleep(time.Duration(2 * p.draw() * float64(time.Second) / p.script.RequestsPerSecond / p.phase(at).Load))
+	}
+	callers.Wait()
+}
+
+// checkBudget fails if in some window there are more arrivals beyond the first than allowed: for
+// the requests of that window, the one before it or the one half a window before it.
+func (p *replay) checkBudget(t *testing.T) {
+	t.Helper()
+	within := func(times []clock.Millis, from clock.Millis) (n int) {
+		for _, at := range times {
+			if at >= from && at < from+replayWindow {
+				n++
+			}
+		}
+		return n
+	}
+	for from := clock.Minute; from < clock.Minute+p.script.Duration; from += 100 {
+		requests := max(within(p.sentAt, from), within(p.sentAt, from-replayWindow), within(p.sentAt, from-replayWindow/2))
+		if n := within(p.retriedAt, from); float64(n) > replayRatio*float64(requests)+replaySlack {
+			t.Errorf("%d arrivals beyond the first from %s on, for %d requests", n, from-clock.Minute, requests)
+			return
+		}
+	}
+}
+
+func playReplay(t *testing.T, name string, seed uint64) (p *replay) {
+	t.Helper()
+	is := is.New(t)
+	text, err := os.ReadFile(filepath.Join("testdata", "replays", name+".toml"))
+	is.NoErr(err)
+	p = &replay{
+		random: rand.New(rand.NewPCG(seed, seed)), endpoints: make(map[string]*replayEndpoint), arrivals: make(map[string]int),
+		route: &catalog.Route{Name: "r", Prefix: "/", Host: "h", Kind: catalog.Streaming, Resumable: true, Public: true, Timeout: 5000, LatencyTarget: 2000, TargetGap: 800, MaxAttempts: 3, Models: []string{"small", "large"}, Targets: []catalog.Target{{Service: "app", Weight: 1}}},
+	}
+	is.NoErr(toml.Unmarshal(text, &p.script))
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		p.run(ctx)
+	})
+	t.Logf("%s, seed %d: %s; %d arrivals beyond the first", name, seed, p.outcomes, len(p.retriedAt))
+	return p
+}
+
+// Most endpoints refuse most requests under more than double the traffic. Guards against retries
+// beyond the budget that all entries share.
+func TestSheddingEndpointsReplay(t *testing.T) {
+	for seed := range uint64(3) {
+		playReplay(t, "shedding", seed).checkBudget(t)
+	}
+}
+
+// No endpoint refuses. Guards against a budget that is kept for refusals while nothing is refused.
+func TestCalmReplay(t *testing.T) {
+	is := is.New(t)
+	p := playReplay(t, "calm", 1)
+	p.checkBudget(t)
+	is.Equal(p.outcomes.answered, p.outcomes.callers)
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/parsleydeal/parsleydeal/clock"
@@ -25,9 +27,9 @@
 
 // Pool keeps idle connections to endpoints. It is safe for concurrent use.
 type Pool struct {
-	clock  clock.Clock
-	dialer net.Dialer
-	mu     sync.Mutex
+	clock clock.Clock
+	dial  func(ctx context.Context, network, address string) (net.Conn, error)
+	mu    sync.Mutex
 	// idle holds the idle connections by address, the most recently used last. There are at most
 	// as many as the last call to the address allowed.
 	idle map[string][]*conn
@@ -38,7 +40,14 @@
 
 // NewPool returns an empty pool.
 func NewPool(c clock.Clock) *Pool {
-	return &Pool{clock: c, dialer: net.Dialer{Timeout: connectTimeout.Duration(), KeepAlive: -1}, idle: make(map[string][]*conn)}
+	dialer := net.Dialer{Timeout: connectTimeout.Duration(), KeepAlive: -1}
+	return NewPoolWith(c, dialer.DialContext)
+}
+
+// NewPoolWith returns an empty pool that opens connections with dial. Connections that are not TCP
+// connections are used for one request only.
+func NewPoolWith(c clock.Clock, dial func(ctx context.Context, network, address string) (net.Conn, error)) *Pool {
+	return &Pool{clock: c, dial: dial, idle: make(map[string][]*conn)}
 }
 
 // OpenConns returns the number of open connections.
@@ -59,7 +68,7 @@
 		}
 		c.release(false)
 	}
-	netConn, err := p.dialer.DialContext(ctx, "tcp4", call.Address)
+	netConn, err := p.dial(ctx, "tcp4", call.Address)
 	if err != nil {
 		return nil, err
 	}
@@ -153,7 +162,7 @@
 	if c.r.Buffered() > 0 {
 		return false
 	}
-	raw, err := c.net.(*net.TCPConn).SyscallConn()
+	raw, err := rawConn(c.net)
 	if err != nil {
 		return false
 	}
@@ -170,7 +179,7 @@
 // setUnackedTimeout has the kernel break a connection whose peer no longer acknowledges sent
 // bytes.
 func setUnackedTimeout(c net.Conn) {
-	raw, err := c.(*net.TCPConn).SyscallConn()
+	raw, err := rawConn(c)
 	if err != nil {
 		return
 	}
@@ -178,3 +187,12 @@
 		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout))
 	})
 }
+
+// rawConn returns the socket of a TCP connection.
+func rawConn(c net.Conn) (raw syscall.RawConn, err error) {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return tcp.SyscallConn()
+}
