Retry budget: optional retries leave what failing requests need

Callers were refused while their service's retries went into better answers: moves to a larger model and retries after refusals and failures drew on the same budget, first come first served.

A retry that only improves an answer now leaves as many retries as requests that fail without one needed in the latest three buckets (2 to 3 s), allowed or not.

TestOptionalRetriesYieldToNeededOnes needs the new call; with one budget for both kinds optional retries are granted after a denial.

--- a/limit/share.go
+++ b/limit/share.go
@@ -9,7 +9,8 @@
 // Share bounds retries relative to the requests of the same sliding window: each window allows at
 // most ratio times its requests plus slack. Each entry has its own Share, so that together the
 // entries stay within a common bound. Unlike with RetryBudget, retries that a quiet part of the
-// window leaves unused may be used in a busy part. It is safe for concurrent use.
+// window leaves unused may be used in a busy part. Retries without which a request fails go first:
+// optional ones leave as many as were needed lately. It is safe for concurrent use.
 type Share struct {
 	mu           sync.Mutex
 	windowLength clock.Millis
@@ -24,12 +25,20 @@
 type bucket struct {
 	requests int
 	retries  int
+	// needed counts the retries, allowed or not, of requests that fail without them.
+	needed int
 }
 
-// windowBuckets is the number of buckets in a window. Retries are counted for one bucket longer
-// than requests, so that the bound holds for every window, also for one that begins in the middle
-// of a bucket.
-const windowBuckets = 10
+const (
+	// windowBuckets is the number of buckets in a window. Retries are counted for one bucket longer
+	// than requests, so that the bound holds for every window, also for one that begins in the
+	// middle of a bucket.
+	windowBuckets = 10
+	// reserveBuckets is the number of the latest buckets whose needed retries optional ones must
+	// leave. The reserve bridges the time until retries at the start of the window expire; on a
+	// calm day it is near 0.
+	reserveBuckets = 3
+)
 
 // NewShare returns a Share without requests.
 func NewShare(windowLength clock.Millis, ratio, slack float64) *Share {
@@ -51,24 +60,49 @@
 	s.advance(now).requests++
 }
 
-// TryRetry counts a retry if it is allowed, and reports whether it is.
+// TryRetry counts a retry of a request that fails without it, if it is allowed, and reports whether
+// it is.
 func (s *Share) TryRetry(now clock.Millis) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := s.advance(now)
-	if !s.hasRoom() {
+	b.needed++
+	return s.take(b, 0)
+}
+
+// TryOptional counts a retry that may only improve an answer, if it is allowed, and reports whether
+// it is.
+func (s *Share) TryOptional(now clock.Millis) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.advance(now)
+	return s.take(b, s.reserve())
+}
+
+// CanRetryOptionally reports whether TryOptional would allow a retry now, without counting it.
+func (s *Share) CanRetryOptionally(now clock.Millis) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.advance(now)
+	return s.hasRoom(s.reserve())
+}
+
+// take counts a retry in the current bucket b if it leaves reserve retries.
+func (s *Share) take(b *bucket, reserve int) bool {
+	if !s.hasRoom(reserve) {
 		return false
 	}
 	b.retries++
 	return true
 }
 
-// CanRetry reports whether a retry would be allowed now, without counting it.
-func (s *Share) CanRetry(now clock.Millis) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.advance(now)
-	return s.hasRoom()
+// reserve returns how many retries optional ones must leave.
+func (s *Share) reserve() (n int) {
+	buckets := clock.Millis(len(s.buckets))
+	for i := range clock.Millis(reserveBuckets) {
+		n += s.buckets[(s.current+buckets-i)%buckets].needed
+	}
+	return n
 }
 
 // State returns the retries of the current window and how many it allows.
@@ -79,9 +113,9 @@
 	return s.state()
 }
 
-func (s *Share) hasRoom() bool {
+func (s *Share) hasRoom(reserve int) bool {
 	retries, allowed := s.state()
-	return float64(retries+1) <= allowed
+	return float64(retries+1+reserve) <= allowed
 }
 
 func (s *Share) state() (retries int, allowed float64) {
--- a/limit/share_test.go
+++ b/limit/share_test.go
@@ -80,3 +80,26 @@
 	is.Equal(share, 50)
 	is.True(bucket < 34)
 }
+
+// Endpoints begin to refuse while retries that only improve answers have used much of the window.
+// Guards against such retries taking those that refused requests need.
+func TestOptionalRetriesYieldToNeededOnes(t *testing.T) {
+	is := is.New(t)
+	s := NewShare(10*clock.Second, 0.7, 5)
+	deniedAt, optional, needed := clock.Millis(0), 0, 0
+	for now := clock.Millis(0); now < 20*clock.Second; now += 10 {
+		s.RecordRequest(now)
+		if now >= 10*clock.Second && !s.TryRetry(now) {
+			deniedAt = now
+		} else if now >= 10*clock.Second {
+			needed++
+		}
+		if now%20 != 0 || !s.TryOptional(now) {
+			continue
+		}
+		optional++
+		is.True(now < 10*clock.Second || deniedAt == 0)
+	}
+	is.True(optional >= 499) // all of the first 10 s
+	is.True(needed > 600)    // nearly all that 1,000 requests earn
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -261,7 +261,7 @@
 // model.
 func (a *attempt) mayEscalate() bool {
 	x := a.exchange
-	return !x.written && x.mayRepeat() && x.remaining() > minEscalationTime && x.budget().CanRetry(x.server.cfg.Clock.Now())
+	return !x.written && x.mayRepeat() && x.remaining() > minEscalationTime && x.budget().CanRetryOptionally(x.server.cfg.Clock.Now())
 }
 
 // minEscalationTime is the remaining time below which a larger model is not tried, because its
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -64,10 +64,14 @@
 // whether it is allowed. After an attempt of which nothing was sent it costs nothing: the budget
 // bounds what reaches endpoints beyond the first attempt.
 func (x *exchange) countRetry(a *attempt, r result) retryOutcome {
+	try := x.budget().TryRetry
+	if r == poor {
+		try = x.budget().TryOptional
+	}
 	switch {
 	case a.unsent:
 		return retryUncounted
-	case x.budget().TryRetry(x.server.cfg.Clock.Now()):
+	case try(x.server.cfg.Clock.Now()):
 		return retryGranted
 	case r == notRun:
 		return retryUncounted
