Count attempts after refusals against the retry budget

The more endpoints refuse, the more attempts were outside the budget: a limit with a way past it.

A refusal now has a retry only if the budget has one. Only attempts of which nothing was sent remain uncounted: nothing of them arrives.

--- a/relay/retry.go
+++ b/relay/retry.go
@@ -73,8 +73,6 @@
 		return retryUncounted
 	case try(x.server.cfg.Clock.Now()):
 		return retryGranted
-	case r == notRun:
-		return retryUncounted
 	}
 	return retryDenied
 }
