Keep a poor answer until the larger model's endpoint has taken the request

Callers got 502 although an answer was ready: the smaller model's answer was dropped as poor, then the larger model's endpoint refused, or another request had taken the last retry in between. Whether a retry was left was asked when the answer was dropped (CanRetry) and counted only after (TryRetry): a check apart from its act.

The retry is now counted where the answer is judged, and taken back if nothing of its attempt is sent.

--- a/limit/share.go
+++ b/limit/share.go
@@ -79,12 +79,15 @@
 	return s.take(b, s.reserve())
 }
 
-// CanRetryOptionally reports whether TryOptional would allow a retry now, without counting it.
-func (s *Share) CanRetryOptionally(now clock.Millis) bool {
+// Return takes back a retry that was counted at the given time and not made.
+func (s *Share) Return(countedAt, now clock.Millis) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.advance(now)
-	return s.hasRoom(s.reserve())
+	buckets := clock.Millis(len(s.buckets))
+	if number := s.number(countedAt); number > s.current-buckets {
+		s.buckets[number%buckets].retries--
+	}
 }
 
 // take counts a retry in the current bucket b if it leaves reserve retries.
@@ -131,7 +134,7 @@
 
 // advance clears the buckets that are older than the window and returns the current one.
 func (s *Share) advance(now clock.Millis) *bucket {
-	number := now / max(s.windowLength/windowBuckets, 1)
+	number := s.number(now)
 	n := clock.Millis(len(s.buckets))
 	for i := s.current + 1; i <= number && i <= s.current+n; i++ {
 		s.buckets[i%n] = bucket{}
@@ -139,3 +142,8 @@
 	s.current = max(s.current, number)
 	return &s.buckets[s.current%n]
 }
+
+// number returns the number of the bucket for the time at.
+func (s *Share) number(at clock.Millis) clock.Millis {
+	return at / max(s.windowLength/windowBuckets, 1)
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 
 	"github.com/joomcode/errorx"
@@ -47,6 +48,8 @@
 	wrongEndpoint bool
 	failureAnswer *bufferedAnswer
 	cause         error
+	// onEnd holds what ends with the attempt, in the order in which it began.
+	onEnd []func()
 }
 
 // run sends the request and handles the answer.
@@ -60,9 +63,12 @@
 	}
 	work := s.selector.Begin(a.endpoint, x.query(a.plan))
 	a.expectedFirstByte = work.ExpectedFirstByte()
-	defer work.End()
-	defer s.counts.beginRequest(x.service, a.endpoint.Version)()
-	defer s.sessions.begin(x.session, x.service, a.endpoint.Version, s.cfg.Clock.Now)()
+	a.onEnd = []func(){work.End, s.counts.beginRequest(x.service, a.endpoint.Version), s.sessions.begin(x.session, x.service, a.endpoint.Version, s.cfg.Clock.Now)}
+	defer func() {
+		if r != poor {
+			a.end()
+		}
+	}()
 	a.countLimited()
 	x.sends++
 	answer, err := s.cfg.Pool.Do(ctx, a.call())
@@ -72,11 +78,12 @@
 		return notRun, refusal.New(refusal.EndpointLost, err.Error())
 	}
 	x.runs++
+	x.unusedRetryAt = 0
 	if err != nil {
 		a.silent, a.cause = errorx.IsOfType(err, upstream.ErrSilent), err
 		return failed, refusal.New(refusal.EndpointLost, err.Error()).WithRun(refusal.Unknown)
 	}
-	defer answer.Close()
+	a.onEnd = append(a.onEnd, answer.Close)
 	a.timeToFirstByte = max(s.cfg.Clock.Now()-a.startedAt, 1)
 	x.connectTook += answer.ConnectTime()
 	h := s.cfg.Dialect.Head(answer.Status, answer.Header)
@@ -89,6 +96,13 @@
 	return a.classify(h, answer)
 }
 
+// end closes the answer and records that the attempt has ended. It must be called once.
+func (a *attempt) end() {
+	for _, end := range slices.Backward(a.onEnd) {
+		end()
+	}
+}
+
 // countLimited counts an attempt at an endpoint that advertises a rate limit.
 func (a *attempt) countLimited() {
 	s := a.exchange.server
@@ -249,7 +263,8 @@
 		return failed, refusal.New(refusal.EngineFailed, "answer with status "+strconv.Itoa(h.Status)+" is not the endpoint's own").WithRun(refusal.Unknown)
 	case h.Status >= http.StatusInternalServerError:
 		return a.readFailure(h, answer)
-	case h.Status == http.StatusOK && a.mayEscalate() && a.isPoor(h.Confidence):
+	case h.Status == http.StatusOK && a.mayEscalate() && a.isPoor(h.Confidence) && x.takeRetry(reasonEscalated) == retryGranted:
+		x.keep(&fallback{attempt: a, head: h, answer: answer})
 		return poor, refusal.New(refusal.EngineFailed, "answer is probably poor").WithRun(refusal.Ran)
 	case x.route.Kind == catalog.Streaming && h.Status == http.StatusOK:
 		return a.streamAnswer(h, answer)
@@ -261,7 +276,7 @@
 // model.
 func (a *attempt) mayEscalate() bool {
 	x := a.exchange
-	return !x.written && x.mayRepeat() && x.remaining() > minEscalationTime && x.budget().CanRetryOptionally(x.server.cfg.Clock.Now())
+	return !x.written && x.mayRepeat() && x.remaining() > minEscalationTime
 }
 
 // minEscalationTime is the remaining time below which a larger model is not tried, because its
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -27,56 +27,71 @@
 	return [...]string{"none", "granted", "denied", "uncounted"}[o]
 }
 
-// decideRetry decides whether another attempt follows one that ended with r, and counts it.
+// decideRetry decides whether another attempt follows one that ended with r, and counts it. That of a
+// poor answer has been counted already.
 func (x *exchange) decideRetry(ctx context.Context, a *attempt, r result) retryOutcome {
 	switch {
 	case r == done, r == ended, ctx.Err() != nil, x.remaining() < minRemaining:
 		return noRetry
-	case r != poor && !x.mayRetry(r):
+	case r == poor:
+		return retryGranted
+	case !x.mayRetry(r):
 		return noRetry
+	case a.unsent:
+		// Nothing of the attempt arrived, and the budget bounds what arrives beyond the first attempt.
+		x.server.countRetry(x.service, reasonUnsent, retryUncounted)
+		return retryUncounted
+	}
+	return x.takeRetry(a.retryReason(r))
+}
+
+// takeRetry counts a retry for the given reason against the budget, if it has room.
+func (x *exchange) takeRetry(reason string) (o retryOutcome) {
+	now := x.server.cfg.Clock.Now()
+	try := x.budget().TryRetry
+	if reason == reasonEscalated {
+		try = x.budget().TryOptional
 	}
-	o := x.countRetry(a, r)
-	x.server.countRetryOutcome(x.service, a.retryReason(r), o)
+	o = retryDenied
+	if try(now) {
+		o, x.unusedRetryAt = retryGranted, now
+	}
+	x.server.countRetry(x.service, reason, o)
 	return o
 }
 
-// retryReason returns why an attempt that ended with r needs another one, for metrics.
+// returnUnusedRetry takes back the last retry if nothing of its attempt was sent.
+func (x *exchange) returnUnusedRetry() {
+	if x.unusedRetryAt > 0 {
+		x.budget().Return(x.unusedRetryAt, x.server.cfg.Clock.Now())
+	}
+}
+
+// Reasons for a retry, for metrics.
+const (
+	reasonEscalated = "escalated"
+	reasonRefused   = "refused"
+	reasonSilent    = "silent"
+	reasonFailed    = "failed"
+	reasonUnsent    = "unsent"
+)
+
+// retryReason returns why an attempt that ended with r needs another one.
 func (a *attempt) retryReason(r result) string {
 	switch {
-	case a.unsent:
-		return "unsent"
-	case r == poor:
-		return "escalated"
 	case r == notRun:
-		return "refused"
+		return reasonRefused
 	case a.silent:
-		return "silent"
+		return reasonSilent
 	}
-	return "failed"
+	return reasonFailed
 }
 
-// countRetryOutcome counts the decision about a retry by service and reason.
-func (s *Server) countRetryOutcome(service, reason string, o retryOutcome) {
+// countRetry counts the decision about a retry for metrics.
+func (s *Server) countRetry(service, reason string, o retryOutcome) {
 	s.metrics.GetOrCreateCounter(fmt.Sprintf("parsleydeal_retries_total{service=%q,reason=%q,outcome=%q}", service, reason, o)).Inc()
 }
 
-// countRetry counts the attempt that follows another one against the retry budget, and reports
-// whether it is allowed. After an attempt of which nothing was sent it costs nothing: the budget
-// bounds what reaches endpoints beyond the first attempt.
-func (x *exchange) countRetry(a *attempt, r result) retryOutcome {
-	try := x.budget().TryRetry
-	if r == poor {
-		try = x.budget().TryOptional
-	}
-	switch {
-	case a.unsent:
-		return retryUncounted
-	case try(x.server.cfg.Clock.Now()):
-		return retryGranted
-	}
-	return retryDenied
-}
-
 // mayRetry reports whether the request may have another attempt.
 func (x *exchange) mayRetry(r result) bool {
 	if r == notRun {
--- a/relay/retry_test.go
+++ b/relay/retry_test.go
@@ -76,3 +76,48 @@
 		})
 	}
 }
+
+// The larger model's endpoints refuse, and the budget has one retry for many poor answers. Guards
+// against callers that get an error in place of the smaller model's answer, which was ready.
+func TestReadyAnswerIsNotLostToRefusedLargerModel(t *testing.T) {
+	is := is.New(t)
+	answer := func(r *http.Request) standin.Reply {
+		if r.Header.Get("Model") == "large" {
+			return standin.Reply{NotRun: true}
+		}
+		return standin.Reply{Confidence: 10, Events: 3, BreakAfter: -1}
+	}
+	route := &catalog.Route{Name: "r", Kind: catalog.Streaming, Resumable: true, Timeout: 5000, LatencyTarget: 2000, MaxAttempts: 3, Models: []string{"small", "large"}, Targets: []catalog.Target{{Service: "app", Weight: 1}}}
+	var changes []fleet.Change
+	for i := range 8 {
+		name := fmt.Sprint("i-", i)
+		e, err := standin.StartEndpoint(name, answer)
+		is.NoErr(err)
+		defer e.Close()
+		changes = append(changes, slotsOf(name, e.Address()))
+	}
+	view := viewOf(route, changes)
+	server := serverOn(clock.Boot(), view)
+	server.cfg.RetryRatio, server.cfg.RetrySlack, server.cfg.RetryWindow = 0, float64(view.Entries())/retrySlackFraction, 10*clock.Second
+	server.cfg.Dialect.Call, server.cfg.Dialect.Head = replayCall, replayHead
+	statuses := make(chan int, 20)
+	var all sync.WaitGroup
+	for i := range cap(statuses) {
+		w, now := httptest.NewRecorder(), server.cfg.Clock.Now()
+		x := &exchange{
+			server: server, view: view, w: w, r: httptest.NewRequest(http.MethodGet, "/x", nil), startedAt: now, deadline: now + 5000,
+			req: &Request{ID: fmt.Sprint("r-", i), Method: http.MethodGet, AnyModel: true}, route: route, service: "app",
+		}
+		all.Go(func() {
+			if x.run(t.Context()) != nil {
+				w.Code = http.StatusBadGateway
+			}
+			statuses <- w.Code
+		})
+	}
+	all.Wait()
+	close(statuses)
+	for status := range statuses {
+		is.Equal(status, http.StatusOK)
+	}
+}
--- a/relay/run.go
+++ b/relay/run.go
@@ -52,6 +52,8 @@
 // attempts or retry budget are used up. No other layer retries requests.
 func (x *exchange) run(ctx context.Context) (err error) {
 	x.tried, x.silentEndpoints = make(map[string]bool), make(map[string]bool)
+	defer x.returnUnusedRetry()
+	defer x.dropFallback()
 	p := x.plan()
 	var failure *bufferedAnswer
 	for {
@@ -187,9 +189,12 @@
 	body []byte
 }
 
-// giveUp ends a request with the failure response that an endpoint sent, if there is one, or else
-// with err.
+// giveUp ends a request with the answer that was kept for this case, if there is one, or else with the
+// failure response that an endpoint sent, or else with err.
 func (x *exchange) giveUp(failure *bufferedAnswer, err error) error {
+	if f := x.takeFallback(); f != nil {
+		return x.correctRunState(f.deliver())
+	}
 	if failure == nil || x.written || x.r.Context().Err() != nil {
 		return err
 	}
--- a/relay/run_test.go
+++ b/relay/run_test.go
@@ -212,7 +212,7 @@
 	is.Equal(x.endpoint, "i-running")
 	is.Equal(running.Received(), 1)
 	is.True(x.unsent > 0)
-	is.True(x.budget().CanRetryOptionally(c.Now())) // nothing that was sent needed it
+	is.True(x.budget().TryRetry(c.Now())) // nothing that was sent needed it
 }
 
 // An entry gets its first request before it knows how many others there are, and assumes many. Guards
@@ -221,9 +221,9 @@
 	is := is.New(t)
 	server := serverOn(clock.Boot(), nil)
 	server.cfg.RetrySlack = 2 / retrySlackFraction
-	is.True(!server.budget("app", 8).CanRetryOptionally(1000))
-	is.True(server.budget("app", 1).CanRetryOptionally(1000))
-	is.True(!server.budget("app", 8).CanRetryOptionally(1000))
+	is.True(!server.budget("app", 8).TryOptional(1000))
+	is.True(server.budget("app", 1).TryOptional(1000))
+	is.True(!server.budget("app", 8).TryOptional(1000))
 }
 
 // awaitRefusal waits until an address refuses connections: a server that is closed while it starts
--- a/relay/server.go
+++ b/relay/server.go
@@ -162,6 +162,10 @@
 	unsent          int
 	// retry is the decision about another attempt after the last one.
 	retry retryOutcome
+	// unusedRetryAt is when the retry was counted of which nothing has been sent yet; 0 if there is none.
+	unusedRetryAt clock.Millis
+	// fallback is the answer to deliver if no endpoint takes the request; nil if there is none.
+	fallback *fallback
 	// written is true once the head of the answer was sent to the caller.
 	written bool
 	// status, endpoint, version and model are those of the answer, for the log.
