Tell a store outage from an entry that was cut off

Two entries that were cut off from the store took that for an outage of the store, in which registrations lapse, and kept for two seconds an endpoint whose registration was missing.

Readers now report how long the store has served them. An entry that hears of one that was served for more than 2 s before its own first success was cut off.

Evidence: the logs show the endpoint gone at all entries exactly 2 s after the first of the two was served again.

--- a/site/share.go
+++ b/site/share.go
@@ -70,8 +70,11 @@
 		Process: s.self.Process, Name: s.self.Name, Zone: s.self.Zone, Leaving: s.leaving,
 		OperatorNext: s.operatorNext, FleetDigest: s.fleet.Snapshot().Digest(),
 	}
-	if s.failing {
+	switch {
+	case s.failing:
 		r.StoreAgeMillis = int64(max(s.now-s.storeAnsweredAt, 1))
+	case s.reader() && s.servedSince > 0:
+		r.ServedMillis = int64(max(s.now-s.servedSince, 1))
 	}
 	if s.config != nil {
 		r.Version = s.config.Version
--- a/site/state.go
+++ b/site/state.go
@@ -99,6 +99,10 @@
 	// when the first of the failed calls failed.
 	failing      bool
 	failingSince clock.Millis
+	// servedSince is when the store began to serve this entry, 0 before that. peerServedSince is since
+	// when it has served another entry, as reported while it failed this one; 0 if no entry did.
+	servedSince     clock.Millis
+	peerServedSince clock.Millis
 	// wasJudge, wasReader and wasProbedByPeers are values as of the last tick: whether this entry
 	// might have to write verdicts, and the results of reader and probedByPeers.
 	wasJudge         bool
@@ -197,7 +201,7 @@
 	case StoreFailed:
 		s.now = e.Now
 		if !s.failing {
-			s.failing, s.failingSince = true, e.Now
+			s.failing, s.failingSince, s.peerServedSince = true, e.Now, 0
 		}
 	case Leave:
 		s.leaving = true
@@ -334,17 +338,28 @@
 	outageThreshold = 2400 * clock.Millis(1)
 	// recoveryGrace is how long after a store outage endpoints may take to register again.
 	recoveryGrace = 2 * clock.Second
+	// recoverySkew is how much earlier than this entry another one may notice the end of an outage.
+	recoverySkew = 2 * clock.Second
 )
 
 // storeAnswered records a successful call to the store.
 func (s *State) storeAnswered() {
-	if s.failing && s.now-s.failingSince > outageThreshold {
+	if s.failing && s.now-s.failingSince > outageThreshold && !s.wasCutOff() {
 		s.recoveredAt = s.now
 	}
+	if s.failing || s.servedSince == 0 {
+		s.servedSince = s.now
+	}
 	s.storeAnsweredAt = s.now
 	s.failing = false
 }
 
+// wasCutOff reports whether the store served other entries while it failed this one. Endpoints could
+// then renew their registrations, and those that are missing have left.
+func (s *State) wasCutOff() bool {
+	return s.peerServedSince > 0 && s.now-s.peerServedSince > recoverySkew
+}
+
 // retainLapsed retains endpoints whose registrations disappeared during a store outage. Endpoints
 // cannot renew their registrations during an outage. If all of them were removed when the store is
 // back, every request would be refused for two seconds.
@@ -430,6 +445,9 @@
 		s.addresses[r.GetName()] = r.GetAddress()
 		effects = append(effects, Publish{})
 	}
+	if since := max(s.now-clock.Millis(r.GetServedMillis()), 1); s.failing && r.GetServedMillis() > 0 && (s.peerServedSince == 0 || since < s.peerServedSince) {
+		s.peerServedSince = since
+	}
 	for _, u := range r.GetUpgrades() {
 		effects = append(effects, s.receiveUpgrade(r.GetProcess(), u)...)
 	}
