Let a restarted entry wait before it sends to endpoints in cold start

Two of four entries were killed after they had used their share of the endpoint's bound, and used it again in their new processes within the same second: 12 + 4 + 2 x (4 + 4) = 32 by the divided shares. A limit over a window was counted in memory that a restart forgets.

An entry now sends nothing to endpoints that are or may be in cold start for as long as that window lasts after its start; all others serve its callers meanwhile.

TestRestartedEntryWaitsForColdShare fails before (3 requests, none allowed).

Rates that endpoints name are counted over 4.2 s and forgotten too: not seen broken.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -69,6 +69,8 @@
 	// even share. 0 means no bound.
 	Cold float64
 	Warm float64
+	// NoCold is set while this entry may send nothing to endpoints that are or may be in cold start.
+	NoCold bool
 	// Shares holds this entry's share of these bounds and of advertised rates, by the
 	// endpoint's zone.
 	Shares map[string]Share
--- a/placement/selector.go
+++ b/placement/selector.go
@@ -17,10 +17,10 @@
 	// failureHalfLife is the half-life of the failure ratio. The ratio decays even without new
 	// outcomes, so that a failed endpoint is tried again.
 	failureHalfLife = 4 * clock.Second
-	// sendWindow is the sliding window in which sent requests are counted against Bounds. The
+	// SendWindow is the sliding window in which sent requests are counted against Bounds. The
 	// bounds are per second, and the window is 0.2 s longer: requests sent more than a second
 	// apart may arrive within one second if the first of them waited for its connection.
-	sendWindow = 1200 * clock.Millis(1)
+	SendWindow = 1200 * clock.Millis(1)
 )
 
 // Selector selects endpoints. It tracks the state of each endpoint from this process's traffic and
@@ -334,9 +334,12 @@
 func withinBounds(s *fleet.Snapshot, e *fleet.Endpoint, st *endpointState, q Query) bool {
 	total := q.Bounds.Warm * warmShareFactor
 	if s.Cold(e, q.Now) || st.assumedColdUntil > q.Now || st.advertisedBy(e).coldUntil > q.Now {
+		if q.Bounds.NoCold {
+			return false
+		}
 		total = q.Bounds.Cold
 	}
-	return total <= 0 || st.sentSince(q.Now-sendWindow) < q.Bounds.Shares[e.Zone].Quota(total, e.ID)
+	return total <= 0 || st.sentSince(q.Now-SendWindow) < q.Bounds.Shares[e.Zone].Quota(total, e.ID)
 }
 
 // sentSince counts the requests sent at or after the time at.
@@ -352,7 +355,7 @@
 // all entries prefer the same endpoint, selection by cost does not balance its load with that of
 // others.
 func withinEvenShare(e *fleet.Endpoint, st *endpointState, q Query) bool {
-	return q.Bounds.Warm <= 0 || st.sentSince(q.Now-sendWindow) < q.Bounds.Shares[e.Zone].Quota(q.Bounds.Warm, e.ID)
+	return q.Bounds.Warm <= 0 || st.sentSince(q.Now-SendWindow) < q.Bounds.Shares[e.Zone].Quota(q.Bounds.Warm, e.ID)
 }
 
 // prefillSavings returns what the cached tokens of a prompt save in addition to their prefill
--- a/relay/run_test.go
+++ b/relay/run_test.go
@@ -226,6 +226,38 @@
 	is.True(!server.budget("app", 8).TryOptional(1000))
 }
 
+// An entry is killed after it has used its share of a cold endpoint, and starts again. Guards against
+// its new process using the share once more within the same second.
+func TestRestartedEntryWaitsForColdShare(t *testing.T) {
+	is := is.New(t)
+	now := 10 * clock.Second
+	c := clock.New(func() clock.Millis { return now })
+	route := &catalog.Route{Name: "r", Targets: []catalog.Target{{Service: "app", Weight: 1}}}
+	cold := slotsOf("i-cold", "10.0.0.1:1")
+	cold.Endpoint.Slots, cold.Endpoint.ColdUntil = 64, clock.Minute
+	s := site.NewState(site.Self{Name: "e"}, 0)
+	config := &catalog.Config{Version: 1, Routes: []*catalog.Route{route}, Services: map[string]catalog.Service{"app": {Name: "app", ColdPerSecond: 16}}}
+	site.Reduce(s, site.VerdictsRead{Now: now})
+	site.Reduce(s, site.OperatorRead{Now: now, SentAt: now, Full: true, Update: site.OperatorUpdate{Config: config.Index()}})
+	site.Reduce(s, site.EndpointsRead{Now: now, SentAt: now, Full: true, Changes: []fleet.Change{cold}})
+	sent := func(server *Server) (n int) {
+		server.cfg.ColdOverage = 1.5
+		q := placement.Query{Service: "app", Rule: s.View().Rule("app", now), Bounds: server.bounds(s.View(), "app"), Now: now}
+		for e, _ := server.selector.Select(s.View().Fleet(), q); e != nil; e, _ = server.selector.Select(s.View().Fleet(), q) {
+			n++
+		}
+		return n
+	}
+	server := serverOn(c, s.View())
+	now += 2 * clock.Second
+	is.Equal(sent(server), 3) // an eighth of 24
+	now += 400
+	restarted := serverOn(c, s.View())
+	is.Equal(sent(restarted), 0)
+	now += placement.SendWindow
+	is.Equal(sent(restarted), 3)
+}
+
 // awaitRefusal waits until an address refuses connections: a server that is closed while it starts
 // may still hold its listener for a moment.
 func awaitRefusal(address string) {
