Hold the retry budget in every window, however requests are divided among entries

The sum of the entries' shares could exceed the common budget: a share counted the requests of the last window for retries that may all fall into the window's last moments (bursts, requests moving from one entry to another), the slack was divided by the number of entries that each one knew, which is 1, 2, 3 ... for entries that start together, and 0.8 and 0.5 of the limits were used without a stated cause.

Each share now holds its bound for every window that still lasts, as a weighted mean of the requests of that window and of the one half a window earlier: means add up over entries, maxima do not.

TestEntriesStayWithinCommonRetryBudget fails before; 150,000 draws hold now. Test servers are made as if they had run for a while, except where a test is about starts.

--- a/limit/share.go
+++ b/limit/share.go
@@ -6,20 +6,24 @@
 	"github.com/parsleydeal/parsleydeal/clock"
 )
 
-// Share bounds retries relative to the requests of the same sliding window: each window allows at
-// most ratio times its requests plus slack. Each entry has its own Share, so that together the
-// entries stay within a common bound. Unlike with RetryBudget, retries that a quiet part of the
-// window leaves unused may be used in a busy part. Retries without which a request fails go first:
-// optional ones leave as many as were needed lately. It is safe for concurrent use.
+// Share bounds retries relative to requests in each sliding window: the retries of a window are at
+// most ratio times the requests of it or of the window that begins half a window earlier, whichever
+// has more, plus slack. It allows ratio times a fixed weighted mean of the two. Each entry has its
+// own Share, and however requests are divided among entries, the sum of their means is the mean of
+// the sums, so that together they stay within the common bound. Unlike with RetryBudget, retries that a quiet part of the window leaves unused may be used
+// in a busy part. Retries without which a request fails go first: optional ones leave as many as
+// were needed lately. It is safe for concurrent use.
 type Share struct {
 	mu           sync.Mutex
 	windowLength clock.Millis
 	ratio        float64
 	slack        float64
-	// buckets holds the counts of one window. current is the number of the newest bucket, where
+	// buckets holds the counts of a window and half a window before it. current is the number of the newest bucket, where
 	// bucket 0 starts at time 0.
-	buckets [windowBuckets + 1]bucket
+	buckets [windowBuckets + windowBuckets/2 + 1]bucket
 	current clock.Millis
+	// first is the number of the bucket of the first request; -1 before that.
+	first clock.Millis
 }
 
 type bucket struct {
@@ -30,19 +34,20 @@
 }
 
 const (
-	// windowBuckets is the number of buckets in a window. Retries are counted for one bucket longer
-	// than requests, so that the bound holds for every window, also for one that begins in the
-	// middle of a bucket.
-	windowBuckets = 10
+	// windowBuckets is the number of buckets in a window.
+	windowBuckets = 20
 	// reserveBuckets is the number of the latest buckets whose needed retries optional ones must
 	// leave. The reserve bridges the time until retries at the start of the window expire; on a
 	// calm day it is near 0.
-	reserveBuckets = 3
+	reserveBuckets = 6
+	// inWindowWeight is the weight of a window's own requests. The rest lets retries follow the
+	// requests of the moments before the window.
+	inWindowWeight = 0.7
 )
 
 // NewShare returns a Share without requests.
 func NewShare(windowLength clock.Millis, ratio, slack float64) *Share {
-	return &Share{windowLength: windowLength, ratio: ratio, slack: slack}
+	return &Share{windowLength: windowLength, ratio: ratio, slack: slack, first: -1}
 }
 
 // SetSlack changes the retries that are allowed without any requests. It follows the number of
@@ -58,6 +63,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.advance(now).requests++
+	if s.first < 0 {
+		s.first = s.current
+	}
 }
 
 // TryRetry counts a retry of a request that fails without it, if it is allowed, and reports whether
@@ -65,9 +73,8 @@
 func (s *Share) TryRetry(now clock.Millis) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b := s.advance(now)
-	b.needed++
-	return s.take(b, 0)
+	s.advance(now).needed++
+	return s.take(0)
 }
 
 // TryOptional counts a retry that may only improve an answer, if it is allowed, and reports whether
@@ -75,8 +82,8 @@
 func (s *Share) TryOptional(now clock.Millis) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b := s.advance(now)
-	return s.take(b, s.reserve())
+	s.advance(now)
+	return s.take(s.reserve())
 }
 
 // Return takes back a retry that was counted at the given time and not made.
@@ -84,66 +91,86 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.advance(now)
-	buckets := clock.Millis(len(s.buckets))
-	if number := s.number(countedAt); number > s.current-buckets {
-		s.buckets[number%buckets].retries--
+	if s.holds(s.number(countedAt)) {
+		s.bucket(s.number(countedAt)).retries--
 	}
 }
 
-// take counts a retry in the current bucket b if it leaves reserve retries.
-func (s *Share) take(b *bucket, reserve int) bool {
-	if !s.hasRoom(reserve) {
+// State returns the retries of the window that has the fewest left, and how many it allows.
+func (s *Share) State(now clock.Millis) (retries int, allowed float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.advance(now)
+	return s.tightest()
+}
+
+// take counts a retry if it leaves reserve retries in every window.
+func (s *Share) take(reserve int) bool {
+	retries, allowed := s.tightest()
+	if float64(retries+1+reserve) > allowed {
 		return false
 	}
-	b.retries++
+	s.bucket(s.current).retries++
 	return true
 }
 
 // reserve returns how many retries optional ones must leave.
 func (s *Share) reserve() (n int) {
-	buckets := clock.Millis(len(s.buckets))
 	for i := range clock.Millis(reserveBuckets) {
-		n += s.buckets[(s.current+buckets-i)%buckets].needed
+		n += s.bucket(s.current - i).needed
 	}
 	return n
 }
 
-// State returns the retries of the current window and how many it allows.
-func (s *Share) State(now clock.Millis) (retries int, allowed float64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.advance(now)
-	return s.state()
-}
-
-func (s *Share) hasRoom(reserve int) bool {
-	retries, allowed := s.state()
-	return float64(retries+1+reserve) <= allowed
-}
-
-func (s *Share) state() (retries int, allowed float64) {
-	requests := 0
-	for i, x := range s.buckets {
-		retries += x.retries
-		if clock.Millis(i) != (s.current+1)%clock.Millis(len(s.buckets)) {
-			requests += x.requests
+// tightest returns the retries of the window that has the fewest left, and how many it allows. The
+// windows are those that began in any bucket and still last. Only buckets that lie wholly in a
+// window count for its requests, since it may begin anywhere in its first bucket.
+func (s *Share) tightest() (retries int, allowed float64) {
+	const half = windowBuckets / 2
+	var before [len(s.buckets) + 1]int // before[i] counts the requests before the i-th oldest bucket
+	oldest := s.current - windowBuckets - half
+	for i := range s.buckets {
+		before[i+1] = before[i] + s.bucket(oldest+clock.Millis(i)).requests
+	}
+	requests := func(from, to int) int { return before[min(to, len(s.buckets))] - before[from] }
+	sum := 0
+	for first := len(s.buckets) - 1; first >= half; first-- {
+		if first < len(s.buckets)-1 && oldest+clock.Millis(first) < s.first {
+			break
+		}
+		sum += s.bucket(oldest + clock.Millis(first)).retries
+		inWindow, earlier := requests(first+1, len(s.buckets)), requests(first-half+1, first+half)
+		weight := inWindowWeight * float64(len(s.buckets)-1-first) / windowBuckets
+		bound := s.ratio*(weight*float64(inWindow)+(1-weight)*float64(earlier)) + s.slack
+		if first == len(s.buckets)-1 || bound-float64(sum) < allowed-float64(retries) {
+			retries, allowed = sum, bound
 		}
 	}
-	return retries, s.ratio*float64(requests) + s.slack
+	return retries, allowed
 }
 
-// advance clears the buckets that are older than the window and returns the current one.
+// advance clears the buckets that are too old and returns the current one.
 func (s *Share) advance(now clock.Millis) *bucket {
 	number := s.number(now)
-	n := clock.Millis(len(s.buckets))
-	for i := s.current + 1; i <= number && i <= s.current+n; i++ {
-		s.buckets[i%n] = bucket{}
+	for i := s.current + 1; i <= number && i <= s.current+clock.Millis(len(s.buckets)); i++ {
+		*s.bucket(i) = bucket{}
 	}
 	s.current = max(s.current, number)
-	return &s.buckets[s.current%n]
+	return s.bucket(s.current)
 }
 
 // number returns the number of the bucket for the time at.
 func (s *Share) number(at clock.Millis) clock.Millis {
 	return at / max(s.windowLength/windowBuckets, 1)
 }
+
+// holds reports whether the counts of a bucket are still kept.
+func (s *Share) holds(number clock.Millis) bool {
+	return number > s.current-clock.Millis(len(s.buckets))
+}
+
+// bucket returns the bucket with the given number, which may be negative before the first window.
+func (s *Share) bucket(number clock.Millis) *bucket {
+	n := clock.Millis(len(s.buckets))
+	return &s.buckets[(number%n+n)%n]
+}
--- a/relay/admit_test.go
+++ b/relay/admit_test.go
@@ -42,6 +42,7 @@
 			route := &catalog.Route{Name: "r", Host: "h", Prefix: "/", Public: true, Kind: catalog.Idempotent, Timeout: 2000, LatencyTarget: 500, MaxAttempts: 2, Targets: []catalog.Target{{Service: "app", Weight: 1}}}
 			before, after := site.NewState(site.Self{Name: "e"}, 0).View(), viewOf(route, []fleet.Change{slotsOf("i-1", e.Address())})
 			server := serverOn(c, nil)
+			server.startedAt = startedAt
 			server.cfg.Started = started
 			server.cfg.View = func() *site.View {
 				select {
--- a/relay/replay_test.go
+++ b/relay/replay_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -380,25 +381,29 @@
 	callers.Wait()
 }
 
-// checkBudget fails if in some window there are more arrivals beyond the first than allowed: for
-// the requests of that window, the one before it or the one half a window before it.
+// checkBudget fails if in some window there are more arrivals beyond the first than allowed.
 func (p *replay) checkBudget(t *testing.T) {
 	t.Helper()
+	if from, n, requests := p.excess(); n > 0 {
+		t.Errorf("%d arrivals beyond the first from %s on, for %d requests", n, from, requests)
+	}
+}
+
+// excess returns a window with more arrivals beyond the first than are allowed for the requests of that
+// window, the one before it or the one half a window before it; n is 0 if there is none.
+func (p *replay) excess() (from clock.Millis, n, requests int) {
 	within := func(times []clock.Millis, from clock.Millis) (n int) {
-		for _, at := range times {
-			if at >= from && at < from+replayWindow {
-				n++
-			}
-		}
-		return n
+		first, _ := slices.BinarySearch(times, from)
+		end, _ := slices.BinarySearch(times, from+replayWindow)
+		return end - first
 	}
-	for from := clock.Minute; from < clock.Minute+p.script.Duration; from += 100 {
-		requests := max(within(p.sentAt, from), within(p.sentAt, from-replayWindow), within(p.sentAt, from-replayWindow/2))
-		if n := within(p.retriedAt, from); float64(n) > replayRatio*float64(requests)+replaySlack {
-			t.Errorf("%d arrivals beyond the first from %s on, for %d requests", n, from-clock.Minute, requests)
-			return
+	for from = clock.Minute; from < clock.Minute+p.script.Duration; from += 100 {
+		requests = max(within(p.sentAt, from), within(p.sentAt, from-replayWindow), within(p.sentAt, from-replayWindow/2))
+		if n = within(p.retriedAt, from); float64(n) > replayRatio*float64(requests)+replaySlack {
+			return from - clock.Minute, n, requests
 		}
 	}
+	return 0, 0, 0
 }
 
 func playReplay(t *testing.T, name string, seed uint64) (p *replay) {
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 
+	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/limit"
 )
 
@@ -112,19 +113,27 @@
 // budget returns the retry budget of the request's service.
 func (x *exchange) budget() *limit.Share { return x.server.budget(x.service, x.view.Entries()) }
 
-// Fractions of the retry limits that this process uses. The rest is a reserve, because an entry's
-// part of the traffic differs from one retry window to the next.
 const (
+	// retryRatioFraction is the fraction of the ratio that this process uses. The traffic of an entry
+	// may move to another one, so that the sum of what all entries allow themselves exceeds what the
+	// requests of any one window allow.
 	retryRatioFraction = 0.8
-	retrySlackFraction = 0.5
+	// retrySlackFraction is the fraction of the slack that the entries divide. A restarted entry
+	// forgets the part that it has used.
+	retrySlackFraction = 0.4
+	// entriesSettleTime is how long after its start an entry may know too few others, if they
+	// started together. It uses no slack meanwhile unless it is the first.
+	entriesSettleTime = 2 * clock.Second
 )
 
-// budget returns the retry budget of a service. Its slack follows the number of entries: an entry
-// that has just started assumes many, and would otherwise refuse retries for as long as it runs.
+// budget returns the retry budget of a service. Its slack follows the number of entries.
 func (s *Server) budget(service string, entries int) *limit.Share {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	slack := s.cfg.RetrySlack * retrySlackFraction / float64(entries)
+	if entries > 1 && s.cfg.Clock.Since(s.startedAt) < entriesSettleTime {
+		slack = 0
+	}
 	b, ok := s.budgets[service]
 	if !ok {
 		b = limit.NewShare(s.cfg.RetryWindow, s.cfg.RetryRatio*retryRatioFraction, slack)
--- a/relay/retry_test.go
+++ b/relay/retry_test.go
@@ -1,18 +1,24 @@
 package relay
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"maps"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"sync"
 	"testing"
 
+	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
 	"github.com/parsleydeal/parsleydeal/catalog"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/fleet"
 	"github.com/parsleydeal/parsleydeal/platform/standin"
+	"github.com/parsleydeal/parsleydeal/site"
+	"pgregory.net/rapid"
 )
 
 // refusingServer returns a server whose endpoints refuse every request. arrivals counts how often each
@@ -121,3 +127,88 @@
 		is.Equal(status, http.StatusOK)
 	}
 }
+
+// drawnEntry is an entry of a drawn site, with the number of entries that it believes in.
+type drawnEntry struct {
+	server    *Server
+	believed  int
+	startedAt clock.Millis
+}
+
+// All entries of a drawn site start together, so that each knows only those that registered before it;
+// endpoints refuse, requests are escalated, and entries restart, each at most once in a window. Guards against a sum of their retries
+// that exceeds the common budget in some window.
+func TestEntriesStayWithinCommonRetryBudget(t *testing.T) {
+	route := &catalog.Route{Name: "r", Kind: catalog.Streaming, Resumable: true, MaxAttempts: 3, Targets: []catalog.Target{{Service: "app", Weight: 1}}}
+	views := make(map[int]*site.View)
+	rapid.Check(t, func(t *rapid.T) {
+		now := clock.Minute
+		c := clock.New(func() clock.Millis { return now })
+		p := &replay{script: replayScript{Duration: 30 * clock.Second}, arrivals: make(map[string]int)}
+		n := rapid.IntRange(1, 70).Draw(t, "entries")
+		start := func() *Server {
+			return New(Config{Clock: c, Log: log.New(io.Discard), RetryRatio: replayRatio, RetrySlack: replaySlack, RetryWindow: replayWindow})
+		}
+		entries := make([]drawnEntry, n)
+		for i := range entries {
+			entries[i] = drawnEntry{start(), i + 1, now}
+		}
+		settledAt := now + clock.Millis(rapid.IntRange(0, 2000).Draw(t, "settled"))
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		perSecond, refused, escalated := 0.0, 0.0, 0.0
+		for phaseEnd := now; now < clock.Minute+p.script.Duration; {
+			if now >= phaseEnd {
+				phaseEnd = now + clock.Millis(rapid.IntRange(500, 10000).Draw(t, "phase"))
+				perSecond = rapid.Float64Range(0.5, 300).Draw(t, "requests a second")
+				refused, escalated = rapid.Float64Range(0, 1).Draw(t, "refused"), rapid.Float64Range(0, 1).Draw(t, "escalated")
+				if e := &entries[random.IntN(n)]; now-e.startedAt > replayWindow && rapid.Bool().Draw(t, "restart") {
+					e.server, e.startedAt = start(), now
+				}
+			}
+			e := &entries[random.IntN(n)]
+			if now >= settledAt {
+				e.believed = n
+			}
+			if views[e.believed] == nil {
+				views[e.believed] = viewOfEntries(e.believed)
+			}
+			p.drawRequest(&exchange{server: e.server, view: views[e.believed], service: "app", route: route, startedAt: now, deadline: now + 5*clock.Second}, random, refused, escalated)
+			now += clock.Millis(random.ExpFloat64() * 1000 / perSecond)
+		}
+		if from, n, requests := p.excess(); n > 0 {
+			t.Fatalf("%d arrivals beyond the first from %s on, for %d requests", n, from, requests)
+		}
+	})
+}
+
+// drawRequest lets a request be escalated and refused with the given probabilities.
+func (p *replay) drawRequest(x *exchange, random *rand.Rand, refused, escalated float64) {
+	p.sentAt = append(p.sentAt, x.startedAt)
+	x.budget().RecordRequest(x.startedAt)
+	again := random.Float64() < escalated && x.takeRetry(reasonEscalated) == retryGranted
+	for {
+		x.sends++
+		if !again && random.Float64() >= refused {
+			return
+		}
+		if !again {
+			o := x.decideRetry(context.Background(), &attempt{exchange: x}, notRun)
+			if o != retryGranted && o != retryUncounted {
+				return
+			}
+		}
+		again = false
+		p.retriedAt = append(p.retriedAt, x.startedAt)
+	}
+}
+
+// viewOfEntries returns the view of an entry that knows n entries, including itself.
+func viewOfEntries(n int) *site.View {
+	s := site.NewState(site.Self{Name: "e-0"}, 0)
+	addresses := make(map[string]string)
+	for i := range n {
+		addresses[fmt.Sprint("e-", i)] = "10.0.0.1:1"
+	}
+	site.Reduce(s, site.EntriesRead{Now: 1, Addresses: addresses})
+	return s.View()
+}
--- a/relay/run_test.go
+++ b/relay/run_test.go
@@ -35,9 +35,9 @@
 	return s.View()
 }
 
-// serverOn returns a server that sends plain HTTP to the endpoints of a view.
+// serverOn returns a server that has run for some time and sends plain HTTP to the endpoints of a view.
 func serverOn(c clock.Clock, view *site.View) *Server {
-	return New(Config{
+	s := New(Config{
 		Clock: c, Log: log.New(io.Discard), View: func() *site.View { return view }, Pool: upstream.NewPool(c), RetryRatio: 1, RetrySlack: 100, RetryWindow: 1000,
 		Dialect: Dialect{
 			Call: func(req *Request, params AttemptParams, _ []byte) upstream.Call {
@@ -48,6 +48,8 @@
 			},
 		},
 	})
+	s.startedAt -= entriesSettleTime
+	return s
 }
 
 // slotsOf returns the registration of an endpoint of the service app with four slots.
@@ -253,6 +255,7 @@
 	is.Equal(sent(server), 3) // an eighth of 24
 	now += 400
 	restarted := serverOn(c, s.View())
+	restarted.startedAt = now
 	is.Equal(sent(restarted), 0)
 	now += placement.SendWindow
 	is.Equal(sent(restarted), 3)
