Ask for the list of entries as soon as an entry names more

Entries that start together read the store each on its own, and divide limits by too few, until they know of each other: TestFewEntriesReadTheStore failed once, "not in 4s: all know of eight". An entry looked each 1.5 s whether another one knows more; with a late report two rounds used up the four seconds.

It now looks ten times a second at its own view and asks at most each 1.5 s as before.

--- a/site/loop.go
+++ b/site/loop.go
@@ -212,17 +212,22 @@
 	}
 }
 
-// entriesInterval is the minimum time between two queries for the entries that are running.
-const entriesInterval = 1500 * clock.Millis(1)
+const (
+	// entriesInterval is the minimum time between two queries for the entries that are running.
+	entriesInterval = 1500 * clock.Millis(1)
+	// entriesCheckInterval is the interval at which an entry checks whether another one knows more.
+	entriesCheckInterval = 100 * clock.Millis(1)
+)
 
 // completeEntries asks an entry that knows more of the running entries for their list. An entry that
 // starts together with others gets a list that lacks some.
 func (l *Loop) completeEntries(ctx context.Context) {
-	for clock.Pause(ctx, entriesInterval) {
+	for pause := entriesCheckInterval; clock.Pause(ctx, pause); {
 		v := l.View()
-		if v.fullerList.Address == "" || l.cfg.TakeEntries == nil {
+		if pause = entriesCheckInterval; v.fullerList.Address == "" || l.cfg.TakeEntries == nil {
 			continue
 		}
+		pause = entriesInterval
 		entries, err := l.takeEntries(ctx, v.fullerList)
 		if err != nil {
 			l.cfg.Log.Warn("List of entries was not taken", "from", v.fullerList.Name, "error", logbook.Text(err))
