--- a/limit/share.go
+++ b/limit/share.go
@@ -8,9 +8,9 @@
 
 // Share bounds retries relative to requests in each sliding window: the retries of a window are at
 // most ratio times the requests of it or of the window that begins half a window earlier, whichever
-// has more, plus slack. It allows ratio times a fixed weighted mean of the two. Each entry has its
-// own Share, and however requests are divided among entries, the sum of their means is the mean of
-// the sums, so that together they stay within the common bound. Unlike with RetryBudget, retries that a quiet part of the window leaves unused may be used
+// has more, plus slack. Instead of the larger number it uses a weighted mean of the two, so that the
+// Shares of all entries together stay within the common bound however requests are divided among
+// them: means add up, maxima do not. Unlike with RetryBudget, retries that a quiet part of the window leaves unused may be used
 // in a busy part. Retries without which a request fails go first: optional ones leave as many as
 // were needed lately. It is safe for concurrent use.
 type Share struct {
@@ -40,8 +40,8 @@
 	// leave. The reserve bridges the time until retries at the start of the window expire; on a
 	// calm day it is near 0.
 	reserveBuckets = 6
-	// inWindowWeight is the weight of a window's own requests. The rest lets retries follow the
-	// requests of the moments before the window.
+	// inWindowWeight is the weight of a window's own requests at its end. It grows from 0 while the
+	// window lasts, so that the first retries of a window may follow requests from before it.
 	inWindowWeight = 0.7
 )
 
@@ -136,7 +136,7 @@
 	sum := 0
 	for first := len(s.buckets) - 1; first >= half; first-- {
 		if first < len(s.buckets)-1 && oldest+clock.Millis(first) < s.first {
-			break
+			break // this process has not seen the requests before its first one
 		}
 		sum += s.bucket(oldest + clock.Millis(first)).retries
 		inWindow, earlier := requests(first+1, len(s.buckets)), requests(first-half+1, first+half)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -267,6 +267,7 @@
 		x.keep(&fallback{attempt: a, head: h, answer: answer})
 		return poor, refusal.New(refusal.EngineFailed, "answer is probably poor").WithRun(refusal.Ran)
 	case x.route.Kind == catalog.Streaming && h.Status == http.StatusOK:
+		x.dropFallback()
 		return a.streamAnswer(h, answer)
 	}
 	return a.readAnswer(h, answer)
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -19,7 +19,8 @@
 	retryGranted
 	// retryDenied means that the retry budget was used up.
 	retryDenied
-	// retryUncounted means that the attempt is made without being counted.
+	// retryUncounted means that the attempt is made and need not be counted: nothing of the last one
+	// was sent.
 	retryUncounted
 )
 
@@ -28,8 +29,8 @@
 	return [...]string{"none", "granted", "denied", "uncounted"}[o]
 }
 
-// decideRetry decides whether another attempt follows one that ended with r, and counts it. That of a
-// poor answer has been counted already.
+// decideRetry decides whether another attempt follows one that ended with r, and counts it. For a poor
+// answer it was counted when the answer was judged.
 func (x *exchange) decideRetry(ctx context.Context, a *attempt, r result) retryOutcome {
 	switch {
 	case r == done, r == ended, ctx.Err() != nil, x.remaining() < minRemaining:
@@ -39,7 +40,6 @@
 	case !x.mayRetry(r):
 		return noRetry
 	case a.unsent:
-		// Nothing of the attempt arrived, and the budget bounds what arrives beyond the first attempt.
 		x.server.countRetry(x.service, reasonUnsent, retryUncounted)
 		return retryUncounted
 	}
