--- a/limit/share.go
+++ b/limit/share.go
@@ -10,16 +10,16 @@
 // most ratio times the requests of it or of the window that begins half a window earlier, whichever
 // has more, plus slack. Instead of the larger number it uses a weighted mean of the two, so that the
 // Shares of all entries together stay within the common bound however requests are divided among
-// them: means add up, maxima do not. Unlike with RetryBudget, retries that a quiet part of the window leaves unused may be used
-// in a busy part. Retries without which a request fails go first: optional ones leave as many as
-// were needed lately. It is safe for concurrent use.
+// them: means add up, maxima do not. Unlike with RetryBudget, retries that a quiet part of the
+// window leaves unused may be used in a busy part. Retries without which a request fails go first:
+// optional ones leave as many as were needed lately. It is safe for concurrent use.
 type Share struct {
 	mu           sync.Mutex
 	windowLength clock.Millis
 	ratio        float64
 	slack        float64
-	// buckets holds the counts of a window and half a window before it. current is the number of the newest bucket, where
-	// bucket 0 starts at time 0.
+	// buckets holds the counts of a window and half a window before it. current is the number of the
+	// newest bucket, where bucket 0 starts at time 0.
 	buckets [windowBuckets + windowBuckets/2 + 1]bucket
 	current clock.Millis
 	// first is the number of the bucket of the first request; -1 before that.
@@ -122,33 +122,44 @@
 	return n
 }
 
+// halfWindow is the number of buckets in half a window.
+const halfWindow = windowBuckets / 2
+
 // tightest returns the retries of the window that has the fewest left, and how many it allows. The
-// windows are those that began in any bucket and still last. Only buckets that lie wholly in a
-// window count for its requests, since it may begin anywhere in its first bucket.
+// windows are those that began in any bucket and still last.
 func (s *Share) tightest() (retries int, allowed float64) {
-	const half = windowBuckets / 2
-	var before [len(s.buckets) + 1]int // before[i] counts the requests before the i-th oldest bucket
-	oldest := s.current - windowBuckets - half
+	newest := len(s.buckets) - 1
+	oldest := s.current - clock.Millis(newest)
+	// before[i] counts the requests before the i-th oldest bucket.
+	var before [len(s.buckets) + 1]int
 	for i := range s.buckets {
 		before[i+1] = before[i] + s.bucket(oldest+clock.Millis(i)).requests
 	}
-	requests := func(from, to int) int { return before[min(to, len(s.buckets))] - before[from] }
-	sum := 0
-	for first := len(s.buckets) - 1; first >= half; first-- {
-		if first < len(s.buckets)-1 && oldest+clock.Millis(first) < s.first {
-			break // this process has not seen the requests before its first one
-		}
-		sum += s.bucket(oldest + clock.Millis(first)).retries
-		inWindow, earlier := requests(first+1, len(s.buckets)), requests(first-half+1, first+half)
-		weight := inWindowWeight * float64(len(s.buckets)-1-first) / windowBuckets
-		bound := s.ratio*(weight*float64(inWindow)+(1-weight)*float64(earlier)) + s.slack
-		if first == len(s.buckets)-1 || bound-float64(sum) < allowed-float64(retries) {
-			retries, allowed = sum, bound
+	retries = s.bucket(s.current).retries
+	allowed = s.allowed(before[:], newest)
+	sum := retries
+	// This process has not seen the requests before its first one, so that windows which began
+	// earlier tell nothing.
+	for i := newest - 1; i >= halfWindow && oldest+clock.Millis(i) >= s.first; i-- {
+		sum += s.bucket(oldest + clock.Millis(i)).retries
+		if n := s.allowed(before[:], i); n-float64(sum) < allowed-float64(retries) {
+			retries, allowed = sum, n
 		}
 	}
 	return retries, allowed
 }
 
+// allowed returns how many retries a window may have that began in the i-th oldest bucket. Only
+// buckets that lie wholly in a window count for its requests, since it may have begun anywhere in
+// that bucket.
+func (s *Share) allowed(before []int, i int) float64 {
+	newest := len(s.buckets) - 1
+	inWindow := before[newest+1] - before[i+1]
+	earlier := before[min(i+halfWindow, newest+1)] - before[i-halfWindow+1]
+	weight := inWindowWeight * float64(newest-i) / windowBuckets
+	return s.ratio*(weight*float64(inWindow)+(1-weight)*float64(earlier)) + s.slack
+}
+
 // advance clears the buckets that are too old and returns the current one.
 func (s *Share) advance(now clock.Millis) *bucket {
 	number := s.number(now)
