Count no entry as a reader that leaves reading to others

Both readers of the store were killed and started again within 0.5 s; an entry that has taken another one's state leaves reading to others for 1.5 s, but the entry that survived counted them as the readers. Nobody read for 2.1 s.

--- a/site/share.go
+++ b/site/share.go
@@ -67,7 +67,7 @@
 // newReport returns a report with the fields that every report has.
 func (s *State) newReport() *wire.EntryReport {
 	r := &wire.EntryReport{
-		Process: s.self.Process, Name: s.self.Name, Zone: s.self.Zone, Leaving: s.leaving,
+		Process: s.self.Process, Name: s.self.Name, Zone: s.self.Zone, Leaving: s.leaving, Standby: s.standby(),
 		OperatorNext: s.operatorNext, FleetDigest: s.fleet.Snapshot().Digest(),
 	}
 	switch {
--- a/site/state.go
+++ b/site/state.go
@@ -141,7 +141,7 @@
 // changesEligibility reports whether a newer report may change which entries can be delegates, or
 // their order.
 func (p *peer) changesEligibility(r *wire.EntryReport) bool {
-	return p.report == nil || p.report.GetLeaving() != r.GetLeaving() || p.report.GetZone() != r.GetZone() ||
+	return p.report == nil || p.report.GetLeaving() != r.GetLeaving() || p.report.GetStandby() != r.GetStandby() || p.report.GetZone() != r.GetZone() ||
 		(clock.Millis(p.report.GetStoreAgeMillis()) < maxStoreAge) != (clock.Millis(r.GetStoreAgeMillis()) < maxStoreAge)
 }
 
--- a/site/state_test.go
+++ b/site/state_test.go
@@ -179,7 +179,7 @@
 	name := a.text("from")
 	r := &wire.EntryReport{
 		Process: name + "/1", Name: name, Address: "10.0.0.1:" + name, OperatorNext: a.number("next"), OperatorFrom: a.number("since"),
-		StoreAgeMillis: a.number("store-age"), ServedMillis: a.number("served"), AskMillis: a.number("ask"), ReplyMillis: a.number("reply"), ReplyTo: a.text("reply-to"),
+		StoreAgeMillis: a.number("store-age"), ServedMillis: a.number("served"), Standby: a.has("standby"), AskMillis: a.number("ask"), ReplyMillis: a.number("reply"), ReplyTo: a.text("reply-to"),
 		ConfirmedAgeMillis: a.number("age"), FleetAgeMillis: a.number("age"),
 	}
 	e := ReportReceived{Now: now, Report: r}
--- a/site/upgrade.go
+++ b/site/upgrade.go
@@ -64,9 +64,7 @@
 // together would all take the first rank until they receive each other's reports.
 func (s *State) rank() (rank int) {
 	rank = slices.Index(s.delegates(), s.self.Name)
-	if s.now-s.tookStateAt < peerTimeout {
-		// The entry that gave its state has it from a reader, and reports from the entries that
-		// precede this one are still to come.
+	if s.standby() {
 		rank = max(rank, judgeCount)
 	}
 	if s.now-s.entriesReadAt >= peerTimeout {
@@ -80,9 +78,14 @@
 	return rank
 }
 
+// standby reports whether this entry has just taken another one's state and leaves the tasks of
+// delegates to others: the giver has its state from a reader, and reports from the entries that
+// precede this one are still to come.
+func (s *State) standby() bool { return s.now-s.tookStateAt < peerTimeout }
+
 // eligible reports whether another entry can be a delegate.
 func (s *State) eligible(p *peer) bool {
-	return s.now-p.lastSeenAt < peerTimeout && !p.report.GetLeaving() && clock.Millis(p.report.GetStoreAgeMillis()) < maxStoreAge
+	return s.now-p.lastSeenAt < peerTimeout && !p.report.GetLeaving() && !p.report.GetStandby() && clock.Millis(p.report.GetStoreAgeMillis()) < maxStoreAge
 }
 
 // delegateOrder is the order of the delegates at a given time.
