--- a/relay/retry.go
+++ b/relay/retry.go
@@ -117,10 +117,10 @@
 	// retryRatioFraction is the fraction of the ratio that this process uses. The traffic of an entry
 	// may move to another one, so that the sum of what all entries allow themselves exceeds what the
 	// requests of any one window allow.
-	retryRatioFraction = 0.8
+	retryRatioFraction = 0.85
 	// retrySlackFraction is the fraction of the slack that the entries divide. A restarted entry
 	// forgets the part that it has used.
-	retrySlackFraction = 0.4
+	retrySlackFraction = 0.5
 	// entriesSettleTime is how long after its start an entry may know too few others, if they
 	// started together. It uses no slack meanwhile unless it is the first.
 	entriesSettleTime = 2 * clock.Second
