--- a/limit/share.go
+++ b/limit/share.go
@@ -8,9 +8,9 @@
 
 // Share bounds retries relative to requests in each sliding window: the retries of a window are at
 // most ratio times the requests of it or of the window that begins half a window earlier, whichever
-// has more, plus slack. Instead of the larger number it uses a weighted mean of the two, so that the
-// Shares of all entries together stay within the common bound however requests are divided among
-// them: means add up, maxima do not. Unlike with RetryBudget, retries that a quiet part of the
+// has more, plus slack. Instead of the larger number it uses a weighted mean of the two: the means of
+// all entries add up however requests are divided among them, maxima do not. Since the weights change
+// while a window lasts, a common bound needs a margin in ratio. Unlike with RetryBudget, retries that a quiet part of the
 // window leaves unused may be used in a busy part. Retries without which a request fails go first:
 // optional ones leave as many as were needed lately. It is safe for concurrent use.
 type Share struct {
--- a/relay/retry_test.go
+++ b/relay/retry_test.go
@@ -136,49 +136,60 @@
 }
 
 // All entries of a drawn site start together, so that each knows only those that registered before it;
-// endpoints refuse, requests are escalated, and entries of a site with several restart, each at most once in a window. Guards against a sum of their retries
-// that exceeds the common budget in some window.
+// endpoints refuse, requests are escalated, and entries restart, each at most once in a window. Guards
+// against a sum of their retries that exceeds the common budget in some window.
 func TestEntriesStayWithinCommonRetryBudget(t *testing.T) {
-	route := &catalog.Route{Name: "r", Kind: catalog.Streaming, Resumable: true, MaxAttempts: 3, Targets: []catalog.Target{{Service: "app", Weight: 1}}}
-	views := make(map[int]*site.View)
 	rapid.Check(t, func(t *rapid.T) {
-		now := clock.Minute
-		c := clock.New(func() clock.Millis { return now })
-		p := &replay{script: replayScript{Duration: 30 * clock.Second}, arrivals: make(map[string]int)}
 		n := rapid.IntRange(1, 70).Draw(t, "entries")
-		start := func() *Server {
-			return New(Config{Clock: c, Log: log.New(io.Discard), RetryRatio: replayRatio, RetrySlack: replaySlack, RetryWindow: replayWindow})
-		}
-		entries := make([]drawnEntry, n)
-		for i := range entries {
-			entries[i] = drawnEntry{start(), i + 1, now}
-		}
-		settledAt := now + clock.Millis(rapid.IntRange(0, 2000).Draw(t, "settled"))
-		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
-		perSecond, refused, escalated := 0.0, 0.0, 0.0
-		for phaseEnd := now; now < clock.Minute+p.script.Duration; {
-			if now >= phaseEnd {
-				phaseEnd = now + clock.Millis(rapid.IntRange(500, 10000).Draw(t, "phase"))
-				perSecond = rapid.Float64Range(0.5, 300).Draw(t, "requests a second")
-				refused, escalated = rapid.Float64Range(0, 1).Draw(t, "refused"), rapid.Float64Range(0, 1).Draw(t, "escalated")
-				if e := &entries[random.IntN(n)]; n > 1 && now-e.startedAt > replayWindow && rapid.Bool().Draw(t, "restart") {
-					e.server, e.startedAt = start(), now
-				}
-			}
-			e := &entries[random.IntN(n)]
-			if now >= settledAt {
-				e.believed = n
-			}
-			if views[e.believed] == nil {
-				views[e.believed] = viewOfEntries(e.believed)
+		checkDrawnSite(t, n, n > 1)
+	})
+}
+
+// The only entry of a site restarts at most once in a window. Guards against its new process using the
+// slack of the common budget once more.
+func TestRestartedOnlyEntryStaysWithinRetryBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { checkDrawnSite(t, 1, true) })
+}
+
+// checkDrawnSite fails if the retries of a drawn site of n entries exceed the common budget.
+func checkDrawnSite(t *rapid.T, n int, restarts bool) {
+	route := &catalog.Route{Name: "r", Kind: catalog.Streaming, Resumable: true, MaxAttempts: 3, Targets: []catalog.Target{{Service: "app", Weight: 1}}}
+	views := make(map[int]*site.View)
+	now := clock.Minute
+	c := clock.New(func() clock.Millis { return now })
+	p := &replay{script: replayScript{Duration: 30 * clock.Second}}
+	start := func() *Server {
+		return New(Config{Clock: c, Log: log.New(io.Discard), RetryRatio: replayRatio, RetrySlack: replaySlack, RetryWindow: replayWindow})
+	}
+	entries := make([]drawnEntry, n)
+	for i := range entries {
+		entries[i] = drawnEntry{start(), i + 1, now}
+	}
+	settledAt := now + clock.Millis(rapid.IntRange(0, 2000).Draw(t, "settled"))
+	random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+	perSecond, refused, escalated := 0.0, 0.0, 0.0
+	for phaseEnd := now; now < clock.Minute+p.script.Duration; {
+		if now >= phaseEnd {
+			phaseEnd = now + clock.Millis(rapid.IntRange(500, 10000).Draw(t, "phase"))
+			perSecond = rapid.Float64Range(0.5, 300).Draw(t, "requests a second")
+			refused, escalated = rapid.Float64Range(0, 1).Draw(t, "refused"), rapid.Float64Range(0, 1).Draw(t, "escalated")
+			if e := &entries[random.IntN(n)]; restarts && now-e.startedAt > replayWindow && rapid.Bool().Draw(t, "restart") {
+				e.server, e.startedAt = start(), now
 			}
-			p.drawRequest(&exchange{server: e.server, view: views[e.believed], service: "app", route: route, startedAt: now, deadline: now + 5*clock.Second}, random, refused, escalated)
-			now += clock.Millis(random.ExpFloat64() * 1000 / perSecond)
 		}
-		if from, n, requests := p.excess(); n > 0 {
-			t.Fatalf("%d arrivals beyond the first from %s on, for %d requests", n, from, requests)
+		e := &entries[random.IntN(n)]
+		if now >= settledAt {
+			e.believed = n
 		}
-	})
+		if views[e.believed] == nil {
+			views[e.believed] = viewOfEntries(e.believed)
+		}
+		p.drawRequest(&exchange{server: e.server, view: views[e.believed], service: "app", route: route, startedAt: now, deadline: now + 5*clock.Second}, random, refused, escalated)
+		now += clock.Millis(random.ExpFloat64() * 1000 / perSecond)
+	}
+	if from, n, requests := p.excess(); n > 0 {
+		t.Fatalf("%d arrivals beyond the first from %s on, for %d requests", n, from, requests)
+	}
 }
 
 // drawRequest lets a request be escalated and refused with the given probabilities.
