Log the prompt blocks and the phase of attempts that did not answer

When an endpoint ends, the attempt that had just begun there cannot be told from the others that broke with it, nor what such attempts have in common: their lines had no route, organisation or blocks.

Counted in parsleydeal_attempts_unanswered_total. No decision changes.

--- /dev/null
+++ b/relay/phase.go
@@ -0,0 +1,60 @@
+package relay
+
+import (
+	"strings"
+
+	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/placement"
+)
+
+// phase is how far an attempt got.
+type phase string
+
+// The phases.
+const (
+	// phaseUnsent means that nothing was sent to the endpoint.
+	phaseUnsent phase = "unsent"
+	// phaseWaiting means that the endpoint sent no head.
+	phaseWaiting phase = "waiting"
+	// phaseBeginning means that the head arrived less than beginningTime ago.
+	phaseBeginning phase = "beginning"
+	// phaseRunning means that the head arrived earlier.
+	phaseRunning phase = "running"
+)
+
+// beginningTime is the time after the head of an answer in which an endpoint that fails because of
+// the request usually fails: when it has generated the first tokens.
+const beginningTime = 500 * clock.Millis(1)
+
+// phase returns how far the attempt has got.
+func (a *attempt) phase(now clock.Millis) phase {
+	switch {
+	case a.unsent:
+		return phaseUnsent
+	case a.timeToFirstByte == 0:
+		return phaseWaiting
+	case now-a.startedAt-a.timeToFirstByte < beginningTime:
+		return phaseBeginning
+	}
+	return phaseRunning
+}
+
+// countUnanswered counts an attempt that did not produce the answer by its result and phase.
+func (s *Server) countUnanswered(a *attempt, r result) {
+	s.metrics.GetOrCreateCounter(`parsleydeal_attempts_unanswered_total{result="` + r.String() + `",phase="` + string(a.phase(s.cfg.Clock.Now())) + `"}`).Inc()
+}
+
+// maxLoggedBlocks limits the blocks in a log line, maxLoggedBlockBytes the bytes of each.
+const (
+	maxLoggedBlocks     = 8
+	maxLoggedBlockBytes = 40
+)
+
+// sharedBlocks returns the IDs of the blocks of a prompt that other requests may share, for logs.
+func sharedBlocks(blocks []placement.Block) string {
+	var ids []string
+	for i := range min(len(blocks)-1, maxLoggedBlocks) {
+		ids = append(ids, blocks[i].ID[:min(len(blocks[i].ID), maxLoggedBlockBytes)])
+	}
+	return strings.Join(ids, ",")
+}
--- a/relay/run.go
+++ b/relay/run.go
@@ -252,8 +252,9 @@
 	s := x.server
 	now := s.cfg.Clock.Now()
 	used, limit := x.budget().State(now)
-	s.cfg.Log.Info("Attempt did not answer", "request", x.req.ID, "endpoint", a.endpoint.ID, "address", a.endpoint.Address, "zone", a.endpoint.Zone,
-		"version", a.endpoint.Version, "model", a.plan.model(), "result", r, "status", a.status, "confidence", a.confidence, "silent", a.silent,
+	s.countUnanswered(a, r)
+	s.cfg.Log.Info("Attempt did not answer", "request", x.req.ID, "route", x.route.Name, "organisation", x.organisation, "blocks", sharedBlocks(x.req.Blocks), "endpoint", a.endpoint.ID, "address", a.endpoint.Address, "zone", a.endpoint.Zone,
+		"version", a.endpoint.Version, "model", a.plan.model(), "result", r, "phase", a.phase(now), "status", a.status, "confidence", a.confidence, "silent", a.silent,
 		"after", now-a.startedAt, "expected", a.expectedFirstByte, "first", a.timeToFirstByte, "left", x.remaining(),
 		"retry", x.retry, "retries-used", used, "retries-allowed", int(limit), "error", logbook.Text(err))
 }
