--- /dev/null
+++ b/relay/crash_replay_test.go
@@ -0,0 +1,339 @@
+package relay
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/parsleydeal/parsleydeal/catalog"
+	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/fleet"
+	"github.com/parsleydeal/parsleydeal/peer/wire"
+	"github.com/parsleydeal/parsleydeal/placement"
+	"github.com/parsleydeal/parsleydeal/site"
+)
+
+// crashScript is the part of a script about endpoints that end.
+type crashScript struct {
+	// LostReports is the fraction of reports between entries that are lost.
+	LostReports float64      `toml:"lost-reports"`
+	Crash       []crashLoad  `toml:"crash"`
+	Sound       []crashLoad  `toml:"sound"`
+	End         []replayEnds `toml:"end"`
+}
+
+// crashLoad is a stream of requests with a block of their own, which crashes endpoints or not. Other
+// blocks are those of the usual requests, and only the last one differs between requests.
+type crashLoad struct {
+	Block     string       `toml:"block"`
+	First     bool         `toml:"first"`
+	PerSecond float64      `toml:"per-second"`
+	From      clock.Millis `toml:"from"`
+	To        clock.Millis `toml:"to"`
+}
+
+// replayEnds takes one endpoint away in each interval Every.
+type replayEnds struct {
+	Every clock.Millis `toml:"every"`
+	From  clock.Millis `toml:"from"`
+	To    clock.Millis `toml:"to"`
+}
+
+// crashRecord is what happened in a replay with endpoints that end.
+type crashRecord struct {
+	// crashedAt holds the times at which endpoints crashed by a block, crashingAt those at which
+	// requests with such a block arrived at endpoints.
+	crashedAt  []clock.Millis
+	crashingAt []clock.Millis
+	// firstTries holds the first tries of sound callers by the block that they had of their own.
+	firstTries map[string][]firstTry
+}
+
+type firstTry struct {
+	at     clock.Millis
+	served bool
+}
+
+const (
+	// crashDelay is the time from the head of an answer to the crash by a block.
+	crashDelay = 70 * time.Millisecond
+	// returnDelay is the time until an endpoint that ended is back, under another name. leaseTime is
+	// the time until the one that ended is no longer listed.
+	returnDelay = 1500 * time.Millisecond
+	leaseTime   = 2500 * time.Millisecond
+	// stabilityWindow is the time within which all entries must know a block that crashed endpoints,
+	// after the fifth crash.
+	stabilityWindow = 3 * clock.Second
+	crashesToKnow   = 5
+	// maxArrivalsAfter is how many requests with the block may arrive after that.
+	maxArrivalsAfter = 3
+)
+
+func replayBlocks(id, own string) []placement.Block {
+	first, middle := fmt.Sprint("first-", catalog.HashOf(id)%5), fmt.Sprint("shared-", catalog.HashOf(id)%100)
+	blocks := []placement.Block{{ID: middle, Tokens: 300}, {ID: id, Tokens: 700}}
+	own, isFirst := strings.CutPrefix(own, "first/")
+	switch {
+	case own == "":
+		return blocks
+	case isFirst:
+		return append([]placement.Block{{ID: own, Tokens: 100}}, blocks...)
+	}
+	return append([]placement.Block{{ID: first, Tokens: 100}, {ID: own, Tokens: 100}}, blocks...)
+}
+
+// crashes reports whether the request has a block that crashes endpoints.
+func (p *replay) crashes(r *http.Request) bool {
+	own := strings.TrimPrefix(r.Header.Get("Blocks"), "first/")
+	return own != "" && slices.ContainsFunc(p.script.Crash, func(c crashLoad) bool { return c.Block == own })
+}
+
+// addEndpoint starts the next endpoint and lists it.
+func (p *replay) addEndpoint() {
+	p.mu.Lock()
+	i := len(p.endpoints)
+	id, address := fmt.Sprint("i-", i), fmt.Sprint("10.0.", i/250, ".", i%250, ":1")
+	e := &replayEndpoint{replay: p, index: i, conns: make(chan net.Conn, 16)}
+	e.server = &http.Server{Handler: e}
+	p.endpoints[address] = e
+	change := fleet.Change{ID: id, Endpoint: &fleet.Endpoint{ID: id, Service: "app", Address: address, Version: "v1", Slots: replaySlots}}
+	p.changes = append(p.changes, change)
+	p.mu.Unlock()
+	go func() { _ = e.server.Serve(e) }()
+	p.announce(change)
+}
+
+// announce tells all entries of a change of the endpoints.
+func (p *replay) announce(c fleet.Change) {
+	for i := range p.entries {
+		if e := p.entries[i].Load(); e != nil {
+			e.reduce(site.EndpointsRead{Now: p.now(), SentAt: p.now(), Changes: []fleet.Change{c}})
+		}
+	}
+}
+
+// crash ends the endpoint at once, once.
+func (e *replayEndpoint) crash() (first bool) {
+	e.mu.Lock()
+	first = !e.ended
+	e.ended = true
+	e.mu.Unlock()
+	if !first {
+		return false
+	}
+	p := e.replay
+	close(e.conns)
+	_ = e.server.Close()
+	if p.stopped() {
+		return true
+	}
+	time.AfterFunc(returnDelay, func() {
+		if !p.stopped() {
+			p.addEndpoint()
+		}
+	})
+	time.AfterFunc(leaseTime, func() {
+		p.mu.Lock()
+		id := fmt.Sprint("i-", e.index)
+		p.changes = slices.DeleteFunc(p.changes, func(c fleet.Change) bool { return c.ID == id })
+		p.mu.Unlock()
+		p.announce(fleet.Change{ID: id})
+	})
+	return true
+}
+
+// crashBy ends the endpoint by a block.
+func (e *replayEndpoint) crashBy() {
+	if !e.crash() {
+		return
+	}
+	p := e.replay
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.crashedAt = append(p.crashedAt, p.now())
+}
+
+// stopped reports whether the script is over.
+func (p *replay) stopped() bool { return p.now()-clock.Minute >= p.script.Duration+replayDrain }
+
+// replayDrain is how long callers may still wait after the script is over.
+const replayDrain = 10 * clock.Second
+
+// startCrashes starts what the script says about endpoints that end, and the entries' reports of
+// themselves.
+func (p *replay) startCrashes(ctx context.Context) {
+	go p.reportEntries(ctx)
+	p.firstTries = make(map[string][]firstTry)
+	for _, c := range p.script.Crash {
+		go p.load(ctx, c, 3)
+	}
+	for _, c := range p.script.Sound {
+		go p.load(ctx, c, 1)
+	}
+	for _, x := range p.script.End {
+		go p.takeAway(ctx, x)
+	}
+}
+
+// reportEntries has all entries hear of each other each second.
+func (p *replay) reportEntries(ctx context.Context) {
+	for {
+		for i := range p.entries {
+			e, events := p.entries[i].Load(), []site.Event{site.Tick{Now: p.now()}}
+			for j := range p.entries {
+				if other := p.entries[j].Load(); i != j {
+					events = append(events, site.ReportReceived{Now: p.now(), Report: &wire.EntryReport{Process: other.name, Name: other.name, Address: fmt.Sprint(j), Entries: int32(len(p.entries))}})
+				}
+			}
+			e.reduce(events...)
+		}
+		if !clock.Pause(ctx, clock.Second) {
+			return
+		}
+	}
+}
+
+// load sends requests with a block of their own; each caller tries up to the given number of times.
+func (p *replay) load(ctx context.Context, c crashLoad, tries int) {
+	to := cmp.Or(c.To, p.script.Duration)
+	if !clock.Pause(ctx, c.From) {
+		return
+	}
+	own := c.Block
+	if c.First {
+		own = "first/" + own
+	}
+	for i := 0; p.now()-clock.Minute < to; i++ {
+		go p.tryCall(fmt.Sprint(c.Block, "-", i), own, tries)
+		if !clock.Pause(ctx, clock.Millis(2*p.draw()*float64(clock.Second)/c.PerSecond)) {
+			return
+		}
+	}
+}
+
+// tryCall calls until the answer is there or no try is left.
+func (p *replay) tryCall(id, own string, tries int) {
+	for i := range tries {
+		at := p.now()
+		status, wait, _, _ := p.call(fmt.Sprint(id, "-", i), own, 2*clock.Second)
+		if i == 0 {
+			p.recordFirstTry(strings.TrimPrefix(own, "first/"), firstTry{at, status == http.StatusOK})
+		}
+		if status == http.StatusOK {
+			return
+		}
+		time.Sleep(min(wait, time.Second))
+	}
+}
+
+func (p *replay) recordFirstTry(own string, try firstTry) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.firstTries[own] = append(p.firstTries[own], try)
+}
+
+// takeAway ends one endpoint after the other for another reason than a request.
+func (p *replay) takeAway(ctx context.Context, x replayEnds) {
+	if !clock.Pause(ctx, x.From) {
+		return
+	}
+	for p.now()-clock.Minute < cmp.Or(x.To, p.script.Duration) {
+		p.mu.Lock()
+		var running []*replayEndpoint
+		for _, e := range p.endpoints {
+			running = append(running, e)
+		}
+		p.mu.Unlock()
+		slices.SortFunc(running, func(a, b *replayEndpoint) int { return a.index - b.index })
+		running = slices.DeleteFunc(running, func(e *replayEndpoint) bool {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			return e.ended
+		})
+		if len(running) > 1 {
+			running[int(p.draw()*float64(len(running)))].crash()
+		}
+		if !clock.Pause(ctx, x.Every) {
+			return
+		}
+	}
+}
+
+// servedFirst returns the fraction of the first tries between two times that were served.
+func (p *replay) servedFirst(own string, from, to clock.Millis) (served float64, n int) {
+	for _, try := range p.firstTries[own] {
+		if try.at >= from && try.at < to {
+			n++
+			if try.served {
+				served++
+			}
+		}
+	}
+	return served / float64(max(n, 1)), n
+}
+
+// checkCrashes fails if more requests with the block arrived after the entries had time to know it than
+// allowed, or if sound requests were then served at the first try less than half as often as before.
+func (p *replay) checkCrashes(t *testing.T) {
+	t.Helper()
+	end, start := clock.Minute+p.script.Duration, clock.Minute+p.script.Crash[0].From
+	known, crashes, after := end, 0, 0
+	for _, at := range p.crashedAt {
+		if at < end {
+			crashes++
+		}
+		if crashes == crashesToKnow && known == end {
+			known = at + stabilityWindow
+		}
+	}
+	for _, at := range p.crashingAt {
+		if at > known {
+			after++
+		}
+	}
+	settled := min(known+stabilityWindow, end-3*clock.Second)
+	t.Logf("%d endpoints crashed, %d requests with the block arrived, %d of them after %s", crashes, len(p.crashingAt), after, known-clock.Minute)
+	if after > maxArrivalsAfter {
+		t.Errorf("%d requests with the block arrived after %s, %d allowed", after, known-clock.Minute, maxArrivalsAfter)
+	}
+	calm, _ := p.servedFirst("", 0, start)
+	for own := range p.firstTries {
+		if slices.ContainsFunc(p.script.Crash, func(c crashLoad) bool { return c.Block == own }) {
+			continue
+		}
+		served, n := p.servedFirst(own, settled, end)
+		t.Logf("%q: %.3f of %d first tries served, %.3f before", own, served, n, calm)
+		if n >= 20 && served < calm/2 {
+			t.Errorf("%q: %.3f of %d first tries served, %.3f before", own, served, n, calm)
+		}
+	}
+}
+
+// Requests with one block crash each endpoint that begins to answer them. Guards against entries that
+// send such requests to one endpoint after the other.
+func TestBlockCrashesEndpointsReplay(t *testing.T) {
+	for _, name := range []string{"crash-middle", "crash-first", "crash-new-block-beside", "crash-storm"} {
+		for seed := range uint64(2) {
+			t.Run(fmt.Sprint(name, "/", seed), func(t *testing.T) { playReplay(t, name, seed).checkCrashes(t) })
+		}
+	}
+}
+
+// Endpoints end one after the other for another reason, beside requests with a new block. Guards against
+// a sound block that is kept out.
+func TestEndingEndpointsReplay(t *testing.T) {
+	is := is.New(t)
+	p := playReplay(t, "endpoints-end", 1)
+	for _, own := range []string{"", "new"} {
+		served, n := p.servedFirst(own, 0, clock.Hour)
+		t.Logf("%q: %.3f of %d first tries served", own, served, n)
+		is.True(served > 0.98)
+	}
+}
--- a/relay/replay_test.go
+++ b/relay/replay_test.go
@@ -11,8 +11,10 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,7 +25,6 @@
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/fleet"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
-	"github.com/parsleydeal/parsleydeal/placement"
 	"github.com/parsleydeal/parsleydeal/site"
 	"github.com/parsleydeal/parsleydeal/upstream"
 	"github.com/pelletier/go-toml/v2"
@@ -44,6 +45,7 @@
 	Duration          clock.Millis   `toml:"duration"`
 	Phase             []replayPhase  `toml:"phase"`
 	Restart           []replayReboot `toml:"restart"`
+	crashScript
 }
 
 // replayPhase is a time with Load times the traffic, in which a fraction of the endpoints refuses a
@@ -69,7 +71,7 @@
 	mu        sync.Mutex
 	random    *rand.Rand
 	endpoints map[string]*replayEndpoint
-	entries   []atomic.Pointer[Server]
+	entries   []atomic.Pointer[replayEntry]
 	changes   []fleet.Change
 	// sentAt holds the times at which requests were sent, arrivals how often each arrived at
 	// endpoints, and retriedAt the times of the arrivals beyond the first.
@@ -77,6 +79,7 @@
 	arrivals  map[string]int
 	retriedAt []clock.Millis
 	outcomes  replayOutcomes
+	crashRecord
 }
 
 // replayOutcomes counts requests by what became of their last attempt by the caller.
@@ -117,6 +120,8 @@
 	inFlight int
 	freeAt   clock.Millis
 	conns    chan net.Conn
+	server   *http.Server
+	ended    bool
 }
 
 const (
@@ -145,7 +150,7 @@
 func (e *replayEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p := e.replay
 	time.Sleep(replayLatency)
-	p.recordArrival(r.Header.Get("Request-Id"))
+	p.recordArrival(r)
 	h := w.Header()
 	h.Set("Request-Id", r.Header.Get("Request-Id"))
 	phase := p.phase(p.now() - clock.Minute)
@@ -160,6 +165,11 @@
 	}
 	h.Set("Confidence", fmt.Sprint(confidenceOf(r.Header.Get("Request-Id"), r.Header.Get("Model"))))
 	w.WriteHeader(http.StatusOK)
+	if p.crashes(r) {
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(crashDelay)
+		e.crashBy()
+	}
 	for i := range replayEvents {
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i+1)
 		_ = http.NewResponseController(w).Flush()
@@ -220,9 +230,13 @@
 	return 100 * int(catalog.HashOf(id+"/confidence")%100) / 99
 }
 
-func (p *replay) recordArrival(id string) {
+func (p *replay) recordArrival(r *http.Request) {
+	id, crashes := r.Header.Get("Request-Id"), p.crashes(r)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if crashes {
+		p.crashingAt = append(p.crashingAt, p.now())
+	}
 	p.arrivals[id]++
 	if p.arrivals[id] > 1 {
 		p.retriedAt = append(p.retriedAt, p.now())
@@ -231,53 +245,81 @@
 
 // dial connects to an endpoint of the replay.
 func (p *replay) dial(_ context.Context, _, address string) (net.Conn, error) {
+	p.mu.Lock()
+	e := p.endpoints[address]
+	p.mu.Unlock()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.ended {
+		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	}
 	near, far := net.Pipe()
-	p.endpoints[address].conns <- far
+	e.conns <- far
 	return near, nil
 }
 
+// replayEntry is an entry with its state of the site.
+type replayEntry struct {
+	*Server
+	name  string
+	mu    sync.Mutex
+	state *site.State
+	view  atomic.Pointer[site.View]
+}
+
+// reduce applies events to the entry's state and publishes its view.
+func (e *replayEntry) reduce(events ...site.Event) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, x := range events {
+		site.Reduce(e.state, x)
+	}
+	e.view.Store(e.state.View())
+}
+
 // newEntry returns an entry that knows the site.
-func (p *replay) newEntry(ctx context.Context, i int) *Server {
-	s := site.NewState(site.Self{Name: fmt.Sprint("entry-", i)}, p.now())
+func (p *replay) newEntry(ctx context.Context, i int) *replayEntry {
+	e := &replayEntry{name: fmt.Sprint("entry-", i), state: site.NewState(site.Self{Name: fmt.Sprint("entry-", i)}, p.now())}
 	now := p.now()
 	config := &catalog.Config{Version: 1, Routes: []*catalog.Route{p.route}, Services: map[string]catalog.Service{"app": {Name: "app"}}}
-	site.Reduce(s, site.VerdictsRead{Now: now})
-	site.Reduce(s, site.OperatorRead{Now: now, SentAt: now, Full: true, Update: site.OperatorUpdate{Config: config.Index()}})
-	site.Reduce(s, site.EndpointsRead{Now: now, SentAt: now, Full: true, Changes: p.changes})
 	addresses := make(map[string]string)
 	for j := range p.script.Entries {
 		addresses[fmt.Sprint("entry-", j)] = fmt.Sprint(j)
 	}
-	site.Reduce(s, site.EntriesRead{Now: now, Addresses: addresses})
-	view := s.View()
+	p.mu.Lock()
+	changes := slices.Clone(p.changes)
+	p.mu.Unlock()
+	e.reduce(site.VerdictsRead{Now: now}, site.OperatorRead{Now: now, SentAt: now, Full: true, Update: site.OperatorUpdate{Config: config.Index()}},
+		site.EndpointsRead{Now: now, SentAt: now, Full: true, Changes: changes}, site.EntriesRead{Now: now, Addresses: addresses})
 	c := clock.New(p.now)
-	server := New(Config{
-		Clock: c, Log: log.New(io.Discard), View: func() *site.View { return view }, Pool: upstream.NewPoolWith(c, p.dial),
+	e.Server = New(Config{
+		Clock: c, Log: log.New(io.Discard), View: e.view.Load, Pool: upstream.NewPoolWith(c, p.dial),
 		RetryRatio: replayRatio, RetrySlack: replaySlack, RetryWindow: replayWindow, SessionIdleTimeout: 5 * clock.Second,
 		Dialect: Dialect{Read: readReplayRequest, Call: replayCall, Head: replayHead, SetRefusalHeaders: func(http.Header, string) {}},
 	})
-	send := func(r *wire.EntryReport, _ []string) error {
-		for j := range p.entries {
-			if other := p.entries[j].Load(); other != nil && other != server {
+	send := func(r *wire.EntryReport, to []string) error {
+		for _, address := range to {
+			j, _ := strconv.Atoi(address)
+			if other := p.entries[j].Load(); other != nil && other.Server != e.Server && p.draw() >= p.script.LostReports {
 				other.ReceiveReport(r)
 			}
 		}
 		return nil
 	}
-	go server.SendReports(ctx, fmt.Sprint("entry-", i, "/", now), send)
-	return server
+	go e.SendReports(ctx, fmt.Sprint("entry-", i, "/", now), send)
+	return e
 }
 
 func readReplayRequest(r *http.Request) (*Request, error) {
 	id := r.Header.Get("Request-Id")
 	return &Request{
-		ID: id, Method: r.Method, Path: r.URL.Path, Host: "h", AnyModel: true, CallerTimeout: 5 * clock.Second,
-		Blocks: []placement.Block{{ID: fmt.Sprint("shared-", catalog.HashOf(id)%100), Tokens: 300}, {ID: id, Tokens: 700}},
+		ID: id, Method: r.Method, Path: r.URL.Path, Host: "h", Header: r.Header, AnyModel: true, CallerTimeout: 5 * clock.Second,
+		Blocks: replayBlocks(id, r.Header.Get("Blocks")),
 	}, nil
 }
 
 func replayCall(req *Request, params AttemptParams, _ []byte) upstream.Call {
-	h := http.Header{"Request-Id": {req.ID}, "Model": {params.Model}}
+	h := http.Header{"Request-Id": {req.ID}, "Model": {params.Model}, "Blocks": req.Header["Blocks"]}
 	if req.LastEventID != "" {
 		h.Set("Last-Event-Id", req.LastEventID)
 	}
@@ -291,7 +333,7 @@
 }
 
 // call sends a request to an entry and returns the answer, whose status is 0 if it broke off.
-func (p *replay) call(id string, target clock.Millis) (status int, retryAfter time.Duration, inTime, good bool) {
+func (p *replay) call(id, blocks string, target clock.Millis) (status int, retryAfter time.Duration, inTime, good bool) {
 	p.mu.Lock()
 	p.sentAt = append(p.sentAt, p.now())
 	p.mu.Unlock()
@@ -299,6 +341,7 @@
 	w := httptest.NewRecorder()
 	r := httptest.NewRequest(http.MethodGet, "/x", nil)
 	r.Header.Set("Request-Id", id)
+	r.Header.Set("Blocks", blocks)
 	startedAt := p.now()
 	firstAt := clock.Millis(0)
 	first := &firstWrite{ResponseRecorder: w, written: func() { firstAt = p.now() }}
@@ -330,10 +373,12 @@
 // refusal names.
 func (p *replay) caller(i int) {
 	const target = 2 * clock.Second
-	status, wait, inTime, good := p.call(fmt.Sprint("r-", i), target)
+	at := p.now()
+	status, wait, inTime, good := p.call(fmt.Sprint("r-", i), "", target)
+	p.recordFirstTry("", firstTry{at, status == http.StatusOK})
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		time.Sleep(wait)
-		status, _, inTime, good = p.call(fmt.Sprint("r-", i, "-again"), target-clock.FromDuration(wait))
+		status, _, inTime, good = p.call(fmt.Sprint("r-", i, "-again"), "", target-clock.FromDuration(wait))
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -353,22 +398,23 @@
 // run plays the script.
 func (p *replay) run(ctx context.Context) {
 	p.start = time.Now()
-	for i := range p.script.Endpoints {
-		address := fmt.Sprint("10.0.0.", i, ":1")
-		e := &replayEndpoint{replay: p, index: i, conns: make(chan net.Conn, 16)}
-		p.endpoints[address] = e
-		p.changes = append(p.changes, fleet.Change{ID: fmt.Sprint("i-", i), Endpoint: &fleet.Endpoint{ID: fmt.Sprint("i-", i), Service: "app", Address: address, Version: "v1", Slots: replaySlots}})
-		srv := &http.Server{Handler: e}
-		go func() { _ = srv.Serve(e) }()
-		defer func() { close(e.conns); _ = srv.Close() }()
+	for range p.script.Endpoints {
+		p.addEndpoint()
 	}
-	p.entries = make([]atomic.Pointer[Server], p.script.Entries)
+	defer func() {
+		for _, e := range p.endpoints {
+			e.crash()
+		}
+		time.Sleep(time.Second)
+	}()
+	p.entries = make([]atomic.Pointer[replayEntry], p.script.Entries)
 	for i := range p.entries {
 		p.entries[i].Store(p.newEntry(ctx, i))
 	}
 	for _, r := range p.script.Restart {
 		time.AfterFunc(r.At.Duration(), func() { p.entries[r.Entry].Store(p.newEntry(ctx, r.Entry)) })
 	}
+	p.startCrashes(ctx)
 	var callers sync.WaitGroup
 	for i := 0; ; i++ {
 		at := p.now() - clock.Minute
@@ -379,6 +425,7 @@
 		time.Sleep(time.Duration(2 * p.draw() * float64(time.Second) / p.script.RequestsPerSecond / p.phase(at).Load))
 	}
 	callers.Wait()
+	time.Sleep((2 * replayDrain).Duration())
 }
 
 // checkBudget fails if in some window there are more arrivals beyond the first than allowed.
@@ -408,21 +455,32 @@
 
 func playReplay(t *testing.T, name string, seed uint64) (p *replay) {
 	t.Helper()
-	is := is.New(t)
+	p = newReplay(t, seed)
 	text, err := os.ReadFile(filepath.Join("testdata", "replays", name+".toml"))
-	is.NoErr(err)
-	p = &replay{
+	is.New(t).NoErr(err)
+	is.New(t).NoErr(toml.Unmarshal(text, &p.script))
+	p.play(t)
+	t.Logf("%s, seed %d: %s; %d arrivals beyond the first", name, seed, p.outcomes, len(p.retriedAt))
+	return p
+}
+
+// newReplay returns a replay without a script.
+func newReplay(t *testing.T, seed uint64) *replay {
+	t.Helper()
+	return &replay{
 		random: rand.New(rand.NewPCG(seed, seed)), endpoints: make(map[string]*replayEndpoint), arrivals: make(map[string]int),
 		route: &catalog.Route{Name: "r", Prefix: "/", Host: "h", Kind: catalog.Streaming, Resumable: true, Public: true, Timeout: 5000, LatencyTarget: 2000, TargetGap: 800, MaxAttempts: 3, Models: []string{"small", "large"}, Targets: []catalog.Target{{Service: "app", Weight: 1}}},
 	}
-	is.NoErr(toml.Unmarshal(text, &p.script))
+}
+
+// play plays the script in virtual time.
+func (p *replay) play(t *testing.T) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		p.run(ctx)
 	})
-	t.Logf("%s, seed %d: %s; %d arrivals beyond the first", name, seed, p.outcomes, len(p.retriedAt))
-	return p
 }
 
 // Most endpoints refuse most requests under more than double the traffic. Guards against retries
