Quarantine blocks of prompts on which endpoints crash

What callers saw: requests with one block in their prompts, two or more a second, ended one endpoint after the other, each up to three, until hardly any was left; other callers got 502, broken streams and refusals (endpoints in cold start, retry budget used up).

Cause: a retry asked only whether the route and the budget allowed it, never why the last endpoint ended. Nothing in an entry related the end of an endpoint to what it had just been sent, and no entry told another. Class: a request that can be at fault is treated as if only the endpoint could be.

Why this works: a crash (the connection broke and nothing listens any more) names the blocks of attempts that waited or had just begun; an answer that got beyond its beginning clears its blocks, at all entries. Only the block at fault is named again and never cleared. A suspected block is tested by one request of each entry at a time, all at the endpoint that a hash selects; after three independent crashes requests with it are refused at once, as not run. Crashes of attempts that began before the last one counted are not independent, so that a lost rack is one piece of evidence. A verdict is tried again after 30 s, then half as often each time.

Where endpoints end for another reason nothing changes.

--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -189,6 +189,7 @@
 	go d.loop.Run(ctx)
 	go d.socket.Receive(ctx, d.receive)
 	go d.server.SendReports(ctx, s.VM, d.send)
+	go d.server.SendEvidence(ctx, s.VM, d.send)
 	go d.server.RequestSnapshot(ctx, s.VM, s.Peer, d.send)
 	go d.server.ServeSnapshots(ctx, s.VM, d.send)
 	go d.sweep(ctx)
--- a/daemon/traffic.go
+++ b/daemon/traffic.go
@@ -22,6 +22,7 @@
 	flowCounts  = "counts"
 	flowWork    = "work"
 	flowBlocks  = "blocks"
+	flowCrashes = "crashes"
 	flowState   = "state"
 	flowStore   = "store"
 	flowUnknown = "unknown"
@@ -72,6 +73,8 @@
 	switch {
 	case r.GetAskParts(), len(r.GetSpeeds()) > 0:
 		return flowBlocks
+	case len(r.GetEvidence()) > 0:
+		return flowCrashes
 	case r.GetZone() == "":
 		return flowWork
 	case len(r.GetPacked()) > 0, len(r.GetRecords()) > 0:
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -44,7 +44,10 @@
 	// FirstByteBudget is the maximum time for the wait and the prefill of the prompt, after which
 	// the first byte would be late; 0 for no limit.
 	FirstByteBudget clock.Millis
-	Now             clock.Millis
+	// Rendezvous, if it is not empty, selects the endpoint by its hash instead of the cost, so that all
+	// entries select the same one.
+	Rendezvous string
+	Now        clock.Millis
 
 	// hashes holds the hashes of Blocks for Model; empty until hashed computes them.
 	hashes []uint32
@@ -253,6 +256,9 @@
 		lowest := 0.0
 		for _, candidate := range all {
 			cost, o := sel.cost(s, candidate, q, candidate == preferred)
+			if q.Rendezvous != "" {
+				cost = hashScore(candidate.ID, q.Rendezvous)
+			}
 			if o <= allowed && (e == nil || cost < lowest) && (o != unreachable || !q.ReachableOnly) {
 				e, lowest = candidate, cost
 			}
--- /dev/null
+++ b/quarantine/quarantine_test.go
@@ -0,0 +1,118 @@
+package quarantine
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/pelletier/go-toml/v2"
+)
+
+// script is a history of two entries, as read from a file in testdata. Each file describes the failure
+// that it guards against.
+type script struct {
+	Step []step `toml:"step"`
+}
+
+// step is what happens at a time at one entry, "a" or "b".
+type step struct {
+	At    clock.Millis `toml:"at"`
+	Entry string       `toml:"entry"`
+	// Begin, Head, Break and End name attempts, Alive and Crash endpoints.
+	Begin    string   `toml:"begin"`
+	Endpoint string   `toml:"endpoint"`
+	Blocks   []string `toml:"blocks"`
+	Head     string   `toml:"head"`
+	Break    string   `toml:"break"`
+	End      string   `toml:"end"`
+	Alive    string   `toml:"alive"`
+	Crash    string   `toml:"crash"`
+	// Report passes the entry's report on to the other one.
+	Report bool `toml:"report"`
+	// Sweep drops what is no longer needed.
+	Sweep bool `toml:"sweep"`
+	// Admit is the expected finding for a request with Blocks; Trial is set at the entry that tries
+	// quarantined blocks. Release ends the test of such a request.
+	Admit   string `toml:"admit"`
+	Trial   bool   `toml:"trial"`
+	Release bool   `toml:"release"`
+}
+
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.toml")
+	is.New(t).NoErr(err)
+	is.New(t).True(len(files) > 0)
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) { runScript(t, file) })
+	}
+}
+
+func runScript(t *testing.T, file string) {
+	t.Helper()
+	is := is.New(t)
+	text, err := os.ReadFile(file)
+	is.NoErr(err)
+	var s script
+	is.NoErr(toml.Unmarshal(text, &s))
+	entries := map[string]*Register{"a": New(), "b": New()}
+	attempts := make(map[string]*Attempt)
+	for i, x := range s.Step {
+		g := entries[x.Entry]
+		switch {
+		case x.Begin != "":
+			attempts[x.Begin] = g.Begin(Incarnation{Endpoint: x.Endpoint}, x.Blocks, x.At)
+		case x.Head != "":
+			g.Head(attempts[x.Head], x.At)
+		case x.Break != "":
+			g.End(attempts[x.Break], true, x.At)
+		case x.End != "":
+			g.End(attempts[x.End], false, x.At)
+		case x.Alive != "":
+			g.Alive(Incarnation{Endpoint: x.Alive}, x.At)
+		case x.Crash != "":
+			g.Crashed(Incarnation{Endpoint: x.Crash}, x.At)
+		case x.Report:
+			other := map[string]string{"a": "b", "b": "a"}[x.Entry]
+			entries[other].Receive(g.Report(false, x.At), false, x.At)
+		case x.Sweep:
+			g.Sweep(x.At)
+		case x.Admit != "":
+			f, _, _ := g.Admit(fmt.Sprint("r-", i), x.Blocks, x.Trial, x.At)
+			if f.String() != x.Admit {
+				t.Errorf("step %d: %s for a request with %s, want %s", i, f, strings.Join(x.Blocks, ","), x.Admit)
+			}
+			if x.Release {
+				g.Release(fmt.Sprint("r-", i), x.Blocks)
+			}
+		}
+	}
+}
+
+// Two long IDs that begin alike must not share a key. Guards against a sound block that is kept out in
+// place of another one.
+func TestKeysOfDifferentBlocksDiffer(t *testing.T) {
+	is := is.New(t)
+	long := strings.Repeat("a", 2*maxKeyBytes)
+	is.True(Key(long+"1") != Key(long+"2"))
+	is.Equal(len(Key(long)), maxKeyBytes)
+	is.Equal(Key("5c1e07a2"), "5c1e07a2")
+}
+
+// More blocks than fit come with a crash. Guards against a register that grows with its callers' IDs.
+func TestSuspectsAreBounded(t *testing.T) {
+	is := is.New(t)
+	g := New()
+	for i := range 4 * maxSuspects {
+		endpoint := Incarnation{Endpoint: fmt.Sprint(i)}
+		a := g.Begin(endpoint, []string{fmt.Sprint("block-", i)}, clock.Millis(i))
+		g.End(a, true, clock.Millis(i))
+		g.Crashed(endpoint, clock.Millis(i))
+	}
+	suspected, _, _ := g.Counts()
+	is.Equal(suspected, maxSuspects)
+	is.True(len(g.Report(true, 1)) <= maxReported)
+}
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -58,6 +58,8 @@
 	// Restarted means that the endpoint is no longer the incarnation that the attempt was
 	// addressed to.
 	Restarted Code = "restarted"
+	// Quarantined means that endpoints crashed on a block of the request's prompt.
+	Quarantined Code = "quarantined"
 	// NotKept means that the endpoint does not store the requested answer.
 	NotKept Code = "not-kept"
 )
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/decision"
 	"github.com/parsleydeal/parsleydeal/fleet"
+	"github.com/parsleydeal/parsleydeal/quarantine"
 	"github.com/parsleydeal/parsleydeal/refusal"
 	"github.com/parsleydeal/parsleydeal/site"
 	"github.com/parsleydeal/parsleydeal/upstream"
@@ -42,8 +43,14 @@
 	latencyRecorded bool
 	// silent is true when the endpoint sent nothing for longer than the timeout.
 	silent bool
-	// unsent is true when nothing of the request was sent.
-	unsent bool
+	// unsent is true when nothing of the request was sent, refused when nothing listened at the
+	// endpoint's address.
+	unsent  bool
+	refused bool
+	// unframed is true for an answer that ends with its connection.
+	unframed bool
+	// watch is the attempt in the register of blocks; nil if all blocks are cleared.
+	watch *quarantine.Attempt
 	// wrongEndpoint is true when the address now belongs to another endpoint.
 	wrongEndpoint bool
 	failureAnswer *bufferedAnswer
@@ -69,11 +76,13 @@
 			a.end()
 		}
 	}()
+	a.watch = s.quarantine.Begin(incarnationOf(a.endpoint), x.shared, now)
+	a.onEnd = append(a.onEnd, func() { s.quarantine.End(a.watch, false, s.cfg.Clock.Now()) })
 	a.countLimited()
 	x.sends++
 	answer, err := s.cfg.Pool.Do(ctx, a.call())
 	if errorx.IsOfType(err, upstream.ErrNotSent) {
-		a.unsent = true
+		a.unsent, a.refused = true, errorx.IsOfType(err, upstream.ErrRefused)
 		x.unsent++
 		return notRun, refusal.New(refusal.EndpointLost, err.Error())
 	}
@@ -90,7 +99,9 @@
 	x.pace = h.Load.Pace
 	work.FirstByte(s.cfg.Clock.Now(), h.Load.Pace)
 	s.latency.addError(x.route, a.plan.model(), a.timeToFirstByte-a.expectedFirstByte)
-	s.selector.RecordActivity(a.endpoint.ID, s.cfg.Clock.Now())
+	s.quarantine.Head(a.watch, s.cfg.Clock.Now())
+	a.recordAlive(s.cfg.Clock.Now())
+	a.unframed = answer.Unframed()
 	a.status, a.confidence = h.Status, h.Confidence
 	a.recordHead(h)
 	return a.classify(h, answer)
@@ -274,10 +285,10 @@
 }
 
 // mayEscalate reports whether this answer may be dropped in favour of an attempt at a larger
-// model.
+// model. A test of a suspected block is not: it would cost a second endpoint.
 func (a *attempt) mayEscalate() bool {
 	x := a.exchange
-	return !x.written && x.mayRepeat() && x.remaining() > minEscalationTime
+	return !x.written && x.tested == "" && x.mayRepeat() && x.remaining() > minEscalationTime
 }
 
 // minEscalationTime is the remaining time below which a larger model is not tried, because its
--- a/relay/crash_replay_test.go
+++ b/relay/crash_replay_test.go
@@ -76,6 +76,18 @@
 	maxArrivalsAfter = 3
 )
 
+// usual in place of a block means that a request has only those that most requests have.
+const usual = "usual"
+
+// usualBlocks says which blocks the requests have that are not of a crashLoad: in scripts about endpoints
+// that end they share their first block with those.
+func (p *replay) usualBlocks() string {
+	if len(p.script.Crash)+len(p.script.Sound)+len(p.script.End) > 0 {
+		return usual
+	}
+	return ""
+}
+
 func replayBlocks(id, own string) []placement.Block {
 	first, middle := fmt.Sprint("first-", catalog.HashOf(id)%5), fmt.Sprint("shared-", catalog.HashOf(id)%100)
 	blocks := []placement.Block{{ID: middle, Tokens: 300}, {ID: id, Tokens: 700}}
@@ -83,6 +95,8 @@
 	switch {
 	case own == "":
 		return blocks
+	case own == usual:
+		return append([]placement.Block{{ID: first, Tokens: 100}}, blocks...)
 	case isFirst:
 		return append([]placement.Block{{ID: own, Tokens: 100}}, blocks...)
 	}
@@ -284,13 +298,16 @@
 func (p *replay) checkCrashes(t *testing.T) {
 	t.Helper()
 	end, start := clock.Minute+p.script.Duration, clock.Minute+p.script.Crash[0].From
-	known, crashes, after := end, 0, 0
+	decisive, known, crashes, after := start, end, 0, 0
 	for _, at := range p.crashedAt {
 		if at < end {
 			crashes++
 		}
-		if crashes == crashesToKnow && known == end {
-			known = at + stabilityWindow
+		if crashes <= crashesToKnow {
+			decisive = at
+		}
+		if crashes == crashesToKnow {
+			known = decisive + stabilityWindow
 		}
 	}
 	for _, at := range p.crashingAt {
@@ -298,7 +315,7 @@
 			after++
 		}
 	}
-	settled := min(known+stabilityWindow, end-3*clock.Second)
+	settled := decisive + 2*stabilityWindow
 	t.Logf("%d endpoints crashed, %d requests with the block arrived, %d of them after %s", crashes, len(p.crashingAt), after, known-clock.Minute)
 	if after > maxArrivalsAfter {
 		t.Errorf("%d requests with the block arrived after %s, %d allowed", after, known-clock.Minute, maxArrivalsAfter)
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -15,6 +15,10 @@
 	fmt.Fprintf(w, "parsleydeal_held_bytes{for=\"callers\"} %d\n", s.held.bytes())
 	fmt.Fprintf(w, "parsleydeal_held_bytes{for=\"endpoints\"} %d\n", s.bodies.bytes())
 	s.writeBudgets(w)
+	suspected, quarantined, cleared := s.quarantine.Counts()
+	fmt.Fprintf(w, "parsleydeal_blocks{state=\"suspected\"} %d\n", suspected)
+	fmt.Fprintf(w, "parsleydeal_blocks{state=\"quarantined\"} %d\n", quarantined)
+	fmt.Fprintf(w, "parsleydeal_blocks{state=\"cleared\"} %d\n", cleared)
 	fmt.Fprintf(w, "parsleydeal_endpoints_limited %d\n", s.selector.RateLimited())
 }
 
--- a/relay/phase.go
+++ b/relay/phase.go
@@ -4,7 +4,6 @@
 	"strings"
 
 	"github.com/parsleydeal/parsleydeal/clock"
-	"github.com/parsleydeal/parsleydeal/placement"
 )
 
 // phase is how far an attempt got.
@@ -50,11 +49,11 @@
 	maxLoggedBlockBytes = 40
 )
 
-// sharedBlocks returns the IDs of the blocks of a prompt that other requests may share, for logs.
-func sharedBlocks(blocks []placement.Block) string {
-	var ids []string
-	for i := range min(len(blocks)-1, maxLoggedBlocks) {
-		ids = append(ids, blocks[i].ID[:min(len(blocks[i].ID), maxLoggedBlockBytes)])
+// listed returns the first keys of blocks, for logs.
+func listed(keys []string) string {
+	var out []string
+	for _, key := range keys[:min(len(keys), maxLoggedBlocks)] {
+		out = append(out, key[:min(len(key), maxLoggedBlockBytes)])
 	}
-	return strings.Join(ids, ",")
+	return strings.Join(out, ",")
 }
--- /dev/null
+++ b/relay/quarantine.go
@@ -0,0 +1,155 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/fleet"
+	"github.com/parsleydeal/parsleydeal/placement"
+	"github.com/parsleydeal/parsleydeal/quarantine"
+	"github.com/parsleydeal/parsleydeal/refusal"
+)
+
+const (
+	// maxTestWait and maxTestWaitRatio bound how long a request waits while another one tests a
+	// block of its prompt, the latter as a fraction of the time that it has left.
+	maxTestWait      = 1500 * clock.Millis(1)
+	maxTestWaitRatio = 0.5
+	// quarantineRetryAfter is the retry delay of a request with a quarantined block. Such a block
+	// is tried again at most that often.
+	quarantineRetryAfter = 30 * clock.Second
+	// testRetryAfter is the retry delay of a request whose block is still being tested.
+	testRetryAfter = 500 * clock.Millis(1)
+	// proofDelay is the time from the head of an answer until the endpoint is asked whether it still
+	// runs, if nothing else has shown that.
+	proofDelay = 600 * clock.Millis(1)
+)
+
+// keysOf returns the keys of the blocks of a prompt that other requests may share.
+func keysOf(blocks []placement.Block) (keys []string) {
+	for i := range len(blocks) - 1 {
+		keys = append(keys, quarantine.Key(blocks[i].ID))
+	}
+	return keys
+}
+
+func incarnationOf(e *fleet.Endpoint) quarantine.Incarnation {
+	return quarantine.Incarnation{Endpoint: e.ID, Number: e.Incarnation}
+}
+
+// awaitAdmission waits while another request tests a block of the prompt. It returns a refusal if
+// endpoints crash on a block, or if the test takes too long.
+func (x *exchange) awaitAdmission(ctx context.Context) (err error) {
+	s := x.server
+	x.endTest()
+	until := s.cfg.Clock.Now() + min(maxTestWait, clock.Millis(maxTestWaitRatio*float64(x.remaining())))
+	for {
+		changed, now := s.quarantine.Changed(), s.cfg.Clock.Now()
+		f, block, crashes := s.quarantine.Admit(x.req.ID, x.shared, x.view.FirstDelegate(), now)
+		switch {
+		case f == quarantine.Admitted:
+			return nil
+		case f == quarantine.Test:
+			x.tested = block
+			s.countFinding(f)
+			s.cfg.Log.Info("Request tests a suspected block", "request", x.req.ID, "block", block, "crashes", crashes)
+			return nil
+		case f == quarantine.Quarantined:
+			s.countFinding(f)
+			x.block = block
+			return refusal.New(refusal.Quarantined, "endpoints crash on a block of the prompt").WithRetryAfter(quarantineRetryAfter)
+		case now >= until:
+			s.countFinding(f)
+			x.block = block
+			return refusal.New(refusal.Quarantined, "a block of the prompt is being tested").WithRetryAfter(testRetryAfter)
+		}
+		awaitChange(ctx, changed, until-now)
+		if ctx.Err() != nil {
+			return x.deadlineError(ctx.Err())
+		}
+	}
+}
+
+// awaitChange waits until the channel is closed, the time has passed or the context ends.
+func awaitChange(ctx context.Context, changed <-chan struct{}, d clock.Millis) {
+	timer := time.NewTimer(d.Duration())
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// endTest lets other requests test the blocks that this one tested, if any.
+func (x *exchange) endTest() {
+	if x.tested != "" {
+		x.server.quarantine.Release(x.req.ID, x.shared)
+		x.tested = ""
+	}
+}
+
+// recordAlive records that the attempt's endpoint sent something.
+func (a *attempt) recordAlive(at clock.Millis) {
+	s := a.exchange.server
+	s.selector.RecordActivity(a.endpoint.ID, at)
+	s.quarantine.Alive(incarnationOf(a.endpoint), at)
+}
+
+// checkCrash finds out whether the endpoint of an attempt that has ended crashed, and records that.
+func (a *attempt) checkCrash(ctx context.Context, r result) {
+	x := a.exchange
+	s := x.server
+	now := s.cfg.Clock.Now()
+	brokeOff := (r == failed || r == broken) && a.cause != nil && !a.silent && ctx.Err() == nil
+	switch {
+	case a.refused:
+		s.recordCrash(a, now)
+	case !s.quarantine.MayHaveCrashed(a.watch):
+	case brokeOff, r == done && a.unframed:
+		accepted, refused := s.cfg.Pool.Probe(ctx, a.endpoint.Address)
+		s.quarantine.End(a.watch, refused || brokeOff && !accepted, s.cfg.Clock.Now())
+		if refused {
+			s.recordCrash(a, now)
+		}
+	case r == done && x.tested != "":
+		time.AfterFunc(proofDelay.Duration(), func() { s.proveAlive(a) })
+	}
+}
+
+// proveAlive asks an endpoint whether it still runs after an answer that ended early.
+func (s *Server) proveAlive(a *attempt) {
+	accepted, refused := s.cfg.Pool.Probe(context.Background(), a.endpoint.Address)
+	switch {
+	case accepted:
+		s.quarantine.Accepted(incarnationOf(a.endpoint), s.cfg.Clock.Now())
+	case refused:
+		s.recordCrash(a, s.cfg.Clock.Now())
+	}
+}
+
+// recordCrash records that the endpoint of an attempt crashed.
+func (s *Server) recordCrash(a *attempt, now clock.Millis) {
+	i := incarnationOf(a.endpoint)
+	c, ok := s.quarantine.Crashed(i, now)
+	if !ok {
+		return
+	}
+	s.metrics.GetOrCreateCounter("parsleydeal_endpoint_crashes_total").Inc()
+	s.cfg.Log.Warn("Endpoint crashed", "endpoint", i.Endpoint, "born", i.Number, "address", a.endpoint.Address, "request", a.exchange.req.ID,
+		"suspects", c.Suspects, "cleared", c.Cleared, "blocks", listed(c.Blocks))
+	s.logFound(c.Found, "crash")
+}
+
+// logFound logs and counts blocks that are quarantined from now on.
+func (s *Server) logFound(blocks []string, from string) {
+	for _, block := range blocks {
+		s.metrics.GetOrCreateCounter("parsleydeal_quarantine_verdicts_total").Inc()
+		s.cfg.Log.Warn("Block is quarantined", "block", block, "from", from)
+	}
+}
+
+func (s *Server) countFinding(f quarantine.Finding) {
+	s.metrics.GetOrCreateCounter(`parsleydeal_quarantine_decisions_total{finding="` + f.String() + `"}`).Inc()
+}
--- /dev/null
+++ b/relay/quarantine_report.go
@@ -0,0 +1,99 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/logbook"
+	"github.com/parsleydeal/parsleydeal/peer/wire"
+	"github.com/parsleydeal/parsleydeal/quarantine"
+)
+
+const (
+	// evidenceInterval is the time between two reports of news about blocks.
+	evidenceInterval = clock.Second
+	// minEvidenceInterval is the minimum time between two reports about blocks.
+	minEvidenceInterval = 20 * clock.Millis(1)
+	// evidenceRefreshPerEntry is multiplied by the number of recipients to get the interval at which
+	// everything known of suspected blocks is reported again, for entries that missed it.
+	evidenceRefreshPerEntry = 13 * clock.Millis(1)
+	// delegateRefresh is the same interval for reports to the delegates.
+	delegateRefresh = 5 * clock.Second
+)
+
+// SendEvidence reports to other entries what is known of blocks on which endpoints may have crashed,
+// until the context ends: to the first delegates, which pass it on to all.
+func (s *Server) SendEvidence(ctx context.Context, name string, send func(r *wire.EntryReport, to []string) error) {
+	refreshedAt := s.cfg.Clock.Now()
+	for clock.Pause(ctx, minEvidenceInterval) && s.awaitEvidence(ctx) {
+		now, v := s.cfg.Clock.Now(), s.cfg.View()
+		to := v.Audience()
+		if len(to) == 0 {
+			continue
+		}
+		all := now-refreshedAt >= refreshInterval(v.PassesOn(), len(to))
+		if all {
+			refreshedAt = now
+		}
+		evidence := s.quarantine.Report(all, now)
+		if len(evidence) == 0 {
+			continue
+		}
+		if err := send(&wire.EntryReport{Process: name, Evidence: evidenceToWire(evidence)}, to); err != nil {
+			s.cfg.Log.Warn("Cannot report suspected blocks", "error", logbook.Text(err))
+		}
+	}
+}
+
+func refreshInterval(passesOn bool, recipients int) clock.Millis {
+	if !passesOn {
+		return delegateRefresh
+	}
+	return max(clock.Millis(recipients)*evidenceRefreshPerEntry, evidenceInterval)
+}
+
+// awaitEvidence waits until there is something urgent to report or the next report is due. It returns
+// false if the context ends first.
+func (s *Server) awaitEvidence(ctx context.Context) bool {
+	timer := time.NewTimer(evidenceInterval.Duration())
+	defer timer.Stop()
+	select {
+	case <-s.quarantine.Urgent():
+	case <-timer.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
+// receiveEvidence applies what another entry reports of blocks.
+func (s *Server) receiveEvidence(r *wire.EntryReport) {
+	v := s.cfg.View()
+	s.logFound(s.quarantine.Receive(evidenceFromWire(r.GetEvidence()), v.PassesOn(), s.cfg.Clock.Now()), r.GetProcess())
+}
+
+func evidenceToWire(all []quarantine.Evidence) (out []*wire.BlockEvidence) {
+	for _, x := range all {
+		w := &wire.BlockEvidence{Block: x.Block, SeenAgeMillis: int32(x.SeenAge)}
+		if x.Cleared {
+			w.ClearedAgeMillis = int32(max(x.ClearedAge, 1))
+		}
+		for _, c := range x.Crashes {
+			w.Crashes = append(w.Crashes, &wire.BlockCrash{Incarnation: c.Incarnation, AgeMillis: int32(c.Age), BeganAgeMillis: int32(c.BeganAge)})
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+func evidenceFromWire(all []*wire.BlockEvidence) (out []quarantine.Evidence) {
+	for _, w := range all {
+		x := quarantine.Evidence{Block: w.GetBlock(), SeenAge: clock.Millis(w.GetSeenAgeMillis()), Cleared: w.GetClearedAgeMillis() > 0, ClearedAge: clock.Millis(w.GetClearedAgeMillis())}
+		for _, c := range w.GetCrashes() {
+			x.Crashes = append(x.Crashes, quarantine.ReportedCrash{Incarnation: c.GetIncarnation(), Age: clock.Millis(c.GetAgeMillis()), BeganAge: clock.Millis(c.GetBeganAgeMillis())})
+		}
+		out = append(out, x)
+	}
+	return out
+}
--- a/relay/replay_test.go
+++ b/relay/replay_test.go
@@ -307,6 +307,7 @@
 		return nil
 	}
 	go e.SendReports(ctx, fmt.Sprint("entry-", i, "/", now), send)
+	go e.SendEvidence(ctx, fmt.Sprint("entry-", i, "/", now), send)
 	return e
 }
 
@@ -374,11 +375,11 @@
 func (p *replay) caller(i int) {
 	const target = 2 * clock.Second
 	at := p.now()
-	status, wait, inTime, good := p.call(fmt.Sprint("r-", i), "", target)
+	status, wait, inTime, good := p.call(fmt.Sprint("r-", i), p.usualBlocks(), target)
 	p.recordFirstTry("", firstTry{at, status == http.StatusOK})
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		time.Sleep(wait)
-		status, _, inTime, good = p.call(fmt.Sprint("r-", i, "-again"), "", target-clock.FromDuration(wait))
+		status, _, inTime, good = p.call(fmt.Sprint("r-", i, "-again"), p.usualBlocks(), target-clock.FromDuration(wait))
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/relay/run.go
+++ b/relay/run.go
@@ -54,6 +54,7 @@
 	x.tried, x.silentEndpoints = make(map[string]bool), make(map[string]bool)
 	defer x.returnUnusedRetry()
 	defer x.dropFallback()
+	defer x.endTest()
 	p := x.plan()
 	var failure *bufferedAnswer
 	for {
@@ -63,6 +64,9 @@
 		if err = x.checkAllowed(); err != nil {
 			return x.giveUp(failure, x.correctRunState(err))
 		}
+		if err = x.awaitAdmission(ctx); err != nil {
+			return x.giveUp(failure, x.correctRunState(err))
+		}
 		e, reason := x.selectEndpoint(p)
 		if reason != placement.Selected {
 			return x.giveUp(failure, x.correctRunState(x.placementError(p, reason)))
@@ -77,6 +81,7 @@
 		if a.silent {
 			x.silentEndpoints[e.ID] = true
 		}
+		a.checkCrash(ctx, r)
 		x.recordAttempt(a, r)
 		x.retry = x.decideRetry(ctx, a, r)
 		x.logAttempt(a, r, err)
@@ -134,7 +139,7 @@
 	version := rule.Version(catalog.Fraction(x.session), s.sessions.version(x.session, x.service, now, x.view))
 	return placement.Query{
 		Service: x.service, Version: version, Rule: rule, Zone: s.cfg.Zone, Avoid: x.tried, Model: p.model(),
-		Blocks: x.req.Blocks, Bytes: len(x.req.body), Bounds: s.bounds(x.view, x.service), FullMesh: x.view.FullMesh(), FirstByteBudget: x.firstByteBudget(now), Now: now,
+		Blocks: x.req.Blocks, Bytes: len(x.req.body), Bounds: s.bounds(x.view, x.service), FullMesh: x.view.FullMesh(), FirstByteBudget: x.firstByteBudget(now), Rendezvous: x.tested, Now: now,
 	}
 }
 
@@ -253,7 +258,7 @@
 	now := s.cfg.Clock.Now()
 	used, limit := x.budget().State(now)
 	s.countUnanswered(a, r)
-	s.cfg.Log.Info("Attempt did not answer", "request", x.req.ID, "route", x.route.Name, "organisation", x.organisation, "blocks", sharedBlocks(x.req.Blocks), "endpoint", a.endpoint.ID, "address", a.endpoint.Address, "zone", a.endpoint.Zone,
+	s.cfg.Log.Info("Attempt did not answer", "request", x.req.ID, "route", x.route.Name, "organisation", x.organisation, "blocks", listed(x.shared), "endpoint", a.endpoint.ID, "address", a.endpoint.Address, "zone", a.endpoint.Zone,
 		"version", a.endpoint.Version, "model", a.plan.model(), "result", r, "phase", a.phase(now), "status", a.status, "confidence", a.confidence, "silent", a.silent,
 		"after", now-a.startedAt, "expected", a.expectedFirstByte, "first", a.timeToFirstByte, "left", x.remaining(),
 		"retry", x.retry, "retries-used", used, "retries-allowed", int(limit), "error", logbook.Text(err))
--- a/relay/server.go
+++ b/relay/server.go
@@ -18,6 +18,7 @@
 	"github.com/parsleydeal/parsleydeal/logbook"
 	"github.com/parsleydeal/parsleydeal/meter"
 	"github.com/parsleydeal/parsleydeal/placement"
+	"github.com/parsleydeal/parsleydeal/quarantine"
 	"github.com/parsleydeal/parsleydeal/refusal"
 	"github.com/parsleydeal/parsleydeal/site"
 	"github.com/parsleydeal/parsleydeal/upstream"
@@ -70,6 +71,7 @@
 	limitedFurther *metrics.Counter
 	latency        *latencyTracker
 	escalator      *cascade.Escalator
+	quarantine     *quarantine.Register
 	leaving        atomic.Bool
 	startedAt      clock.Millis
 	// snapshotRequests holds the addresses of entries that wait for a snapshot; awaitingSnapshot
@@ -94,7 +96,7 @@
 	return &Server{
 		cfg: cfg, startedAt: cfg.Clock.Now(), meter: meter.New(set), metrics: set, advertisementChanges: set.NewCounter("parsleydeal_endpoint_statements_total"),
 		limitedFirst: set.NewCounter(`parsleydeal_limited_sends_total{attempt="first"}`), limitedFurther: set.NewCounter(`parsleydeal_limited_sends_total{attempt="further"}`), selector: placement.NewSelectorWith(cfg.Strategies), sessions: newSessions(cfg.SessionIdleTimeout), counts: newVersionCounts(cfg.Clock, set.NewCounter("parsleydeal_latency_samples_dropped_total")),
-		snapshotRequests: make(chan string, maxSnapshotQueue), latency: newLatencyTracker(), escalator: cascade.NewEscalator(cfg.Strategies), budgets: make(map[string]*limit.Share), loadDefectLoggedAt: make(map[LoadDefect]clock.Millis),
+		snapshotRequests: make(chan string, maxSnapshotQueue), latency: newLatencyTracker(), escalator: cascade.NewEscalator(cfg.Strategies), quarantine: quarantine.New(), budgets: make(map[string]*limit.Share), loadDefectLoggedAt: make(map[LoadDefect]clock.Millis),
 		held: newHeldBytes(cfg.Clock, int(heldAnswersRatio*memory)), bodies: &memoryBudget{limit: int(heldBodiesRatio * memory)},
 	}
 }
@@ -118,6 +120,7 @@
 // periodically.
 func (s *Server) Sweep() {
 	s.sessions.sweep(s.cfg.Clock.Now())
+	s.quarantine.Sweep(s.cfg.Clock.Now())
 	s.selector.Prune(s.cfg.View().Fleet(), s.cfg.Clock.Now())
 	s.cfg.Pool.Sweep()
 }
@@ -160,6 +163,11 @@
 	runs            int
 	sends           int
 	unsent          int
+	// shared holds the keys of the prompt's blocks that other requests may share. tested is the one that
+	// this request tests, block the one that it was refused for; both empty if there is none.
+	shared []string
+	tested string
+	block  string
 	// retry is the decision about another attempt after the last one.
 	retry retryOutcome
 	// unusedRetryAt is when the retry was counted of which nothing has been sent yet; 0 if there is none.
@@ -199,6 +207,7 @@
 	if x.req, err = s.cfg.Dialect.Read(x.r); err != nil {
 		return err
 	}
+	x.shared = keysOf(x.req.Blocks)
 	x.awaitStart()
 	if err = x.admit(); err != nil {
 		return err
@@ -237,7 +246,7 @@
 func (x *exchange) logRequest(err error, took clock.Millis, callerLeft bool) {
 	fields := []any{
 		"request", x.id(), "route", x.routeName(), "organisation", x.organisation, "status", x.status, "endpoint", x.endpoint, "version", x.version, "model", x.model,
-		"sends", x.sends, "retry", x.retry, "events", x.events, "waited", x.startWait, "took", took, "body", x.bodyTook, "placed", x.firstAttemptAfter(), "connect", x.connectTook, "first", x.timeToFirstByte, "pace", x.pace, "late", x.late(took), "config", x.configVersion(), "config-age", x.configAge(), "config-by", x.view.ConfirmedBy(), "left-by-caller", callerLeft,
+		"sends", x.sends, "retry", x.retry, "block", x.block, "events", x.events, "waited", x.startWait, "took", took, "body", x.bodyTook, "placed", x.firstAttemptAfter(), "connect", x.connectTook, "first", x.timeToFirstByte, "pace", x.pace, "late", x.late(took), "config", x.configVersion(), "config-age", x.configAge(), "config-by", x.view.ConfirmedBy(), "left-by-caller", callerLeft,
 	}
 	if err != nil {
 		x.server.cfg.Log.Warn("Request failed", append(fields, "error", logbook.Text(err))...)
--- a/relay/snapshot.go
+++ b/relay/snapshot.go
@@ -68,10 +68,11 @@
 				continue
 			}
 			work, speeds := s.selector.Snapshot(s.cfg.Clock.Now())
-			if len(speeds) == 0 {
+			evidence := s.quarantine.Report(true, s.cfg.Clock.Now())
+			if len(speeds) == 0 && len(evidence) == 0 {
 				continue
 			}
-			r := &wire.EntryReport{Process: name, Work: workToWire(work), Partial: true, Speeds: speedsToWire(speeds)}
+			r := &wire.EntryReport{Process: name, Work: workToWire(work), Partial: true, Speeds: speedsToWire(speeds), Evidence: evidenceToWire(evidence)}
 			if err := send(r, []string{address}); err != nil {
 				s.cfg.Log.Warn("Cannot send a snapshot", "error", logbook.Text(err))
 			}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -56,7 +56,7 @@
 		if a.events == sampledEvents {
 			a.recordLatency()
 		}
-		x.server.selector.RecordActivity(a.endpoint.ID, a.lastEventAt)
+		a.recordAlive(a.lastEventAt)
 		if err = events.during(func() error { return x.writeEvent(e) }); err != nil {
 			return ended, err
 		}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -102,6 +102,24 @@
 // before anything was sent on it.
 var errConnRejected = ErrNotSent.New("new connection was not kept open")
 
+// probeTimeout bounds a probe; an endpoint in the same region accepts a connection in a few
+// milliseconds.
+const probeTimeout = 100 * clock.Millis(1)
+
+// Probe opens a connection to an address and closes it again. accepted means that something listens
+// there, refused that nothing does. Neither is known if there was no reply in time.
+func (p *Pool) Probe(ctx context.Context, address string) (accepted, refused bool) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
+	defer cancel()
+	c, err := p.dial(ctx, "tcp4", address)
+	if err != nil {
+		return false, errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.totalConns.Add(1)
+	_ = c.Close()
+	return true, false
+}
+
 func (p *Pool) pop(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -28,6 +29,9 @@
 var (
 	// ErrNotSent marks a request of which no byte left this process.
 	ErrNotSent = Errors.NewType("not-sent")
+	// ErrRefused marks a request of which no byte left this process because nothing listens at the
+	// endpoint's address.
+	ErrRefused = ErrNotSent.NewSubtype("refused")
 	// ErrLost marks a request that may have run: its connection broke or timed out before the
 	// full answer was received.
 	ErrLost = Errors.NewType("lost")
@@ -77,6 +81,8 @@
 	stop     func() bool
 	// connectTime is how long it took to get a connection.
 	connectTime clock.Millis
+	// framed is true if the body has a length or chunks.
+	framed bool
 	// complete is true once the body has been read to its end.
 	complete bool
 	// reusable is true if the connection may be used again after the answer.
@@ -94,6 +100,9 @@
 func (p *Pool) Do(ctx context.Context, call Call) (a *Answer, err error) {
 	start := p.clock.Now()
 	c, err := p.acquire(ctx, call)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return nil, ErrRefused.Wrap(err, "connect to %s", call.Address)
+	}
 	if err != nil {
 		return nil, ErrNotSent.Wrap(err, "connect to %s", call.Address)
 	}
@@ -113,6 +122,10 @@
 	return nil, ErrLost.Wrap(err, "no answer from %s", call.Address)
 }
 
+// Unframed reports whether the answer has neither a length nor chunks, so that it ends with its
+// connection.
+func (a *Answer) Unframed() bool { return !a.framed }
+
 // ConnectTime returns how long it took to get a connection; about 0 for an idle one.
 func (a *Answer) ConnectTime() clock.Millis { return a.connectTime }
 
@@ -216,8 +229,8 @@
 func (a *Answer) setHead(resp *http.Response) {
 	a.Status, a.Header, a.Length, a.body = resp.StatusCode, resp.Header, resp.ContentLength, resp.Body
 	// An answer without a length ends when its connection is closed.
-	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	a.reusable = framed && !resp.Close
+	a.framed = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	a.reusable = a.framed && !resp.Close
 	a.conn.setIdleTimeout(resp.Header.Get("Keep-Alive"))
 }
 
