--- a/daemon/traffic.go
+++ b/daemon/traffic.go
@@ -73,7 +73,7 @@
 	switch {
 	case r.GetAskParts(), len(r.GetSpeeds()) > 0:
 		return flowBlocks
-	case len(r.GetEvidence()) > 0:
+	case r.GetEvidence() != nil:
 		return flowCrashes
 	case r.GetZone() == "":
 		return flowWork
--- a/quarantine/attempt.go
+++ b/quarantine/attempt.go
@@ -40,6 +40,8 @@
 type Attempt struct {
 	blocks  []string
 	beganAt clock.Millis
+	// whole is true if the head arrives only with the whole answer.
+	whole bool
 	// headAt is when the head of the answer arrived, aliveAt when the endpoint first sent something
 	// half of beginningTime later; never before that.
 	headAt  clock.Millis
@@ -49,11 +51,12 @@
 	broken  bool
 }
 
-// Begin records an attempt at an endpoint. It returns nil if all blocks were cleared not long ago.
-func (g *Register) Begin(i Incarnation, blocks []string, now clock.Millis) *Attempt {
+// Begin records an attempt at an endpoint. It returns nil if all blocks were cleared not long ago. whole is
+// true if the head arrives only with the whole answer.
+func (g *Register) Begin(i Incarnation, blocks []string, whole bool, now clock.Millis) *Attempt {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	a := &Attempt{beganAt: now, headAt: never, aliveAt: never, endedAt: never}
+	a := &Attempt{beganAt: now, whole: whole, headAt: never, aliveAt: never, endedAt: never}
 	for _, key := range blocks {
 		if at, ok := g.cleared[key]; !ok || now-at > clearTTL/2 {
 			a.blocks = append(a.blocks, key)
@@ -88,13 +91,13 @@
 
 // Alive records that the endpoint sent something. An answer is beyond its beginning when its endpoint
 // sends something twice, half of beginningTime apart: what was sent before a crash may be read late
-// at once.
-func (g *Register) Alive(i Incarnation, now clock.Millis) {
+// at once. acquitted holds the suspected blocks that this clears.
+func (g *Register) Alive(i Incarnation, now clock.Millis) (acquitted []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	e := g.endpoints[i]
 	if e == nil || e.crashedAt != never {
-		return
+		return nil
 	}
 	e.attempts = slices.DeleteFunc(e.attempts, func(a *Attempt) bool {
 		switch {
@@ -106,27 +109,29 @@
 		case a.aliveAt == never || now-a.aliveAt < beginningTime/2:
 			return false
 		}
-		g.clearAll(a, now)
+		acquitted = append(acquitted, g.clearAll(a, now)...)
 		return true
 	})
+	return acquitted
 }
 
 // Accepted records that the endpoint accepts connections: all its answers that are old enough are
-// beyond their beginning.
-func (g *Register) Accepted(i Incarnation, now clock.Millis) {
+// beyond their beginning. acquitted holds the suspected blocks that this clears.
+func (g *Register) Accepted(i Incarnation, now clock.Millis) (acquitted []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	e := g.endpoints[i]
 	if e == nil || e.crashedAt != never {
-		return
+		return nil
 	}
 	e.attempts = slices.DeleteFunc(e.attempts, func(a *Attempt) bool {
 		if !a.provable(now) || now-a.headAt < beginningTime {
 			return false
 		}
-		g.clearAll(a, now)
+		acquitted = append(acquitted, g.clearAll(a, now)...)
 		return true
 	})
+	return acquitted
 }
 
 // provable reports whether a sign of life can show that the attempt is not the cause of a crash. Long
@@ -135,11 +140,15 @@
 	return a.headAt != never && !a.broken && (a.endedAt == never || now-a.headAt < endedTime)
 }
 
-func (g *Register) clearAll(a *Attempt, now clock.Millis) {
+// clearAll clears the blocks of an attempt and returns those that were suspected.
+func (g *Register) clearAll(a *Attempt, now clock.Millis) (acquitted []string) {
 	for _, key := range a.blocks {
-		g.clear(key, now)
+		if g.clear(key, now) {
+			acquitted = append(acquitted, key)
+		}
 	}
 	a.blocks = nil
+	return acquitted
 }
 
 // End records the end of an attempt. broken means that the answer broke off or did not come.
@@ -155,6 +164,17 @@
 	a.broken = a.broken || broken
 }
 
+// Cancel forgets an attempt that the endpoint did not begin to answer: it neither clears its blocks nor can
+// it be the cause of a crash.
+func (g *Register) Cancel(a *Attempt) {
+	if a == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	a.blocks, a.endedAt = nil, a.beganAt
+}
+
 // MayHaveCrashed reports whether an attempt that has ended may be the cause of a crash.
 func (g *Register) MayHaveCrashed(a *Attempt) bool {
 	if a == nil {
@@ -165,10 +185,30 @@
 	return len(a.blocks) > 0
 }
 
+// suspects returns the attempts that may be the cause of a crash: those that had begun, or if there
+// are none, those that were waiting.
+func (e *endpoint) suspects(now clock.Millis) []*Attempt {
+	var begun, waiting []*Attempt
+	for _, a := range e.attempts {
+		switch {
+		case len(a.blocks) == 0, a.endedAt != never && now-a.endedAt > endedTime:
+		case a.endedAt != never && !a.broken && now-a.headAt > beginningTime:
+		case a.headAt != never || a.whole:
+			begun = append(begun, a)
+		default:
+			waiting = append(waiting, a)
+		}
+	}
+	if len(begun) > 0 {
+		return begun
+	}
+	return waiting
+}
+
 // Crash is what a crash of an endpoint shows.
 type Crash struct {
-	// Suspects is the number of attempts of this entry that the endpoint had not begun or just begun,
-	// and Blocks holds their blocks that are not cleared.
+	// Suspects is the number of attempts of this entry that the endpoint had just begun to answer, or
+	// had not begun if there are none, and Blocks holds their blocks that are not cleared.
 	Suspects int
 	Blocks   []string
 	// Cleared is the number of blocks of these attempts that are cleared.
@@ -186,39 +226,26 @@
 	if e.crashedAt == never {
 		e.crashedAt = now
 	}
-	for _, a := range e.attempts {
-		if a.endedAt != never && now-a.endedAt > endedTime {
-			continue
-		}
+	for _, a := range e.suspects(now) {
 		c.Suspects++
 		for _, key := range a.blocks {
 			switch {
 			case g.isCleared(key, now):
 				c.Cleared++
-			case g.accuse(key, i, crash{e.crashedAt, a.beganAt}, now):
+			case g.accuse(key, i.hash(), e.crashedAt, a.beganAt, now):
+				g.suspects[key].seenAt = now
 				c.Blocks = append(c.Blocks, key)
-				if g.suspects[key].independent() == crashesToQuarantine {
-					c.Found = append(c.Found, key)
-				}
 			}
 		}
 	}
 	e.attempts = slices.DeleteFunc(e.attempts, func(a *Attempt) bool { return a.endedAt != never })
-	if len(c.Blocks) > 0 {
-		g.notify()
-	}
-	return c, len(c.Blocks) > 0
-}
-
-// accuse records that a crash names a block, and reports whether that is new.
-func (g *Register) accuse(key string, i Incarnation, c crash, now clock.Millis) bool {
-	s := g.suspectOf(key, now)
-	if !s.add(i.hash(), c) {
-		return false
+	if len(c.Blocks) == 0 {
+		return c, false
 	}
-	s.seenAt = now
-	g.report(s)
-	return true
+	g.repeatCrash(g.crashes[i.hash()])
+	c.Found = g.judge()
+	g.notify()
+	return c, true
 }
 
 // sweepEndpoints drops attempts that can no longer show anything, and old crashes.
--- /dev/null
+++ b/quarantine/crash.go
@@ -0,0 +1,145 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/parsleydeal/parsleydeal/clock"
+)
+
+// crash is the crash of an endpoint.
+type crash struct {
+	at clock.Millis
+	// named holds the blocks that may be the cause, with the time at which the last attempt with the
+	// block began there.
+	named map[string]clock.Millis
+	// repeats is how often the crash must still be reported to other entries.
+	repeats int
+}
+
+// accuse records that a crash names a block, and reports whether that is news.
+func (g *Register) accuse(key string, incarnation uint64, at, began, now clock.Millis) (news bool) {
+	c := g.crashes[incarnation]
+	if c == nil {
+		c = &crash{at: at, named: make(map[string]clock.Millis)}
+		g.crashes[incarnation] = c
+		g.dropOldest()
+	}
+	if _, known := c.named[key]; known || len(c.named) >= maxNamed {
+		return false
+	}
+	s := g.suspectOf(key, now)
+	c.named[key] = began
+	s.named++
+	s.lastCrashAt = max(s.lastCrashAt, c.at)
+	return true
+}
+
+// dropOldest drops the oldest crash if there are too many. It is dropped for all blocks at once, so that
+// it cannot go on naming a block when what explains it is forgotten.
+func (g *Register) dropOldest() {
+	if len(g.crashes) <= maxCrashes {
+		return
+	}
+	oldest, found := uint64(0), false
+	for incarnation, c := range g.crashes {
+		if !found || c.at < g.crashes[oldest].at {
+			oldest, found = incarnation, true
+		}
+	}
+	for key := range g.crashes[oldest].named {
+		g.suspects[key].named--
+	}
+	delete(g.crashes, oldest)
+}
+
+// judge finds the blocks for which requests are refused and returns those that are found for the first
+// time: as long as there is a block that enough independent crashes name, the one that the most
+// crashes name is guilty, and these crashes are explained.
+func (g *Register) judge() (found []string) {
+	before := g.guilty
+	g.guilty = make(map[string]int)
+	naming := make(map[string]map[uint64]moment)
+	for incarnation, c := range g.crashes {
+		for key, began := range c.named {
+			if naming[key] == nil {
+				naming[key] = make(map[uint64]moment)
+			}
+			naming[key][incarnation] = moment{c.at, began}
+		}
+	}
+	maps.DeleteFunc(naming, func(_ string, by map[uint64]moment) bool { return independent(by) < crashesToQuarantine })
+	for len(naming) > 0 {
+		key := mostNamed(naming)
+		explained := naming[key]
+		g.guilty[key] = len(explained)
+		delete(naming, key)
+		maps.DeleteFunc(naming, func(_ string, by map[uint64]moment) bool {
+			maps.DeleteFunc(by, func(incarnation uint64, _ moment) bool { _, ok := explained[incarnation]; return ok })
+			return independent(by) < crashesToQuarantine
+		})
+		if _, known := before[key]; !known {
+			found = append(found, key)
+		}
+	}
+	return found
+}
+
+// mostNamed returns the block that the most crashes name, of several the first in order.
+func mostNamed(naming map[string]map[uint64]moment) (most string) {
+	for key, by := range naming {
+		n := len(naming[most])
+		if len(by) > n || len(by) == n && key < most {
+			most = key
+		}
+	}
+	return most
+}
+
+// moment is when an endpoint crashed, and when an attempt there began.
+type moment struct {
+	at, began clock.Millis
+}
+
+// independent counts crashes in the order of their times without those whose attempt began before the
+// last one counted: a lost rack or zone takes many endpoints at once, whatever their requests.
+func independent(by map[uint64]moment) (n int) {
+	if len(by) < crashesToQuarantine {
+		return len(by)
+	}
+	last := never
+	for _, m := range slices.SortedFunc(maps.Values(by), func(a, b moment) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.began, b.began)) }) {
+		if m.began >= last {
+			last = m.at
+			n++
+		}
+	}
+	return n
+}
+
+// refuses reports whether a request with the given blocks is refused because of one of them: it is
+// guilty, and the request has every other block that all crashes that name it name as well. Without
+// that, a sound block that always came with the one at fault would be kept out too.
+func (g *Register) refuses(key string, blocks []string) bool {
+	if g.guilty[key] == 0 {
+		return false
+	}
+	var companions map[string]clock.Millis
+	for _, c := range g.crashes {
+		if _, ok := c.named[key]; !ok {
+			continue
+		}
+		if companions == nil {
+			companions = maps.Clone(c.named)
+			continue
+		}
+		maps.DeleteFunc(companions, func(other string, _ clock.Millis) bool { _, ok := c.named[other]; return !ok })
+	}
+	for other := range companions {
+		if !slices.Contains(blocks, other) {
+			return false
+		}
+	}
+	return true
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -8,7 +8,6 @@
 package quarantine
 
 import (
-	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"maps"
@@ -32,11 +31,11 @@
 	maxTrialDoublings = 6
 	// trialInterval is the minimum time between two trials if the last one showed nothing.
 	trialInterval = 5 * clock.Second
-	// maxSuspects limits the suspected blocks, maxCrashes the crashes kept for each of them, and
-	// maxDependent those of them that do not count as independent: others must have room.
-	maxSuspects  = 256
-	maxCrashes   = 16
-	maxDependent = 8
+	// maxSuspects limits the suspected blocks, maxCrashes the crashes, and maxNamed the blocks that one
+	// crash names.
+	maxSuspects = 1024
+	maxCrashes  = 256
+	maxNamed    = 64
 	// maxCleared is the number of cleared blocks from which old ones are dropped sooner; there are never
 	// more than twice as many.
 	maxCleared = 20000
@@ -62,8 +61,13 @@
 	mu sync.Mutex
 	// cleared holds when an answer of this entry last cleared a block.
 	cleared map[string]clock.Millis
-	// suspects holds the blocks that a crash named or that another entry reported.
+	// suspects holds the blocks that crashes named or that another entry cleared, crashes the crashes
+	// by the hash of the endpoint's incarnation.
 	suspects map[string]*suspect
+	crashes  map[uint64]*crash
+	// guilty holds the blocks for which requests are refused, with the number of crashes that named
+	// them. It follows from crashes.
+	guilty map[string]int
 	// endpoints holds the attempts with blocks that are not cleared, and recent crashes.
 	endpoints map[Incarnation]*endpoint
 	// changed is closed, and replaced, when a finding may have changed.
@@ -72,11 +76,9 @@
 	urgent chan struct{}
 }
 
-// suspect is what is known of a block that a crash named.
+// suspect is what is known of a block.
 type suspect struct {
-	// crashes holds the crashes that named the block by the hash of the endpoint's incarnation.
-	crashes map[uint64]crash
-	// clearedAt is when an answer of another entry cleared the block; crashes is empty then.
+	// clearedAt is when an answer of any entry last cleared the block; no crash names it then.
 	clearedAt clock.Millis
 	// seenAt is when a request with the block last arrived at any entry.
 	seenAt clock.Millis
@@ -84,18 +86,17 @@
 	// the last test began.
 	tester  string
 	triedAt clock.Millis
-	// repeats is how often the block must still be reported to other entries.
+	// lastCrashAt is when an endpoint last crashed that named the block.
+	lastCrashAt clock.Millis
+	// named is the number of crashes that name the block.
+	named int
+	// repeats is how often its clearing must still be reported to other entries.
 	repeats int
 }
 
-// crash is the crash of an endpoint, at a time, and when the attempt with the block began there.
-type crash struct {
-	at, began clock.Millis
-}
-
 // New returns an empty register.
 func New() *Register {
-	return &Register{cleared: make(map[string]clock.Millis), suspects: make(map[string]*suspect), endpoints: make(map[Incarnation]*endpoint), changed: make(chan struct{}), urgent: make(chan struct{}, 1)}
+	return &Register{cleared: make(map[string]clock.Millis), suspects: make(map[string]*suspect), crashes: make(map[uint64]*crash), endpoints: make(map[Incarnation]*endpoint), changed: make(chan struct{}), urgent: make(chan struct{}, 1)}
 }
 
 // Changed returns a channel that is closed when a finding may have changed.
@@ -138,19 +139,19 @@
 	defer g.mu.Unlock()
 	for _, key := range blocks {
 		s := g.suspects[key]
-		if s == nil || len(s.crashes) == 0 || g.isCleared(key, now) {
+		if s == nil || s.named == 0 || g.isCleared(key, now) {
 			continue
 		}
 		s.seenAt = now
 		next := Test
 		switch {
-		case g.quarantined(key, blocks) && (!mayTry || s.tester != "" || !s.trialDue(now)):
+		case g.refuses(key, blocks) && (!mayTry || s.tester != "" || !g.trialDue(key, now)):
 			next = Quarantined
 		case s.tester != "":
 			next = Wait
 		}
 		if next > f {
-			f, block, crashes = next, key, len(s.crashes)
+			f, block, crashes = next, key, s.named
 		}
 	}
 	if f == Test {
@@ -181,76 +182,12 @@
 	}
 }
 
-// quarantined reports whether a request with the given blocks is refused because of one of them:
-// enough crashes named it, and the request has every other block that all of these crashes named as well.
-// Without that, a sound block that came with the one at fault would be kept out too.
-func (g *Register) quarantined(key string, blocks []string) bool {
-	s := g.suspects[key]
-	if s.independent() < crashesToQuarantine {
-		return false
-	}
-	for other, o := range g.suspects {
-		if other != key && o.includes(s) && !slices.Contains(blocks, other) {
-			return false
-		}
-	}
-	return true
-}
-
-// includes reports whether each crash that named other also named s.
-func (s *suspect) includes(other *suspect) bool {
-	if len(s.crashes) < len(other.crashes) {
-		return false
-	}
-	for crash := range other.crashes {
-		if _, ok := s.crashes[crash]; !ok {
-			return false
-		}
-	}
-	return true
-}
-
-// independent counts the crashes that named the block without those whose attempt began before the
-// last one counted: a lost rack or zone takes many endpoints at once, whatever their requests.
-func (s *suspect) independent() (n int) {
-	last := never
-	for _, c := range s.inOrder() {
-		if c.began >= last {
-			last = c.at
-			n++
-		}
-	}
-	return n
-}
-
-// inOrder returns the crashes in the order of their times.
-func (s *suspect) inOrder() []crash {
-	return slices.SortedFunc(maps.Values(s.crashes), func(a, b crash) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.began, b.began)) })
-}
-
-// add adds a crash if it is not known and there is room for it, and reports whether that was done.
-func (s *suspect) add(incarnation uint64, c crash) bool {
-	if _, known := s.crashes[incarnation]; known || len(s.crashes) >= maxCrashes {
-		return false
-	}
-	before := s.independent()
-	s.crashes[incarnation] = c
-	if s.independent() <= before && len(s.crashes)-before > maxDependent {
-		delete(s.crashes, incarnation)
-		return false
-	}
-	return true
-}
-
 // trialDue reports whether a quarantined block may be tried again: the verdict may be wrong, and
 // nothing else would show that.
-func (s *suspect) trialDue(now clock.Millis) bool {
-	last := never
-	for _, c := range s.crashes {
-		last = max(last, c.at)
-	}
-	delay := firstTrialDelay << min(len(s.crashes)-crashesToQuarantine, maxTrialDoublings)
-	return now-last >= delay && now-s.triedAt >= trialInterval
+func (g *Register) trialDue(key string, now clock.Millis) bool {
+	s := g.suspects[key]
+	delay := firstTrialDelay << min(max(g.guilty[key]-crashesToQuarantine, 0), maxTrialDoublings)
+	return now-s.lastCrashAt >= delay && now-s.triedAt >= trialInterval
 }
 
 // isCleared reports whether an answer with the block got beyond its beginning lately, at this entry or
@@ -263,17 +200,30 @@
 	return s != nil && now-s.clearedAt < clearTTL
 }
 
-// clear records an answer of this entry that got beyond its beginning. It outweighs all crashes.
-func (g *Register) clear(key string, now clock.Millis) {
+// clear records an answer of this entry that got beyond its beginning, and reports whether the block was
+// suspected. The answer outweighs all crashes.
+func (g *Register) clear(key string, now clock.Millis) bool {
 	if _, known := g.cleared[key]; known || len(g.cleared) < 2*maxCleared {
 		g.cleared[key] = now
 	}
-	if s := g.suspects[key]; s != nil && len(s.crashes) > 0 {
-		clear(s.crashes)
-		s.clearedAt = now
-		g.report(s)
-		g.notify()
+	s := g.suspects[key]
+	if s == nil || s.named == 0 {
+		return false
+	}
+	g.acquit(key, now)
+	g.repeatClearing(s)
+	g.notify()
+	return true
+}
+
+// acquit removes a block from all crashes: an answer with it got beyond its beginning at the given time.
+func (g *Register) acquit(key string, at clock.Millis) {
+	s := g.suspects[key]
+	s.clearedAt, s.named = max(s.clearedAt, at), 0
+	for _, c := range g.crashes {
+		delete(c.named, key)
 	}
+	g.judge()
 }
 
 // suspectOf returns the suspect of a block, and adds it if there is room.
@@ -285,7 +235,7 @@
 	if len(g.suspects) >= maxSuspects {
 		g.dropWeakest()
 	}
-	s = &suspect{crashes: make(map[uint64]crash), clearedAt: never, seenAt: now, triedAt: never}
+	s = &suspect{clearedAt: never, seenAt: now, triedAt: never, lastCrashAt: never}
 	g.suspects[key] = s
 	return s
 }
@@ -295,11 +245,18 @@
 	weakest := ""
 	for key, s := range g.suspects {
 		w := g.suspects[weakest]
-		if w == nil || len(s.crashes) < len(w.crashes) || len(s.crashes) == len(w.crashes) && s.seenAt < w.seenAt {
+		if w == nil || s.named < w.named || s.named == w.named && s.seenAt < w.seenAt {
 			weakest = key
 		}
 	}
-	delete(g.suspects, weakest)
+	g.dropSuspect(weakest)
+}
+
+func (g *Register) dropSuspect(key string) {
+	for _, c := range g.crashes {
+		delete(c.named, key)
+	}
+	delete(g.suspects, key)
 }
 
 // Sweep drops what is no longer needed. It must be called regularly.
@@ -307,10 +264,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for key, s := range g.suspects {
-		if now-s.seenAt > forgetAfter || len(s.crashes) == 0 && now-s.clearedAt > clearTTL {
-			delete(g.suspects, key)
+		if now-s.seenAt > forgetAfter || s.named == 0 && now-s.clearedAt > clearTTL {
+			g.dropSuspect(key)
 		}
 	}
+	maps.DeleteFunc(g.crashes, func(_ uint64, c *crash) bool { return len(c.named) == 0 })
+	g.judge()
 	for key, at := range g.cleared {
 		if now-at > clearTTL || len(g.cleared) > maxCleared && now-at > clearTTL/2 {
 			delete(g.cleared, key)
@@ -319,17 +278,21 @@
 	g.sweepEndpoints(now)
 }
 
+// Quarantined returns the blocks for which requests are refused, in order.
+func (g *Register) Quarantined() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Sorted(maps.Keys(g.guilty))
+}
+
 // Counts returns the number of suspected blocks, of those that are quarantined, and of cleared ones.
 func (g *Register) Counts() (suspected, quarantined, cleared int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, s := range g.suspects {
-		if len(s.crashes) > 0 {
+		if s.named > 0 {
 			suspected++
 		}
-		if s.independent() >= crashesToQuarantine {
-			quarantined++
-		}
 	}
-	return suspected, quarantined, len(g.cleared)
+	return suspected, len(g.guilty), len(g.cleared)
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -26,6 +26,7 @@
 	Begin    string   `toml:"begin"`
 	Endpoint string   `toml:"endpoint"`
 	Blocks   []string `toml:"blocks"`
+	Whole    bool     `toml:"whole"`
 	Head     string   `toml:"head"`
 	Break    string   `toml:"break"`
 	End      string   `toml:"end"`
@@ -64,7 +65,7 @@
 		g := entries[x.Entry]
 		switch {
 		case x.Begin != "":
-			attempts[x.Begin] = g.Begin(Incarnation{Endpoint: x.Endpoint}, x.Blocks, x.At)
+			attempts[x.Begin] = g.Begin(Incarnation{Endpoint: x.Endpoint}, x.Blocks, x.Whole, x.At)
 		case x.Head != "":
 			g.Head(attempts[x.Head], x.At)
 		case x.Break != "":
@@ -106,13 +107,15 @@
 func TestSuspectsAreBounded(t *testing.T) {
 	is := is.New(t)
 	g := New()
-	for i := range 4 * maxSuspects {
+	for i := range 2 * maxSuspects {
 		endpoint := Incarnation{Endpoint: fmt.Sprint(i)}
-		a := g.Begin(endpoint, []string{fmt.Sprint("block-", i)}, clock.Millis(i))
+		a := g.Begin(endpoint, []string{fmt.Sprint("block-", i)}, false, clock.Millis(i))
 		g.End(a, true, clock.Millis(i))
 		g.Crashed(endpoint, clock.Millis(i))
 	}
 	suspected, _, _ := g.Counts()
-	is.Equal(suspected, maxSuspects)
-	is.True(len(g.Report(true, 1)) <= maxReported)
+	is.Equal(suspected, maxCrashes)
+	is.True(len(g.suspects) <= maxSuspects)
+	is.True(len(g.Report(true, 1).Crashes) <= maxReportedCrashes)
+	is.True(len(g.crashes) <= maxCrashes)
 }
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -8,16 +9,39 @@
 )
 
 const (
-	// reportRepeats is how often news of a block is reported: reports may be lost.
+	// reportRepeats is how often news is reported: reports may be lost.
 	reportRepeats = 4
-	// maxReported limits the blocks in one report.
-	maxReported = 64
+	// maxReportedCrashes and maxReportedBlocks limit a report, maxReportedNames the blocks that a crash in
+	// it names.
+	maxReportedCrashes = 32
+	maxReportedBlocks  = 64
+	maxReportedNames   = 16
+	// maxRepeatedCrashes limits the crashes in the report of everything known.
+	maxRepeatedCrashes = 8
 )
 
-// Evidence is what an entry reports of a block.
+// Evidence is what an entry reports.
 type Evidence struct {
-	Block   string
 	Crashes []ReportedCrash
+	Blocks  []ReportedBlock
+}
+
+// ReportedCrash is a crash and the blocks that it names. Incarnation is a hash.
+type ReportedCrash struct {
+	Incarnation uint64
+	Age         clock.Millis
+	Names       []ReportedName
+}
+
+// ReportedName is a block that a crash names; an attempt with it began BeganAge ago.
+type ReportedName struct {
+	Block    string
+	BeganAge clock.Millis
+}
+
+// ReportedBlock is what is known of a block.
+type ReportedBlock struct {
+	Block string
 	// Cleared is true if an answer with the block got beyond its beginning, ClearedAge ago.
 	Cleared    bool
 	ClearedAge clock.Millis
@@ -25,17 +49,22 @@
 	SeenAge clock.Millis
 }
 
-// ReportedCrash is a crash that named a block. Incarnation is a hash; BeganAge is how long ago the
-// attempt with the block began.
-type ReportedCrash struct {
-	Incarnation uint64
-	Age         clock.Millis
-	BeganAge    clock.Millis
+// Empty reports whether there is nothing to report.
+func (e Evidence) Empty() bool { return len(e.Crashes)+len(e.Blocks) == 0 }
+
+// repeatCrash has a crash reported at once and some times more, repeatClearing that a block was
+// cleared.
+func (g *Register) repeatCrash(c *crash) {
+	c.repeats = reportRepeats
+	g.signal()
 }
 
-// report has the suspect reported at once and some times more.
-func (g *Register) report(s *suspect) {
+func (g *Register) repeatClearing(s *suspect) {
 	s.repeats = reportRepeats
+	g.signal()
+}
+
+func (g *Register) signal() {
 	select {
 	case g.urgent <- struct{}{}:
 	default:
@@ -45,83 +74,125 @@
 // Urgent returns a channel that receives a value when a report should be sent at once.
 func (g *Register) Urgent() <-chan struct{} { return g.urgent }
 
-// Report returns what to report to other entries: the news, or with all set everything that is known of
-// suspected blocks.
-func (g *Register) Report(all bool, now clock.Millis) (out []Evidence) {
+// Report returns what to report to other entries: the news, or with all set also the newest crashes that
+// name quarantined blocks.
+func (g *Register) Report(all bool, now clock.Millis) (e Evidence) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	repeated := 0
+	for _, incarnation := range slices.SortedFunc(maps.Keys(g.crashes), func(a, b uint64) int {
+		return cmp.Or(cmp.Compare(g.crashes[b].at, g.crashes[a].at), cmp.Compare(a, b))
+	}) {
+		c := g.crashes[incarnation]
+		news := c.repeats > 0
+		if len(e.Crashes) == maxReportedCrashes || !news && !(all && repeated < maxRepeatedCrashes && g.namesGuilty(c)) {
+			continue
+		}
+		c.repeats = max(c.repeats-1, 0)
+		repeated++
+		e.Crashes = append(e.Crashes, ReportedCrash{incarnation, now - c.at, g.reportedNames(c, now)})
+	}
 	for _, key := range slices.Sorted(maps.Keys(g.suspects)) {
 		s := g.suspects[key]
-		if len(out) == maxReported || s.repeats == 0 && !(all && len(s.crashes) > 0) {
+		if len(e.Blocks) == maxReportedBlocks || s.repeats == 0 && !(all && g.guilty[key] > 0) {
 			continue
 		}
 		s.repeats = max(s.repeats-1, 0)
-		x := Evidence{Block: key, SeenAge: now - s.seenAt, Cleared: now-s.clearedAt < clearTTL, ClearedAge: now - s.clearedAt}
-		for _, incarnation := range slices.Sorted(maps.Keys(s.crashes)) {
-			c := s.crashes[incarnation]
-			x.Crashes = append(x.Crashes, ReportedCrash{incarnation, now - c.at, now - c.began})
+		e.Blocks = append(e.Blocks, ReportedBlock{Block: key, Cleared: now-s.clearedAt < clearTTL, ClearedAge: now - s.clearedAt, SeenAge: now - s.seenAt})
+	}
+	return e
+}
+
+func (g *Register) namesGuilty(c *crash) bool {
+	for key := range c.named {
+		if g.guilty[key] > 0 {
+			return true
 		}
-		out = append(out, x)
 	}
-	return out
+	return false
+}
+
+// reportedNames returns the blocks that a crash names, those first that the most crashes name.
+func (g *Register) reportedNames(c *crash, now clock.Millis) (names []ReportedName) {
+	for _, key := range slices.SortedFunc(maps.Keys(c.named), func(a, b string) int {
+		return cmp.Or(cmp.Compare(g.suspects[b].named, g.suspects[a].named), cmp.Compare(a, b))
+	}) {
+		if len(names) == maxReportedNames {
+			break
+		}
+		names = append(names, ReportedName{key, now - c.named[key]})
+	}
+	return names
 }
 
 // Receive applies another entry's report. An answer of this entry outweighs it. With spread set, news is
-// reported further. found holds the blocks that are quarantined from now on.
-func (g *Register) Receive(all []Evidence, spread bool, now clock.Millis) (found []string) {
+// reported further. found holds the blocks that are quarantined from now on, acquitted those that are no
+// longer suspected.
+func (g *Register) Receive(e Evidence, spread bool, now clock.Millis) (found, acquitted []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	changed := false
-	for _, x := range all {
-		if len(x.Block) > maxKeyBytes || x.SeenAge < 0 || x.SeenAge > forgetAfter {
-			continue
-		}
-		before := 0
-		if s := g.suspects[x.Block]; s != nil {
-			before = s.independent()
-		}
-		news := g.receive(x, now)
-		changed = changed || news
-		s := g.suspects[x.Block]
-		if news && spread {
-			g.report(s)
+	for _, x := range e.Blocks {
+		if validBlock(x.Block) && x.SeenAge >= 0 && x.SeenAge < forgetAfter && g.receiveBlock(x, now) {
+			changed = true
+			acquitted = append(acquitted, x.Block)
+			if spread {
+				g.repeatClearing(g.suspects[x.Block])
+			}
 		}
-		if s != nil && before < crashesToQuarantine && s.independent() >= crashesToQuarantine {
-			found = append(found, x.Block)
+	}
+	for _, x := range e.Crashes {
+		if x.Age >= 0 && x.Age < forgetAfter && g.receiveCrash(x, now) {
+			changed = true
+			if c := g.crashes[x.Incarnation]; spread && c != nil {
+				g.repeatCrash(c)
+			}
 		}
 	}
-	if changed {
-		g.notify()
+	if !changed {
+		return nil, nil
 	}
-	return found
+	found = g.judge()
+	g.notify()
+	return found, acquitted
 }
 
-// receive applies what another entry reports of a block, and reports whether it was news.
-func (g *Register) receive(x Evidence, now clock.Millis) (news bool) {
-	s := g.suspectOf(x.Block, now-x.SeenAge)
-	s.seenAt = max(s.seenAt, now-x.SeenAge)
-	if at, ok := g.cleared[x.Block]; ok && now-at < clearTTL {
-		if len(x.Crashes) > 0 && s.repeats == 0 {
-			s.clearedAt = at
-			g.report(s)
-		}
+func validBlock(key string) bool { return key != "" && len(key) <= maxKeyBytes }
+
+// receiveBlock applies what another entry reports of a block, and reports whether that cleared it.
+func (g *Register) receiveBlock(x ReportedBlock, now clock.Millis) (news bool) {
+	clears := x.Cleared && x.ClearedAge >= 0 && x.ClearedAge < clearTTL
+	s := g.suspects[x.Block]
+	if s == nil && !clears {
 		return false
 	}
-	if x.Cleared && x.ClearedAge >= 0 && x.ClearedAge < clearTTL {
-		news = now-s.clearedAt >= clearTTL || len(s.crashes) > 0
-		s.clearedAt = max(s.clearedAt, now-x.ClearedAge)
-		clear(s.crashes)
-		return news
-	}
-	if now-s.clearedAt < clearTTL {
-		if len(x.Crashes) > 0 && s.repeats == 0 {
-			g.report(s)
-		}
+	s = g.suspectOf(x.Block, now-x.SeenAge)
+	s.seenAt = max(s.seenAt, now-x.SeenAge)
+	if !clears {
 		return false
 	}
-	for _, c := range x.Crashes {
-		if c.Age >= 0 && c.BeganAge >= c.Age && s.add(c.Incarnation, crash{now - c.Age, now - c.BeganAge}) {
-			news = true
+	news = s.named > 0 || now-s.clearedAt >= clearTTL
+	g.acquit(x.Block, now-x.ClearedAge)
+	return news
+}
+
+// receiveCrash applies a reported crash, and reports whether it names other blocks than were known. The
+// sender is told of blocks that are cleared.
+func (g *Register) receiveCrash(x ReportedCrash, now clock.Millis) (news bool) {
+	for _, name := range x.Names {
+		if !validBlock(name.Block) || name.BeganAge < x.Age {
+			continue
+		}
+		if !g.isCleared(name.Block, now) {
+			news = g.accuse(name.Block, x.Incarnation, now-x.Age, now-name.BeganAge, now) || news
+			continue
+		}
+		s := g.suspectOf(name.Block, now)
+		if at, ok := g.cleared[name.Block]; ok {
+			s.clearedAt = max(s.clearedAt, at)
+		}
+		if s.repeats == 0 {
+			g.repeatClearing(s)
 		}
 	}
 	return news
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -76,7 +76,7 @@
 			a.end()
 		}
 	}()
-	a.watch = s.quarantine.Begin(incarnationOf(a.endpoint), x.shared, now)
+	a.watch = s.quarantine.Begin(incarnationOf(a.endpoint), x.shared, x.route.Kind != catalog.Streaming, now)
 	a.onEnd = append(a.onEnd, func() { s.quarantine.End(a.watch, false, s.cfg.Clock.Now()) })
 	a.countLimited()
 	x.sends++
--- a/relay/crash_replay_test.go
+++ b/relay/crash_replay_test.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -48,10 +50,10 @@
 
 // crashRecord is what happened in a replay with endpoints that end.
 type crashRecord struct {
-	// crashedAt holds the times at which endpoints crashed by a block, crashingAt those at which
-	// requests with such a block arrived at endpoints.
-	crashedAt  []clock.Millis
-	crashingAt []clock.Millis
+	// crashedAt holds by block the times at which endpoints crashed on it, crashingAt those at which
+	// requests with it arrived at endpoints, from entries that have run for stabilityWindow.
+	crashedAt  map[string][]clock.Millis
+	crashingAt map[string][]clock.Millis
 	// firstTries holds the first tries of sound callers by the block that they had of their own.
 	firstTries map[string][]firstTry
 }
@@ -103,10 +105,32 @@
 	return append([]placement.Block{{ID: first, Tokens: 100}, {ID: own, Tokens: 100}}, blocks...)
 }
 
+// blockOf returns the block that a request has of its own; empty if it has none.
+func (p *replay) blockOf(r *http.Request) string {
+	return strings.TrimPrefix(r.Header.Get("Blocks"), "first/")
+}
+
 // crashes reports whether the request has a block that crashes endpoints.
 func (p *replay) crashes(r *http.Request) bool {
-	own := strings.TrimPrefix(r.Header.Get("Blocks"), "first/")
-	return own != "" && slices.ContainsFunc(p.script.Crash, func(c crashLoad) bool { return c.Block == own })
+	return slices.ContainsFunc(p.script.Crash, func(c crashLoad) bool { return c.Block == p.blockOf(r) })
+}
+
+// recordCrashing records that a request arrived, if it has a block that crashes endpoints.
+func (p *replay) recordCrashing(r *http.Request) {
+	if !p.crashes(r) {
+		return
+	}
+	from := p.entryNamed(r.Header.Get("Entry"))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.now() >= from.inTouchFrom {
+		p.crashingAt[p.blockOf(r)] = append(p.crashingAt[p.blockOf(r)], p.now())
+	}
+}
+
+func (p *replay) entryNamed(name string) *replayEntry {
+	i, _ := strconv.Atoi(strings.TrimPrefix(name, "entry-"))
+	return p.entries[i].Load()
 }
 
 // addEndpoint starts the next endpoint and lists it.
@@ -164,17 +188,22 @@
 }
 
 // crashBy ends the endpoint by a block.
-func (e *replayEndpoint) crashBy() {
+func (e *replayEndpoint) crashBy(block string) {
 	if !e.crash() {
 		return
 	}
 	p := e.replay
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.crashedAt = append(p.crashedAt, p.now())
+	if !p.over() {
+		p.crashedAt[block] = append(p.crashedAt[block], p.now())
+	}
 }
 
-// stopped reports whether the script is over.
+// over reports whether the script is over.
+func (p *replay) over() bool { return p.now()-clock.Minute >= p.script.Duration }
+
+// stopped reports whether the script has been over for so long that no endpoint comes back.
 func (p *replay) stopped() bool { return p.now()-clock.Minute >= p.script.Duration+replayDrain }
 
 // replayDrain is how long callers may still wait after the script is over.
@@ -184,7 +213,7 @@
 // themselves.
 func (p *replay) startCrashes(ctx context.Context) {
 	go p.reportEntries(ctx)
-	p.firstTries = make(map[string][]firstTry)
+	p.firstTries, p.crashedAt, p.crashingAt = make(map[string][]firstTry), make(map[string][]clock.Millis), make(map[string][]clock.Millis)
 	for _, c := range p.script.Crash {
 		go p.load(ctx, c, 3)
 	}
@@ -293,33 +322,34 @@
 	return served / float64(max(n, 1)), n
 }
 
-// checkCrashes fails if more requests with the block arrived after the entries had time to know it than
+// checkCrashes fails if more requests with a block arrived after the entries had time to know it than
 // allowed, or if sound requests were then served at the first try less than half as often as before.
 func (p *replay) checkCrashes(t *testing.T) {
 	t.Helper()
-	end, start := clock.Minute+p.script.Duration, clock.Minute+p.script.Crash[0].From
-	decisive, known, crashes, after := start, end, 0, 0
-	for _, at := range p.crashedAt {
-		if at < end {
-			crashes++
+	end, settled := clock.Minute+p.script.Duration, clock.Millis(0)
+	start := end
+	for _, c := range p.script.Crash {
+		at := p.crashedAt[c.Block]
+		start = min(start, clock.Minute+c.From)
+		if len(at) == 0 {
+			continue
 		}
-		if crashes <= crashesToKnow {
-			decisive = at
+		settled = max(settled, at[min(len(at), crashesToKnow)-1]+2*stabilityWindow)
+		known := end
+		if len(at) >= crashesToKnow {
+			known = at[crashesToKnow-1] + stabilityWindow
 		}
-		if crashes == crashesToKnow {
-			known = decisive + stabilityWindow
+		after := 0
+		for _, arrived := range p.crashingAt[c.Block] {
+			if arrived > known {
+				after++
+			}
 		}
-	}
-	for _, at := range p.crashingAt {
-		if at > known {
-			after++
+		t.Logf("%q: %d endpoints crashed, %d requests arrived, %d of them after %s", c.Block, len(at), len(p.crashingAt[c.Block]), after, known-clock.Minute)
+		if after > maxArrivalsAfter {
+			t.Errorf("%q: %d requests arrived after %s, %d allowed", c.Block, after, known-clock.Minute, maxArrivalsAfter)
 		}
 	}
-	settled := decisive + 2*stabilityWindow
-	t.Logf("%d endpoints crashed, %d requests with the block arrived, %d of them after %s", crashes, len(p.crashingAt), after, known-clock.Minute)
-	if after > maxArrivalsAfter {
-		t.Errorf("%d requests with the block arrived after %s, %d allowed", after, known-clock.Minute, maxArrivalsAfter)
-	}
 	calm, _ := p.servedFirst("", 0, start)
 	for own := range p.firstTries {
 		if slices.ContainsFunc(p.script.Crash, func(c crashLoad) bool { return c.Block == own }) {
@@ -354,3 +384,60 @@
 		is.True(served > 0.98)
 	}
 }
+
+// drawScript draws a site and what happens on it: up to three blocks that crash endpoints, new sound ones,
+// endpoints that end for other reasons, entries that restart and reports that are lost.
+func (p *replay) drawScript(maxEntries int) {
+	between := func(low, high int) int { return low + int(p.draw()*float64(high-low+1)) }
+	at := func(low, high clock.Millis) clock.Millis { return low + clock.Millis(p.draw()*float64(high-low)) }
+	p.script = replayScript{Entries: between(1, maxEntries), Endpoints: between(8, 24), RequestsPerSecond: float64(between(40, 100)), Duration: at(20, 50) * clock.Second}
+	p.script.LostReports = max(p.draw()-0.6, 0)
+	for i := range between(0, 3) {
+		p.script.Crash = append(p.script.Crash, crashLoad{Block: fmt.Sprint("bad-", i), First: p.draw() < 0.3, PerSecond: 0.5 + 20*p.draw()*p.draw(), From: at(4, 12) * clock.Second})
+	}
+	for i := range between(0, 2) {
+		p.script.Sound = append(p.script.Sound, crashLoad{Block: fmt.Sprint("new-", i), First: p.draw() < 0.3, PerSecond: 2 + 8*p.draw(), From: at(4, 16) * clock.Second})
+	}
+	if p.draw() < 0.4 {
+		p.script.End = []replayEnds{{Every: at(600, 3000), From: at(0, 10) * clock.Second, To: at(12, 40) * clock.Second}}
+	}
+	for range between(0, 4) * between(0, 1) {
+		p.script.Restart = append(p.script.Restart, replayReboot{Entry: between(0, p.script.Entries-1), At: at(2, 40) * clock.Second})
+	}
+}
+
+// Blocks crash endpoints on sites that are drawn. Guards against entries that do not come to know such a
+// block together, and against sound blocks that are kept out.
+func TestDrawnCrashesReplay(t *testing.T) {
+	for seed := range uint64(drawnSeeds(t)) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			p := newReplay(t, seed)
+			p.drawScript(8)
+			t.Logf("%+v", p.script)
+			p.play(t)
+			p.checkCrashes(t)
+			p.checkVerdicts(t)
+		})
+	}
+}
+
+// drawnSeeds returns how many sites are drawn; DRAWN_SEEDS draws more.
+func drawnSeeds(t *testing.T) int {
+	t.Helper()
+	const usual = 6
+	n, err := strconv.Atoi(cmp.Or(os.Getenv("DRAWN_SEEDS"), strconv.Itoa(usual)))
+	is.New(t).NoErr(err)
+	return n
+}
+
+// checkVerdicts fails if a block is quarantined on which no endpoint crashed.
+func (p *replay) checkVerdicts(t *testing.T) {
+	t.Helper()
+	for i := range p.entries {
+		for _, block := range p.entries[i].Load().quarantine.Quarantined() {
+			if len(p.crashedAt[block]) == 0 {
+				t.Errorf("entry %d: %q is quarantined, no endpoint crashed on it", i, block)
+			}
+		}
+	}
+}
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -94,7 +94,7 @@
 func (a *attempt) recordAlive(at clock.Millis) {
 	s := a.exchange.server
 	s.selector.RecordActivity(a.endpoint.ID, at)
-	s.quarantine.Alive(incarnationOf(a.endpoint), at)
+	s.logAcquitted(s.quarantine.Alive(incarnationOf(a.endpoint), at), "answer")
 }
 
 // checkCrash finds out whether the endpoint of an attempt that has ended crashed, and records that.
@@ -104,8 +104,11 @@
 	now := s.cfg.Clock.Now()
 	brokeOff := (r == failed || r == broken) && a.cause != nil && !a.silent && ctx.Err() == nil
 	switch {
-	case a.refused:
-		s.recordCrash(a, now)
+	case a.unsent:
+		s.quarantine.Cancel(a.watch)
+		if a.refused {
+			s.recordCrash(a, now)
+		}
 	case !s.quarantine.MayHaveCrashed(a.watch):
 	case brokeOff, r == done && a.unframed:
 		accepted, refused := s.cfg.Pool.Probe(ctx, a.endpoint.Address)
@@ -123,7 +126,7 @@
 	accepted, refused := s.cfg.Pool.Probe(context.Background(), a.endpoint.Address)
 	switch {
 	case accepted:
-		s.quarantine.Accepted(incarnationOf(a.endpoint), s.cfg.Clock.Now())
+		s.logAcquitted(s.quarantine.Accepted(incarnationOf(a.endpoint), s.cfg.Clock.Now()), "answer")
 	case refused:
 		s.recordCrash(a, s.cfg.Clock.Now())
 	}
@@ -150,6 +153,13 @@
 	}
 }
 
+// logAcquitted logs blocks that are no longer suspected.
+func (s *Server) logAcquitted(blocks []string, by string) {
+	if len(blocks) > 0 {
+		s.cfg.Log.Info("Blocks are no longer suspected", "blocks", listed(blocks), "by", by)
+	}
+}
+
 func (s *Server) countFinding(f quarantine.Finding) {
 	s.metrics.GetOrCreateCounter(`parsleydeal_quarantine_decisions_total{finding="` + f.String() + `"}`).Inc()
 }
--- a/relay/quarantine_report.go
+++ b/relay/quarantine_report.go
@@ -17,7 +17,7 @@
 	minEvidenceInterval = 20 * clock.Millis(1)
 	// evidenceRefreshPerEntry is multiplied by the number of recipients to get the interval at which
 	// everything known of suspected blocks is reported again, for entries that missed it.
-	evidenceRefreshPerEntry = 13 * clock.Millis(1)
+	evidenceRefreshPerEntry = 20 * clock.Millis(1)
 	// delegateRefresh is the same interval for reports to the delegates.
 	delegateRefresh = 5 * clock.Second
 )
@@ -37,7 +37,7 @@
 			refreshedAt = now
 		}
 		evidence := s.quarantine.Report(all, now)
-		if len(evidence) == 0 {
+		if evidence.Empty() {
 			continue
 		}
 		if err := send(&wire.EntryReport{Process: name, Evidence: evidenceToWire(evidence)}, to); err != nil {
@@ -70,30 +70,43 @@
 // receiveEvidence applies what another entry reports of blocks.
 func (s *Server) receiveEvidence(r *wire.EntryReport) {
 	v := s.cfg.View()
-	s.logFound(s.quarantine.Receive(evidenceFromWire(r.GetEvidence()), v.PassesOn(), s.cfg.Clock.Now()), r.GetProcess())
+	found, acquitted := s.quarantine.Receive(evidenceFromWire(r.GetEvidence()), v.PassesOn(), s.cfg.Clock.Now())
+	s.logFound(found, r.GetProcess())
+	s.logAcquitted(acquitted, r.GetProcess())
 }
 
-func evidenceToWire(all []quarantine.Evidence) (out []*wire.BlockEvidence) {
-	for _, x := range all {
-		w := &wire.BlockEvidence{Block: x.Block, SeenAgeMillis: int32(x.SeenAge)}
+func evidenceToWire(e quarantine.Evidence) *wire.CrashEvidence {
+	if e.Empty() {
+		return nil
+	}
+	out := &wire.CrashEvidence{}
+	for _, c := range e.Crashes {
+		w := &wire.EndpointCrash{Incarnation: c.Incarnation, AgeMillis: int32(c.Age)}
+		for _, n := range c.Names {
+			w.Names = append(w.Names, &wire.NamedBlock{Block: n.Block, BeganAgeMillis: int32(n.BeganAge)})
+		}
+		out.Crashes = append(out.Crashes, w)
+	}
+	for _, x := range e.Blocks {
+		w := &wire.BlockState{Block: x.Block, SeenAgeMillis: int32(x.SeenAge)}
 		if x.Cleared {
 			w.ClearedAgeMillis = int32(max(x.ClearedAge, 1))
 		}
-		for _, c := range x.Crashes {
-			w.Crashes = append(w.Crashes, &wire.BlockCrash{Incarnation: c.Incarnation, AgeMillis: int32(c.Age), BeganAgeMillis: int32(c.BeganAge)})
-		}
-		out = append(out, w)
+		out.Blocks = append(out.Blocks, w)
 	}
 	return out
 }
 
-func evidenceFromWire(all []*wire.BlockEvidence) (out []quarantine.Evidence) {
-	for _, w := range all {
-		x := quarantine.Evidence{Block: w.GetBlock(), SeenAge: clock.Millis(w.GetSeenAgeMillis()), Cleared: w.GetClearedAgeMillis() > 0, ClearedAge: clock.Millis(w.GetClearedAgeMillis())}
-		for _, c := range w.GetCrashes() {
-			x.Crashes = append(x.Crashes, quarantine.ReportedCrash{Incarnation: c.GetIncarnation(), Age: clock.Millis(c.GetAgeMillis()), BeganAge: clock.Millis(c.GetBeganAgeMillis())})
+func evidenceFromWire(w *wire.CrashEvidence) (e quarantine.Evidence) {
+	for _, c := range w.GetCrashes() {
+		x := quarantine.ReportedCrash{Incarnation: c.GetIncarnation(), Age: clock.Millis(c.GetAgeMillis())}
+		for _, n := range c.GetNames() {
+			x.Names = append(x.Names, quarantine.ReportedName{Block: n.GetBlock(), BeganAge: clock.Millis(n.GetBeganAgeMillis())})
 		}
-		out = append(out, x)
+		e.Crashes = append(e.Crashes, x)
 	}
-	return out
+	for _, b := range w.GetBlocks() {
+		e.Blocks = append(e.Blocks, quarantine.ReportedBlock{Block: b.GetBlock(), SeenAge: clock.Millis(b.GetSeenAgeMillis()), Cleared: b.GetClearedAgeMillis() > 0, ClearedAge: clock.Millis(b.GetClearedAgeMillis())})
+	}
+	return e
 }
--- a/relay/replay_test.go
+++ b/relay/replay_test.go
@@ -168,7 +168,7 @@
 	if p.crashes(r) {
 		_ = http.NewResponseController(w).Flush()
 		time.Sleep(crashDelay)
-		e.crashBy()
+		e.crashBy(p.blockOf(r))
 	}
 	for i := range replayEvents {
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i+1)
@@ -231,12 +231,10 @@
 }
 
 func (p *replay) recordArrival(r *http.Request) {
-	id, crashes := r.Header.Get("Request-Id"), p.crashes(r)
+	id := r.Header.Get("Request-Id")
+	p.recordCrashing(r)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if crashes {
-		p.crashingAt = append(p.crashingAt, p.now())
-	}
 	p.arrivals[id]++
 	if p.arrivals[id] > 1 {
 		p.retriedAt = append(p.retriedAt, p.now())
@@ -261,10 +259,13 @@
 // replayEntry is an entry with its state of the site.
 type replayEntry struct {
 	*Server
-	name  string
-	mu    sync.Mutex
-	state *site.State
-	view  atomic.Pointer[site.View]
+	name string
+	// inTouchFrom is when the entry has run for stabilityWindow; stop ends its reports.
+	inTouchFrom clock.Millis
+	stop        context.CancelFunc
+	mu          sync.Mutex
+	state       *site.State
+	view        atomic.Pointer[site.View]
 }
 
 // reduce applies events to the entry's state and publishes its view.
@@ -280,7 +281,11 @@
 // newEntry returns an entry that knows the site.
 func (p *replay) newEntry(ctx context.Context, i int) *replayEntry {
 	e := &replayEntry{name: fmt.Sprint("entry-", i), state: site.NewState(site.Self{Name: fmt.Sprint("entry-", i)}, p.now())}
+	ctx, e.stop = context.WithCancel(ctx)
 	now := p.now()
+	if now > clock.Minute {
+		e.inTouchFrom = now + stabilityWindow
+	}
 	config := &catalog.Config{Version: 1, Routes: []*catalog.Route{p.route}, Services: map[string]catalog.Service{"app": {Name: "app"}}}
 	addresses := make(map[string]string)
 	for j := range p.script.Entries {
@@ -295,7 +300,7 @@
 	e.Server = New(Config{
 		Clock: c, Log: log.New(io.Discard), View: e.view.Load, Pool: upstream.NewPoolWith(c, p.dial),
 		RetryRatio: replayRatio, RetrySlack: replaySlack, RetryWindow: replayWindow, SessionIdleTimeout: 5 * clock.Second,
-		Dialect: Dialect{Read: readReplayRequest, Call: replayCall, Head: replayHead, SetRefusalHeaders: func(http.Header, string) {}},
+		Dialect: Dialect{Read: readReplayRequest, Call: e.call, Head: replayHead, SetRefusalHeaders: func(http.Header, string) {}},
 	})
 	send := func(r *wire.EntryReport, to []string) error {
 		for _, address := range to {
@@ -306,8 +311,13 @@
 		}
 		return nil
 	}
-	go e.SendReports(ctx, fmt.Sprint("entry-", i, "/", now), send)
-	go e.SendEvidence(ctx, fmt.Sprint("entry-", i, "/", now), send)
+	process := fmt.Sprint("entry-", i, "/", now)
+	go e.SendReports(ctx, process, send)
+	go e.SendEvidence(ctx, process, send)
+	go e.ServeSnapshots(ctx, process, send)
+	if now > clock.Minute {
+		go e.RequestSnapshot(ctx, process, fmt.Sprint(i), send)
+	}
 	return e
 }
 
@@ -327,6 +337,13 @@
 	return upstream.Call{Address: params.Address, Method: http.MethodGet, Target: "/x", Host: "h", Header: h}
 }
 
+// call builds the request of an entry to an endpoint.
+func (e *replayEntry) call(req *Request, params AttemptParams, body []byte) upstream.Call {
+	c := replayCall(req, params, body)
+	c.Header.Set("Entry", e.name)
+	return c
+}
+
 func replayHead(status int, h http.Header) Head {
 	head := Head{Status: status, Signed: true, NotRun: h.Get("Not-Executed") != "", Confidence: -1, Header: http.Header{"Confidence": h["Confidence"]}}
 	_, _ = fmt.Sscan(h.Get("Confidence"), &head.Confidence)
@@ -413,7 +430,10 @@
 		p.entries[i].Store(p.newEntry(ctx, i))
 	}
 	for _, r := range p.script.Restart {
-		time.AfterFunc(r.At.Duration(), func() { p.entries[r.Entry].Store(p.newEntry(ctx, r.Entry)) })
+		time.AfterFunc(r.At.Duration(), func() {
+			p.entries[r.Entry].Load().stop()
+			p.entries[r.Entry].Store(p.newEntry(ctx, r.Entry))
+		})
 	}
 	p.startCrashes(ctx)
 	var callers sync.WaitGroup
--- a/relay/share.go
+++ b/relay/share.go
@@ -100,10 +100,10 @@
 // ReceiveReport records another entry's report of its work, or handles a request for a snapshot or
 // the snapshot that this entry requested.
 func (s *Server) ReceiveReport(r *wire.EntryReport) {
-	if len(r.GetEvidence()) > 0 {
+	if r.GetEvidence() != nil {
 		s.receiveEvidence(r)
 	}
-	if s.receiveSnapshot(r) || len(r.GetEvidence()) > 0 {
+	if s.receiveSnapshot(r) || r.GetEvidence() != nil {
 		return
 	}
 	s.selector.Receive(r.GetProcess(), workFromWire(r.GetWork()), !r.GetPartial(), s.cfg.Clock.Now())
--- a/relay/snapshot.go
+++ b/relay/snapshot.go
@@ -69,7 +69,7 @@
 			}
 			work, speeds := s.selector.Snapshot(s.cfg.Clock.Now())
 			evidence := s.quarantine.Report(true, s.cfg.Clock.Now())
-			if len(speeds) == 0 && len(evidence) == 0 {
+			if len(speeds) == 0 && evidence.Empty() {
 				continue
 			}
 			r := &wire.EntryReport{Process: name, Work: workToWire(work), Partial: true, Speeds: speedsToWire(speeds), Evidence: evidenceToWire(evidence)}
