Clear a block only by an answer that has begun

Cause: the head of a refusal (503, not run) counted as the beginning of an answer, and what the endpoint sent for other requests then cleared the block. A failure at the deadline (504) and an answer that is not the endpoint's own did the same.

Now only a 2xx head of the endpoint's own begins an answer; any other one takes the attempt out of the register.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -99,7 +99,11 @@
 	x.pace = h.Load.Pace
 	work.FirstByte(s.cfg.Clock.Now(), h.Load.Pace)
 	s.latency.addError(x.route, a.plan.model(), a.timeToFirstByte-a.expectedFirstByte)
-	s.quarantine.Head(a.watch, s.cfg.Clock.Now())
+	if h.begins() {
+		s.quarantine.Head(a.watch, s.cfg.Clock.Now())
+	} else {
+		s.quarantine.Cancel(a.watch)
+	}
 	a.recordAlive(s.cfg.Clock.Now())
 	a.unframed = answer.Unframed()
 	a.status, a.confidence = h.Status, h.Confidence
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"net/http"
 	"testing"
 
 	"github.com/matryer/is"
@@ -9,6 +10,20 @@
 	"github.com/parsleydeal/parsleydeal/quarantine"
 )
 
+// An endpoint refuses a request, or fails it at its deadline, and answers others afterwards. Guards against
+// a block that is cleared although no endpoint began to answer on it.
+func TestOnlyAnswersClearBlocks(t *testing.T) {
+	for name, h := range map[string]Head{
+		"refused":        {Status: http.StatusServiceUnavailable, Signed: true, NotRun: true},
+		"other endpoint": {Status: http.StatusMisdirectedRequest, WrongEndpoint: true},
+		"failed":         {Status: http.StatusGatewayTimeout, Signed: true},
+		"unsigned":       {Status: http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) { is.New(t).True(!h.begins()) })
+	}
+	is.New(t).True(Head{Status: http.StatusOK, Signed: true}.begins())
+}
+
 // Only blocks that other requests may share have keys: the last one belongs to one request or session.
 func TestLastBlockHasNoKey(t *testing.T) {
 	is := is.New(t)
--- a/relay/request.go
+++ b/relay/request.go
@@ -79,6 +79,12 @@
 	Header http.Header
 }
 
+// begins reports whether the endpoint has begun the answer to the request. A refusal, or a failure at
+// the deadline, says nothing of what happens when it begins.
+func (h Head) begins() bool {
+	return h.Signed && !h.NotRun && !h.WrongEndpoint && h.Status >= http.StatusOK && h.Status < http.StatusMultipleChoices
+}
+
 // Load is the load of an endpoint as reported by itself.
 type Load struct {
 	// Known is true if the endpoint reported its numbers of requests and slots.
