Lend unused quotas of advertised rates to entries that need them

What callers would see: most new connections reach one entry for some seconds, endpoints advertise rates, and that entry refuses more than half of its callers while the quotas of the others are unused.

Cause: quotas are divided by the number of entries, not by who has the work.

Why the limit holds: a loan ends 2 s after the borrower asked, by its own clock, and is kept free at the lender for that and the limit's window, whether it arrived or not. TestLoansStayWithinRateLimit draws lost reports, entries that stop and traffic that moves; it fails if the lender uses what it lent, or if the borrower uses it for longer.

--- a/placement/advertisement.go
+++ b/placement/advertisement.go
@@ -169,16 +169,17 @@
 }
 
 // withinRate reports whether this entry may send one more request under the endpoint's advertised
-// rate limit: within its quota, or as a probe if it has none. Each entry counts only the requests
-// that it sends itself, and the quotas of all entries add up to the rate.
+// rate limit: within its quota and what others lend it, or as a probe if it has none. Each entry counts
+// only the requests that it sends itself, and the quotas of all entries add up to the rate.
 func (st *endpointState) withinRate(e *fleet.Endpoint, q Query) bool {
 	advertised := st.advertisedBy(e)
 	if !advertised.HasRate {
 		return true
 	}
 	share, total := q.Bounds.Shares[e.Zone], rateTotal(advertised.Rate)
-	if n := share.Quota(total, e.ID); n > 0 {
-		return st.sentSince(max(q.Now-rateWindow, advertised.rateSince)) < n
+	borrowed := st.borrowedRequests(q.Now)
+	if n := share.Quota(total, e.ID); n+borrowed > 0 {
+		return st.sentSince(max(q.Now-rateWindow, advertised.rateSince)) < n+borrowed-st.lentRequests(q.Now)
 	}
 	place, entries := share.excluded(total, e.ID)
 	wait := entries * probeInterval
@@ -200,7 +201,7 @@
 // again.
 func (st *endpointState) recordProbe(e *fleet.Endpoint, q Query) {
 	advertised := st.advertisedBy(e)
-	if advertised.HasRate && q.Bounds.Shares[e.Zone].Quota(rateTotal(advertised.Rate), e.ID) == 0 {
+	if advertised.HasRate && q.Bounds.Shares[e.Zone].Quota(rateTotal(advertised.Rate), e.ID)+st.borrowedRequests(q.Now) == 0 {
 		st.advertised.receivedAt = q.Now
 	}
 }
--- a/placement/advertisement_test.go
+++ b/placement/advertisement_test.go
@@ -28,13 +28,17 @@
 	return s
 }
 
-func (s *rateLimitedSite) choose(i int, now clock.Millis) Reason {
+// share returns an entry's share of the limit.
+func (s *rateLimitedSite) share(i int) Share {
 	half := max(len(s.selectors)/2, 1)
-	share := Share{Fraction: 0.5, Entries: half, Index: i}
 	if i >= half {
-		share = Share{Fraction: 0.5, Entries: len(s.selectors) - half, Index: i - half}
+		return Share{Fraction: 0.5, Entries: len(s.selectors) - half, Index: i - half}
 	}
-	_, reason := s.selectors[i].Select(s.fleet, Query{Service: "s", Version: "v1", Zone: "a", Now: now, Bounds: Bounds{Shares: map[string]Share{"a": share}}})
+	return Share{Fraction: 0.5, Entries: half, Index: i}
+}
+
+func (s *rateLimitedSite) choose(i int, now clock.Millis) Reason {
+	_, reason := s.selectors[i].Select(s.fleet, Query{Service: "s", Version: "v1", Zone: "a", Now: now, Bounds: Bounds{Shares: map[string]Share{"a": s.share(i)}}})
 	return reason
 }
 
--- a/placement/selector.go
+++ b/placement/selector.go
@@ -33,7 +33,9 @@
 	byHash   map[uint32]*endpointState
 	prefixes prefixCache
 	// peers holds the work that other entries reported, by the reporting entry.
-	peers      map[string]peerReports
+	peers map[string]peerReports
+	// needs holds the entries that use most of their quotas of advertised rates.
+	needs      map[string]need
 	estimates  speedEstimates
 	strategies decision.Strategies
 	// affinityStrategy and paceStrategy cache the strategies of decision.Affinity and decision.Pace,
@@ -84,6 +86,10 @@
 	queueLengthAt         clock.Millis
 	queueLengthUnreported bool
 	pace                  pace
+	// lent holds this entry's loans of its quota of the advertised rate, borrowed the current loan of
+	// each other entry.
+	lent     []lent
+	borrowed map[string]borrowed
 }
 
 // NewSelector returns an empty selector that uses the default strategies.
@@ -91,7 +97,7 @@
 
 // NewSelectorWith returns an empty selector that uses the given strategies.
 func NewSelectorWith(strategies decision.Strategies) *Selector {
-	return &Selector{strategies: strategies, affinityStrategy: strategies.For(decision.Affinity), paceStrategy: strategies.For(decision.Pace), urgent: make(chan struct{}, 1), inflight: choice.NewInflight(), states: make(map[string]*endpointState), byHash: make(map[uint32]*endpointState), prefixes: newPrefixCache(), peers: make(map[string]peerReports), estimates: newSpeedEstimates()}
+	return &Selector{strategies: strategies, affinityStrategy: strategies.For(decision.Affinity), paceStrategy: strategies.For(decision.Pace), urgent: make(chan struct{}, 1), inflight: choice.NewInflight(), states: make(map[string]*endpointState), byHash: make(map[uint32]*endpointState), prefixes: newPrefixCache(), peers: make(map[string]peerReports), needs: make(map[string]need), estimates: newSpeedEstimates()}
 }
 
 // stateOf returns the state of an endpoint and creates it if there is none.
--- a/relay/server.go
+++ b/relay/server.go
@@ -34,7 +34,9 @@
 	// Started is closed once the state of the site is loaded.
 	Started <-chan struct{}
 	Pool    *upstream.Pool
-	Zone    string
+	// Name is the name of this entry in its reports of work.
+	Name string
+	Zone string
 	// Strict refuses requests with a key if the configuration has not been confirmed for longer
 	// than KeyLease.
 	Strict   bool
--- a/relay/share.go
+++ b/relay/share.go
@@ -28,8 +28,10 @@
 	// packetOverheadBytes is the size of a datagram without its report: the IP, UDP and link
 	// headers.
 	packetOverheadBytes = 46
-	// percent converts a pace to the unit of reports.
+	// percent converts a pace or a use to the unit of reports.
 	percent = 100
+	// maxRateUse bounds the use of quotas that is reported.
+	maxRateUse = 1000
 )
 
 // byteBudget is a token bucket for the bytes of reports; available may be negative.
@@ -64,9 +66,12 @@
 		}
 		to := s.cfg.View().Neighbours()
 		r := &wire.EntryReport{Process: name, Work: workToWire(s.selector.Report(budget.updatedAt, full)), Partial: !full}
+		if full {
+			s.addLoans(r, budget.updatedAt)
+		}
 		// After the last report with work, one empty report is sent. Without it the receivers
 		// would assume that the work continues.
-		if len(to) == 0 || len(r.GetWork()) == 0 && (!full || !hadWork) {
+		if len(to) == 0 || len(r.GetWork())+len(r.GetLoans()) == 0 && (!full || !hadWork) {
 			continue
 		}
 		hadWork = len(r.GetWork()) > 0
@@ -106,7 +111,38 @@
 	if s.receiveSnapshot(r) || r.GetEvidence() != nil {
 		return
 	}
-	s.selector.Receive(r.GetProcess(), workFromWire(r.GetWork()), !r.GetPartial(), s.cfg.Clock.Now())
+	now := s.cfg.Clock.Now()
+	s.selector.Receive(r.GetProcess(), workFromWire(r.GetWork()), !r.GetPartial(), now)
+	if !r.GetPartial() {
+		s.selector.ReceiveNeed(r.GetProcess(), float64(r.GetRateUsePercent())/percent, clock.Millis(r.GetAskedMillis()), now)
+		s.selector.Borrow(r.GetProcess(), s.loansFromWire(r), now)
+	}
+}
+
+// addLoans adds the use of this entry's quotas of advertised rates to a full report, and its loans.
+func (s *Server) addLoans(r *wire.EntryReport, now clock.Millis) {
+	v := s.cfg.View()
+	zones := make(map[string]string)
+	for id, e := range v.Fleet().All() {
+		zones[id] = e.Zone
+	}
+	bounds := placement.Bounds{Shares: v.Shares()}
+	use := s.selector.RateUse(bounds, zones, now)
+	r.RateUsePercent, r.AskedMillis = int32(math.Ceil(min(use, maxRateUse)*percent)), int64(now)
+	for _, l := range s.selector.Lend(use, bounds, zones, now) {
+		r.Loans = append(r.Loans, &wire.QuotaLoan{To: l.To, Endpoint: l.Endpoint, Born: l.Incarnation, Requests: int32(l.Requests), AskedMillis: int64(l.AskedAt)})
+	}
+}
+
+// loansFromWire returns the loans to this process. What an earlier one on the VM borrowed it may have
+// used.
+func (s *Server) loansFromWire(r *wire.EntryReport) (loans []placement.Loan) {
+	for _, l := range r.GetLoans() {
+		if at := clock.Millis(l.GetAskedMillis()); l.GetTo() == s.cfg.Name && at >= s.startedAt {
+			loans = append(loans, placement.Loan{To: l.GetTo(), AskedAt: at, Endpoint: l.GetEndpoint(), Incarnation: l.GetBorn(), Requests: int(l.GetRequests())})
+		}
+	}
+	return loans
 }
 
 func workFromWire(work []*wire.EndpointWork) (reports []placement.EndpointReport) {
