Let a few running entries pass evidence on, whatever the store does

What callers would see (found by reading): while the store fails all entries, each one takes itself for the first delegate, so that all of them pass evidence on to all others, and each tries a quarantined block: more than three requests with it would reach endpoints.

Cause: delegates must reach the store; evidence has nothing to do with it.

Spreaders are the first three running entries in the same order, and an entry that has just started is none of them. An entry that hears that a block is cleared no longer repeats it itself.

--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -138,6 +138,9 @@
 			acquitted = append(acquitted, x.Block)
 			if spread {
 				g.repeatClearing(g.suspects[x.Block])
+			} else {
+				// All others have heard it as well.
+				g.suspects[x.Block].repeats = 0
 			}
 		}
 	}
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -46,7 +46,7 @@
 	until := s.cfg.Clock.Now() + min(maxTestWait, clock.Millis(maxTestWaitRatio*float64(x.remaining())))
 	for {
 		changed, now := s.quarantine.Changed(), s.cfg.Clock.Now()
-		f, block, crashes := s.quarantine.Admit(x.req.ID, x.shared, x.view.FirstDelegate(), now)
+		f, block, crashes := s.quarantine.Admit(x.req.ID, x.shared, x.view.FirstSpreader(), now)
 		switch {
 		case f == quarantine.Admitted:
 			return nil
--- a/relay/quarantine_report.go
+++ b/relay/quarantine_report.go
@@ -18,12 +18,12 @@
 	// evidenceRefreshPerEntry is multiplied by the number of recipients to get the interval at which
 	// everything known of suspected blocks is reported again, for entries that missed it.
 	evidenceRefreshPerEntry = 20 * clock.Millis(1)
-	// delegateRefresh is the same interval for reports to the delegates.
-	delegateRefresh = 5 * clock.Second
+	// spreaderRefresh is the same interval for reports to the entries that pass them on.
+	spreaderRefresh = 5 * clock.Second
 )
 
 // SendEvidence reports to other entries what is known of blocks on which endpoints may have crashed,
-// until the context ends: to the first delegates, which pass it on to all.
+// until the context ends: to a few, which pass it on to all.
 func (s *Server) SendEvidence(ctx context.Context, name string, send func(r *wire.EntryReport, to []string) error) {
 	refreshedAt := s.cfg.Clock.Now()
 	for clock.Pause(ctx, minEvidenceInterval) && s.awaitEvidence(ctx) {
@@ -32,7 +32,7 @@
 		if len(to) == 0 {
 			continue
 		}
-		all := now-refreshedAt >= refreshInterval(v.PassesOn(), len(to))
+		all := now-refreshedAt >= refreshInterval(v.Spreads(), len(to))
 		if all {
 			refreshedAt = now
 		}
@@ -46,9 +46,9 @@
 	}
 }
 
-func refreshInterval(passesOn bool, recipients int) clock.Millis {
-	if !passesOn {
-		return delegateRefresh
+func refreshInterval(spreads bool, recipients int) clock.Millis {
+	if !spreads {
+		return spreaderRefresh
 	}
 	return max(clock.Millis(recipients)*evidenceRefreshPerEntry, evidenceInterval)
 }
@@ -70,7 +70,7 @@
 // receiveEvidence applies what another entry reports of blocks.
 func (s *Server) receiveEvidence(r *wire.EntryReport) {
 	v := s.cfg.View()
-	found, acquitted := s.quarantine.Receive(evidenceFromWire(r.GetEvidence()), v.PassesOn(), s.cfg.Clock.Now())
+	found, acquitted := s.quarantine.Receive(evidenceFromWire(r.GetEvidence()), v.Spreads(), s.cfg.Clock.Now())
 	s.logFound(found, r.GetProcess())
 	s.logAcquitted(acquitted, r.GetProcess())
 }
--- a/site/state.go
+++ b/site/state.go
@@ -564,9 +564,10 @@
 	v := &View{
 		config: s.config, confirmedAt: s.confirmedAt, confirmedBy: s.confirmedBy, fleet: s.fleet.Snapshot(), entries: len(sharers), shares: s.shares(sharers),
 		started: s.started(), leaving: s.leaving, versions: make(map[string]versionState), addresses: maps.Clone(s.addresses),
-		upgradeActive: s.hasActiveUpgrade(), checksVerdicts: len(s.verdictsToCheck) > 0 && s.rank() < judgeCount, mayWriteVerdict: len(s.pendingVerdicts) > 0 && s.rank() < judgeCount, reader: s.reader(), operator: s.operator, statusEnd: s.statusEnd, era: s.era, settledAt: s.settling.until, registeredAt: s.registeredAt, entriesKnown: s.loaded[EntryStream], fullerList: s.fullerList, delegates: s.delegateAddresses(), rank: s.rank(), others: s.neighbours(true), peerOperator: s.peerOperator, newerVersionAt: s.newerVersionAt(),
+		upgradeActive: s.hasActiveUpgrade(), checksVerdicts: len(s.verdictsToCheck) > 0 && s.rank() < judgeCount, mayWriteVerdict: len(s.pendingVerdicts) > 0 && s.rank() < judgeCount, reader: s.reader(), operator: s.operator, statusEnd: s.statusEnd, era: s.era, settledAt: s.settling.until, registeredAt: s.registeredAt, entriesKnown: s.loaded[EntryStream], fullerList: s.fullerList, delegates: s.delegateAddresses(), others: s.neighbours(true), peerOperator: s.peerOperator, newerVersionAt: s.newerVersionAt(),
 		fleetConfirmedAt: s.fleetConfirmedAt, divergedAt: s.divergedAt, probedByPeers: s.probedByPeers(), storeServesPeers: s.storeServesPeers(), neighbours: s.neighbours(s.fullMesh()), zoneAddresses: s.neighbours(false), fullMesh: s.fullMesh(),
 	}
+	v.spreaders, v.spreaderRank = s.spreaders()
 	for service, version := range s.current {
 		v.versions[service] = versionState{rule: upgrade.Rule{Current: version}}
 	}
--- a/site/view.go
+++ b/site/view.go
@@ -21,9 +21,12 @@
 	leaving   bool
 	versions  map[string]versionState
 	addresses map[string]string
-	// delegates holds the first delegates but this entry; rank is the number of delegates before it.
+	// delegates holds the first delegates but this entry.
 	delegates []EntryAddress
-	rank      int
+	// spreaders holds the addresses of the entries that pass on what all must know, without this one,
+	// and spreaderRank the number of running entries before this one in their order.
+	spreaders    []string
+	spreaderRank int
 	// others holds the addresses of all other entries.
 	others        []string
 	neighbours    []string
@@ -99,25 +102,21 @@
 // same endpoints.
 func (v *View) Neighbours() []string { return v.neighbours }
 
-// FirstDelegate reports whether this entry is the one that acts on behalf of all where only one may.
-func (v *View) FirstDelegate() bool { return v.started && v.rank == 0 }
-
-// Audience returns the addresses of the entries to which this one sends what all must know: all
-// others if it is one of the first delegates, which pass it on, and these delegates otherwise.
-func (v *View) Audience() (out []string) {
-	if v.rank >= judgeCount {
-		for _, d := range v.delegates {
-			out = append(out, d.Address)
-		}
-		return out
+// FirstSpreader reports whether this entry is the one that acts where only one may.
+func (v *View) FirstSpreader() bool { return v.started && v.spreaderRank == 0 }
+
+// Spreads reports whether this entry passes on to all others what it receives for all.
+func (v *View) Spreads() bool { return v.spreaderRank < spreaderCount }
+
+// Audience returns the addresses of the entries to which this one sends what all must know: all others
+// if it passes it on, those that do otherwise.
+func (v *View) Audience() []string {
+	if v.Spreads() {
+		return v.others
 	}
-	return v.others
+	return v.spreaders
 }
 
-// PassesOn reports whether this entry is one of the first delegates, which send to all others what they
-// receive.
-func (v *View) PassesOn() bool { return v.rank < judgeCount }
-
 // ZoneAddresses returns the addresses of the other entries of this entry's zone, as far as reports
 // from them have arrived.
 func (v *View) ZoneAddresses() []string { return v.zoneAddresses }
