Soak: requests that crash endpoints

Checked: how many reach endpoints from undisturbed entries later than 3 s after the fifth crash, that the site recovers beside them, and that no other block is quarantined.

--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -27,6 +27,7 @@
 			complete++
 		}
 	}
+	k.checkCrashes(runs)
 	if complete == 0 {
 		k.t.Errorf("no request of %d was answered", len(k.sent))
 	}
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -70,6 +70,8 @@
 	// sequence is the number of registrations so far.
 	sequence int
 	version  string
+	// gone is true once the endpoint has crashed.
+	gone bool
 }
 
 func (e *endpoint) setFault(f func() standin.Reply) {
@@ -88,6 +90,9 @@
 	}
 	if strings.HasPrefix(r.URL.Path, "/chat/") {
 		reply.Events, reply.EventDelay, reply.Confidence = streamEvents, 15*time.Millisecond, 90
+		if strings.Contains(r.Header.Get("Prompt-Prefix"), crashBlock+":") {
+			reply.CrashAfter = crashDelay
+		}
 	}
 	return reply
 }
@@ -108,6 +113,8 @@
 	keys      []string
 	revokedAt map[string]time.Time
 	lastKey   int
+	// crashes holds when endpoints crashed.
+	crashes []time.Time
 	// copies are the last ones of the store, from the oldest on.
 	copies []agedCopy
 	// finalCleanup runs after all other cleanups of the site.
@@ -159,6 +166,7 @@
 	s.endpoints = append(s.endpoints, e)
 	s.mu.Unlock()
 	s.register(e, "ready")
+	go s.replaceCrashed(e)
 	return e
 }
 
@@ -166,6 +174,10 @@
 // proxy.
 func (s *site) register(e *endpoint, state string) {
 	e.mu.Lock()
+	if e.gone {
+		e.mu.Unlock()
+		return
+	}
 	e.sequence++
 	text := string(e.Registration(e.service, e.zone, e.version, state, e.sequence))
 	e.mu.Unlock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -83,6 +83,8 @@
 	// err is set if the connection ended before the complete answer.
 	err  error
 	body string
+	// undisturbed is how long no fault had affected the entry when the request was sent.
+	undisturbed time.Duration
 }
 
 // soak is the state of a run with the faults of one seed.
@@ -118,12 +120,16 @@
 	for n := range 12 {
 		callers.Go(func() { k.sendRequests(ctx, n, rand.New(rand.NewPCG(seed, uint64(n)+1))) })
 	}
+	crashes := k.maybeSendCrashes(ctx, &callers, rand.New(rand.NewPCG(seed, crashStream)))
 	for end := time.Now().Add(time.Duration(*seconds) * time.Second); time.Now().Before(end); {
 		k.addFault()
 		k.maybeRestoreStore()
 		time.Sleep(time.Duration(50+k.rng.IntN(700)) * time.Millisecond)
 	}
 	k.faults.Wait()
+	if crashes {
+		time.Sleep(quietTime)
+	}
 	k.checkRecovery()
 	stop()
 	callers.Wait()
@@ -197,6 +203,9 @@
 
 func (k *soak) send(client *http.Client, p *process, kind, key, id string) sent {
 	out := sent{id: id, kind: kind, key: key, entry: p, at: time.Now()}
+	p.mu.Lock()
+	out.undisturbed = time.Since(p.undisturbedSince)
+	p.mu.Unlock()
 	method := map[string]string{"chat": "POST", "read": "GET", "fee": "POST"}[kind]
 	var body io.Reader
 	if method == "POST" {
@@ -217,7 +226,7 @@
 	if kind == "chat" {
 		r.Header.Set("Model", "*")
 		r.Header.Set("Session", "s-"+id[:3])
-		r.Header.Set("Prompt-Prefix", "aa:100,bb:200,"+id+":50")
+		r.Header.Set("Prompt-Prefix", "aa:100,"+blockOf(id)+":200,"+id+":50")
 	}
 	resp, err := client.Do(r)
 	if err != nil {
