--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"strings"
@@ -59,10 +60,38 @@
 			is.True(s.Bounds.Poor == 0 || float64(result.Poor) <= s.Bounds.Poor*float64(result.InTime+result.Late))
 			is.Equal(result.InTime+result.Late+result.Refused, result.Requests) // every request has an outcome
 			is.Equal(result.OverRate, 0)
+			is.True(result.CrashingLate <= maxCrashingLate)
+			is.Equal(result.Crashes > 0, len(s.Load.Crashes) > 0)
 		})
 	}
 }
 
+// maxCrashingLate is how many requests with a block on which endpoints crash may arrive when all entries
+// must know it.
+const maxCrashingLate = 3
+
+// Requests with a block crash endpoints at rates and on sites that are drawn. Guards against thresholds
+// that hold for one load only.
+func TestDrawnCrashes(t *testing.T) {
+	is := is.New(t)
+	s := readScenario(t, "testdata/crash-block.toml")
+	for seed := range uint64(12) {
+		random := rand.New(rand.NewPCG(seed, seed))
+		s.Load.Seed = seed
+		s.Site.Zones, s.Site.Entries, s.Site.Endpoints = 1+random.IntN(3), 1+random.IntN(4), 4+random.IntN(6)
+		s.Load.Crashes[0].PerSecond = 0.5 + 20*random.Float64()*random.Float64()
+		result, err := Run(s.Site, s.Load, decision.Strategies{})
+		is.NoErr(err)
+		t.Logf("%d zones, %d entries, %d endpoints, %.1f a second: %+v", s.Site.Zones, s.Site.Entries, s.Site.Endpoints, s.Load.Crashes[0].PerSecond, result)
+		again, err := Run(s.Site, s.Load, decision.Strategies{})
+		is.NoErr(err)
+		is.Equal(again, result)
+		is.True(result.CrashingLate <= maxCrashingLate)
+		is.True(result.Refused*20 <= result.Requests)
+		is.Equal(result.InTime+result.Late+result.Refused, result.Requests)
+	}
+}
+
 func readScenario(t *testing.T, file string) (s scenario) {
 	t.Helper()
 	is := is.New(t)
--- a/emulator/endpoint.go
+++ b/emulator/endpoint.go
@@ -36,6 +36,11 @@
 	limits          []Limit
 	limitReceivedAt map[string]clock.Millis
 	arrivals        []clock.Millis
+	// incarnation counts the crashes; downUntil is when the endpoint is back after a crash, and running
+	// holds the attempts in progress.
+	incarnation int64
+	downUntil   clock.Millis
+	running     map[*attempt]bool
 }
 
 // newEndpoint returns the endpoint of a zone with the given number, from 0.
@@ -44,7 +49,7 @@
 	if len(s.Paces) > 0 {
 		pace = s.Paces[number%len(s.Paces)]
 	}
-	return &endpoint{id: id, typicalPace: pace, otherWork: s.OtherWork, slots: s.Slots, cacheCapacity: s.CacheTokens, lastUsed: make(map[string]float64), blockTokens: make(map[string]int), limits: limits, limitReceivedAt: make(map[string]clock.Millis)}
+	return &endpoint{id: id, typicalPace: pace, otherWork: s.OtherWork, slots: s.Slots, cacheCapacity: s.CacheTokens, lastUsed: make(map[string]float64), blockTokens: make(map[string]int), limits: limits, limitReceivedAt: make(map[string]clock.Millis), running: make(map[*attempt]bool)}
 }
 
 // start starts a request. It returns when the first byte and the end of the answer will be sent,
--- a/emulator/run.go
+++ b/emulator/run.go
@@ -4,12 +4,14 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 
 	"github.com/parsleydeal/parsleydeal/cascade"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/decision"
 	"github.com/parsleydeal/parsleydeal/fleet"
 	"github.com/parsleydeal/parsleydeal/placement"
+	"github.com/parsleydeal/parsleydeal/quarantine"
 )
 
 const (
@@ -31,7 +33,7 @@
 	// byte came later.
 	InTime int
 	Late   int
-	// Refused counts requests for which no endpoint was found.
+	// Refused counts requests for which no endpoint was found, or whose attempts all broke off.
 	Refused int
 	// Poor counts answers to requests that were too hard for the model that answered.
 	Poor int
@@ -48,6 +50,12 @@
 	// OverRate counts the requests by which an endpoint received more than its advertised rate
 	// limit allows, including the tolerance.
 	OverRate int
+	// Crashes counts endpoints that crashed on a block, Crashing the requests with such a block that
+	// arrived at endpoints, and CrashingLate those of them that arrived when all entries must know the
+	// block. They are not among Requests.
+	Crashes      int
+	Crashing     int
+	CrashingLate int
 }
 
 // simulation is one run. The same site, load and strategies give the same result.
@@ -64,6 +72,9 @@
 	scheduled int
 	result    Result
 	prefilled map[string]bool
+	// knownAt is when all entries must know the block on which endpoints crash; 0 before the fifth
+	// crash.
+	knownAt clock.Millis
 }
 
 // entry is one entry with its state.
@@ -74,6 +85,7 @@
 	escalator *cascade.Escalator
 	// shares holds the entry's share of the capacity of endpoints, by the zone of the endpoints.
 	shares map[string]placement.Share
+	blocks *quarantine.Register
 	// reportedAt is the time of the last report to peers, fullReportAt that of the last full one.
 	reportedAt   clock.Millis
 	fullReportAt clock.Millis
@@ -94,8 +106,10 @@
 			heap.Pop(&sim.events).(event).do(now)
 		}
 		sim.exchangeReports(now)
+		sim.exchangeEvidence(now)
 		if now < duration {
 			sim.generateRequests(now)
+			sim.generateCrashes(now)
 		}
 	}
 	return sim.result, nil
@@ -112,7 +126,7 @@
 			f.Apply([]fleet.Change{{ID: id, Endpoint: &fleet.Endpoint{ID: id, Service: "pool", Zone: zone, Version: "v1", Slots: s.Slots}}}, false)
 		}
 		for i := range s.Entries {
-			sim.entries = append(sim.entries, &entry{name: fmt.Sprintf("entry-%d-%d", z, i), zone: zone, selector: placement.NewSelectorWith(strategies), escalator: cascade.NewEscalator(strategies), shares: sharesOf(s, z, i)})
+			sim.entries = append(sim.entries, &entry{name: fmt.Sprintf("entry-%d-%d", z, i), zone: zone, selector: placement.NewSelectorWith(strategies), blocks: quarantine.New(), escalator: cascade.NewEscalator(strategies), shares: sharesOf(s, z, i)})
 		}
 	}
 	sim.fleet = f.Snapshot()
@@ -167,6 +181,27 @@
 				peer.selector.Receive(e.name, reported, full, now)
 			}
 		}
+		if full {
+			sim.exchangeLoans(e, now)
+		}
+	}
+}
+
+// exchangeLoans reports an entry's use of its quotas to the others of its zone, and lends to them.
+func (sim *simulation) exchangeLoans(e *entry, now clock.Millis) {
+	zones := make(map[string]string)
+	for id, x := range sim.fleet.All() {
+		zones[id] = x.Zone
+	}
+	bounds := placement.Bounds{Shares: e.shares}
+	use := e.selector.RateUse(bounds, zones, now)
+	loans := e.selector.Lend(use, bounds, zones, now)
+	for _, peer := range sim.entries {
+		if peer == e || peer.zone != e.zone {
+			continue
+		}
+		peer.selector.ReceiveNeed(e.name, use, now, now)
+		peer.selector.Borrow(e.name, slices.DeleteFunc(slices.Clone(loans), func(l placement.Loan) bool { return l.To != peer.name }), now)
 	}
 }
 
@@ -195,11 +230,31 @@
 	// model is the index, in Site.Models, of the model that is to answer.
 	model     int
 	startedAt clock.Millis
+	// crashes is true if endpoints crash on a block of the prompt. attempts counts the attempts that
+	// arrived, and heldSince is since when a test of a block is awaited; 0 if it is not.
+	crashes   bool
+	attempts  int
+	heldSince clock.Millis
+	// answered is true once the first byte of the answer was sent to the caller, late if that was after
+	// the latency target.
+	answered bool
+	late     bool
+}
+
+// drawEntry returns the entry that a request reaches.
+func (sim *simulation) drawEntry(now clock.Millis) *entry {
+	seconds := float64(now) / float64(clock.Second)
+	for _, c := range sim.load.Crowds {
+		if seconds >= c.From && seconds < c.Until && sim.rnd.Float64() < c.Fraction {
+			return sim.entries[0]
+		}
+	}
+	return sim.entries[sim.rnd.IntN(len(sim.entries))]
 }
 
 func (sim *simulation) startRequest(now clock.Millis) {
 	k := sim.drawKind()
-	r := &request{kind: k, entry: sim.entries[sim.rnd.IntN(len(sim.entries))], hard: sim.rnd.Float64() < k.HardFraction, startedAt: now}
+	r := &request{kind: k, entry: sim.drawEntry(now), hard: sim.rnd.Float64() < k.HardFraction, startedAt: now}
 	subject := sim.rnd.IntN(k.Subjects)
 	if k.HotFraction > 0 && sim.rnd.Float64() < k.HotFraction {
 		subject = 0
@@ -231,22 +286,25 @@
 // assumed for each token of the prompt's own block.
 func (sim *simulation) query(r *request, model int, now clock.Millis) placement.Query {
 	return placement.Query{
-		Service: "pool", Version: "v1", Zone: r.entry.zone, Model: sim.site.Models[model].Name, Blocks: r.blocks, Bytes: r.blocks[1].Tokens,
-		FullMesh: sim.site.Zones == 1, Bounds: placement.Bounds{Shares: r.entry.shares}, FirstByteBudget: placement.FirstByteBudget(r.kind.target(), now-r.startedAt), Now: now,
+		Service: "pool", Version: "v1", Zone: r.entry.zone, Model: sim.site.Models[model].Name, Blocks: r.blocks, Bytes: r.blocks[len(r.blocks)-1].Tokens,
+		FullMesh: sim.site.Zones == 1, Avoid: sim.down(now), Bounds: placement.Bounds{Shares: r.entry.shares}, FirstByteBudget: placement.FirstByteBudget(r.kind.target(), now-r.startedAt), Now: now,
 	}
 }
 
 // send sends a request to the endpoint that its entry selects.
 func (sim *simulation) send(r *request, now clock.Millis) {
 	q := sim.query(r, r.model, now)
+	if !sim.admit(r, &q, now) {
+		return
+	}
 	target, _ := r.entry.selector.Select(sim.fleet, q)
 	if target == nil {
-		sim.result.Refused++
+		sim.refuse(r)
 		return
 	}
 	sim.result.Sent++
-	work := r.entry.selector.Begin(target, q)
-	e := sim.endpoints[target.ID]
+	a := sim.begin(r, target, q, now)
+	e := a.endpoint
 	sim.result.OverRate += e.recordArrival(r.entry.name, now)
 	m := sim.site.Models[r.model]
 	first, end, uncached := e.start(now, m, r.blocks, r.kind.Events)
@@ -255,25 +313,39 @@
 	}
 	sim.countTokens(m, r.blocks[0], uncached)
 	sim.schedule(first, func(now clock.Millis) {
-		pace := e.paceAt(float64(now))
-		work.FirstByte(now, pace)
-		r.entry.selector.RecordActivity(target.ID, now)
-		r.entry.selector.RecordLoad(target.ID, e.outstanding, e.slots, now)
-		r.entry.selector.RecordPace(target.ID, pace, now)
-		r.entry.selector.RecordAdvertisement(target, e.advertisement(r.entry.name, now), q.Now, now)
-		if !sim.escalates(r, now) {
+		if a.ended {
+			return
+		}
+		sim.firstByte(a, now)
+		if !r.crashes && !sim.escalates(r, now) {
 			sim.recordAnswer(r, now)
-			sim.schedule(end, func(clock.Millis) { e.outstanding--; work.End() })
+			sim.scheduleAnswer(a, now, end)
 			return
 		}
-		e.outstanding--
-		work.End()
+		if r.crashes {
+			sim.schedule(now+crashDelay, func(now clock.Millis) { sim.crash(e, now) })
+			return
+		}
+		a.end(false, now)
 		r.model = len(sim.site.Models) - 1
 		sim.result.Escalated++
 		sim.send(r, now)
 	})
 }
 
+// firstByte tells the entry what the head of an answer tells.
+func (sim *simulation) firstByte(a *attempt, now clock.Millis) {
+	e, s := a.endpoint, a.request.entry.selector
+	pace := e.paceAt(float64(now))
+	a.work.FirstByte(now, pace)
+	s.RecordActivity(a.target.ID, now)
+	s.RecordLoad(a.target.ID, e.outstanding, e.slots, now)
+	s.RecordPace(a.target.ID, pace, now)
+	s.RecordAdvertisement(a.target, e.advertisement(a.request.entry.name, now), a.sentAt, now)
+	a.request.entry.blocks.Head(a.watch, now)
+	a.request.entry.blocks.Alive(a.incarnation(), now)
+}
+
 // countTokens adds a prefill to the counts of prefilled and repeated tokens.
 func (sim *simulation) countTokens(m Model, shared placement.Block, uncached int) {
 	sim.result.PrefillTokens += uncached
@@ -288,7 +360,7 @@
 // largest model.
 func (sim *simulation) escalates(r *request, now clock.Millis) bool {
 	last := len(sim.site.Models) - 1
-	if r.model == last {
+	if r.model == last || r.answered {
 		return false
 	}
 	expected, hasCapacity := r.entry.selector.Expect(sim.fleet, sim.query(r, last, now))
@@ -303,8 +375,14 @@
 	return r.entry.escalator.ShouldEscalate(answer, cascade.LargerModel{FirstByte: expected.FirstByte, QueueWait: expected.Wait})
 }
 
+// recordAnswer records the first byte of the answer that the caller gets; what is sent elsewhere after
+// that goes on with the same answer.
 func (sim *simulation) recordAnswer(r *request, now clock.Millis) {
-	if now-r.startedAt > r.kind.target() {
+	if r.answered {
+		return
+	}
+	r.answered, r.late = true, now-r.startedAt > r.kind.target()
+	if r.late {
 		sim.result.Late++
 	} else {
 		sim.result.InTime++
@@ -314,6 +392,19 @@
 	}
 }
 
+// refuse records that a request gets no answer, or not the rest of it.
+func (sim *simulation) refuse(r *request) {
+	switch {
+	case r.crashes:
+		return
+	case r.answered && r.late:
+		sim.result.Late--
+	case r.answered:
+		sim.result.InTime--
+	}
+	sim.result.Refused++
+}
+
 func (sim *simulation) schedule(at clock.Millis, do func(now clock.Millis)) {
 	sim.scheduled++
 	heap.Push(&sim.events, event{at: at, sequence: sim.scheduled, do: do})
--- a/emulator/site.go
+++ b/emulator/site.go
@@ -7,9 +7,10 @@
 // depends on the model and the length; it caches shared blocks in a limited memory and streams
 // answers in a limited number of slots; entries report their work to each other within their zone
 // only; the smallest model's confidence in its answer is a noisy measure of the answer's quality;
-// endpoints may advertise a rate limit, and differ in pace, which other work on their VMs changes.
+// endpoints may advertise a rate limit, and differ in pace, which other work on their VMs changes; most
+// requests may reach one entry for a while; endpoints may crash on a block of a prompt and come back.
 // The model does not cover how concurrent streams slow each other down, pre-emption, cold starts,
-// faults, upgrades and the store.
+// other faults, upgrades and the store.
 package emulator
 
 import (
@@ -72,6 +73,24 @@
 	Bursts    []Burst `toml:"bursts"`
 	Limits    []Limit `toml:"limits"`
 	Kinds     []Kind  `toml:"kinds"`
+	Crowds    []Crowd `toml:"crowds"`
+	Crashes   []Crash `toml:"crashes"`
+}
+
+// Crowd is a time, in seconds from the start, in which the given fraction of the requests reaches one
+// entry.
+type Crowd struct {
+	From     float64 `toml:"from"`
+	Until    float64 `toml:"until"`
+	Fraction float64 `toml:"fraction"`
+}
+
+// Crash is a time, in seconds from the start, in which requests with a block arrive on which endpoints
+// crash.
+type Crash struct {
+	From      float64 `toml:"from"`
+	Until     float64 `toml:"until"`
+	PerSecond float64 `toml:"per-second"`
 }
 
 // Burst multiplies the request rate by Factor between From and Until, in seconds from the start.
@@ -141,6 +160,16 @@
 			return ErrSite.New("limits: a value is out of range")
 		}
 	}
+	for _, c := range l.Crowds {
+		if c.Until <= c.From || c.Fraction < 0 || c.Fraction > 1 {
+			return ErrSite.New("crowds: a value is out of range")
+		}
+	}
+	for _, c := range l.Crashes {
+		if c.Until <= c.From || c.PerSecond < 0 {
+			return ErrSite.New("crashes: a value is out of range")
+		}
+	}
 	for _, k := range l.Kinds {
 		if k.Share <= 0 || k.TargetMillis <= 0 || k.SharedTokens < 0 || k.OwnTokens < 0 || k.Events < 1 || k.Subjects < 1 || k.HardFraction < 0 || k.HardFraction > 1 || k.HotFraction < 0 || k.HotFraction > 1 {
 			return ErrSite.New("kinds: %s has a value out of range", k.Name)
