Report the crashes that support each verdict; name verdicts that rest on several blocks

Now the report of everything known has the last independent crashes of each guilty block (TestReportSupportsEachVerdict failed before). A verdict now names all blocks that a request must have to be refused. - The test of a suspected block ended with a short answer, before it was known what it had shown; others began meanwhile at the same endpoint. It now ends when that is known. - A request logged each of its attempts as a test, also where nothing was sent.

--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 
 	"github.com/parsleydeal/parsleydeal/clock"
 )
@@ -54,12 +55,23 @@
 	delete(g.crashes, oldest)
 }
 
-// judge finds the blocks for which requests are refused and returns those that are found for the first
-// time: as long as there is a block that enough independent crashes name, the one that the most
-// crashes name is guilty, and these crashes are explained.
+// verdict is what follows for a guilty block.
+type verdict struct {
+	// crashes is the number of crashes that name the block.
+	crashes int
+	// with holds the other blocks that all of these crashes name. Only requests that have them too are
+	// refused: otherwise a sound block that always came with the one at fault would be kept out as
+	// well.
+	with []string
+}
+
+// judge finds the guilty blocks and returns those that are found for the first time, each with the
+// blocks that a request must have as well to be refused: as long as there is a block that enough
+// independent crashes name, the one that the most crashes name is guilty, and these crashes are
+// explained.
 func (g *Register) judge() (found []string) {
 	before := g.guilty
-	g.guilty = make(map[string]int)
+	g.guilty = make(map[string]verdict)
 	naming := make(map[string]map[uint64]moment)
 	for incarnation, c := range g.crashes {
 		for key, began := range c.named {
@@ -73,19 +85,42 @@
 	for len(naming) > 0 {
 		key := mostNamed(naming)
 		explained := naming[key]
-		g.guilty[key] = len(explained)
+		v := verdict{crashes: len(explained), with: g.companions(key)}
+		g.guilty[key] = v
 		delete(naming, key)
 		maps.DeleteFunc(naming, func(_ string, by map[uint64]moment) bool {
 			maps.DeleteFunc(by, func(incarnation uint64, _ moment) bool { _, ok := explained[incarnation]; return ok })
 			return independent(by) < crashesToQuarantine
 		})
-		if _, known := before[key]; !known {
-			found = append(found, key)
+		if old, known := before[key]; !known || !slices.Equal(old.with, v.with) {
+			found = append(found, v.name(key))
 		}
 	}
 	return found
 }
 
+// name returns the blocks that a request must have to be refused, for logs.
+func (v verdict) name(key string) string {
+	return strings.Join(append([]string{key}, v.with...), "+")
+}
+
+// companions returns the other blocks that all crashes name that name a block, in order.
+func (g *Register) companions(key string) []string {
+	var common map[string]clock.Millis
+	for _, c := range g.crashes {
+		if _, ok := c.named[key]; !ok {
+			continue
+		}
+		if common == nil {
+			common = maps.Clone(c.named)
+			continue
+		}
+		maps.DeleteFunc(common, func(other string, _ clock.Millis) bool { _, ok := c.named[other]; return !ok })
+	}
+	delete(common, key)
+	return slices.Sorted(maps.Keys(common))
+}
+
 // mostNamed returns the block that the most crashes name, of several the first in order.
 func mostNamed(naming map[string]map[uint64]moment) (most string) {
 	for key, by := range naming {
@@ -118,28 +153,8 @@
 	return n
 }
 
-// refuses reports whether a request with the given blocks is refused because of one of them: it is
-// guilty, and the request has every other block that all crashes that name it name as well. Without
-// that, a sound block that always came with the one at fault would be kept out too.
+// refuses reports whether a request with the given blocks is refused because of one of them.
 func (g *Register) refuses(key string, blocks []string) bool {
-	if g.guilty[key] == 0 {
-		return false
-	}
-	var companions map[string]clock.Millis
-	for _, c := range g.crashes {
-		if _, ok := c.named[key]; !ok {
-			continue
-		}
-		if companions == nil {
-			companions = maps.Clone(c.named)
-			continue
-		}
-		maps.DeleteFunc(companions, func(other string, _ clock.Millis) bool { _, ok := c.named[other]; return !ok })
-	}
-	for other := range companions {
-		if !slices.Contains(blocks, other) {
-			return false
-		}
-	}
-	return true
+	v, ok := g.guilty[key]
+	return ok && !slices.ContainsFunc(v.with, func(other string) bool { return !slices.Contains(blocks, other) })
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -65,9 +65,8 @@
 	// by the hash of the endpoint's incarnation.
 	suspects map[string]*suspect
 	crashes  map[uint64]*crash
-	// guilty holds the blocks for which requests are refused, with the number of crashes that named
-	// them. It follows from crashes.
-	guilty map[string]int
+	// guilty holds the blocks for which requests are refused. It follows from crashes.
+	guilty map[string]verdict
 	// endpoints holds the attempts with blocks that are not cleared, and recent crashes.
 	endpoints map[Incarnation]*endpoint
 	// changed is closed, and replaced, when a finding may have changed.
@@ -131,10 +130,10 @@
 // String returns the name of the finding for logs and metrics.
 func (f Finding) String() string { return [...]string{"admitted", "test", "wait", "quarantined"}[f] }
 
-// Admit decides on a request by its shared blocks. block is the one that the decision rests on, crashes
-// the number of endpoints that crashed with it. mayTry is true if this entry is the one that
-// tries quarantined blocks.
-func (g *Register) Admit(request string, blocks []string, mayTry bool, now clock.Millis) (f Finding, block string, crashes int) {
+// Admit decides on a request by its shared blocks. because is the one that the decision rests on, of
+// several the one that the most crashes named, which is their number. mayTry is true if this entry
+// is the one that tries quarantined blocks.
+func (g *Register) Admit(request string, blocks []string, mayTry bool, now clock.Millis) (f Finding, because string, crashes int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, key := range blocks {
@@ -150,8 +149,9 @@
 		case s.tester != "":
 			next = Wait
 		}
-		if next > f {
-			f, block, crashes = next, key, s.named
+		// Of blocks that are named alike the last one: requests begin with the same ones.
+		if next > f || next == f && s.named >= crashes {
+			f, because, crashes = next, key, s.named
 		}
 	}
 	if f == Test {
@@ -162,7 +162,7 @@
 			}
 		}
 	}
-	return f, block, crashes
+	return f, because, crashes
 }
 
 // Release ends the test of a request.
@@ -186,7 +186,7 @@
 // nothing else would show that.
 func (g *Register) trialDue(key string, now clock.Millis) bool {
 	s := g.suspects[key]
-	delay := firstTrialDelay << min(max(g.guilty[key]-crashesToQuarantine, 0), maxTrialDoublings)
+	delay := firstTrialDelay << min(max(g.guilty[key].crashes-crashesToQuarantine, 0), maxTrialDoublings)
 	return now-s.lastCrashAt >= delay && now-s.triedAt >= trialInterval
 }
 
@@ -278,11 +278,14 @@
 	g.sweepEndpoints(now)
 }
 
-// Quarantined returns the blocks for which requests are refused, in order.
-func (g *Register) Quarantined() []string {
+// Quarantined returns the sets of blocks for which requests are refused, in order.
+func (g *Register) Quarantined() (sets [][]string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return slices.Sorted(maps.Keys(g.guilty))
+	for _, key := range slices.Sorted(maps.Keys(g.guilty)) {
+		sets = append(sets, append([]string{key}, g.guilty[key].with...))
+	}
+	return sets
 }
 
 // Counts returns the number of suspected blocks, of those that are quarantined, and of cleared ones.
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -119,3 +119,25 @@
 	is.True(len(g.Report(true, 1).Crashes) <= maxReportedCrashes)
 	is.True(len(g.crashes) <= maxCrashes)
 }
+
+// Another block crashed endpoints after the first one. Guards against an entry that starts and learns only
+// of the newest crashes.
+func TestReportSupportsEachVerdict(t *testing.T) {
+	is := is.New(t)
+	g, started := New(), New()
+	at := clock.Millis(0)
+	for _, block := range []string{"first", "second"} {
+		for i := range 20 {
+			endpoint := Incarnation{Endpoint: fmt.Sprint(block, i)}
+			a := g.Begin(endpoint, []string{block}, false, at)
+			at += 100
+			g.End(a, true, at)
+			g.Crashed(endpoint, at)
+		}
+	}
+	for range reportRepeats {
+		g.Report(false, at) // what is news is reported in full
+	}
+	started.Receive(g.Report(true, at), false, at)
+	is.Equal(started.Quarantined(), [][]string{{"first"}, {"second"}})
+}
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -16,8 +16,8 @@
 	maxReportedCrashes = 32
 	maxReportedBlocks  = 64
 	maxReportedNames   = 16
-	// maxRepeatedCrashes limits the crashes in the report of everything known.
-	maxRepeatedCrashes = 8
+	// maxSupporting is the number of crashes that support a verdict in the report of everything known.
+	maxSupporting = crashesToQuarantine + 1
 )
 
 // Evidence is what an entry reports.
@@ -74,27 +74,26 @@
 // Urgent returns a channel that receives a value when a report should be sent at once.
 func (g *Register) Urgent() <-chan struct{} { return g.urgent }
 
-// Report returns what to report to other entries: the news, or with all set also the newest crashes that
-// name quarantined blocks.
+// Report returns what to report to other entries: the news, or with all set also the crashes that support
+// verdicts.
 func (g *Register) Report(all bool, now clock.Millis) (e Evidence) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	repeated := 0
-	for _, incarnation := range slices.SortedFunc(maps.Keys(g.crashes), func(a, b uint64) int {
-		return cmp.Or(cmp.Compare(g.crashes[b].at, g.crashes[a].at), cmp.Compare(a, b))
-	}) {
+	var supporting map[uint64]bool
+	if all {
+		supporting = g.supporting()
+	}
+	for _, incarnation := range slices.Backward(g.inOrder()) {
 		c := g.crashes[incarnation]
-		news := c.repeats > 0
-		if len(e.Crashes) == maxReportedCrashes || !news && !(all && repeated < maxRepeatedCrashes && g.namesGuilty(c)) {
+		if len(e.Crashes) == maxReportedCrashes || c.repeats == 0 && !supporting[incarnation] {
 			continue
 		}
 		c.repeats = max(c.repeats-1, 0)
-		repeated++
 		e.Crashes = append(e.Crashes, ReportedCrash{incarnation, now - c.at, g.reportedNames(c, now)})
 	}
 	for _, key := range slices.Sorted(maps.Keys(g.suspects)) {
 		s := g.suspects[key]
-		if len(e.Blocks) == maxReportedBlocks || s.repeats == 0 && !(all && g.guilty[key] > 0) {
+		if len(e.Blocks) == maxReportedBlocks || s.repeats == 0 && !(all && g.isGuilty(key)) {
 			continue
 		}
 		s.repeats = max(s.repeats-1, 0)
@@ -103,13 +102,37 @@
 	return e
 }
 
-func (g *Register) namesGuilty(c *crash) bool {
-	for key := range c.named {
-		if g.guilty[key] > 0 {
-			return true
+func (g *Register) isGuilty(key string) bool {
+	_, ok := g.guilty[key]
+	return ok
+}
+
+// supporting returns the last independent crashes that name each guilty block. An entry that knows
+// them finds the block guilty as well.
+func (g *Register) supporting() map[uint64]bool {
+	out := make(map[uint64]bool)
+	for key := range g.guilty {
+		var counted []uint64
+		last := never
+		for _, incarnation := range g.inOrder() {
+			c := g.crashes[incarnation]
+			if began, ok := c.named[key]; ok && began >= last {
+				last = c.at
+				counted = append(counted, incarnation)
+			}
+		}
+		for _, incarnation := range counted[max(len(counted)-maxSupporting, 0):] {
+			out[incarnation] = true
 		}
 	}
-	return false
+	return out
+}
+
+// inOrder returns the crashes in the order of their times.
+func (g *Register) inOrder() []uint64 {
+	return slices.SortedFunc(maps.Keys(g.crashes), func(a, b uint64) int {
+		return cmp.Or(cmp.Compare(g.crashes[a].at, g.crashes[b].at), cmp.Compare(a, b))
+	})
 }
 
 // reportedNames returns the blocks that a crash names, those first that the most crashes name.
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -46,22 +46,20 @@
 	until := s.cfg.Clock.Now() + min(maxTestWait, clock.Millis(maxTestWaitRatio*float64(x.remaining())))
 	for {
 		changed, now := s.quarantine.Changed(), s.cfg.Clock.Now()
-		f, block, crashes := s.quarantine.Admit(x.req.ID, x.shared, x.view.FirstSpreader(), now)
+		f, because, crashes := s.quarantine.Admit(x.req.ID, x.shared, x.view.FirstSpreader(), now)
 		switch {
 		case f == quarantine.Admitted:
 			return nil
 		case f == quarantine.Test:
-			x.tested = block
-			s.countFinding(f)
-			s.cfg.Log.Info("Request tests a suspected block", "request", x.req.ID, "block", block, "crashes", crashes)
+			x.beginTest(because, crashes)
 			return nil
 		case f == quarantine.Quarantined:
 			s.countFinding(f)
-			x.block = block
+			x.refusedFor = because
 			return refusal.New(refusal.Quarantined, "endpoints crash on a block of the prompt").WithRetryAfter(quarantineRetryAfter)
 		case now >= until:
 			s.countFinding(f)
-			x.block = block
+			x.refusedFor = because
 			return refusal.New(refusal.Quarantined, "a block of the prompt is being tested").WithRetryAfter(testRetryAfter)
 		}
 		awaitChange(ctx, changed, until-now)
@@ -82,6 +80,15 @@
 	}
 }
 
+// beginTest notes that this request tests a suspected block.
+func (x *exchange) beginTest(block string, crashes int) {
+	if block != x.lastTested {
+		x.server.countFinding(quarantine.Test)
+		x.server.cfg.Log.Info("Request tests a suspected block", "request", x.req.ID, "block", block, "crashes", crashes)
+	}
+	x.tested, x.lastTested = block, block
+}
+
 // endTest lets other requests test the blocks that this one tested, if any.
 func (x *exchange) endTest() {
 	if x.tested != "" {
@@ -117,7 +124,12 @@
 			s.recordCrash(a, now)
 		}
 	case r == done && x.tested != "":
-		time.AfterFunc(proofDelay.Duration(), func() { s.proveAlive(a) })
+		// The test goes on until it is known what it has shown.
+		x.tested = ""
+		time.AfterFunc(proofDelay.Duration(), func() {
+			s.proveAlive(a)
+			s.quarantine.Release(x.req.ID, x.shared)
+		})
 	}
 }
 
--- a/relay/server.go
+++ b/relay/server.go
@@ -165,11 +165,13 @@
 	runs            int
 	sends           int
 	unsent          int
-	// shared holds the keys of the prompt's blocks that other requests may share. tested is the one that
-	// this request tests, block the one that it was refused for; both empty if there is none.
-	shared []string
-	tested string
-	block  string
+	// shared holds the keys of the prompt's blocks that other requests may share. tested is the
+	// suspected one that this request tests, lastTested the one that it tested last, and refusedFor the
+	// one that it was refused for; empty if there is none.
+	shared     []string
+	tested     string
+	lastTested string
+	refusedFor string
 	// retry is the decision about another attempt after the last one.
 	retry retryOutcome
 	// unusedRetryAt is when the retry was counted of which nothing has been sent yet; 0 if there is none.
@@ -248,7 +250,7 @@
 func (x *exchange) logRequest(err error, took clock.Millis, callerLeft bool) {
 	fields := []any{
 		"request", x.id(), "route", x.routeName(), "organisation", x.organisation, "status", x.status, "endpoint", x.endpoint, "version", x.version, "model", x.model,
-		"sends", x.sends, "retry", x.retry, "block", x.block, "events", x.events, "waited", x.startWait, "took", took, "body", x.bodyTook, "placed", x.firstAttemptAfter(), "connect", x.connectTook, "first", x.timeToFirstByte, "pace", x.pace, "late", x.late(took), "config", x.configVersion(), "config-age", x.configAge(), "config-by", x.view.ConfirmedBy(), "left-by-caller", callerLeft,
+		"sends", x.sends, "retry", x.retry, "refused-for", x.refusedFor, "events", x.events, "waited", x.startWait, "took", took, "body", x.bodyTook, "placed", x.firstAttemptAfter(), "connect", x.connectTook, "first", x.timeToFirstByte, "pace", x.pace, "late", x.late(took), "config", x.configVersion(), "config-age", x.configAge(), "config-by", x.view.ConfirmedBy(), "left-by-caller", callerLeft,
 	}
 	if err != nil {
 		x.server.cfg.Log.Warn("Request failed", append(fields, "error", logbook.Text(err))...)
