Make the cost of a sign of life independent of the requests that wait

Suspected cause, from the code: each event of each stream walked over all attempts at its endpoint whose blocks were not cleared, among them the hundreds that wait there under overload.

--- a/quarantine/attempt.go
+++ b/quarantine/attempt.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 
@@ -17,6 +18,8 @@
 	endedTime = 1500 * clock.Millis(1)
 	// crashTTL is how long a crash is remembered for attempts that notice it later.
 	crashTTL = 10 * clock.Second
+	// aliveStep is the time within which further signs of life of an endpoint show nothing new.
+	aliveStep = 50 * clock.Millis(1)
 )
 
 // Incarnation is one start of an endpoint.
@@ -31,15 +34,21 @@
 
 // endpoint is an incarnation with attempts whose blocks are not all cleared.
 type endpoint struct {
-	attempts []*Attempt
-	// crashedAt is when it crashed; never if it did not.
+	// waiting holds the attempts without a head, begun those whose answers have begun, from the oldest
+	// on.
+	waiting map[*Attempt]bool
+	begun   []*Attempt
+	// aliveAt is when the endpoint last sent something, in steps of aliveStep, crashedAt when it
+	// crashed; never before that.
+	aliveAt   clock.Millis
 	crashedAt clock.Millis
 }
 
 // Attempt is an attempt whose blocks are not all cleared.
 type Attempt struct {
-	blocks  []string
-	beganAt clock.Millis
+	endpoint *endpoint
+	blocks   []string
+	beganAt  clock.Millis
 	// whole is true if the head arrives only with the whole answer.
 	whole bool
 	// headAt is when the head of the answer arrived, aliveAt when the endpoint first sent something
@@ -65,15 +74,15 @@
 	if len(a.blocks) == 0 {
 		return nil
 	}
-	e := g.endpointOf(i)
-	e.attempts = append(e.attempts, a)
+	a.endpoint = g.endpointOf(i)
+	a.endpoint.waiting[a] = true
 	return a
 }
 
 func (g *Register) endpointOf(i Incarnation) *endpoint {
 	e := g.endpoints[i]
 	if e == nil {
-		e = &endpoint{crashedAt: never}
+		e = &endpoint{waiting: make(map[*Attempt]bool), aliveAt: never, crashedAt: never}
 		g.endpoints[i] = e
 	}
 	return e
@@ -87,6 +96,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	a.headAt = now
+	delete(a.endpoint.waiting, a)
+	a.endpoint.begun = append(a.endpoint.begun, a)
 }
 
 // Alive records that the endpoint sent something. An answer is beyond its beginning when its endpoint
@@ -96,20 +107,34 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	e := g.endpoints[i]
-	if e == nil || e.crashedAt != never {
+	if e == nil || e.crashedAt != never || now-e.aliveAt < aliveStep {
 		return nil
 	}
-	e.attempts = slices.DeleteFunc(e.attempts, func(a *Attempt) bool {
-		switch {
-		case !a.provable(now):
-			return false
-		case a.aliveAt == never && now-a.headAt >= beginningTime/2:
+	e.aliveAt = now
+	return g.prove(e, func(a *Attempt) bool {
+		if a.aliveAt == never && now-a.headAt >= beginningTime/2 {
 			a.aliveAt = now
+		}
+		return a.aliveAt != never && now-a.aliveAt >= beginningTime/2
+	}, now)
+}
+
+// prove clears the blocks of attempts for which proven is true, and forgets those that can no longer be
+// proven.
+func (g *Register) prove(e *endpoint, proven func(a *Attempt) bool, now clock.Millis) (acquitted []string) {
+	e.begun = slices.DeleteFunc(e.begun, func(a *Attempt) bool {
+		if a.expired(now) {
+			return true
+		}
+		if !a.provable(now) || !proven(a) {
 			return false
-		case a.aliveAt == never || now-a.aliveAt < beginningTime/2:
-			return false
 		}
-		acquitted = append(acquitted, g.clearAll(a, now)...)
+		for _, key := range a.blocks {
+			if g.clear(key, now) {
+				acquitted = append(acquitted, key)
+			}
+		}
+		a.blocks = nil
 		return true
 	})
 	return acquitted
@@ -124,14 +149,7 @@
 	if e == nil || e.crashedAt != never {
 		return nil
 	}
-	e.attempts = slices.DeleteFunc(e.attempts, func(a *Attempt) bool {
-		if !a.provable(now) || now-a.headAt < beginningTime {
-			return false
-		}
-		acquitted = append(acquitted, g.clearAll(a, now)...)
-		return true
-	})
-	return acquitted
+	return g.prove(e, func(a *Attempt) bool { return now-a.headAt >= beginningTime }, now)
 }
 
 // provable reports whether a sign of life can show that the attempt is not the cause of a crash. Long
@@ -140,15 +158,9 @@
 	return a.headAt != never && !a.broken && (a.endedAt == never || now-a.headAt < endedTime)
 }
 
-// clearAll clears the blocks of an attempt and returns those that were suspected.
-func (g *Register) clearAll(a *Attempt, now clock.Millis) (acquitted []string) {
-	for _, key := range a.blocks {
-		if g.clear(key, now) {
-			acquitted = append(acquitted, key)
-		}
-	}
-	a.blocks = nil
-	return acquitted
+// expired reports whether the attempt ended so long ago that it shows nothing any more.
+func (a *Attempt) expired(now clock.Millis) bool {
+	return len(a.blocks) == 0 || a.endedAt != never && now-a.endedAt > endedTime
 }
 
 // End records the end of an attempt. broken means that the answer broke off or did not come.
@@ -172,7 +184,8 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	a.blocks, a.endedAt = nil, a.beganAt
+	a.blocks = nil
+	delete(a.endpoint.waiting, a)
 }
 
 // MayHaveCrashed reports whether an attempt that has ended may be the cause of a crash.
@@ -187,22 +200,26 @@
 
 // suspects returns the attempts that may be the cause of a crash: those that had begun, or if there
 // are none, those that were waiting.
-func (e *endpoint) suspects(now clock.Millis) []*Attempt {
-	var begun, waiting []*Attempt
-	for _, a := range e.attempts {
-		switch {
-		case len(a.blocks) == 0, a.endedAt != never && now-a.endedAt > endedTime:
-		case a.endedAt != never && !a.broken && now-a.headAt > beginningTime:
-		case a.headAt != never || a.whole:
-			begun = append(begun, a)
-		default:
-			waiting = append(waiting, a)
+func (e *endpoint) suspects(now clock.Millis) (out []*Attempt) {
+	for _, a := range e.begun {
+		if !a.expired(now) && (a.endedAt == never || a.broken || now-a.headAt <= beginningTime) {
+			out = append(out, a)
+		}
+	}
+	for a := range e.waiting {
+		if a.whole && !a.expired(now) {
+			out = append(out, a)
 		}
 	}
-	if len(begun) > 0 {
-		return begun
+	if len(out) > 0 {
+		return out
+	}
+	for a := range e.waiting {
+		if !a.expired(now) {
+			out = append(out, a)
+		}
 	}
-	return waiting
+	return out
 }
 
 // Crash is what a crash of an endpoint shows.
@@ -238,7 +255,8 @@
 			}
 		}
 	}
-	e.attempts = slices.DeleteFunc(e.attempts, func(a *Attempt) bool { return a.endedAt != never })
+	e.begun = slices.DeleteFunc(e.begun, func(a *Attempt) bool { return a.endedAt != never })
+	maps.DeleteFunc(e.waiting, func(a *Attempt, _ bool) bool { return a.endedAt != never })
 	if len(c.Blocks) == 0 {
 		return c, false
 	}
@@ -251,8 +269,9 @@
 // sweepEndpoints drops attempts that can no longer show anything, and old crashes.
 func (g *Register) sweepEndpoints(now clock.Millis) {
 	for i, e := range g.endpoints {
-		e.attempts = slices.DeleteFunc(e.attempts, func(a *Attempt) bool { return a.endedAt != never && now-a.endedAt > endedTime })
-		if len(e.attempts) == 0 && now-e.crashedAt > crashTTL {
+		e.begun = slices.DeleteFunc(e.begun, func(a *Attempt) bool { return a.expired(now) })
+		maps.DeleteFunc(e.waiting, func(a *Attempt, _ bool) bool { return a.expired(now) })
+		if len(e.begun)+len(e.waiting) == 0 && now-e.crashedAt > crashTTL {
 			delete(g.endpoints, i)
 		}
 	}
