Bound the evidence of crashes that have a common cause

Suspected cause: each of these crashes was recorded by each of 18 entries with all blocks that were not cleared there, reported to all others whenever anything changed, and judged anew with each report.

Now four crashes are kept within 200 ms, reports go out within the byte rate of the other reports, and where they go to more than eight entries they leave out blocks that only one crash names (TestMassCrashIsLittleEvidence failed before).

--- a/emulator/crash.go
+++ b/emulator/crash.go
@@ -194,7 +194,7 @@
 		return
 	}
 	for _, e := range sim.entries {
-		evidence := e.blocks.Report(false, now)
+		evidence := e.blocks.Report(quarantine.Scope{}, now)
 		for _, peer := range sim.entries {
 			if peer != e && !evidence.Empty() {
 				peer.blocks.Receive(evidence, false, now)
--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -22,6 +22,9 @@
 // accuse records that a crash names a block, and reports whether that is news.
 func (g *Register) accuse(key string, incarnation uint64, at, began, now clock.Millis) (news bool) {
 	c := g.crashes[incarnation]
+	if c == nil && g.crowded(at) {
+		return false
+	}
 	if c == nil {
 		c = &crash{at: at, named: make(map[string]clock.Millis)}
 		g.crashes[incarnation] = c
@@ -33,10 +36,34 @@
 	s := g.suspectOf(key, now)
 	c.named[key] = began
 	s.named++
+	if s.named == 2 {
+		g.repeatCrashesOf(key)
+	}
 	s.lastCrashAt = max(s.lastCrashAt, c.at)
 	return true
 }
 
+// repeatCrashesOf has the crashes that name a block reported again: it may have been left out so far.
+func (g *Register) repeatCrashesOf(key string) {
+	for _, c := range g.crashes {
+		if _, ok := c.named[key]; ok {
+			g.repeatCrash(c)
+		}
+	}
+}
+
+// crowded reports whether so many crashes are known around a time that further ones show nothing more:
+// they have a common cause.
+func (g *Register) crowded(at clock.Millis) bool {
+	n := 0
+	for _, c := range g.crashes {
+		if max(c.at-at, at-c.at) < momentTime {
+			n++
+		}
+	}
+	return n >= maxMomentCrashes
+}
+
 // dropOldest drops the oldest crash if there are too many. It is dropped for all blocks at once, so that
 // it cannot go on naming a block when what explains it is forgotten.
 func (g *Register) dropOldest() {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -21,6 +21,9 @@
 	// crashesToQuarantine is how many independent crashes must name a block before requests with it
 	// are refused.
 	crashesToQuarantine = 3
+	// maxMomentCrashes limits the crashes that are kept within momentTime of each other.
+	maxMomentCrashes = 4
+	momentTime       = 200 * clock.Millis(1)
 	// clearTTL is how long a block stays cleared after an answer with it.
 	clearTTL = clock.Minute
 	// forgetAfter is how long a suspected block is remembered after the last request with it.
@@ -35,7 +38,7 @@
 	// crash names.
 	maxSuspects = 1024
 	maxCrashes  = 256
-	maxNamed    = 64
+	maxNamed    = 32
 	// maxCleared is the number of cleared blocks from which old ones are dropped sooner; there are never
 	// more than twice as many.
 	maxCleared = 20000
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -78,7 +78,7 @@
 			g.Crashed(Incarnation{Endpoint: x.Crash}, x.At)
 		case x.Report:
 			other := map[string]string{"a": "b", "b": "a"}[x.Entry]
-			entries[other].Receive(g.Report(false, x.At), false, x.At)
+			entries[other].Receive(g.Report(Scope{}, x.At), false, x.At)
 		case x.Sweep:
 			g.Sweep(x.At)
 		case x.Admit != "":
@@ -108,15 +108,15 @@
 	is := is.New(t)
 	g := New()
 	for i := range 2 * maxSuspects {
-		endpoint := Incarnation{Endpoint: fmt.Sprint(i)}
-		a := g.Begin(endpoint, []string{fmt.Sprint("block-", i)}, false, clock.Millis(i))
-		g.End(a, true, clock.Millis(i))
-		g.Crashed(endpoint, clock.Millis(i))
+		endpoint, at := Incarnation{Endpoint: fmt.Sprint(i)}, clock.Millis(i)*momentTime
+		a := g.Begin(endpoint, []string{fmt.Sprint("block-", i)}, false, at)
+		g.End(a, true, at)
+		g.Crashed(endpoint, at)
 	}
 	suspected, _, _ := g.Counts()
 	is.Equal(suspected, maxCrashes)
 	is.True(len(g.suspects) <= maxSuspects)
-	is.True(len(g.Report(true, 1).Crashes) <= maxReportedCrashes)
+	is.True(len(g.Report(Scope{Verdicts: true}, 1).Crashes) <= maxReportedCrashes)
 	is.True(len(g.crashes) <= maxCrashes)
 }
 
@@ -136,8 +136,24 @@
 		}
 	}
 	for range reportRepeats {
-		g.Report(false, at) // what is news is reported in full
+		g.Report(Scope{}, at) // what is news is reported in full
 	}
-	started.Receive(g.Report(true, at), false, at)
+	started.Receive(g.Report(Scope{Verdicts: true}, at), false, at)
 	is.Equal(started.Quarantined(), [][]string{{"first"}, {"second"}})
 }
+
+// A whole zone of endpoints crashes at once. Guards against an entry that spends its time and its peers'
+// on evidence that shows nothing.
+func TestMassCrashIsLittleEvidence(t *testing.T) {
+	is := is.New(t)
+	g := New()
+	for i := range 100 {
+		endpoint := Incarnation{Endpoint: fmt.Sprint(i)}
+		for j := range 10 {
+			g.End(g.Begin(endpoint, []string{fmt.Sprint("block-", i, "-", j)}, false, 0), true, 100)
+		}
+		g.Crashed(endpoint, 100)
+	}
+	is.Equal(len(g.Report(Scope{}, 100).Crashes), maxMomentCrashes)
+	is.True(g.Report(Scope{Repeated: true}, 100).Empty())
+}
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -74,13 +74,20 @@
 // Urgent returns a channel that receives a value when a report should be sent at once.
 func (g *Register) Urgent() <-chan struct{} { return g.urgent }
 
-// Report returns what to report to other entries: the news, or with all set also the crashes that support
-// verdicts.
-func (g *Register) Report(all bool, now clock.Millis) (e Evidence) {
+// Scope says which part of the evidence is reported.
+type Scope struct {
+	// Verdicts adds the crashes that support verdicts to what is news.
+	Verdicts bool
+	// Repeated leaves out blocks that only one crash names, which are most after an unrelated crash.
+	Repeated bool
+}
+
+// Report returns what to report to other entries.
+func (g *Register) Report(scope Scope, now clock.Millis) (e Evidence) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var supporting map[uint64]bool
-	if all {
+	if scope.Verdicts {
 		supporting = g.supporting()
 	}
 	for _, incarnation := range slices.Backward(g.inOrder()) {
@@ -89,11 +96,13 @@
 			continue
 		}
 		c.repeats = max(c.repeats-1, 0)
-		e.Crashes = append(e.Crashes, ReportedCrash{incarnation, now - c.at, g.reportedNames(c, now)})
+		if names := g.reportedNames(c, scope, now); len(names) > 0 {
+			e.Crashes = append(e.Crashes, ReportedCrash{incarnation, now - c.at, names})
+		}
 	}
 	for _, key := range slices.Sorted(maps.Keys(g.suspects)) {
 		s := g.suspects[key]
-		if len(e.Blocks) == maxReportedBlocks || s.repeats == 0 && !(all && g.isGuilty(key)) {
+		if len(e.Blocks) == maxReportedBlocks || s.repeats == 0 && !(scope.Verdicts && g.isGuilty(key)) {
 			continue
 		}
 		s.repeats = max(s.repeats-1, 0)
@@ -136,11 +145,11 @@
 }
 
 // reportedNames returns the blocks that a crash names, those first that the most crashes name.
-func (g *Register) reportedNames(c *crash, now clock.Millis) (names []ReportedName) {
+func (g *Register) reportedNames(c *crash, scope Scope, now clock.Millis) (names []ReportedName) {
 	for _, key := range slices.SortedFunc(maps.Keys(c.named), func(a, b string) int {
 		return cmp.Or(cmp.Compare(g.suspects[b].named, g.suspects[a].named), cmp.Compare(a, b))
 	}) {
-		if len(names) == maxReportedNames {
+		if len(names) == maxReportedNames || scope.Repeated && g.suspects[key].named < 2 {
 			break
 		}
 		names = append(names, ReportedName{key, now - c.named[key]})
--- a/relay/quarantine_report.go
+++ b/relay/quarantine_report.go
@@ -8,6 +8,7 @@
 	"github.com/parsleydeal/parsleydeal/logbook"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/quarantine"
+	"google.golang.org/protobuf/proto"
 )
 
 const (
@@ -18,6 +19,9 @@
 	// evidenceRefreshPerEntry is multiplied by the number of recipients to get the interval at which
 	// everything known of suspected blocks is reported again, for entries that missed it.
 	evidenceRefreshPerEntry = 20 * clock.Millis(1)
+	// maxFullRecipients is the number of recipients up to which blocks are reported that only one crash
+	// names.
+	maxFullRecipients = 8
 	// spreaderRefresh is the same interval for reports to the entries that pass them on.
 	spreaderRefresh = 5 * clock.Second
 )
@@ -26,21 +30,25 @@
 // until the context ends: to a few, which pass it on to all.
 func (s *Server) SendEvidence(ctx context.Context, name string, send func(r *wire.EntryReport, to []string) error) {
 	refreshedAt := s.cfg.Clock.Now()
+	budget := byteBudget{updatedAt: refreshedAt}
 	for clock.Pause(ctx, minEvidenceInterval) && s.awaitEvidence(ctx) {
 		now, v := s.cfg.Clock.Now(), s.cfg.View()
 		to := v.Audience()
-		if len(to) == 0 {
+		budget.refill(now)
+		if len(to) == 0 || budget.wait() > 0 {
 			continue
 		}
 		all := now-refreshedAt >= refreshInterval(v.Spreads(), len(to))
 		if all {
 			refreshedAt = now
 		}
-		evidence := s.quarantine.Report(all, now)
+		evidence := s.quarantine.Report(quarantine.Scope{Verdicts: all, Repeated: len(to) > maxFullRecipients}, now)
 		if evidence.Empty() {
 			continue
 		}
-		if err := send(&wire.EntryReport{Process: name, Evidence: evidenceToWire(evidence)}, to); err != nil {
+		r := &wire.EntryReport{Process: name, Evidence: evidenceToWire(evidence)}
+		budget.available -= float64((packetOverheadBytes + proto.Size(r)) * len(to))
+		if err := send(r, to); err != nil {
 			s.cfg.Log.Warn("Cannot report suspected blocks", "error", logbook.Text(err))
 		}
 	}
--- a/relay/snapshot.go
+++ b/relay/snapshot.go
@@ -10,6 +10,7 @@
 	"github.com/parsleydeal/parsleydeal/logbook"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/placement"
+	"github.com/parsleydeal/parsleydeal/quarantine"
 )
 
 const (
@@ -68,7 +69,7 @@
 				continue
 			}
 			work, speeds := s.selector.Snapshot(s.cfg.Clock.Now())
-			evidence := s.quarantine.Report(true, s.cfg.Clock.Now())
+			evidence := s.quarantine.Report(quarantine.Scope{Verdicts: true}, s.cfg.Clock.Now())
 			if len(speeds) == 0 && evidence.Empty() {
 				continue
 			}
