Judge crashes at most once in 20 ms, and by their share of all crashes

Now changes are judged when a finding is asked for, once in 20 ms; and a sixth of all crashes that no other guilty block explains must name a block (TestFewOfManyCrashesAreNoVerdict failed before). Acquittals are logged for blocks that several crashes had named.

--- a/quarantine/attempt.go
+++ b/quarantine/attempt.go
@@ -230,8 +230,6 @@
 	Blocks   []string
 	// Cleared is the number of blocks of these attempts that are cleared.
 	Cleared int
-	// Found holds those of Blocks that are quarantined from now on.
-	Found []string
 }
 
 // Crashed records that an endpoint crashed. It may be called again for attempts that notice it later;
@@ -242,6 +240,7 @@
 	e := g.endpointOf(i)
 	if e.crashedAt == never {
 		e.crashedAt = now
+		g.noteEnd(i.hash(), now)
 	}
 	for _, a := range e.suspects(now) {
 		c.Suspects++
@@ -261,7 +260,7 @@
 		return c, false
 	}
 	g.repeatCrash(g.crashes[i.hash()])
-	c.Found = g.judge()
+	g.stale = true
 	g.notify()
 	return c, true
 }
--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 
@@ -22,6 +23,7 @@
 // accuse records that a crash names a block, and reports whether that is news.
 func (g *Register) accuse(key string, incarnation uint64, at, began, now clock.Millis) (news bool) {
 	c := g.crashes[incarnation]
+	g.noteEnd(incarnation, at)
 	if c == nil && g.crowded(at) {
 		return false
 	}
@@ -92,13 +94,22 @@
 	with []string
 }
 
-// judge finds the guilty blocks and returns those that are found for the first time, each with the
-// blocks that a request must have as well to be refused: as long as there is a block that enough
+// noteEnd counts a crash, whether it names a block or not.
+func (g *Register) noteEnd(incarnation uint64, at clock.Millis) {
+	if _, known := g.ends[incarnation]; !known && len(g.ends) < maxEnds {
+		g.ends[incarnation] = at
+	}
+}
+
+// judge finds the guilty blocks, if anything has changed: as long as there is a block that enough
 // independent crashes name, the one that the most crashes name is guilty, and these crashes are
 // explained.
-func (g *Register) judge() (found []string) {
+func (g *Register) judge(now clock.Millis) {
+	if !g.stale || now-g.judgedAt < judgeInterval {
+		return
+	}
 	before := g.guilty
-	g.guilty = make(map[string]verdict)
+	g.guilty, g.judgedAt, g.stale = make(map[string]verdict), now, false
 	naming := make(map[string]map[uint64]moment)
 	for incarnation, c := range g.crashes {
 		for key, began := range c.named {
@@ -108,22 +119,45 @@
 			naming[key][incarnation] = moment{c.at, began}
 		}
 	}
-	maps.DeleteFunc(naming, func(_ string, by map[uint64]moment) bool { return independent(by) < crashesToQuarantine })
-	for len(naming) > 0 {
+	explained := make(map[uint64]bool)
+	for {
+		maps.DeleteFunc(naming, func(_ string, by map[uint64]moment) bool { return !g.enough(by, explained) })
+		if len(naming) == 0 {
+			return
+		}
 		key := mostNamed(naming)
-		explained := naming[key]
-		v := verdict{crashes: len(explained), with: g.companions(key)}
+		v := verdict{crashes: len(naming[key]), with: g.companions(key)}
 		g.guilty[key] = v
+		for incarnation := range naming[key] {
+			explained[incarnation] = true
+		}
 		delete(naming, key)
-		maps.DeleteFunc(naming, func(_ string, by map[uint64]moment) bool {
-			maps.DeleteFunc(by, func(incarnation uint64, _ moment) bool { _, ok := explained[incarnation]; return ok })
-			return independent(by) < crashesToQuarantine
-		})
+		for _, by := range naming {
+			maps.DeleteFunc(by, func(incarnation uint64, _ moment) bool { return explained[incarnation] })
+		}
 		if old, known := before[key]; !known || !slices.Equal(old.with, v.with) {
-			found = append(found, v.name(key))
+			g.found = append(g.found, v.name(key))
+		}
+	}
+}
+
+// enough reports whether crashes that name a block are independent and enough of all that are not
+// explained.
+func (g *Register) enough(by map[uint64]moment, explained map[uint64]bool) bool {
+	if independent(by) < crashesToQuarantine {
+		return false
+	}
+	first, last := clock.Millis(math.MaxInt64), never
+	for _, m := range by {
+		first, last = min(first, m.at), max(last, m.at)
+	}
+	others := 0
+	for incarnation, at := range g.ends {
+		if _, names := by[incarnation]; !names && !explained[incarnation] && at >= first && at <= last {
+			others++
 		}
 	}
-	return found
+	return float64(len(by)) >= minShare*float64(len(by)+others)
 }
 
 // name returns the blocks that a request must have to be refused, for logs.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -21,6 +21,14 @@
 	// crashesToQuarantine is how many independent crashes must name a block before requests with it
 	// are refused.
 	crashesToQuarantine = 3
+	// minShare is the fraction of all crashes since the first that named a block, other than those that
+	// another guilty block explains, that must name it: where many endpoints crash for another reason,
+	// sound blocks are named now and then.
+	minShare = 1.0 / 6
+	// judgeInterval is the minimum time between two judgements: much evidence may arrive at once.
+	judgeInterval = 20 * clock.Millis(1)
+	// maxEnds limits the crashes that are counted.
+	maxEnds = 1024
 	// maxMomentCrashes limits the crashes that are kept within momentTime of each other.
 	maxMomentCrashes = 4
 	momentTime       = 200 * clock.Millis(1)
@@ -68,8 +76,15 @@
 	// by the hash of the endpoint's incarnation.
 	suspects map[string]*suspect
 	crashes  map[uint64]*crash
-	// guilty holds the blocks for which requests are refused. It follows from crashes.
-	guilty map[string]verdict
+	// ends holds when endpoints crashed that are known to this entry, also those whose crashes name no
+	// block, by the hash of their incarnation.
+	ends map[uint64]clock.Millis
+	// guilty holds the blocks for which requests are refused. It follows from crashes as of judgedAt;
+	// stale is true if they have changed since. found holds what was found since Found was called.
+	guilty   map[string]verdict
+	judgedAt clock.Millis
+	stale    bool
+	found    []string
 	// endpoints holds the attempts with blocks that are not cleared, and recent crashes.
 	endpoints map[Incarnation]*endpoint
 	// changed is closed, and replaced, when a finding may have changed.
@@ -98,7 +113,7 @@
 
 // New returns an empty register.
 func New() *Register {
-	return &Register{cleared: make(map[string]clock.Millis), suspects: make(map[string]*suspect), crashes: make(map[uint64]*crash), endpoints: make(map[Incarnation]*endpoint), changed: make(chan struct{}), urgent: make(chan struct{}, 1)}
+	return &Register{cleared: make(map[string]clock.Millis), suspects: make(map[string]*suspect), crashes: make(map[uint64]*crash), ends: make(map[uint64]clock.Millis), judgedAt: never, endpoints: make(map[Incarnation]*endpoint), changed: make(chan struct{}), urgent: make(chan struct{}, 1)}
 }
 
 // Changed returns a channel that is closed when a finding may have changed.
@@ -145,6 +160,7 @@
 			continue
 		}
 		s.seenAt = now
+		g.judge(now)
 		next := Test
 		switch {
 		case g.refuses(key, blocks) && (!mayTry || s.tester != "" || !g.trialDue(key, now)):
@@ -203,8 +219,8 @@
 	return s != nil && now-s.clearedAt < clearTTL
 }
 
-// clear records an answer of this entry that got beyond its beginning, and reports whether the block was
-// suspected. The answer outweighs all crashes.
+// clear records an answer of this entry that got beyond its beginning, and reports whether several crashes
+// named the block. The answer outweighs all crashes.
 func (g *Register) clear(key string, now clock.Millis) bool {
 	if _, known := g.cleared[key]; known || len(g.cleared) < 2*maxCleared {
 		g.cleared[key] = now
@@ -213,10 +229,11 @@
 	if s == nil || s.named == 0 {
 		return false
 	}
+	told := s.named > 1
 	g.acquit(key, now)
 	g.repeatClearing(s)
 	g.notify()
-	return true
+	return told
 }
 
 // acquit removes a block from all crashes: an answer with it got beyond its beginning at the given time.
@@ -226,7 +243,7 @@
 	for _, c := range g.crashes {
 		delete(c.named, key)
 	}
-	g.judge()
+	g.stale = true
 }
 
 // suspectOf returns the suspect of a block, and adds it if there is room.
@@ -272,7 +289,9 @@
 		}
 	}
 	maps.DeleteFunc(g.crashes, func(_ uint64, c *crash) bool { return len(c.named) == 0 })
-	g.judge()
+	maps.DeleteFunc(g.ends, func(_ uint64, at clock.Millis) bool { return now-at > forgetAfter })
+	g.stale = true
+	g.judge(now)
 	for key, at := range g.cleared {
 		if now-at > clearTTL || len(g.cleared) > maxCleared && now-at > clearTTL/2 {
 			delete(g.cleared, key)
@@ -281,10 +300,21 @@
 	g.sweepEndpoints(now)
 }
 
+// Found returns what was found since the last call: the blocks for which requests are refused from now on,
+// several joined by + if only requests with all of them are.
+func (g *Register) Found(now clock.Millis) (found []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.judge(now)
+	found, g.found = g.found, nil
+	return found
+}
+
 // Quarantined returns the sets of blocks for which requests are refused, in order.
-func (g *Register) Quarantined() (sets [][]string) {
+func (g *Register) Quarantined(now clock.Millis) (sets [][]string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.judge(now)
 	for _, key := range slices.Sorted(maps.Keys(g.guilty)) {
 		sets = append(sets, append([]string{key}, g.guilty[key].with...))
 	}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -139,7 +139,7 @@
 		g.Report(Scope{}, at) // what is news is reported in full
 	}
 	started.Receive(g.Report(Scope{Verdicts: true}, at), false, at)
-	is.Equal(started.Quarantined(), [][]string{{"first"}, {"second"}})
+	is.Equal(started.Quarantined(at), [][]string{{"first"}, {"second"}})
 }
 
 // A whole zone of endpoints crashes at once. Guards against an entry that spends its time and its peers'
@@ -157,3 +157,21 @@
 	is.Equal(len(g.Report(Scope{}, 100).Crashes), maxMomentCrashes)
 	is.True(g.Report(Scope{Repeated: true}, 100).Empty())
 }
+
+// Endpoints crash for another reason, ten a second, and a sound block is named now and then. Guards against
+// a verdict on a block that is only named because so many crash.
+func TestFewOfManyCrashesAreNoVerdict(t *testing.T) {
+	is := is.New(t)
+	g, at := New(), clock.Millis(0)
+	for i := range 60 {
+		endpoint, block := Incarnation{Endpoint: fmt.Sprint(i)}, fmt.Sprint("block-", i)
+		if i%10 == 0 {
+			block = "sound"
+		}
+		a := g.Begin(endpoint, []string{block}, false, at)
+		at += 100
+		g.End(a, true, at)
+		g.Crashed(endpoint, at)
+	}
+	is.Equal(len(g.Quarantined(at)), 0)
+}
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -86,6 +86,7 @@
 func (g *Register) Report(scope Scope, now clock.Millis) (e Evidence) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.judge(now)
 	var supporting map[uint64]bool
 	if scope.Verdicts {
 		supporting = g.supporting()
@@ -158,16 +159,19 @@
 }
 
 // Receive applies another entry's report. An answer of this entry outweighs it. With spread set, news is
-// reported further. found holds the blocks that are quarantined from now on, acquitted those that are no
-// longer suspected.
-func (g *Register) Receive(e Evidence, spread bool, now clock.Millis) (found, acquitted []string) {
+// reported further. acquitted holds the blocks that are no longer suspected, of those that several crashes
+// named.
+func (g *Register) Receive(e Evidence, spread bool, now clock.Millis) (acquitted []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	changed := false
 	for _, x := range e.Blocks {
+		told := g.suspects[x.Block] != nil && g.suspects[x.Block].named > 1
 		if validBlock(x.Block) && x.SeenAge >= 0 && x.SeenAge < forgetAfter && g.receiveBlock(x, now) {
 			changed = true
-			acquitted = append(acquitted, x.Block)
+			if told {
+				acquitted = append(acquitted, x.Block)
+			}
 			if spread {
 				g.repeatClearing(g.suspects[x.Block])
 			} else {
@@ -184,12 +188,11 @@
 			}
 		}
 	}
-	if !changed {
-		return nil, nil
+	if changed {
+		g.stale = true
+		g.notify()
 	}
-	found = g.judge()
-	g.notify()
-	return found, acquitted
+	return acquitted
 }
 
 func validBlock(key string) bool { return key != "" && len(key) <= maxKeyBytes }
--- a/relay/crash_replay_test.go
+++ b/relay/crash_replay_test.go
@@ -434,7 +434,7 @@
 func (p *replay) checkVerdicts(t *testing.T) {
 	t.Helper()
 	for i := range p.entries {
-		for _, blocks := range p.entries[i].Load().quarantine.Quarantined() {
+		for _, blocks := range p.entries[i].Load().quarantine.Quarantined(p.now()) {
 			if !slices.ContainsFunc(blocks, func(block string) bool { return len(p.crashedAt[block]) > 0 }) {
 				t.Errorf("entry %d: %q is quarantined, no endpoint crashed on it", i, blocks)
 			}
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -154,14 +154,13 @@
 	s.metrics.GetOrCreateCounter("parsleydeal_endpoint_crashes_total").Inc()
 	s.cfg.Log.Warn("Endpoint crashed", "endpoint", i.Endpoint, "born", i.Number, "address", a.endpoint.Address, "request", a.exchange.req.ID,
 		"suspects", c.Suspects, "cleared", c.Cleared, "blocks", listed(c.Blocks))
-	s.logFound(c.Found, "crash")
 }
 
 // logFound logs and counts blocks that are quarantined from now on.
-func (s *Server) logFound(blocks []string, from string) {
-	for _, block := range blocks {
+func (s *Server) logFound() {
+	for _, block := range s.quarantine.Found(s.cfg.Clock.Now()) {
 		s.metrics.GetOrCreateCounter("parsleydeal_quarantine_verdicts_total").Inc()
-		s.cfg.Log.Warn("Block is quarantined", "block", block, "from", from)
+		s.cfg.Log.Warn("Block is quarantined", "block", block)
 	}
 }
 
--- a/relay/quarantine_report.go
+++ b/relay/quarantine_report.go
@@ -26,12 +26,13 @@
 	spreaderRefresh = 5 * clock.Second
 )
 
-// SendEvidence reports to other entries what is known of blocks on which endpoints may have crashed,
-// until the context ends: to a few, which pass it on to all.
+// SendEvidence reports to other entries what is known of blocks on which endpoints may have crashed, and
+// logs verdicts, until the context ends: to a few, which pass it on to all.
 func (s *Server) SendEvidence(ctx context.Context, name string, send func(r *wire.EntryReport, to []string) error) {
 	refreshedAt := s.cfg.Clock.Now()
 	budget := byteBudget{updatedAt: refreshedAt}
 	for clock.Pause(ctx, minEvidenceInterval) && s.awaitEvidence(ctx) {
+		s.logFound()
 		now, v := s.cfg.Clock.Now(), s.cfg.View()
 		to := v.Audience()
 		budget.refill(now)
@@ -78,8 +79,7 @@
 // receiveEvidence applies what another entry reports of blocks.
 func (s *Server) receiveEvidence(r *wire.EntryReport) {
 	v := s.cfg.View()
-	found, acquitted := s.quarantine.Receive(evidenceFromWire(r.GetEvidence()), v.Spreads(), s.cfg.Clock.Now())
-	s.logFound(found, r.GetProcess())
+	acquitted := s.quarantine.Receive(evidenceFromWire(r.GetEvidence()), v.Spreads(), s.cfg.Clock.Now())
 	s.logAcquitted(acquitted, r.GetProcess())
 }
 
