Test of a bad version: count its runs once all entries know the verdict

Trace: entry-a's verdict fell at 33.408 s and was in the store at 33.469; entry-b sent two requests at 33.469 and 33.480 and heard the verdict at 33.493.

It now asks in addition that all entries know the verdict within a second, and as before that nothing reaches the version after that; 100 ms are left for what is on its way.

--- a/daemon/upgrade_test.go
+++ b/daemon/upgrade_test.go
@@ -31,6 +31,9 @@
 	}
 }
 
+// arrivalTime is how long a request may be on its way to an endpoint on a busy machine.
+const arrivalTime = 100 * time.Millisecond
+
 // A new version fails half of its requests. The entries must judge it by their combined counts,
 // stop using it and report the rollback to the operator, long before the duration of the upgrade
 // order has passed and after few requests.
@@ -63,6 +66,15 @@
 	ts.eventually(10*time.Second, "the version is rolled back", func() bool {
 		return strings.Contains(string(ts.store.Newest("keyed.status", "rollout/pool")), `"rolled_back"`)
 	})
+	ts.eventually(time.Second, "all entries know the verdict", func() bool {
+		for _, e := range entries {
+			if !strings.Contains(e.log.String(), "phase=rolled-back") {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(arrivalTime)
 	before := len(bad.Runs())
 	time.Sleep(500 * time.Millisecond)
 	is.Equal(len(bad.Runs()), before)
