Let evidence of crashes wait for half a second at most

Cause: a report to 32 entries used up two seconds and more of the byte rate, so that the crashes that make the verdict were told one by one.

The debt is now half a second's bytes.

--- a/relay/quarantine_report.go
+++ b/relay/quarantine_report.go
@@ -19,6 +19,9 @@
 	// evidenceRefreshPerEntry is multiplied by the number of recipients to get the interval at which
 	// everything known of suspected blocks is reported again, for entries that missed it.
 	evidenceRefreshPerEntry = 20 * clock.Millis(1)
+	// maxEvidenceDebt limits, in bytes, what is held against the next report, to half a second: evidence
+	// is rare, and all entries must have it within three.
+	maxEvidenceDebt = reportBytesPerSecond / 2
 	// maxFullRecipients is the number of recipients up to which blocks are reported that only one crash
 	// names.
 	maxFullRecipients = 8
@@ -48,7 +51,7 @@
 			continue
 		}
 		r := &wire.EntryReport{Process: name, Evidence: evidenceToWire(evidence)}
-		budget.available -= float64((packetOverheadBytes + proto.Size(r)) * len(to))
+		budget.available = max(budget.available-float64((packetOverheadBytes+proto.Size(r))*len(to)), -maxEvidenceDebt)
 		if err := send(r, to); err != nil {
 			s.cfg.Log.Warn("Cannot report suspected blocks", "error", logbook.Text(err))
 		}
