--- a/relay/quarantine_report.go
+++ b/relay/quarantine_report.go
@@ -19,14 +19,14 @@
 	// evidenceRefreshPerEntry is multiplied by the number of recipients to get the interval at which
 	// everything known of suspected blocks is reported again, for entries that missed it.
 	evidenceRefreshPerEntry = 20 * clock.Millis(1)
+	// spreaderRefresh is the same interval for reports to the entries that pass them on.
+	spreaderRefresh = 5 * clock.Second
 	// maxEvidenceDebt limits, in bytes, what is held against the next report, to half a second: evidence
 	// is rare, and all entries must have it within three.
 	maxEvidenceDebt = reportBytesPerSecond / 2
 	// maxFullRecipients is the number of recipients up to which blocks are reported that only one crash
 	// names.
 	maxFullRecipients = 8
-	// spreaderRefresh is the same interval for reports to the entries that pass them on.
-	spreaderRefresh = 5 * clock.Second
 )
 
 // SendEvidence reports to other entries what is known of blocks on which endpoints may have crashed, and
