Keep a crash that is too old for a full register out of it

What callers would see (found by reading): an entry's process ends, or a request of it breaks off, when a request notices a crash that is older than the 256 kept ones.

Cause: the crash was added, then dropped as the oldest, and reported after that: a nil dereference.

Room is now made before, and there is none for a crash older than all that are kept. TestEarlyCrashInFullRegister panicked before.

--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -24,13 +24,12 @@
 func (g *Register) accuse(key string, incarnation uint64, at, began, now clock.Millis) (news bool) {
 	c := g.crashes[incarnation]
 	g.noteEnd(incarnation, at)
-	if c == nil && g.crowded(at) {
+	if c == nil && (g.crowded(at) || !g.makeRoom(at)) {
 		return false
 	}
 	if c == nil {
 		c = &crash{at: at, named: make(map[string]clock.Millis)}
 		g.crashes[incarnation] = c
-		g.dropOldest()
 	}
 	if _, known := c.named[key]; known || len(c.named) >= maxNamed {
 		return false
@@ -66,11 +65,12 @@
 	return n >= maxMomentCrashes
 }
 
-// dropOldest drops the oldest crash if there are too many. It is dropped for all blocks at once, so that
-// it cannot go on naming a block when what explains it is forgotten.
-func (g *Register) dropOldest() {
-	if len(g.crashes) <= maxCrashes {
-		return
+// makeRoom drops the oldest crash if there are too many, and reports whether there is room for one at the
+// given time. A crash is dropped for all blocks at once, so that it cannot go on naming a block when
+// what explains it is forgotten.
+func (g *Register) makeRoom(at clock.Millis) bool {
+	if len(g.crashes) < maxCrashes {
+		return true
 	}
 	oldest, found := uint64(0), false
 	for incarnation, c := range g.crashes {
@@ -78,10 +78,14 @@
 			oldest, found = incarnation, true
 		}
 	}
+	if g.crashes[oldest].at > at {
+		return false
+	}
 	for key := range g.crashes[oldest].named {
 		g.suspects[key].named--
 	}
 	delete(g.crashes, oldest)
+	return true
 }
 
 // verdict is what follows for a guilty block.
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -175,3 +175,22 @@
 	}
 	is.Equal(len(g.Quarantined(at)), 0)
 }
+
+// The register is full of later crashes when a request notices an early one. Guards against a crash that is
+// dropped as the oldest while it is being recorded.
+func TestEarlyCrashInFullRegister(t *testing.T) {
+	is := is.New(t)
+	g, early := New(), Incarnation{Endpoint: "early"}
+	g.Crashed(early, 0)
+	at := clock.Millis(0)
+	for i := range maxCrashes {
+		endpoint := Incarnation{Endpoint: fmt.Sprint(i)}
+		at += momentTime
+		g.End(g.Begin(endpoint, []string{fmt.Sprint("block-", i)}, false, at), true, at)
+		g.Crashed(endpoint, at)
+	}
+	g.End(g.Begin(early, []string{"late"}, false, at), true, at)
+	_, ok := g.Crashed(early, at)
+	is.True(!ok)
+	is.Equal(len(g.crashes), maxCrashes)
+}
