Count later crashes in place of the oldest ones

What callers would see (found by reading): after 1,024 crashes within ten minutes further ones were not counted, so that a sound block that some of them named had a sixth of "all" and was quarantined.

Cause: a full table took no more entries. Now the oldest one makes room. TestLateCrashesAreCounted failed before (1 != 0).

--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -100,9 +100,24 @@
 
 // noteEnd counts a crash, whether it names a block or not.
 func (g *Register) noteEnd(incarnation uint64, at clock.Millis) {
-	if _, known := g.ends[incarnation]; !known && len(g.ends) < maxEnds {
-		g.ends[incarnation] = at
+	if _, known := g.ends[incarnation]; known {
+		return
+	}
+	g.ends[incarnation] = at
+	if len(g.ends) > maxEnds {
+		delete(g.ends, oldestOf(g.ends))
+	}
+}
+
+// oldestOf returns the incarnation that crashed first.
+func oldestOf(ends map[uint64]clock.Millis) (oldest uint64) {
+	first := clock.Millis(math.MaxInt64)
+	for incarnation, at := range ends {
+		if at < first {
+			oldest, first = incarnation, at
+		}
 	}
+	return oldest
 }
 
 // judge finds the guilty blocks, if anything has changed: as long as there is a block that enough
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -194,3 +194,23 @@
 	is.True(!ok)
 	is.Equal(len(g.crashes), maxCrashes)
 }
+
+// More endpoints have crashed than are counted, and then many more do so. Guards against a verdict on a sound
+// block because the crashes beside it are no longer counted.
+func TestLateCrashesAreCounted(t *testing.T) {
+	is := is.New(t)
+	g, at := New(), clock.Millis(0)
+	for i := range 2 * maxEnds {
+		at += 100
+		g.Crashed(Incarnation{Endpoint: fmt.Sprint("other-", i)}, at)
+		if i > maxEnds && i%10 == 0 {
+			endpoint := Incarnation{Endpoint: fmt.Sprint("named-", i)}
+			a := g.Begin(endpoint, []string{"sound"}, false, at)
+			at += 100
+			g.End(a, true, at)
+			g.Crashed(endpoint, at)
+		}
+	}
+	is.Equal(len(g.Quarantined(at)), 0)
+	is.True(len(g.ends) <= maxEnds)
+}
