--- a/relay/crash_replay_test.go
+++ b/relay/crash_replay_test.go
@@ -29,6 +29,20 @@
 	Crash       []crashLoad  `toml:"crash"`
 	Sound       []crashLoad  `toml:"sound"`
 	End         []replayEnds `toml:"end"`
+	Lone        []loneLoad   `toml:"lone"`
+}
+
+// loneLoad is a series of callers, each with one request of its own that crashes each endpoint. A caller
+// sends it again under another ID, at any entry, up to Tries times; Copies of it are sent at once.
+type loneLoad struct {
+	Name    string       `toml:"name"`
+	Callers int          `toml:"callers"`
+	Every   clock.Millis `toml:"every"`
+	From    clock.Millis `toml:"from"`
+	Tries   int          `toml:"tries"`
+	Copies  int          `toml:"copies"`
+	// Bare means that the requests name no blocks of a prompt.
+	Bare bool `toml:"bare"`
 }
 
 // crashLoad is a stream of requests with a block of their own, which crashes endpoints or not. Other
@@ -84,17 +98,30 @@
 // usualBlocks says which blocks the requests have that are not of a crashLoad: in scripts about endpoints
 // that end they share their first block with those.
 func (p *replay) usualBlocks() string {
-	if len(p.script.Crash)+len(p.script.Sound)+len(p.script.End) > 0 {
+	if len(p.script.Crash)+len(p.script.Sound)+len(p.script.End)+len(p.script.Lone) > 0 {
 		return usual
 	}
 	return ""
 }
 
+// lone and bare precede the name of a request of a loneLoad in place of a block.
+const (
+	lone = "lone/"
+	bare = "bare/"
+)
+
+// isLone reports whether a request is of a loneLoad.
+func isLone(own string) bool { return strings.HasPrefix(own, lone) || strings.HasPrefix(own, bare) }
+
 func replayBlocks(id, own string) []placement.Block {
 	first, middle := fmt.Sprint("first-", catalog.HashOf(id)%5), fmt.Sprint("shared-", catalog.HashOf(id)%100)
 	blocks := []placement.Block{{ID: middle, Tokens: 300}, {ID: id, Tokens: 700}}
 	own, isFirst := strings.CutPrefix(own, "first/")
 	switch {
+	case strings.HasPrefix(own, bare):
+		return nil
+	case strings.HasPrefix(own, lone):
+		return []placement.Block{{ID: fmt.Sprint("first-", catalog.HashOf(own)%5), Tokens: 100}, {ID: fmt.Sprint("shared-", catalog.HashOf(own)%100), Tokens: 300}, {ID: own, Tokens: 700}}
 	case own == "":
 		return blocks
 	case own == usual:
@@ -112,7 +139,7 @@
 
 // crashes reports whether the request has a block that crashes endpoints.
 func (p *replay) crashes(r *http.Request) bool {
-	return slices.ContainsFunc(p.script.Crash, func(c crashLoad) bool { return c.Block == p.blockOf(r) })
+	return isLone(p.blockOf(r)) || slices.ContainsFunc(p.script.Crash, func(c crashLoad) bool { return c.Block == p.blockOf(r) })
 }
 
 // recordCrashing records that a request arrived, if it has a block that crashes endpoints.
@@ -223,6 +250,28 @@
 	for _, x := range p.script.End {
 		go p.takeAway(ctx, x)
 	}
+	for _, x := range p.script.Lone {
+		go p.loneCallers(ctx, x)
+	}
+}
+
+// loneCallers starts the callers of a loneLoad.
+func (p *replay) loneCallers(ctx context.Context, x loneLoad) {
+	prefix := lone
+	if x.Bare {
+		prefix = bare
+	}
+	if !clock.Pause(ctx, x.From) {
+		return
+	}
+	for i := range x.Callers {
+		for j := range max(x.Copies, 1) {
+			go p.tryCall(fmt.Sprint(x.Name, "-", i, "-", j), fmt.Sprint(prefix, x.Name, "-", i), x.Tries)
+		}
+		if !clock.Pause(ctx, x.Every) {
+			return
+		}
+	}
 }
 
 // reportEntries has all entries hear of each other each second.
@@ -363,6 +412,56 @@
 	}
 }
 
+const (
+	// endsToKnow is the number of endpoints under a request after which it must reach no other one,
+	// and knowTime how long entries may take to know if reports are lost or copies are under way.
+	endsToKnow = 3
+	knowTime   = clock.Second
+)
+
+// checkLone fails if a request of its own went on to endpoints after three had ended under it, or if sound
+// requests were served less than half as often as before.
+func (p *replay) checkLone(t *testing.T) {
+	t.Helper()
+	ended, most := 0, 0
+	for own, at := range p.crashedAt {
+		if !isLone(own) {
+			continue
+		}
+		ended += len(at)
+		most = max(most, len(at))
+		if len(at) < endsToKnow {
+			continue
+		}
+		after := 0
+		for _, arrived := range p.crashingAt[own] {
+			if arrived > at[endsToKnow-1]+knowTime {
+				after++
+			}
+		}
+		if len(at) > endsToKnow || after > 0 {
+			t.Errorf("%q: %d endpoints crashed, %d requests arrived later than %s after the third", own, len(at), after, knowTime)
+		}
+	}
+	start := p.script.Lone[0].From + clock.Minute
+	calm, _ := p.servedFirst("", 0, start)
+	later, n := p.servedFirst("", start, clock.Minute+p.script.Duration)
+	t.Logf("%d endpoints crashed, at most %d by one request; sound ones served at the first try %.3f before, then %.3f of %d", ended, most, calm, later, n)
+	if later < calm/2 {
+		t.Errorf("%.3f of sound first tries served, %.3f before", later, calm)
+	}
+}
+
+// One request, sent again by its caller under other IDs, crashes each endpoint. Guards against entries that
+// take each repeat for another request.
+func TestRequestCrashesEndpointsReplay(t *testing.T) {
+	for _, name := range []string{"crash-request", "crash-bare-request", "crash-request-copies"} {
+		for seed := range uint64(2) {
+			t.Run(fmt.Sprint(name, "/", seed), func(t *testing.T) { playReplay(t, name, seed).checkLone(t) })
+		}
+	}
+}
+
 // Requests with one block crash each endpoint that begins to answer them. Guards against entries that
 // send such requests to one endpoint after the other.
 func TestBlockCrashesEndpointsReplay(t *testing.T) {
--- a/relay/replay_test.go
+++ b/relay/replay_test.go
@@ -324,7 +324,7 @@
 func readReplayRequest(r *http.Request) (*Request, error) {
 	id := r.Header.Get("Request-Id")
 	return &Request{
-		ID: id, Method: r.Method, Path: r.URL.Path, Host: "h", Header: r.Header, AnyModel: true, CallerTimeout: 5 * clock.Second,
+		ID: id, Method: r.Method, Path: r.URL.Path, Target: "/x?" + r.Header.Get("Blocks"), Host: "h", Header: r.Header, AnyModel: true, CallerTimeout: 5 * clock.Second,
 		Blocks: replayBlocks(id, r.Header.Get("Blocks")),
 	}, nil
 }
