Check operators' records whole, each by itself

Callers were refused, or served by an older configuration, after a change that operators had been acknowledged: an invalid or older record that followed it within one read hid it, and a record without routes was put in force, so that every request got 404. An entry that started while the newest record was invalid never served.

Cause: of several records of one read only the last one was decoded, and what it decoded to was not checked. What entries keep for others was the newest record instead of the one in force. Class: a record is used, or used as the state of its key, before it is known to be valid.

DecodeOperator returns the valid configuration with the highest version and the record that it is from, which is what entries hand on. An entry without a configuration, or whose full read finds an invalid one, also reads the records before it, and asks other entries while the store has no valid one. A reply confirms only the same version, not only the same position.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -27,7 +27,7 @@
 // Target is a service that serves a share of a route's requests.
 type Target struct {
 	Service string
-	// Weight is positive. It is relative to the sum of the route's weights.
+	// Weight is not negative. It is relative to the sum of the route's weights, which is positive.
 	Weight float64
 }
 
@@ -123,37 +123,33 @@
 	IdleTimeout clock.Millis
 }
 
-// Config is one version of the configuration. It is immutable after Index and then safe for
+// Config is one version of the configuration that has passed all checks. It is immutable and safe for
 // concurrent use.
 type Config struct {
-	Version       int64
-	Routes        []*Route
-	Services      map[string]Service
-	Organisations []Organisation
-	Limits        Limits
+	draft    Draft
+	services map[string]Service
 	// byHost holds the routes of each host, the longest prefix first.
 	byHost map[string][]*Route
 	// byKey holds the organisation of each key.
 	byKey map[string]*Organisation
 }
 
-// Index prepares a decoded configuration for lookups and returns it.
-func (c *Config) Index() *Config {
-	c.byHost = make(map[string][]*Route)
-	c.byKey = make(map[string]*Organisation)
-	for _, r := range c.Routes {
-		host := strings.ToLower(r.Host)
-		c.byHost[host] = append(c.byHost[host], r)
-	}
-	for _, routes := range c.byHost {
-		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
-	}
-	for i := range c.Organisations {
-		for _, k := range c.Organisations[i].Keys {
-			c.byKey[k] = &c.Organisations[i]
-		}
-	}
-	return c
+// Version returns the version, which is positive.
+func (c *Config) Version() int64 { return c.draft.Version }
+
+// Routes returns all routes. Callers must not change them.
+func (c *Config) Routes() []*Route { return c.draft.Routes }
+
+// Organisations returns all organisations. Callers must not change them.
+func (c *Config) Organisations() []Organisation { return c.draft.Organisations }
+
+// Limits returns what callers may send.
+func (c *Config) Limits() Limits { return c.draft.Limits }
+
+// Service returns a service by its name.
+func (c *Config) Service(name string) (s Service, ok bool) {
+	s, ok = c.services[name]
+	return s, ok
 }
 
 // Route returns the route with the longest prefix of a path, or nil. The path is compared as it
@@ -179,4 +175,4 @@
 }
 
 // NeedsKeys reports whether requests to routes that are not public need a key.
-func (c *Config) NeedsKeys() bool { return len(c.Organisations) > 0 }
+func (c *Config) NeedsKeys() bool { return len(c.draft.Organisations) > 0 }
--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -133,7 +133,7 @@
 		Self:        site.Self{Name: s.VM, Process: d.processID(), Zone: s.Zone, Exposure: s.Direct.Exposure, KeyLease: s.Direct.KeyLease},
 		Clock:       d.clock,
 		Log:         d.log,
-		Store:       site.Store{Newest: store.Newest, Sample: store.Sample, Read: store.Read, Append: store.Append, Era: store.Era},
+		Store:       site.Store{Newest: store.Newest, Sample: store.Sample, Read: store.Read, History: store.History, Append: store.Append, Era: store.Era},
 		Codec:       site.Codec{Operator: platform.DecodeOperator, Endpoints: platform.DecodeEndpoints, Verdicts: platform.DecodeVerdicts, VerdictRecord: platform.EncodeVerdict},
 		Address:     s.Peer,
 		Send:        d.send,
@@ -310,7 +310,7 @@
 	if c == nil {
 		return 0
 	}
-	return c.Limits.IdleTimeout
+	return c.Limits().IdleTimeout
 }
 
 // sweep removes state that is no longer needed until the context ends.
--- a/daemon/direct_test.go
+++ b/daemon/direct_test.go
@@ -309,7 +309,7 @@
 	e.storeHandler.SetFault(standin.NoFault)
 	ts.eventually(3*time.Second, "the newest configuration is in force", func() bool {
 		c := e.loop.View().Config()
-		return c != nil && c.Version == int64(ts.version)
+		return c != nil && c.Version() == int64(ts.version)
 	})
 }
 
@@ -425,7 +425,7 @@
 	inForce := func(entries []*testEntry) func() bool {
 		return func() bool {
 			for _, e := range entries {
-				if e.loop.View().Config().Version != int64(ts.version) {
+				if e.loop.View().Config().Version() != int64(ts.version) {
 					return false
 				}
 			}
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -34,7 +34,7 @@
 	if !x.view.Started() {
 		return refusal.New(refusal.Starting, "entry does not know its site yet").WithRetryAfter(startRetryAfter)
 	}
-	if err = x.checkSizes(c.Limits); err != nil {
+	if err = x.checkSizes(c.Limits()); err != nil {
 		return err
 	}
 	x.route = c.Route(x.req.Host, x.req.Path)
@@ -186,7 +186,7 @@
 // readBody reads the whole body, so that an attempt can be repeated and a caller that closes its
 // connection is detected.
 func (x *exchange) readBody() (err error) {
-	maxBytes := x.view.Config().Limits.MaxBodyBytes
+	maxBytes := x.view.Config().Limits().MaxBodyBytes
 	if maxBytes <= 0 {
 		maxBytes = defaultMaxBodyBytes
 	}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -165,7 +165,7 @@
 
 // maxIdle returns how many idle connections this entry may keep to an endpoint.
 func (s *Server) maxIdle(v *site.View, service string) int {
-	c, ok := v.Config().Services[service]
+	c, ok := v.Config().Service(service)
 	if !ok || c.MaxConnections <= 0 {
 		return defaultMaxIdle
 	}
--- a/relay/plan_test.go
+++ b/relay/plan_test.go
@@ -85,8 +85,8 @@
 func TestIdleConnectionsAreDividedAmongEntries(t *testing.T) {
 	is := is.New(t)
 	s := site.NewState(site.Self{Name: "e"}, 0)
-	services := map[string]catalog.Service{"app": {Name: "app", MaxConnections: 220}, "free": {Name: "free"}}
-	site.Reduce(s, site.OperatorRead{Now: 1, Full: true, Update: site.OperatorUpdate{Config: (&catalog.Config{Version: 1, Services: services}).Index()}})
+	config := configOf(&catalog.Route{}, catalog.Service{Name: "app", MaxConnections: 220}, catalog.Service{Name: "free"})
+	site.Reduce(s, site.OperatorRead{Now: 1, Full: true, Update: site.OperatorUpdate{Config: config}})
 	addresses := make(map[string]string)
 	for i := range 26 {
 		addresses[string(rune('a'+i))] = "x"
--- a/relay/replay_test.go
+++ b/relay/replay_test.go
@@ -286,7 +286,7 @@
 	if now > clock.Minute {
 		e.inTouchFrom = now + stabilityWindow
 	}
-	config := &catalog.Config{Version: 1, Routes: []*catalog.Route{p.route}, Services: map[string]catalog.Service{"app": {Name: "app"}}}
+	config := configOf(p.route, catalog.Service{Name: "app"})
 	addresses := make(map[string]string)
 	for j := range p.script.Entries {
 		addresses[fmt.Sprint("entry-", j)] = fmt.Sprint(j)
@@ -294,7 +294,7 @@
 	p.mu.Lock()
 	changes := slices.Clone(p.changes)
 	p.mu.Unlock()
-	e.reduce(site.VerdictsRead{Now: now}, site.OperatorRead{Now: now, SentAt: now, Full: true, Update: site.OperatorUpdate{Config: config.Index()}},
+	e.reduce(site.VerdictsRead{Now: now}, site.OperatorRead{Now: now, SentAt: now, Full: true, Update: site.OperatorUpdate{Config: config}},
 		site.EndpointsRead{Now: now, SentAt: now, Full: true, Changes: changes}, site.EntriesRead{Now: now, Addresses: addresses})
 	c := clock.New(p.now)
 	e.Server = New(Config{
--- a/relay/run.go
+++ b/relay/run.go
@@ -213,7 +213,7 @@
 // it unused.
 func (s *Server) bounds(v *site.View, service string) placement.Bounds {
 	b := placement.Bounds{Shares: v.Shares()}
-	if c, ok := v.Config().Services[service]; ok && c.ColdPerSecond > 0 {
+	if c, ok := v.Config().Service(service); ok && c.ColdPerSecond > 0 {
 		b.Cold, b.Warm = c.ColdPerSecond*s.cfg.ColdOverage, c.ColdPerSecond*s.cfg.ColdOverage+s.cfg.ColdSlack
 		// The process before this one on the VM may have used its share of the window.
 		b.NoCold = s.cfg.Clock.Since(s.startedAt) < placement.SendWindow
--- a/relay/run_test.go
+++ b/relay/run_test.go
@@ -28,9 +28,9 @@
 // viewOf returns the view of an entry with one route and some endpoints of the service app.
 func viewOf(route *catalog.Route, changes []fleet.Change) *site.View {
 	s := site.NewState(site.Self{Name: "e"}, 0)
-	config := &catalog.Config{Version: 1, Routes: []*catalog.Route{route}, Services: map[string]catalog.Service{"app": {Name: "app"}}}
+	config := configOf(route, catalog.Service{Name: "app"})
 	site.Reduce(s, site.VerdictsRead{Now: 1})
-	site.Reduce(s, site.OperatorRead{Now: 1, Full: true, Update: site.OperatorUpdate{Config: config.Index()}})
+	site.Reduce(s, site.OperatorRead{Now: 1, Full: true, Update: site.OperatorUpdate{Config: config}})
 	site.Reduce(s, site.EndpointsRead{Now: 1, Full: true, Changes: changes})
 	return s.View()
 }
@@ -238,9 +238,9 @@
 	cold := slotsOf("i-cold", "10.0.0.1:1")
 	cold.Endpoint.Slots, cold.Endpoint.ColdUntil = 64, clock.Minute
 	s := site.NewState(site.Self{Name: "e"}, 0)
-	config := &catalog.Config{Version: 1, Routes: []*catalog.Route{route}, Services: map[string]catalog.Service{"app": {Name: "app", ColdPerSecond: 16}}}
+	config := configOf(route, catalog.Service{Name: "app", ColdPerSecond: 16})
 	site.Reduce(s, site.VerdictsRead{Now: now})
-	site.Reduce(s, site.OperatorRead{Now: now, SentAt: now, Full: true, Update: site.OperatorUpdate{Config: config.Index()}})
+	site.Reduce(s, site.OperatorRead{Now: now, SentAt: now, Full: true, Update: site.OperatorUpdate{Config: config}})
 	site.Reduce(s, site.EndpointsRead{Now: now, SentAt: now, Full: true, Changes: []fleet.Change{cold}})
 	sent := func(server *Server) (n int) {
 		server.cfg.ColdOverage = 1.5
--- a/relay/server.go
+++ b/relay/server.go
@@ -306,7 +306,7 @@
 
 func (x *exchange) configVersion() int64 {
 	if c := x.view.Config(); c != nil {
-		return c.Version
+		return c.Version()
 	}
 	return 0
 }
--- a/site/content.go
+++ b/site/content.go
@@ -99,17 +99,14 @@
 		s.tookStateAt = s.now
 	}
 	if first || e.OperatorNext.After(s.operator) {
-		s.keepOperatorRecords(e.Records, e.Update, true)
+		s.keepOperatorRecords(e.Update, true)
 		s.operator = later(s.operator, e.OperatorNext)
 		effects = append(effects, s.applyOperatorUpdate(OperatorRead{Now: e.Now, Full: true, Update: e.Update}, first)...)
 		s.inheritSettling(e)
 	}
-	if e.Update.Config != nil && s.config != nil && e.Update.Config.Version > s.config.Version {
-		// The store lost it, and this entry has started since.
-		s.keepConfig(e.Records, e.Update)
-		effects = append(effects, s.applyConfig(e.Update.Config)...)
-	}
-	applies := e.OperatorNext == s.operator
+	// The store may have lost a newer configuration, and this entry have started since.
+	effects = append(effects, s.applyConfig(e.Update, false)...)
+	applies := e.OperatorNext == s.operator && e.Update.version() == s.configVersion()
 	effects = append(effects, countConfirmation(fromState, applies))
 	if applies {
 		s.confirm(e.ConfirmedAt, fromState)
@@ -150,21 +147,15 @@
 	return effects
 }
 
-// keepOperatorRecords keeps the newest records of the operators' stream for entries that start. A
-// full read of a stream whose history was dropped may lack the configuration, which stays in force.
-func (s *State) keepOperatorRecords(records []Record, u OperatorUpdate, full bool) {
-	if u.ConfigKey != "" {
-		s.configKey = u.ConfigKey
-	}
+// keepOperatorRecords keeps the newest valid records of the operators' stream, but for the configuration, for
+// entries that start.
+func (s *State) keepOperatorRecords(u OperatorUpdate, full bool) {
+	records := u.Records
 	if full {
-		records = s.retainRecords(records, u)
-		maps.DeleteFunc(s.operatorRecords, func(key string, _ Record) bool { return key != s.configKey })
+		records = s.retainRecords(u)
+		maps.DeleteFunc(s.operatorRecords, func(key string, _ Record) bool { return !u.hides(key) })
 	}
-	older := u.Config != nil && u.Config.Version < s.configVersion()
 	for _, r := range records {
-		if older && r.Key == s.configKey {
-			continue // the newer record stays
-		}
 		if !full {
 			delete(s.settling.retained, r.Key)
 			delete(s.settling.records, r.Key)
@@ -177,19 +168,13 @@
 	}
 }
 
-// keepConfig keeps the record of a newer configuration for entries that start.
-func (s *State) keepConfig(records []Record, u OperatorUpdate) {
-	for _, r := range records {
-		if r.Key == u.ConfigKey {
-			s.configKey, s.operatorRecords[r.Key] = r.Key, r
-		}
-	}
-}
-
 // content returns what another entry needs to start; the verdicts are added by the loop, which has
 // the codec.
 func (s *State) content() *wire.SiteContent {
 	c := &wire.SiteContent{OperatorNext: s.operator.Offset, StoreEra: s.operator.Era, StatusEnd: s.statusEnd.Offset, StatusEra: s.statusEnd.Era, FleetDigest: s.fleet.Snapshot().Digest()}
+	if s.config != nil {
+		c.Records = recordsToWire(OperatorStream, []Record{s.configRecord})
+	}
 	for _, key := range slices.Sorted(maps.Keys(s.operatorRecords)) {
 		c.Records = append(c.Records, recordsToWire(OperatorStream, []Record{s.operatorRecords[key]})...)
 	}
--- a/site/content_test.go
+++ b/site/content_test.go
@@ -11,7 +11,6 @@
 
 	"github.com/joomcode/errorx"
 	"github.com/matryer/is"
-	"github.com/parsleydeal/parsleydeal/catalog"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/fleet"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
@@ -25,8 +24,10 @@
 	Operator: func(records []Record) (u OperatorUpdate) {
 		for _, r := range records {
 			if r.Key == "config" {
-				u.Config, u.ConfigKey = (&catalog.Config{Version: r.Offset}).Index(), r.Key
+				u.Config, u.ConfigRecord = configOf(r.Offset), r
+				continue
 			}
+			u.Records = append(u.Records, r)
 		}
 		return u
 	},
@@ -77,7 +78,7 @@
 	is.NoErr(err)
 	Reduce(s, e)
 	is.True(s.started())
-	is.Equal(s.View().Config().Version, int64(7))
+	is.Equal(s.View().Config().Version(), int64(7))
 	is.Equal(s.fleet.Snapshot().Digest(), other.fleet.Snapshot().Digest())
 	is.Equal(s.confirmedAt, clock.Millis(90_500)) // 500 ms before it was asked for
 	is.Equal(s.fleet.Find("i-0").ColdUntil, clock.Millis(92_500))
@@ -137,12 +138,12 @@
 	is := is.New(t)
 	old := stateOf(t, runningEntry(3), 1100)
 	s := runningEntry(4)
-	Reduce(s, OperatorRead{Now: 1200, SentAt: 1200, Next: Position{Offset: 12}, Records: []Record{{Key: "config", Value: []byte("y"), Offset: 11}}, Update: OperatorUpdate{Config: (&catalog.Config{Version: 11}).Index(), ConfigKey: "config"}})
+	Reduce(s, OperatorRead{Now: 1200, SentAt: 1200, Next: Position{Offset: 12}, Records: []Record{{Key: "config", Value: []byte("y"), Offset: 11}}, Update: contentCodec.Operator([]Record{{Key: "config", Value: []byte("y"), Offset: 11}})})
 	Reduce(s, EndpointsRead{Now: 1200, SentAt: 1200})
 	e, err := decodeState(contentCodec, old, 1150, 1160)
 	is.NoErr(err)
 	Reduce(s, e)
-	is.Equal(s.View().Config().Version, int64(11))
+	is.Equal(s.View().Config().Version(), int64(11))
 	is.Equal(s.fleet.Snapshot().Size(), 4)
 	is.Equal(s.operator, Position{Offset: 12})
 }
@@ -196,7 +197,7 @@
 				s := NewState(Self{Name: name, Process: name + "/1", Zone: fmt.Sprint("zone-", i%6)}, 0)
 				all[name] = s
 				given := []EntryAddress{{giver, giver, ""}}
-				deliver(s, Reduce(s, StateReceived{Now: 1, ConfirmedAt: 1, FleetConfirmedAt: 1, Update: contentCodec.Operator([]Record{{Key: "config"}}), Entries: given}))
+				deliver(s, Reduce(s, StateReceived{Now: 1, ConfirmedAt: 1, FleetConfirmedAt: 1, Update: contentCodec.Operator([]Record{{Key: "config", Offset: 1}}), Entries: given}))
 			}
 			names := slices.Sorted(maps.Keys(all))
 			knowsAll := func() bool {
@@ -270,7 +271,7 @@
 	silentUntil := l.cfg.Clock.Now() + maxConfirmationAge + maxAgedPatience/2
 	l.cfg.Send = func(r *wire.EntryReport, _ []string) error {
 		if now := l.cfg.Clock.Now(); r.GetAskMillis() > 0 && now > silentUntil {
-			l.Receive(&wire.EntryReport{Process: "entry-a", Name: "entry-a", Address: "a", Zone: "a", OperatorNext: 5, FleetDigest: r.GetFleetDigest(), ReplyMillis: r.GetAskMillis(), ReplyTo: "entry-m/1"})
+			l.Receive(&wire.EntryReport{Process: "entry-a", Name: "entry-a", Address: "a", Zone: "a", OperatorNext: 5, Version: r.GetVersion(), FleetDigest: r.GetFleetDigest(), ReplyMillis: r.GetAskMillis(), ReplyTo: "entry-m/1"})
 		}
 		return nil
 	}
--- a/site/feed.go
+++ b/site/feed.go
@@ -77,6 +77,9 @@
 // readResult is the result of one read of a stream.
 type readResult struct {
 	records []Record
+	// history holds earlier records, if the newest one of the configuration may not be the newest valid
+	// one.
+	history []Record
 	next    Position
 	full    bool
 	from    Position
@@ -93,9 +96,9 @@
 }
 
 func (l *Loop) handleOperator(ctx context.Context, res readResult) {
-	update := OperatorUpdate{}
-	if len(res.records) > 0 {
-		update = l.cfg.Codec.Operator(res.records)
+	update := l.cfg.Codec.Operator(res.records)
+	if earlier := l.cfg.Codec.Operator(res.history); earlier.version() > update.version() {
+		update.Config, update.ConfigRecord = earlier.Config, earlier.ConfigRecord
 	}
 	l.post(ctx, OperatorRead{Now: res.now, SentAt: res.sentAt, Full: res.full, Update: update, Records: res.records, From: res.from.Offset, Next: res.next})
 }
@@ -235,6 +238,9 @@
 	if f.next.Offset < 0 {
 		res.full = true
 		res.records, res.next, err = f.loop.cfg.Store.Newest(ctx, f.stream)
+		if err == nil && f.stream == OperatorStream {
+			res.history, err = f.history(ctx, res)
+		}
 	} else {
 		wait := f.wait
 		if left := f.loop.View().settledAt - res.sentAt; left > 0 {
@@ -246,6 +252,22 @@
 	return res, err
 }
 
+// history returns earlier records of the operators' stream after a full read, if this entry has no configuration
+// or the newest record of it cannot be used.
+func (f *feed) history(ctx context.Context, res readResult) (records []Record, err error) {
+	l := f.loop
+	u := l.cfg.Codec.Operator(res.records)
+	if l.cfg.Store.History == nil || l.View().Config() != nil && len(u.Invalid) == 0 {
+		return nil, nil
+	}
+	records, err = l.cfg.Store.History(ctx, f.stream, res.next.Offset)
+	if err != nil && u.Config != nil {
+		l.cfg.Log.Warn("Earlier records cannot be read", "stream", f.stream, "config", u.Config.Version(), "error", logbook.Text(err))
+		return nil, nil
+	}
+	return records, err
+}
+
 func (f *feed) handleError(ctx context.Context, err error) {
 	if errorx.IsOfType(err, provider.ErrExpired) {
 		f.loop.cfg.Log.Info("Store forgot records; the stream is read anew", "stream", f.stream, "from", f.next.Offset, "era", f.next.Era, "store-era", f.loop.storeEra())
--- a/site/loop.go
+++ b/site/loop.go
@@ -207,13 +207,14 @@
 const startRetryInterval = 300 * clock.Millis(1)
 
 // retryStart asks other entries for their state until this one has started. An entry that was cut
-// off from the store, or that asked before the others had the state, would otherwise wait for the
-// store.
+// off from the store, that asked before the others had the state, or that finds no valid configuration in
+// the store would otherwise wait for the store.
 func (l *Loop) retryStart(ctx context.Context, seeds []EntryAddress) {
-	for len(seeds) > 0 && clock.Pause(ctx, startRetryInterval) && !l.View().Started() {
-		if l.operatorFailing.Load() {
+	for clock.Pause(ctx, startRetryInterval) && !l.View().Started() {
+		from := append(slices.Clone(seeds), l.View().otherEntries()...)
+		if len(from) > 0 && (l.operatorFailing.Load() || l.View().lacksConfig) {
 			// Why the first attempt failed is in the log; the last one shows in the state being there.
-			_ = l.cfg.TakeState(ctx, seeds, true)
+			_ = l.cfg.TakeState(ctx, from, true)
 		}
 	}
 }
@@ -363,7 +364,7 @@
 	l.view.Store(v)
 	if !before && v.Started() {
 		close(l.started)
-		l.cfg.Log.Info("Site is known", "after", l.state.now-l.state.startedAt, "config", v.Config().Version, "endpoints", v.Fleet().Size())
+		l.cfg.Log.Info("Site is known", "after", l.state.now-l.state.startedAt, "config", v.Config().Version(), "endpoints", v.Fleet().Size())
 	}
 }
 
--- a/site/outage_test.go
+++ b/site/outage_test.go
@@ -11,7 +11,6 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
-	"github.com/parsleydeal/parsleydeal/catalog"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/fleet"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
@@ -65,7 +64,7 @@
 	return NewLoop(Config{
 		Self: self, Clock: clock.Boot(), Log: log.New(io.Discard), Store: f.store(),
 		Codec: Codec{
-			Operator:  func([]Record) OperatorUpdate { return OperatorUpdate{Config: (&catalog.Config{Version: 1}).Index()} },
+			Operator:  func([]Record) OperatorUpdate { return OperatorUpdate{Config: configOf(1)} },
 			Endpoints: func([]Record, clock.Millis) []fleet.Change { return nil },
 			Verdicts:  func([]Record) []Verdict { return nil },
 		},
--- a/site/settle.go
+++ b/site/settle.go
@@ -39,8 +39,7 @@
 	// decoded from them.
 	records map[string]Record
 	orders  map[string]upgrade.Order
-	// retained holds the keys of records that the store lacks; true for those that are given up once
-	// the store has settled.
+	// retained holds the keys of records that the store lacks, which are given up once it has settled.
 	retained map[string]bool
 }
 
@@ -53,13 +52,13 @@
 	if s.now >= s.settling.until {
 		return
 	}
-	for _, r := range e.RetainedRecords {
-		s.settling.retained[r.Key] = r.Key != s.configKey
+	for _, r := range e.Retained.Records {
+		s.settling.retained[r.Key] = true
 	}
 	for _, z := range e.Retained.Zones {
 		s.zonesOut[z.Zone] = false
 	}
-	for _, r := range e.DeferredRecords {
+	for _, r := range e.Deferred.Records {
 		s.settling.records[r.Key] = r
 	}
 	for _, o := range e.Deferred.Orders {
@@ -101,7 +100,7 @@
 	if s.config == nil {
 		return 0
 	}
-	return s.config.Version
+	return s.config.Version()
 }
 
 // settled ends the settling once its time has passed: what the store still lacks is gone.
@@ -114,10 +113,8 @@
 	}
 	settling := s.settling
 	s.settling.until = never
-	for key, giveUp := range settling.retained {
-		if giveUp {
-			delete(s.operatorRecords, key)
-		}
+	for key := range settling.retained {
+		delete(s.operatorRecords, key)
 	}
 	maps.Copy(s.operatorRecords, settling.records)
 	for _, zone := range s.fleet.ZonesOut() {
@@ -138,25 +135,21 @@
 const settledQueryDelay = 500 * clock.Millis(1)
 
 // retainRecords returns which of the records of a full read replace those that this entry has. While
-// the store settles, what it lacks is retained, and what differs waits; a configuration is replaced by
-// its version.
-func (s *State) retainRecords(records []Record, u OperatorUpdate) (replacing []Record) {
+// the store settles, what it lacks is retained, and what differs waits.
+func (s *State) retainRecords(u OperatorUpdate) (replacing []Record) {
 	if s.now >= s.settling.until {
-		return records
+		return u.Records
 	}
 	listed := make(map[string]bool)
-	for _, r := range records {
+	for _, r := range u.Invalid {
+		listed[r.Key] = true
+	}
+	for _, r := range u.Records {
 		listed[r.Key] = true
 		known, ok := s.operatorRecords[r.Key]
 		switch {
 		case !ok || bytes.Equal(known.Value, r.Value):
 			replacing = append(replacing, r)
-		case r.Key == s.configKey:
-			if u.Config != nil && u.Config.Version >= s.configVersion() {
-				replacing = append(replacing, r)
-				continue
-			}
-			replacing = append(replacing, known)
 		default:
 			s.settling.records[r.Key] = r
 			replacing = append(replacing, known)
@@ -164,7 +157,7 @@
 	}
 	for key, known := range s.operatorRecords {
 		if !listed[key] {
-			s.settling.retained[key] = key != s.configKey
+			s.settling.retained[key] = true
 			replacing = append(replacing, known)
 		}
 	}
--- a/site/settle_test.go
+++ b/site/settle_test.go
@@ -1,10 +1,10 @@
 package site
 
 import (
+	"strconv"
 	"testing"
 
 	"github.com/matryer/is"
-	"github.com/parsleydeal/parsleydeal/catalog"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 )
@@ -15,14 +15,14 @@
 	is := is.New(t)
 	s := NewState(Self{Name: "entry-b", Process: "entry-b/1", Zone: "a"}, 0)
 	config := func(version int64) OperatorUpdate {
-		return OperatorUpdate{Config: (&catalog.Config{Version: version}).Index(), ConfigKey: "config"}
+		return OperatorUpdate{Config: configOf(version), ConfigRecord: Record{Key: "config", Value: []byte(strconv.FormatInt(version, 10))}}
 	}
 	Reduce(s, VerdictsRead{Now: 10})
 	Reduce(s, EndpointsRead{Now: 10, SentAt: 9, Full: true})
 	Reduce(s, OperatorRead{Now: 10, SentAt: 9, Full: true, Next: Position{Era: 1, Offset: 5}, Update: config(1), Records: []Record{{Key: "config", Value: []byte("1")}}})
 	report := &wire.EntryReport{Process: "a/1", Name: "entry-a", Address: "a", OperatorNext: 6, OperatorFrom: 5, Version: 2, Records: []*wire.StoreRecord{{Key: "config", Value: []byte("2")}}}
 	Reduce(s, ReportReceived{Now: 20, Report: report, Update: config(2)})
-	is.Equal(s.View().Config().Version, int64(2))
+	is.Equal(s.View().Config().Version(), int64(2))
 	is.True(s.View().wants(OperatorStream, 21)) // what else has changed is not known
 	is.Equal(string(s.content().GetRecords()[0].GetValue()), "2")
 }
@@ -61,13 +61,13 @@
 	is := is.New(t)
 	s := stateWithPeers(0)
 	read := func(at clock.Millis, next Position, version int64, value string) {
-		u := OperatorUpdate{Config: (&catalog.Config{Version: version}).Index(), ConfigKey: "config"}
+		u := OperatorUpdate{Config: configOf(version), ConfigRecord: Record{Key: "config", Value: []byte(value)}}
 		Reduce(s, OperatorRead{Now: at, SentAt: at, Full: true, Next: next, Update: u, Records: []Record{{Key: "config", Value: []byte(value)}}})
 	}
 	read(20, Position{Era: 1, Offset: 6}, 3, "3")
 	read(40, Position{Era: 2, Offset: 4}, 2, "2")
 	Reduce(s, Tick{Now: 40 + settleTime})
 	read(60+settleTime, Position{Era: 2, Offset: 4}, 2, "2")
-	is.Equal(s.View().Config().Version, int64(3))
+	is.Equal(s.View().Config().Version(), int64(3))
 	is.Equal(string(s.content().GetRecords()[0].GetValue()), "3")
 }
--- a/site/share.go
+++ b/site/share.go
@@ -77,7 +77,7 @@
 		r.ServedMillis = int64(max(s.now-s.servedSince, 1))
 	}
 	if s.config != nil {
-		r.Version = s.config.Version
+		r.Version = s.config.Version()
 	}
 	if s.loaded[EntryStream] {
 		r.Entries = int32(s.entryCount())
@@ -152,7 +152,7 @@
 	r := e.Report
 	records, end := recordsOn(r, OperatorStream), operatorPosition(r)
 	if end.Era == 0 && s.operator.Era > 0 {
-		return s.receiveFromEarlierRelease(e, records)
+		return s.receiveFromEarlierRelease(e)
 	}
 	s.hearVersion(r.GetVersion())
 	if !end.After(s.operator) {
@@ -168,7 +168,7 @@
 		}
 		return append(append(effects, s.logNewer(r, updateGap)...), Publish{})
 	}
-	s.keepOperatorRecords(records, e.Update, false)
+	s.keepOperatorRecords(e.Update, false)
 	effects = append(effects, countUpdate(updateApplied))
 	effects = append(effects, s.applyOperatorUpdate(OperatorRead{Now: e.Now, Update: e.Update}, false)...)
 	s.operator = end
@@ -186,12 +186,9 @@
 // receiveFromEarlierRelease applies what an entry reports that knows of no eras. Its offset says
 // nothing about the position, so that only a newer configuration is certain to be news; the rest is
 // read.
-func (s *State) receiveFromEarlierRelease(e ReportReceived, records []Record) (effects []Effect) {
+func (s *State) receiveFromEarlierRelease(e ReportReceived) (effects []Effect) {
 	r := e.Report
-	if c := e.Update.Config; c != nil && c.Version > s.configVersion() {
-		s.keepConfig(records, e.Update)
-		effects = append(effects, s.applyConfig(e.Update.Config)...)
-	}
+	effects = append(effects, s.applyConfig(e.Update, false)...)
 	s.hearVersion(r.GetVersion())
 	if r.GetOperatorNext() != s.operator.Offset {
 		s.peerOperator = later(s.peerOperator, Position{s.operator.Era, s.operator.Offset + 1})
@@ -218,7 +215,9 @@
 	if r.GetReplyTo() != s.self.Process || queriedAt > s.now {
 		return nil
 	}
-	applies := operatorPosition(r) == s.operator
+	// At the same position an entry may have an older configuration: the store did not have all records
+	// any more when it read them.
+	applies := operatorPosition(r) == s.operator && r.GetVersion() == s.configVersion()
 	effects = append(effects, countConfirmation(fromReply, applies))
 	if applies {
 		s.confirm(queriedAt-clock.Millis(r.GetConfirmedAgeMillis()), fromReply+"/"+r.GetName())
--- a/site/state.go
+++ b/site/state.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"bytes"
 	"maps"
 	"slices"
 
@@ -65,10 +66,12 @@
 	fullerList EntryAddress
 	// counted caches the result of entryCount.
 	counted entryCount
-	// operatorRecords holds the newest record of each key of the operators' stream, and configKey
-	// the key of the configuration.
+	// configRecord is the record that config was decoded from.
+	configRecord Record
+	// operatorRecords holds the newest valid record of each other key of the operators' stream.
 	operatorRecords map[string]Record
-	configKey       string
+	// invalid limits the log lines about records that cannot be used.
+	invalid invalidLog
 	// tookStateAt is when this entry started with the state of another one; never if it did not.
 	tookStateAt clock.Millis
 	// registeredAt is the address at which another entry knew this one when it started: it is in
@@ -255,7 +258,11 @@
 		effects = append(effects, s.push(e.Records, e.From, e.Next))
 	}
 	newEra := e.Next.Era > s.operator.Era && s.operator.Era > 0
-	s.keepOperatorRecords(e.Records, e.Update, e.Full)
+	if !first && s.operator.After(e.Next) {
+		// Another entry has sent these records and later ones since the read was sent.
+		e.Update, e.Full = OperatorUpdate{}, false
+	}
+	s.keepOperatorRecords(e.Update, e.Full)
 	s.operator = later(s.operator, e.Next)
 	effects = append(effects, countConfirmation(fromRead, true))
 	if e.SentAt >= s.settling.until {
@@ -280,11 +287,9 @@
 
 // applyOperatorUpdate applies what operators published.
 func (s *State) applyOperatorUpdate(e OperatorRead, first bool) (effects []Effect) {
+	effects = append(effects, s.applyConfig(e.Update, !e.Full)...)
 	for _, r := range e.Update.Invalid {
-		effects = append(effects, LogLine{Message: "Operator's record cannot be used", Fields: []any{"key", r.Key, "offset", r.Offset, "reason", r.Reason}, Warn: true})
-	}
-	if c := e.Update.Config; c != nil {
-		effects = append(effects, s.applyConfig(c)...)
+		effects = append(effects, s.recordInvalid(r)...)
 	}
 	for _, o := range e.Update.Orders {
 		if !s.deferOrder(o, e.Full) {
@@ -295,18 +300,25 @@
 	return append(effects, s.selectVersions()...)
 }
 
-// applyConfig puts a configuration in force unless a newer one already is: a delayed read would
-// otherwise restore a removed route or key.
-func (s *State) applyConfig(c *catalog.Config) (effects []Effect) {
-	if s.config != nil && c.Version <= s.config.Version {
+// applyConfig puts the configuration of an update in force unless a newer one already is: a delayed read
+// would otherwise restore a removed route or key. isNews is true if operators have just written it.
+func (s *State) applyConfig(u OperatorUpdate, isNews bool) (effects []Effect) {
+	c := u.Config
+	switch {
+	case c == nil:
+		return nil
+	case s.config != nil && c.Version() <= s.config.Version():
+		if isNews && !bytes.Equal(u.ConfigRecord.Value, s.configRecord.Value) {
+			return s.recordInvalid(OutdatedConfig(u.ConfigRecord, c.Version(), s.config.Version()))
+		}
 		return nil
 	}
 	old := int64(-1)
 	if s.config != nil {
-		old = s.config.Version
+		old = s.config.Version()
 	}
-	s.config = c
-	return []Effect{LogLine{Message: "Configuration is in force", Fields: []any{"version", c.Version, "before", old, "routes", len(c.Routes), "organisations", len(c.Organisations)}}}
+	s.config, s.configRecord = c, u.ConfigRecord
+	return []Effect{LogLine{Message: "Configuration is in force", Fields: []any{"version", c.Version(), "before", old, "routes", len(c.Routes()), "organisations", len(c.Organisations())}}}
 }
 
 func (s *State) applyZones(e OperatorRead) (effects []Effect) {
@@ -563,7 +575,7 @@
 	sharers := s.sharers()
 	v := &View{
 		config: s.config, confirmedAt: s.confirmedAt, confirmedBy: s.confirmedBy, fleet: s.fleet.Snapshot(), entries: len(sharers), shares: s.shares(sharers),
-		started: s.started(), leaving: s.leaving, versions: make(map[string]versionState), addresses: maps.Clone(s.addresses),
+		started: s.started(), lacksConfig: s.loaded[OperatorStream] && s.config == nil, leaving: s.leaving, versions: make(map[string]versionState), addresses: maps.Clone(s.addresses),
 		upgradeActive: s.hasActiveUpgrade(), checksVerdicts: len(s.verdictsToCheck) > 0 && s.rank() < judgeCount, mayWriteVerdict: len(s.pendingVerdicts) > 0 && s.rank() < judgeCount, reader: s.reader(), operator: s.operator, statusEnd: s.statusEnd, era: s.era, settledAt: s.settling.until, registeredAt: s.registeredAt, entriesKnown: s.loaded[EntryStream], fullerList: s.fullerList, delegates: s.delegateAddresses(), others: s.neighbours(true), peerOperator: s.peerOperator, newerVersionAt: s.newerVersionAt(),
 		fleetConfirmedAt: s.fleetConfirmedAt, divergedAt: s.divergedAt, probedByPeers: s.probedByPeers(), storeServesPeers: s.storeServesPeers(), neighbours: s.neighbours(s.fullMesh()), zoneAddresses: s.neighbours(false), fullMesh: s.fullMesh(),
 	}
--- a/site/state_test.go
+++ b/site/state_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/cockroachdb/datadriven"
 	"github.com/matryer/is"
-	"github.com/parsleydeal/parsleydeal/catalog"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/fleet"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
@@ -104,7 +103,7 @@
 		switch f[0] {
 		case "config":
 			version, _ := strconv.ParseInt(f[1], 10, 64)
-			u.Config = (&catalog.Config{Version: version, Services: map[string]catalog.Service{"pool": {Name: "pool"}}}).Index()
+			u.Config = configOf(version)
 		case "zone":
 			u.Zones = append(u.Zones, ZoneChange{Zone: f[1], Out: f[2] == "out"})
 		case "order":
@@ -178,7 +177,7 @@
 func parseReport(a args, now clock.Millis) Event {
 	name := a.text("from")
 	r := &wire.EntryReport{
-		Process: name + "/1", Name: name, Address: "10.0.0.1:" + name, OperatorNext: a.number("next"), StoreEra: a.number("era"), OperatorFrom: a.number("since"),
+		Process: name + "/1", Name: name, Address: "10.0.0.1:" + name, OperatorNext: a.number("next"), StoreEra: a.number("era"), OperatorFrom: a.number("since"), Version: a.number("version"),
 		StoreAgeMillis: a.number("store-age"), ServedMillis: a.number("served"), Standby: a.has("standby"), AskMillis: a.number("ask"), ReplyMillis: a.number("reply"), ReplyTo: a.text("reply-to"),
 		ConfirmedAgeMillis: a.number("age"), FleetAgeMillis: a.number("age"),
 	}
@@ -230,7 +229,7 @@
 	if v.Config() == nil {
 		return "knows nothing\n"
 	}
-	fmt.Fprintf(&b, "config %d, confirmed at %d, entries %d, reader %t\n", v.Config().Version, v.ConfirmedAt(), v.Entries(), v.Reader())
+	fmt.Fprintf(&b, "config %d, confirmed at %d, entries %d, reader %t\n", v.Config().Version(), v.ConfirmedAt(), v.Entries(), v.Reader())
 	for _, id := range slices.Sorted(maps.Keys(v.Fleet().All())) {
 		e := v.Fleet().Find(id)
 		fmt.Fprintf(&b, "%s %s zone %s usable %t", id, e.Version, e.Zone, v.Fleet().Usable(e))
@@ -253,7 +252,7 @@
 	Reduce(s, VerdictsRead{Now: 100})
 	Reduce(s, EndpointsRead{Now: 100, SentAt: 90})
 	Reduce(s, OperatorRead{Now: 100, SentAt: 90, Full: true, Next: Position{Offset: 5}, Update: parseUpdate(t, "config 1")})
-	r := &wire.EntryReport{Process: "a/1", Name: "a", OperatorNext: 5, ReplyMillis: 4000, ReplyTo: "b/1"}
+	r := &wire.EntryReport{Process: "a/1", Name: "a", OperatorNext: 5, Version: 1, ReplyMillis: 4000, ReplyTo: "b/1"}
 	Reduce(s, ReportReceived{Now: 5000, Report: r})
 	is.Equal(s.View().ConfirmedAt(), clock.Millis(90))
 	r.ReplyTo = "b/2"
--- a/site/store.go
+++ b/site/store.go
@@ -7,6 +7,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 
 	"github.com/joomcode/errorx"
 	"github.com/parsleydeal/parsleydeal/catalog"
@@ -63,6 +65,9 @@
 	// the first one. It returns provider.ErrExpired if the store does not have that offset. The era
 	// of the position is that of the store, in which the offset may mean another place.
 	Read func(ctx context.Context, s Stream, from int64, wait clock.Millis) (records []Record, next Position, err error)
+	// History returns the last records of a stream before an offset, those that were replaced included, as
+	// far as the store still has them. Nil if the store keeps none.
+	History func(ctx context.Context, s Stream, end int64) (records []Record, err error)
 	// Append adds a record and returns the era in which it was added. If at is not negative, the
 	// append is conditional and fails with ErrMoved unless the stream ends at that offset.
 	Append func(ctx context.Context, s Stream, key string, value []byte, at int64) (era int64, err error)
@@ -81,12 +86,28 @@
 
 // OperatorUpdate is what operators published since the previous read.
 type OperatorUpdate struct {
-	// Config is nil if it did not change. ConfigKey is the key of its record.
-	Config    *catalog.Config
-	ConfigKey string
-	Orders    []upgrade.Order
-	Zones     []ZoneChange
-	Invalid   []InvalidRecord
+	// Config is the valid configuration with the highest version, decoded from ConfigRecord; nil if there
+	// is none.
+	Config       *catalog.Config
+	ConfigRecord Record
+	Orders       []upgrade.Order
+	Zones        []ZoneChange
+	// Records are the other records that are used, in order.
+	Records []Record
+	Invalid []InvalidRecord
+}
+
+// version returns the version of the configuration; 0 if there is none.
+func (u OperatorUpdate) version() int64 {
+	if u.Config == nil {
+		return 0
+	}
+	return u.Config.Version()
+}
+
+// hides reports whether the newest record of a key cannot be used, so that an earlier one stays in force.
+func (u OperatorUpdate) hides(key string) bool {
+	return slices.ContainsFunc(u.Invalid, func(r InvalidRecord) bool { return r.Key == key })
 }
 
 // ZoneChange takes an availability zone out of service or back in.
@@ -99,9 +120,16 @@
 type InvalidRecord struct {
 	Key    string
 	Offset int64
+	// Defect is the kind of defect, one of a few for metrics; Reason tells it in full.
+	Defect string
 	Reason string
 }
 
+// OutdatedConfig describes the record of a configuration that is not newer than another one.
+func OutdatedConfig(r Record, version, known int64) InvalidRecord {
+	return InvalidRecord{Key: r.Key, Offset: r.Offset, Defect: "outdated", Reason: fmt.Sprintf("version %d, not newer than %d", version, known)}
+}
+
 // Verdict is the agreed state of an upgrade.
 type Verdict struct {
 	Service string
--- a/site/store_calls_test.go
+++ b/site/store_calls_test.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/parsleydeal/parsleydeal/catalog"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/upgrade"
@@ -19,7 +18,7 @@
 	s := NewState(Self{Name: "entry-m", Process: "entry-m/1", Zone: "a"}, 0)
 	Reduce(s, VerdictsRead{Now: 10})
 	Reduce(s, EndpointsRead{Now: 10, SentAt: 9, Full: true})
-	Reduce(s, OperatorRead{Now: 10, SentAt: 9, Full: true, Next: Position{Offset: 5}, Update: OperatorUpdate{Config: (&catalog.Config{Version: 1}).Index()}})
+	Reduce(s, OperatorRead{Now: 10, SentAt: 9, Full: true, Next: Position{Offset: 5}, Update: OperatorUpdate{Config: configOf(1)}})
 	for i := range before {
 		name := fmt.Sprintf("entry-a%02d", i)
 		Reduce(s, ReportReceived{Now: 20, Report: &wire.EntryReport{Process: name, Name: name, Address: name, OperatorNext: 5}})
--- a/site/view.go
+++ b/site/view.go
@@ -1,6 +1,8 @@
 package site
 
 import (
+	"slices"
+
 	"github.com/parsleydeal/parsleydeal/catalog"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/fleet"
@@ -15,12 +17,14 @@
 	confirmedBy string
 	fleet       *fleet.Snapshot
 	// entries is the number of entries that share the site's limits; at least 1.
-	entries   int
-	shares    map[string]placement.Share
-	started   bool
-	leaving   bool
-	versions  map[string]versionState
-	addresses map[string]string
+	entries int
+	shares  map[string]placement.Share
+	started bool
+	// lacksConfig is true if the operators' stream was read and has no valid configuration.
+	lacksConfig bool
+	leaving     bool
+	versions    map[string]versionState
+	addresses   map[string]string
 	// delegates holds the first delegates but this entry.
 	delegates []EntryAddress
 	// spreaders holds the addresses of the entries that pass on what all must know, without this one,
@@ -170,6 +174,16 @@
 // Leaving reports whether the process was asked to stop.
 func (v *View) Leaving() bool { return v.leaving }
 
+// otherEntries returns the entries that may be asked for their state.
+func (v *View) otherEntries() (out []EntryAddress) {
+	for name, address := range v.addresses {
+		if address != "" && slices.Contains(v.others, address) {
+			out = append(out, EntryAddress{Name: name, Address: address})
+		}
+	}
+	return out
+}
+
 // Addresses returns the addresses of the known entries by name.
 func (v *View) Addresses() map[string]string { return v.addresses }
 
