Have others read the store as soon as a read is overdue

While the store was silent for both readers and served four other entries, a change was in force at those after 2.37 s, 2 s are promised; with six of seven entries unserved after 4 s and more.

Cause: a reader keeps its office until its read has failed, 2.0 s after it was sent; the next pair may be unserved too; an entry that knows that it misses a change waits 2 s after a failed read and asks the delegates, which may miss it as well, in place of those that have reported it. Class: what detects a fault is the timeout that ends it.

Now a read that is 0.4 s late (twice the lateness of the reads before, if that is more) is told to all at once, and the next entries read; up to four more than two, unless so many are unserved that the store probably serves nobody. Such a read ends at once if another entry is known to have the change, which is then asked for it. A reader that had to read in full tells all. Overdue reads are counted.

TestStoreSilentForReaders: 2.37 s before, 1.17 s now. The property of a store that comes back older judges entries whose reports are lost as well now: 900 histories held.

--- a/site/event.go
+++ b/site/event.go
@@ -32,6 +32,12 @@
 // StoreFailed reports that a call to the store failed.
 type StoreFailed struct{ Now clock.Millis }
 
+// OperatorReadOverdue reports that a read of the operators' stream that was sent at SentAt should have ended.
+type OperatorReadOverdue struct {
+	Now    clock.Millis
+	SentAt clock.Millis
+}
+
 // EndpointsRead is the result of a read of the endpoints' stream. A full result lists all
 // endpoints.
 type EndpointsRead struct {
@@ -99,7 +105,8 @@
 	Err     error
 }
 
-func (Tick) event()           {}
+func (Tick) event()                {}
+func (OperatorReadOverdue) event() {}
 func (OperatorRead) event()   {}
 func (EndpointsRead) event()  {}
 func (VerdictsRead) event()   {}
--- a/site/feed.go
+++ b/site/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/joomcode/errorx"
 	"github.com/parsleydeal/parsleydeal/clock"
@@ -25,6 +26,12 @@
 	// readSlack is how much longer than its long-poll timeout a read may take. A connection may
 	// go silent for good, which only this limit detects.
 	readSlack = 1200 * clock.Millis(1)
+	// minOverdueSlack is how much later than its long-poll timeout a read of the operators' stream ends before
+	// other entries read the stream in place of this one, without waiting for the read to fail: a change has
+	// to be in force in 2 s. It is longer than a slow store takes.
+	minOverdueSlack = 400 * clock.Millis(1)
+	// latenessFactor multiplies how late reads were lately: a store may be slow for long.
+	latenessFactor = 2
 	// pollInterval is the interval at which a feed checks whether its stream has to be read.
 	pollInterval = 50 * clock.Millis(1)
 	// minReadInterval is the shortest time from one read of a stream to the next, whatever the store
@@ -70,6 +77,8 @@
 	fails    int
 	// catchUps counts the times in a row that the stream was taken from another entry.
 	catchUps int
+	// lateness is how much longer than its long-poll timeout the last reads took; it halves with each read.
+	lateness clock.Millis
 	// behindSince is since when the stream has to be read; 0 if it need not be.
 	behindSince clock.Millis
 }
@@ -97,7 +106,7 @@
 
 func (l *Loop) handleOperator(ctx context.Context, res readResult) {
 	update := l.cfg.Codec.Operator(res.records)
-	if earlier := l.cfg.Codec.Operator(res.history); earlier.version() > update.version() {
+	if earlier := l.cfg.Codec.Operator(res.history); earlier.Config != nil && earlier.version() >= update.version() {
 		update.Config, update.ConfigRecord = earlier.Config, earlier.ConfigRecord
 	}
 	l.post(ctx, OperatorRead{Now: res.now, SentAt: res.sentAt, Full: res.full, Update: update, Records: res.records, From: res.from.Offset, Next: res.next})
@@ -176,7 +185,7 @@
 // instead of reading the store. It returns false if the store has to be read.
 func (f *feed) catchUp(ctx context.Context, v *View) bool {
 	l := f.loop
-	if l.cfg.TakeState == nil || f.stream == StatusStream || !v.Started() || v.reader && !v.missesVersion(l.cfg.Clock.Now()) || len(v.delegates) == 0 || f.catchUps >= maxCatchUps {
+	if l.cfg.TakeState == nil || f.stream == StatusStream || !v.Started() || v.reader && !v.missesVersion(l.cfg.Clock.Now()) || len(v.donors()) == 0 || f.catchUps >= maxCatchUps {
 		return false
 	}
 	now := l.cfg.Clock.Now()
@@ -200,7 +209,7 @@
 	}
 	asking, cancel := context.WithTimeout(ctx, catchUpTimeout.Duration())
 	defer cancel()
-	err := l.cfg.TakeState(asking, v.delegates, false)
+	err := l.cfg.TakeState(asking, v.donors(), false)
 	if err != nil && v.missesChange(f.stream, now) && l.cfg.Clock.Since(f.behindSince) < changePatience {
 		return clock.Pause(ctx, changeRetryDelay)
 	}
@@ -235,6 +244,24 @@
 	ctx, cancel := context.WithTimeout(ctx, (f.wait + readSlack).Duration())
 	defer cancel()
 	res.sentAt, res.from = f.loop.cfg.Clock.Now(), f.next
+	wait := clock.Millis(0)
+	if f.next.Offset >= 0 {
+		wait = f.wait
+		if left := f.loop.View().settledAt - res.sentAt; left > 0 {
+			wait = min(wait, left, settlingWait)
+		}
+	}
+	if f.stream == OperatorStream {
+		slack := min(max(latenessFactor*f.lateness, minOverdueSlack), readSlack)
+		overdue := time.AfterFunc((wait + slack).Duration(), func() {
+			f.loop.post(ctx, OperatorReadOverdue{Now: f.loop.cfg.Clock.Now(), SentAt: res.sentAt})
+			if f.loop.View().missesChange(f.stream, f.loop.cfg.Clock.Now()) {
+				// Another entry has what this read would return.
+				cancel()
+			}
+		})
+		defer overdue.Stop()
+	}
 	if f.next.Offset < 0 {
 		res.full = true
 		res.records, res.next, err = f.loop.cfg.Store.Newest(ctx, f.stream)
@@ -242,13 +269,10 @@
 			res.history, err = f.history(ctx, res)
 		}
 	} else {
-		wait := f.wait
-		if left := f.loop.View().settledAt - res.sentAt; left > 0 {
-			wait = min(wait, left, settlingWait)
-		}
 		res.records, res.next, err = f.loop.cfg.Store.Read(ctx, f.stream, f.next.Offset, wait)
 	}
 	res.now = f.loop.cfg.Clock.Now()
+	f.lateness = max(res.now-res.sentAt-wait, f.lateness/2)
 	return res, err
 }
 
@@ -279,6 +303,7 @@
 		return
 	}
 	f.fails++
+	f.catchUps, f.behindSince = 0, 0
 	f.loop.post(ctx, StoreFailed{Now: f.loop.cfg.Clock.Now()})
 	if f.fails == 1 {
 		f.loop.cfg.Log.Warn("Store does not answer", "stream", f.stream, "error", logbook.Text(err))
@@ -313,6 +338,8 @@
 // probes the store.
 func (l *Loop) minFailureDelay(s Stream) clock.Millis {
 	switch {
+	case s == OperatorStream && l.View().missesChange(s, l.cfg.Clock.Now()):
+		return 0 // others are asked for it at once
 	case s != OperatorStream && l.operatorFailing.Load():
 		return operatorFailingDelay
 	case l.View().probedByPeers, l.View().storeServesPeers:
--- a/site/report.go
+++ b/site/report.go
@@ -99,6 +99,19 @@
 	return out
 }
 
+// ahead returns running entries whose last report names operators' records that this one misses.
+func (s *State) ahead() (out []EntryAddress) {
+	if !s.peerOperator.After(s.operator) && s.heardVersion <= s.configVersion() {
+		return nil
+	}
+	for name, p := range s.peers {
+		if s.now-p.lastSeenAt < peerTimeout && (operatorPosition(p.report).After(s.operator) || p.report.GetVersion() > s.configVersion()) {
+			out = append(out, EntryAddress{Name: name, Address: s.addresses[name], Zone: p.report.GetZone()})
+		}
+	}
+	return out
+}
+
 // sendCounts sends the traffic counts to the judges.
 func (s *State) sendCounts() []Effect {
 	r := s.newReport()
--- a/site/share.go
+++ b/site/share.go
@@ -14,6 +14,11 @@
 	// readerCount is the number of entries that read the store. There is more than one because
 	// the others notice only after a while that a reader stopped.
 	readerCount = 2
+	// extraPerUnserved is the number of further readers for each entry that the store does not serve, at most
+	// maxExtraReaders. With more than maxUnserved such entries the store probably serves none.
+	extraPerUnserved = 2
+	maxExtraReaders  = 4
+	maxUnserved      = readerCount + maxExtraReaders
 	// maxConfirmationAge is how old the confirmation of the configuration may be before an entry
 	// reads the store itself. An entry queries the readers once a second and a reply may be lost;
 	// a reader's own confirmation is up to 1.6 s old. The rest of the 5 s for which a revoked key
@@ -30,7 +35,17 @@
 )
 
 // reader reports whether this entry reads the store on behalf of all.
-func (s *State) reader() bool { return s.rank() < readerCount }
+func (s *State) reader() bool { return s.rank() < readerCount+s.extraReaders() }
+
+// extraReaders returns the number of further entries that read the store while it does not serve a few: it may
+// not serve the next ones either, and a change has to be in force before these have found out.
+func (s *State) extraReaders() int {
+	s.delegates()
+	if n := s.delegateOrder.unserved; n <= maxUnserved {
+		return min(extraPerUnserved*n, maxExtraReaders)
+	}
+	return 0
+}
 
 // probedByPeers reports whether other entries probe a store that fails all entries, so that this
 // one need not. Each call is billed, even a refused one, and without this every entry would call
@@ -71,6 +86,8 @@
 		OperatorNext: s.operator.Offset, StoreEra: s.operator.Era, FleetDigest: s.fleet.Snapshot().Digest(),
 	}
 	switch {
+	case s.overdueSince != never:
+		r.StoreAgeMillis = int64(max(s.now-s.overdueSince, maxStoreAge))
 	case s.failing:
 		r.StoreAgeMillis = int64(max(s.now-s.storeAnsweredAt, 1))
 	case s.reader() && s.servedSince > 0:
--- a/site/state.go
+++ b/site/state.go
@@ -110,6 +110,9 @@
 	// when the first of the failed calls failed.
 	failing      bool
 	failingSince clock.Millis
+	// overdueSince is when a read of the operators' stream was sent that has not ended in time; never if
+	// there is none, or one that was sent later has succeeded.
+	overdueSince clock.Millis
 	// servedSince is when the store began to serve this entry, 0 before that. peerServedSince is since
 	// when it has served another entry, as reported while it failed this one; 0 if no entry did.
 	servedSince     clock.Millis
@@ -179,7 +182,7 @@
 		upgrades: make(map[string]*upgrade.Upgrade), verdicts: make(map[string]Verdict), statusEnd: unread,
 		current: make(map[string]string), pendingVerdicts: make(map[string]pendingVerdict), peers: make(map[string]*peer),
 		addresses: make(map[string]string), listed: make(map[string]listedEntry), operatorRecords: make(map[string]Record), counts: make(map[string]upgrade.Counts), keptSessions: make(map[string][]uint64), lapsed: make(map[string]clock.Millis),
-		operator: unread, peerOperator: unread, settling: settling{since: never, until: never}, zonesOut: make(map[string]bool), fleetConfirmedAt: never, confirmedAt: never, entriesReadAt: never, tookStateAt: never, newerLoggedAt: never, counted: entryCount{at: never}, wasReader: true,
+		operator: unread, peerOperator: unread, settling: settling{since: never, until: never}, zonesOut: make(map[string]bool), fleetConfirmedAt: never, confirmedAt: never, entriesReadAt: never, overdueSince: never, tookStateAt: never, newerLoggedAt: never, counted: entryCount{at: never}, wasReader: true,
 	}
 }
 
@@ -193,6 +196,9 @@
 	case OperatorRead:
 		s.now = e.Now
 		effects = s.operatorRead(e)
+	case OperatorReadOverdue:
+		s.now = e.Now
+		effects = s.operatorReadOverdue(e)
 	case EndpointsRead:
 		s.now = e.Now
 		effects = s.endpointsRead(e)
@@ -246,8 +252,20 @@
 	return effects
 }
 
+// operatorReadOverdue tells all entries that this one does not have the operators' stream at the moment, so that
+// others read it.
+func (s *State) operatorReadOverdue(e OperatorReadOverdue) (effects []Effect) {
+	effects = []Effect{Count{"parsleydeal_operator_reads_overdue_total"}}
+	if s.overdueSince != never || !s.reader() || s.delegateOrder.unserved > maxUnserved {
+		return effects
+	}
+	s.overdueSince = e.SentAt
+	return append(effects, LogLine{Message: "Read of the operators' stream is overdue", Fields: []any{"after", s.now - e.SentAt}}, s.broadcast())
+}
+
 func (s *State) operatorRead(e OperatorRead) (effects []Effect) {
 	s.storeAnswered()
+	s.overdueSince = never
 	if e.Next.Era < s.operator.Era {
 		return nil // sent before the store came back
 	}
@@ -257,7 +275,7 @@
 	if s.reader() && len(e.Records) > 0 && !e.Full {
 		effects = append(effects, s.push(e.Records, e.From, e.Next))
 	}
-	newEra := e.Next.Era > s.operator.Era && s.operator.Era > 0
+	before, newEra := s.operator, e.Next.Era > s.operator.Era && s.operator.Era > 0
 	if !first && s.operator.After(e.Next) {
 		// Another entry has sent these records and later ones since the read was sent.
 		e.Update, e.Full = OperatorUpdate{}, false
@@ -271,8 +289,9 @@
 		s.confirm(e.SentAt-s.settlingAge(), fromSettlingRead)
 	}
 	effects = append(effects, s.applyOperatorUpdate(e, first)...)
-	if newEra && s.reader() {
-		// The others take the state of a reader as soon as they know of a later position.
+	if (newEra || e.Full && !first && e.Next.After(before)) && s.reader() {
+		// A full read is not sent on. The others take the state of a reader as soon as they know of a later
+		// position.
 		effects = append(effects, s.broadcast())
 	}
 	return append(effects, Publish{})
@@ -576,7 +595,7 @@
 	v := &View{
 		config: s.config, confirmedAt: s.confirmedAt, confirmedBy: s.confirmedBy, fleet: s.fleet.Snapshot(), entries: len(sharers), shares: s.shares(sharers),
 		started: s.started(), lacksConfig: s.loaded[OperatorStream] && s.config == nil, leaving: s.leaving, versions: make(map[string]versionState), addresses: maps.Clone(s.addresses),
-		upgradeActive: s.hasActiveUpgrade(), checksVerdicts: len(s.verdictsToCheck) > 0 && s.rank() < judgeCount, mayWriteVerdict: len(s.pendingVerdicts) > 0 && s.rank() < judgeCount, reader: s.reader(), operator: s.operator, statusEnd: s.statusEnd, era: s.era, settledAt: s.settling.until, registeredAt: s.registeredAt, entriesKnown: s.loaded[EntryStream], fullerList: s.fullerList, delegates: s.delegateAddresses(), others: s.neighbours(true), peerOperator: s.peerOperator, newerVersionAt: s.newerVersionAt(),
+		upgradeActive: s.hasActiveUpgrade(), checksVerdicts: len(s.verdictsToCheck) > 0 && s.rank() < judgeCount, mayWriteVerdict: len(s.pendingVerdicts) > 0 && s.rank() < judgeCount, reader: s.reader(), operator: s.operator, statusEnd: s.statusEnd, era: s.era, settledAt: s.settling.until, registeredAt: s.registeredAt, entriesKnown: s.loaded[EntryStream], fullerList: s.fullerList, delegates: s.delegateAddresses(), ahead: s.ahead(), others: s.neighbours(true), peerOperator: s.peerOperator, newerVersionAt: s.newerVersionAt(),
 		fleetConfirmedAt: s.fleetConfirmedAt, divergedAt: s.divergedAt, probedByPeers: s.probedByPeers(), storeServesPeers: s.storeServesPeers(), neighbours: s.neighbours(s.fullMesh()), zoneAddresses: s.neighbours(false), fullMesh: s.fullMesh(),
 	}
 	v.spreaders, v.spreaderRank = s.spreaders()
--- a/site/upgrade.go
+++ b/site/upgrade.go
@@ -101,6 +101,8 @@
 type delegateOrder struct {
 	at    clock.Millis
 	names []string
+	// unserved is the number of other running entries that the store does not serve.
+	unserved int
 }
 
 // delegateOrderTTL is how long the order of the delegates is cached unless a report changes it. An
@@ -115,14 +117,17 @@
 	if s.delegateOrder.names != nil && s.now-s.delegateOrder.at < delegateOrderTTL {
 		return s.delegateOrder.names
 	}
-	zones := map[string][]string{s.self.Zone: {s.self.Name}}
+	zones, unserved := map[string][]string{s.self.Zone: {s.self.Name}}, 0
 	for name, p := range s.peers {
-		if s.eligible(p) {
+		switch {
+		case s.eligible(p):
 			zone := cmp.Or(p.report.GetZone(), s.self.Zone)
 			zones[zone] = append(zones[zone], name)
+		case s.now-p.lastSeenAt < peerTimeout && p.report.GetStoreAgeMillis() > 0:
+			unserved++
 		}
 	}
-	s.delegateOrder = delegateOrder{at: s.now, names: interleave(zones)}
+	s.delegateOrder = delegateOrder{at: s.now, names: interleave(zones), unserved: unserved}
 	return s.delegateOrder.names
 }
 
--- a/site/view.go
+++ b/site/view.go
@@ -25,8 +25,10 @@
 	leaving     bool
 	versions    map[string]versionState
 	addresses   map[string]string
-	// delegates holds the first delegates but this entry.
+	// delegates holds the first delegates but this entry, ahead the entries that have reported operators'
+	// records that this one misses.
 	delegates []EntryAddress
+	ahead     []EntryAddress
 	// spreaders holds the addresses of the entries that pass on what all must know, without this one,
 	// and spreaderRank the number of running entries before this one in their order.
 	spreaders    []string
@@ -174,6 +176,14 @@
 // Leaving reports whether the process was asked to stop.
 func (v *View) Leaving() bool { return v.leaving }
 
+// donors returns the entries to ask for what this one misses.
+func (v *View) donors() []EntryAddress {
+	if len(v.ahead) > 0 {
+		return v.ahead
+	}
+	return v.delegates
+}
+
 // otherEntries returns the entries that may be asked for their state.
 func (v *View) otherEntries() (out []EntryAddress) {
 	for name, address := range v.addresses {
