Refuse by the configuration only once it is confirmed

Callers were refused 404 or 401 by a configuration older than one that had been acknowledged more than 2 s before.

Cause: an absent route or key was an answer at any age of the configuration at hand, which may be confirmed 3 s and more before (a key's lease was checked, an absence was not). Class: a refusal rests on something that isn't there.

A request that the configuration would refuse, confirmed more than 1.7 s before it came, now has the configuration confirmed by one read of the store, shared by all that wait and bounded by 0.4 s and a quarter of the caller's time; then it is checked again. If that fails the answer is 503 with the time to come back, and no further read is sent for a second. Strangers cost an entry at most one call in 1.7 s.

--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -150,7 +150,7 @@
 		d.traffic.add(flowState, true, size, 1, inZone)
 	}})
 	d.server = relay.New(relay.Config{
-		Clock: d.clock, Log: d.log, Dialect: platform.Dialect(), View: d.loop.View, Started: d.loop.Started(), Pool: upstream.NewPool(d.clock), Name: s.VM, Zone: s.Zone,
+		Clock: d.clock, Log: d.log, Dialect: platform.Dialect(), View: d.loop.View, Confirm: d.loop.Confirm, Started: d.loop.Started(), Pool: upstream.NewPool(d.clock), Name: s.VM, Zone: s.Zone,
 		Strict: s.Direct.StrictKeys, KeyLease: s.Direct.KeyLease - leaseMargin, RetryRatio: s.Direct.RetryRatio, RetrySlack: s.Direct.RetrySlack, RetryWindow: s.Direct.RetryWindow,
 		ColdOverage: s.Direct.ColdOverage, ColdSlack: s.Direct.ColdSlack, SessionIdleTimeout: s.Direct.SessionIdleTimeout, Memory: s.Direct.Memory * megabyte, Strategies: strategies,
 	})
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -30,18 +30,14 @@
 // admit sets the route, organisation, service and deadline of the request, and refuses a request
 // that cannot be served.
 func (x *exchange) admit() (err error) {
-	s, c := x.server, x.view.Config()
+	s := x.server
 	if !x.view.Started() {
 		return refusal.New(refusal.Starting, "entry does not know its site yet").WithRetryAfter(startRetryAfter)
 	}
-	if err = x.checkSizes(c.Limits()); err != nil {
-		return err
-	}
-	x.route = c.Route(x.req.Host, x.req.Path)
-	if x.route == nil {
-		return refusal.New(refusal.NoRoute, "no route for this host and path")
+	if err = x.checkConfig(); err != nil && s.cfg.Confirm != nil {
+		err = x.confirmRefusal(err)
 	}
-	if err = x.authorise(c); err != nil {
+	if err != nil {
 		return err
 	}
 	x.setDeadline()
@@ -51,6 +47,20 @@
 	return nil
 }
 
+// checkConfig sets the route and organisation of the request, and refuses one that the configuration does not
+// allow.
+func (x *exchange) checkConfig() (err error) {
+	c := x.view.Config()
+	if err = x.checkSizes(c.Limits()); err != nil {
+		return err
+	}
+	x.route = c.Route(x.req.Host, x.req.Path)
+	if x.route == nil {
+		return refusal.New(refusal.NoRoute, "no route for this host and path")
+	}
+	return x.authorise(c)
+}
+
 const (
 	// startWaitRatio is the fraction of the caller timeout for which a request waits until the
 	// state of the site is loaded. The rest is left for the answer, from this entry or another one.
--- a/relay/server.go
+++ b/relay/server.go
@@ -31,6 +31,9 @@
 	Dialect Dialect
 	// View returns the current view of the site; it never blocks.
 	View func() *site.View
+	// Confirm makes sure that the view's configuration was the newest one at the given time or later, or
+	// returns an error; nil if that cannot be made sure of.
+	Confirm func(ctx context.Context, since clock.Millis) error
 	// Started is closed once the state of the site is loaded.
 	Started <-chan struct{}
 	Pool    *upstream.Pool
--- a/site/event.go
+++ b/site/event.go
@@ -107,15 +107,15 @@
 
 func (Tick) event()                {}
 func (OperatorReadOverdue) event() {}
-func (OperatorRead) event()   {}
-func (EndpointsRead) event()  {}
-func (VerdictsRead) event()   {}
-func (EntriesRead) event()    {}
-func (ReportReceived) event() {}
-func (TrafficCounts) event()  {}
-func (WriteDone) event()      {}
-func (Leave) event()          {}
-func (StoreFailed) event()    {}
+func (OperatorRead) event()        {}
+func (EndpointsRead) event()       {}
+func (VerdictsRead) event()        {}
+func (EntriesRead) event()         {}
+func (ReportReceived) event()      {}
+func (TrafficCounts) event()       {}
+func (WriteDone) event()           {}
+func (Leave) event()               {}
+func (StoreFailed) event()         {}
 
 // Effect is an action that the reducer requests.
 type Effect interface{ effect() }
--- a/site/loop.go
+++ b/site/loop.go
@@ -63,6 +63,11 @@
 	// part of maxAgedPatience.
 	catchUpMu    sync.Mutex
 	agedPatience clock.Millis
+	// confirming is the read that requests wait for; nil if there is none. confirmFailedAt is when the last
+	// one failed.
+	confirmMu       sync.Mutex
+	confirming      *confirmation
+	confirmFailedAt clock.Millis
 	// spread is a fraction by which entries spread what all of them do.
 	spread float64
 	// started is closed once all streams were read.
@@ -77,7 +82,7 @@
 
 // NewLoop returns a loop with an empty state. Run starts it.
 func NewLoop(cfg Config) *Loop {
-	l := &Loop{cfg: cfg, state: NewState(cfg.Self, cfg.Clock.Now()), events: make(chan Event, eventQueueSize), stateRequests: make(chan chan builtState), started: make(chan struct{}), metrics: metrics.NewSet()}
+	l := &Loop{cfg: cfg, state: NewState(cfg.Self, cfg.Clock.Now()), events: make(chan Event, eventQueueSize), stateRequests: make(chan chan builtState), confirmFailedAt: never, started: make(chan struct{}), metrics: metrics.NewSet()}
 	const fractions = 1 << 16
 	l.spread = float64(xxhash.Sum64String(cfg.Self.Process)%fractions) / fractions
 	l.agedPatience = clock.Millis(l.spread * float64(maxAgedPatience))
@@ -342,6 +347,10 @@
 }
 
 func (l *Loop) step(ctx context.Context, e Event) {
+	if b, ok := e.(barrier); ok {
+		close(b.applied)
+		return
+	}
 	effects := Reduce(l.state, e)
 	publish := false
 	for _, f := range effects {
