Recognise a request that crashes endpoints in its repeats

Cause: evidence was about blocks that other requests share; a request had no identity beyond one attempt's ID, so that each attempt, entry and repeat found it unknown. Class: an identity that does not outlast what it identifies.

A request now has a key of its own: a digest of method, target, model, blocks and body, never of its ID, deadline or key, computed only when an endpoint crashes or while such a request is suspected. It stands in the same register as blocks, with the same clearing, reports, verdicts and trials. Two independent crashes are enough for a single request (three in copies under way at once), since fewer callers lose by a wrong verdict; requests that the same crashes name are refused together, eight at most; a block that only one request brought is not refused for its sake. Crashes are reported before the request is answered, news first, what was reported before at most each 200 ms, and a crash has the time at which any entry noticed it first. Requests that one crash names are forgotten after a minute; nothing is kept of those under which nothing crashed.

The emulator draws such requests as well: three endpoints at most for one.

--- a/emulator/crash.go
+++ b/emulator/crash.go
@@ -29,6 +29,8 @@
 	// crashesToKnow crashes and knowTime later all entries must know a block.
 	crashesToKnow = 5
 	knowTime      = 3 * clock.Second
+	// repeatDelay is the time from a failed request to its repeat.
+	repeatDelay = 20 * clock.Millis(1)
 	// crashBlock is the block on which endpoints crash.
 	crashBlock = "crash"
 )
@@ -52,11 +54,18 @@
 	return quarantine.Incarnation{Endpoint: a.target.ID, Number: a.number}
 }
 
+// repeats is what a request has in common with those that its caller sends in its place.
+type repeats struct {
+	// left is how often the caller will send it again, crashed the number of endpoints that crashed on it.
+	left    int
+	crashed int
+}
+
 // begin begins an attempt.
 func (sim *simulation) begin(r *request, target *fleet.Endpoint, q placement.Query, now clock.Millis) *attempt {
 	e := sim.endpoints[target.ID]
 	a := &attempt{request: r, target: target, endpoint: e, number: e.incarnation, work: r.entry.selector.Begin(target, q), sentAt: now, sequence: sim.result.Sent}
-	a.watch = r.entry.blocks.Begin(a.incarnation(), sharedOf(r), false, now)
+	a.watch = r.entry.blocks.Begin(a.incarnation(), keysOf(r), false, now)
 	e.running[a] = true
 	r.attempts++
 	if r.crashes {
@@ -78,7 +87,7 @@
 	a.endpoint.outstanding--
 	a.work.End()
 	a.request.entry.blocks.End(a.watch, broken, now)
-	a.request.entry.blocks.Release(a.request.id(), sharedOf(a.request))
+	a.request.entry.blocks.Release(a.request.id(), keysOf(a.request))
 }
 
 // scheduleAnswer has the endpoint send signs of life until the answer ends.
@@ -95,16 +104,18 @@
 
 func (r *request) id() string { return fmt.Sprintf("%p", r) }
 
-func sharedOf(r *request) (keys []string) {
-	for _, b := range r.blocks[:len(r.blocks)-1] {
-		keys = append(keys, quarantine.Key(b.ID))
+// keysOf returns what a request is known by. Its last block is its own, so that it stands for the content too.
+func keysOf(r *request) *quarantine.Keys {
+	var blocks []string
+	for _, b := range r.blocks {
+		blocks = append(blocks, b.ID)
 	}
-	return keys
+	return quarantine.NewKeys(blocks, func() [][]byte { return [][]byte{[]byte(r.blocks[len(r.blocks)-1].ID)} })
 }
 
 // admit asks the entry's register whether a request may be sent, and sends it later or refuses it if not.
 func (sim *simulation) admit(r *request, q *placement.Query, now clock.Millis) bool {
-	f, block, _ := r.entry.blocks.Admit(r.id(), sharedOf(r), r.entry == sim.entries[0], now)
+	f, block, _ := r.entry.blocks.Admit(r.id(), keysOf(r), r.entry == sim.entries[0], now)
 	switch f {
 	case quarantine.Admitted:
 		return true
@@ -120,7 +131,7 @@
 			return false
 		}
 	}
-	sim.refuse(r)
+	sim.refuse(r, now)
 	return false
 }
 
@@ -139,12 +150,16 @@
 
 // crash ends an endpoint; the requests in progress there are sent elsewhere. It comes back later with
 // nothing cached.
-func (sim *simulation) crash(e *endpoint, now clock.Millis) {
+func (sim *simulation) crash(e *endpoint, by *request, now clock.Millis) {
 	if e.downUntil > now {
 		return
 	}
 	sim.result.Crashes++
-	if sim.result.Crashes == crashesToKnow {
+	switch {
+	case by.repeats != nil:
+		by.repeats.crashed++
+		sim.result.MostCrashes = max(sim.result.MostCrashes, by.repeats.crashed)
+	case sim.result.Crashes == crashesToKnow:
 		sim.knownAt = now + knowTime
 	}
 	broken := slices.SortedFunc(maps.Keys(e.running), func(a, b *attempt) int { return a.sequence - b.sequence })
@@ -164,7 +179,7 @@
 		if a.request.attempts < maxAttempts {
 			sim.send(a.request, now)
 		} else {
-			sim.refuse(a.request)
+			sim.refuse(a.request, now)
 		}
 	}
 }
@@ -179,15 +194,28 @@
 		}
 		k := sim.drawKind()
 		r := &request{kind: k, entry: sim.drawEntry(now), crashes: true, startedAt: now}
-		r.blocks = []placement.Block{
-			{ID: fmt.Sprintf("%s/%d", k.Name, sim.rnd.IntN(k.Subjects)), Tokens: k.SharedTokens},
-			{ID: crashBlock, Tokens: k.SharedTokens},
-			{ID: fmt.Sprintf("own/%s/%d", crashBlock, now), Tokens: k.OwnTokens},
+		own := fmt.Sprintf("own/%s/%d", crashBlock, now)
+		r.blocks = []placement.Block{{ID: fmt.Sprintf("%s/%d", k.Name, sim.rnd.IntN(k.Subjects)), Tokens: k.SharedTokens}}
+		if c.Repeats > 0 {
+			r.repeats = &repeats{left: c.Repeats}
+		} else {
+			r.blocks = append(r.blocks, placement.Block{ID: crashBlock, Tokens: k.SharedTokens})
 		}
+		r.blocks = append(r.blocks, placement.Block{ID: own, Tokens: k.OwnTokens})
 		sim.send(r, now)
 	}
 }
 
+// repeat has the caller of a request that got no answer send it again, at any entry.
+func (sim *simulation) repeat(r *request, now clock.Millis) {
+	if r.repeats == nil || r.repeats.left == 0 {
+		return
+	}
+	r.repeats.left--
+	again := &request{kind: r.kind, entry: sim.drawEntry(now), blocks: r.blocks, crashes: true, repeats: r.repeats, startedAt: now + repeatDelay}
+	sim.schedule(again.startedAt, func(now clock.Millis) { sim.send(again, now) })
+}
+
 // exchangeEvidence sends each entry's evidence of crashes to all others.
 func (sim *simulation) exchangeEvidence(now clock.Millis) {
 	if len(sim.load.Crashes) == 0 || now%evidenceInterval != 0 {
--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -62,6 +62,7 @@
 			is.Equal(result.OverRate, 0)
 			is.True(result.CrashingLate <= maxCrashingLate)
 			is.Equal(result.Crashes > 0, len(s.Load.Crashes) > 0)
+			is.True(result.MostCrashes <= maxCrashesByOne)
 		})
 	}
 }
@@ -70,6 +71,9 @@
 // must know it.
 const maxCrashingLate = 3
 
+// maxCrashesByOne is the number of endpoints after which a request must not reach another one.
+const maxCrashesByOne = 3
+
 // Requests with a block crash endpoints at rates and on sites that are drawn. Guards against thresholds
 // that hold for one load only.
 func TestDrawnCrashes(t *testing.T) {
--- a/emulator/run.go
+++ b/emulator/run.go
@@ -56,6 +56,8 @@
 	Crashes      int
 	Crashing     int
 	CrashingLate int
+	// MostCrashes is the number of endpoints that crashed on one request, with its repeats.
+	MostCrashes int
 }
 
 // simulation is one run. The same site, load and strategies give the same result.
@@ -230,9 +232,11 @@
 	// model is the index, in Site.Models, of the model that is to answer.
 	model     int
 	startedAt clock.Millis
-	// crashes is true if endpoints crash on a block of the prompt. attempts counts the attempts that
+	// crashes is true if endpoints crash on the request or a block of its prompt, repeats what it has in common
+	// with those that its caller sends in its place; nil if it sends none. attempts counts the attempts that
 	// arrived, and heldSince is since when a test of a block is awaited; 0 if it is not.
 	crashes   bool
+	repeats   *repeats
 	attempts  int
 	heldSince clock.Millis
 	// answered is true once the first byte of the answer was sent to the caller, late if that was after
@@ -299,7 +303,7 @@
 	}
 	target, _ := r.entry.selector.Select(sim.fleet, q)
 	if target == nil {
-		sim.refuse(r)
+		sim.refuse(r, now)
 		return
 	}
 	sim.result.Sent++
@@ -323,7 +327,7 @@
 			return
 		}
 		if r.crashes {
-			sim.schedule(now+crashDelay, func(now clock.Millis) { sim.crash(e, now) })
+			sim.schedule(now+crashDelay, func(now clock.Millis) { sim.crash(e, r, now) })
 			return
 		}
 		a.end(false, now)
@@ -393,9 +397,10 @@
 }
 
 // refuse records that a request gets no answer, or not the rest of it.
-func (sim *simulation) refuse(r *request) {
+func (sim *simulation) refuse(r *request, now clock.Millis) {
 	switch {
 	case r.crashes:
+		sim.repeat(r, now)
 		return
 	case r.answered && r.late:
 		sim.result.Late--
--- a/emulator/site.go
+++ b/emulator/site.go
@@ -85,12 +85,15 @@
 	Fraction float64 `toml:"fraction"`
 }
 
-// Crash is a time, in seconds from the start, in which requests with a block arrive on which endpoints
-// crash.
+// Crash is a time, in seconds from the start, in which requests arrive on which, or on a block of which,
+// endpoints crash.
 type Crash struct {
 	From      float64 `toml:"from"`
 	Until     float64 `toml:"until"`
 	PerSecond float64 `toml:"per-second"`
+	// Repeats is how often a caller sends its request again if it got no answer. If it is positive, endpoints
+	// crash on each of these requests by itself, and there is no such block.
+	Repeats int `toml:"repeats"`
 }
 
 // Burst multiplies the request rate by Factor between From and Until, in seconds from the start.
@@ -166,7 +169,7 @@
 		}
 	}
 	for _, c := range l.Crashes {
-		if c.Until <= c.From || c.PerSecond < 0 {
+		if c.Until <= c.From || c.PerSecond < 0 || c.Repeats < 0 {
 			return ErrSite.New("crashes: a value is out of range")
 		}
 	}
--- a/quarantine/attempt.go
+++ b/quarantine/attempt.go
@@ -32,7 +32,7 @@
 	return xxhash.Sum64String(i.Endpoint + "/" + strconv.FormatInt(i.Number, 10))
 }
 
-// endpoint is an incarnation with attempts whose blocks are not all cleared.
+// endpoint is an incarnation with attempts that have shown nothing yet.
 type endpoint struct {
 	// waiting holds the attempts without a head, begun those whose answers have begun, from the oldest
 	// on.
@@ -44,11 +44,15 @@
 	crashedAt clock.Millis
 }
 
-// Attempt is an attempt whose blocks are not all cleared.
+// Attempt is an attempt at an endpoint that may still crash because of it.
 type Attempt struct {
 	endpoint *endpoint
-	blocks   []string
-	beganAt  clock.Millis
+	keys     *Keys
+	// uncleared holds the shared blocks that were not cleared not long ago.
+	uncleared []string
+	beganAt   clock.Millis
+	// over is true once the attempt has shown what it can: it got beyond its beginning, or was cancelled.
+	over bool
 	// whole is true if the head arrives only with the whole answer.
 	whole bool
 	// headAt is when the head of the answer arrived, aliveAt when the endpoint first sent something
@@ -60,20 +64,16 @@
 	broken  bool
 }
 
-// Begin records an attempt at an endpoint. It returns nil if all blocks were cleared not long ago. whole is
-// true if the head arrives only with the whole answer.
-func (g *Register) Begin(i Incarnation, blocks []string, whole bool, now clock.Millis) *Attempt {
+// Begin records an attempt at an endpoint. whole is true if the head arrives only with the whole answer.
+func (g *Register) Begin(i Incarnation, keys *Keys, whole bool, now clock.Millis) *Attempt {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	a := &Attempt{beganAt: now, whole: whole, headAt: never, aliveAt: never, endedAt: never}
-	for _, key := range blocks {
+	a := &Attempt{keys: keys, beganAt: now, whole: whole, headAt: never, aliveAt: never, endedAt: never}
+	for _, key := range keys.shared {
 		if at, ok := g.cleared[key]; !ok || now-at > clearTTL/2 {
-			a.blocks = append(a.blocks, key)
+			a.uncleared = append(a.uncleared, key)
 		}
 	}
-	if len(a.blocks) == 0 {
-		return nil
-	}
 	a.endpoint = g.endpointOf(i)
 	a.endpoint.waiting[a] = true
 	return a
@@ -129,17 +129,26 @@
 		if !a.provable(now) || !proven(a) {
 			return false
 		}
-		for _, key := range a.blocks {
-			if g.clear(key, now) {
-				acquitted = append(acquitted, key)
-			}
-		}
-		a.blocks = nil
+		acquitted = append(acquitted, g.clearAll(a, now)...)
+		a.over = true
 		return true
 	})
 	return acquitted
 }
 
+// clearAll clears the keys of an attempt, and returns those that several crashes had named.
+func (g *Register) clearAll(a *Attempt, now clock.Millis) (acquitted []string) {
+	for _, key := range a.uncleared {
+		if g.clear(key, now) {
+			acquitted = append(acquitted, key)
+		}
+	}
+	if request := g.requestOf(a.keys); g.clearSuspect(request, now) {
+		acquitted = append(acquitted, request)
+	}
+	return acquitted
+}
+
 // Accepted records that the endpoint accepts connections: all its answers that are old enough are
 // beyond their beginning. acquitted holds the suspected blocks that this clears.
 func (g *Register) Accepted(i Incarnation, now clock.Millis) (acquitted []string) {
@@ -160,7 +169,7 @@
 
 // expired reports whether the attempt ended so long ago that it shows nothing any more.
 func (a *Attempt) expired(now clock.Millis) bool {
-	return len(a.blocks) == 0 || a.endedAt != never && now-a.endedAt > endedTime
+	return a.over || a.endedAt != never && now-a.endedAt > endedTime
 }
 
 // End records the end of an attempt. broken means that the answer broke off or did not come.
@@ -176,7 +185,7 @@
 	a.broken = a.broken || broken
 }
 
-// Cancel forgets an attempt that the endpoint did not begin to answer: it neither clears its blocks nor can
+// Cancel forgets an attempt that the endpoint did not begin to answer: it neither clears its keys nor can
 // it be the cause of a crash.
 func (g *Register) Cancel(a *Attempt) {
 	if a == nil {
@@ -184,51 +193,67 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	a.blocks = nil
+	a.over = true
 	delete(a.endpoint.waiting, a)
 }
 
 // MayHaveCrashed reports whether an attempt that has ended may be the cause of a crash.
 func (g *Register) MayHaveCrashed(a *Attempt) bool {
-	if a == nil {
-		return false
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return len(a.blocks) > 0
+	return a != nil && !a.over
+}
+
+// HasUncleared reports whether an attempt has blocks that were not cleared not long ago.
+func (g *Register) HasUncleared(a *Attempt) bool { return len(a.uncleared) > 0 }
+
+// IsCrashed reports whether an incarnation is known to have crashed not long ago.
+func (g *Register) IsCrashed(i Incarnation) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e := g.endpoints[i]
+	return e != nil && e.crashedAt != never
 }
 
-// suspects returns the attempts that may be the cause of a crash: those that had begun, or if there
-// are none, those that were waiting.
-func (e *endpoint) suspects(now clock.Millis) (out []*Attempt) {
+// suspects returns the attempts that may be the cause of a crash: begun holds those that had begun, beside those whose
+// head comes only with the whole answer, and waiting the others. An endpoint that crashes before it sends the
+// head is less likely, so that blocks of waiting requests are suspected only if no block of a begun one is.
+func (e *endpoint) suspects(now clock.Millis) (begun, waiting []*Attempt) {
 	for _, a := range e.begun {
 		if !a.expired(now) && (a.endedAt == never || a.broken || now-a.headAt <= beginningTime) {
-			out = append(out, a)
+			begun = append(begun, a)
 		}
 	}
 	for a := range e.waiting {
-		if a.whole && !a.expired(now) {
-			out = append(out, a)
+		switch {
+		case a.expired(now):
+		case a.whole:
+			begun = append(begun, a)
+		default:
+			waiting = append(waiting, a)
 		}
 	}
-	if len(out) > 0 {
-		return out
+	if !slices.ContainsFunc(begun, func(a *Attempt) bool { return len(a.uncleared) > 0 }) {
+		begun, waiting = append(begun, waiting...), nil
 	}
-	for a := range e.waiting {
-		if !a.expired(now) {
-			out = append(out, a)
-		}
+	return begun, waiting
+}
+
+// named returns the keys that a crash by the attempt names.
+func (a *Attempt) named() []string {
+	if request := a.keys.Request(); request != "" {
+		return append([]string{request}, a.uncleared...)
 	}
-	return out
+	return a.uncleared
 }
 
 // Crash is what a crash of an endpoint shows.
 type Crash struct {
 	// Suspects is the number of attempts of this entry that the endpoint had just begun to answer, or
-	// had not begun if there are none, and Blocks holds their blocks that are not cleared.
+	// had not begun if there are none, and Keys holds their keys that are not cleared.
 	Suspects int
-	Blocks   []string
-	// Cleared is the number of blocks of these attempts that are cleared.
+	Keys     []string
+	// Cleared is the number of keys of these attempts that are cleared.
 	Cleared int
 }
 
@@ -242,21 +267,20 @@
 		e.crashedAt = now
 		g.noteEnd(i.hash(), now)
 	}
-	for _, a := range e.suspects(now) {
-		c.Suspects++
-		for _, key := range a.blocks {
-			switch {
-			case g.isCleared(key, now):
-				c.Cleared++
-			case g.accuse(key, i.hash(), e.crashedAt, a.beganAt, now):
-				g.suspects[key].seenAt = now
-				c.Blocks = append(c.Blocks, key)
-			}
+	begun, waiting := e.suspects(now)
+	c.Suspects = len(begun)
+	for _, a := range begun {
+		g.accuseAll(&c, i, a, a.named(), now)
+	}
+	for _, a := range waiting {
+		if request := a.keys.Request(); request != "" {
+			g.accuseAll(&c, i, a, []string{request}, now)
 		}
 	}
+	g.noteCrowd(i.hash())
 	e.begun = slices.DeleteFunc(e.begun, func(a *Attempt) bool { return a.endedAt != never })
 	maps.DeleteFunc(e.waiting, func(a *Attempt, _ bool) bool { return a.endedAt != never })
-	if len(c.Blocks) == 0 {
+	if len(c.Keys) == 0 {
 		return c, false
 	}
 	g.repeatCrash(g.crashes[i.hash()])
@@ -265,6 +289,19 @@
 	return c, true
 }
 
+// accuseAll records that the crash of an endpoint names keys of an attempt.
+func (g *Register) accuseAll(c *Crash, i Incarnation, a *Attempt, keys []string, now clock.Millis) {
+	for _, key := range keys {
+		switch {
+		case g.isCleared(key, now):
+			c.Cleared++
+		case g.accuse(key, i.hash(), a.endpoint.crashedAt, a.beganAt, now):
+			g.suspects[key].seenAt = now
+			c.Keys = append(c.Keys, key)
+		}
+	}
+}
+
 // sweepEndpoints drops attempts that can no longer show anything, and old crashes.
 func (g *Register) sweepEndpoints(now clock.Millis) {
 	for i, e := range g.endpoints {
--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -16,8 +16,9 @@
 	// named holds the blocks that may be the cause, with the time at which the last attempt with the
 	// block began there.
 	named map[string]clock.Millis
-	// repeats is how often the crash must still be reported to other entries.
-	repeats int
+	// report is the report of the crash to other entries, and fresh holds what it names since the last one.
+	report news
+	fresh  map[string]bool
 }
 
 // accuse records that a crash names a block, and reports whether that is news.
@@ -28,14 +29,22 @@
 		return false
 	}
 	if c == nil {
-		c = &crash{at: at, named: make(map[string]clock.Millis)}
+		c = &crash{at: at, named: make(map[string]clock.Millis), fresh: make(map[string]bool)}
 		g.crashes[incarnation] = c
 	}
-	if _, known := c.named[key]; known || len(c.named) >= maxNamed {
+	if at < c.at {
+		// Another entry noticed it first. A later attempt elsewhere must not seem to have begun before it.
+		c.at, g.ends[incarnation], g.stale = at, at, true
+	}
+	if known, ok := c.named[key]; ok || len(c.named) >= maxNamed {
+		if ok && began < known {
+			// All keys of a request keep the time of the same attempt, whoever reports them first.
+			c.named[key], g.stale = began, true
+		}
 		return false
 	}
 	s := g.suspectOf(key, now)
-	c.named[key] = began
+	c.named[key], c.fresh[key] = began, true
 	s.named++
 	if s.named == 2 {
 		g.repeatCrashesOf(key)
@@ -44,10 +53,28 @@
 	return true
 }
 
+// noteCrowd counts the requests that a crash names.
+func (g *Register) noteCrowd(incarnation uint64) {
+	c := g.crashes[incarnation]
+	if c == nil {
+		return
+	}
+	crowd := 0
+	for key := range c.named {
+		if isRequest(key) {
+			crowd++
+		}
+	}
+	for key := range c.named {
+		g.suspects[key].crowd = crowd
+	}
+}
+
 // repeatCrashesOf has the crashes that name a block reported again: it may have been left out so far.
 func (g *Register) repeatCrashesOf(key string) {
 	for _, c := range g.crashes {
 		if _, ok := c.named[key]; ok {
+			c.fresh[key] = true
 			g.repeatCrash(c)
 		}
 	}
@@ -140,36 +167,64 @@
 	}
 	explained := make(map[uint64]bool)
 	for {
-		maps.DeleteFunc(naming, func(_ string, by map[uint64]moment) bool { return !g.enough(by, explained) })
+		maps.DeleteFunc(naming, func(key string, by map[uint64]moment) bool { return !g.enough(key, by, explained) })
 		if len(naming) == 0 {
 			return
 		}
 		key := mostNamed(naming)
 		v := verdict{crashes: len(naming[key]), with: g.companions(key)}
-		g.guilty[key] = v
+		keys := []string{key}
+		if alike := requestsLike(key, naming); len(alike) > 0 && len(alike) <= maxAlike {
+			// One of them is the cause. It costs less to refuse them all than to lose another endpoint.
+			keys, v.with = alike, nil
+		}
 		for incarnation := range naming[key] {
 			explained[incarnation] = true
 		}
-		delete(naming, key)
+		for _, key := range keys {
+			g.guilty[key] = v
+			delete(naming, key)
+			if old, known := before[key]; !known || !slices.Equal(old.with, v.with) {
+				g.found = append(g.found, v.name(key))
+			}
+		}
 		for _, by := range naming {
 			maps.DeleteFunc(by, func(incarnation uint64, _ moment) bool { return explained[incarnation] })
 		}
-		if old, known := before[key]; !known || !slices.Equal(old.with, v.with) {
-			g.found = append(g.found, v.name(key))
+	}
+}
+
+// requestsLike returns the requests that all crashes name that name the given one, itself included, in order; none
+// if it is a block.
+func requestsLike(key string, naming map[string]map[uint64]moment) (alike []string) {
+	if !isRequest(key) {
+		return nil
+	}
+	for other, by := range naming {
+		lacks := func(incarnation uint64) bool { _, ok := by[incarnation]; return !ok }
+		if isRequest(other) && !slices.ContainsFunc(slices.Collect(maps.Keys(naming[key])), lacks) {
+			alike = append(alike, other)
 		}
 	}
+	slices.Sort(alike)
+	return alike
 }
 
-// enough reports whether crashes that name a block are independent and enough of all that are not
+// enough reports whether crashes that name a key are independent and enough of all that are not
 // explained.
-func (g *Register) enough(by map[uint64]moment, explained map[uint64]bool) bool {
-	if independent(by) < crashesToQuarantine {
-		return false
-	}
+func (g *Register) enough(key string, by map[uint64]moment, explained map[uint64]bool) bool {
 	first, last := clock.Millis(math.MaxInt64), never
 	for _, m := range by {
 		first, last = min(first, m.at), max(last, m.at)
 	}
+	// Copies of a request that are under way at once crash endpoints that do not have a common cause.
+	copies := isRequest(key) && len(by) >= crashesToQuarantine && last-first >= momentTime/2
+	if independent(by) < crashesFor(key) && !copies {
+		return false
+	}
+	if isRequest(key) {
+		first -= requestShareTime
+	}
 	others := 0
 	for incarnation, at := range g.ends {
 		if _, names := by[incarnation]; !names && !explained[incarnation] && at >= first && at <= last {
@@ -198,18 +253,37 @@
 		maps.DeleteFunc(common, func(other string, _ clock.Millis) bool { _, ok := c.named[other]; return !ok })
 	}
 	delete(common, key)
+	if !isRequest(key) {
+		// Otherwise a block would be found only for the requests that were seen with it.
+		maps.DeleteFunc(common, func(other string, _ clock.Millis) bool { return isRequest(other) })
+	}
 	return slices.Sorted(maps.Keys(common))
 }
 
-// mostNamed returns the block that the most crashes name, of several the first in order.
+// mostNamed returns the key that the most crashes name. Of several it returns a block that several requests brought
+// rather than a request, a request rather than a block that only it brought, and then the first in order.
 func mostNamed(naming map[string]map[uint64]moment) (most string) {
+	n := 0
+	var tied []string
 	for key, by := range naming {
-		n := len(naming[most])
-		if len(by) > n || len(by) == n && key < most {
-			most = key
+		if len(by) > n {
+			n, tied = len(by), nil
+		}
+		if len(by) == n {
+			tied = append(tied, key)
+		}
+	}
+	order := func(key string) int {
+		broughtBy := func(request string) bool { return isRequest(request) && maps.Equal(naming[request], naming[key]) }
+		switch {
+		case isRequest(key):
+			return 1
+		case slices.ContainsFunc(tied, broughtBy):
+			return 2
 		}
+		return 0
 	}
-	return most
+	return slices.MinFunc(tied, func(a, b string) int { return cmp.Or(cmp.Compare(order(a), order(b)), cmp.Compare(a, b)) })
 }
 
 // moment is when an endpoint crashed, and when an attempt there began.
@@ -220,7 +294,7 @@
 // independent counts crashes in the order of their times without those whose attempt began before the
 // last one counted: a lost rack or zone takes many endpoints at once, whatever their requests.
 func independent(by map[uint64]moment) (n int) {
-	if len(by) < crashesToQuarantine {
+	if len(by) < requestCrashes {
 		return len(by)
 	}
 	last := never
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,15 +1,14 @@
-// Package quarantine finds the blocks of prompts on which endpoints crash, and says which requests
-// must not be sent to endpoints because of them. It does no I/O.
+// Package quarantine finds the requests, and the blocks of their prompts, on which endpoints crash, and says
+// which requests must not be sent to endpoints because of them. It does no I/O.
 //
-// Each crash names suspects: the blocks of the attempts that the endpoint had just begun to answer
-// or not begun yet. A block is cleared by an answer with it that got beyond its beginning. Other
-// requests share all blocks but the one at fault, so that these are cleared all the time; what is
-// named by several crashes and never cleared is the cause.
+// Each crash names suspects: the keys of the attempts that the endpoint had just begun to answer or not
+// begun yet. These are the blocks, and one key for the request itself, which its repeats share whoever
+// sends them. A key is cleared by an answer with it that got beyond its beginning. Other requests share all
+// keys but the one at fault, so that these are cleared all the time; what is named by several crashes and
+// never cleared is the cause. Nothing is kept of a request under which nothing crashed.
 package quarantine
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"maps"
 	"slices"
 	"sync"
@@ -19,12 +18,23 @@
 
 const (
 	// crashesToQuarantine is how many independent crashes must name a block before requests with it
-	// are refused.
+	// are refused, and requestCrashes how many must name a single request: fewer callers lose by a wrong
+	// verdict on it.
 	crashesToQuarantine = 3
+	requestCrashes      = 2
 	// minShare is the fraction of all crashes since the first that named a block, other than those that
 	// another guilty block explains, that must name it: where many endpoints crash for another reason,
 	// sound blocks are named now and then.
 	minShare = 1.0 / 6
+	// requestShareTime is how long before the first crash that named a single request all crashes are counted
+	// for minShare: two may be chance where endpoints crash often.
+	requestShareTime = clock.Second
+	// maxCrowd is the number of requests that a crash may name for each of them to be tested by itself: as one of
+	// many a request is probably sound.
+	maxCrowd = 4
+	// maxAlike is the number of requests that are refused together, if the same crashes name them all and one
+	// of them is the cause.
+	maxAlike = 8
 	// judgeInterval is the minimum time between two judgements: much evidence may arrive at once.
 	judgeInterval = 20 * clock.Millis(1)
 	// maxEnds limits the crashes that are counted.
@@ -34,19 +44,24 @@
 	momentTime       = 200 * clock.Millis(1)
 	// clearTTL is how long a block stays cleared after an answer with it.
 	clearTTL = clock.Minute
-	// forgetAfter is how long a suspected block is remembered after the last request with it.
-	forgetAfter = 10 * clock.Minute
+	// forgetAfter is how long a suspect is remembered after the last request with it, and onceForgetAfter how
+	// long a request that one crash names: most callers never send it again.
+	forgetAfter     = 10 * clock.Minute
+	onceForgetAfter = clock.Minute
 	// firstTrialDelay is the time from the last crash to the trial of a quarantined block; it doubles
 	// with each further crash, up to maxTrialDoublings times.
 	firstTrialDelay   = 30 * clock.Second
 	maxTrialDoublings = 6
+	// requestTrialFactor multiplies the delay for a single request: its callers have given up by then, and a
+	// request that many send is cleared by their answers.
+	requestTrialFactor = 4
 	// trialInterval is the minimum time between two trials if the last one showed nothing.
 	trialInterval = 5 * clock.Second
 	// maxSuspects limits the suspected blocks, maxCrashes the crashes, and maxNamed the blocks that one
 	// crash names.
 	maxSuspects = 1024
 	maxCrashes  = 256
-	maxNamed    = 32
+	maxNamed    = 48
 	// maxCleared is the number of cleared blocks from which old ones are dropped sooner; there are never
 	// more than twice as many.
 	maxCleared = 20000
@@ -56,16 +71,6 @@
 	never = -clock.Hour
 )
 
-// Key returns the name under which a block is known. Different blocks have different keys: with a
-// short hash, a sound block could be kept out in place of another one.
-func Key(id string) string {
-	if len(id) <= maxKeyBytes {
-		return id
-	}
-	digest := sha256.Sum256([]byte(id))
-	return "sha256:" + hex.EncodeToString(digest[:])[:maxKeyBytes-len("sha256:")]
-}
-
 // Register holds what is known of blocks and of the attempts in progress. It is safe for concurrent
 // use.
 type Register struct {
@@ -85,7 +90,9 @@
 	judgedAt clock.Millis
 	stale    bool
 	found    []string
-	// endpoints holds the attempts with blocks that are not cleared, and recent crashes.
+	// requests is the number of suspects that are requests. While it is 0, no digest of a request is needed.
+	requests int
+	// endpoints holds the attempts that have shown nothing yet, and recent crashes.
 	endpoints map[Incarnation]*endpoint
 	// changed is closed, and replaced, when a finding may have changed.
 	changed chan struct{}
@@ -105,10 +112,11 @@
 	triedAt clock.Millis
 	// lastCrashAt is when an endpoint last crashed that named the block.
 	lastCrashAt clock.Millis
-	// named is the number of crashes that name the block.
+	// named is the number of crashes that name the key, and crowd how many requests the last one of them named.
 	named int
-	// repeats is how often its clearing must still be reported to other entries.
-	repeats int
+	crowd int
+	// clearing is the report of its clearing to other entries.
+	clearing news
 }
 
 // New returns an empty register.
@@ -148,34 +156,42 @@
 // String returns the name of the finding for logs and metrics.
 func (f Finding) String() string { return [...]string{"admitted", "test", "wait", "quarantined"}[f] }
 
-// Admit decides on a request by its shared blocks. because is the one that the decision rests on, of
-// several the one that the most crashes named, which is their number. mayTry is true if this entry
-// is the one that tries quarantined blocks.
-func (g *Register) Admit(request string, blocks []string, mayTry bool, now clock.Millis) (f Finding, because string, crashes int) {
+// Admit decides on a request by its keys. because is the one that the decision rests on, of several the one
+// that the most crashes named, which is their number. mayTry is true if this entry is the one that tries
+// quarantined ones.
+func (g *Register) Admit(request string, keys *Keys, mayTry bool, now clock.Millis) (f Finding, because string, crashes int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, key := range blocks {
+	all := g.keysOf(keys)
+	for _, key := range all {
 		s := g.suspects[key]
 		if s == nil || s.named == 0 || g.isCleared(key, now) {
 			continue
 		}
 		s.seenAt = now
+		if isRequest(key) && s.named == 1 && s.crowd > maxCrowd {
+			continue
+		}
+		if s.named >= crashesFor(key) {
+			g.judgedAt = never // the request must not reach another endpoint for want of a judgement
+		}
 		g.judge(now)
 		next := Test
 		switch {
-		case g.refuses(key, blocks) && (!mayTry || s.tester != "" || !g.trialDue(key, now)):
+		case g.refuses(key, all) && (!mayTry || s.tester != "" || !g.trialDue(key, now)):
 			next = Quarantined
 		case s.tester != "":
 			next = Wait
 		}
-		// Of blocks that are named alike the last one: requests begin with the same ones.
+		// Of keys that are named alike the last one: requests begin with the same blocks, and one that only
+		// this request has would be tested beside each other one.
 		if next > f || next == f && s.named >= crashes {
 			f, because, crashes = next, key, s.named
 		}
 	}
 	if f == Test {
-		g.setTester(blocks, "", request)
-		for _, key := range blocks {
+		g.setTester(all, "", request)
+		for _, key := range all {
 			if s := g.suspects[key]; s != nil {
 				s.triedAt = now
 			}
@@ -184,17 +200,33 @@
 	return f, because, crashes
 }
 
+// keysOf returns the keys of a request that may be suspects, that of the request itself first.
+func (g *Register) keysOf(keys *Keys) (all []string) {
+	if request := g.requestOf(keys); request != "" {
+		all = append(all, request)
+	}
+	return append(all, keys.shared...)
+}
+
+// requestOf returns the key of the request itself; empty while no request is a suspect.
+func (g *Register) requestOf(keys *Keys) string {
+	if g.requests == 0 {
+		return ""
+	}
+	return keys.Request()
+}
+
 // Release ends the test of a request.
-func (g *Register) Release(request string, blocks []string) {
+func (g *Register) Release(request string, keys *Keys) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.setTester(blocks, request, "")
+	g.setTester(g.keysOf(keys), request, "")
 	g.notify()
 }
 
-// setTester replaces the request that tests the blocks.
-func (g *Register) setTester(blocks []string, from, to string) {
-	for _, key := range blocks {
+// setTester replaces the request that tests the keys.
+func (g *Register) setTester(keys []string, from, to string) {
+	for _, key := range keys {
 		if s := g.suspects[key]; s != nil && s.tester == from {
 			s.tester = to
 		}
@@ -205,10 +237,21 @@
 // nothing else would show that.
 func (g *Register) trialDue(key string, now clock.Millis) bool {
 	s := g.suspects[key]
-	delay := firstTrialDelay << min(max(g.guilty[key].crashes-crashesToQuarantine, 0), maxTrialDoublings)
+	delay := firstTrialDelay << min(max(g.guilty[key].crashes-crashesFor(key), 0), maxTrialDoublings)
+	if isRequest(key) {
+		delay *= requestTrialFactor
+	}
 	return now-s.lastCrashAt >= delay && now-s.triedAt >= trialInterval
 }
 
+// crashesFor returns how many independent crashes must name a key for a verdict.
+func crashesFor(key string) int {
+	if isRequest(key) {
+		return requestCrashes
+	}
+	return crashesToQuarantine
+}
+
 // isCleared reports whether an answer with the block got beyond its beginning lately, at this entry or
 // another one.
 func (g *Register) isCleared(key string, now clock.Millis) bool {
@@ -225,6 +268,11 @@
 	if _, known := g.cleared[key]; known || len(g.cleared) < 2*maxCleared {
 		g.cleared[key] = now
 	}
+	return g.clearSuspect(key, now)
+}
+
+// clearSuspect is like clear, but keeps nothing of a key that is no suspect.
+func (g *Register) clearSuspect(key string, now clock.Millis) bool {
 	s := g.suspects[key]
 	if s == nil || s.named == 0 {
 		return false
@@ -257,6 +305,9 @@
 	}
 	s = &suspect{clearedAt: never, seenAt: now, triedAt: never, lastCrashAt: never}
 	g.suspects[key] = s
+	if isRequest(key) {
+		g.requests++
+	}
 	return s
 }
 
@@ -276,6 +327,9 @@
 	for _, c := range g.crashes {
 		delete(c.named, key)
 	}
+	if isRequest(key) {
+		g.requests--
+	}
 	delete(g.suspects, key)
 }
 
@@ -284,7 +338,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for key, s := range g.suspects {
-		if now-s.seenAt > forgetAfter || s.named == 0 && now-s.clearedAt > clearTTL {
+		once := isRequest(key) && s.named == 1 && now-s.seenAt > onceForgetAfter
+		if now-s.seenAt > forgetAfter || once || s.named == 0 && now-s.clearedAt > clearTTL {
 			g.dropSuspect(key)
 		}
 	}
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -9,8 +9,10 @@
 )
 
 const (
-	// reportRepeats is how often news is reported: reports may be lost.
-	reportRepeats = 4
+	// reportRepeats is how often news is reported: reports may be lost. repeatInterval is the time between two
+	// reports of it.
+	reportRepeats  = 4
+	repeatInterval = 200 * clock.Millis(1)
 	// maxReportedCrashes and maxReportedBlocks limit a report, maxReportedNames the blocks that a crash in
 	// it names.
 	maxReportedCrashes = 32
@@ -52,18 +54,49 @@
 // Empty reports whether there is nothing to report.
 func (e Evidence) Empty() bool { return len(e.Crashes)+len(e.Blocks) == 0 }
 
+// news is how often something must still be reported to other entries, and when it was last reported.
+type news struct {
+	left int
+	at   clock.Millis
+}
+
+// isDue reports whether the news is to be reported now, in a report of the given scope.
+func (n news) isDue(scope Scope, now clock.Millis) bool {
+	return n.left == reportRepeats || n.left > 0 && !scope.News && now-n.at >= repeatInterval
+}
+
+// reported records that the news was reported.
+func (n *news) reported(now clock.Millis) { n.left, n.at = max(n.left-1, 0), now }
+
 // repeatCrash has a crash reported at once and some times more, repeatClearing that a block was
 // cleared.
 func (g *Register) repeatCrash(c *crash) {
-	c.repeats = reportRepeats
+	c.report.left = reportRepeats
 	g.signal()
 }
 
 func (g *Register) repeatClearing(s *suspect) {
-	s.repeats = reportRepeats
+	s.clearing.left = reportRepeats
 	g.signal()
 }
 
+// Repeats reports whether news has to be reported again.
+func (g *Register) Repeats() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, c := range g.crashes {
+		if c.report.left > 0 {
+			return true
+		}
+	}
+	for _, s := range g.suspects {
+		if s.clearing.left > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (g *Register) signal() {
 	select {
 	case g.urgent <- struct{}{}:
@@ -80,6 +113,8 @@
 	Verdicts bool
 	// Repeated leaves out blocks that only one crash names, which are most after an unrelated crash.
 	Repeated bool
+	// News leaves out what has been reported before.
+	News bool
 }
 
 // Report returns what to report to other entries.
@@ -93,20 +128,23 @@
 	}
 	for _, incarnation := range slices.Backward(g.inOrder()) {
 		c := g.crashes[incarnation]
-		if len(e.Crashes) == maxReportedCrashes || c.repeats == 0 && !supporting[incarnation] {
+		if len(e.Crashes) == maxReportedCrashes || !c.report.isDue(scope, now) && !supporting[incarnation] {
 			continue
 		}
-		c.repeats = max(c.repeats-1, 0)
-		if names := g.reportedNames(c, scope, now); len(names) > 0 {
+		isNews := c.report.left == reportRepeats
+		c.report.reported(now)
+		names := g.reportedNames(c, scope, isNews && !supporting[incarnation], now)
+		clear(c.fresh)
+		if len(names) > 0 {
 			e.Crashes = append(e.Crashes, ReportedCrash{incarnation, now - c.at, names})
 		}
 	}
 	for _, key := range slices.Sorted(maps.Keys(g.suspects)) {
 		s := g.suspects[key]
-		if len(e.Blocks) == maxReportedBlocks || s.repeats == 0 && !(scope.Verdicts && g.isGuilty(key)) {
+		if len(e.Blocks) == maxReportedBlocks || !s.clearing.isDue(scope, now) && !(scope.Verdicts && g.isGuilty(key)) {
 			continue
 		}
-		s.repeats = max(s.repeats-1, 0)
+		s.clearing.reported(now)
 		e.Blocks = append(e.Blocks, ReportedBlock{Block: key, Cleared: now-s.clearedAt < clearTTL, ClearedAge: now - s.clearedAt, SeenAge: now - s.seenAt})
 	}
 	return e
@@ -145,15 +183,18 @@
 	})
 }
 
-// reportedNames returns the blocks that a crash names, those first that the most crashes name.
-func (g *Register) reportedNames(c *crash, scope Scope, now clock.Millis) (names []ReportedName) {
+// reportedNames returns the keys that a crash names, or those that it names since the last report, those first
+// that the most crashes name.
+func (g *Register) reportedNames(c *crash, scope Scope, onlyFresh bool, now clock.Millis) (names []ReportedName) {
 	for _, key := range slices.SortedFunc(maps.Keys(c.named), func(a, b string) int {
 		return cmp.Or(cmp.Compare(g.suspects[b].named, g.suspects[a].named), cmp.Compare(a, b))
 	}) {
 		if len(names) == maxReportedNames || scope.Repeated && g.suspects[key].named < 2 {
 			break
 		}
-		names = append(names, ReportedName{key, now - c.named[key]})
+		if !onlyFresh || c.fresh[key] {
+			names = append(names, ReportedName{key, now - c.named[key]})
+		}
 	}
 	return names
 }
@@ -176,7 +217,7 @@
 				g.repeatClearing(g.suspects[x.Block])
 			} else {
 				// All others have heard it as well.
-				g.suspects[x.Block].repeats = 0
+				g.suspects[x.Block].clearing.left = 0
 			}
 		}
 	}
@@ -229,9 +270,10 @@
 		if at, ok := g.cleared[name.Block]; ok {
 			s.clearedAt = max(s.clearedAt, at)
 		}
-		if s.repeats == 0 {
+		if s.clearing.left == 0 {
 			g.repeatClearing(s)
 		}
 	}
+	g.noteCrowd(x.Incarnation)
 	return news
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -49,7 +49,7 @@
 	refused bool
 	// unframed is true for an answer that ends with its connection.
 	unframed bool
-	// watch is the attempt in the register of blocks; nil if all blocks are cleared.
+	// watch is the attempt in the register of what endpoints crash on.
 	watch *quarantine.Attempt
 	// wrongEndpoint is true when the address now belongs to another endpoint.
 	wrongEndpoint bool
@@ -76,7 +76,7 @@
 			a.end()
 		}
 	}()
-	a.watch = s.quarantine.Begin(incarnationOf(a.endpoint), x.shared, x.route.Kind != catalog.Streaming, now)
+	a.watch = s.quarantine.Begin(incarnationOf(a.endpoint), x.keys, x.route.Kind != catalog.Streaming, now)
 	a.onEnd = append(a.onEnd, func() { s.quarantine.End(a.watch, false, s.cfg.Clock.Now()) })
 	a.countLimited()
 	x.sends++
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/fleet"
-	"github.com/parsleydeal/parsleydeal/placement"
 	"github.com/parsleydeal/parsleydeal/quarantine"
 	"github.com/parsleydeal/parsleydeal/refusal"
 )
@@ -26,12 +26,20 @@
 	proofDelay = 600 * clock.Millis(1)
 )
 
-// keysOf returns the keys of the blocks of a prompt that other requests may share.
-func keysOf(blocks []placement.Block) (keys []string) {
-	for i := range len(blocks) - 1 {
-		keys = append(keys, quarantine.Key(blocks[i].ID))
+// keysOf returns what a request is known by when endpoints crash: by all that they see of it but its ID, the
+// caller's deadline and the last event that the caller has. It must not be used further before the body was read.
+func keysOf(req *Request) *quarantine.Keys {
+	blocks := make([]string, len(req.Blocks))
+	for i, b := range req.Blocks {
+		blocks[i] = b.ID
 	}
-	return keys
+	return quarantine.NewKeys(blocks, func() [][]byte {
+		content := [][]byte{[]byte(req.Method), []byte(req.Target), []byte(req.Model), req.body}
+		for _, b := range req.Blocks {
+			content = append(content, []byte(b.ID), strconv.AppendInt(nil, int64(b.Tokens), 10))
+		}
+		return content
+	})
 }
 
 func incarnationOf(e *fleet.Endpoint) quarantine.Incarnation {
@@ -46,7 +54,7 @@
 	until := s.cfg.Clock.Now() + min(maxTestWait, clock.Millis(maxTestWaitRatio*float64(x.remaining())))
 	for {
 		changed, now := s.quarantine.Changed(), s.cfg.Clock.Now()
-		f, because, crashes := s.quarantine.Admit(x.req.ID, x.shared, x.view.FirstSpreader(), now)
+		f, because, crashes := s.quarantine.Admit(x.req.ID, x.keys, x.view.FirstSpreader(), now)
 		switch {
 		case f == quarantine.Admitted:
 			return nil
@@ -56,11 +64,11 @@
 		case f == quarantine.Quarantined:
 			s.countFinding(f)
 			x.refusedFor = because
-			return refusal.New(refusal.Quarantined, "endpoints crash on a block of the prompt").WithRetryAfter(quarantineRetryAfter)
+			return refusal.New(refusal.Quarantined, "endpoints crash on this request or a block of its prompt").WithRetryAfter(quarantineRetryAfter)
 		case now >= until:
 			s.countFinding(f)
 			x.refusedFor = because
-			return refusal.New(refusal.Quarantined, "a block of the prompt is being tested").WithRetryAfter(testRetryAfter)
+			return refusal.New(refusal.Quarantined, "another request tests whether endpoints crash on it").WithRetryAfter(testRetryAfter)
 		}
 		awaitChange(ctx, changed, until-now)
 		if ctx.Err() != nil {
@@ -92,7 +100,7 @@
 // endTest lets other requests test the blocks that this one tested, if any.
 func (x *exchange) endTest() {
 	if x.tested != "" {
-		x.server.quarantine.Release(x.req.ID, x.shared)
+		x.server.quarantine.Release(x.req.ID, x.keys)
 		x.tested = ""
 	}
 }
@@ -117,7 +125,11 @@
 			s.recordCrash(a, now)
 		}
 	case !s.quarantine.MayHaveCrashed(a.watch):
-	case brokeOff, r == done && a.unframed:
+	case brokeOff && s.quarantine.IsCrashed(incarnationOf(a.endpoint)):
+		// Another attempt has found out.
+		s.quarantine.End(a.watch, true, now)
+		s.recordCrash(a, now)
+	case brokeOff, r == done && a.unframed && s.quarantine.HasUncleared(a.watch):
 		accepted, refused := s.cfg.Pool.Probe(ctx, a.endpoint.Address)
 		s.quarantine.End(a.watch, refused || brokeOff && !accepted, s.cfg.Clock.Now())
 		if refused {
@@ -128,7 +140,7 @@
 		x.tested = ""
 		time.AfterFunc(proofDelay.Duration(), func() {
 			s.proveAlive(a)
-			s.quarantine.Release(x.req.ID, x.shared)
+			s.quarantine.Release(x.req.ID, x.keys)
 		})
 	}
 }
@@ -151,9 +163,10 @@
 	if !ok {
 		return
 	}
+	s.reportNow()
 	s.metrics.GetOrCreateCounter("parsleydeal_endpoint_crashes_total").Inc()
 	s.cfg.Log.Warn("Endpoint crashed", "endpoint", i.Endpoint, "born", i.Number, "address", a.endpoint.Address, "request", a.exchange.req.ID,
-		"suspects", c.Suspects, "cleared", c.Cleared, "blocks", listed(c.Blocks))
+		"suspects", c.Suspects, "cleared", c.Cleared, "keys", listed(c.Keys))
 }
 
 // logFound logs and counts blocks that are quarantined from now on.
--- a/relay/run.go
+++ b/relay/run.go
@@ -51,7 +51,7 @@
 // run makes attempts until the caller has the complete answer, or until the request's time,
 // attempts or retry budget are used up. No other layer retries requests.
 func (x *exchange) run(ctx context.Context) (err error) {
-	x.tried, x.silentEndpoints = make(map[string]bool), make(map[string]bool)
+	x.tried, x.silentEndpoints, x.keys = make(map[string]bool), make(map[string]bool), keysOf(x.req)
 	defer x.returnUnusedRetry()
 	defer x.dropFallback()
 	defer x.endTest()
@@ -258,12 +258,20 @@
 	now := s.cfg.Clock.Now()
 	used, limit := x.budget().State(now)
 	s.countUnanswered(a, r)
-	s.cfg.Log.Info("Attempt did not answer", "request", x.req.ID, "route", x.route.Name, "organisation", x.organisation, "blocks", listed(x.shared), "endpoint", a.endpoint.ID, "address", a.endpoint.Address, "zone", a.endpoint.Zone,
+	s.cfg.Log.Info("Attempt did not answer", "request", x.req.ID, "route", x.route.Name, "organisation", x.organisation, "blocks", listed(x.keys.Shared()), "key", x.keyOf(r), "endpoint", a.endpoint.ID, "address", a.endpoint.Address, "zone", a.endpoint.Zone,
 		"version", a.endpoint.Version, "model", a.plan.model(), "result", r, "phase", a.phase(now), "status", a.status, "confidence", a.confidence, "silent", a.silent,
 		"after", now-a.startedAt, "expected", a.expectedFirstByte, "first", a.timeToFirstByte, "left", x.remaining(),
 		"retry", x.retry, "retries-used", used, "retries-allowed", int(limit), "error", logbook.Text(err))
 }
 
+// keyOf returns the key of the request, which its repeats have too, if its attempt may have crashed the endpoint.
+func (x *exchange) keyOf(r result) string {
+	if r != failed && r != broken {
+		return ""
+	}
+	return x.keys.Request()
+}
+
 // String returns the name of the result for logs.
 func (r result) String() string {
 	return [...]string{"done", "poor", "not-run", "failed", "broken", "ended"}[r]
--- a/relay/server.go
+++ b/relay/server.go
@@ -77,8 +77,10 @@
 	latency        *latencyTracker
 	escalator      *cascade.Escalator
 	quarantine     *quarantine.Register
-	leaving        atomic.Bool
-	startedAt      clock.Millis
+	// evidence reports what the register has found; nil before SendEvidence is called.
+	evidence  atomic.Pointer[evidenceReporter]
+	leaving   atomic.Bool
+	startedAt clock.Millis
 	// snapshotRequests holds the addresses of entries that wait for a snapshot; awaitingSnapshot
 	// is true while this entry waits for its own.
 	snapshotRequests chan string
@@ -168,10 +170,10 @@
 	runs            int
 	sends           int
 	unsent          int
-	// shared holds the keys of the prompt's blocks that other requests may share. tested is the
-	// suspected one that this request tests, lastTested the one that it tested last, and refusedFor the
-	// one that it was refused for; empty if there is none.
-	shared     []string
+	// keys are what the request is known by when endpoints crash. tested is the suspected one that this
+	// request tests, lastTested the one that it tested last, and refusedFor the one that it was refused for;
+	// empty if there is none.
+	keys       *quarantine.Keys
 	tested     string
 	lastTested string
 	refusedFor string
@@ -214,7 +216,6 @@
 	if x.req, err = s.cfg.Dialect.Read(x.r); err != nil {
 		return err
 	}
-	x.shared = keysOf(x.req.Blocks)
 	x.awaitStart()
 	if err = x.admit(); err != nil {
 		return err
