--- a/daemon/crash_test.go
+++ b/daemon/crash_test.go
@@ -19,8 +19,10 @@
 	mu      sync.Mutex
 	started int
 	crashes []time.Time
-	// arrivals holds when requests with the block arrived.
+	// arrivals holds when requests with the block arrived, lone when single requests on which endpoints crash
+	// did, by their blocks.
 	arrivals []time.Time
+	lone     map[string][]time.Time
 }
 
 const poolReturn = 1200 * time.Millisecond
@@ -32,7 +34,14 @@
 	p.mu.Unlock()
 	e := p.endpoint(name, "pool", "v1", func(r *http.Request) standin.Reply {
 		reply := standin.Reply{Events: 4, EventDelay: 20 * time.Millisecond, BreakAfter: -1, Confidence: 95}
-		if strings.Contains(r.Header.Get("Prompt-Prefix"), "bad:") {
+		prefix := r.Header.Get("Prompt-Prefix")
+		if strings.Contains(prefix, "lone-") {
+			reply.CrashAfter = 50 * time.Millisecond
+			p.mu.Lock()
+			p.lone[prefix] = append(p.lone[prefix], time.Now())
+			p.mu.Unlock()
+		}
+		if strings.Contains(prefix, "bad:") {
 			reply.CrashAfter = 50 * time.Millisecond
 			p.mu.Lock()
 			p.arrivals = append(p.arrivals, time.Now())
@@ -59,18 +68,18 @@
 	}
 }
 
-// Requests with one block reach all entries of a site and crash each endpoint that begins to answer them.
-// Guards against entries that do not tell each other, or refuse what shares its other blocks.
-func TestBlockThatCrashesEndpoints(t *testing.T) {
-	t.Parallel()
-	is := is.New(t)
-	p := &crashingPool{testSite: newTestSite(t)}
-	for range 8 {
+func newCrashingPool(t *testing.T, endpoints int) *crashingPool {
+	p := &crashingPool{testSite: newTestSite(t), lone: make(map[string][]time.Time)}
+	for range endpoints {
 		p.start()
 	}
 	p.publish()
-	var entries []*testEntry
-	for i := range 3 {
+	return p
+}
+
+// startEntries starts entries and waits until they know each other.
+func (p *crashingPool) startEntries(n int) (entries []*testEntry) {
+	for i := range n {
 		entries = append(entries, p.entry(fmt.Sprint("entry-", i)))
 	}
 	p.eventually(5*time.Second, "the entries know each other", func() bool {
@@ -81,6 +90,58 @@
 		}
 		return true
 	})
+	return entries
+}
+
+// Callers send one request each that crashes endpoints, again and again at any entry under other IDs, beside sound
+// ones. Guards against entries that take each repeat for another request.
+func TestRequestThatCrashesEndpoints(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	p := newCrashingPool(t, 12)
+	entries := p.startEntries(4)
+	var callers sync.WaitGroup
+	for i := range 3 {
+		callers.Go(func() {
+			time.Sleep(time.Duration(1+i) * time.Second)
+			for try := range 8 {
+				entries[(i+try)%len(entries)].send("POST", "/chat/1", "x", func(r *http.Request) { r.Header.Set("Prompt-Prefix", fmt.Sprintf("first:100,x:200,lone-%d:50", i)) })
+			}
+		})
+	}
+	var mu sync.Mutex
+	asked, served := 0, 0
+	for i := range 200 {
+		callers.Go(func() {
+			r := entries[i%len(entries)].send("POST", "/chat/1", "x", func(r *http.Request) { r.Header.Set("Prompt-Prefix", fmt.Sprintf("first:100,x:200,own-%d:50", i)) })
+			mu.Lock()
+			defer mu.Unlock()
+			asked++
+			if r.err == nil && hasEvents(r.body, 4) {
+				served++
+			}
+		})
+		time.Sleep(25 * time.Millisecond)
+	}
+	callers.Wait()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	is.Equal(len(p.lone), 3)
+	for prefix, at := range p.lone {
+		t.Logf("%s reached %d endpoints", prefix, len(at))
+		is.True(len(at) <= 3)
+	}
+	t.Logf("%d of %d sound ones served", served, asked)
+	is.True(served*10 >= asked*9)
+}
+
+// Requests with one block reach all entries of a site and crash each endpoint that begins to answer them.
+// Guards against entries that do not tell each other, or refuse what shares its other blocks.
+func TestBlockThatCrashesEndpoints(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	p := newCrashingPool(t, 8)
+	entries := p.startEntries(3)
 	var callers sync.WaitGroup
 	var mu sync.Mutex
 	served, asked, statuses := 0, 0, make(map[int]int)
--- /dev/null
+++ b/quarantine/request_test.go
@@ -0,0 +1,142 @@
+package quarantine
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/parsleydeal/parsleydeal/clock"
+)
+
+// requestKeys returns the keys of a request with the given content and blocks.
+func requestKeys(content string, blocks ...string) *Keys {
+	return NewKeys(blocks, func() [][]byte { return [][]byte{[]byte(content)} })
+}
+
+// crashUnder has an endpoint crash 70 ms after it has begun to answer requests.
+func crashUnder(g *Register, endpoint string, at clock.Millis, all ...*Keys) {
+	var attempts []*Attempt
+	for _, keys := range all {
+		a := g.Begin(Incarnation{Endpoint: endpoint}, keys, false, at)
+		g.Head(a, at+1)
+		attempts = append(attempts, a)
+	}
+	for _, a := range attempts {
+		g.End(a, true, at+70)
+	}
+	g.Crashed(Incarnation{Endpoint: endpoint}, at+70)
+}
+
+// A caller sends one request again and again. Guards against a third endpoint that crashes on it, at this entry or
+// another one.
+func TestTwoCrashesUnderOneRequestAreEnough(t *testing.T) {
+	is := is.New(t)
+	g, other := New(), New()
+	bad, sound := requestKeys("bad", "shared", "own"), requestKeys("sound", "shared", "own-2")
+	crashUnder(g, "i-1", 1000, bad, sound)
+	other.Receive(g.Report(Scope{}, 1071), false, 1071)
+	f, _, _ := other.Admit("r-1", bad, false, 1072)
+	is.Equal(f, Test)
+	other.Release("r-1", bad)
+	crashUnder(other, "i-2", 1100, bad)
+	g.Receive(other.Report(Scope{}, 1171), false, 1171)
+	for _, entry := range []*Register{g, other} {
+		f, because, _ := entry.Admit("r-2", bad, false, 1172)
+		is.Equal(f, Quarantined)
+		is.Equal(because, bad.Request())
+		f, _, _ = entry.Admit("r-3", sound, false, 1172)
+		is.True(f != Quarantined)
+	}
+}
+
+// A sound request was under way at two endpoints that crashed. Guards against it being kept out although it has been
+// answered since.
+func TestAnswerClearsRequest(t *testing.T) {
+	is := is.New(t)
+	g, keys := New(), requestKeys("sound", "own")
+	crashUnder(g, "i-1", 1000, keys)
+	a := g.Begin(Incarnation{Endpoint: "i-2"}, keys, false, 1100)
+	g.Head(a, 1110)
+	g.Alive(Incarnation{Endpoint: "i-2"}, 1400)
+	g.Alive(Incarnation{Endpoint: "i-2"}, 1700)
+	crashUnder(g, "i-3", 1800, keys)
+	f, _, _ := g.Admit("r", keys, false, 1900)
+	is.Equal(f, Admitted)
+}
+
+// Two endpoints crash while the same many requests are under way there. Guards against all of them being kept out.
+func TestRequestsOfTwoMassCrashesAreAdmitted(t *testing.T) {
+	is := is.New(t)
+	g := New()
+	var all []*Keys
+	for i := range maxAlike + 1 {
+		all = append(all, requestKeys(fmt.Sprint("r-", i), fmt.Sprint("own-", i)))
+	}
+	crashUnder(g, "i-1", 1000, all...)
+	crashUnder(g, "i-2", 1100, all...)
+	for _, keys := range all {
+		f, _, _ := g.Admit("r", keys, false, 1200)
+		is.True(f != Quarantined)
+	}
+}
+
+// One request ends three endpoints and has a block that no other request has. Guards against that block being kept out.
+func TestBlockOfOneRequestIsAdmitted(t *testing.T) {
+	is := is.New(t)
+	g, bad := New(), requestKeys("bad", "rare", "own")
+	for i := range crashesToQuarantine {
+		crashUnder(g, fmt.Sprint("i-", i), clock.Millis(1000+100*i), bad)
+	}
+	f, _, _ := g.Admit("r-1", bad, false, 2000)
+	is.Equal(f, Quarantined)
+	f, _, _ = g.Admit("r-2", requestKeys("sound", "rare", "own-2"), false, 2000)
+	is.True(f != Quarantined)
+}
+
+// Many requests are answered, each of another content. Guards against a register that grows with its callers, and
+// against digests that nobody needs.
+func TestNothingIsKeptOfSoundRequests(t *testing.T) {
+	is := is.New(t)
+	g, digests := New(), 0
+	at := clock.Millis(0)
+	for i := range 1000 {
+		keys := NewKeys([]string{"shared", fmt.Sprint("own-", i)}, func() [][]byte { digests++; return nil })
+		f, _, _ := g.Admit("r", keys, false, at)
+		is.Equal(f, Admitted)
+		a := g.Begin(Incarnation{Endpoint: "i-1"}, keys, false, at)
+		g.Head(a, at)
+		at += 100
+		g.Alive(Incarnation{Endpoint: "i-1"}, at)
+		if i%10 == 9 {
+			g.Sweep(at)
+		}
+		g.End(a, false, at)
+	}
+	g.Sweep(at + endedTime)
+	is.Equal(digests, 0)
+	is.Equal(len(g.suspects), 0)
+	is.Equal(len(g.cleared), 1)
+	is.True(len(g.endpoints) <= 1)
+}
+
+// A crash names a request that its caller never sends again. Guards against a register that fills with such requests.
+func TestRequestNamedOnceIsForgotten(t *testing.T) {
+	is := is.New(t)
+	g := New()
+	crashUnder(g, "i-1", 1000, requestKeys("r", "own"))
+	g.Sweep(1000 + onceForgetAfter/2)
+	is.Equal(g.requests, 1)
+	g.Sweep(1100 + onceForgetAfter)
+	is.Equal(g.requests, 0)
+	is.Equal(len(g.suspects), 0)
+}
+
+// The digest of a request with a body of 110 KB.
+func BenchmarkRequestKey(b *testing.B) {
+	body := bytes.Repeat([]byte("x"), 110<<10)
+	b.SetBytes(int64(len(body)))
+	for range b.N {
+		requestKey([][]byte{body})
+	}
+}
