Send no read for refusals while the store settles; name attempts in progress first

After the store came back from an older copy each refused request would have read it twice in vain, without bound (TestNoConfirmationWhileStoreSettles failed: two reads before each refusal).

--- a/quarantine/attempt.go
+++ b/quarantine/attempt.go
@@ -216,12 +216,17 @@
 }
 
 // suspects returns the attempts that may be the cause of a crash: begun holds those that had begun, beside those whose
-// head comes only with the whole answer, and waiting the others. An endpoint that crashes before it sends the
+// head comes only with the whole answer and those that have just ended, the latter last, and waiting the others. An endpoint that crashes before it sends the
 // head is less likely, so that blocks of waiting requests are suspected only if no block of a begun one is.
 func (e *endpoint) suspects(now clock.Millis) (begun, waiting []*Attempt) {
+	var ended []*Attempt
 	for _, a := range e.begun {
-		if !a.expired(now) && (a.endedAt == never || a.broken || now-a.headAt <= beginningTime) {
+		switch {
+		case a.expired(now):
+		case a.endedAt == never || a.broken:
 			begun = append(begun, a)
+		case now-a.headAt <= beginningTime:
+			ended = append(ended, a)
 		}
 	}
 	for a := range e.waiting {
@@ -233,6 +238,7 @@
 			waiting = append(waiting, a)
 		}
 	}
+	begun = append(begun, ended...)
 	if !slices.ContainsFunc(begun, func(a *Attempt) bool { return len(a.uncleared) > 0 }) {
 		begun, waiting = append(begun, waiting...), nil
 	}
--- a/site/confirm.go
+++ b/site/confirm.go
@@ -57,8 +57,11 @@
 	if l.confirming != nil {
 		return l.confirming, nil
 	}
-	if l.cfg.Clock.Since(l.confirmFailedAt) < confirmRetryDelay {
+	switch now := l.cfg.Clock.Now(); {
+	case now-l.confirmFailedAt < confirmRetryDelay:
 		return nil, ErrStale.New("the store did not confirm the configuration a moment ago")
+	case now < l.View().settledAt:
+		return nil, ErrStale.New("the store came back from an older copy and may lack changes")
 	}
 	c = &confirmation{done: make(chan struct{})}
 	l.confirming = c
