Read earlier operators' records in steps, and beside the first read

An entry without a configuration read up to 64 records before it served, several MB over a slow link, longer than its read may take. Where the newest record is invalid it now reads the last two, then more; where it is valid it serves by it at once and looks for a higher version beside that.

--- a/site/event.go
+++ b/site/event.go
@@ -38,6 +38,12 @@
 	SentAt clock.Millis
 }
 
+// ConfigFound is a configuration that was found among earlier records.
+type ConfigFound struct {
+	Now    clock.Millis
+	Update OperatorUpdate
+}
+
 // EndpointsRead is the result of a read of the endpoints' stream. A full result lists all
 // endpoints.
 type EndpointsRead struct {
@@ -107,6 +113,7 @@
 
 func (Tick) event()                {}
 func (OperatorReadOverdue) event() {}
+func (ConfigFound) event()         {}
 func (OperatorRead) event()        {}
 func (EndpointsRead) event()       {}
 func (VerdictsRead) event()        {}
--- a/site/feed.go
+++ b/site/feed.go
@@ -105,6 +105,9 @@
 }
 
 func (l *Loop) handleOperator(ctx context.Context, res readResult) {
+	if res.full && l.cfg.Store.History != nil && l.View().Config() == nil {
+		go l.findNewerConfig(ctx, res.next.Offset)
+	}
 	update := l.cfg.Codec.Operator(res.records)
 	if earlier := l.cfg.Codec.Operator(res.history); earlier.Config != nil && earlier.version() >= update.version() {
 		update.Config, update.ConfigRecord = earlier.Config, earlier.ConfigRecord
@@ -276,20 +279,46 @@
 	return res, err
 }
 
-// history returns earlier records of the operators' stream after a full read, if this entry has no configuration
-// or the newest record of it cannot be used.
+const (
+	// firstHistory is the number of records before the end of the operators' stream that an entry reads to find a
+	// valid configuration. It grows by historyFactor up to maxHistory: a record may be large.
+	firstHistory  = 2
+	historyFactor = 4
+	maxHistory    = 128
+)
+
+// history returns earlier records of the operators' stream after a full read, if the newest record of the
+// configuration cannot be used and this entry may lack the one in force.
 func (f *feed) history(ctx context.Context, res readResult) (records []Record, err error) {
 	l := f.loop
 	u := l.cfg.Codec.Operator(res.records)
-	if l.cfg.Store.History == nil || l.View().Config() != nil && len(u.Invalid) == 0 {
+	if l.cfg.Store.History == nil || u.Config != nil || l.View().Config() != nil && len(u.Invalid) == 0 {
 		return nil, nil
 	}
-	records, err = l.cfg.Store.History(ctx, f.stream, res.next.Offset)
-	if err != nil && u.Config != nil {
-		l.cfg.Log.Warn("Earlier records cannot be read", "stream", f.stream, "config", u.Config.Version(), "error", logbook.Text(err))
-		return nil, nil
+	for n := int64(firstHistory); n <= maxHistory && len(records) < int(res.next.Offset); n *= historyFactor {
+		if records, err = l.cfg.Store.History(ctx, f.stream, res.next.Offset, n); err != nil {
+			return nil, err
+		}
+		if l.cfg.Codec.Operator(records).Config != nil || int64(len(records)) < n {
+			break
+		}
+	}
+	return records, nil
+}
+
+// findNewerConfig reads earlier records of the operators' stream after a first full read: the newest record of the
+// configuration may be an older version than another one that entries had in force before they all stopped.
+func (l *Loop) findNewerConfig(ctx context.Context, end int64) {
+	ctx, cancel := context.WithTimeout(ctx, (operatorWait + readSlack).Duration())
+	defer cancel()
+	records, err := l.cfg.Store.History(ctx, OperatorStream, end, firstHistory*historyFactor)
+	if err != nil {
+		l.cfg.Log.Warn("Earlier records cannot be read", "stream", OperatorStream, "error", logbook.Text(err))
+		return
+	}
+	if u := l.cfg.Codec.Operator(records); u.Config != nil {
+		l.post(ctx, ConfigFound{Now: l.cfg.Clock.Now(), Update: OperatorUpdate{Config: u.Config, ConfigRecord: u.ConfigRecord}})
 	}
-	return records, err
 }
 
 func (f *feed) handleError(ctx context.Context, err error) {
--- a/site/state.go
+++ b/site/state.go
@@ -199,6 +199,9 @@
 	case OperatorReadOverdue:
 		s.now = e.Now
 		effects = s.operatorReadOverdue(e)
+	case ConfigFound:
+		s.now = e.Now
+		effects = append(s.applyConfig(e.Update, false), Publish{})
 	case EndpointsRead:
 		s.now = e.Now
 		effects = s.endpointsRead(e)
--- a/site/store.go
+++ b/site/store.go
@@ -65,9 +65,9 @@
 	// the first one. It returns provider.ErrExpired if the store does not have that offset. The era
 	// of the position is that of the store, in which the offset may mean another place.
 	Read func(ctx context.Context, s Stream, from int64, wait clock.Millis) (records []Record, next Position, err error)
-	// History returns the last records of a stream before an offset, those that were replaced included, as
+	// History returns the last n records of a stream before an offset, those that were replaced included, as
 	// far as the store still has them. Nil if the store keeps none.
-	History func(ctx context.Context, s Stream, end int64) (records []Record, err error)
+	History func(ctx context.Context, s Stream, end, n int64) (records []Record, err error)
 	// Append adds a record and returns the era in which it was added. If at is not negative, the
 	// append is conditional and fails with ErrMoved unless the stream ends at that offset.
 	Append func(ctx context.Context, s Stream, key string, value []byte, at int64) (era int64, err error)
