--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -171,43 +171,60 @@
 		if len(naming) == 0 {
 			return
 		}
-		key := mostNamed(naming)
-		v := verdict{crashes: len(naming[key]), with: g.companions(key)}
-		keys := []string{key}
-		if alike := requestsLike(key, naming); len(alike) > 0 && len(alike) <= maxAlike {
-			// One of them is the cause. It costs less to refuse them all than to lose another endpoint.
-			keys, v.with = alike, nil
-		}
-		for incarnation := range naming[key] {
-			explained[incarnation] = true
+		keys := []string{mostNamed(naming)}
+		if isRequest(keys[0]) {
+			// Each may be the cause. It costs less to refuse them all than to lose another endpoint.
+			keys = requestsNamed(len(naming[keys[0]]), naming)
 		}
 		for _, key := range keys {
+			v := verdict{crashes: len(naming[key]), with: g.companions(key)}
+			if isRequest(key) && requestsLike(key, naming) <= maxAlike {
+				v.with = nil
+			}
 			g.guilty[key] = v
-			delete(naming, key)
 			if old, known := before[key]; !known || !slices.Equal(old.with, v.with) {
 				g.found = append(g.found, v.name(key))
 			}
 		}
+		for _, key := range keys {
+			for incarnation := range naming[key] {
+				explained[incarnation] = true
+			}
+			delete(naming, key)
+		}
 		for _, by := range naming {
 			maps.DeleteFunc(by, func(incarnation uint64, _ moment) bool { return explained[incarnation] })
 		}
 	}
 }
 
-// requestsLike returns the requests that all crashes name that name the given one, itself included, in order; none
-// if it is a block.
-func requestsLike(key string, naming map[string]map[uint64]moment) (alike []string) {
-	if !isRequest(key) {
-		return nil
+// requestsNamed returns the requests that n crashes name, in order.
+func requestsNamed(n int, naming map[string]map[uint64]moment) (keys []string) {
+	for key, by := range naming {
+		if isRequest(key) && len(by) == n {
+			keys = append(keys, key)
+		}
 	}
+	slices.Sort(keys)
+	return keys
+}
+
+// requestsLike returns the number of requests that all crashes name that name the given one, itself included.
+func requestsLike(key string, naming map[string]map[uint64]moment) (n int) {
 	for other, by := range naming {
-		lacks := func(incarnation uint64) bool { _, ok := by[incarnation]; return !ok }
-		if isRequest(other) && !slices.ContainsFunc(slices.Collect(maps.Keys(naming[key])), lacks) {
-			alike = append(alike, other)
+		if !isRequest(other) {
+			continue
+		}
+		all := true
+		for incarnation := range naming[key] {
+			_, ok := by[incarnation]
+			all = all && ok
+		}
+		if all {
+			n++
 		}
 	}
-	slices.Sort(alike)
-	return alike
+	return n
 }
 
 // enough reports whether crashes that name a key are independent and enough of all that are not
--- a/quarantine/request_test.go
+++ b/quarantine/request_test.go
@@ -140,3 +140,18 @@
 		requestKey([][]byte{body})
 	}
 }
+
+// A sound request was under way at one of the two endpoints that another one ended, and at a third that crashed for
+// another reason. Guards against a verdict on it alone, which would leave the one at fault with a single crash.
+func TestRequestAtFaultBesideUnluckyOne(t *testing.T) {
+	is := is.New(t)
+	for i := range 8 {
+		g := New()
+		bad, unlucky := requestKeys(fmt.Sprint("bad-", i)), requestKeys(fmt.Sprint("unlucky-", i))
+		crashUnder(g, "i-1", 1000, bad, unlucky)
+		crashUnder(g, "i-2", 1100, unlucky)
+		crashUnder(g, "i-3", 1200, bad)
+		f, _, _ := g.Admit("r", bad, false, 1300)
+		is.Equal(f, Quarantined)
+	}
+}
