--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -171,25 +171,26 @@
 		if len(naming) == 0 {
 			return
 		}
-		keys := []string{mostNamed(naming)}
-		if isRequest(keys[0]) {
-			// Each may be the cause. It costs less to refuse them all than to lose another endpoint.
-			keys = requestsNamed(len(naming[keys[0]]), naming)
+		key := mostNamed(naming)
+		keys, undecided := []string{key}, []string(nil)
+		if isRequest(key) {
+			// Each may be the cause. It costs less to refuse a few than to lose another endpoint.
+			keys, undecided = requestsNamed(len(naming[key]), naming)
 		}
 		for _, key := range keys {
-			v := verdict{crashes: len(naming[key]), with: g.companions(key)}
-			if isRequest(key) && requestsLike(key, naming) <= maxAlike {
-				v.with = nil
+			v := verdict{crashes: len(naming[key])}
+			if !isRequest(key) {
+				v.with = g.companions(key)
 			}
 			g.guilty[key] = v
 			if old, known := before[key]; !known || !slices.Equal(old.with, v.with) {
 				g.found = append(g.found, v.name(key))
 			}
-		}
-		for _, key := range keys {
 			for incarnation := range naming[key] {
 				explained[incarnation] = true
 			}
+		}
+		for _, key := range slices.Concat(keys, undecided) {
 			delete(naming, key)
 		}
 		for _, by := range naming {
@@ -198,15 +199,19 @@
 	}
 }
 
-// requestsNamed returns the requests that n crashes name, in order.
-func requestsNamed(n int, naming map[string]map[uint64]moment) (keys []string) {
-	for key, by := range naming {
-		if isRequest(key) && len(by) == n {
+// requestsNamed returns the requests that n crashes name, in order. Those that too many others are like are
+// undecided.
+func requestsNamed(n int, naming map[string]map[uint64]moment) (keys, undecided []string) {
+	for _, key := range slices.Sorted(maps.Keys(naming)) {
+		switch {
+		case !isRequest(key) || len(naming[key]) != n:
+		case requestsLike(key, naming) <= maxAlike:
 			keys = append(keys, key)
+		default:
+			undecided = append(undecided, key)
 		}
 	}
-	slices.Sort(keys)
-	return keys
+	return keys, undecided
 }
 
 // requestsLike returns the number of requests that all crashes name that name the given one, itself included.
@@ -270,10 +275,8 @@
 		maps.DeleteFunc(common, func(other string, _ clock.Millis) bool { _, ok := c.named[other]; return !ok })
 	}
 	delete(common, key)
-	if !isRequest(key) {
-		// Otherwise a block would be found only for the requests that were seen with it.
-		maps.DeleteFunc(common, func(other string, _ clock.Millis) bool { return isRequest(other) })
-	}
+	// Otherwise a block would be found only for the requests that were seen with it.
+	maps.DeleteFunc(common, func(other string, _ clock.Millis) bool { return isRequest(other) })
 	return slices.Sorted(maps.Keys(common))
 }
 
--- a/quarantine/request_test.go
+++ b/quarantine/request_test.go
@@ -75,6 +75,7 @@
 	}
 	crashUnder(g, "i-1", 1000, all...)
 	crashUnder(g, "i-2", 1100, all...)
+	is.Equal(len(g.Found(1200)), 0)
 	for _, keys := range all {
 		f, _, _ := g.Admit("r", keys, false, 1200)
 		is.True(f != Quarantined)
