--- a/site/confirm.go
+++ b/site/confirm.go
@@ -10,8 +10,9 @@
 const (
 	// confirmTimeout limits the read that confirms the configuration for requests that wait.
 	confirmTimeout = 400 * clock.Millis(1)
-	// confirmRetryDelay is the minimum time from a failed confirmation to the next read for one.
-	confirmRetryDelay = clock.Second
+	// confirmRetryDelay is the minimum time from a failed confirmation to the next read for one. Calls are billed
+	// also while the store is away, and once it is back the readers confirm the configuration sooner.
+	confirmRetryDelay = 5 * clock.Second
 	// maxConfirmRounds is how many reads a request may wait for: one that was sent too early for it, and
 	// one more.
 	maxConfirmRounds = 2
--- a/site/feed.go
+++ b/site/feed.go
@@ -368,7 +368,7 @@
 func (l *Loop) minFailureDelay(s Stream) clock.Millis {
 	switch {
 	case s == OperatorStream && l.View().missesChange(s, l.cfg.Clock.Now()):
-		return 0 // others are asked for it at once
+		return maxRetryDelay // others are asked for it again
 	case s != OperatorStream && l.operatorFailing.Load():
 		return operatorFailingDelay
 	case l.View().probedByPeers, l.View().storeServesPeers:
--- a/site/share.go
+++ b/site/share.go
@@ -19,6 +19,9 @@
 	extraPerUnserved = 2
 	maxExtraReaders  = 4
 	maxUnserved      = readerCount + maxExtraReaders
+	// extraReadTime is how long they read: until the next two entries would have found out that they are not
+	// served either.
+	extraReadTime = 2500 * clock.Millis(1)
 	// maxConfirmationAge is how old the confirmation of the configuration may be before an entry
 	// reads the store itself. An entry queries the readers once a second and a reply may be lost;
 	// a reader's own confirmation is up to 1.6 s old. The rest of the 5 s for which a revoked key
@@ -37,14 +40,14 @@
 // reader reports whether this entry reads the store on behalf of all.
 func (s *State) reader() bool { return s.rank() < readerCount+s.extraReaders() }
 
-// extraReaders returns the number of further entries that read the store while it does not serve a few: it may
-// not serve the next ones either, and a change has to be in force before these have found out.
+// extraReaders returns the number of further entries that read the store just after it has stopped serving a few: it
+// may not serve the next ones either, and a change has to be in force before these have found out.
 func (s *State) extraReaders() int {
 	s.delegates()
-	if n := s.delegateOrder.unserved; n <= maxUnserved {
-		return min(extraPerUnserved*n, maxExtraReaders)
+	if s.unserved > maxUnserved || s.now-s.unservedRoseAt >= extraReadTime {
+		return 0
 	}
-	return 0
+	return min(extraPerUnserved*s.unserved, maxExtraReaders)
 }
 
 // probedByPeers reports whether other entries probe a store that fails all entries, so that this
--- a/site/state.go
+++ b/site/state.go
@@ -83,6 +83,10 @@
 	heardLoggedAt clock.Millis
 	// delegateOrder caches the result of delegates.
 	delegateOrder delegateOrder
+	// unserved is the number of other running entries that the store does not serve, unservedRoseAt when it
+	// last rose.
+	unserved       int
+	unservedRoseAt clock.Millis
 	// counts, latencies and running are those of this process's last TrafficCounts.
 	counts         map[string]upgrade.Counts
 	latencies      map[string]upgrade.Latencies
@@ -182,7 +186,7 @@
 		upgrades: make(map[string]*upgrade.Upgrade), verdicts: make(map[string]Verdict), statusEnd: unread,
 		current: make(map[string]string), pendingVerdicts: make(map[string]pendingVerdict), peers: make(map[string]*peer),
 		addresses: make(map[string]string), listed: make(map[string]listedEntry), operatorRecords: make(map[string]Record), counts: make(map[string]upgrade.Counts), keptSessions: make(map[string][]uint64), lapsed: make(map[string]clock.Millis),
-		operator: unread, peerOperator: unread, settling: settling{since: never, until: never}, zonesOut: make(map[string]bool), fleetConfirmedAt: never, confirmedAt: never, entriesReadAt: never, overdueSince: never, tookStateAt: never, newerLoggedAt: never, counted: entryCount{at: never}, wasReader: true,
+		operator: unread, peerOperator: unread, settling: settling{since: never, until: never}, zonesOut: make(map[string]bool), fleetConfirmedAt: never, confirmedAt: never, entriesReadAt: never, overdueSince: never, unservedRoseAt: never, tookStateAt: never, newerLoggedAt: never, counted: entryCount{at: never}, wasReader: true,
 	}
 }
 
@@ -259,7 +263,7 @@
 // others read it.
 func (s *State) operatorReadOverdue(e OperatorReadOverdue) (effects []Effect) {
 	effects = []Effect{Count{"parsleydeal_operator_reads_overdue_total"}}
-	if s.overdueSince != never || !s.reader() || s.delegateOrder.unserved > maxUnserved {
+	if s.overdueSince != never || !s.reader() || s.unserved > maxUnserved {
 		return effects
 	}
 	s.overdueSince = e.SentAt
--- a/site/upgrade.go
+++ b/site/upgrade.go
@@ -101,8 +101,6 @@
 type delegateOrder struct {
 	at    clock.Millis
 	names []string
-	// unserved is the number of other running entries that the store does not serve.
-	unserved int
 }
 
 // delegateOrderTTL is how long the order of the delegates is cached unless a report changes it. An
@@ -127,7 +125,11 @@
 			unserved++
 		}
 	}
-	s.delegateOrder = delegateOrder{at: s.now, names: interleave(zones), unserved: unserved}
+	if unserved > s.unserved {
+		s.unservedRoseAt = s.now
+	}
+	s.unserved = unserved
+	s.delegateOrder = delegateOrder{at: s.now, names: interleave(zones)}
 	return s.delegateOrder.names
 }
 
