--- /dev/null
+++ b/soak/left_test.go
@@ -0,0 +1,140 @@
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	// leavingCallers is the number of callers of each kind that leave, stayingCallers of those that stay.
+	leavingCallers = 60
+	stayingCallers = 20
+	// leaveAfter is when a caller closes its connection, after it has sent its whole request. Its entry goes on
+	// resumeAfter later.
+	leaveAfter  = 150 * time.Millisecond
+	resumeAfter = 1200 * time.Millisecond
+	// maxLeftSends is how many requests of callers that left may reach endpoints.
+	maxLeftSends = 3
+)
+
+// leftKind is a kind of request as it is on the wire.
+type leftKind struct {
+	name, head, body string
+}
+
+var leftKinds = []leftKind{
+	{"stream-with-length", "POST /chat/x HTTP/1.1\r\nModel: *\r\nContent-Length: 4\r\n", "body"},
+	{"stream-in-chunks", "POST /chat/x HTTP/1.1\r\nModel: *\r\nTransfer-Encoding: chunked\r\n", "4\r\nbody\r\n0\r\n\r\n"},
+	{"read", "GET /read/x HTTP/1.1\r\n", ""},
+	{"fee", "POST /fee/x HTTP/1.1\r\nContent-Length: 4\r\n", "body"},
+}
+
+// Guards against requests that are sent to endpoints after their callers left while the entries were paused.
+func TestNothingIsSentForCallersThatLeft(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "parsleydeal-entry")
+	if out, err := exec.Command("go", "build", "-o", program, "../cmd/parsleydeal-entry").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	for _, cores := range []string{"1", "5"} {
+		t.Run("cores-"+cores, func(t *testing.T) {
+			t.Setenv("GOMAXPROCS", cores)
+			s := newSite(t, program)
+			k := &soak{site: s, t: t}
+			k.waitReady(5 * time.Second)
+			for i, kind := range leftKinds {
+				k.warm()
+				k.leavePaused(kind, fmt.Sprintf("%d", i))
+			}
+			if t.Failed() {
+				k.saveLogs(0)
+			}
+		})
+	}
+}
+
+// warm has the entries keep idle connections to endpoints.
+func (k *soak) warm() {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
+	var all sync.WaitGroup
+	for i := range leavingCallers {
+		all.Go(func() {
+			p := k.entries[i%len(k.entries)]
+			k.send(client, p, [...]string{"chat", "read"}[i/len(k.entries)%2], k.keys[0], fmt.Sprintf("warm-%d", i))
+		})
+	}
+	all.Wait()
+}
+
+// leavePaused has callers send whole requests to entries that are paused. Most of them leave before the entries go on,
+// the others must be answered.
+func (k *soak) leavePaused(kind leftKind, prefix string) {
+	k.t.Helper()
+	for _, p := range k.entries {
+		p.signal(syscall.SIGSTOP, false)
+	}
+	var left, stayed sync.WaitGroup
+	failed := make(chan string, stayingCallers)
+	for i := range leavingCallers + stayingCallers {
+		p := k.entries[i%len(k.entries)]
+		c, err := net.Dial("tcp4", strings.TrimPrefix(p.base, "http://"))
+		if err != nil {
+			k.t.Fatal(err)
+		}
+		id := fmt.Sprintf("left-%s-%d", prefix, i)
+		if i >= leavingCallers {
+			id = fmt.Sprintf("stay-%s-%d", prefix, i)
+		}
+		_, err = fmt.Fprintf(c, "%sHost: h.example\r\nRequest-Id: %s\r\nApi-Key: %s\r\nPrompt-Prefix: aa:100,%s:50\r\nRequest-Timeout-Ms: 4000\r\n\r\n%s", kind.head, id, k.keys[0], id, kind.body)
+		if err != nil {
+			k.t.Fatal(err)
+		}
+		if i < leavingCallers {
+			left.Go(func() { time.Sleep(leaveAfter); _ = c.Close() })
+			continue
+		}
+		stayed.Go(func() {
+			defer c.Close()
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				failed <- fmt.Sprint(id, " got ", err)
+				return
+			}
+			defer resp.Body.Close()
+			if resp.StatusCode != http.StatusOK {
+				failed <- fmt.Sprint(id, " got ", resp.StatusCode)
+			}
+		})
+	}
+	left.Wait()
+	time.Sleep(resumeAfter)
+	for _, p := range k.entries {
+		p.signal(syscall.SIGCONT, false)
+	}
+	stayed.Wait()
+	time.Sleep(time.Second)
+	close(failed)
+	for f := range failed {
+		k.t.Errorf("%s: %s", kind.name, f)
+	}
+	sends := 0
+	for _, e := range k.allEndpoints() {
+		for _, r := range e.Runs() {
+			if strings.HasPrefix(r.ID, "left-"+prefix) {
+				sends++
+			}
+		}
+	}
+	k.t.Logf("%s: %d of %d requests sent on after their callers left", kind.name, sends, leavingCallers)
+	if sends > maxLeftSends {
+		k.t.Errorf("%s: %d of %d requests were sent on after their callers left, %d allowed", kind.name, sends, leavingCallers, maxLeftSends)
+	}
+}
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -34,12 +34,18 @@
 	target string
 	mu     sync.Mutex
 	mode   mode
-	// open holds the connections of both sides.
-	open map[net.Conn]bool
+	// open holds the connections of both sides, with the pair that each belongs to.
+	open map[net.Conn]*pair
+}
+
+// pair is a connection through a proxy.
+type pair struct {
+	// severed is true once the connection is silent for good: it stays open and carries nothing.
+	severed bool
 }
 
 func newProxy(target string) (p *proxy, err error) {
-	p = &proxy{target: target, open: make(map[net.Conn]bool)}
+	p = &proxy{target: target, open: make(map[net.Conn]*pair)}
 	if p.lis, err = net.Listen("tcp4", "127.0.0.1:0"); err != nil {
 		return nil, err
 	}
@@ -74,16 +80,39 @@
 	return p.mode
 }
 
-func (p *proxy) track(c net.Conn, on bool) {
+// sever makes all open connections silent for good. New ones work.
+func (p *proxy) sever() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, x := range p.open {
+		x.severed = true
+	}
+}
+
+// track notes an open connection, or with a nil pair that it is closed.
+func (p *proxy) track(c net.Conn, x *pair) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if on {
-		p.open[c] = true
+	if x != nil {
+		p.open[c] = x
 	} else {
 		delete(p.open, c)
 	}
 }
 
+// holds reports whether n bytes from one side, or its end if n is 0, are not passed on for now.
+func (p *proxy) holds(x *pair, n int, toOpener bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case p.mode == reset:
+		return false
+	case x.severed:
+		return true
+	}
+	return n > 0 && (p.mode == silent || p.mode == oneWay && toOpener)
+}
+
 func (p *proxy) accept() {
 	for {
 		c, err := p.lis.Accept()
@@ -95,8 +124,9 @@
 }
 
 func (p *proxy) serve(c net.Conn) {
-	p.track(c, true)
-	defer p.track(c, false)
+	x := &pair{}
+	p.track(c, x)
+	defer p.track(c, nil)
 	defer c.Close()
 	if p.currentMode() == reset {
 		_ = c.(*net.TCPConn).SetLinger(0)
@@ -106,23 +136,23 @@
 	if err != nil {
 		return
 	}
-	p.track(t, true)
-	defer p.track(t, false)
+	p.track(t, x)
+	defer p.track(t, nil)
 	defer t.Close()
 	done := make(chan struct{}, 2)
-	go func() { p.copy(t, c, false); done <- struct{}{} }()
-	go func() { p.copy(c, t, true); done <- struct{}{} }()
+	go func() { p.copy(x, t, c, false); done <- struct{}{} }()
+	go func() { p.copy(x, c, t, true); done <- struct{}{} }()
 	<-done
 }
 
 // slowDelay is the delay of each read in mode slow.
 const slowDelay = 150 * time.Millisecond
 
-func (p *proxy) copy(to, from net.Conn, toOpener bool) {
+func (p *proxy) copy(x *pair, to, from net.Conn, toOpener bool) {
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
-		for m := p.currentMode(); n > 0 && (m == silent || m == oneWay && toOpener); m = p.currentMode() {
+		for p.holds(x, n, toOpener) {
 			time.Sleep(5 * time.Millisecond)
 		}
 		if n > 0 && p.currentMode() == slow {
