Log when a caller's departure is noticed, and how long requests lay unread

The lines and counters could not tell a request that was sent before its caller left from one sent after it, nor how long a request had lain in the socket: took=0s stood on requests sent on 1.3 s after they had arrived. Each request now has left-at (the step at which the departure was noticed) and unread; two metrics count them.

--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -16,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 	"github.com/parsleydeal/parsleydeal/bootstrap"
+	"github.com/parsleydeal/parsleydeal/caller"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/decision"
 	"github.com/parsleydeal/parsleydeal/gossip"
@@ -175,6 +176,7 @@
 	}
 	idle := newIdleConns(d.clock)
 	callers.ConnState = idle.Track
+	callers.ConnContext = caller.WithConn
 	lis, err := net.Listen("tcp4", s.Entry.Callers)
 	if err != nil {
 		return err
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -80,6 +80,7 @@
 	a.onEnd = append(a.onEnd, func() { s.quarantine.End(a.watch, false, s.cfg.Clock.Now()) })
 	a.countLimited()
 	x.sends++
+	x.callerLeft(leftBeforeSend)
 	answer, err := s.cfg.Pool.Do(ctx, a.call())
 	if errorx.IsOfType(err, upstream.ErrNotSent) {
 		a.unsent, a.refused = true, errorx.IsOfType(err, upstream.ErrRefused)
--- /dev/null
+++ b/relay/caller.go
@@ -0,0 +1,26 @@
+package relay
+
+import "github.com/parsleydeal/parsleydeal/clock"
+
+// Steps of a request at which the entry may notice that its caller has left.
+const (
+	// leftBeforeSend is right before an attempt is sent to its endpoint.
+	leftBeforeSend = "send"
+	// leftDuringAnswer is while an endpoint works on the request, or while its answer is passed on.
+	leftDuringAnswer = "answer"
+)
+
+// callerLeft asks whether the caller has closed its connection, and notes the step at which that was noticed.
+func (x *exchange) callerLeft(step string) bool {
+	if x.leftAt == "" && (x.r.Context().Err() != nil || x.caller.Left()) {
+		x.leftAt = step
+		x.server.metrics.GetOrCreateCounter(`parsleydeal_callers_left_total{noticed="` + step + `"}`).Inc()
+	}
+	return x.leftAt != ""
+}
+
+// recordUnread records how long the request lay unread before this entry got to it.
+func (x *exchange) recordUnread() {
+	x.unread = x.caller.Unread()
+	x.server.unread.Update(float64(x.unread) / float64(clock.Second))
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
+	"github.com/parsleydeal/parsleydeal/caller"
 	"github.com/parsleydeal/parsleydeal/cascade"
 	"github.com/parsleydeal/parsleydeal/catalog"
 	"github.com/parsleydeal/parsleydeal/clock"
@@ -74,6 +75,8 @@
 	// advertise a rate limit.
 	limitedFirst   *metrics.Counter
 	limitedFurther *metrics.Counter
+	// unread is how long requests lay unread before this entry got to them, in seconds.
+	unread         *metrics.Histogram
 	latency        *latencyTracker
 	escalator      *cascade.Escalator
 	quarantine     *quarantine.Register
@@ -102,6 +105,7 @@
 	memory := float64(cmp.Or(cfg.Memory, defaultMemory))
 	return &Server{
 		cfg: cfg, startedAt: cfg.Clock.Now(), meter: meter.New(set), metrics: set, advertisementChanges: set.NewCounter("parsleydeal_endpoint_statements_total"),
+		unread:       set.NewHistogram("parsleydeal_request_unread_seconds"),
 		limitedFirst: set.NewCounter(`parsleydeal_limited_sends_total{attempt="first"}`), limitedFurther: set.NewCounter(`parsleydeal_limited_sends_total{attempt="further"}`), selector: placement.NewSelectorWith(cfg.Strategies), sessions: newSessions(cfg.SessionIdleTimeout), counts: newVersionCounts(cfg.Clock, set.NewCounter("parsleydeal_latency_samples_dropped_total")),
 		snapshotRequests: make(chan string, maxSnapshotQueue), latency: newLatencyTracker(), escalator: cascade.NewEscalator(cfg.Strategies), quarantine: quarantine.New(), budgets: make(map[string]*limit.Share), loadDefectLoggedAt: make(map[LoadDefect]clock.Millis),
 		held: newHeldBytes(cfg.Clock, int(heldAnswersRatio*memory)), bodies: &memoryBudget{limit: int(heldBodiesRatio * memory)},
@@ -136,7 +140,8 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.active.Add(1)
 	defer s.active.Add(-1)
-	x := &exchange{server: s, w: w, r: r, startedAt: s.cfg.Clock.Now(), view: s.cfg.View()}
+	x := &exchange{server: s, w: w, r: r, caller: caller.Of(r.Context()), startedAt: s.cfg.Clock.Now(), view: s.cfg.View()}
+	x.recordUnread()
 	if s.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -153,6 +158,7 @@
 	w         http.ResponseWriter
 	r         *http.Request
 	req       *Request
+	caller    *caller.Conn
 	view      *site.View
 	startedAt clock.Millis
 	// deadline is when the request must have ended, on the server's clock.
@@ -192,6 +198,10 @@
 	model           string
 	events          int
 	timeToFirstByte clock.Millis
+	// unread is how long the request lay unread before this entry got to it, leftAt the step at which the entry
+	// noticed that the caller had left; empty if it did not leave.
+	unread clock.Millis
+	leftAt string
 	// startWait is how long the request was held until the state of the site was loaded.
 	startWait clock.Millis
 	// bodyTook is how long it took to read the caller's body, firstAttemptAt when the first
@@ -237,7 +247,7 @@
 func (x *exchange) finish(err error) {
 	s := x.server
 	took := s.cfg.Clock.Since(x.startedAt)
-	callerLeft := x.r.Context().Err() != nil
+	callerLeft := x.r.Context().Err() != nil && x.callerLeft(leftDuringAnswer)
 	x.logRequest(err, took, callerLeft)
 	switch {
 	case err == nil:
@@ -254,7 +264,7 @@
 func (x *exchange) logRequest(err error, took clock.Millis, callerLeft bool) {
 	fields := []any{
 		"request", x.id(), "route", x.routeName(), "organisation", x.organisation, "status", x.status, "endpoint", x.endpoint, "version", x.version, "model", x.model,
-		"sends", x.sends, "retry", x.retry, "refused-for", x.refusedFor, "events", x.events, "waited", x.startWait, "took", took, "body", x.bodyTook, "placed", x.firstAttemptAfter(), "connect", x.connectTook, "first", x.timeToFirstByte, "pace", x.pace, "late", x.late(took), "config", x.configVersion(), "config-age", x.configAge(), "config-by", x.view.ConfirmedBy(), "left-by-caller", callerLeft,
+		"sends", x.sends, "retry", x.retry, "refused-for", x.refusedFor, "events", x.events, "unread", x.unread, "waited", x.startWait, "took", took, "body", x.bodyTook, "placed", x.firstAttemptAfter(), "connect", x.connectTook, "first", x.timeToFirstByte, "pace", x.pace, "late", x.late(took), "config", x.configVersion(), "config-age", x.configAge(), "config-by", x.view.ConfirmedBy(), "left-by-caller", callerLeft, "left-at", x.leftAt,
 	}
 	if err != nil {
 		x.server.cfg.Log.Warn("Request failed", append(fields, "error", logbook.Text(err))...)
