Count a request's time from its arrival, not from when it was read

What callers saw: a request that lay in the socket for 1.35 s, because its entry was paused, was given its whole 4 s once more at an endpoint, which went on working long after its caller had given up. Cause: the deadline was counted from when the handler began. The age of the last bytes on the connection (TCP_INFO) is taken off now, from the deadline, the latency target and the wait for a start; a request whose time is up when it is read is refused before its body is read.

TestNothingIsSentForCallersThatLeft asks this of the callers that stay; it failed before (4 s handed on, 2.65 s left).

--- a/relay/admit.go
+++ b/relay/admit.go
@@ -41,6 +41,9 @@
 		return err
 	}
 	x.setDeadline()
+	if x.remaining() < minRemaining {
+		return refusal.New(refusal.DeadlinePassed, fmt.Sprintf("request was read %s after it arrived", x.unread))
+	}
 	x.session = sessionOf(x.req)
 	x.service = x.route.Service(x.session)
 	s.budget(x.service, x.view.Entries()).RecordRequest(x.startedAt)
@@ -79,7 +82,7 @@
 	}
 	hold := s.startedAt + maxStartWait - x.startedAt
 	if x.req.CallerTimeout > 0 {
-		hold = min(hold, clock.Millis(startWaitRatio*float64(x.req.CallerTimeout)))
+		hold = min(hold, clock.Millis(startWaitRatio*float64(x.req.CallerTimeout))-x.unread)
 	}
 	if hold <= 0 {
 		return nil
@@ -185,7 +188,7 @@
 	if x.req.CallerTimeout > 0 {
 		limit = min(limit, x.req.CallerTimeout)
 	}
-	x.deadline = x.startedAt + limit
+	x.deadline = x.arrivedAt() + limit
 }
 
 // sessionOf returns the hash of the session, or of the request ID for a request without a session.
--- a/relay/caller.go
+++ b/relay/caller.go
@@ -43,3 +43,6 @@
 	x.unread = x.caller.Unread()
 	x.server.unread.Update(float64(x.unread) / float64(clock.Second))
 }
+
+// arrivedAt returns when the request arrived. What the caller waits for is counted from then.
+func (x *exchange) arrivedAt() clock.Millis { return x.startedAt - x.unread }
--- a/relay/confirm.go
+++ b/relay/confirm.go
@@ -23,7 +23,7 @@
 // Otherwise it has the configuration confirmed first, and checks the request again.
 func (x *exchange) confirmRefusal(refused error) (err error) {
 	s := x.server
-	since := x.startedAt - maxRefusalAge
+	since := x.arrivedAt() - maxRefusalAge
 	if x.view.ConfirmedAt() >= since {
 		s.countConfirmedRefusal("recent")
 		return refused
--- a/relay/plan.go
+++ b/relay/plan.go
@@ -57,7 +57,7 @@
 	if !room {
 		return false
 	}
-	answer := cascade.Answer{Confidence: confidence, Remaining: x.startedAt + x.route.LatencyTarget - q.Now}
+	answer := cascade.Answer{Confidence: confidence, Remaining: x.arrivedAt() + x.route.LatencyTarget - q.Now}
 	return x.server.escalator.ShouldEscalate(answer, cascade.LargerModel{FirstByte: expected.FirstByte, QueueWait: expected.Wait})
 }
 
--- a/relay/run.go
+++ b/relay/run.go
@@ -149,7 +149,7 @@
 	if x.written || x.route.LatencyTarget <= 0 || x.server.cfg.Strategies.Disabled(decision.LatePrompts) {
 		return 0
 	}
-	return placement.FirstByteBudget(x.route.LatencyTarget, now-x.startedAt)
+	return placement.FirstByteBudget(x.route.LatencyTarget, now-x.arrivedAt())
 }
 
 // placementError returns the refusal of a request that no endpoint can take.
--- a/relay/server.go
+++ b/relay/server.go
@@ -154,12 +154,13 @@
 
 // exchange is one request in flight. It is owned by one goroutine.
 type exchange struct {
-	server    *Server
-	w         http.ResponseWriter
-	r         *http.Request
-	req       *Request
-	caller    *caller.Conn
-	view      *site.View
+	server *Server
+	w      http.ResponseWriter
+	r      *http.Request
+	req    *Request
+	caller *caller.Conn
+	view   *site.View
+	// startedAt is when this entry got to the request, which arrived unread before that.
 	startedAt clock.Millis
 	// deadline is when the request must have ended, on the server's clock.
 	deadline     clock.Millis
@@ -291,6 +292,7 @@
 	if x.events == 0 {
 		first = took
 	}
+	first += x.unread
 	switch {
 	case x.route == nil:
 		return ""
--- a/soak/left_test.go
+++ b/soak/left_test.go
@@ -7,11 +7,14 @@
 	"net/http"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/parsleydeal/parsleydeal/platform/standin"
 )
 
 const (
@@ -22,6 +25,8 @@
 	// resumeAfter later.
 	leaveAfter  = 150 * time.Millisecond
 	resumeAfter = 1200 * time.Millisecond
+	// handedSlack is how much more time than its caller has left a request may be given at an endpoint.
+	handedSlack = 500 * time.Millisecond
 	// maxLeftSends is how many requests of callers that left may reach endpoints.
 	maxLeftSends = 3
 )
@@ -29,16 +34,19 @@
 // leftKind is a kind of request as it is on the wire.
 type leftKind struct {
 	name, head, body string
+	// timeout is how long the caller or its route waits at most.
+	timeout time.Duration
 }
 
 var leftKinds = []leftKind{
-	{"stream-with-length", "POST /chat/x HTTP/1.1\r\nModel: *\r\nContent-Length: 4\r\n", "body"},
-	{"stream-in-chunks", "POST /chat/x HTTP/1.1\r\nModel: *\r\nTransfer-Encoding: chunked\r\n", "4\r\nbody\r\n0\r\n\r\n"},
-	{"read", "GET /read/x HTTP/1.1\r\n", ""},
-	{"fee", "POST /fee/x HTTP/1.1\r\nContent-Length: 4\r\n", "body"},
+	{"stream-with-length", "POST /chat/x HTTP/1.1\r\nModel: *\r\nContent-Length: 4\r\n", "body", 4 * time.Second},
+	{"stream-in-chunks", "POST /chat/x HTTP/1.1\r\nModel: *\r\nTransfer-Encoding: chunked\r\n", "4\r\nbody\r\n0\r\n\r\n", 4 * time.Second},
+	{"read", "GET /read/x HTTP/1.1\r\n", "", 2 * time.Second},
+	{"fee", "POST /fee/x HTTP/1.1\r\nContent-Length: 4\r\n", "body", 2 * time.Second},
 }
 
-// Guards against requests that are sent to endpoints after their callers left while the entries were paused.
+// Guards against requests that are sent to endpoints after their callers left while the entries were paused, and against
+// requests that have more time at an endpoint than their callers wait.
 func TestNothingIsSentForCallersThatLeft(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "parsleydeal-entry")
 	if out, err := exec.Command("go", "build", "-o", program, "../cmd/parsleydeal-entry").CombinedOutput(); err != nil {
@@ -131,6 +139,9 @@
 			if strings.HasPrefix(r.ID, "left-"+prefix) {
 				sends++
 			}
+			if strings.HasPrefix(r.ID, "stay-"+prefix) {
+				k.checkHanded(kind, r)
+			}
 		}
 	}
 	k.t.Logf("%s: %d of %d requests sent on after their callers left", kind.name, sends, leavingCallers)
@@ -138,3 +149,13 @@
 		k.t.Errorf("%s: %d of %d requests were sent on after their callers left, %d allowed", kind.name, sends, leavingCallers, maxLeftSends)
 	}
 }
+
+// checkHanded checks that a request that lay unread for a while is given no more time at an endpoint than its caller
+// has left.
+func (k *soak) checkHanded(kind leftKind, r standin.Run) {
+	millis, err := strconv.Atoi(r.Header.Get("Request-Timeout-Ms"))
+	handed, left := time.Duration(millis)*time.Millisecond, kind.timeout-leaveAfter-resumeAfter
+	if err != nil || handed > left+handedSlack {
+		k.t.Errorf("%s: %s has %s at its endpoint, its caller has %s left", kind.name, r.ID, handed, left)
+	}
+}
