Make a late read again over a new connection, and give up those that were open before

What callers saw: keys and routes that operators had added were refused for up to 6.79 s, all entries alike, after all open connections to the store had gone silent for good (new ones worked).

Cause: a call without an answer gave up its own connection, after the whole limit of a read (2.0 s), and the next call took another one that was open at the same time; each entry keeps one for each stream.

Now a read that is 0.2 s later than expected (twice its usual lateness on a slow store) gives up all connections that are open, and is made once more over a new one; the first answer counts. It is not made again after a failed one, whose successor has a new connection anyway, so that a silent store costs one call more for each stream and outage. Opening a connection to the store takes 1 s at most. Calls that are not made again give up the connections when they fail.

--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -122,7 +122,7 @@
 	if d.socket, err = gossip.Open(s.Peer); err != nil {
 		return nil, err
 	}
-	store := platform.NewStore(s.Direct.Store, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DisableCompression: true}}, func(size int) {
+	store := platform.NewStore(s.Direct.Store, newStoreClient, func(size int) {
 		d.traffic.add(flowStore, false, size, 1, 1)
 	})
 	seeds, err := seedsOf(s)
@@ -134,7 +134,7 @@
 		Self:        site.Self{Name: s.VM, Process: d.processID(), Zone: s.Zone, Exposure: s.Direct.Exposure, KeyLease: s.Direct.KeyLease},
 		Clock:       d.clock,
 		Log:         d.log,
-		Store:       site.Store{Newest: store.Newest, Sample: store.Sample, Read: store.Read, History: store.History, Append: store.Append, Era: store.Era},
+		Store:       site.Store{Newest: store.Newest, Sample: store.Sample, Read: store.Read, History: store.History, Append: store.Append, Renew: store.Renew, Era: store.Era},
 		Codec:       site.Codec{Operator: platform.DecodeOperator, Endpoints: platform.DecodeEndpoints, Verdicts: platform.DecodeVerdicts, VerdictRecord: platform.EncodeVerdict},
 		Address:     s.Peer,
 		Send:        d.send,
@@ -158,6 +158,15 @@
 	return d, nil
 }
 
+// storeDialTimeout bounds the opening of a connection to the store.
+const storeDialTimeout = clock.Second
+
+// newStoreClient returns an HTTP client for the store without open connections.
+func newStoreClient() *http.Client {
+	dialer := net.Dialer{Timeout: storeDialTimeout.Duration()}
+	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, DisableCompression: true}}
+}
+
 // processID returns an ID that is unique to this run of the entry, across restarts and VMs.
 func (d *direct) processID() string {
 	return fmt.Sprintf("%s/%d/%d", d.settings.VM, os.Getpid(), startedAtNanos)
--- a/site/feed.go
+++ b/site/feed.go
@@ -246,7 +246,7 @@
 func (f *feed) read(ctx context.Context) (res readResult, err error) {
 	ctx, cancel := context.WithTimeout(ctx, (f.wait + readSlack).Duration())
 	defer cancel()
-	res.sentAt, res.from = f.loop.cfg.Clock.Now(), f.next
+	res.sentAt = f.loop.cfg.Clock.Now()
 	wait := clock.Millis(0)
 	if f.next.Offset >= 0 {
 		wait = f.wait
@@ -254,6 +254,10 @@
 			wait = min(wait, left, settlingWait)
 		}
 	}
+	patience := noPatience
+	if f.fails == 0 {
+		patience = wait + min(max(latenessFactor*f.lateness, minRenewSlack), readSlack)
+	}
 	if f.stream == OperatorStream {
 		slack := min(max(latenessFactor*f.lateness, minOverdueSlack), readSlack)
 		overdue := time.AfterFunc((wait + slack).Duration(), func() {
@@ -265,17 +269,33 @@
 		})
 		defer overdue.Stop()
 	}
-	if f.next.Offset < 0 {
-		res.full = true
+	sentAt, from := res.sentAt, f.next
+	res, err = callAgainIfLate(ctx, f.loop, patience, func(ctx context.Context, again bool) (readResult, error) {
+		if again {
+			// There is an answer already, unless the store is silent.
+			return f.call(ctx, from, 0)
+		}
+		return f.call(ctx, from, wait)
+	})
+	if err != nil {
+		res.sentAt = sentAt
+	}
+	f.lateness = max(f.loop.cfg.Clock.Now()-res.sentAt-wait, f.lateness/2)
+	return res, err
+}
+
+// call makes the calls to the store for one read from a position on.
+func (f *feed) call(ctx context.Context, from Position, wait clock.Millis) (res readResult, err error) {
+	res = readResult{sentAt: f.loop.cfg.Clock.Now(), from: from, full: from.Offset < 0}
+	if !res.full {
+		res.records, res.next, err = f.loop.cfg.Store.Read(ctx, f.stream, from.Offset, wait)
+	} else {
 		res.records, res.next, err = f.loop.cfg.Store.Newest(ctx, f.stream)
 		if err == nil && f.stream == OperatorStream {
 			res.history, err = f.history(ctx, res)
 		}
-	} else {
-		res.records, res.next, err = f.loop.cfg.Store.Read(ctx, f.stream, f.next.Offset, wait)
 	}
 	res.now = f.loop.cfg.Clock.Now()
-	f.lateness = max(res.now-res.sentAt-wait, f.lateness/2)
 	return res, err
 }
 
@@ -312,6 +332,7 @@
 	ctx, cancel := context.WithTimeout(ctx, (operatorWait + readSlack).Duration())
 	defer cancel()
 	records, err := l.cfg.Store.History(ctx, OperatorStream, end, firstHistory*historyFactor)
+	l.renewAfter(err)
 	if err != nil {
 		l.cfg.Log.Warn("Earlier records cannot be read", "stream", OperatorStream, "error", logbook.Text(err))
 		return
@@ -408,6 +429,7 @@
 			continue
 		}
 		err := l.registerOnce(ctx, write, read)
+		l.renewAfter(err)
 		if err != nil {
 			l.cfg.Log.Warn("Could not register this entry or read the others", "written", written, "error", logbook.Text(err))
 			l.waitAfterFailure(ctx, EntryStream, clock.Second)
--- a/site/loop.go
+++ b/site/loop.go
@@ -427,6 +427,7 @@
 	defer cancel()
 	key, value := l.cfg.Codec.VerdictRecord(w.Verdict)
 	era, err := l.cfg.Store.Append(call, StatusStream, key, value, w.At.Offset)
+	l.renewAfter(err)
 	l.post(ctx, WriteDone{Now: l.cfg.Clock.Now(), Verdict: w.Verdict, At: w.At, Era: era, Err: err})
 }
 
--- a/site/store.go
+++ b/site/store.go
@@ -71,6 +71,9 @@
 	// Append adds a record and returns the era in which it was added. If at is not negative, the
 	// append is conditional and fails with ErrMoved unless the stream ends at that offset.
 	Append func(ctx context.Context, s Stream, key string, value []byte, at int64) (era int64, err error)
+	// Renew has later calls use new connections: those that are open may have gone silent for good. Nil if calls use
+	// none.
+	Renew func()
 	// Era returns the highest era that an answer of the store named; 0 before the first. It counts
 	// the store's returns from an older copy. Nil if the store has no eras.
 	Era func() int64
