Have a reader without the store ask the others whether its configuration is the newest

What callers saw: an entry had a new key in force, by another entry's report, and still refused it for three seconds more: its configuration counted as confirmed 5.71 s ago. Cause: entries that read the store do not ask others how recent their state is, and what is sent on does not say that it is all. A reader whose reads fail or are overdue asks now as the others do.

--- a/site/report.go
+++ b/site/report.go
@@ -32,10 +32,11 @@
 	return SendReport{Report: s.newQuery()}
 }
 
-// newQuery returns a report that queries the readers for the age of their state.
+// newQuery returns a report that queries the readers for the age of their state, unless this entry reads the store
+// itself and is answered.
 func (s *State) newQuery() *wire.EntryReport {
 	r := s.newReport()
-	if !s.reader() {
+	if !s.reader() || s.failing || s.overdueSince != never {
 		r.AskMillis = int64(s.now)
 	}
 	r.Upgrades = s.upgradeReports(false)
