Make a confirmation again over a new connection, and again once the store has answered

What callers saw: after open connections to the store went silent, requests that the configuration at hand did not allow were answered 503 for 5 s, also once the store had answered other reads. Cause: one read over one connection decided, and its failure kept the next one back for 5 s whatever happened since. It is made again after 150 ms over a new connection, and a failure counts until the store answers this entry.

Failed before: TestConfirmationOverSeveredLink, TestConfirmationAfterStoreAnswersAgain.

--- a/site/confirm.go
+++ b/site/confirm.go
@@ -8,10 +8,12 @@
 )
 
 const (
-	// confirmTimeout limits the read that confirms the configuration for requests that wait.
-	confirmTimeout = 400 * clock.Millis(1)
-	// confirmRetryDelay is the minimum time from a failed confirmation to the next read for one. Calls are billed
-	// also while the store is away, and once it is back the readers confirm the configuration sooner.
+	// confirmTimeout limits the read that confirms the configuration for requests that wait. confirmPatience is when it
+	// is made again over a new connection.
+	confirmTimeout  = 400 * clock.Millis(1)
+	confirmPatience = 150 * clock.Millis(1)
+	// confirmRetryDelay is the minimum time from a failed confirmation to the next read for one, unless the store has
+	// answered this entry since. Calls are billed also while the store is away.
 	confirmRetryDelay = 5 * clock.Second
 	// maxConfirmRounds is how many reads a request may wait for: one that was sent too early for it, and
 	// one more.
@@ -59,7 +61,7 @@
 		return l.confirming, nil
 	}
 	switch now := l.cfg.Clock.Now(); {
-	case now-l.confirmFailedAt < confirmRetryDelay:
+	case now-l.confirmFailedAt < confirmRetryDelay && clock.Millis(l.answeredAt.Load()) <= l.confirmFailedAt:
 		return nil, ErrStale.New("the store did not confirm the configuration a moment ago")
 	case now < l.View().settledAt:
 		return nil, ErrStale.New("the store came back from an older copy and may lack changes")
@@ -86,18 +88,20 @@
 func (l *Loop) readConfirmation(ctx context.Context) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout.Duration())
 	defer cancel()
-	v, sentAt := l.View(), l.cfg.Clock.Now()
+	v := l.View()
 	if v.operator.Offset < 0 {
 		return ErrStale.New("the operators' stream was not read yet")
 	}
-	records, next, err := l.cfg.Store.Read(ctx, OperatorStream, v.operator.Offset, 0)
+	res, err := callAgainIfLate(ctx, l, confirmPatience, func(ctx context.Context, _ bool) (readResult, error) {
+		return l.readFrom(ctx, OperatorStream, v.operator, 0)
+	})
 	if err != nil {
 		return err
 	}
-	if next.Era != v.operator.Era {
+	if res.next.Era != v.operator.Era {
 		return provider.ErrExpired.New("store came back from an older copy")
 	}
-	l.handleOperator(ctx, readResult{records: records, next: next, from: v.operator, sentAt: sentAt, now: l.cfg.Clock.Now()})
+	l.handleOperator(ctx, res)
 	applied := make(chan struct{})
 	l.post(ctx, barrier{applied})
 	select {
--- a/site/feed.go
+++ b/site/feed.go
@@ -147,6 +147,7 @@
 			clock.Pause(ctx, minReadInterval-f.loop.cfg.Clock.Since(res.sentAt))
 			continue
 		}
+		f.loop.answeredAt.Store(int64(res.now))
 		if f.fails > 0 {
 			f.loop.cfg.Log.Info("Store answers again", "stream", f.stream, "failures", f.fails)
 		}
@@ -286,19 +287,26 @@
 
 // call makes the calls to the store for one read from a position on.
 func (f *feed) call(ctx context.Context, from Position, wait clock.Millis) (res readResult, err error) {
-	res = readResult{sentAt: f.loop.cfg.Clock.Now(), from: from, full: from.Offset < 0}
-	if !res.full {
-		res.records, res.next, err = f.loop.cfg.Store.Read(ctx, f.stream, from.Offset, wait)
-	} else {
-		res.records, res.next, err = f.loop.cfg.Store.Newest(ctx, f.stream)
-		if err == nil && f.stream == OperatorStream {
-			res.history, err = f.history(ctx, res)
-		}
+	if from.Offset >= 0 {
+		return f.loop.readFrom(ctx, f.stream, from, wait)
+	}
+	res = readResult{sentAt: f.loop.cfg.Clock.Now(), from: from, full: true}
+	res.records, res.next, err = f.loop.cfg.Store.Newest(ctx, f.stream)
+	if err == nil && f.stream == OperatorStream {
+		res.history, err = f.history(ctx, res)
 	}
 	res.now = f.loop.cfg.Clock.Now()
 	return res, err
 }
 
+// readFrom reads the records of a stream from a position on.
+func (l *Loop) readFrom(ctx context.Context, s Stream, from Position, wait clock.Millis) (res readResult, err error) {
+	res = readResult{sentAt: l.cfg.Clock.Now(), from: from}
+	res.records, res.next, err = l.cfg.Store.Read(ctx, s, from.Offset, wait)
+	res.now = l.cfg.Clock.Now()
+	return res, err
+}
+
 const (
 	// firstHistory is the number of records before the end of the operators' stream that an entry reads to find a
 	// valid configuration. It grows by historyFactor up to maxHistory: a record may be large.
--- a/site/loop.go
+++ b/site/loop.go
@@ -68,6 +68,8 @@
 	confirmMu       sync.Mutex
 	confirming      *confirmation
 	confirmFailedAt clock.Millis
+	// answeredAt is when the store last answered a read of this entry, in ms on its clock.
+	answeredAt atomic.Int64
 	// spread is a fraction by which entries spread what all of them do.
 	spread float64
 	// started is closed once all streams were read.
