Leave a pause between two confirmations

Requests that came one after the other and each needed a confirmation of its own had the store read without a pause, 250 times a second at one entry; there are 50 ms between two reads now, as between those of a stream.

--- a/site/confirm.go
+++ b/site/confirm.go
@@ -74,6 +74,8 @@
 }
 
 func (l *Loop) runConfirmation(ctx context.Context, c *confirmation) {
+	clock.Pause(ctx, l.confirmReadAt+minReadInterval-l.cfg.Clock.Now())
+	l.confirmReadAt = l.cfg.Clock.Now()
 	c.err = l.readConfirmation(ctx)
 	l.confirmMu.Lock()
 	l.confirming = nil
--- a/site/loop.go
+++ b/site/loop.go
@@ -64,10 +64,11 @@
 	catchUpMu    sync.Mutex
 	agedPatience clock.Millis
 	// confirming is the read that requests wait for; nil if there is none. confirmFailedAt is when the last
-	// one failed.
+	// one failed, confirmReadAt when the last one was sent; only the one in progress uses it.
 	confirmMu       sync.Mutex
 	confirming      *confirmation
 	confirmFailedAt clock.Millis
+	confirmReadAt   clock.Millis
 	// answeredAt is when the store last answered a read of this entry, in ms on its clock.
 	answeredAt atomic.Int64
 	// spread is a fraction by which entries spread what all of them do.
@@ -84,7 +85,7 @@
 
 // NewLoop returns a loop with an empty state. Run starts it.
 func NewLoop(cfg Config) *Loop {
-	l := &Loop{cfg: cfg, state: NewState(cfg.Self, cfg.Clock.Now()), events: make(chan Event, eventQueueSize), stateRequests: make(chan chan builtState), confirmFailedAt: never, started: make(chan struct{}), metrics: metrics.NewSet()}
+	l := &Loop{cfg: cfg, state: NewState(cfg.Self, cfg.Clock.Now()), events: make(chan Event, eventQueueSize), stateRequests: make(chan chan builtState), confirmFailedAt: never, confirmReadAt: never, started: make(chan struct{}), metrics: metrics.NewSet()}
 	const fractions = 1 << 16
 	l.spread = float64(xxhash.Sum64String(cfg.Self.Process)%fractions) / fractions
 	l.agedPatience = clock.Millis(l.spread * float64(maxAgedPatience))
