--- a/site/feed.go
+++ b/site/feed.go
@@ -339,14 +339,21 @@
 func (l *Loop) findNewerConfig(ctx context.Context, end int64) {
 	ctx, cancel := context.WithTimeout(ctx, (operatorWait + readSlack).Duration())
 	defer cancel()
-	records, err := l.cfg.Store.History(ctx, OperatorStream, end, firstHistory*historyFactor)
-	l.renewAfter(err)
-	if err != nil {
-		l.cfg.Log.Warn("Earlier records cannot be read", "stream", OperatorStream, "error", logbook.Text(err))
-		return
-	}
-	if u := l.cfg.Codec.Operator(records); u.Config != nil {
-		l.post(ctx, ConfigFound{Now: l.cfg.Clock.Now(), Update: OperatorUpdate{Config: u.Config, ConfigRecord: u.ConfigRecord}})
+	for n := int64(firstHistory * historyFactor); n <= maxHistory; n *= historyFactor {
+		records, err := l.cfg.Store.History(ctx, OperatorStream, end, n)
+		l.renewAfter(err)
+		if err != nil {
+			l.cfg.Log.Warn("Earlier records cannot be read", "stream", OperatorStream, "error", logbook.Text(err))
+			return
+		}
+		u := l.cfg.Codec.Operator(records)
+		if u.Config != nil {
+			l.post(ctx, ConfigFound{Now: l.cfg.Clock.Now(), Update: OperatorUpdate{Config: u.Config, ConfigRecord: u.ConfigRecord}})
+		}
+		// Where invalid or older records are, a newer valid one may be before them.
+		if len(u.Invalid) == 0 || int64(len(records)) < n {
+			return
+		}
 	}
 }
 
