--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -122,7 +122,7 @@
 	if d.socket, err = gossip.Open(s.Peer); err != nil {
 		return nil, err
 	}
-	store := platform.NewStore(s.Direct.Store, newStoreClient, func(size int) {
+	store := platform.NewStore(s.Direct.Store, nil, func(size int) {
 		d.traffic.add(flowStore, false, size, 1, 1)
 	})
 	seeds, err := seedsOf(s)
@@ -158,15 +158,6 @@
 	return d, nil
 }
 
-// storeDialTimeout bounds the opening of a connection to the store.
-const storeDialTimeout = clock.Second
-
-// newStoreClient returns an HTTP client for the store without open connections.
-func newStoreClient() *http.Client {
-	dialer := net.Dialer{Timeout: storeDialTimeout.Duration()}
-	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, DisableCompression: true}}
-}
-
 // processID returns an ID that is unique to this run of the entry, across restarts and VMs.
 func (d *direct) processID() string {
 	return fmt.Sprintf("%s/%d/%d", d.settings.VM, os.Getpid(), startedAtNanos)
