Read missed records after a full read, whose newest one may be older than one of them

Cause: an entry that has a configuration read earlier records only where the newest one was invalid, not where it was older.

--- a/site/feed.go
+++ b/site/feed.go
@@ -315,19 +315,29 @@
 	maxHistory    = 128
 )
 
-// history returns earlier records of the operators' stream after a full read, if the newest record of the
-// configuration cannot be used and this entry may lack the one in force.
+// history returns earlier records of the operators' stream after a full read. An entry without a configuration needs
+// them if the newest record cannot be used. One that has a configuration has missed some, and the newest record may be
+// older than one of these.
 func (f *feed) history(ctx context.Context, res readResult) (records []Record, err error) {
-	l := f.loop
-	u := l.cfg.Codec.Operator(res.records)
-	if l.cfg.Store.History == nil || u.Config != nil || l.View().Config() != nil && len(u.Invalid) == 0 {
+	l, v := f.loop, f.loop.View()
+	known := v.Config() != nil
+	missed := res.next.Offset
+	if v.operator.Era == res.next.Era {
+		missed -= max(v.operator.Offset, 0)
+	}
+	if l.cfg.Store.History == nil || missed <= 0 || !known && l.cfg.Codec.Operator(res.records).Config != nil {
 		return nil, nil
 	}
-	for n := int64(firstHistory); n <= maxHistory && len(records) < int(res.next.Offset); n *= historyFactor {
+	n := int64(firstHistory)
+	if known {
+		n *= historyFactor
+	}
+	for ; n <= maxHistory; n *= historyFactor {
 		if records, err = l.cfg.Store.History(ctx, f.stream, res.next.Offset, n); err != nil {
 			return nil, err
 		}
-		if l.cfg.Codec.Operator(records).Config != nil || int64(len(records)) < n {
+		u := l.cfg.Codec.Operator(records)
+		if int64(len(records)) < n || n >= missed || u.Config != nil && (!known || len(u.Invalid) == 0) {
 			break
 		}
 	}
