--- a/site/feed.go
+++ b/site/feed.go
@@ -244,33 +244,20 @@
 	}
 }
 
+// read reads the stream once. If it fails, only sentAt is set in the result.
 func (f *feed) read(ctx context.Context) (res readResult, err error) {
 	ctx, cancel := context.WithTimeout(ctx, (f.wait + readSlack).Duration())
 	defer cancel()
-	res.sentAt = f.loop.cfg.Clock.Now()
-	wait := clock.Millis(0)
-	if f.next.Offset >= 0 {
-		wait = f.wait
-		if left := f.loop.View().settledAt - res.sentAt; left > 0 {
-			wait = min(wait, left, settlingWait)
-		}
+	sentAt, from := f.loop.cfg.Clock.Now(), f.next
+	wait := f.waitFor(sentAt)
+	if f.stream == OperatorStream {
+		overdue := time.AfterFunc((wait + f.slack(minOverdueSlack)).Duration(), func() { f.overdue(ctx, cancel, sentAt) })
+		defer overdue.Stop()
 	}
 	patience := noPatience
 	if f.fails == 0 {
-		patience = wait + min(max(latenessFactor*f.lateness, minRenewSlack), readSlack)
+		patience = wait + f.slack(minRenewSlack)
 	}
-	if f.stream == OperatorStream {
-		slack := min(max(latenessFactor*f.lateness, minOverdueSlack), readSlack)
-		overdue := time.AfterFunc((wait + slack).Duration(), func() {
-			f.loop.post(ctx, OperatorReadOverdue{Now: f.loop.cfg.Clock.Now(), SentAt: res.sentAt})
-			if f.loop.View().missesChange(f.stream, f.loop.cfg.Clock.Now()) {
-				// Another entry has what this read would return.
-				cancel()
-			}
-		})
-		defer overdue.Stop()
-	}
-	sentAt, from := res.sentAt, f.next
 	res, err = callAgainIfLate(ctx, f.loop, patience, func(ctx context.Context, again bool) (readResult, error) {
 		if again {
 			// There is an answer already, unless the store is silent.
@@ -279,12 +266,37 @@
 		return f.call(ctx, from, wait)
 	})
 	if err != nil {
-		res.sentAt = sentAt
+		res = readResult{sentAt: sentAt}
 	}
 	f.lateness = max(f.loop.cfg.Clock.Now()-res.sentAt-wait, f.lateness/2)
 	return res, err
 }
 
+// waitFor returns the long-poll timeout of a read that is sent now.
+func (f *feed) waitFor(now clock.Millis) clock.Millis {
+	if f.next.Offset < 0 {
+		return 0
+	}
+	if left := f.loop.View().settledAt - now; left > 0 {
+		return min(f.wait, left, settlingWait)
+	}
+	return f.wait
+}
+
+// slack returns how much longer than its long-poll timeout a read may take, at least the given time.
+func (f *feed) slack(least clock.Millis) clock.Millis {
+	return min(max(latenessFactor*f.lateness, least), readSlack)
+}
+
+// overdue tells that a read is overdue, and gives it up if another entry has what it would return.
+func (f *feed) overdue(ctx context.Context, giveUp func(), sentAt clock.Millis) {
+	now := f.loop.cfg.Clock.Now()
+	f.loop.post(ctx, OperatorReadOverdue{Now: now, SentAt: sentAt})
+	if f.loop.View().missesChange(f.stream, now) {
+		giveUp()
+	}
+}
+
 // call makes the calls to the store for one read from a position on.
 func (f *feed) call(ctx context.Context, from Position, wait clock.Millis) (res readResult, err error) {
 	if from.Offset >= 0 {
