Give up older idle connections to an endpoint once one of them had no answer

What callers saw: after open connections to endpoints went silent for good, each idle one cost a request its timeout for the first byte and a retry of the budget, up to 32 at each endpoint. Cause: a connection without an answer was given up alone. A fault of the network that silences one that was open silences those that were open with it: all that have been idle since before the call began are closed. Endpoints that answer on other connections keep those.

Connections to other endpoints are not given up: two endpoints that hang would cost all others their connections.

--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -12,6 +12,7 @@
 	s.metrics.WritePrometheus(w)
 	fmt.Fprintf(w, "parsleydeal_endpoint_connections_open %d\n", s.cfg.Pool.OpenConns())
 	fmt.Fprintf(w, "parsleydeal_endpoint_connections_total %d\n", s.cfg.Pool.TotalConns())
+	fmt.Fprintf(w, "parsleydeal_endpoint_connections_dropped_total %d\n", s.cfg.Pool.DroppedConns())
 	fmt.Fprintf(w, "parsleydeal_held_bytes{for=\"callers\"} %d\n", s.held.bytes())
 	fmt.Fprintf(w, "parsleydeal_held_bytes{for=\"endpoints\"} %d\n", s.bodies.bytes())
 	s.writeBudgets(w)
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"context"
 	"errors"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -33,9 +35,11 @@
 	// idle holds the idle connections by address, the most recently used last. There are at most
 	// as many as the last call to the address allowed.
 	idle map[string][]*conn
-	// openConns counts the connections that are open, totalConns all that were ever opened.
-	openConns  atomic.Int64
-	totalConns atomic.Int64
+	// openConns counts the connections that are open, totalConns all that were ever opened, and droppedConns those
+	// that were given up because an older one was silent.
+	openConns    atomic.Int64
+	totalConns   atomic.Int64
+	droppedConns atomic.Int64
 }
 
 // NewPool returns an empty pool.
@@ -53,10 +57,15 @@
 // OpenConns returns the number of open connections.
 func (p *Pool) OpenConns() int64 { return p.openConns.Load() }
 
+// DroppedConns returns the number of idle connections that were given up because another one to the same address had no
+// answer.
+func (p *Pool) DroppedConns() int64 { return p.droppedConns.Load() }
+
 // TotalConns returns the number of connections ever opened.
 func (p *Pool) TotalConns() int64 { return p.totalConns.Load() }
 
-func (p *Pool) acquire(ctx context.Context, call Call) (c *conn, err error) {
+// acquire returns a connection for a call; reused is true for one that was idle.
+func (p *Pool) acquire(ctx context.Context, call Call) (c *conn, reused bool, err error) {
 	for !call.NewConnection {
 		c = p.pop(call.Address)
 		if c == nil {
@@ -64,13 +73,13 @@
 		}
 		if p.clock.Now()-c.idleSince <= c.idleTimeout && c.usable() {
 			c.maxIdle = call.MaxIdle
-			return c, nil
+			return c, true, nil
 		}
 		c.release(false)
 	}
 	netConn, err := p.dial(ctx, "tcp4", call.Address)
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
 	p.openConns.Add(1)
 	p.totalConns.Add(1)
@@ -78,9 +87,9 @@
 	c = &conn{net: netConn, r: bufio.NewReaderSize(netConn, readBufferSize), pool: p, address: call.Address, maxIdle: call.MaxIdle, idleTimeout: defaultIdleTimeout}
 	if err = c.watchNew(call.SettleTime); err != nil {
 		c.release(false)
-		return nil, err
+		return nil, false, err
 	}
-	return c, nil
+	return c, false, nil
 }
 
 // watchNew waits for a short time on a new connection and fails if the endpoint closes it or
@@ -150,27 +159,44 @@
 // Sweep closes connections that have been idle for too long. It must be called regularly.
 func (p *Pool) Sweep() {
 	now := p.clock.Now()
-	var expired []*conn
 	p.mu.Lock()
-	for address, all := range p.idle {
-		remaining := all[:0]
-		for _, c := range all {
-			if now-c.idleSince > c.idleTimeout {
-				expired = append(expired, c)
-			} else {
-				remaining = append(remaining, c)
-			}
-		}
-		if len(remaining) == 0 {
-			delete(p.idle, address)
+	addresses := slices.Collect(maps.Keys(p.idle))
+	p.mu.Unlock()
+	for _, address := range addresses {
+		p.closeIdle(address, func(c *conn) bool { return now-c.idleSince > c.idleTimeout })
+	}
+}
+
+// dropIdle closes the connections to an address that have been idle since before the given time. One that was used
+// then got no answer, and a fault that makes a connection silent for good seldom concerns one alone.
+func (p *Pool) dropIdle(address string, before clock.Millis) {
+	n := p.closeIdle(address, func(c *conn) bool { return c.idleSince <= before })
+	p.droppedConns.Add(int64(n))
+}
+
+// closeIdle closes the idle connections to an address that match, and returns their number.
+func (p *Pool) closeIdle(address string, match func(c *conn) bool) (closed int) {
+	p.mu.Lock()
+	all := p.idle[address]
+	remaining := all[:0]
+	var matching []*conn
+	for _, c := range all {
+		if match(c) {
+			matching = append(matching, c)
 		} else {
-			p.idle[address] = remaining
+			remaining = append(remaining, c)
 		}
 	}
+	if len(remaining) == 0 {
+		delete(p.idle, address)
+	} else {
+		p.idle[address] = remaining
+	}
 	p.mu.Unlock()
-	for _, c := range expired {
+	for _, c := range matching {
 		c.release(false)
 	}
+	return len(matching)
 }
 
 // usable reports whether an idle connection is open and has no unread bytes. A request sent on a
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -104,7 +104,7 @@
 // soon as ctx ends, so that the endpoint stops its work. The caller must close the answer.
 func (p *Pool) Do(ctx context.Context, call Call) (a *Answer, err error) {
 	start := p.clock.Now()
-	c, err := p.acquire(ctx, call)
+	c, reused, err := p.acquire(ctx, call)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return nil, ErrRefused.Wrap(err, "connect to %s", call.Address)
 	}
@@ -126,6 +126,9 @@
 	}
 	a.Close()
 	if TimedOut(err) {
+		if reused {
+			p.dropIdle(call.Address, start)
+		}
 		return nil, ErrSilent.Wrap(err, "no answer from %s", call.Address)
 	}
 	return nil, ErrLost.Wrap(err, "no answer from %s", call.Address)
