Soak: callers that leave, links whose open connections go silent, entries paused together

Drawn beside the other faults from streams of their own, so that a seed draws the same faults as before in addition. A request that reaches an endpoint more than half a second after its caller left counts, unless the endpoint's own link was disturbed; three are allowed.

--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -28,6 +28,7 @@
 		}
 	}
 	k.checkCrashes(runs)
+	k.checkLeft(runs)
 	if complete == 0 {
 		k.t.Errorf("no request of %d was answered", len(k.sent))
 	}
--- a/soak/left_test.go
+++ b/soak/left_test.go
@@ -34,6 +34,11 @@
 	timeout time.Duration
 }
 
+// request returns a request of the kind.
+func (kind leftKind) request(id, key string) string {
+	return fmt.Sprintf("%sHost: h.example\r\nRequest-Id: %s\r\nApi-Key: %s\r\nPrompt-Prefix: aa:100,%s:50\r\nRequest-Timeout-Ms: 4000\r\n\r\n%s", kind.head, id, key, id, kind.body)
+}
+
 var leftKinds = []leftKind{
 	{"stream-with-length", "POST /chat/x HTTP/1.1\r\nModel: *\r\nContent-Length: 4\r\n", "body", 4 * time.Second},
 	{"stream-in-chunks", "POST /chat/x HTTP/1.1\r\nModel: *\r\nTransfer-Encoding: chunked\r\n", "4\r\nbody\r\n0\r\n\r\n", 4 * time.Second},
@@ -79,9 +84,7 @@
 // the others must be answered.
 func (k *soak) leavePaused(kind leftKind, prefix string) {
 	k.t.Helper()
-	for _, p := range k.entries {
-		p.signal(syscall.SIGSTOP, false)
-	}
+	k.signalAll(syscall.SIGSTOP)
 	var left, stayed sync.WaitGroup
 	failed := make(chan string, stayingCallers)
 	for i := range leavingCallers + stayingCallers {
@@ -94,8 +97,7 @@
 		if i >= leavingCallers {
 			id = fmt.Sprintf("stay-%s-%d", prefix, i)
 		}
-		_, err = fmt.Fprintf(c, "%sHost: h.example\r\nRequest-Id: %s\r\nApi-Key: %s\r\nPrompt-Prefix: aa:100,%s:50\r\nRequest-Timeout-Ms: 4000\r\n\r\n%s", kind.head, id, k.keys[0], id, kind.body)
-		if err != nil {
+		if _, err = fmt.Fprint(c, kind.request(id, k.keys[0])); err != nil {
 			k.t.Fatal(err)
 		}
 		if i < leavingCallers {
@@ -117,9 +119,7 @@
 	}
 	left.Wait()
 	time.Sleep(resumeAfter)
-	for _, p := range k.entries {
-		p.signal(syscall.SIGCONT, false)
-	}
+	k.signalAll(syscall.SIGCONT)
 	stayed.Wait()
 	time.Sleep(time.Second)
 	close(failed)
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -34,6 +34,8 @@
 	target string
 	mu     sync.Mutex
 	mode   mode
+	// disturbedAt is when the mode was last changed.
+	disturbedAt time.Time
 	// open holds the connections of both sides, with the pair that each belongs to.
 	open map[net.Conn]*pair
 }
@@ -64,7 +66,7 @@
 func (p *proxy) setMode(m mode) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.mode = m
+	p.mode, p.disturbedAt = m, time.Now()
 	if m != reset {
 		return
 	}
@@ -74,6 +76,13 @@
 	}
 }
 
+// undisturbedSince reports whether the proxy has passed all data on at once since the given time.
+func (p *proxy) undisturbedSince(t time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode == pass && p.disturbedAt.Before(t)
+}
+
 func (p *proxy) currentMode() mode {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -108,10 +108,14 @@
 	rng *rand.Rand
 	// returns draws when the store comes back from an older copy.
 	returns *rand.Rand
+	// severs draws which links go silent, and when all entries are paused.
+	severs  *rand.Rand
 	program string
 	faults  sync.WaitGroup
 	mu      sync.Mutex
 	sent    []sent
+	// leftAt is when the callers of requests left that leave, by the requests' IDs.
+	leftAt map[string]time.Time
 	// faultLog lists the injected faults; it is printed if the seed fails.
 	faultLog  []string
 	startedAt time.Time
@@ -124,7 +128,7 @@
 
 func runSeed(t *testing.T, seed uint64, program string) {
 	fmt.Printf("starting seed %d\n", seed)
-	k := &soak{site: newSite(t, program), t: t, rng: rand.New(rand.NewPCG(seed, 0)), returns: rand.New(rand.NewPCG(seed, returnsStream)), program: program, startedAt: time.Now()}
+	k := &soak{site: newSite(t, program), t: t, rng: rand.New(rand.NewPCG(seed, 0)), returns: rand.New(rand.NewPCG(seed, returnsStream)), severs: rand.New(rand.NewPCG(seed, severStream)), program: program, leftAt: make(map[string]time.Time), startedAt: time.Now()}
 	watchdog := time.AfterFunc(time.Duration(*seconds)*time.Second+hangMargin, func() { k.abortHung(seed) })
 	// The watchdog also covers the shutdown of the entries and stand-ins, which may hang.
 	k.site.finalCleanup = func() { watchdog.Stop() }
@@ -135,10 +139,12 @@
 		callers.Go(func() { k.sendRequests(ctx, n, rand.New(rand.NewPCG(seed, uint64(n)+1))) })
 	}
 	crashes := k.maybeSendCrashes(ctx, &callers, rand.New(rand.NewPCG(seed, crashStream)))
+	k.sendLeaving(ctx, &callers, rand.New(rand.NewPCG(seed, leavingStream)))
 	lone := k.maybeSendLoneCrashes(ctx, &callers, rand.New(rand.NewPCG(seed, loneStream)))
 	for end := time.Now().Add(time.Duration(*seconds) * time.Second); time.Now().Before(end); {
 		k.addFault()
 		k.maybeRestoreStore()
+		k.maybeSever()
 		time.Sleep(time.Duration(50+k.rng.IntN(700)) * time.Millisecond)
 	}
 	k.faults.Wait()
