Soak: count late arrivals of callers that left between changes of a proxy only

The check excused every late arrival: a proxy counted as disturbed since the end of the run, when all of them are set to pass data on. It remembers its changes now. Entries have connections at hand before they are paused, and more callers leave.

--- a/soak/leaving_test.go
+++ b/soak/leaving_test.go
@@ -19,7 +19,7 @@
 	leavingStream = 4 << 32
 	severStream   = 5 << 32
 	// severRarity is the number of other faults for each of these.
-	severRarity = 4
+	severRarity = 3
 	// leavingPrefix begins the IDs of requests whose callers leave.
 	leavingPrefix = "leave-"
 	// leftGrace is how long after its caller left a request may still reach an endpoint, maxLeftArrivals how many may
@@ -50,16 +50,20 @@
 			}
 		}
 	case 2:
-		d := 300*time.Millisecond + time.Duration(k.severs.IntN(1200))*time.Millisecond
-		for _, p := range k.entries {
-			k.pause(p, d)
-		}
+		d := 700*time.Millisecond + time.Duration(k.severs.IntN(800))*time.Millisecond
+		k.faults.Go(func() {
+			// Requests that are sent over connections at hand are the first ones to go out.
+			k.warm()
+			for _, p := range k.entries {
+				k.pause(p, d)
+			}
+		})
 	}
 }
 
 // sendLeaving has callers send whole requests and leave at once or a little later, until the context ends.
 func (k *soak) sendLeaving(ctx context.Context, callers *sync.WaitGroup, rng *rand.Rand) {
-	const count, maxStay, maxGap = 4, 200, 150
+	const count, maxStay, maxGap = 8, 100, 60
 	for n := range count {
 		random := rand.New(rand.NewPCG(rng.Uint64(), uint64(n)))
 		callers.Go(func() {
@@ -102,7 +106,7 @@
 	late := 0
 	for id, leftAt := range k.leftAt {
 		for _, r := range runs[id] {
-			if r.At.Sub(leftAt) > leftGrace && proxies[id].undisturbedSince(leftAt.Add(-time.Second)) {
+			if r.At.Sub(leftAt) > leftGrace && proxies[id].passedOn(leftAt.Add(-time.Second), r.At) {
 				late++
 			}
 		}
--- a/soak/left_test.go
+++ b/soak/left_test.go
@@ -69,12 +69,15 @@
 
 // warm has the entries keep idle connections to endpoints.
 func (k *soak) warm() {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: time.Second}
+	k.mu.Lock()
+	key := k.keys[0]
+	k.mu.Unlock()
 	var all sync.WaitGroup
 	for i := range leavingCallers {
 		all.Go(func() {
 			p := k.entries[i%len(k.entries)]
-			k.send(client, p, [...]string{"chat", "read"}[i/len(k.entries)%2], k.keys[0], fmt.Sprintf("warm-%d", i))
+			k.send(client, p, [...]string{"chat", "read"}[i/len(k.entries)%2], key, fmt.Sprintf("warm-%d", i))
 		})
 	}
 	all.Wait()
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -28,14 +28,20 @@
 	return [...]string{"pass", "slow", "reset", "one-way", "silent"}[m]
 }
 
+// modeChange is when a proxy got a mode.
+type modeChange struct {
+	at   time.Time
+	mode mode
+}
+
 // proxy forwards TCP connections to a target and injects network faults.
 type proxy struct {
 	lis    net.Listener
 	target string
 	mu     sync.Mutex
 	mode   mode
-	// disturbedAt is when the mode was last changed.
-	disturbedAt time.Time
+	// changes are those of the mode.
+	changes []modeChange
 	// open holds the connections of both sides, with the pair that each belongs to.
 	open map[net.Conn]*pair
 }
@@ -66,7 +72,7 @@
 func (p *proxy) setMode(m mode) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.mode, p.disturbedAt = m, time.Now()
+	p.mode, p.changes = m, append(p.changes, modeChange{time.Now(), m})
 	if m != reset {
 		return
 	}
@@ -76,11 +82,20 @@
 	}
 }
 
-// undisturbedSince reports whether the proxy has passed all data on at once since the given time.
-func (p *proxy) undisturbedSince(t time.Time) bool {
+// passedOn reports whether the proxy passed all data on at once between two times.
+func (p *proxy) passedOn(from, to time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.mode == pass && p.disturbedAt.Before(t)
+	for i, c := range p.changes {
+		until := to
+		if i+1 < len(p.changes) {
+			until = p.changes[i+1].at
+		}
+		if c.mode != pass && c.at.Before(to) && !until.Before(from) {
+			return false
+		}
+	}
+	return true
 }
 
 func (p *proxy) currentMode() mode {
