Keep suspected requests apart, and go on with a begun answer that shares all crashes with another request

Traced in: a sound stream and a request that crashes endpoints were in progress at one that crashed, were both sent to the same next one, and the second crash named both alike; both were quarantined, and the sound one was refused in the middle of its answer.

A request that a crash names is not sent where another one is in progress, if there is room elsewhere. Where the crashes can't tell two apart nevertheless, the one whose caller has a part of the answer is tested once more, alone, in place of breaking off; after a third crash it is refused.

--- a/quarantine/attempt.go
+++ b/quarantine/attempt.go
@@ -79,6 +79,35 @@
 	return a
 }
 
+// Apart returns the endpoints that a request should not be sent to because another suspected request is in progress there.
+// If one of them crashed under both, nothing would tell which of the two is the cause. It is nil for a request that no crash
+// names.
+func (g *Register) Apart(keys *Keys, now clock.Millis) (avoid map[string]bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.isSuspectedRequest(keys, now) {
+		return nil
+	}
+	avoid = make(map[string]bool)
+	for i, e := range g.endpoints {
+		for a := range e.waiting {
+			avoid[i.Endpoint] = avoid[i.Endpoint] || a.keys != keys && g.isSuspectedRequest(a.keys, now)
+		}
+		for _, a := range e.begun {
+			avoid[i.Endpoint] = avoid[i.Endpoint] || a.keys != keys && a.endedAt == never && g.isSuspectedRequest(a.keys, now)
+		}
+	}
+	maps.DeleteFunc(avoid, func(_ string, suspected bool) bool { return !suspected })
+	return avoid
+}
+
+// isSuspectedRequest reports whether a crash names a request itself that was not cleared since.
+func (g *Register) isSuspectedRequest(keys *Keys, now clock.Millis) bool {
+	key := g.requestOf(keys)
+	s := g.suspects[key]
+	return key != "" && s != nil && s.named > 0 && !g.isCleared(key, now)
+}
+
 func (g *Register) endpointOf(i Incarnation) *endpoint {
 	e := g.endpoints[i]
 	if e == nil {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -200,6 +200,45 @@
 	return f, because, crashes
 }
 
+// AdmitBegun decides on a request that is quarantined itself although its caller has a part of the answer, which would
+// break off. If all crashes that name it name another request too, one of the two is sound: it is tested once more.
+func (g *Register) AdmitBegun(request string, keys *Keys, now clock.Millis) Finding {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	key := g.requestOf(keys)
+	s := g.suspects[key]
+	switch {
+	case s == nil || s.named > requestCrashes || !g.isTied(key):
+		return Quarantined
+	case s.tester != "" && s.tester != request:
+		return Wait
+	}
+	s.tester, s.triedAt = request, now
+	return Test
+}
+
+// isTied reports whether all crashes that name a request name another one too.
+func (g *Register) isTied(key string) bool {
+	crashes, beside := 0, make(map[string]int)
+	for _, c := range g.crashes {
+		if _, ok := c.named[key]; !ok {
+			continue
+		}
+		crashes++
+		for other := range c.named {
+			if isRequest(other) && other != key {
+				beside[other]++
+			}
+		}
+	}
+	for _, n := range beside {
+		if n == crashes {
+			return true
+		}
+	}
+	return false
+}
+
 // keysOf returns the keys of a request that may be suspects, that of the request itself first.
 func (g *Register) keysOf(keys *Keys) (all []string) {
 	if request := g.requestOf(keys); request != "" {
--- a/quarantine/request_test.go
+++ b/quarantine/request_test.go
@@ -156,3 +156,42 @@
 		is.Equal(f, Quarantined)
 	}
 }
+
+// A sound request and the one at fault were in progress at an endpoint that crashed. Guards against both being sent to the
+// same one again, and then being refused alike.
+func TestSuspectsOfOneCrashAreKeptApart(t *testing.T) {
+	is := is.New(t)
+	g := New()
+	bad, sound, other := requestKeys("bad", "own"), requestKeys("sound", "own-2"), requestKeys("other", "own-3")
+	crashUnder(g, "i-1", 1000, bad, sound)
+	is.Equal(len(g.Apart(bad, 1071)), 0)
+	a := g.Begin(Incarnation{Endpoint: "i-2"}, bad, false, 1072)
+	is.Equal(g.Apart(sound, 1073), map[string]bool{"i-2": true})
+	is.Equal(len(g.Apart(bad, 1073)), 0)
+	is.Equal(len(g.Apart(other, 1073)), 0)
+	g.Head(a, 1080)
+	is.Equal(g.Apart(sound, 1081), map[string]bool{"i-2": true})
+	g.End(a, true, 1150)
+	is.Equal(len(g.Apart(sound, 1151)), 0)
+}
+
+// The same two crashes name a sound request and the one at fault, and both have been answered in part. Guards against an
+// answer that breaks off although nothing tells the two apart, and against a fourth endpoint that crashes.
+func TestBegunAnswerOfTiedRequestGoesOn(t *testing.T) {
+	is := is.New(t)
+	g, bad, sound, copied := New(), requestKeys("bad", "own"), requestKeys("sound", "own-2"), requestKeys("bad", "own")
+	crashUnder(g, "i-1", 1000, bad, sound)
+	crashUnder(g, "i-2", 1100, bad, sound)
+	f, _, _ := g.Admit("r-2", sound, false, 1172)
+	is.Equal(f, Quarantined)
+	is.Equal(g.AdmitBegun("r-2", sound, 1172), Test)
+	is.Equal(g.AdmitBegun("r-1", bad, 1173), Test)
+	is.Equal(g.AdmitBegun("r-3", copied, 1174), Wait)
+	crashUnder(g, "i-3", 1200, bad)
+	g.Release("r-1", bad)
+	is.Equal(g.AdmitBegun("r-3", copied, 1300), Quarantined)
+	other := requestKeys("other", "own-3")
+	crashUnder(g, "i-4", 5000, other)
+	crashUnder(g, "i-5", 5100, other)
+	is.Equal(g.AdmitBegun("r-4", other, 5172), Quarantined)
+}
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -55,6 +55,9 @@
 	for {
 		changed, now := s.quarantine.Changed(), s.cfg.Clock.Now()
 		f, because, crashes := s.quarantine.Admit(x.req.ID, x.keys, x.view.FirstSpreader(), now)
+		if f == quarantine.Quarantined && x.written && because == x.keys.Request() {
+			f = s.quarantine.AdmitBegun(x.req.ID, x.keys, now)
+		}
 		switch {
 		case f == quarantine.Admitted:
 			return nil
--- a/relay/run.go
+++ b/relay/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 
 	"github.com/parsleydeal/parsleydeal/catalog"
 	"github.com/parsleydeal/parsleydeal/clock"
@@ -103,10 +104,16 @@
 // selectEndpoint selects an endpoint for the next attempt. An endpoint that was tried is selected
 // again if no other one has room, because its refusal may have been temporary. An endpoint that
 // was silent is selected again only as the last resort: it seems to have no load only because it
-// answers no requests.
+// answers no requests. A request under which an endpoint crashed is kept apart from others like it, if there is room.
 func (x *exchange) selectEndpoint(p plan) (e *fleet.Endpoint, reason placement.Reason) {
-	e, reason = x.server.selector.Select(x.view.Fleet(), x.query(p))
-	if len(x.tried) == 0 {
+	q := x.query(p)
+	apart := x.server.quarantine.Apart(x.keys, q.Now)
+	if len(apart) > 0 {
+		maps.Copy(apart, x.tried)
+		q.Avoid = apart
+	}
+	e, reason = x.server.selector.Select(x.view.Fleet(), q)
+	if len(x.tried)+len(apart) == 0 {
 		return e, reason
 	}
 	for _, avoid := range []map[string]bool{x.tried, x.silentEndpoints, nil} {
