Look again whether an endpoint listens after its connection broke

What callers saw: a request that ends endpoints ended nine to twelve of them where the connection breaks 10 ms before the listener closes (a process that ends thread by thread, a proxy before it). Cause: the probe right after the break was accepted, which counted as a proof that the endpoint lives, so that no crash had a suspect in common. One look proves nothing now: the endpoint is asked again after 30 and 200 ms, and a request that a crash names already waits for the first of these, so that its next attempt or its repeat does not meet another endpoint before the evidence is there. A request under which nothing crashed loses no time.

--- a/daemon/crash_test.go
+++ b/daemon/crash_test.go
@@ -23,6 +23,8 @@
 	// did, by their blocks.
 	arrivals []time.Time
 	lone     map[string][]time.Time
+	// listensOn is how long an endpoint that crashes under a single request listens after the connection broke.
+	listensOn time.Duration
 }
 
 const poolReturn = 1200 * time.Millisecond
@@ -36,7 +38,7 @@
 		reply := standin.Reply{Events: 4, EventDelay: 20 * time.Millisecond, BreakAfter: -1, Confidence: 95}
 		prefix := r.Header.Get("Prompt-Prefix")
 		if strings.Contains(prefix, "lone-") {
-			reply.CrashAfter = 50 * time.Millisecond
+			reply.CrashAfter, reply.ListensOn = 50*time.Millisecond, p.listensOn
 			p.mu.Lock()
 			p.lone[prefix] = append(p.lone[prefix], time.Now())
 			p.mu.Unlock()
@@ -94,11 +96,21 @@
 }
 
 // Callers send one request each that crashes endpoints, again and again at any entry under other IDs, beside sound
-// ones. Guards against entries that take each repeat for another request.
+// ones. Guards against entries that take each repeat for another request, and that take an endpoint for running which
+// still listens when its connections have broken.
 func TestRequestThatCrashesEndpoints(t *testing.T) {
+	for _, listensOn := range []time.Duration{0, 10 * time.Millisecond} {
+		t.Run("listens-on-"+listensOn.String(), func(t *testing.T) { sendLoneCrashes(t, listensOn) })
+	}
+}
+
+func sendLoneCrashes(t *testing.T, listensOn time.Duration) {
 	t.Parallel()
 	is := is.New(t)
 	p := newCrashingPool(t, 12)
+	p.mu.Lock()
+	p.listensOn = listensOn
+	p.mu.Unlock()
 	entries := p.startEntries(4)
 	var callers sync.WaitGroup
 	for i := range 3 {
--- a/quarantine/attempt.go
+++ b/quarantine/attempt.go
@@ -101,6 +101,13 @@
 	return avoid
 }
 
+// IsSuspected reports whether a crash names a request itself that was not cleared since.
+func (g *Register) IsSuspected(keys *Keys, now clock.Millis) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.isSuspectedRequest(keys, now)
+}
+
 // isSuspectedRequest reports whether a crash names a request itself that was not cleared since.
 func (g *Register) isSuspectedRequest(keys *Keys, now clock.Millis) bool {
 	key := g.requestOf(keys)
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -24,6 +24,10 @@
 	// proofDelay is the time from the head of an answer until the endpoint is asked whether it still
 	// runs, if nothing else has shown that.
 	proofDelay = 600 * clock.Millis(1)
+	// firstLookDelay and lastLookDelay are the times after an answer has broken off at which an endpoint that accepted a
+	// connection is asked again: a process that ends may close its connections before it stops listening.
+	firstLookDelay = 30 * clock.Millis(1)
+	lastLookDelay  = 200 * clock.Millis(1)
 )
 
 // keysOf returns what a request is known by when endpoints crash: by all that they see of it but its ID, the
@@ -134,9 +138,12 @@
 		s.recordCrash(a, now)
 	case brokeOff, r == done && a.unframed && s.quarantine.HasUncleared(a.watch):
 		accepted, refused := s.cfg.Pool.Probe(ctx, a.endpoint.Address)
-		s.quarantine.End(a.watch, refused || brokeOff && !accepted, s.cfg.Clock.Now())
-		if refused {
+		s.quarantine.End(a.watch, refused || brokeOff, s.cfg.Clock.Now())
+		switch {
+		case refused:
 			s.recordCrash(a, now)
+		case brokeOff && accepted:
+			a.lookAgain(ctx)
 		}
 	case r == done && x.tested != "":
 		// The test goes on until it is known what it has shown.
@@ -148,6 +155,28 @@
 	}
 }
 
+// lookAgain finds out whether the endpoint of an attempt that broke off goes on to listen. A request that is suspected
+// already waits for the first look: its next attempt or its repeat would crash another endpoint meanwhile.
+func (a *attempt) lookAgain(ctx context.Context) {
+	s := a.exchange.server
+	look := func() {
+		refused := s.quarantine.IsCrashed(incarnationOf(a.endpoint))
+		if !refused {
+			_, refused = s.cfg.Pool.Probe(context.Background(), a.endpoint.Address)
+		}
+		if refused {
+			s.recordCrash(a, s.cfg.Clock.Now())
+		}
+	}
+	if s.quarantine.IsSuspected(a.exchange.keys, s.cfg.Clock.Now()) {
+		clock.Pause(ctx, firstLookDelay)
+		look()
+	} else {
+		time.AfterFunc(firstLookDelay.Duration(), look)
+	}
+	time.AfterFunc(lastLookDelay.Duration(), look)
+}
+
 // proveAlive asks an endpoint whether it still runs after an answer that ended early.
 func (s *Server) proveAlive(a *attempt) {
 	accepted, refused := s.cfg.Pool.Probe(context.Background(), a.endpoint.Address)
