Give up idle connections to the platform after a call without an answer, on the other request path too

The same cause as with the store: each of up to 16 connections at hand that had gone silent for good cost one call its timeout. TestOneCallWaitsOnSeveredConnections failed before.

--- a/provider/http.go
+++ b/provider/http.go
@@ -124,6 +124,10 @@
 	if isDialError(err) {
 		return ErrUnavailable.Wrap(err, "%s %s", method, path)
 	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		// The connection may have gone silent for good, and with it those that were open then.
+		h.client.CloseIdleConnections()
+	}
 	if err != nil {
 		return err
 	}
