--- a/provider/severed_test.go
+++ b/provider/severed_test.go
@@ -28,7 +28,8 @@
 	call := func(timeout time.Duration) error {
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
-		return h.call(ctx, http.MethodGet, "/x", nil, nil)
+		var reply struct{}
+		return h.call(ctx, http.MethodGet, "/x", nil, &reply)
 	}
 	var warm sync.WaitGroup
 	for range connections {
