--- a/site/confirm.go
+++ b/site/confirm.go
@@ -94,7 +94,7 @@
 	if v.operator.Offset < 0 {
 		return ErrStale.New("the operators' stream was not read yet")
 	}
-	res, err := callAgainIfLate(ctx, l, confirmPatience, func(ctx context.Context, _ bool) (readResult, error) {
+	res, err := l.readAgainIfLate(ctx, confirmPatience, func(ctx context.Context, _ bool) (readResult, error) {
 		return l.readFrom(ctx, OperatorStream, v.operator, 0)
 	})
 	if err != nil {
--- a/site/feed.go
+++ b/site/feed.go
@@ -258,7 +258,7 @@
 	if f.fails == 0 {
 		patience = wait + f.slack(minRenewSlack)
 	}
-	res, err = callAgainIfLate(ctx, f.loop, patience, func(ctx context.Context, again bool) (readResult, error) {
+	res, err = f.loop.readAgainIfLate(ctx, patience, func(ctx context.Context, again bool) (readResult, error) {
 		if again {
 			// There is an answer already, unless the store is silent.
 			return f.call(ctx, from, 0)
--- a/site/renew.go
+++ b/site/renew.go
@@ -14,28 +14,28 @@
 	// may have gone silent for good. It is less than minOverdueSlack: other entries need not read in this one's
 	// place because of a connection.
 	minRenewSlack = 200 * clock.Millis(1)
-	// noPatience makes no second call.
+	// noPatience makes no second read.
 	noPatience = clock.Hour
 )
 
-// callResult is the result of a call to the store. again is true for the second one of two.
-type callResult[T any] struct {
-	value T
+// readOutcome is the outcome of a read of the store; again is true for the second one of two.
+type readOutcome struct {
+	readResult
 	err   error
 	again bool
 }
 
-// callAgainIfLate makes a call that only reads from the store. If it has no answer after patience, its connection may
-// have gone silent for good, and so may all that were open then: they are given up, and the call is made once more over a
-// new one. The first answer counts. If there is none, the error is that of the first call.
-func callAgainIfLate[T any](ctx context.Context, l *Loop, patience clock.Millis, call func(ctx context.Context, again bool) (T, error)) (value T, err error) {
+// readAgainIfLate reads from the store. If there is no answer after patience, the connection may have gone silent for good,
+// and so may all that were open then: they are given up, and the read is made once more over a new one. The first answer
+// counts. If there is none, the error is that of the first read.
+func (l *Loop) readAgainIfLate(ctx context.Context, patience clock.Millis, read func(ctx context.Context, again bool) (readResult, error)) (res readResult, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results := make(chan callResult[T], 2)
+	outcomes := make(chan readOutcome, 2)
 	start := func(again bool) {
 		go func() {
-			v, err := call(ctx, again)
-			results <- callResult[T]{v, err, again}
+			res, err := read(ctx, again)
+			outcomes <- readOutcome{res, err, again}
 		}()
 	}
 	start(false)
@@ -48,19 +48,19 @@
 			l.renewConnections()
 			start(true)
 			pending, madeAgain = pending+1, true
-		case r := <-results:
+		case o := <-outcomes:
 			pending--
-			if isAnswered(r.err) {
-				l.countAgain(madeAgain, r.again)
-				return r.value, r.err
+			if isAnswered(o.err) {
+				l.countAgain(madeAgain, o.again)
+				return o.readResult, o.err
 			}
-			if !r.again {
-				err = r.err
+			if !o.again {
+				err = o.err
 			}
 		}
 	}
 	l.renewAfter(err)
-	return value, err
+	return res, err
 }
 
 // isAnswered reports whether the store answered a call with the given error.
