Keep the idle time of a connection that a call took and did not use

By reading: a call that was given up before its send put its connection back as if it had just answered, so that it could be used beyond the time for which its endpoint keeps it.

--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -84,7 +84,7 @@
 	p.openConns.Add(1)
 	p.totalConns.Add(1)
 	setUnackedTimeout(netConn)
-	c = &conn{net: netConn, r: bufio.NewReaderSize(netConn, readBufferSize), pool: p, address: call.Address, maxIdle: call.MaxIdle, idleTimeout: defaultIdleTimeout}
+	c = &conn{net: netConn, r: bufio.NewReaderSize(netConn, readBufferSize), pool: p, address: call.Address, maxIdle: call.MaxIdle, idleSince: p.clock.Now(), idleTimeout: defaultIdleTimeout}
 	if err = c.watchNew(call.SettleTime); err != nil {
 		c.release(false)
 		return nil, false, err
@@ -146,7 +146,6 @@
 	if c.net.SetReadDeadline(time.Time{}) != nil {
 		return false
 	}
-	c.idleSince = p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[c.address]) >= c.maxIdle {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -269,6 +269,7 @@
 	// Bytes after the answer belong to no request: the next request on this connection would
 	// read them as its answer.
 	clean := active && a.complete && a.reusable && !a.conn.dirty && a.conn.r.Buffered() == 0
+	a.conn.idleSince = a.conn.pool.clock.Now()
 	a.conn.release(clean && a.sent())
 }
 
@@ -303,8 +304,8 @@
 	dirty bool
 	// maxIdle bounds the idle connections to the endpoint, as given by the last call.
 	maxIdle int
-	// idleSince is the end of the last answer, idleTimeout how long the connection may be used
-	// after it.
+	// idleSince is the end of the last answer, or when the connection was opened if no call has used it, and
+	// idleTimeout how long it may be used after that.
 	idleSince   clock.Millis
 	idleTimeout clock.Millis
 }
