Hand on an endpoint's failure when the next attempt is abandoned, and do not blame the endpoint

By reading the change: an attempt that was not sent because its time was up ended the request, so that the failure response of the endpoint before it was replaced by one of the entry, and the endpoint that got nothing counted as unreachable. It counts as not run now, and an answer that is kept is read for a caller that is there only.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -47,6 +47,8 @@
 	// endpoint's address.
 	unsent  bool
 	refused bool
+	// abandoned is true when nothing was sent because nobody waits for the answer any more.
+	abandoned bool
 	// unframed is true for an answer that ends with its connection.
 	unframed bool
 	// watch is the attempt in the register of what endpoints crash on.
@@ -82,9 +84,9 @@
 	x.sends++
 	answer, err := s.cfg.Pool.Do(ctx, a.call())
 	if errorx.IsOfType(err, upstream.ErrAbandoned) {
-		a.unsent = true
+		a.unsent, a.abandoned = true, true
 		x.unsent++
-		return ended, x.deadlineError(err)
+		return notRun, x.deadlineError(err)
 	}
 	if errorx.IsOfType(err, upstream.ErrNotSent) {
 		a.unsent, a.refused = true, errorx.IsOfType(err, upstream.ErrRefused)
--- a/relay/run.go
+++ b/relay/run.go
@@ -204,10 +204,13 @@
 // giveUp ends a request with the answer that was kept for this case, if there is one, or else with the
 // failure response that an endpoint sent, or else with err.
 func (x *exchange) giveUp(failure *bufferedAnswer, err error) error {
+	if x.hasLeft() {
+		return err
+	}
 	if f := x.takeFallback(); f != nil {
 		return x.correctRunState(f.deliver())
 	}
-	if failure == nil || x.written || x.hasLeft() {
+	if failure == nil || x.written {
 		return err
 	}
 	return x.deliver(failure)
@@ -235,7 +238,7 @@
 	x.endpoint, x.version, x.model = a.endpoint.ID, a.endpoint.Version, a.plan.model()
 	callerLeft := x.hasLeft()
 	switch {
-	case callerLeft:
+	case callerLeft, a.abandoned:
 	case r == done || r == poor:
 		s.selector.RecordOutcome(a.endpoint.ID, false, now)
 	case a.status == 0 && r == notRun, a.wrongEndpoint:
