Test requests that share all crashes one after the other, and wait for others' evidence before a begun answer breaks off

A sound stream and the request at fault were tested at once, at the one endpoint that was left: they are tested one after the other now. A sound stream was named by two crashes of which another entry knew the cause, and was refused 30 ms before that entry's evidence came: where the caller has a part of the answer, the refusal waits for it, 100 ms at most.

The soak's share of sound requests that verdicts keep out counts all requests sent; callers that leave were in the numerator only.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -201,24 +201,31 @@
 }
 
 // AdmitBegun decides on a request that is quarantined itself although its caller has a part of the answer, which would
-// break off. If all crashes that name it name another request too, one of the two is sound: it is tested once more.
+// break off. If all crashes that name it name other requests too, all but one of them are sound: they are tested once
+// more, one after the other.
 func (g *Register) AdmitBegun(request string, keys *Keys, now clock.Millis) Finding {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	key := g.requestOf(keys)
 	s := g.suspects[key]
-	switch {
-	case s == nil || s.named > requestCrashes || !g.isTied(key):
+	if s == nil || s.named > requestCrashes {
 		return Quarantined
-	case s.tester != "" && s.tester != request:
-		return Wait
+	}
+	tied := g.tiedWith(key)
+	if len(tied) == 0 {
+		return Quarantined
+	}
+	for _, other := range append(tied, key) {
+		if tester := g.suspects[other].tester; tester != "" && tester != request {
+			return Wait
+		}
 	}
 	s.tester, s.triedAt = request, now
 	return Test
 }
 
-// isTied reports whether all crashes that name a request name another one too.
-func (g *Register) isTied(key string) bool {
+// tiedWith returns the other requests that all crashes name which name a request.
+func (g *Register) tiedWith(key string) (tied []string) {
 	crashes, beside := 0, make(map[string]int)
 	for _, c := range g.crashes {
 		if _, ok := c.named[key]; !ok {
@@ -231,12 +238,12 @@
 			}
 		}
 	}
-	for _, n := range beside {
+	for other, n := range beside {
 		if n == crashes {
-			return true
+			tied = append(tied, other)
 		}
 	}
-	return false
+	return tied
 }
 
 // keysOf returns the keys of a request that may be suspects, that of the request itself first.
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -21,6 +21,9 @@
 	quarantineRetryAfter = 30 * clock.Second
 	// testRetryAfter is the retry delay of a request whose block is still being tested.
 	testRetryAfter = 500 * clock.Millis(1)
+	// maxEvidenceDelay is how long evidence of other entries may take. A request whose caller has a part of the answer waits
+	// for it before the answer breaks off: another entry may know the request that was the cause.
+	maxEvidenceDelay = 100 * clock.Millis(1)
 	// proofDelay is the time from the head of an answer until the endpoint is asked whether it still
 	// runs, if nothing else has shown that.
 	proofDelay = 600 * clock.Millis(1)
@@ -55,12 +58,16 @@
 func (x *exchange) awaitAdmission(ctx context.Context) (err error) {
 	s := x.server
 	x.endTest()
-	until := s.cfg.Clock.Now() + min(maxTestWait, clock.Millis(maxTestWaitRatio*float64(x.remaining())))
+	start := s.cfg.Clock.Now()
+	until := start + min(maxTestWait, clock.Millis(maxTestWaitRatio*float64(x.remaining())))
 	for {
 		changed, now := s.quarantine.Changed(), s.cfg.Clock.Now()
 		f, because, crashes := s.quarantine.Admit(x.req.ID, x.keys, x.view.FirstSpreader(), now)
+		wait := until - now
 		if f == quarantine.Quarantined && x.written && because == x.keys.Request() {
-			f = s.quarantine.AdmitBegun(x.req.ID, x.keys, now)
+			if f = s.quarantine.AdmitBegun(x.req.ID, x.keys, now); f == quarantine.Quarantined && now < start+maxEvidenceDelay {
+				f, wait = quarantine.Wait, start+maxEvidenceDelay-now
+			}
 		}
 		switch {
 		case f == quarantine.Admitted:
@@ -77,7 +84,7 @@
 			x.refusedFor = because
 			return refusal.New(refusal.Quarantined, "another request tests whether endpoints crash on it").WithRetryAfter(testRetryAfter)
 		}
-		awaitChange(ctx, changed, until-now)
+		awaitChange(ctx, changed, wait)
 		if ctx.Err() != nil || x.callerLeft(leftDuringTest) {
 			return x.deadlineError(ctx.Err())
 		}
--- a/soak/left_test.go
+++ b/soak/left_test.go
@@ -77,6 +77,7 @@
 	for i := range leavingCallers {
 		all.Go(func() {
 			p := k.entries[i%len(k.entries)]
+			k.warmed.Add(1)
 			k.send(client, p, [...]string{"chat", "read"}[i/len(k.entries)%2], key, fmt.Sprintf("warm-%d", i))
 		})
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -24,6 +24,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -120,6 +121,8 @@
 	sent    []sent
 	// leftAt is when the callers of requests left that leave, by the requests' IDs.
 	leftAt map[string]time.Time
+	// warmed counts requests that were sent only to have connections opened.
+	warmed atomic.Int64
 	// unanswered holds the requests that were not answered after the recovery.
 	unanswered map[string]bool
 	// faultLog lists the injected faults; it is printed if the seed fails.
