Tests of paused entries: send only once the entries have stopped, with keys that outlast the pauses

The tests wait for the stop now, and this one's keys are good for 10 s; checks and bounds are as they were.

A departure that ends a dial is noted as noticed before the send, not during the answer.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -91,6 +91,9 @@
 	if errorx.IsOfType(err, upstream.ErrNotSent) {
 		a.unsent, a.refused = true, errorx.IsOfType(err, upstream.ErrRefused)
 		x.unsent++
+		if ctx.Err() != nil {
+			x.callerLeft(leftBeforeSend)
+		}
 		return notRun, refusal.New(refusal.EndpointLost, err.Error())
 	}
 	x.runs++
--- a/soak/left_test.go
+++ b/soak/left_test.go
@@ -23,6 +23,8 @@
 	// resumeAfter later.
 	leaveAfter  = 150 * time.Millisecond
 	resumeAfter = 1200 * time.Millisecond
+	// pausedLease is longer than pauses that follow each other may keep an entry from confirming its configuration.
+	pausedLease = 10 * time.Second
 	// handedSlack is how much more time than its caller has left a request may be given at an endpoint.
 	handedSlack = 500 * time.Millisecond
 )
@@ -53,7 +55,7 @@
 	for _, cores := range []string{"1", "5"} {
 		t.Run("cores-"+cores, func(t *testing.T) {
 			t.Setenv("GOMAXPROCS", cores)
-			s := newSite(t, program)
+			s := newSiteWithLease(t, program, pausedLease)
 			k := &soak{site: s, t: t}
 			k.waitReady(5 * time.Second)
 			for i, kind := range leftKinds {
@@ -89,6 +91,9 @@
 func (k *soak) leavePaused(kind leftKind, prefix string) {
 	k.t.Helper()
 	k.signalAll(syscall.SIGSTOP)
+	for _, p := range k.entries {
+		p.waitStopped(k.t)
+	}
 	var left, stayed sync.WaitGroup
 	failed := make(chan string, stayingCallers)
 	for i := range leavingCallers + stayingCallers {
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -102,6 +103,8 @@
 
 // site is the store, the entries and the endpoints of one seed's run.
 type site struct {
+	// keyLease is how long the entries use a key after the configuration was confirmed.
+	keyLease  time.Duration
 	t         *testing.T
 	dir       string
 	store     *standin.Store
@@ -121,9 +124,11 @@
 	finalCleanup func()
 }
 
-func newSite(t *testing.T, program string) *site {
+func newSite(t *testing.T, program string) *site { return newSiteWithLease(t, program, keyLease) }
+
+func newSiteWithLease(t *testing.T, program string, lease time.Duration) *site {
 	t.Helper()
-	s := &site{t: t, dir: t.TempDir(), store: standin.NewStore(), revokedAt: make(map[string]time.Time), finalCleanup: func() {}}
+	s := &site{keyLease: lease, t: t, dir: t.TempDir(), store: standin.NewStore(), revokedAt: make(map[string]time.Time), finalCleanup: func() {}}
 	t.Cleanup(func() { s.finalCleanup() })
 	for range 3 {
 		s.addKey()
@@ -253,7 +258,7 @@
 	p.base, p.ready = "http://"+callers, "http://"+ready+"/readyz"
 	p.settings = filepath.Join(s.dir, name+".toml")
 	text := fmt.Sprintf("vm=%q\nzone=\"a\"\nregion=\"r\"\npeer=%q\n[entry]\ncallers=%q\n[direct]\nstore=%q\nready=%q\ngrace=%q\nkey-lease=%q\nretry-ratio=1\nretry-slack=1000\nexposure=0.3\n",
-		name, address.FreeAddress(), callers, p.storeProxy.address(), ready, stopGrace, keyLease)
+		name, address.FreeAddress(), callers, p.storeProxy.address(), ready, stopGrace, s.keyLease)
 	if err = os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
@@ -307,6 +312,19 @@
 	_ = p.cmd.Process.Signal(sig)
 }
 
+// waitStopped waits until the current process has stopped after a SIGSTOP.
+func (p *process) waitStopped(t *testing.T) {
+	t.Helper()
+	p.mu.Lock()
+	pid := p.cmd.Process.Pid
+	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	if err := address.WaitStopped(ctx, pid); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // recordDisturbance records that a fault is affecting the process now.
 func (p *process) recordDisturbance() {
 	p.mu.Lock()
--- a/system/left_test.go
+++ b/system/left_test.go
@@ -1,6 +1,7 @@
 package system
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/parsleydeal/parsleydeal/standin"
 )
 
 // Callers send whole requests to a paused entry and leave before it goes on. Guards against an entry that sends their
@@ -27,6 +29,9 @@
 	before := started()
 	paused := c.entries[0].cmd.Process
 	is.NoErr(paused.Signal(syscall.SIGSTOP))
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	is.NoErr(standin.WaitStopped(ctx, paused.Pid))
 	const body = `{"model":"quick","stream":true,"messages":[{"role":"user","content":"hello"}]}`
 	var all sync.WaitGroup
 	for range callers {
