--- a/soak/left_test.go
+++ b/soak/left_test.go
@@ -151,6 +151,92 @@
 	}
 }
 
+// behindKind is a kind of request with bytes of the same connection behind it.
+type behindKind struct {
+	leftKind
+	behind string
+}
+
+// nextRequest is the beginning of another request, which a caller sends before it has the answer to the first one.
+const nextRequest = "GET /read/next HTTP/1.1\r\nHost: h.example\r\n\r\n"
+
+var behindKinds = []behindKind{
+	{leftKinds[2], ""}, {leftKinds[2], "G"}, {leftKinds[2], nextRequest},
+	{leftKinds[0], ""}, {leftKinds[0], "\r\n"}, {leftKinds[0], nextRequest},
+	{leftKinds[1], "\r\n"},
+}
+
+const (
+	// slowAnswer is how long endpoints work on requests of callers that leave meanwhile.
+	slowAnswer = 3 * time.Second
+	// behindAfter is when the bytes behind a request are sent: the entry has read the request by then.
+	behindAfter = 50 * time.Millisecond
+	// leaveMidway is when these callers close their connections, knownAfter when their endpoints must have stopped.
+	leaveMidway = 400 * time.Millisecond
+	knownAfter  = 600 * time.Millisecond
+	// midwayCallers is the number of these callers, midwayWorking how many of their requests may still be worked on.
+	midwayCallers = 30
+	midwayWorking = midwayCallers / 4
+)
+
+// Guards against endpoints that go on working for callers that sent more bytes behind their request before they left.
+func TestCallersThatSentMoreAreSeenToLeave(t *testing.T) {
+	program := buildEntry(t)
+	for i, kind := range behindKinds {
+		t.Run(fmt.Sprintf("%d-%s", i, kind.name), func(t *testing.T) {
+			k := &soak{site: newSiteWithLease(t, program, pausedLease), t: t}
+			k.waitReady(5 * time.Second)
+			k.warm()
+			for _, e := range k.allEndpoints() {
+				e.setFault(func() standin.Reply { return standin.Reply{BreakAfter: -1, Delay: slowAnswer} })
+			}
+			k.leaveMidway(kind, fmt.Sprintf("more-%d-", i))
+			if t.Failed() {
+				k.saveLogs(uint64(i))
+			}
+		})
+	}
+}
+
+// leaveMidway has callers leave while endpoints work on their requests.
+func (k *soak) leaveMidway(kind behindKind, prefix string) {
+	k.t.Helper()
+	var left sync.WaitGroup
+	for i := range midwayCallers {
+		c, err := net.Dial("tcp4", strings.TrimPrefix(k.entries[i%len(k.entries)].base, "http://"))
+		if err != nil {
+			k.t.Fatal(err)
+		}
+		if _, err = fmt.Fprint(c, kind.request(fmt.Sprint(prefix, i), k.keys[0])); err != nil {
+			k.t.Fatal(err)
+		}
+		left.Go(func() {
+			time.Sleep(behindAfter)
+			_, _ = fmt.Fprint(c, kind.behind)
+			time.Sleep(leaveMidway - behindAfter)
+			_ = c.Close()
+		})
+	}
+	left.Wait()
+	time.Sleep(knownAfter)
+	runs, working := 0, 0
+	for _, e := range k.allEndpoints() {
+		for _, r := range e.Runs() {
+			if !strings.HasPrefix(r.ID, prefix) {
+				continue
+			}
+			runs++
+			if !r.Disconnected {
+				working++
+			}
+		}
+	}
+	k.t.Logf("%s with %q behind it: %d of %d runs go on %s after the callers left", kind.name, kind.behind, working, runs, knownAfter)
+	if runs < midwayCallers || working > midwayWorking {
+		k.t.Errorf("%s with %q behind it: %d of %d runs go on %s after the callers left", kind.name, kind.behind, working, runs, knownAfter)
+	}
+}
+
 // checkHanded checks that a request that lay unread for a while is given no more time at an endpoint than its caller
 // has left.
 func (k *soak) checkHanded(kind leftKind, r standin.Run) {
