Log whether a caller's leaving was learned from its context or from the socket

The socket is asked once when a request has failed; left-by and the label by of parsleydeal_callers_left_total say what told.

--- a/relay/caller.go
+++ b/relay/caller.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"fmt"
+
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/refusal"
 )
@@ -31,11 +33,20 @@
 
 // callerLeft asks whether the caller has closed its connection, and notes the step at which that was noticed.
 func (x *exchange) callerLeft(step string) bool {
-	if x.leftAt == "" && (x.r.Context().Err() != nil || x.caller.Left()) {
-		x.leftAt = step
-		x.server.metrics.GetOrCreateCounter(`parsleydeal_callers_left_total{noticed="` + step + `"}`).Inc()
+	if x.leftAt != "" {
+		return true
+	}
+	switch {
+	case x.r.Context().Err() != nil:
+		x.leftBy = "context"
+	case x.caller.Left():
+		x.leftBy = "socket"
+	default:
+		return false
 	}
-	return x.leftAt != ""
+	x.leftAt = step
+	x.server.metrics.GetOrCreateCounter(fmt.Sprintf("parsleydeal_callers_left_total{noticed=%q,by=%q}", step, x.leftBy)).Inc()
+	return true
 }
 
 // recordUnread records how long the request lay unread before this entry got to it.
--- a/relay/server.go
+++ b/relay/server.go
@@ -200,9 +200,11 @@
 	events          int
 	timeToFirstByte clock.Millis
 	// unread is how long the request lay unread before this entry got to it, leftAt the step at which the entry
-	// noticed that the caller had left; empty if it did not leave.
+	// noticed that the caller had left, and leftBy whether the context or the socket told; both are empty if it did
+	// not leave.
 	unread clock.Millis
 	leftAt string
+	leftBy string
 	// startWait is how long the request was held until the state of the site was loaded.
 	startWait clock.Millis
 	// bodyTook is how long it took to read the caller's body, firstAttemptAt when the first
@@ -250,7 +252,7 @@
 func (x *exchange) finish(err error) {
 	s := x.server
 	took := s.cfg.Clock.Since(x.startedAt)
-	callerLeft := x.hasLeft() && x.callerLeft(leftDuringAnswer)
+	callerLeft := err != nil && x.callerLeft(leftDuringAnswer)
 	x.logRequest(err, took, callerLeft)
 	switch {
 	case err == nil:
@@ -267,7 +269,7 @@
 func (x *exchange) logRequest(err error, took clock.Millis, callerLeft bool) {
 	fields := []any{
 		"request", x.id(), "route", x.routeName(), "organisation", x.organisation, "status", x.status, "endpoint", x.endpoint, "version", x.version, "model", x.model,
-		"sends", x.sends, "retry", x.retry, "refused-for", x.refusedFor, "events", x.events, "unread", x.unread, "waited", x.startWait, "took", took, "body", x.bodyTook, "placed", x.firstAttemptAfter(), "connect", x.connectTook, "first", x.timeToFirstByte, "pace", x.pace, "late", x.late(took), "config", x.configVersion(), "config-age", x.configAge(), "config-by", x.view.ConfirmedBy(), "left-by-caller", callerLeft, "left-at", x.leftAt,
+		"sends", x.sends, "retry", x.retry, "refused-for", x.refusedFor, "events", x.events, "unread", x.unread, "waited", x.startWait, "took", took, "body", x.bodyTook, "placed", x.firstAttemptAfter(), "connect", x.connectTook, "first", x.timeToFirstByte, "pace", x.pace, "late", x.late(took), "config", x.configVersion(), "config-age", x.configAge(), "config-by", x.view.ConfirmedBy(), "left-by-caller", callerLeft, "left-at", x.leftAt, "left-by", x.leftBy,
 	}
 	if err != nil {
 		x.server.cfg.Log.Warn("Request failed", append(fields, "error", logbook.Text(err))...)
