Log how many samples of a new version there was nothing to compare with

A verdict, and an upgrade that is completed because its time is up, rest on the samples that were compared. Those that were not left no trace.

--- a/site/upgrade.go
+++ b/site/upgrade.go
@@ -196,7 +196,7 @@
 	t := u.Total()
 	return []Effect{LogLine{Message: "Upgrade ended", Fields: []any{
 		"service", o.Service, "target", o.Target, "phase", u.Phase(), "reason", u.Reason(), "age", u.Age(s.now),
-		"ended", t.Ended, "bad", t.Bad, "timed", t.Timed, "slow", t.Slow, "reporters", u.Reporters(), "entries", s.entryCount(),
+		"ended", t.Ended, "bad", t.Bad, "timed", t.Timed, "slow", t.Slow, "ungraded", u.Ungraded(), "reporters", u.Reporters(), "entries", s.entryCount(),
 	}}, Publish{}}
 }
 
--- a/upgrade/upgrade.go
+++ b/upgrade/upgrade.go
@@ -66,6 +66,14 @@
 // Total sums the recorded outcomes of the new version.
 func (u *Upgrade) Total() Count { return u.total }
 
+// Ungraded returns how many samples of the new version there was nothing to compare with.
+func (u *Upgrade) Ungraded() (n int64) {
+	for _, samples := range u.ungraded {
+		n += samples
+	}
+	return n
+}
+
 // Age returns the time since the order started.
 func (u *Upgrade) Age(now clock.Millis) clock.Millis { return now - u.startedAt }
 
