Keep the time of an order and what its version is compared with when all entries lose power

What operators saw: a slow version rolled back 1.6 to 2.4 s after the order's deadline, once with 118 requests later than allowed (EXPOSURE), and 12 of 12 good versions completed 2.8 to 5.3 s after it. Cause: each process counted an order's time from when it read it, and the samples of the old version were in the entries' memory only. An entry records both in a stream of the system's own, with the verdict running; an order found at a start is resumed with what is left of its time.

--- a/site/event.go
+++ b/site/event.go
@@ -27,6 +27,8 @@
 	From    int64
 	// Next is the position up to which the stream was read.
 	Next Position
+	// Began is when other processes began with the orders, by service.
+	Began map[string]OrderBegun
 }
 
 // StoreFailed reports that a call to the store failed.
@@ -130,10 +132,12 @@
 // Publish publishes a new view.
 type Publish struct{}
 
-// Write appends a verdict if the status stream still ends at the position At.
+// Write appends a verdict if the status stream still ends at the position At. Begun is recorded before it; nil if there
+// is nothing to record.
 type Write struct {
 	Verdict Verdict
 	At      Position
+	Begun   *OrderBegun
 }
 
 // LogLine writes a log line.
--- a/site/loop.go
+++ b/site/loop.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
@@ -46,6 +47,9 @@
 	Seeds []EntryAddress
 	// TakeEntries asks an entry which entries are running.
 	TakeEntries func(ctx context.Context, from EntryAddress) (*wire.SiteState, error)
+	// TimeOfDay returns the time of day of the VM in ms since the Unix epoch, which may be off by seconds and jump. Nil
+	// stands for the system's.
+	TimeOfDay func() int64
 	// Counts returns what this process has counted in its traffic since it started.
 	Counts func() TrafficCounts
 }
@@ -85,6 +89,9 @@
 
 // NewLoop returns a loop with an empty state. Run starts it.
 func NewLoop(cfg Config) *Loop {
+	if cfg.TimeOfDay == nil {
+		cfg.TimeOfDay = func() int64 { return time.Now().UnixMilli() }
+	}
 	l := &Loop{cfg: cfg, state: NewState(cfg.Self, cfg.Clock.Now()), events: make(chan Event, eventQueueSize), stateRequests: make(chan chan builtState), confirmFailedAt: never, confirmReadAt: never, started: make(chan struct{}), metrics: metrics.NewSet()}
 	const fractions = 1 << 16
 	l.spread = float64(xxhash.Sum64String(cfg.Self.Process)%fractions) / fractions
@@ -428,6 +435,9 @@
 func (l *Loop) write(ctx context.Context, w Write) {
 	call, cancel := context.WithTimeout(ctx, appendTimeout.Duration())
 	defer cancel()
+	if w.Begun != nil {
+		l.writeBegun(call, w.Verdict.Service, *w.Begun)
+	}
 	key, value := l.cfg.Codec.VerdictRecord(w.Verdict)
 	era, err := l.cfg.Store.Append(call, StatusStream, key, value, w.At.Offset)
 	l.renewAfter(err)
--- a/site/report.go
+++ b/site/report.go
@@ -123,7 +123,7 @@
 
 func (s *State) upgradeReports(counts bool) (out []*wire.UpgradeReport) {
 	for service, u := range s.upgrades {
-		if u.Age(s.now) <= u.Order().Duration+upgradeReportTTL {
+		if u.Schedule().Age(s.now) <= u.Order().Duration+upgradeReportTTL {
 			out = append(out, s.newUpgradeReport(service, u, counts))
 		}
 	}
@@ -137,7 +137,7 @@
 func (s *State) newUpgradeReport(service string, u *upgrade.Upgrade, counts bool) *wire.UpgradeReport {
 	o := u.Order()
 	r := &wire.UpgradeReport{
-		Service: service, Target: o.Target, Number: positionOf(o.Number).Offset, Era: positionOf(o.Number).Era, AgeMillis: int64(u.Age(s.now)), Phase: int32(u.Phase()), Reason: u.Reason(), Kept: s.keptSessions[service],
+		Service: service, Target: o.Target, Number: positionOf(o.Number).Offset, Era: positionOf(o.Number).Era, AgeMillis: int64(u.Schedule().Age(s.now)), SpanMillis: int64(u.Schedule().Span()), Phase: int32(u.Phase()), Reason: u.Reason(), Kept: s.keptSessions[service],
 		Agreed: s.verdicts[service] == Verdict{Service: service, Target: o.Target, Phase: u.Phase()},
 	}
 	for version, n := range s.running[service] {
--- a/site/settle.go
+++ b/site/settle.go
@@ -123,7 +123,7 @@
 		}
 	}
 	for _, o := range settling.orders {
-		effects = append(effects, s.orderReceived(o, false)...)
+		effects = append(effects, s.orderReceived(o, false, nil)...)
 	}
 	effects = append(effects, s.selectVersions()...)
 	// The next report asks for a confirmation, as soon as a reader has one.
--- a/site/state.go
+++ b/site/state.go
@@ -319,7 +319,7 @@
 	}
 	for _, o := range e.Update.Orders {
 		if !s.deferOrder(o, e.Full) {
-			effects = append(effects, s.orderReceived(o, first)...)
+			effects = append(effects, s.orderReceived(o, first, e.Began)...)
 		}
 	}
 	effects = append(effects, s.applyZones(e)...)
@@ -613,7 +613,7 @@
 		vs := v.versions[service]
 		switch u.Phase() {
 		case upgrade.Running:
-			vs.upgrade, vs.startedAt, vs.exposure, vs.kept = u.Order(), s.now-u.Age(s.now), s.self.Exposure, s.keptByPeers(service, u.Order())
+			vs.upgrade, vs.schedule, vs.exposure, vs.kept = u.Order(), u.Schedule(), s.self.Exposure, s.keptByPeers(service, u.Order())
 			vs.running = true
 		case upgrade.RolledBack:
 			vs.rule.Banned = u.Order().Target
--- a/site/store.go
+++ b/site/store.go
@@ -36,11 +36,13 @@
 	StatusStream
 	// EntryStream holds the entries' addresses.
 	EntryStream
+	// UpgradeStream holds when entries began with the orders of upgrades.
+	UpgradeStream
 )
 
 // String returns the name of the stream for logs.
 func (s Stream) String() string {
-	return [...]string{"operator", "endpoint", "status", "entry"}[s]
+	return [...]string{"operator", "endpoint", "status", "entry", "upgrade"}[s]
 }
 
 // Record is a keyed record of a stream. A record with an empty value deletes its key.
--- a/site/upgrade.go
+++ b/site/upgrade.go
@@ -35,8 +35,8 @@
 }
 
 // orderReceived starts an upgrade. An order found by the first read may be an old one whose
-// verdict is already on the status stream.
-func (s *State) orderReceived(o upgrade.Order, first bool) (effects []Effect) {
+// verdict is already on the status stream, or that other processes have begun with.
+func (s *State) orderReceived(o upgrade.Order, first bool, began map[string]OrderBegun) (effects []Effect) {
 	if u := s.upgrades[o.Service]; u != nil && u.Order().Number >= o.Number {
 		return nil
 	} else if u != nil && s.writtenAgain(u.Order(), o) {
@@ -44,6 +44,10 @@
 		return []Effect{LogLine{Message: "Upgrade's order was written again", Fields: []any{"service", o.Service, "target", o.Target, "number", positionOf(o.Number).Offset, "era", positionOf(o.Number).Era, "phase", u.Phase()}}}
 	}
 	u := upgrade.New(o, s.now)
+	begun, resumes := began[o.Service]
+	if resumes = resumes && begun.Number == o.Number; resumes {
+		u = s.resume(o, begun)
+	}
 	s.upgrades[o.Service] = u
 	if v, ok := s.verdicts[o.Service]; ok && first && v.Target == o.Target {
 		u.Set(v.Phase, "agreed before")
@@ -53,7 +57,7 @@
 		s.scheduleVerdict(Verdict{Service: o.Service, Target: o.Target, Phase: upgrade.Running})
 	}
 	return []Effect{LogLine{Message: "Upgrade ordered", Fields: []any{
-		"service", o.Service, "target", o.Target, "span", o.Duration, "number", positionOf(o.Number).Offset, "current", s.current[o.Service], "phase", u.Phase(),
+		"service", o.Service, "target", o.Target, "span", o.Duration, "resumed", resumes, "begun-ago", begun.Age, "ends-in", u.Schedule().Span(), "number", positionOf(o.Number).Offset, "current", s.current[o.Service], "phase", u.Phase(),
 	}}}
 }
 
@@ -195,7 +199,7 @@
 	delete(s.keptSessions, o.Service)
 	t := u.Total()
 	return []Effect{LogLine{Message: "Upgrade ended", Fields: []any{
-		"service", o.Service, "target", o.Target, "phase", u.Phase(), "reason", u.Reason(), "age", u.Age(s.now),
+		"service", o.Service, "target", o.Target, "phase", u.Phase(), "reason", u.Reason(), "age", u.Schedule().Age(s.now),
 		"ended", t.Ended, "bad", t.Bad, "timed", t.Timed, "slow", t.Slow, "ungraded", u.Ungraded(), "reporters", u.Reporters(), "entries", s.entryCount(),
 	}}, Publish{}}
 }
@@ -211,7 +215,7 @@
 	if u.Phase() != upgrade.Running {
 		return effects
 	}
-	u.AdjustStart(s.now - clock.Millis(r.GetAgeMillis()))
+	u.AdjustSchedule(upgrade.NewSchedule(s.now-clock.Millis(r.GetAgeMillis()), cmp.Or(clock.Millis(r.GetSpanMillis()), u.Order().Duration)))
 	counts := make(upgrade.Counts, len(r.GetCounts()))
 	for _, c := range r.GetCounts() {
 		count := upgrade.Count{Ended: c.GetEnded(), Bad: c.GetBad(), Timed: c.GetTimed()}
@@ -265,7 +269,7 @@
 }
 
 func (s *State) addLatencies(u *upgrade.Upgrade, process string, samples upgrade.Latencies) {
-	u.AddLatencies(process, samples, upgrade.Share(u.ElapsedRatio(s.now), s.self.Exposure))
+	u.AddLatencies(process, samples, upgrade.Share(u.Schedule().ElapsedRatio(s.now), s.self.Exposure))
 }
 
 // judgeCount is the number of delegates that judge upgrades. Only they receive the traffic counts
@@ -320,7 +324,7 @@
 		}
 		p.dueAt = s.now + appendRetryDelay
 		s.pendingVerdicts[service] = p
-		effects = append(effects, Write{Verdict: p.verdict, At: s.statusEnd})
+		effects = append(effects, Write{Verdict: p.verdict, At: s.statusEnd, Begun: s.begunToWrite(p.verdict)})
 	}
 	effects = append(effects, s.settled()...)
 	effects = append(effects, s.logHeardCount()...)
--- a/site/view.go
+++ b/site/view.go
@@ -76,11 +76,11 @@
 type versionState struct {
 	rule upgrade.Rule
 	// running is true during an upgrade; the fields below are only valid then.
-	running   bool
-	upgrade   upgrade.Order
-	startedAt clock.Millis
-	exposure  float64
-	kept      map[uint64]bool
+	running  bool
+	upgrade  upgrade.Order
+	schedule upgrade.Schedule
+	exposure float64
+	kept     map[uint64]bool
 }
 
 // Config returns the configuration in force; nil before the first one.
@@ -203,7 +203,7 @@
 	if !vs.running {
 		return vs.rule
 	}
-	return upgrade.RuleAt(vs.upgrade, vs.startedAt, now, vs.rule.Current, vs.exposure)
+	return upgrade.RuleAt(vs.upgrade.Target, vs.schedule, now, vs.rule.Current, vs.exposure)
 }
 
 // Upgrade returns the order of a service's upgrade in progress.
--- a/upgrade/rule.go
+++ b/upgrade/rule.go
@@ -16,10 +16,10 @@
 	Pinned bool
 }
 
-// RuleAt returns the rule of a running upgrade at the time now.
-func RuleAt(o Order, startedAt, now clock.Millis, current string, exposure float64) Rule {
-	elapsed := float64(now-startedAt) / float64(max(o.Duration, 1))
-	return Rule{Current: current, Target: o.Target, Share: Share(elapsed, exposure), Pinned: elapsed < pinnedRatio}
+// RuleAt returns the rule of a running upgrade to a target at the time now.
+func RuleAt(target string, s Schedule, now clock.Millis, current string, exposure float64) Rule {
+	elapsed := s.ElapsedRatio(now)
+	return Rule{Current: current, Target: target, Share: Share(elapsed, exposure), Pinned: elapsed < pinnedRatio}
 }
 
 // Version selects the version for a request. fraction is a number in [0, 1) that is constant for a
--- a/upgrade/upgrade.go
+++ b/upgrade/upgrade.go
@@ -18,9 +18,9 @@
 
 // Upgrade tracks the execution of one order. It reads no clock: callers pass the time.
 type Upgrade struct {
-	order     Order
-	startedAt clock.Millis
-	phase     Phase
+	order    Order
+	schedule Schedule
+	phase    Phase
 	// reason is why the upgrade ended; empty while it runs.
 	reason string
 	// lastCounts and lastLatencies hold the last cumulative counts of each process; nil once the
@@ -45,7 +45,17 @@
 
 // New starts tracking an order that takes effect at startedAt.
 func New(o Order, startedAt clock.Millis) *Upgrade {
-	return &Upgrade{order: o, startedAt: startedAt, lastCounts: make(map[string]Counts), lastLatencies: make(map[string]Latencies), baseline: make(baseline), testsByRoute: make(map[string]*routeTests)}
+	return newUpgrade(o, Schedule{startedAt: startedAt, span: o.Duration})
+}
+
+// Resume starts tracking an order that began the given time ago, when all that was known about its version is lost. What
+// is left of its duration has a schedule of its own.
+func Resume(o Order, now, age clock.Millis) *Upgrade {
+	return newUpgrade(o, resumedSchedule(o, now, age))
+}
+
+func newUpgrade(o Order, s Schedule) *Upgrade {
+	return &Upgrade{order: o, schedule: s, lastCounts: make(map[string]Counts), lastLatencies: make(map[string]Latencies), baseline: make(baseline), testsByRoute: make(map[string]*routeTests)}
 }
 
 // Order returns the order.
@@ -74,18 +84,18 @@
 	return n
 }
 
-// Age returns the time since the order started.
-func (u *Upgrade) Age(now clock.Millis) clock.Millis { return now - u.startedAt }
+// Schedule returns the schedule of the upgrade.
+func (u *Upgrade) Schedule() Schedule { return u.schedule }
 
-// AdjustStart applies the start time reported by a peer if it is earlier, so that a process
-// started during an upgrade does not start over with the shares.
-func (u *Upgrade) AdjustStart(at clock.Millis) {
-	u.startedAt = min(u.startedAt, at)
-}
+// Resumed reports whether the schedule is that of an order with which all processes had to begin again.
+func (u *Upgrade) Resumed() bool { return u.schedule.span < u.order.Duration }
 
-// ElapsedRatio returns the elapsed fraction of the order's duration; above 1 after its end.
-func (u *Upgrade) ElapsedRatio(now clock.Millis) float64 {
-	return float64(u.Age(now)) / float64(max(u.order.Duration, 1))
+// AdjustSchedule applies the schedule of a peer if it started earlier, so that a process started during an upgrade does
+// not start over with the shares.
+func (u *Upgrade) AdjustSchedule(s Schedule) {
+	if s.startedAt < u.schedule.startedAt {
+		u.schedule = s
+	}
 }
 
 // Set applies a phase that another process decided on. It reports whether the phase changed; an
@@ -229,10 +239,10 @@
 			return u.Set(RolledBack, v+" on "+routeName(route))
 		}
 	}
-	if v := u.suspicion(); v != "" && u.ElapsedRatio(now) >= pinnedRatio && u.covered() {
+	if v := u.suspicion(); v != "" && u.schedule.ElapsedRatio(now) >= pinnedRatio && u.covered() {
 		return u.Set(RolledBack, "its share was to rise, and it seems "+v)
 	}
-	if old > 0 || u.ElapsedRatio(now) < fullTrafficRatio {
+	if old > 0 || u.schedule.ElapsedRatio(now) < fullTrafficRatio {
 		u.idleSince = 0
 	} else if u.idleSince == 0 {
 		u.idleSince = now
@@ -240,7 +250,7 @@
 	switch {
 	case u.idleSince > 0 && now-u.idleSince >= idleDuration:
 		return u.Set(Completed, "old version is idle")
-	case u.ElapsedRatio(now) >= fullTrafficRatio && u.Age(now) >= u.order.Duration-completionMargin:
+	case u.schedule.ElapsedRatio(now) >= fullTrafficRatio && u.schedule.Age(now) >= u.schedule.span-completionMargin:
 		return u.Set(Completed, "time is up")
 	}
 	return false
