Do not complete an upgrade whose new version seems bad by what few entries have counted

What operators would see: a version that seems slow is completed and kept because its time is up, where the suspicion was not acted on since fewer than three quarters of the entries were heard. Cause: the end of an order's time completed whatever was known. TestVersionThatSeemsBadIsNotCompleted failed before (completed). The other side: before the end of the time weak evidence of few entries still decides nothing (TestFewEntriesDoNotDecideOnSuspicion).

--- a/upgrade/upgrade.go
+++ b/upgrade/upgrade.go
@@ -228,8 +228,8 @@
 
 // Judge decides whether the upgrade ends, and reports whether it did. It rolls back as soon as the
 // new version is bad, or if the new version seems bad when its share is about to rise. It
-// completes the upgrade once the old version is idle, or shortly before the deadline. old is the
-// number of requests running on the old version in all processes.
+// completes the upgrade once the old version is idle, or shortly before the deadline, unless the new version seems bad by
+// what few entries have counted. old is the number of requests running on the old version in all processes.
 func (u *Upgrade) Judge(now clock.Millis, old int) (changed bool) {
 	if u.phase != Running {
 		return false
@@ -247,13 +247,19 @@
 	} else if u.idleSince == 0 {
 		u.idleSince = now
 	}
+	reason := ""
 	switch {
 	case u.idleSince > 0 && now-u.idleSince >= idleDuration:
-		return u.Set(Completed, "old version is idle")
+		reason = "old version is idle"
 	case u.schedule.ElapsedRatio(now) >= fullTrafficRatio && u.schedule.Age(now) >= u.schedule.span-completionMargin:
-		return u.Set(Completed, "time is up")
+		reason = "time is up"
+	default:
+		return false
+	}
+	if v := u.suspicion(); v != "" {
+		return u.Set(RolledBack, reason+", and it seems "+v)
 	}
-	return false
+	return u.Set(Completed, reason)
 }
 
 // SetEntries sets the number of entries that are running and report their counts.
--- a/upgrade/upgrade_test.go
+++ b/upgrade/upgrade_test.go
@@ -263,6 +263,14 @@
 	is.Equal(withDelayedAnswers(20, few, all).Phase(), RolledBack) // too few are timed to decide
 }
 
+// countsOfOneEntry are such that the new version seems bad, but is not found to be.
+var countsOfOneEntry = Counts{
+	{Route: "r"}:                            {Ended: 200, Timed: 100, Slow: [3]int64{35, 20, 3}},
+	{Route: "r", Delay: true}:               {Timed: 100, Slow: [3]int64{35, 20, 3}},
+	{Route: "r", Target: true}:              {Ended: 20, Timed: 10, Slow: [3]int64{3, 2, 0}},
+	{Route: "r", Target: true, Delay: true}: {Timed: 10, Slow: [3]int64{10, 10, 10}},
+}
+
 // A judge has the counts of one entry of eight, among them a few first-byte delays that were long.
 // Guards against it rolling back a good version that all other entries found to be fast: it must wait
 // for the counts of most entries.
@@ -270,12 +278,7 @@
 	is := is.New(t)
 	u := New(Order{Service: "s", Target: "v2", Duration: 20000}, 0)
 	u.SetEntries(8)
-	u.AddCounts("a", Counts{
-		{Route: "r"}:                            {Ended: 200, Timed: 100, Slow: [3]int64{35, 20, 3}},
-		{Route: "r", Delay: true}:               {Timed: 100, Slow: [3]int64{35, 20, 3}},
-		{Route: "r", Target: true}:              {Ended: 20, Timed: 10, Slow: [3]int64{3, 2, 0}},
-		{Route: "r", Target: true, Delay: true}: {Timed: 10, Slow: [3]int64{10, 10, 10}},
-	})
+	u.AddCounts("a", countsOfOneEntry)
 	u.Judge(10000, 1)
 	is.Equal(u.Phase(), Running)
 	for _, process := range []string{"b", "c", "d", "e", "f"} {
@@ -285,6 +288,19 @@
 	is.Equal(u.Phase(), RolledBack)
 }
 
+// Guards against a version that seems bad and is completed all the same when its time is up, because too few entries were
+// heard to roll it back before.
+func TestVersionThatSeemsBadIsNotCompleted(t *testing.T) {
+	is := is.New(t)
+	u := New(Order{Service: "s", Target: "v2", Duration: 20000}, 0)
+	u.SetEntries(8)
+	u.AddCounts("a", countsOfOneEntry)
+	u.Judge(18400, 1)
+	is.Equal(u.Phase(), Running)
+	u.Judge(18600, 1)
+	is.Equal(u.Phase(), RolledBack)
+}
+
 // An endpoint of a good version is cut off for a moment, and four of its answers in a row are very
 // slow just before its share rises. Guards against rolling the version back although its answers
 // were as fast as the old version's before.
