Bound what is read for the head of an answer, with all that is skipped before it

What callers saw: one endpoint whose head never ends drove an entry to 1,619 MB within 1.5 s (three callers' requests), 830 MB with a status line, 452 MB with fields; the body of an answer to another request was read to its end, 1,379 MB and 2.2 s for a request that could have gone elsewhere. Cause: only time bounded a head and what is skipped; http.ReadResponse reads as fast as the link. Now both together have 64 KB; beyond that the connection is closed, the request goes elsewhere if it may, and the endpoint is avoided like an unreachable one until it answers properly. It is no crash under the request.

--- a/Makefile
+++ b/Makefile
@@ -57,7 +57,7 @@
 
 # Each target runs for FUZZTIME, one after the other: Go fuzzes one target at a time.
 FUZZTIME ?= 20s
-FUZZ := table:FuzzApply bill:FuzzStatement bill:FuzzTaken claim:FuzzState session:FuzzVerify settings:FuzzCheck platform:FuzzOperator platform:FuzzEndpoint platform:FuzzRecords platform:FuzzHead site:FuzzUnpack site:FuzzState explain:FuzzRead account:FuzzRead
+FUZZ := upstream:FuzzHead table:FuzzApply bill:FuzzStatement bill:FuzzTaken claim:FuzzState session:FuzzVerify settings:FuzzCheck platform:FuzzOperator platform:FuzzEndpoint platform:FuzzRecords platform:FuzzHead site:FuzzUnpack site:FuzzState explain:FuzzRead account:FuzzRead
 
 fuzz:
 	@for t in $(FUZZ); do go test ./$${t%%:*} -run '^$$' -fuzz "^$${t##*:}$$" -fuzztime $(FUZZTIME) -parallel 3 || exit 1; done
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -47,6 +47,8 @@
 	// endpoint's address.
 	unsent  bool
 	refused bool
+	// tooLong is true when the endpoint sent more than an answer may have.
+	tooLong bool
 	// abandoned is true when nothing was sent because nobody waits for the answer any more.
 	abandoned bool
 	// unframed is true for an answer that ends with its connection.
@@ -99,7 +101,7 @@
 	x.runs++
 	x.unusedRetryAt = 0
 	if err != nil {
-		a.silent, a.cause = errorx.IsOfType(err, upstream.ErrSilent), err
+		a.silent, a.tooLong, a.cause = errorx.IsOfType(err, upstream.ErrSilent), errorx.IsOfType(err, upstream.ErrTooLong), err
 		return failed, refusal.New(refusal.EndpointLost, err.Error()).WithRun(refusal.Unknown)
 	}
 	a.onEnd = append(a.onEnd, answer.Close)
@@ -376,7 +378,7 @@
 		err = errAnswerTooLarge
 	}
 	if err != nil {
-		a.cause = err
+		a.cause, a.tooLong = err, errors.Is(err, errAnswerTooLarge)
 		return failed, interrupted(err)
 	}
 	a.failureAnswer = &bufferedAnswer{head: h, body: body}
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -138,6 +138,9 @@
 		if a.refused {
 			s.recordCrash(a, now)
 		}
+	case a.tooLong:
+		// It runs, and would send on.
+		s.quarantine.Cancel(a.watch)
 	case !s.quarantine.MayHaveCrashed(a.watch):
 	case brokeOff && s.quarantine.IsCrashed(incarnationOf(a.endpoint)):
 		// Another attempt has found out.
--- a/relay/run.go
+++ b/relay/run.go
@@ -241,7 +241,7 @@
 	case callerLeft, a.abandoned:
 	case r == done || r == poor:
 		s.selector.RecordOutcome(a.endpoint.ID, false, now)
-	case a.status == 0 && r == notRun, a.wrongEndpoint:
+	case a.status == 0 && r == notRun, a.wrongEndpoint, a.tooLong:
 		s.selector.RecordUnreachable(a.endpoint.ID, now)
 	case a.silent && !s.selector.ActiveSince(a.endpoint.ID, a.startedAt):
 		s.selector.RecordUnreachable(a.endpoint.ID, now)
@@ -269,7 +269,7 @@
 	used, limit := x.budget().State(now)
 	s.countUnanswered(a, r)
 	s.cfg.Log.Info("Attempt did not answer", "request", x.req.ID, "route", x.route.Name, "organisation", x.organisation, "blocks", listed(x.keys.Shared()), "key", x.keyOf(r), "endpoint", a.endpoint.ID, "address", a.endpoint.Address, "zone", a.endpoint.Zone,
-		"version", a.endpoint.Version, "model", a.plan.model(), "result", r, "phase", a.phase(now), "status", a.status, "confidence", a.confidence, "silent", a.silent,
+		"version", a.endpoint.Version, "model", a.plan.model(), "result", r, "phase", a.phase(now), "status", a.status, "confidence", a.confidence, "silent", a.silent, "too-long", a.tooLong,
 		"after", now-a.startedAt, "expected", a.expectedFirstByte, "first", a.timeToFirstByte, "left", x.remaining(),
 		"retry", x.retry, "retries-used", used, "retries-allowed", int(limit), "error", logbook.Text(err))
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -84,7 +84,8 @@
 	p.openConns.Add(1)
 	p.totalConns.Add(1)
 	setUnackedTimeout(netConn)
-	c = &conn{net: netConn, r: bufio.NewReaderSize(netConn, readBufferSize), pool: p, address: call.Address, maxIdle: call.MaxIdle, idleSince: p.clock.Now(), idleTimeout: defaultIdleTimeout}
+	in := &boundedReader{r: netConn, left: unbounded}
+	c = &conn{net: netConn, in: in, r: bufio.NewReaderSize(in, readBufferSize), pool: p, address: call.Address, maxIdle: call.MaxIdle, idleSince: p.clock.Now(), idleTimeout: defaultIdleTimeout}
 	if err = c.watchNew(call.SettleTime); err != nil {
 		c.release(false)
 		return nil, false, err
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -40,6 +40,9 @@
 	// ErrSilent marks a request that may have run, and whose endpoint sent nothing before a
 	// timeout.
 	ErrSilent = ErrLost.NewSubtype("silent")
+	// ErrTooLong marks a request that may have run, and whose endpoint sent more than maxHeadBytes before the head of the
+	// answer was complete.
+	ErrTooLong = ErrLost.NewSubtype("too-long")
 )
 
 // Call is one request to an endpoint.
@@ -99,6 +102,10 @@
 // is closed.
 const maxSkipped = 2
 
+// maxHeadBytes bounds what is read for the head of an answer, with all that is skipped before it. Heads of endpoints have
+// some hundred bytes.
+const maxHeadBytes = 64 << 10
+
 // Do sends a call and waits for the head of its answer. The error is an ErrNotSent, or an
 // ErrLost (with its subtype ErrSilent) if the request may have run. The connection is closed as
 // soon as ctx ends, so that the endpoint stops its work. The caller must close the answer.
@@ -118,13 +125,18 @@
 	a = &Answer{conn: c, connectTime: p.clock.Since(start), bodySent: make(chan struct{}), sendErr: &atomic.Pointer[error]{}}
 	a.stop = context.AfterFunc(ctx, func() { _ = c.net.Close() })
 	go a.send(call)
+	c.in.left = maxHeadBytes
 	if err = a.awaitFirstByte(call); err == nil {
 		err = a.readHead(call)
 	}
 	if err == nil {
+		c.in.left = unbounded
 		return a, nil
 	}
 	a.Close()
+	if c.in.left == 0 {
+		return nil, ErrTooLong.Wrap(err, "no answer from %s", call.Address)
+	}
 	if TimedOut(err) {
 		if reused {
 			p.dropIdle(call.Address, start)
@@ -294,10 +306,37 @@
 	}
 }
 
+// boundedReader reads from a connection up to a bound.
+type boundedReader struct {
+	r io.Reader
+	// left is how many bytes may still be read, or unbounded.
+	left int
+}
+
+// unbounded is the bound of a boundedReader that has none.
+const unbounded = -1
+
+var errHeadTooLong = errors.New("head of the answer is too long")
+
+// Read reads from the connection.
+func (b *boundedReader) Read(buf []byte) (n int, err error) {
+	switch {
+	case b.left == unbounded:
+		return b.r.Read(buf)
+	case b.left == 0:
+		return 0, errHeadTooLong
+	}
+	n, err = b.r.Read(buf[:min(len(buf), b.left)])
+	b.left -= n
+	return n, err
+}
+
 // conn is one connection to an endpoint. It is used by one call at a time.
 type conn struct {
-	net     net.Conn
+	net net.Conn
+	// r reads from in, which bounds the heads of answers.
 	r       *bufio.Reader
+	in      *boundedReader
 	pool    *Pool
 	address string
 	// dirty is true once an answer to an earlier request was skipped on this connection.
