Bound the answers that are buffered before any of them is sent, all together

What callers would see: the entry's end, and with it that of all answers, when many large answers come at once: each was buffered up to 8 MB, whatever the others took. No caller is cut off for it.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -322,14 +322,14 @@
 	if err = answer.SetReadTimeout(x.eventTimeout()); err != nil {
 		return failed, interrupted(err)
 	}
-	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes+1))
+	body, err := x.bufferAnswer(answer)
+	if errors.Is(err, errAnswerTooLarge) {
+		return a.passOn(h, answer, body)
+	}
 	if err != nil {
 		a.silent, a.cause = upstream.TimedOut(err), err
 		return failed, interrupted(err)
 	}
-	if len(body) > maxAnswerBytes {
-		return a.passOn(h, answer, body)
-	}
 	answer.Close()
 	return done, x.deliver(&bufferedAnswer{head: h, body: body})
 }
@@ -363,8 +363,59 @@
 	}
 }
 
-// errAnswerTooLarge is the cause of a failure response that is not passed on.
-var errAnswerTooLarge = errors.New("relay: failure response is too large")
+// errAnswerTooLarge is returned for an answer that is not buffered as a whole.
+var errAnswerTooLarge = errors.New("relay: answer is too large")
+
+// answerCopies is how often a buffered answer may be in memory while its buffer grows.
+const answerCopies = 2
+
+// bufferAnswer reads an answer up to maxAnswerBytes, and as far as there is memory for buffered answers. Otherwise it
+// returns what it has read and errAnswerTooLarge.
+func (x *exchange) bufferAnswer(answer *upstream.Answer) (body []byte, err error) {
+	if answer.Length > maxAnswerBytes {
+		return nil, errAnswerTooLarge
+	}
+	// The failure response of an earlier attempt may be kept.
+	kept := x.buffered
+	return readGrowing(answer, answer.Length, func(size int) error {
+		more := kept + answerCopies*size - x.buffered
+		if size > maxAnswerBytes+1 || !x.server.buffered.reserve(more) {
+			return errAnswerTooLarge
+		}
+		x.buffered += more
+		return nil
+	})
+}
+
+// minBuffer is the size of the buffer for a body of unknown length at first, in bytes.
+const minBuffer = 4 << 10
+
+// readGrowing reads to the end into a buffer that grows as far as reserve returns no error. It returns what was read with
+// that error, or with the one of the reading. length is the expected length; negative if it is not known.
+func readGrowing(r io.Reader, length int64, reserve func(size int) error) (data []byte, err error) {
+	size := minBuffer
+	if length >= 0 {
+		// One more byte shows the end.
+		size = int(length) + 1
+	}
+	for {
+		if err = reserve(size); err != nil {
+			return data, err
+		}
+		data = append(make([]byte, 0, size), data...)
+		for len(data) < cap(data) {
+			n, err := r.Read(data[len(data):cap(data)])
+			data = data[:len(data)+n]
+			if err == io.EOF {
+				return data, nil
+			}
+			if err != nil {
+				return data, err
+			}
+		}
+		size = 2 * cap(data)
+	}
+}
 
 // readFailure buffers the failure response of an endpoint. It is sent to the caller if no other
 // attempt is made or succeeds.
@@ -373,10 +424,7 @@
 	if err = answer.SetReadTimeout(x.eventTimeout()); err != nil {
 		return failed, interrupted(err)
 	}
-	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = errAnswerTooLarge
-	}
+	body, err := x.bufferAnswer(answer)
 	if err != nil {
 		a.cause, a.tooLong = err, errors.Is(err, errAnswerTooLarge)
 		return failed, interrupted(err)
--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -1,9 +1,14 @@
 package relay
 
 import (
+	"bytes"
+	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/parsleydeal/parsleydeal/catalog"
@@ -12,6 +17,67 @@
 	"github.com/parsleydeal/parsleydeal/platform/standin"
 )
 
+// Guards against answers that are each buffered up to a bound, and all together use up the memory: beyond the bound for all
+// they are passed on as they arrive.
+func TestBufferedAnswersAreBoundedTogether(t *testing.T) {
+	for _, length := range []string{"length", "chunks"} {
+		t.Run(length, func(t *testing.T) { bufferTogether(t, length == "length") })
+	}
+}
+
+// bufferTogether has callers request large answers that all stop short of their end until the callers are looked at.
+func bufferTogether(t *testing.T, withLength bool) {
+	t.Helper()
+	const callers, size, part = 24, 6 << 20, 5 << 20
+	is := is.New(t)
+	body := bytes.Repeat([]byte("x"), size)
+	var arrived sync.WaitGroup
+	arrived.Add(callers)
+	released := make(chan struct{})
+	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if withLength {
+			w.Header().Set("Content-Length", fmt.Sprint(size))
+		}
+		_, _ = w.Write(body[:part])
+		_ = http.NewResponseController(w).Flush()
+		arrived.Done()
+		<-released
+		_, _ = w.Write(body[part:])
+	}))
+	defer endpoint.Close()
+	route := &catalog.Route{Name: "r", Kind: catalog.NonIdempotent, Timeout: 10000, MaxAttempts: 1, Targets: []catalog.Target{{Service: "app", Weight: 1}}}
+	change := slotsOf("i", endpoint.Listener.Addr().String())
+	change.Endpoint.Slots = callers
+	server := serverOn(clock.Boot(), viewOf(route, []fleet.Change{change}))
+	server.cfg.Dialect.Read = readStalled
+	server.cfg.Dialect.SetRefusalHeaders = func(http.Header, string) {}
+	front := httptest.NewServer(server)
+	defer front.Close()
+	var all sync.WaitGroup
+	for range callers {
+		all.Go(func() {
+			resp, err := http.Get(front.URL)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer resp.Body.Close()
+			got, err := io.ReadAll(resp.Body)
+			if err != nil || !bytes.Equal(got, body) {
+				t.Errorf("got %d bytes, %v", len(got), err)
+			}
+		})
+	}
+	arrived.Wait()
+	time.Sleep(100 * time.Millisecond)
+	used := server.buffered.bytes()
+	t.Logf("%d MB are buffered", used>>20)
+	is.True(used > 0 && used <= server.buffered.limit)
+	close(released)
+	all.Wait()
+	is.Equal(server.buffered.bytes(), 0)
+}
+
 // Guards against an endpoint that goes on to get requests although it answers with a head that does not end: it takes
 // longer than one that refuses.
 func TestEndpointWithEndlessHeadIsAvoided(t *testing.T) {
--- a/relay/held.go
+++ b/relay/held.go
@@ -12,6 +12,8 @@
 	// waiting for their callers and bodies of requests in flight may take.
 	heldAnswersRatio = 0.125
 	heldBodiesRatio  = 0.25
+	// bufferedAnswersRatio is the fraction that answers may take which are buffered before any of them is sent.
+	bufferedAnswersRatio = 0.0625
 	// defaultMemory is the memory of the process in bytes where the settings set no limit.
 	defaultMemory = 512 << 20
 	// bodyCopies is how often a body is in memory while it is sent to an endpoint.
@@ -98,8 +100,8 @@
 	return h.total
 }
 
-// memoryBudget bounds the memory of request bodies in flight. An endpoint that reads a body slowly
-// keeps it in memory until the request ends.
+// memoryBudget bounds the memory of request bodies in flight, or of buffered answers. An endpoint that reads or sends a
+// body slowly keeps it in memory until the request ends.
 type memoryBudget struct {
 	limit int
 	mu    sync.Mutex
--- a/relay/server.go
+++ b/relay/server.go
@@ -92,9 +92,11 @@
 	mu               sync.Mutex
 	// budgets holds the retry budget of each service.
 	budgets map[string]*limit.Share
-	// held counts what waits for callers, bodies the bodies of requests in flight.
-	held   *heldBytes
-	bodies *memoryBudget
+	// held counts what waits for callers, bodies the bodies of requests in flight, and buffered the answers of which
+	// nothing was sent yet.
+	held     *heldBytes
+	bodies   *memoryBudget
+	buffered *memoryBudget
 	// loadDefectLoggedAt is when each defect of a reported load was last logged.
 	loadDefectLoggedAt map[LoadDefect]clock.Millis
 }
@@ -108,7 +110,7 @@
 		unread:       set.NewHistogram("parsleydeal_request_unread_seconds"),
 		limitedFirst: set.NewCounter(`parsleydeal_limited_sends_total{attempt="first"}`), limitedFurther: set.NewCounter(`parsleydeal_limited_sends_total{attempt="further"}`), selector: placement.NewSelectorWith(cfg.Strategies), sessions: newSessions(cfg.SessionIdleTimeout), counts: newVersionCounts(cfg.Clock, set.NewCounter("parsleydeal_latency_samples_dropped_total")),
 		snapshotRequests: make(chan string, maxSnapshotQueue), latency: newLatencyTracker(), escalator: cascade.NewEscalator(cfg.Strategies), quarantine: quarantine.New(), budgets: make(map[string]*limit.Share), loadDefectLoggedAt: make(map[LoadDefect]clock.Millis),
-		held: newHeldBytes(cfg.Clock, int(heldAnswersRatio*memory)), bodies: &memoryBudget{limit: int(heldBodiesRatio * memory)},
+		held: newHeldBytes(cfg.Clock, int(heldAnswersRatio*memory)), bodies: &memoryBudget{limit: int(heldBodiesRatio * memory)}, buffered: &memoryBudget{limit: int(bufferedAnswersRatio * memory)},
 	}
 }
 
@@ -149,6 +151,7 @@
 	err := x.serve()
 	end(x.routeName(), uint32(x.sends), err)
 	s.bodies.release(x.reserved)
+	s.buffered.release(x.buffered)
 	x.finish(err)
 }
 
@@ -216,8 +219,9 @@
 	pace float64
 	// cutOff is true once the caller is cut off because too much is held for slow callers.
 	cutOff atomic.Bool
-	// reserved is the memory that the request's body takes, in bytes.
+	// reserved is the memory that the request's body takes, buffered that of buffered answers, in bytes.
 	reserved int
+	buffered int
 	// lastEventAt is when the last event was sent to the caller, longestPause the longest time
 	// between two events.
 	lastEventAt  clock.Millis
