Count bodies without a length while they are read

What callers would see: the entry's end, when many send bodies in chunks that do not come to their end: each was read up to its limit of 8 MB and counted only then, so that the bound for all did not hold. Evidence: of 24 bodies of 6 MB none was refused and 0 MB were counted before, with a bound of 32 MB. Now memory is reserved before the buffer grows. TestBodiesInChunksAreCountedWhileTheyAreRead failed before.

--- a/relay/admit.go
+++ b/relay/admit.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -222,9 +221,12 @@
 	if err = control.SetReadDeadline(time.Now().Add(x.remaining().Duration())); err != nil {
 		return err
 	}
-	x.req.body, err = io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, maxBytes))
+	x.req.body, err = readGrowing(http.MaxBytesReader(x.w, x.r.Body, maxBytes), x.r.ContentLength, x.reserve)
 	var tooLarge *http.MaxBytesError
+	_, refused := refusal.As(err)
 	switch {
+	case refused:
+		return err
 	case errors.As(err, &tooLarge):
 		return refusal.New(refusal.TooLarge, fmt.Sprintf("body has more than %d bytes", maxBytes))
 	case err != nil && x.remaining() <= 0:
--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -1,9 +1,11 @@
 package relay
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -82,7 +84,9 @@
 // longer than one that refuses.
 func TestEndpointWithEndlessHeadIsAvoided(t *testing.T) {
 	is := is.New(t)
-	endless, err := standin.StartEndpoint("i-endless", func(*http.Request) standin.Reply { return standin.Reply{BreakAfter: -1, Endless: standin.EndlessFields} })
+	endless, err := standin.StartEndpoint("i-endless", func(*http.Request) standin.Reply {
+		return standin.Reply{BreakAfter: -1, Endless: standin.EndlessFields}
+	})
 	is.NoErr(err)
 	defer endless.Close()
 	sound, err := standin.StartEndpoint("i-sound", func(*http.Request) standin.Reply { return standin.Reply{BreakAfter: -1} })
@@ -98,3 +102,46 @@
 	}
 	is.True(len(endless.Runs()) > 0 && len(endless.Runs()) <= 4)
 }
+
+// Guards against bodies of callers without a length that are counted only once they have been read: all of them together
+// would use up the memory first.
+func TestBodiesInChunksAreCountedWhileTheyAreRead(t *testing.T) {
+	const callers, size = 24, 6 << 20
+	is := is.New(t)
+	server := serverOn(clock.Boot(), viewOf(&catalog.Route{Name: "r", Kind: catalog.NonIdempotent, Timeout: 5000, MaxAttempts: 1, Targets: []catalog.Target{{Service: "app", Weight: 1}}}, nil))
+	server.bodies.limit = 32 << 20
+	server.cfg.Dialect.Read = readStalled
+	server.cfg.Dialect.SetRefusalHeaders = func(http.Header, string) {}
+	front := httptest.NewServer(server)
+	defer front.Close()
+	part := fmt.Sprintf("%x\r\n%s\r\n", size, bytes.Repeat([]byte("x"), size))
+	statuses := make(chan int, callers)
+	var conns []net.Conn
+	for range callers {
+		c, err := net.Dial("tcp4", front.Listener.Addr().String())
+		is.NoErr(err)
+		defer c.Close()
+		conns = append(conns, c)
+		go func() {
+			_, _ = io.WriteString(c, "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"+part)
+			if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil {
+				statuses <- resp.StatusCode
+				return
+			}
+			statuses <- 0
+		}()
+	}
+	// The bodies that find no memory are refused, although none has come to its end.
+	for n := range callers - server.bodies.limit/(bodyCopies*size) {
+		select {
+		case status := <-statuses:
+			is.True(status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == 0)
+		case <-time.After(2 * time.Second):
+			t.Fatalf("%d bodies of %d MB were refused, %d MB are counted", n, size>>20, server.bodies.bytes()>>20)
+		}
+	}
+	is.True(server.bodies.bytes() <= server.bodies.limit)
+	for _, c := range conns {
+		is.NoErr(c.Close())
+	}
+}
