--- a/bootstrap/http.go
+++ b/bootstrap/http.go
@@ -196,10 +196,13 @@
 // NewClient returns a client without open connections.
 func NewClient(cfg ClientConfig) *Client {
 	return &Client{cfg: cfg, http: &http.Client{Transport: &http.Transport{
-		DialContext: (&net.Dialer{Timeout: connectTimeout.Duration(), KeepAlive: -1}).DialContext, DisableKeepAlives: true, DisableCompression: true,
+		DialContext: (&net.Dialer{Timeout: connectTimeout.Duration(), KeepAlive: -1}).DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxAnswerHead,
 	}}}
 }
 
+// maxAnswerHead bounds the head of an answer, in bytes.
+const maxAnswerHead = 64 << 10
+
 // answer is the answer of one entry.
 type answer struct {
 	address string
--- a/client/caller.go
+++ b/client/caller.go
@@ -17,6 +17,7 @@
 const (
 	maxEventBytes = 4 << 20
 	maxErrorBytes = 64 << 10
+	maxListBytes  = 1 << 20
 )
 
 // Caller sends requests to an entry or to the load balancer in front of the entries. Any
@@ -162,7 +163,7 @@
 			ID string `json:"id"`
 		} `json:"data"`
 	}
-	if err = json.NewDecoder(resp.Body).Decode(&list); err != nil {
+	if err = json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&list); err != nil {
 		return nil, ErrBroken.Wrap(err, "read models")
 	}
 	for _, m := range list.Data {
