--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -29,6 +29,7 @@
 	}
 	k.checkCrashes(runs)
 	k.checkLeft(runs)
+	k.checkMemory()
 	if complete == 0 {
 		k.t.Errorf("no request of %d was answered", len(k.sent))
 	}
--- a/soak/leaving_test.go
+++ b/soak/leaving_test.go
@@ -18,6 +18,8 @@
 	// silent and entries that are paused together.
 	leavingStream = 4 << 32
 	severStream   = 5 << 32
+	// endlessStream is that for endpoints whose answers never end.
+	endlessStream = 6 << 32
 	// severRarity is the number of other faults for each of these.
 	severRarity = 3
 	// leavingPrefix begins the IDs of requests whose callers leave.
@@ -65,6 +67,40 @@
 	}
 }
 
+// endlessParts are the parts of an answer that never end in a soak: those of which callers get nothing.
+var endlessParts = [...]standin.Endless{
+	standin.EndlessStatusLine, standin.EndlessFieldValue, standin.EndlessFields, standin.EndlessInterimAnswers, standin.EndlessOtherBody,
+	standin.EndlessOtherUnframed, standin.EndlessOtherLength, standin.EndlessChunkSize, standin.EndlessTrailer,
+}
+
+// maybeAnswerEndlessly sometimes has an endpoint answer a part of its requests without an end.
+func (k *soak) maybeAnswerEndlessly() {
+	if k.endless.IntN(severRarity) > 0 {
+		return
+	}
+	all := k.allEndpoints()
+	e, part := all[k.endless.IntN(len(all))], endlessParts[k.endless.IntN(len(endlessParts))]
+	d, ratio := time.Duration(k.endless.IntN(2000))*time.Millisecond, k.endless.Float64()
+	k.logFault("%s: answers %.0f%% without an end in its %s for %s", e.name, 100*ratio, part, d)
+	k.injectFor(d, func() {
+		e.setFault(func() standin.Reply {
+			if rand.Float64() < ratio {
+				return standin.Reply{BreakAfter: -1, Endless: part}
+			}
+			return standin.Reply{BreakAfter: -1}
+		})
+	}, func() { e.setFault(nil) })
+}
+
+// checkMemory checks that no entry took more memory than it may have.
+func (k *soak) checkMemory() {
+	for _, p := range k.entries {
+		if peak := p.peakBytes(k.t); peak > maxEntryBytes {
+			k.t.Errorf("%s took %d MB", p.name, peak>>20)
+		}
+	}
+}
+
 // sendLeaving has callers send whole requests and leave at once or a little later, until the context ends.
 func (k *soak) sendLeaving(ctx context.Context, callers *sync.WaitGroup, rng *rand.Rand) {
 	const count, maxStay, maxGap = 8, 100, 60
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -114,7 +114,9 @@
 	// returns draws when the store comes back from an older copy.
 	returns *rand.Rand
 	// severs draws which links go silent, and when all entries are paused.
-	severs  *rand.Rand
+	severs *rand.Rand
+	// endless draws which endpoints answer without an end.
+	endless *rand.Rand
 	program string
 	faults  sync.WaitGroup
 	mu      sync.Mutex
@@ -137,7 +139,7 @@
 
 func runSeed(t *testing.T, seed uint64, program string) {
 	fmt.Printf("starting seed %d\n", seed)
-	k := &soak{site: newSite(t, program), t: t, rng: rand.New(rand.NewPCG(seed, 0)), returns: rand.New(rand.NewPCG(seed, returnsStream)), severs: rand.New(rand.NewPCG(seed, severStream)), program: program, leftAt: make(map[string]time.Time), unanswered: make(map[string]bool), startedAt: time.Now()}
+	k := &soak{site: newSite(t, program), t: t, rng: rand.New(rand.NewPCG(seed, 0)), returns: rand.New(rand.NewPCG(seed, returnsStream)), severs: rand.New(rand.NewPCG(seed, severStream)), endless: rand.New(rand.NewPCG(seed, endlessStream)), program: program, leftAt: make(map[string]time.Time), unanswered: make(map[string]bool), startedAt: time.Now()}
 	watchdog := time.AfterFunc(time.Duration(*seconds)*time.Second+hangMargin, func() { k.abortHung(seed) })
 	// The watchdog also covers the shutdown of the entries and stand-ins, which may hang.
 	k.site.finalCleanup = func() { watchdog.Stop() }
@@ -154,6 +156,7 @@
 		k.addFault()
 		k.maybeRestoreStore()
 		k.maybeSever()
+		k.maybeAnswerEndlessly()
 		time.Sleep(time.Duration(50+k.rng.IntN(700)) * time.Millisecond)
 	}
 	k.faults.Wait()
