Name the record of an upgrade's start by what it is

OrderBegun, Began and begun became OrderStart, Starts and start; the watcher of callers polls, and does not ask.

--- a/caller/watcher.go
+++ b/caller/watcher.go
@@ -13,7 +13,7 @@
 // ErrLeft is the cause with which a Watcher ends the context of a request.
 var ErrLeft = errors.New("caller: caller has left")
 
-// watchInterval is the interval at which the connections of requests in progress are asked.
+// watchInterval is the interval at which the connections of requests in progress are polled.
 const watchInterval = 50 * clock.Millis(1)
 
 // Watcher ends the contexts of requests whose callers leave. net/http no longer watches a connection once it has read a
@@ -21,7 +21,7 @@
 type Watcher struct {
 	mu      sync.Mutex
 	watched map[*watch]bool
-	// running is true while a goroutine asks the connections. There is one as long as any are watched.
+	// running is true while a goroutine polls the connections, which is as long as any are watched.
 	running bool
 }
 
@@ -47,7 +47,7 @@
 	})
 }
 
-// add begins to watch a connection; remove ends that.
+// add watches a connection until remove is called.
 func (s *Watcher) add(x *watch) (remove func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -66,7 +66,7 @@
 	}
 }
 
-// run asks the connections until none is watched.
+// run polls the connections until none is watched.
 func (s *Watcher) run() {
 	var p poller
 	for clock.Pause(context.Background(), watchInterval) {
@@ -77,7 +77,7 @@
 	}
 }
 
-// poller asks many connections in one system call.
+// poller polls many connections in one system call.
 type poller struct {
 	watched []*watch
 	fds     []unix.PollFd
--- a/site/event.go
+++ b/site/event.go
@@ -27,8 +27,8 @@
 	From    int64
 	// Next is the position up to which the stream was read.
 	Next Position
-	// Began is when other processes began with the orders, by service.
-	Began map[string]OrderBegun
+	// Starts holds when entries started the upgrades of the orders, by service.
+	Starts map[string]OrderStart
 }
 
 // StoreFailed reports that a call to the store failed.
@@ -132,12 +132,12 @@
 // Publish publishes a new view.
 type Publish struct{}
 
-// Write appends a verdict if the status stream still ends at the position At. Begun is recorded before it; nil if there
-// is nothing to record.
+// Write appends a verdict if the status stream still ends at the position At. Start is recorded before it; nil if
+// there is nothing to record.
 type Write struct {
 	Verdict Verdict
 	At      Position
-	Begun   *OrderBegun
+	Start   *OrderStart
 }
 
 // LogLine writes a log line.
--- a/site/feed.go
+++ b/site/feed.go
@@ -112,12 +112,12 @@
 	if earlier := l.cfg.Codec.Operator(res.history); earlier.Config != nil && earlier.version() >= update.version() {
 		update.Config, update.ConfigRecord = earlier.Config, earlier.ConfigRecord
 	}
-	var began map[string]OrderBegun
+	var starts map[string]OrderStart
 	if res.full && len(update.Orders) > 0 && !l.View().Started() {
-		began = l.readBegun(ctx)
+		starts = l.readStarts(ctx)
 		res.now = l.cfg.Clock.Now()
 	}
-	l.post(ctx, OperatorRead{Now: res.now, SentAt: res.sentAt, Full: res.full, Update: update, Records: res.records, From: res.from.Offset, Next: res.next, Began: began})
+	l.post(ctx, OperatorRead{Now: res.now, SentAt: res.sentAt, Full: res.full, Update: update, Records: res.records, From: res.from.Offset, Next: res.next, Starts: starts})
 }
 
 func (l *Loop) handleEndpoints(ctx context.Context, res readResult) {
--- a/site/loop.go
+++ b/site/loop.go
@@ -456,8 +456,8 @@
 func (l *Loop) write(ctx context.Context, w Write) {
 	call, cancel := context.WithTimeout(ctx, appendTimeout.Duration())
 	defer cancel()
-	if w.Begun != nil {
-		l.writeBegun(call, w.Verdict.Service, *w.Begun)
+	if w.Start != nil {
+		l.writeStart(call, w.Verdict.Service, *w.Start)
 	}
 	key, value := l.cfg.Codec.VerdictRecord(w.Verdict)
 	era, err := l.cfg.Store.Append(call, StatusStream, key, value, w.At.Offset)
--- a/site/state.go
+++ b/site/state.go
@@ -319,7 +319,7 @@
 	}
 	for _, o := range e.Update.Orders {
 		if !s.deferOrder(o, e.Full) {
-			effects = append(effects, s.orderReceived(o, first, e.Began)...)
+			effects = append(effects, s.orderReceived(o, first, e.Starts)...)
 		}
 	}
 	effects = append(effects, s.applyZones(e)...)
--- a/site/store.go
+++ b/site/store.go
@@ -36,7 +36,7 @@
 	StatusStream
 	// EntryStream holds the entries' addresses.
 	EntryStream
-	// UpgradeStream holds when entries began with the orders of upgrades.
+	// UpgradeStream holds when entries started the upgrades of orders.
 	UpgradeStream
 )
 
--- a/site/upgrade.go
+++ b/site/upgrade.go
@@ -35,8 +35,8 @@
 }
 
 // orderReceived starts an upgrade. An order found by the first read may be an old one whose
-// verdict is already on the status stream, or that other processes have begun with.
-func (s *State) orderReceived(o upgrade.Order, first bool, began map[string]OrderBegun) (effects []Effect) {
+// verdict is already on the status stream, or one that other processes have started.
+func (s *State) orderReceived(o upgrade.Order, first bool, starts map[string]OrderStart) (effects []Effect) {
 	if u := s.upgrades[o.Service]; u != nil && u.Order().Number >= o.Number {
 		return nil
 	} else if u != nil && s.writtenAgain(u.Order(), o) {
@@ -44,9 +44,9 @@
 		return []Effect{LogLine{Message: "Upgrade's order was written again", Fields: []any{"service", o.Service, "target", o.Target, "number", positionOf(o.Number).Offset, "era", positionOf(o.Number).Era, "phase", u.Phase()}}}
 	}
 	u := upgrade.New(o, s.now)
-	begun, resumes := began[o.Service]
-	if resumes = resumes && begun.Number == o.Number; resumes {
-		u = s.resume(o, begun)
+	start, resumed := starts[o.Service]
+	if resumed = resumed && start.Number == o.Number; resumed {
+		u = s.resume(o, start)
 	}
 	s.upgrades[o.Service] = u
 	if v, ok := s.verdicts[o.Service]; ok && first && v.Target == o.Target {
@@ -57,7 +57,7 @@
 		s.scheduleVerdict(Verdict{Service: o.Service, Target: o.Target, Phase: upgrade.Running})
 	}
 	return []Effect{LogLine{Message: "Upgrade ordered", Fields: []any{
-		"service", o.Service, "target", o.Target, "span", o.Duration, "resumed", resumes, "begun-ago", begun.Age, "ends-in", u.Schedule().Span(), "number", positionOf(o.Number).Offset, "current", s.current[o.Service], "phase", u.Phase(),
+		"service", o.Service, "target", o.Target, "span", o.Duration, "resumed", resumed, "age", start.Age, "ends-in", u.Schedule().Span(), "number", positionOf(o.Number).Offset, "current", s.current[o.Service], "phase", u.Phase(),
 	}}}
 }
 
@@ -324,7 +324,7 @@
 		}
 		p.dueAt = s.now + appendRetryDelay
 		s.pendingVerdicts[service] = p
-		effects = append(effects, Write{Verdict: p.verdict, At: s.statusEnd, Begun: s.begunToWrite(p.verdict)})
+		effects = append(effects, Write{Verdict: p.verdict, At: s.statusEnd, Start: s.startToWrite(p.verdict)})
 	}
 	effects = append(effects, s.settled()...)
 	effects = append(effects, s.logHeardCount()...)
--- a/upgrade/schedule.go
+++ b/upgrade/schedule.go
@@ -24,7 +24,7 @@
 	minSpanRatio = 0.4
 )
 
-// resumedSchedule returns the schedule of an order that began the given time ago.
+// resumedSchedule returns the schedule of an order that was started the given time ago.
 func resumedSchedule(o Order, now, age clock.Millis) Schedule {
 	left := o.Duration - max(age, 0) - clockMargin
 	return Schedule{startedAt: now, span: max(left, clock.Millis(minSpanRatio*float64(o.Duration)))}
--- a/upgrade/upgrade.go
+++ b/upgrade/upgrade.go
@@ -48,8 +48,8 @@
 	return newUpgrade(o, Schedule{startedAt: startedAt, span: o.Duration})
 }
 
-// Resume starts tracking an order that began the given time ago, when all that was known about its version is lost. What
-// is left of its duration has a schedule of its own.
+// Resume starts tracking an order that was started the given time ago, when all that was known of its version is lost.
+// What is left of its duration has a schedule of its own.
 func Resume(o Order, now, age clock.Millis) *Upgrade {
 	return newUpgrade(o, resumedSchedule(o, now, age))
 }
