Hand a resumed order on to entries that start from another one's state

What operators would see: of entries that have lost power together, those that take the state of another one begin with an order anew, with its whole time, and judge the new version without the old one's samples. The state of an entry names the orders that it has resumed, and the record of a start is read again if the store does not answer in 400 ms.

--- a/site/content.go
+++ b/site/content.go
@@ -37,6 +37,8 @@
 	// Changes lists all endpoints.
 	Changes []fleet.Change
 	Entries []EntryAddress
+	// Starts holds when entries started the upgrades that the sender has resumed, by service.
+	Starts map[string]OrderStart
 }
 
 // EntryAddress is where another entry receives reports.
@@ -101,7 +103,7 @@
 	if first || e.OperatorNext.After(s.operator) {
 		s.keepOperatorRecords(e.Update, true)
 		s.operator = later(s.operator, e.OperatorNext)
-		effects = append(effects, s.applyOperatorUpdate(OperatorRead{Now: e.Now, Full: true, Update: e.Update}, first)...)
+		effects = append(effects, s.applyOperatorUpdate(OperatorRead{Now: e.Now, Full: true, Update: e.Update, Starts: e.Starts}, first)...)
 		s.inheritSettling(e)
 	}
 	// The store may have lost a newer configuration, and this entry have started since.
@@ -187,6 +189,7 @@
 		})
 	}
 	c.Entries = EntriesToWire(s.liveEntries())
+	c.Starts = s.resumedToWire()
 	for _, r := range s.settling.records {
 		c.Deferred = append(c.Deferred, recordsToWire(OperatorStream, []Record{r})...)
 	}
@@ -280,7 +283,7 @@
 	if check.Snapshot().Digest() != c.GetFleetDigest() {
 		return e, ErrTorn.New("endpoints do not match their digest")
 	}
-	e.Entries = EntriesFromWire(c.GetEntries())
+	e.Entries, e.Starts = EntriesFromWire(c.GetEntries()), resumedFromWire(c.GetStarts())
 	return e, nil
 }
 
--- a/site/loop.go
+++ b/site/loop.go
@@ -189,7 +189,11 @@
 func (l *Loop) seedsFromStore(ctx context.Context) (seeds []EntryAddress, written bool) {
 	ctx, cancel := context.WithTimeout(ctx, (operatorWait + readSlack).Duration())
 	defer cancel()
-	records, err := l.sampleEntries(ctx)
+	var records []Record
+	err := l.readUntilAnswered(ctx, func(ctx context.Context) (err error) {
+		records, err = l.cfg.Store.Sample(ctx, EntryStream)
+		return err
+	})
 	if err == nil && len(records) == 0 {
 		_, appendErr := l.cfg.Store.Append(ctx, EntryStream, l.cfg.Self.Name, []byte(l.cfg.Address), -1)
 		written = appendErr == nil
@@ -204,23 +208,23 @@
 	return seedsOf(records), written
 }
 
-// sampleTimeout is how long a sample of the registered entries may take before it is read again. A slow store answers
+// startReadTimeout is how long a read for which a start waits may take before it is made again. A slow store answers
 // within half of it.
-const sampleTimeout = 400 * clock.Millis(1)
+const startReadTimeout = 400 * clock.Millis(1)
 
-// sampleEntries reads some registered entries until the store answers or the context ends. A call that was sent while the
-// store was silent has no answer.
-func (l *Loop) sampleEntries(ctx context.Context) (records []Record, err error) {
+// readUntilAnswered reads from the store until it answers or the context ends. A call that was sent while the store was
+// silent has no answer.
+func (l *Loop) readUntilAnswered(ctx context.Context, read func(ctx context.Context) error) (err error) {
 	for {
-		call, cancel := context.WithTimeout(ctx, sampleTimeout.Duration())
-		records, err = l.cfg.Store.Sample(call, EntryStream)
+		call, cancel := context.WithTimeout(ctx, startReadTimeout.Duration())
+		err = read(call)
 		cancel()
 		if isAnswered(err) {
-			return records, err
+			return err
 		}
 		l.renewConnections()
 		if !clock.Pause(ctx, minReadInterval) {
-			return nil, err
+			return err
 		}
 	}
 }
--- a/site/order_start.go
+++ b/site/order_start.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/logbook"
@@ -35,13 +36,42 @@
 	return b
 }
 
+// resumedOrder is the start of an order that this entry has resumed, with the time at which it did.
+type resumedOrder struct {
+	OrderStart
+	at clock.Millis
+}
+
 // resume returns the upgrade of an order that entries had started before they all lost what they knew.
 func (s *State) resume(o upgrade.Order, b OrderStart) *upgrade.Upgrade {
+	s.resumed[o.Service] = resumedOrder{b, s.now}
 	u := upgrade.Resume(o, s.now, b.Age)
 	s.addLatencies(u, previousProcess, b.Latencies)
 	return u
 }
 
+// resumedToWire returns the starts of the running upgrades that this entry has resumed, for an entry that starts.
+func (s *State) resumedToWire() (out []*wire.UpgradeStart) {
+	for _, service := range slices.Sorted(maps.Keys(s.resumed)) {
+		b, u := s.resumed[service], s.upgrades[service]
+		if u == nil || u.Phase() != upgrade.Running || u.Order().Number != b.Number {
+			continue
+		}
+		at := positionOf(b.Number)
+		out = append(out, &wire.UpgradeStart{Service: service, Number: at.Offset, Era: at.Era, StartedMillis: int64(b.Age + s.now - b.at), Latencies: latenciesToWire(b.Latencies)})
+	}
+	return out
+}
+
+// resumedFromWire returns the starts in another entry's state, by service.
+func resumedFromWire(in []*wire.UpgradeStart) map[string]OrderStart {
+	starts := make(map[string]OrderStart)
+	for _, m := range in {
+		starts[m.GetService()] = OrderStart{Number: Position{m.GetEra(), m.GetNumber()}.Number(), Age: clock.Millis(m.GetStartedMillis()), Latencies: latenciesFromWire(m.GetLatencies())}
+	}
+	return starts
+}
+
 // writeStart records when this entry started the upgrade of an order.
 func (l *Loop) writeStart(ctx context.Context, service string, b OrderStart) {
 	at := positionOf(b.Number)
@@ -55,13 +85,17 @@
 }
 
 // startsTimeout bounds the reading of the starts of upgrades, for which the start of this entry waits.
-const startsTimeout = 500 * clock.Millis(1)
+const startsTimeout = clock.Second
 
 // readStarts returns when entries started upgrades, by service.
 func (l *Loop) readStarts(ctx context.Context) map[string]OrderStart {
 	ctx, cancel := context.WithTimeout(ctx, startsTimeout.Duration())
 	defer cancel()
-	records, _, err := l.cfg.Store.Newest(ctx, UpgradeStream)
+	var records []Record
+	err := l.readUntilAnswered(ctx, func(ctx context.Context) (err error) {
+		records, _, err = l.cfg.Store.Newest(ctx, UpgradeStream)
+		return err
+	})
 	if err != nil {
 		l.cfg.Log.Warn("Starts of upgrades could not be read", "error", logbook.Text(err))
 	}
--- a/site/state.go
+++ b/site/state.go
@@ -45,6 +45,8 @@
 	loaded map[Stream]bool
 	// upgrades holds the last ordered upgrade of each service.
 	upgrades map[string]*upgrade.Upgrade
+	// resumed holds the starts of upgrades that this entry has resumed, by service.
+	resumed map[string]resumedOrder
 	// verdicts holds the agreed states by service. statusEnd is the position at which the status
 	// stream ended when it was last read.
 	verdicts  map[string]Verdict
@@ -183,7 +185,7 @@
 func NewState(self Self, now clock.Millis) *State {
 	return &State{
 		self: self, now: now, startedAt: now, fleet: fleet.New(), loaded: make(map[Stream]bool),
-		upgrades: make(map[string]*upgrade.Upgrade), verdicts: make(map[string]Verdict), statusEnd: unread,
+		upgrades: make(map[string]*upgrade.Upgrade), resumed: make(map[string]resumedOrder), verdicts: make(map[string]Verdict), statusEnd: unread,
 		current: make(map[string]string), pendingVerdicts: make(map[string]pendingVerdict), peers: make(map[string]*peer),
 		addresses: make(map[string]string), listed: make(map[string]listedEntry), operatorRecords: make(map[string]Record), counts: make(map[string]upgrade.Counts), keptSessions: make(map[string][]uint64), lapsed: make(map[string]clock.Millis),
 		operator: unread, peerOperator: unread, settling: settling{since: never, until: never}, zonesOut: make(map[string]bool), fleetConfirmedAt: never, confirmedAt: never, entriesReadAt: never, overdueSince: never, unservedRoseAt: never, tookStateAt: never, newerLoggedAt: never, counted: entryCount{at: never}, wasReader: true,
