--- a/site/order_start.go
+++ b/site/order_start.go
@@ -85,17 +85,21 @@
 }
 
 // startsTimeout bounds the reading of the starts of upgrades, for which the start of this entry waits.
-const startsTimeout = clock.Second
+const startsTimeout = 2 * clock.Second
 
 // readStarts returns when entries started upgrades, by service.
 func (l *Loop) readStarts(ctx context.Context) map[string]OrderStart {
 	ctx, cancel := context.WithTimeout(ctx, startsTimeout.Duration())
 	defer cancel()
 	var records []Record
-	err := l.readUntilAnswered(ctx, func(ctx context.Context) (err error) {
+	read := func(ctx context.Context) (err error) {
 		records, _, err = l.cfg.Store.Newest(ctx, UpgradeStream)
 		return err
-	})
+	}
+	err := l.readUntilAnswered(ctx, read)
+	for err != nil && clock.Pause(ctx, minReadInterval) {
+		err = l.readUntilAnswered(ctx, read)
+	}
 	if err != nil {
 		l.cfg.Log.Warn("Starts of upgrades could not be read", "error", logbook.Text(err))
 	}
--- a/site/order_start_test.go
+++ b/site/order_start_test.go
@@ -1,10 +1,15 @@
 package site
 
 import (
+	"context"
+	"io"
 	"testing"
 
+	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
 	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/peer/wire"
+	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/upgrade"
 )
 
@@ -38,3 +43,23 @@
 	is.Equal(u.Total().Timed, int64(4))
 	is.Equal(u.Ungraded(), int64(0))
 }
+
+// Guards against an order that begins anew because the store was busy when the entry read the order's start.
+func TestStartsAreReadAgainWhenStoreIsBusy(t *testing.T) {
+	is := is.New(t)
+	value, err := deflate(&wire.UpgradeStart{Number: 7, Era: 1, StartedMillis: 4000})
+	is.NoErr(err)
+	calls := 0
+	l := NewLoop(Config{Clock: clock.Boot(), Log: log.New(io.Discard), TimeOfDay: func() int64 { return 9000 }, Store: Store{
+		Newest: func(_ context.Context, stream Stream) ([]Record, Position, error) {
+			is.Equal(stream, UpgradeStream)
+			if calls++; calls < 4 {
+				return nil, Position{}, provider.ErrBusy.New("too many calls")
+			}
+			return []Record{{Key: "pool", Value: value}}, Position{}, nil
+		},
+	}})
+	starts := l.readStarts(context.Background())
+	is.Equal(starts["pool"].Age, 5*clock.Second)
+	is.Equal(starts["pool"].Number, Position{1, 7}.Number())
+}
