--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -37,6 +37,8 @@
 	ready    string
 	settings string
 	log      *os.File
+	// env is added to the environment of the process.
+	env []string
 	// storeProxy carries the process's connections to the store.
 	storeProxy   *proxy
 	storeHandler *standin.Handler
@@ -71,6 +73,8 @@
 	// sequence is the number of registrations so far.
 	sequence int
 	version  string
+	// events is the number of events in its streams.
+	events int
 	// gone is true once the endpoint has crashed.
 	gone bool
 }
@@ -93,7 +97,7 @@
 		reply.Delay += leavingWork
 	}
 	if strings.HasPrefix(r.URL.Path, "/chat/") {
-		reply.Events, reply.EventDelay, reply.Confidence = streamEvents, 15*time.Millisecond, 90
+		reply.Events, reply.EventDelay, reply.Confidence = e.events, 15*time.Millisecond, 90
 		if prefix := r.Header.Get("Prompt-Prefix"); strings.Contains(prefix, crashBlock+":") || strings.Contains(prefix, lonePrefix) {
 			reply.CrashAfter = crashDelay
 		}
@@ -101,7 +105,7 @@
 	return reply
 }
 
-// streamEvents is the number of events in every stream.
+// streamEvents is the number of events in a stream.
 const streamEvents = 8
 
 // site is the store, the entries and the endpoints of one seed's run.
@@ -160,7 +164,7 @@
 }
 
 func (s *site) addEndpoint(name, service, version, zone string) *endpoint {
-	e := &endpoint{name: name, service: service, zone: zone, version: version}
+	e := &endpoint{name: name, service: service, zone: zone, version: version, events: streamEvents}
 	inner, err := standin.StartEndpoint(name, e.reply)
 	if err != nil {
 		s.t.Fatal(err)
@@ -287,6 +291,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	cmd := exec.Command(program, "--settings", p.settings)
+	cmd.Env = append(os.Environ(), p.env...)
 	cmd.Stdout, cmd.Stderr = p.log, p.log
 	if err := cmd.Start(); err != nil {
 		s.t.Errorf("start of %s: %v", p.name, err)
