Limit the connections that an entry accepts while requests lie unread

Callers of an entry that most new connections reached got no answer in time, or 503, while the other entries had little to do. Cause: nothing bounded what an entry accepts. With less processor time than its connections need, each step waits behind all others; what it has read it can't answer, and the confirmations of the configuration starve with it: it refused 1,097 requests as stale that it had read.

Package overload measures how long requests lie unread. When three quarters of them lie for over 100 ms, it limits the connections with a request in progress to a part of what there is, and follows from then on what the process can do. Beyond the limit a connection is closed unread, which costs microseconds, and its caller tries another entry at once. One is accepted each 250 ms whatever the limit. Answers close their connections meanwhile, so that callers with a kept one move too. Nothing runs while there is little to do. Going out of rotation instead would move the same load to the next entry, after two seconds. Both request paths use it.

--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -21,6 +21,7 @@
 	"github.com/parsleydeal/parsleydeal/decision"
 	"github.com/parsleydeal/parsleydeal/gossip"
 	"github.com/parsleydeal/parsleydeal/logbook"
+	"github.com/parsleydeal/parsleydeal/overload"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/platform"
 	"github.com/parsleydeal/parsleydeal/relay"
@@ -60,6 +61,7 @@
 	server    *relay.Server
 	socket    *gossip.Socket
 	traffic   *traffic
+	limiter   *overload.Limiter
 	storeEra  func() int64
 	// bootstrapHandler gives this entry's state of the site to entries that start.
 	bootstrapHandler *bootstrap.Handler
@@ -119,6 +121,7 @@
 		return nil, err
 	}
 	d.log = l.With("vm", s.VM)
+	d.limiter = overload.NewLimiter(d.clock, overload.LogChange(d.log))
 	if d.socket, err = gossip.Open(s.Peer); err != nil {
 		return nil, err
 	}
@@ -170,19 +173,23 @@
 func (d *direct) serve(ctx context.Context, signals <-chan os.Signal) (err error) {
 	s := d.settings
 	const headerSlack = 2
+	limiter := d.limiter
 	callers := &http.Server{
-		Handler: new(caller.Watcher).Handler(d.server), ReadHeaderTimeout: s.Entry.HeaderTimeout.Duration(), IdleTimeout: s.Entry.IdleTimeout.Duration(),
+		Handler: limiter.Handler(new(caller.Watcher).Handler(d.server)), ReadHeaderTimeout: s.Entry.HeaderTimeout.Duration(), IdleTimeout: s.Entry.IdleTimeout.Duration(),
 		MaxHeaderBytes: headerSlack * s.Entry.MaxHeaders, ErrorLog: d.log.StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel}),
 	}
 	idle := newIdleConns(d.clock)
-	callers.ConnState = idle.Track
+	callers.ConnState = func(c net.Conn, state http.ConnState) {
+		idle.Track(c, state)
+		limiter.Track(c, state)
+	}
 	callers.ConnContext = caller.WithConn
 	lis, err := net.Listen("tcp4", s.Entry.Callers)
 	if err != nil {
 		return err
 	}
 	failed := make(chan error, 4)
-	go func() { failed <- callers.Serve(lis) }()
+	go func() { failed <- callers.Serve(limiter.Listener(lis)) }()
 	go func() { failed <- d.serveInternal(s.Direct.Ready, d.readinessHandler()) }()
 	go func() { failed <- d.serveInternal(s.Peer, d.bootstrapHandler) }()
 	if s.Operators != "" {
@@ -349,11 +356,14 @@
 }
 
 func (d *direct) metricsHandler() http.Handler {
+	limiter := metrics.NewSet()
+	d.limiter.Register(limiter)
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		v := d.loop.View()
 		d.server.WriteMetrics(w)
 		d.loop.WriteMetrics(w)
 		d.traffic.writeMetrics(w)
+		limiter.WritePrometheus(w)
 		ready, _ := d.ready()
 		fmt.Fprintf(w, "parsleydeal_ready %d\n", boolToInt(ready))
 		fmt.Fprintf(w, "parsleydeal_draining %d\n", boolToInt(v.Leaving()))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/parsleydeal/parsleydeal/limit"
 	"github.com/parsleydeal/parsleydeal/meter"
 	"github.com/parsleydeal/parsleydeal/node"
+	"github.com/parsleydeal/parsleydeal/overload"
 	"github.com/parsleydeal/parsleydeal/peer"
 	"github.com/parsleydeal/parsleydeal/refusal"
 	"github.com/parsleydeal/parsleydeal/session"
@@ -72,12 +73,15 @@
 func (e *Entry) Serve(ctx context.Context, lis net.Listener) (err error) {
 	s := e.node.Settings().Entry
 	const slack = 2
+	limiter := overload.NewLimiter(e.node.Clock(), overload.LogChange(e.node.Log()))
+	limiter.Register(e.node.Metrics())
 	srv := &http.Server{
-		Handler:           new(caller.Watcher).Handler(e.Handler()),
+		Handler:           limiter.Handler(new(caller.Watcher).Handler(e.Handler())),
 		ReadHeaderTimeout: s.HeaderTimeout.Duration(),
 		IdleTimeout:       s.IdleTimeout.Duration(),
 		MaxHeaderBytes:    slack * s.MaxHeaders,
 		ConnContext:       caller.WithConn,
+		ConnState:         limiter.Track,
 	}
 	go e.exchangeRatings(ctx)
 	stopped := make(chan struct{})
@@ -86,7 +90,7 @@
 		<-ctx.Done()
 		_ = srv.Shutdown(context.WithoutCancel(ctx))
 	}()
-	err = srv.Serve(limitConnections(lis, s.MaxConnections))
+	err = srv.Serve(limitConnections(limiter.Listener(lis), s.MaxConnections))
 	<-stopped
 	if err == http.ErrServerClosed {
 		return nil
--- /dev/null
+++ b/overload/limiter.go
@@ -0,0 +1,161 @@
+// Package overload limits how many connections a process accepts when it falls behind with reading requests. A connection
+// that is closed before its request was read costs a few microseconds, and its caller tries another process at once; a
+// request that was read and cannot be answered in time costs both of them more.
+package overload
+
+import (
+	"net"
+	"slices"
+	"sync"
+
+	"github.com/parsleydeal/parsleydeal/clock"
+)
+
+const (
+	// maxReadDelay is the read delay above which the process has fallen behind: the time from the arrival of a request until
+	// its handler starts, which the given quantile of requests exceeds. A process that runs for a part of each 100 ms only
+	// reaches a quarter of its requests well below that.
+	maxReadDelay = 100 * clock.Millis(1)
+	quantile     = 0.25
+	// interval is the time between two adjustments of the limit, and minSamples the number of requests that one is based
+	// on. Samples older than maxSampleAge are dropped, so that a process with little work never falls behind.
+	interval     = 200 * clock.Millis(1)
+	minSamples   = 8
+	maxSampleAge = clock.Second
+	// minLimit is the lowest limit, and probeInterval the longest time for which all connections are closed.
+	minLimit      = 8
+	probeInterval = 250 * clock.Millis(1)
+	// minDecrease and maxDecrease bound the factor of one decrease, increase is that of one increase.
+	minDecrease = 0.5
+	maxDecrease = 0.9
+	increase    = 1.0 / 8
+	// nearLimit is the fraction of the limit from which it counts as reached. The limit is lifted once no connection was
+	// closed and the limit not lowered for calmTime.
+	nearLimit = 0.9
+	calmTime  = 3 * clock.Second
+)
+
+// Limiter bounds the connections with a request in progress. There is no limit until the process falls behind. The limit
+// then follows what the process can do: it falls while requests lie unread and rises while they don't. It is safe for
+// concurrent use.
+type Limiter struct {
+	clock clock.Clock
+	// onChange is called without locks when a limit comes into force and when it is lifted.
+	onChange func(Status)
+	mu       sync.Mutex
+	// active holds the connections with a request in progress or expected. limit bounds their number; 0 for none.
+	active map[net.Conn]bool
+	limit  float64
+	// samples are the read delays since the last adjustment, the first one at firstSampleAt.
+	samples       []clock.Millis
+	firstSampleAt clock.Millis
+	// adjustedAt is when the limit was last adjusted, settledAt the time from which samples show the effect of the last decrease.
+	adjustedAt clock.Millis
+	settledAt  clock.Millis
+	// pressedAt is when a connection was last closed or the limit lowered, admittedAt when one was last accepted.
+	pressedAt  clock.Millis
+	admittedAt clock.Millis
+	delay      clock.Millis
+	accepted   uint64
+	closed     uint64
+}
+
+// Status is the state of a Limiter.
+type Status struct {
+	// Limit is the limit in force; 0 if there is none.
+	Limit  int
+	Active int
+	// ReadDelay is the last measured delay of reading.
+	ReadDelay clock.Millis
+	// Accepted and Closed count the connections since the start.
+	Accepted uint64
+	Closed   uint64
+}
+
+// NewLimiter returns a limiter without a limit in force; onChange may be nil.
+func NewLimiter(c clock.Clock, onChange func(Status)) *Limiter {
+	if onChange == nil {
+		onChange = func(Status) {}
+	}
+	return &Limiter{clock: c, onChange: onChange, active: make(map[net.Conn]bool)}
+}
+
+// Status returns the current state.
+func (l *Limiter) Status() Status {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.status()
+}
+
+func (l *Limiter) status() Status {
+	return Status{Limit: int(l.limit), Active: len(l.active), ReadDelay: l.delay, Accepted: l.accepted, Closed: l.closed}
+}
+
+// Limited reports whether a limit is in force.
+func (l *Limiter) Limited() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.limit > 0
+}
+
+// Admit reports whether a new connection is accepted. It accepts one in each probeInterval whatever the limit.
+func (l *Limiter) Admit() bool {
+	now := l.clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.limit > 0 && float64(len(l.active)) >= l.limit && now-l.admittedAt < probeInterval {
+		l.pressedAt = now
+		l.closed++
+		return false
+	}
+	l.admittedAt = now
+	l.accepted++
+	return true
+}
+
+// RecordReadDelay records how long a request lay unread before its handler started.
+func (l *Limiter) RecordReadDelay(d clock.Millis) {
+	now := l.clock.Now()
+	l.mu.Lock()
+	was := l.limit > 0
+	if len(l.samples) == 0 || now-l.firstSampleAt > maxSampleAge {
+		l.samples, l.firstSampleAt = l.samples[:0], now
+		if now-l.pressedAt >= calmTime {
+			l.limit = 0
+		}
+	}
+	l.samples = append(l.samples, d)
+	if now-l.firstSampleAt >= interval && len(l.samples) >= minSamples {
+		l.adjust(now)
+	}
+	changed, status := (l.limit > 0) != was, l.status()
+	l.mu.Unlock()
+	if changed {
+		l.onChange(status)
+	}
+}
+
+// adjust adapts the limit to the samples and begins new ones.
+func (l *Limiter) adjust(now clock.Millis) {
+	slices.Sort(l.samples)
+	l.delay = l.samples[int(quantile*float64(len(l.samples)))]
+	l.samples = l.samples[:0]
+	active := float64(len(l.active))
+	reached := active >= l.limit*nearLimit || l.pressedAt >= l.adjustedAt
+	l.adjustedAt = now
+	switch {
+	case l.delay > maxReadDelay:
+		if now < l.settledAt {
+			return
+		}
+		use := active
+		if l.limit > 0 {
+			use = min(use, l.limit)
+		}
+		l.limit = max(use*min(max(float64(maxReadDelay)/float64(l.delay), minDecrease), maxDecrease), minLimit)
+		l.settledAt, l.pressedAt = now+l.delay, now
+	case l.limit == 0:
+	case reached:
+		l.limit += max(l.limit*increase, 1)
+	}
+}
