Don't hold an entry's own delay against endpoints

A timeout that is noticed over 100 ms late now says nothing of the endpoint, its version or its latency, and "Attempt did not answer" says delayed=true. An answer that should have arrived meanwhile is looked for once more before the attempt is given up.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -43,6 +43,8 @@
 	latencyRecorded bool
 	// silent is true when the endpoint sent nothing for longer than the timeout.
 	silent bool
+	// delayed is true when the attempt timed out that late that the timeout tells of this process, not of the endpoint.
+	delayed bool
 	// unsent is true when nothing of the request was sent, refused when nothing listened at the
 	// endpoint's address.
 	unsent  bool
@@ -85,6 +87,7 @@
 	a.countLimited()
 	x.sends++
 	answer, err := s.cfg.Pool.Do(ctx, a.call())
+	a.delayed = upstream.Delayed(err)
 	if errorx.IsOfType(err, upstream.ErrAbandoned) {
 		a.unsent, a.abandoned = true, true
 		x.unsent++
@@ -327,7 +330,7 @@
 		return a.passOn(h, answer, body)
 	}
 	if err != nil {
-		a.silent, a.cause = upstream.TimedOut(err), err
+		a.silent, a.delayed, a.cause = upstream.TimedOut(err), answer.Delayed(), err
 		return failed, interrupted(err)
 	}
 	answer.Close()
--- a/relay/run.go
+++ b/relay/run.go
@@ -238,7 +238,7 @@
 	x.endpoint, x.version, x.model = a.endpoint.ID, a.endpoint.Version, a.plan.model()
 	callerLeft := x.hasLeft()
 	switch {
-	case callerLeft, a.abandoned:
+	case callerLeft, a.abandoned, a.delayed:
 	case r == done || r == poor:
 		s.selector.RecordOutcome(a.endpoint.ID, false, now)
 	case a.status == 0 && r == notRun, a.wrongEndpoint, a.tooLong:
@@ -254,7 +254,7 @@
 	default:
 		s.selector.RecordOutcome(a.endpoint.ID, true, now)
 	}
-	if !callerLeft && r != notRun {
+	if !callerLeft && !a.delayed && r != notRun {
 		s.recordOutcome(x, a, r)
 	}
 }
@@ -269,7 +269,7 @@
 	used, limit := x.budget().State(now)
 	s.countUnanswered(a, r)
 	s.cfg.Log.Info("Attempt did not answer", "request", x.req.ID, "route", x.route.Name, "organisation", x.organisation, "blocks", listed(x.keys.Shared()), "key", x.keyOf(r), "endpoint", a.endpoint.ID, "address", a.endpoint.Address, "zone", a.endpoint.Zone,
-		"version", a.endpoint.Version, "model", a.plan.model(), "result", r, "phase", a.phase(now), "status", a.status, "confidence", a.confidence, "silent", a.silent, "too-long", a.tooLong,
+		"version", a.endpoint.Version, "model", a.plan.model(), "result", r, "phase", a.phase(now), "status", a.status, "confidence", a.confidence, "silent", a.silent, "delayed", a.delayed, "too-long", a.tooLong,
 		"after", now-a.startedAt, "expected", a.expectedFirstByte, "first", a.timeToFirstByte, "left", x.remaining(),
 		"retry", x.retry, "retries-used", used, "retries-allowed", int(limit), "error", logbook.Text(err))
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -45,7 +45,7 @@
 			return done, nil
 		}
 		if err != nil {
-			a.silent, a.tooLong, a.cause = upstream.TimedOut(err), errors.Is(err, errEventTooLarge), err
+			a.silent, a.delayed, a.tooLong, a.cause = upstream.TimedOut(err), answer.Delayed(), errors.Is(err, errEventTooLarge), err
 			return broken, interrupted(err)
 		}
 		a.lastEventAt = e.at
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -87,6 +87,10 @@
 	bodySent chan struct{}
 	sendErr  *atomic.Pointer[error]
 	stop     func() bool
+	// readUntil is the deadline of reads. delayed is true once this process noticed so late that it had passed that
+	// the timeout says nothing of the endpoint.
+	readUntil atomic.Int64
+	delayed   atomic.Bool
 	// connectTime is how long it took to get a connection.
 	connectTime clock.Millis
 	// framed is true if the body has a length or chunks.
@@ -116,7 +120,7 @@
 		return nil, ErrRefused.Wrap(err, "connect to %s", call.Address)
 	}
 	if err != nil {
-		return nil, ErrNotSent.Wrap(err, "connect to %s", call.Address)
+		return nil, withDelay(ErrNotSent.Wrap(err, "connect to %s", call.Address), TimedOut(err) && p.clock.Since(start) > connectTimeout+maxTimerDelay)
 	}
 	if ctx.Err() != nil || call.Abandoned != nil && call.Abandoned() {
 		c.release(true)
@@ -138,10 +142,10 @@
 		return nil, ErrTooLong.Wrap(err, "no answer from %s", call.Address)
 	}
 	if TimedOut(err) {
-		if reused {
+		if reused && !a.Delayed() {
 			p.dropIdle(call.Address, start)
 		}
-		return nil, ErrSilent.Wrap(err, "no answer from %s", call.Address)
+		return nil, withDelay(ErrSilent.Wrap(err, "no answer from %s", call.Address), a.Delayed())
 	}
 	return nil, ErrLost.Wrap(err, "no answer from %s", call.Address)
 }
@@ -167,7 +171,13 @@
 		if err = a.SetReadTimeout(remaining); err != nil {
 			return err
 		}
-		_, err = a.conn.r.Peek(1)
+		if _, err = a.conn.r.Peek(1); a.isDelayed(err) {
+			// The answer may have arrived while this process did not run.
+			if err = a.SetReadTimeout(secondLookTimeout); err != nil {
+				return err
+			}
+			_, err = a.conn.r.Peek(1)
+		}
 		if err == nil {
 			return a.SetReadTimeout(headTimeout)
 		}
@@ -177,6 +187,42 @@
 	}
 }
 
+const (
+	// maxTimerDelay is by how much a timeout may be noticed late and still tell that the endpoint was silent. Beyond that
+	// this process did not run, or had too much else to do, and the endpoint may have answered in time.
+	maxTimerDelay = 100 * clock.Millis(1)
+	// secondLookTimeout is how long to wait for an answer that should have arrived in such a time.
+	secondLookTimeout = 20 * clock.Millis(1)
+)
+
+// delayed is the property of an error whose timeout was noticed too late.
+var delayed = errorx.RegisterProperty("delayed")
+
+func withDelay(err *errorx.Error, isDelayed bool) error {
+	if isDelayed {
+		return err.WithProperty(delayed, true)
+	}
+	return err
+}
+
+// Delayed reports whether err is a timeout that this process noticed so late that it says nothing of the endpoint.
+func Delayed(err error) bool {
+	_, ok := errorx.ExtractProperty(err, delayed)
+	return ok
+}
+
+// Delayed reports whether a read timed out that much later than it should have.
+func (a *Answer) Delayed() bool { return a.delayed.Load() }
+
+// isDelayed notes whether a read that ended with err timed out too late.
+func (a *Answer) isDelayed(err error) bool {
+	late := err != nil && TimedOut(err) && a.conn.pool.clock.Now() > clock.Millis(a.readUntil.Load())+maxTimerDelay
+	if late {
+		a.delayed.Store(true)
+	}
+	return late
+}
+
 // TimedOut reports whether err is a timeout.
 func TimedOut(err error) bool {
 	var t interface{ Timeout() bool }
@@ -261,12 +307,14 @@
 // Read reads the body, within the read timeout that was set last.
 func (a *Answer) Read(buf []byte) (n int, err error) {
 	n, err = a.body.Read(buf)
+	a.isDelayed(err)
 	a.complete = a.complete || err == io.EOF
 	return n, err
 }
 
 // SetReadTimeout sets the deadline of all following reads to now plus the timeout.
 func (a *Answer) SetReadTimeout(timeout clock.Millis) error {
+	a.readUntil.Store(int64(a.conn.pool.clock.Now() + timeout))
 	return a.conn.net.SetReadDeadline(time.Now().Add(timeout.Duration()))
 }
 
