--- a/soak/busy_entry_test.go
+++ b/soak/busy_entry_test.go
@@ -209,11 +209,24 @@
 	return &busyLoad{site: s, rng: rand.New(rand.NewPCG(1, 1)), perSecond: c.perSecond, busy: c.busy, fraction: 0.8, body: strings.Repeat("x", c.body)}
 }
 
-// Most new connections go to an entry that has a seventh of a core, and to two with less work for each. Guards against an entry
-// that reads more requests than it can answer.
+// busyCases run always, moreBusyCases by hand, with -seeds.
+var (
+	busyCases     = []busyCase{{"seventh", 0.144, 300, 1, 2000}, {"fourteenth", 0.072, 200, 1, 2000}}
+	moreBusyCases = []busyCase{
+		{"whole", 1, 200, 1, 2000}, {"seventh-of-zone", 0.144, 110, 1, 2000}, {"seventh-long-bodies", 0.144, 300, 1, 30000},
+		{"two-sevenths", 0.144, 400, 2, 2000}, {"three-tenths", 0.1, 400, 3, 2000}, {"two-fourteenths", 0.072, 300, 2, 2000},
+	}
+)
+
+// Most new connections go to one or a few entries that have a part of a core. Guards against entries that read more requests
+// than they can answer.
 func TestBusyEntryReadsNoMoreThanItServes(t *testing.T) {
 	program := buildEntry(t)
-	for _, c := range []busyCase{{"seventh", 0.144, 300, 1, 2000}, {"fourteenth", 0.072, 200, 1, 2000}} {
+	cases := busyCases
+	if *seedCount > 0 {
+		cases = append(cases, moreBusyCases...)
+	}
+	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			b := busySite(t, program, c)
 			b.run(3*time.Second, false)
