Soak and load tool: times in which most connections go to a few entries

In the soak four fifths of the requests go to one entry for 1 to 3 s, each on a connection of its own, beside all other faults; a plan of the load tool lists crowds at one or several entries.

--- a/load/load_test.go
+++ b/load/load_test.go
@@ -51,6 +51,26 @@
 	is.True(schedule(&p)[0].at != a[0].at)
 }
 
+// Most requests of a time go to one entry, and nothing else of the plan changes.
+func TestCrowdGoesToOneEntry(t *testing.T) {
+	is := is.New(t)
+	p := testPlan()
+	calm := schedule(&p)
+	p.Crowds = []Crowd{{From: clock.Second, Until: 3 * clock.Second, Fraction: 0.8, Entry: 1}}
+	first, all := 0, 0
+	for i, q := range schedule(&p) {
+		if q.at < time.Second || q.at >= 3*time.Second {
+			is.Equal(q, calm[i])
+			continue
+		}
+		all++
+		first += 1 - q.entry
+		q.entry = calm[i].entry
+		is.Equal(q, calm[i])
+	}
+	is.True(all > 300 && first*100 > all*5 && first*100 < all*15) // a tenth go to the other one of two
+}
+
 // Guards against hiding a stall: if latency were measured from when a request was sent, a stall of
 // one second would show only in the request in flight, although it delays every request that was
 // due in that second.
--- a/load/plan.go
+++ b/load/plan.go
@@ -66,6 +66,8 @@
 	// Entries are base URLs. Each retry of a request goes to the next entry, as a load balancer
 	// would send it.
 	Entries []string `toml:"entries" json:"entries"`
+	// Crowds are times in which most requests go to a few entries.
+	Crowds []Crowd `toml:"crowds" json:"crowds,omitempty"`
 	// Direct is the base URL of an engine. Every chat request is also sent straight to it, which
 	// shows the latency that the system adds; nothing is sent if Direct is empty. DirectModel is
 	// the model name in these requests.
@@ -76,6 +78,17 @@
 	Services      []Service      `toml:"services" json:"services"`
 }
 
+// Crowd is a time, from the start of the run, in which the given fraction of the requests go first to a few entries.
+// Their retries go to the next ones, as always.
+type Crowd struct {
+	From     clock.Millis `toml:"from" json:"from"`
+	Until    clock.Millis `toml:"until" json:"until"`
+	Fraction float64      `toml:"fraction" json:"fraction"`
+	// Entry is the number of the first of these entries, from 0, and Entries how many they are; 0 means one.
+	Entry   int `toml:"entry" json:"entry"`
+	Entries int `toml:"entries" json:"entries"`
+}
+
 // Organisation is an organisation that sends requests.
 type Organisation struct {
 	Name string `toml:"name" json:"name"`
@@ -148,6 +161,10 @@
 	for name, fraction := range map[string]float64{"keyed": p.Keyed, "doubled": p.Doubled, "in-session": p.InSession} {
 		require(fraction >= 0 && fraction <= 1, "%s: is %v, 0 to 1 is allowed", name, fraction)
 	}
+	for i, c := range p.Crowds {
+		require(c.From < c.Until && c.Fraction >= 0 && c.Fraction <= 1, "crowds: number %d needs from before until, and a fraction of 0 to 1", i+1)
+		require(c.Entry >= 0 && c.Entries >= 0 && c.Entry+max(c.Entries, 1) <= len(p.Entries), "crowds: number %d names entries that are not listed", i+1)
+	}
 	require(len(p.Entries) > 0, "entries: at least one is needed")
 	require(sumWeights(p.Organisations, func(o Organisation) float64 { return o.Weight }) > 0, "organisations: at least one with a weight is needed")
 	require(p.totalWeight() > 0, "routes or services: at least one with a weight is needed")
--- a/load/schedule.go
+++ b/load/schedule.go
@@ -41,7 +41,9 @@
 		if at >= end {
 			return out
 		}
-		out = append(out, p.newRequest(r, len(out), at))
+		q := p.newRequest(r, len(out), at)
+		p.crowd(&q)
+		out = append(out, q)
 	}
 }
 
@@ -82,6 +84,18 @@
 	return q
 }
 
+// crowd moves a request to one of the entries that most requests go to at the time, if there are such. It draws from the
+// request's number, so that the other requests of a plan are the same with and without crowds.
+func (p *Plan) crowd(q *request) {
+	for _, c := range p.Crowds {
+		r := rand.New(rand.NewPCG(p.Seed, uint64(q.number)))
+		if q.at >= c.From.Duration() && q.at < c.Until.Duration() && r.Float64() < c.Fraction {
+			q.entry = c.Entry + r.IntN(max(c.Entries, 1))
+			return
+		}
+	}
+}
+
 // selectWeighted selects a random element with a probability proportional to its weight.
 func selectWeighted[T any](r *rand.Rand, list []T, weight func(T) float64) *T {
 	point := r.Float64() * sumWeights(list, weight)
--- a/soak/busy_entry_test.go
+++ b/soak/busy_entry_test.go
@@ -213,8 +213,12 @@
 var (
 	busyCases     = []busyCase{{"seventh", 0.144, 300, 1, 2000}, {"fourteenth", 0.072, 200, 1, 2000}}
 	moreBusyCases = []busyCase{
-		{"whole", 1, 200, 1, 2000}, {"seventh-of-zone", 0.144, 110, 1, 2000}, {"seventh-long-bodies", 0.144, 300, 1, 30000},
-		{"two-sevenths", 0.144, 400, 2, 2000}, {"three-tenths", 0.1, 400, 3, 2000}, {"two-fourteenths", 0.072, 300, 2, 2000},
+		{"whole", 1, 200, 1, 2000},
+		{"seventh-of-zone", 0.144, 110, 1, 2000},
+		{"seventh-long-bodies", 0.144, 300, 1, 30000},
+		{"two-sevenths", 0.144, 400, 2, 2000},
+		{"three-tenths", 0.1, 400, 3, 2000},
+		{"two-fourteenths", 0.072, 300, 2, 2000},
 	}
 )
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -117,6 +117,9 @@
 	severs *rand.Rand
 	// endless draws which endpoints answer without an end.
 	endless *rand.Rand
+	// crowds draws when most connections go to one entry, crowded is that entry; nil while they don't.
+	crowds  *rand.Rand
+	crowded atomic.Pointer[process]
 	program string
 	faults  sync.WaitGroup
 	mu      sync.Mutex
@@ -139,7 +142,7 @@
 
 func runSeed(t *testing.T, seed uint64, program string) {
 	fmt.Printf("starting seed %d\n", seed)
-	k := &soak{site: newSite(t, program), t: t, rng: rand.New(rand.NewPCG(seed, 0)), returns: rand.New(rand.NewPCG(seed, returnsStream)), severs: rand.New(rand.NewPCG(seed, severStream)), endless: rand.New(rand.NewPCG(seed, endlessStream)), program: program, leftAt: make(map[string]time.Time), unanswered: make(map[string]bool), startedAt: time.Now()}
+	k := &soak{site: newSite(t, program), t: t, rng: rand.New(rand.NewPCG(seed, 0)), returns: rand.New(rand.NewPCG(seed, returnsStream)), severs: rand.New(rand.NewPCG(seed, severStream)), endless: rand.New(rand.NewPCG(seed, endlessStream)), crowds: rand.New(rand.NewPCG(seed, crowdStream)), program: program, leftAt: make(map[string]time.Time), unanswered: make(map[string]bool), startedAt: time.Now()}
 	watchdog := time.AfterFunc(time.Duration(*seconds)*time.Second+hangMargin, func() { k.abortHung(seed) })
 	// The watchdog also covers the shutdown of the entries and stand-ins, which may hang.
 	k.site.finalCleanup = func() { watchdog.Stop() }
@@ -157,6 +160,7 @@
 		k.maybeRestoreStore()
 		k.maybeSever()
 		k.maybeAnswerEndlessly()
+		k.maybeCrowd()
 		time.Sleep(time.Duration(50+k.rng.IntN(700)) * time.Millisecond)
 	}
 	k.faults.Wait()
@@ -230,8 +234,12 @@
 // connections.
 func (k *soak) sendRequests(ctx context.Context, n int, rng *rand.Rand) {
 	client := &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 2}, Timeout: 6 * time.Second}
+	fresh := &http.Client{Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true}, Timeout: 6 * time.Second}
 	for i := 0; ctx.Err() == nil; i++ {
-		p := k.entries[rng.IntN(len(k.entries))]
+		p, client := k.entries[rng.IntN(len(k.entries))], client
+		if crowded := k.crowded.Load(); crowded != nil && i%crowdOthers > 0 {
+			p, client = crowded, fresh
+		}
 		kind := [...]string{"chat", "read", "fee"}[rng.IntN(3)]
 		k.mu.Lock()
 		key := k.keys[rng.IntN(len(k.keys))]
@@ -291,6 +299,24 @@
 	k.faultLog = append(k.faultLog, fmt.Sprintf("%7.3f ", time.Since(k.startedAt).Seconds())+fmt.Sprintf(format, a...))
 }
 
+const (
+	// crowdStream is the stream of random numbers for times in which most connections go to one entry, and crowdRarity the
+	// number of other faults for each of them. One in crowdOthers requests still goes to any entry.
+	crowdStream = 7 << 32
+	crowdRarity = 5
+	crowdOthers = 5
+)
+
+// maybeCrowd sometimes makes most requests go to one entry for a while, each on a connection of its own.
+func (k *soak) maybeCrowd() {
+	if k.crowds.IntN(crowdRarity) > 0 {
+		return
+	}
+	p, d := k.entries[k.crowds.IntN(len(k.entries))], time.Second+time.Duration(k.crowds.Int64N(int64(2*time.Second)))
+	k.logFault("%s: most connections for %s", p.name, d)
+	k.injectFor(d, func() { k.crowded.Store(p) }, func() { k.crowded.CompareAndSwap(p, nil) })
+}
+
 // randomDuration returns the duration of a fault: 50 ms plus a random part below limit.
 func (k *soak) randomDuration(limit time.Duration) time.Duration {
 	return 50*time.Millisecond + time.Duration(k.rng.Int64N(int64(limit)))
