Lend quotas of advertised rates to entries of other zones

Callers of an entry that most new connections of a region reached were refused where endpoints advertise rates, although the site had 1.4 times the quota it needed. Cause: on sites of more than nine entries loans stayed within a zone, and an entry kept back one request of each quota of one or two, so that such quotas were never lent.

An entry that uses most of its quotas now also asks 16 entries of other zones with each full report, in turn, which covers 64 in the lifetime of a loan; those lend to it by a report of their own. What an entry sends is bounded by that number and by the byte budget of reports. The reserve is rounded up at a fraction of the endpoints instead of at all.

--- a/emulator/run.go
+++ b/emulator/run.go
@@ -97,6 +97,8 @@
 	// silent.
 	index  int
 	silent map[string]bool
+	// rotation selects the entries of other zones to ask for loans.
+	rotation placement.Rotation
 	// reportedAt is the time of the last report to peers, fullReportAt that of the last full one.
 	reportedAt   clock.Millis
 	fullReportAt clock.Millis
@@ -199,7 +201,8 @@
 	}
 }
 
-// exchangeLoans reports an entry's use of its quotas to the others of its zone, and lends to them.
+// exchangeLoans reports an entry's use of its quotas to the others of its zone, and asks some of other zones if it needs
+// loans. It lends to all that have asked.
 func (sim *simulation) exchangeLoans(e *entry, now clock.Millis) {
 	zones := make(map[string]string)
 	for id, x := range sim.fleet.All() {
@@ -208,12 +211,29 @@
 	bounds := placement.Bounds{Shares: e.shares}
 	use := e.selector.RateUse(bounds, zones, now)
 	loans := e.selector.Lend(use, bounds, zones, now)
+	var distant []string
 	for _, peer := range sim.entries {
-		if peer == e || peer.zone != e.zone {
+		if peer == e {
 			continue
 		}
-		peer.selector.ReceiveNeed(e.name, use, now, now)
-		peer.selector.Borrow(e.name, slices.DeleteFunc(slices.Clone(loans), func(l placement.Loan) bool { return l.To != peer.name }), now)
+		own := slices.DeleteFunc(slices.Clone(loans), func(l placement.Loan) bool { return l.To != peer.name })
+		if peer.zone != e.zone {
+			distant = append(distant, peer.name)
+		} else {
+			peer.selector.ReceiveNeed(e.name, use, now, now)
+		}
+		if peer.zone == e.zone || len(own) > 0 {
+			peer.selector.Borrow(e.name, own, now)
+		}
+	}
+	if !placement.NeedsLoans(use) {
+		return
+	}
+	asked := e.rotation.Next(distant)
+	for _, peer := range sim.entries {
+		if slices.Contains(asked, peer.name) {
+			peer.selector.ReceiveNeed(e.name, use, now, now)
+		}
 	}
 }
 
--- a/placement/lending.go
+++ b/placement/lending.go
@@ -16,12 +16,31 @@
 	// which an entry lends.
 	borrowFrom = 0.7
 	lendBelow  = 0.5
-	// lendReserve is the fraction of a quota that an entry keeps beyond its use.
+	// lendReserve is the fraction of its quotas that an entry keeps beyond its use. Of quotas of one request it keeps some.
 	lendReserve = 0.2
 	// needTTL is how long another entry's report of its use counts.
 	needTTL = 1500 * clock.Millis(1)
+	// maxAsked is how many entries that get no reports of this one are asked for loans at once. In the lifetime of a loan
+	// that is four times as many.
+	maxAsked = 16
 )
 
+// NeedsLoans reports whether an entry with the given use of its quotas is lent more.
+func NeedsLoans(use float64) bool { return use >= borrowFrom }
+
+// Rotation selects entries to ask for loans in turn, so that a large site is not asked as a whole each time. Its zero value
+// is ready for use.
+type Rotation struct{ asked int }
+
+// Next returns the next of the given entries, which are in the same order each time.
+func (r *Rotation) Next(all []string) (next []string) {
+	for range min(maxAsked, len(all)) {
+		r.asked = (r.asked + 1) % len(all)
+		next = append(next, all[r.asked])
+	}
+	return next
+}
+
 // Loan is a part of an entry's quota of an endpoint's advertised rate that another entry, To, may use
 // until loanTTL after it asked. It replaces an earlier loan between the two.
 type Loan struct {
@@ -130,8 +149,9 @@
 		if st == nil || !st.advertised.HasRate {
 			continue
 		}
-		quota := bounds.Shares[zones[id]].Quota(rateTotal(st.advertised.Rate), id)
-		spare := quota - st.sentSince(now-rateWindow) - int(math.Ceil(lendReserve*float64(quota)))
+		share := bounds.Shares[zones[id]]
+		quota := share.Quota(rateTotal(st.advertised.Rate), id)
+		spare := quota - st.sentSince(now-rateWindow) - share.round(lendReserve*float64(quota), st.hash)
 		for _, to := range slices.Sorted(maps.Keys(sel.needs)) {
 			n := min(int(float64(spare)*sel.needs[to].use/total), quota-st.sentSince(now-rateWindow)-st.lentToOthers(to, now))
 			if n <= 0 {
--- a/relay/share.go
+++ b/relay/share.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/parsleydeal/parsleydeal/clock"
@@ -59,6 +60,7 @@
 func (s *Server) SendReports(ctx context.Context, name string, send func(r *wire.EntryReport, to []string) error) {
 	budget := byteBudget{updatedAt: s.cfg.Clock.Now()}
 	lastFullAt, hadWork := budget.updatedAt, false
+	var rotation placement.Rotation
 	for s.awaitReport(ctx, &budget, lastFullAt+fullReportInterval) {
 		full := budget.updatedAt >= lastFullAt+fullReportInterval
 		if full {
@@ -66,8 +68,15 @@
 		}
 		to := s.cfg.View().Neighbours()
 		r := &wire.EntryReport{Process: name, Work: workToWire(s.selector.Report(budget.updatedAt, full)), Partial: !full}
+		var distant []distantReport
 		if full {
-			s.addLoans(r, budget.updatedAt)
+			distant = s.addLoans(r, &rotation, budget.updatedAt)
+		}
+		for _, d := range distant {
+			budget.available -= float64((packetOverheadBytes + proto.Size(d.report)) * len(d.to))
+			if err := send(d.report, d.to); err != nil {
+				s.cfg.Log.Warn("Cannot ask for loans or lend", "error", logbook.Text(err))
+			}
 		}
 		// After the last report with work, one empty report is sent. Without it the receivers
 		// would assume that the work continues.
@@ -119,8 +128,15 @@
 	}
 }
 
-// addLoans adds the use of this entry's quotas of advertised rates to a full report, and its loans.
-func (s *Server) addLoans(r *wire.EntryReport, now clock.Millis) {
+// distantReport is a report to entries that get no reports of work.
+type distantReport struct {
+	report *wire.EntryReport
+	to     []string
+}
+
+// addLoans adds the use of this entry's quotas of advertised rates to a full report, and its loans. It returns the reports to
+// entries of other zones on a large site: loans, and the use if this entry needs loans itself.
+func (s *Server) addLoans(r *wire.EntryReport, rotation *placement.Rotation, now clock.Millis) (distant []distantReport) {
 	v := s.cfg.View()
 	zones := make(map[string]string)
 	for id, e := range v.Fleet().All() {
@@ -129,9 +145,31 @@
 	bounds := placement.Bounds{Shares: v.Shares()}
 	use := s.selector.RateUse(bounds, zones, now)
 	r.RateUsePercent, r.AskedMillis = int32(math.Ceil(min(use, maxRateUse)*percent)), int64(now)
+	to := make(map[string]*wire.EntryReport)
+	newReport := func() *wire.EntryReport {
+		return &wire.EntryReport{Process: r.GetProcess(), RateUsePercent: r.GetRateUsePercent(), AskedMillis: r.GetAskedMillis()}
+	}
 	for _, l := range s.selector.Lend(use, bounds, zones, now) {
-		r.Loans = append(r.Loans, &wire.QuotaLoan{To: l.To, Endpoint: l.Endpoint, Born: l.Incarnation, Requests: int32(l.Requests), AskedMillis: int64(l.AskedAt)})
+		report, address := r, v.Addresses()[l.To]
+		if !slices.Contains(v.Neighbours(), address) {
+			if report = to[address]; report == nil {
+				report = newReport()
+				to[address] = report
+			}
+		}
+		report.Loans = append(report.Loans, &wire.QuotaLoan{To: l.To, Endpoint: l.Endpoint, Born: l.Incarnation, Requests: int32(l.Requests), AskedMillis: int64(l.AskedAt)})
+	}
+	for address, report := range to {
+		if address != "" {
+			distant = append(distant, distantReport{report, []string{address}})
+		}
+	}
+	if placement.NeedsLoans(use) {
+		if asked := rotation.Next(v.DistantEntries()); len(asked) > 0 {
+			distant = append(distant, distantReport{newReport(), asked})
+		}
 	}
+	return distant
 }
 
 // loansFromWire returns the loans to this process. What an earlier one on the VM borrowed it may have
--- a/site/view.go
+++ b/site/view.go
@@ -123,6 +123,17 @@
 	return v.spreaders
 }
 
+// DistantEntries returns, in order, the addresses of the other entries to which this one does not report its work.
+func (v *View) DistantEntries() (out []string) {
+	for _, address := range v.others {
+		if !slices.Contains(v.neighbours, address) {
+			out = append(out, address)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // ZoneAddresses returns the addresses of the other entries of this entry's zone, as far as reports
 // from them have arrived.
 func (v *View) ZoneAddresses() []string { return v.zoneAddresses }
