Measure by the scheduler too whether an entry has fallen behind

The limit of connections followed how long requests lie unread, which the operating system has to tell. The runtime's histogram of how long goroutines wait for a processor shows it too: a tenth wait for under 6 ms in a calm process with a seventh of a core, for 117 ms to 2 s in one that has fallen behind.

TestSchedulerShowsWaitingGoroutines guards the measurement.

--- a/overload/limiter_test.go
+++ b/overload/limiter_test.go
@@ -3,7 +3,11 @@
 import (
 	"net"
 	"net/http"
+	"runtime"
+	"slices"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/parsleydeal/parsleydeal/clock"
@@ -22,9 +26,13 @@
 	cost   int
 	steps  int
 	gap    clock.Millis
+	due    []*request
 	queue  []*request
 	later  map[clock.Millis][]*request
 	budget int
+	// waits holds how long steps have waited since the last measurement. If blind, the arrival of requests is not known.
+	waits []clock.Millis
+	blind bool
 	// arrived holds the connections that were not accepted yet.
 	arrived []*request
 	done    []*request
@@ -34,6 +42,7 @@
 type request struct {
 	net.Conn
 	at       clock.Millis
+	dueAt    clock.Millis
 	readAt   clock.Millis
 	left     int
 	finished clock.Millis
@@ -42,38 +51,61 @@
 func newProcess(part float64, cost int) *process {
 	p := &process{part: part, cost: cost, steps: 8, gap: 50, later: make(map[clock.Millis][]*request)}
 	p.limiter = NewLimiter(clock.New(func() clock.Millis { return p.now }), nil)
+	p.limiter.schedulerDelay = p.schedulerDelay
 	return p
 }
 
 // capacity returns how many requests a second the process can answer.
 func (p *process) capacity() float64 { return 1e6 * p.part / float64(p.cost*(p.steps+1)) }
 
+func (p *process) schedulerDelay() (d clock.Millis, ok bool) {
+	if len(p.waits) < minWaits {
+		return 0, false
+	}
+	slices.Sort(p.waits)
+	d = p.waits[int(schedulerQuantile*float64(len(p.waits)))]
+	p.waits = p.waits[:0]
+	return d, true
+}
+
 // step runs the process for a millisecond in which n connections arrive.
 func (p *process) step(n int) {
 	p.now++
 	for range n {
 		p.arrived = append(p.arrived, &request{at: p.now, left: p.steps})
 	}
-	p.queue = append(p.queue, p.later[p.now]...)
+	p.due = append(p.due, p.later[p.now]...)
 	delete(p.later, p.now)
 	if p.now < p.frozenUntil || float64(p.now%100) >= 100*p.part {
 		return
 	}
+	// A process that does not run is not told what is due.
+	for _, r := range p.due {
+		r.dueAt = p.now
+		p.queue = append(p.queue, r)
+	}
+	p.due = nil
 	for _, r := range p.arrived {
 		if !p.limiter.Admit() {
 			p.closed = append(p.closed, r)
 			continue
 		}
 		p.limiter.Track(r, http.StateNew)
+		r.dueAt = p.now
 		p.queue = append(p.queue, r)
 	}
 	p.arrived = nil
 	for p.budget = min(p.budget, 0) + 1000; p.budget > 0 && len(p.queue) > 0; p.budget -= p.cost {
 		r := p.queue[0]
 		p.queue = p.queue[1:]
+		p.waits = append(p.waits, p.now-r.dueAt)
 		if r.readAt == 0 {
 			r.readAt = p.now
-			p.limiter.RecordReadDelay(p.now - r.at)
+			delay := p.now - r.at
+			if p.blind {
+				delay = 0
+			}
+			p.limiter.RecordReadDelay(delay)
 		} else {
 			r.left--
 		}
@@ -102,6 +134,7 @@
 func TestLimitFollowsWhatTheProcessCanDoProperty(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		p := newProcess(rapid.Float64Range(0.1, 1).Draw(t, "part"), rapid.IntRange(40, 400).Draw(t, "cost"))
+		p.blind = rapid.Bool().Draw(t, "blind")
 		if p.capacity() < 25 {
 			t.Skip("less than the lowest limit")
 		}
@@ -173,3 +206,27 @@
 		is.True(p.limiter.Status().Accepted > before)
 	}
 }
+
+// Guards against a measurement that does not show goroutines that wait for a processor.
+func TestSchedulerShowsWaitingGoroutines(t *testing.T) {
+	is := is.New(t)
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	s := newScheduler()
+	s.delay()
+	// The runtime samples one in eight.
+	var all sync.WaitGroup
+	for range 1000 {
+		all.Go(func() {
+			for end := time.Now().Add(time.Millisecond); time.Now().Before(end); {
+				runtime.KeepAlive(s)
+			}
+		})
+	}
+	all.Wait()
+	d, ok := s.delay()
+	t.Logf("a tenth waited for %s or longer", d)
+	is.True(ok)
+	is.True(d > maxSchedulerDelay)
+	_, ok = s.delay()
+	is.True(!ok)
+}
--- a/overload/metrics.go
+++ b/overload/metrics.go
@@ -10,9 +10,9 @@
 	return func(s Status) {
 		message := "All new connections are accepted again"
 		if s.Limit > 0 {
-			message = "Requests lie unread, new connections are limited"
+			message = "Entry has fallen behind, new connections are limited"
 		}
-		to.Warn(message, "limit", s.Limit, "active", s.Active, "read-delay", s.ReadDelay, "accepted", s.Accepted, "closed-unread", s.Closed)
+		to.Warn(message, "limit", s.Limit, "active", s.Active, "read-delay", s.ReadDelay, "scheduler-delay", s.SchedulerDelay, "accepted", s.Accepted, "closed-unread", s.Closed)
 	}
 }
 
@@ -24,6 +24,7 @@
 		"parsleydeal_connections_active":                         func(s Status) float64 { return float64(s.Active) },
 		"parsleydeal_connections_limit":                          func(s Status) float64 { return float64(s.Limit) },
 		"parsleydeal_read_delay_ms":                              func(s Status) float64 { return float64(s.ReadDelay) },
+		"parsleydeal_scheduler_delay_ms":                         func(s Status) float64 { return float64(s.SchedulerDelay) },
 	} {
 		set.GetOrCreateGauge(name, func() float64 { return value(l.Status()) })
 	}
