--- a/overload/limiter_test.go
+++ b/overload/limiter_test.go
@@ -230,3 +230,10 @@
 	_, ok = s.delay()
 	is.True(!ok)
 }
+
+func BenchmarkSchedulerDelay(b *testing.B) {
+	s := newScheduler()
+	for b.Loop() {
+		s.delay()
+	}
+}
