--- a/emulator/crash.go
+++ b/emulator/crash.go
@@ -99,7 +99,12 @@
 			}
 		})
 	}
-	sim.schedule(end, func(now clock.Millis) { a.end(false, now) })
+	sim.schedule(end, func(now clock.Millis) {
+		if !a.ended {
+			a.end(false, now)
+			a.request.disconnect()
+		}
+	})
 }
 
 func (r *request) id() string { return fmt.Sprintf("%p", r) }
--- a/emulator/run.go
+++ b/emulator/run.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"slices"
 
 	"github.com/parsleydeal/parsleydeal/cascade"
@@ -61,12 +62,15 @@
 	Left          int
 	SentAfterLeft int
 	Silent        int
+	// Closed counts connections that entries closed unread.
+	Closed int
 	// MostCrashes is the number of endpoints that crashed on one request, with its repeats.
 	MostCrashes int
 }
 
 // simulation is one run. The same site, load and strategies give the same result.
 type simulation struct {
+	now        clock.Millis
 	site       Site
 	load       Load
 	strategies decision.Strategies
@@ -95,8 +99,9 @@
 	blocks *quarantine.Register
 	// index numbers the entries of all zones, and silent holds the endpoints to which its connections at hand are
 	// silent.
-	index  int
-	silent map[string]bool
+	index   int
+	silent  map[string]bool
+	process *process
 	// rotation selects the entries of other zones to ask for loans.
 	rotation placement.Rotation
 	// reportedAt is the time of the last report to peers, fullReportAt that of the last full one.
@@ -115,6 +120,7 @@
 	sim := newSimulation(s, l, strategies)
 	duration := clock.Millis(l.Seconds * float64(clock.Second))
 	for now := clock.Millis(0); now < duration || len(sim.events) > 0; now++ {
+		sim.now = now
 		for len(sim.events) > 0 && sim.events[0].at <= now {
 			heap.Pop(&sim.events).(event).do(now)
 		}
@@ -140,7 +146,7 @@
 			f.Apply([]fleet.Change{{ID: id, Endpoint: &fleet.Endpoint{ID: id, Service: "pool", Zone: zone, Version: "v1", Slots: s.Slots}}}, false)
 		}
 		for i := range s.Entries {
-			sim.entries = append(sim.entries, &entry{name: fmt.Sprintf("entry-%d-%d", z, i), index: len(sim.entries), silent: make(map[string]bool), zone: zone, selector: placement.NewSelectorWith(strategies), blocks: quarantine.New(), escalator: cascade.NewEscalator(strategies), shares: sharesOf(s, z, i)})
+			sim.entries = append(sim.entries, &entry{name: fmt.Sprintf("entry-%d-%d", z, i), index: len(sim.entries), silent: make(map[string]bool), zone: zone, selector: placement.NewSelectorWith(strategies), blocks: quarantine.New(), escalator: cascade.NewEscalator(strategies), shares: sharesOf(s, z, i), process: sim.newProcess()})
 		}
 	}
 	sim.fleet = f.Snapshot()
@@ -262,6 +268,8 @@
 	// model is the index, in Site.Models, of the model that is to answer.
 	model     int
 	startedAt clock.Millis
+	// conn is the caller's connection, of entries with a limited rate.
+	conn net.Conn
 	// crashes is true if endpoints crash on the request or a block of its prompt, repeats what it has in common
 	// with those that its caller sends in its place; nil if it sends none. attempts counts the attempts that
 	// arrived, and heldSince is since when a test of a block is awaited; 0 if it is not.
@@ -317,7 +325,7 @@
 		sim.schedule(until, func(now clock.Millis) { sim.send(r, now) })
 		return
 	}
-	sim.send(r, now)
+	sim.connect(r, now)
 }
 
 func (sim *simulation) drawKind() Kind {
@@ -346,6 +354,7 @@
 // send sends a request to the endpoint that its entry selects.
 func (sim *simulation) send(r *request, now clock.Millis) {
 	if sim.hasLeft(r, now) && !sim.load.LeftUnnoticed {
+		r.disconnect()
 		sim.result.Requests--
 		return
 	}
@@ -454,6 +463,7 @@
 
 // refuse records that a request gets no answer, or not the rest of it.
 func (sim *simulation) refuse(r *request, now clock.Millis) {
+	r.disconnect()
 	switch {
 	case r.crashes:
 		sim.repeat(r, now)
--- a/emulator/site.go
+++ b/emulator/site.go
@@ -8,7 +8,7 @@
 // answers in a limited number of slots; entries report their work to each other within their zone
 // only; the smallest model's confidence in its answer is a noisy measure of the answer's quality;
 // endpoints may advertise a rate limit, and differ in pace, which other work on their VMs changes; most
-// requests may reach a few entries for a while; endpoints may crash on a block of a prompt and come back; entries may be paused,
+// requests may reach a few entries for a while, which may read only so many; endpoints may crash on a block of a prompt and come back; entries may be paused,
 // callers leave, and connections at hand go silent.
 // The model does not cover how concurrent streams slow each other down, pre-emption, cold starts,
 // other faults, upgrades and the store.
@@ -33,6 +33,8 @@
 	// Entries and Endpoints are the numbers of entries and endpoints in each zone.
 	Entries   int `toml:"entries"`
 	Endpoints int `toml:"endpoints"`
+	// EntryRate is how many requests an entry can read per second; 0 for any number.
+	EntryRate float64 `toml:"entry-rate"`
 	// Slots is the number of answers that an endpoint can stream at once, CacheTokens the capacity
 	// of its prefix cache in tokens.
 	Slots       int `toml:"slots"`
@@ -155,8 +157,8 @@
 	switch {
 	case s.Zones < 1, s.Entries < 1, s.Endpoints < 1:
 		return ErrSite.New("zones, entries and endpoints must be 1 or more")
-	case s.Slots < 1, s.CacheTokens < 0, s.WarmBound < 0:
-		return ErrSite.New("slots must be 1 or more, memory and warm-bound 0 or more")
+	case s.Slots < 1, s.CacheTokens < 0, s.WarmBound < 0, s.EntryRate < 0:
+		return ErrSite.New("slots must be 1 or more, memory, warm-bound and entry-rate 0 or more")
 	case len(s.Models) == 0:
 		return ErrSite.New("models: at least one is required")
 	case l.Seconds <= 0, l.PerSecond <= 0:
--- a/overload/limiter.go
+++ b/overload/limiter.go
@@ -82,12 +82,17 @@
 	Closed   uint64
 }
 
-// NewLimiter returns a limiter without a limit in force; onChange may be nil.
+// NewLimiter returns a limiter of this process without a limit in force; onChange may be nil.
 func NewLimiter(c clock.Clock, onChange func(Status)) *Limiter {
+	return NewLimiterWith(c, newScheduler().delay, onChange)
+}
+
+// NewLimiterWith returns a limiter of a process whose scheduler schedulerDelay measures.
+func NewLimiterWith(c clock.Clock, schedulerDelay func() (d clock.Millis, ok bool), onChange func(Status)) *Limiter {
 	if onChange == nil {
 		onChange = func(Status) {}
 	}
-	return &Limiter{clock: c, schedulerDelay: newScheduler().delay, onChange: onChange, active: make(map[net.Conn]bool)}
+	return &Limiter{clock: c, schedulerDelay: schedulerDelay, onChange: onChange, active: make(map[net.Conn]bool)}
 }
 
 // Status returns the current state.
--- a/overload/limiter_test.go
+++ b/overload/limiter_test.go
@@ -50,8 +50,7 @@
 
 func newProcess(part float64, cost int) *process {
 	p := &process{part: part, cost: cost, steps: 8, gap: 50, later: make(map[clock.Millis][]*request)}
-	p.limiter = NewLimiter(clock.New(func() clock.Millis { return p.now }), nil)
-	p.limiter.schedulerDelay = p.schedulerDelay
+	p.limiter = NewLimiterWith(clock.New(func() clock.Millis { return p.now }), p.schedulerDelay, nil)
 	return p
 }
 
