--- a/soak/busy_entry_test.go
+++ b/soak/busy_entry_test.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/parsleydeal/parsleydeal/platform/standin"
 )
 
 // busyLoad sends requests on new connections, most of which reach one entry for a while.
@@ -168,6 +170,8 @@
 	perSecond int
 	busy      int
 	body      int
+	// fault happens to the first busy entry in the middle of the crowd; nil for none.
+	fault func(k *soak, p *process)
 }
 
 // busySite returns a site of six entries, the first of which have a part of a core, and 16 endpoints.
@@ -211,14 +215,22 @@
 
 // busyCases run always, moreBusyCases by hand, with -seeds.
 var (
-	busyCases     = []busyCase{{"seventh", 0.144, 300, 1, 2000}, {"fourteenth", 0.072, 200, 1, 2000}}
+	busyCases     = []busyCase{{"seventh", 0.144, 300, 1, 2000, nil}, {"fourteenth", 0.072, 200, 1, 2000, nil}}
 	moreBusyCases = []busyCase{
-		{"whole", 1, 200, 1, 2000},
-		{"seventh-of-zone", 0.144, 110, 1, 2000},
-		{"seventh-long-bodies", 0.144, 300, 1, 30000},
-		{"two-sevenths", 0.144, 400, 2, 2000},
-		{"three-tenths", 0.1, 400, 3, 2000},
-		{"two-fourteenths", 0.072, 300, 2, 2000},
+		{"whole", 1, 200, 1, 2000, nil},
+		{"seventh-of-zone", 0.144, 110, 1, 2000, nil},
+		{"seventh-long-bodies", 0.144, 300, 1, 30000, nil},
+		{"two-sevenths", 0.144, 400, 2, 2000, nil},
+		{"three-tenths", 0.1, 400, 3, 2000, nil},
+		{"two-fourteenths", 0.072, 300, 2, 2000, nil},
+		{"seventh-without-store", 0.144, 300, 1, 2000, func(_ *soak, p *process) { p.storeHandler.SetFault(standin.Silent) }},
+		{"seventh-killed", 0.144, 300, 1, 2000, func(k *soak, p *process) { k.restart(p, syscall.SIGKILL) }},
+		{"seventh-leaves", 0.144, 300, 1, 2000, func(k *soak, p *process) { k.restart(p, syscall.SIGTERM) }},
+		{"seventh-endpoints-reset", 0.144, 300, 1, 2000, func(k *soak, _ *process) {
+			for _, e := range k.allEndpoints()[:4] {
+				e.proxy.setMode(reset)
+			}
+		}},
 	}
 )
 
@@ -234,8 +246,13 @@
 		t.Run(c.name, func(t *testing.T) {
 			b := busySite(t, program, c)
 			b.run(3*time.Second, false)
+			k := &soak{site: b.site, t: t, program: program}
 			crowdedAt := time.Now()
+			if c.fault != nil {
+				time.AfterFunc(5*time.Second, func() { c.fault(k, b.entries[0]) })
+			}
 			b.run(10*time.Second, true)
+			k.faults.Wait()
 			movedAt := time.Now()
 			b.run(4*time.Second, false)
 			time.Sleep(300 * time.Millisecond)
@@ -254,7 +271,6 @@
 				}
 			}
 			if t.Failed() {
-				k := &soak{site: b.site, t: t}
 				k.saveLogs(0)
 			}
 		})
