Count what breaks off after an answer that was found late

An endpoint that broke off a stream was not held responsible, nor its version, if this process had noticed late that the time for the first byte was up and then found the answer: the answer stayed marked as delayed by this process for good. The mark now tells of the last read only.

TestBreakAfterPauseIsNotDelayed failed before.

--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -87,8 +87,8 @@
 	bodySent chan struct{}
 	sendErr  *atomic.Pointer[error]
 	stop     func() bool
-	// readUntil is the deadline of reads. delayed is true once this process noticed so late that it had passed that
-	// the timeout says nothing of the endpoint.
+	// readUntil is the deadline of reads. delayed is true if the last read timed out and this process noticed that so late
+	// that it says nothing of the endpoint.
 	readUntil atomic.Int64
 	delayed   atomic.Bool
 	// connectTime is how long it took to get a connection.
@@ -179,6 +179,7 @@
 			_, err = a.conn.r.Peek(1)
 		}
 		if err == nil {
+			a.delayed.Store(false)
 			return a.SetReadTimeout(headTimeout)
 		}
 		if !TimedOut(err) {
@@ -211,15 +212,13 @@
 	return ok
 }
 
-// Delayed reports whether a read timed out that much later than it should have.
+// Delayed reports whether the last read timed out that much later than it should have.
 func (a *Answer) Delayed() bool { return a.delayed.Load() }
 
 // isDelayed notes whether a read that ended with err timed out too late.
 func (a *Answer) isDelayed(err error) bool {
 	late := err != nil && TimedOut(err) && a.conn.pool.clock.Now() > clock.Millis(a.readUntil.Load())+maxTimerDelay
-	if late {
-		a.delayed.Store(true)
-	}
+	a.delayed.Store(late)
 	return late
 }
 
