Don't say that an entry is ready before it knows any VMs

Cause: an entry counted as started when it had tables. The VM list is read beside them; until it has come there is no endpoint to send to, and nothing told that apart from a version that has lost all its endpoints. Tests changed: two of operations post a VM list now; the first also checks the new reason before that.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -118,6 +118,9 @@
 	if !v.Started() {
 		return nil, refusal.New(refusal.Starting, "entry has no tables yet").WithRetryAfter(startingRetry)
 	}
+	if !v.Listed() {
+		return nil, refusal.New(refusal.Starting, "entry has no VM list yet").WithRetryAfter(startingRetry)
+	}
 	if v.Draining() {
 		return nil, refusal.New(refusal.Leaving, "entry is leaving").WithRetryAfter(leavingRetry)
 	}
--- a/operations/operations.go
+++ b/operations/operations.go
@@ -168,6 +168,8 @@
 		// Tables received from a single peer may be outdated. Until the log or more peers have
 		// confirmed them the process refuses all work, so it must not be ready yet.
 		return "the process has no tables yet"
+	case a.node.Settings().Endpoint.Pool == "" && !v.Listed():
+		return "the process has no VM list yet"
 	}
 	return ""
 }
--- a/operations/operations_test.go
+++ b/operations/operations_test.go
@@ -41,6 +41,10 @@
 	return f
 }
 
+func (f *fixture) listVMs(t *testing.T) {
+	f.node.Loop().Post(t.Context(), event.VMsListed{VMs: []provider.VM{{ID: "vm-1", Zone: "zone-a", Role: provider.EntryRole}}})
+}
+
 func (f *fixture) get(t *testing.T, path string) (status int, body string) {
 	resp, err := http.Get(f.url + path)
 	if err != nil {
@@ -72,6 +76,8 @@
 	is.True(strings.Contains(body, "no tables yet"))
 	page := provider.Page{Head: 1, Records: []provider.Record{{Offset: 0, Data: []byte(tables)}}}
 	f.node.Loop().Post(t.Context(), event.LogRead{Stream: provider.ConfigStream, Page: page})
+	waitUntil(t, func() bool { _, body := f.get(t, "/readyz"); return strings.Contains(body, "no VM list yet") })
+	f.listVMs(t)
 	waitUntil(t, func() bool { status, _ := f.get(t, "/readyz"); return status == http.StatusOK })
 	leaving := false
 	f.api.SetLeaving(func() bool { return leaving })
@@ -136,6 +142,7 @@
 	f := newFixture(t)
 	reply := &wire.RecordsReply{Head: 1, Records: []*wire.Record{{Offset: 0, Data: []byte(tables)}}}
 	f.node.Loop().Post(t.Context(), event.RecordsReceived{From: "peer", Reply: reply})
+	f.listVMs(t)
 	waitUntil(t, func() bool { return f.node.View().Tables() != nil })
 	is.True(!f.node.View().Started())
 	status, _ := f.get(t, "/readyz")
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -37,6 +37,8 @@
 	DropAnswers int `json:"lose-answers"`
 	// DelayMillis delays every call to the log.
 	DelayMillis int64 `json:"delay-millis"`
+	// ListDelayMillis delays every read of the VM list.
+	ListDelayMillis int64 `json:"list-delay-millis"`
 	// RefuseWeights is the number of weight fetches from now on that are refused as if over a rate
 	// limit.
 	RefuseWeights int `json:"refuse-weights"`
@@ -199,6 +201,10 @@
 }
 
 func (p *Platform) listVMs(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	delay := p.faults.ListDelayMillis
+	p.mu.Unlock()
+	time.Sleep(time.Duration(delay) * time.Millisecond)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	reply(w, p.vms)
--- a/system/cluster_test.go
+++ b/system/cluster_test.go
@@ -97,6 +97,8 @@
 	// firstTokenDelay, tokenGap and tokenCount apply to each answer of the engines.
 	firstTokenDelay, tokenGap clock.Millis
 	tokenCount                int
+	// platformFaults are there from the start.
+	platformFaults standin.Faults
 }
 
 func newCluster(t *testing.T, s clusterSpec) *cluster {
@@ -106,6 +108,7 @@
 	t.Cleanup(srv.Close)
 	c.url = srv.URL
 	c.platform.SetQuality("small@1", 1)
+	c.platform.SetFaults(s.platformFaults)
 	for i := range s.endpoints {
 		c.addEndpoint(i, s)
 	}
--- a/system/durability_test.go
+++ b/system/durability_test.go
@@ -201,6 +201,17 @@
 // A session must keep its version when its entry is killed and when a roll-out sets the version's
 // traffic share to 0. It may move only once the version is withdrawn, and the answer must then
 // report the move.
+// An entry that has tables but has not read the VM list refused requests for want of endpoints while it
+// said that it was ready.
+func TestEntryIsNotReadyBeforeItKnowsEndpoints(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, clusterSpec{entries: 1, endpoints: 1, zones: 1, firstTokenDelay: 2, tokenGap: 1, tokenCount: 3, platformFaults: standin.Faults{ListDelayMillis: 500}})
+	c.waitReady(c.entries[0])
+	status, _, body := c.call(t.Context(), c.entries[0], http.MethodPost, "/v1/chat/completions", `{"model":"quick","messages":[{"role":"user","content":"When?"}]}`, nil)
+	is.Equal(status, http.StatusOK)
+	is.True(body != "")
+}
+
 func TestSessionKeepsItsVersion(t *testing.T) {
 	is := is.New(t)
 	s := clusterSpec{entries: 2, endpoints: 2, zones: 2, firstTokenDelay: 2, tokenGap: 1, tokenCount: 3}
--- a/view/view.go
+++ b/view/view.go
@@ -141,5 +141,8 @@
 // several peers.
 func (v *View) Started() bool { return v.tables != nil && !v.spread.Starting }
 
+// Listed reports whether the process knows any VMs. Before that an entry has no endpoints to send to.
+func (v *View) Listed() bool { return len(v.members.VMs()) > 0 }
+
 // Ready reports whether the process may receive work.
 func (v *View) Ready() bool { return v.Started() && !v.draining }
