Don't hold a crash against requests that were not sent

Cause: an attempt counted as one that the endpoint may have crashed on from the choice of the endpoint on. An entry that has just started, and has cleared no block yet, connects to endpoints that crashed before and are still listed; the first refused connection tells of the crash, and named each other request that was connecting there, with its blocks.

--- a/emulator/crash.go
+++ b/emulator/crash.go
@@ -66,6 +66,7 @@
 	e := sim.endpoints[target.ID]
 	a := &attempt{request: r, target: target, endpoint: e, number: e.incarnation, work: r.entry.selector.Begin(target, q), sentAt: now, sequence: sim.result.Sent}
 	a.watch = r.entry.blocks.Begin(a.incarnation(), keysOf(r), false, now)
+	r.entry.blocks.Sent(a.watch, now)
 	e.running[a] = true
 	r.attempts++
 	if r.crashes {
--- a/quarantine/attempt.go
+++ b/quarantine/attempt.go
@@ -50,7 +50,9 @@
 	keys     *Keys
 	// uncleared holds the shared blocks that were not cleared not long ago.
 	uncleared []string
-	beganAt   clock.Millis
+	// sent is true once the request was sent, at sentAt.
+	sent   bool
+	sentAt clock.Millis
 	// over is true once the attempt has shown what it can: it got beyond its beginning, or was cancelled.
 	over bool
 	// whole is true if the head arrives only with the whole answer.
@@ -64,11 +66,12 @@
 	broken  bool
 }
 
-// Begin records an attempt at an endpoint. whole is true if the head arrives only with the whole answer.
+// Begin records an attempt at an endpoint, to which nothing is sent before Sent. whole is true if the head arrives only with
+// the whole answer.
 func (g *Register) Begin(i Incarnation, keys *Keys, whole bool, now clock.Millis) *Attempt {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	a := &Attempt{keys: keys, beganAt: now, whole: whole, headAt: never, aliveAt: never, endedAt: never}
+	a := &Attempt{keys: keys, whole: whole, headAt: never, aliveAt: never, endedAt: never}
 	for _, key := range keys.shared {
 		if at, ok := g.cleared[key]; !ok || now-at > clearTTL/2 {
 			a.uncleared = append(a.uncleared, key)
@@ -79,6 +82,14 @@
 	return a
 }
 
+// Sent records that the request is being sent. Only then can it be the cause of a crash: others may find out meanwhile that
+// the endpoint crashed long ago.
+func (g *Register) Sent(a *Attempt, now clock.Millis) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	a.sent, a.sentAt = true, now
+}
+
 // Apart returns the endpoints that a request should not be sent to because another suspected request is in progress there.
 // If one of them crashed under both, nothing would tell which of the two is the cause. It is nil for a request that no crash
 // names.
@@ -267,7 +278,7 @@
 	}
 	for a := range e.waiting {
 		switch {
-		case a.expired(now):
+		case !a.sent, a.expired(now):
 		case a.whole:
 			begun = append(begun, a)
 		default:
@@ -337,7 +348,7 @@
 		switch {
 		case g.isCleared(key, now):
 			c.Cleared++
-		case g.accuse(key, i.hash(), a.endpoint.crashedAt, a.beganAt, now):
+		case g.accuse(key, i.hash(), a.endpoint.crashedAt, a.sentAt, now):
 			g.suspects[key].seenAt = now
 			c.Keys = append(c.Keys, key)
 		}
--- a/quarantine/bench_test.go
+++ b/quarantine/bench_test.go
@@ -11,7 +11,7 @@
 func BenchmarkAliveBesideWaiting(b *testing.B) {
 	g, e := New(), Incarnation{Endpoint: "e"}
 	for i := range 100 {
-		g.Begin(e, NewKeys([]string{fmt.Sprint("block-", i), fmt.Sprint(i)}, nil), false, 0)
+		sent(g, e, NewKeys([]string{fmt.Sprint("block-", i), fmt.Sprint(i)}, nil), false, 0)
 	}
 	b.ReportAllocs()
 	for i := range b.N {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -79,7 +79,7 @@
 		g := entries[x.Entry]
 		switch {
 		case x.Begin != "":
-			attempts[x.Begin] = g.Begin(Incarnation{Endpoint: x.Endpoint}, x.keys(), x.Whole, x.At)
+			attempts[x.Begin] = sent(g, Incarnation{Endpoint: x.Endpoint}, x.keys(), x.Whole, x.At)
 		case x.Head != "":
 			g.Head(attempts[x.Head], x.At)
 		case x.Break != "":
@@ -123,7 +123,7 @@
 	g := New()
 	for i := range 2 * maxSuspects {
 		endpoint, at := Incarnation{Endpoint: fmt.Sprint(i)}, clock.Millis(i)*momentTime
-		a := g.Begin(endpoint, sharedKeys(fmt.Sprint("block-", i)), false, at)
+		a := sent(g, endpoint, sharedKeys(fmt.Sprint("block-", i)), false, at)
 		g.End(a, true, at)
 		g.Crashed(endpoint, at)
 	}
@@ -143,7 +143,7 @@
 	for _, block := range []string{"first", "second"} {
 		for i := range 20 {
 			endpoint := Incarnation{Endpoint: fmt.Sprint(block, i)}
-			a := g.Begin(endpoint, sharedKeys(block), false, at)
+			a := sent(g, endpoint, sharedKeys(block), false, at)
 			at += 100
 			g.End(a, true, at)
 			g.Crashed(endpoint, at)
@@ -164,7 +164,7 @@
 	for i := range 100 {
 		endpoint := Incarnation{Endpoint: fmt.Sprint(i)}
 		for j := range 10 {
-			g.End(g.Begin(endpoint, sharedKeys(fmt.Sprint("block-", i, "-", j)), false, 0), true, 100)
+			g.End(sent(g, endpoint, sharedKeys(fmt.Sprint("block-", i, "-", j)), false, 0), true, 100)
 		}
 		g.Crashed(endpoint, 100)
 	}
@@ -182,7 +182,7 @@
 		if i%10 == 0 {
 			block = "sound"
 		}
-		a := g.Begin(endpoint, sharedKeys(block), false, at)
+		a := sent(g, endpoint, sharedKeys(block), false, at)
 		at += 100
 		g.End(a, true, at)
 		g.Crashed(endpoint, at)
@@ -200,10 +200,10 @@
 	for i := range maxCrashes {
 		endpoint := Incarnation{Endpoint: fmt.Sprint(i)}
 		at += momentTime
-		g.End(g.Begin(endpoint, sharedKeys(fmt.Sprint("block-", i)), false, at), true, at)
+		g.End(sent(g, endpoint, sharedKeys(fmt.Sprint("block-", i)), false, at), true, at)
 		g.Crashed(endpoint, at)
 	}
-	g.End(g.Begin(early, sharedKeys("late"), false, at), true, at)
+	g.End(sent(g, early, sharedKeys("late"), false, at), true, at)
 	_, ok := g.Crashed(early, at)
 	is.True(!ok)
 	is.Equal(len(g.crashes), maxCrashes)
@@ -219,7 +219,7 @@
 		g.Crashed(Incarnation{Endpoint: fmt.Sprint("other-", i)}, at)
 		if i > maxEnds && i%10 == 0 {
 			endpoint := Incarnation{Endpoint: fmt.Sprint("named-", i)}
-			a := g.Begin(endpoint, sharedKeys("sound"), false, at)
+			a := sent(g, endpoint, sharedKeys("sound"), false, at)
 			at += 100
 			g.End(a, true, at)
 			g.Crashed(endpoint, at)
--- a/quarantine/request_test.go
+++ b/quarantine/request_test.go
@@ -14,11 +14,18 @@
 	return NewKeys(blocks, func() [][]byte { return [][]byte{[]byte(content)} })
 }
 
+// sent records an attempt whose request is sent at once.
+func sent(g *Register, i Incarnation, keys *Keys, whole bool, at clock.Millis) *Attempt {
+	a := g.Begin(i, keys, whole, at)
+	g.Sent(a, at)
+	return a
+}
+
 // crashUnder has an endpoint crash 70 ms after it has begun to answer requests.
 func crashUnder(g *Register, endpoint string, at clock.Millis, all ...*Keys) {
 	var attempts []*Attempt
 	for _, keys := range all {
-		a := g.Begin(Incarnation{Endpoint: endpoint}, keys, false, at)
+		a := sent(g, Incarnation{Endpoint: endpoint}, keys, false, at)
 		g.Head(a, at+1)
 		attempts = append(attempts, a)
 	}
@@ -56,7 +63,7 @@
 	is := is.New(t)
 	g, keys := New(), requestKeys("sound", "own")
 	crashUnder(g, "i-1", 1000, keys)
-	a := g.Begin(Incarnation{Endpoint: "i-2"}, keys, false, 1100)
+	a := sent(g, Incarnation{Endpoint: "i-2"}, keys, false, 1100)
 	g.Head(a, 1110)
 	g.Alive(Incarnation{Endpoint: "i-2"}, 1400)
 	g.Alive(Incarnation{Endpoint: "i-2"}, 1700)
@@ -105,7 +112,7 @@
 		keys := NewKeys([]string{"shared", fmt.Sprint("own-", i)}, func() [][]byte { digests++; return nil })
 		f, _, _ := g.Admit("r", keys, false, at)
 		is.Equal(f, Admitted)
-		a := g.Begin(Incarnation{Endpoint: "i-1"}, keys, false, at)
+		a := sent(g, Incarnation{Endpoint: "i-1"}, keys, false, at)
 		g.Head(a, at)
 		at += 100
 		g.Alive(Incarnation{Endpoint: "i-1"}, at)
@@ -165,7 +172,7 @@
 	bad, sound, other := requestKeys("bad", "own"), requestKeys("sound", "own-2"), requestKeys("other", "own-3")
 	crashUnder(g, "i-1", 1000, bad, sound)
 	is.Equal(len(g.Apart(bad, 1071)), 0)
-	a := g.Begin(Incarnation{Endpoint: "i-2"}, bad, false, 1072)
+	a := sent(g, Incarnation{Endpoint: "i-2"}, bad, false, 1072)
 	is.Equal(g.Apart(sound, 1073), map[string]bool{"i-2": true})
 	is.Equal(len(g.Apart(bad, 1073)), 0)
 	is.Equal(len(g.Apart(other, 1073)), 0)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -162,6 +162,7 @@
 		c.SettleTime = settleDuration
 	}
 	c.Abandoned = func() bool { return x.callerLeft(leftBeforeSend) }
+	c.Sending = func() { x.server.quarantine.Sent(a.watch, x.server.cfg.Clock.Now()) }
 	c.MaxIdle = x.server.maxIdle(x.view, x.service)
 	return c
 }
--- a/relay/left_test.go
+++ b/relay/left_test.go
@@ -187,7 +187,7 @@
 	case "test":
 		now, block := c.Now(), keysOf(&Request{Blocks: []placement.Block{{ID: "shared"}, {ID: "own"}}})
 		crashed := quarantine.Incarnation{Endpoint: "i-crashed", Number: 1}
-		server.quarantine.Begin(crashed, block, false, now-1)
+		server.quarantine.Sent(server.quarantine.Begin(crashed, block, false, now-1), now-1)
 		server.quarantine.Crashed(crashed, now)
 		server.quarantine.Admit("tester", block, true, now)
 		go func() {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -68,6 +68,8 @@
 	// Abandoned reports whether nobody waits for the answer any more. It is called right before the request is
 	// sent; nil if that is not known.
 	Abandoned func() bool
+	// Sending is called when the request is about to be sent; nil is allowed.
+	Sending func()
 	// Matches reports whether an answer belongs to this call. Nil accepts every answer.
 	Matches func(h http.Header) bool
 	// FirstByteTimeout returns how much longer to wait for the first byte of the answer after
@@ -126,6 +128,9 @@
 		c.release(true)
 		return nil, ErrAbandoned.New("nobody waits for the answer")
 	}
+	if call.Sending != nil {
+		call.Sending()
+	}
 	a = &Answer{conn: c, connectTime: p.clock.Since(start), bodySent: make(chan struct{}), sendErr: &atomic.Pointer[error]{}}
 	a.stop = context.AfterFunc(ctx, func() { _ = c.net.Close() })
 	go a.send(call)
