Of requests that two crashes name, refuse those under which the crashes came alike soon

Cause: requests that were in progress at a crashed endpoint move on together, and with four endpoints a third of them meet the one at fault again. Change: an endpoint crashes at the same point of a request each time. Of requests that the same two crashes name, those are refused under which both came about as soon after the request was sent (twice as long and 20 ms at most); if there are none, all, as before. After a third crash all that are alike are refused, as before. A begun answer is tested only if another request that is quarantined too is tied with it. Evidence: the new test failed before (the one at fault was hidden by nine others). TestNoFourthEndpointCrashesReplay prints the times; checks unchanged.

--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -199,37 +199,59 @@
 	}
 }
 
-// requestsNamed returns the requests that n crashes name, in order. Those that too many others are like are
-// undecided.
+// requestsNamed returns the requests that n crashes name, in order. Those that too many others are like, and those that are
+// less likely than another one, are undecided.
 func requestsNamed(n int, naming map[string]map[uint64]moment) (keys, undecided []string) {
 	for _, key := range slices.Sorted(maps.Keys(naming)) {
-		switch {
-		case !isRequest(key) || len(naming[key]) != n:
-		case requestsLike(key, naming) <= maxAlike:
+		if !isRequest(key) || len(naming[key]) != n {
+			continue
+		}
+		if alike := requestsLike(key, naming); len(alike) <= maxAlike && slices.Contains(alike, key) {
 			keys = append(keys, key)
-		default:
+		} else {
 			undecided = append(undecided, key)
 		}
 	}
 	return keys, undecided
 }
 
-// requestsLike returns the number of requests that all crashes name that name the given one, itself included.
-func requestsLike(key string, naming map[string]map[uint64]moment) (n int) {
+// requestsLike returns the requests that all crashes name that name the given one. An endpoint crashes at the same point of
+// a request each time: of requests that only requestCrashes name, these are those under which the crashes came alike soon,
+// if there are such.
+func requestsLike(key string, naming map[string]map[uint64]moment) (alike []string) {
+	var likelier []string
 	for other, by := range naming {
-		if !isRequest(other) {
+		if !isRequest(other) || !namesAll(by, naming[key]) {
 			continue
 		}
-		all := true
-		for incarnation := range naming[key] {
-			_, ok := by[incarnation]
-			all = all && ok
+		alike = append(alike, other)
+		if cameAlikeSoon(by) {
+			likelier = append(likelier, other)
 		}
-		if all {
-			n++
+	}
+	if len(naming[key]) == requestCrashes && len(likelier) > 0 {
+		return likelier
+	}
+	return alike
+}
+
+// namesAll reports whether a key is named by all the given crashes.
+func namesAll(by, crashes map[uint64]moment) bool {
+	for incarnation := range crashes {
+		if _, ok := by[incarnation]; !ok {
+			return false
 		}
 	}
-	return n
+	return true
+}
+
+// cameAlikeSoon reports whether endpoints crashed about as soon after each attempt of a request.
+func cameAlikeSoon(by map[uint64]moment) bool {
+	shortest, longest := clock.Millis(math.MaxInt64), clock.Millis(0)
+	for _, m := range by {
+		shortest, longest = min(shortest, m.at-m.began), max(longest, m.at-m.began)
+	}
+	return longest <= alikeFactor*shortest+alikeSlack
 }
 
 // enough reports whether crashes that name a key are independent and enough of all that are not
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -35,6 +35,10 @@
 	// maxAlike is the number of requests that are refused together, if the same crashes name them all and one
 	// of them is the cause.
 	maxAlike = 8
+	// alikeFactor and alikeSlack are how much longer an endpoint may run on a request than another one did, if both crash on
+	// it: it may have to wait there.
+	alikeFactor = 2
+	alikeSlack  = 20 * clock.Millis(1)
 	// judgeInterval is the minimum time between two judgements: much evidence may arrive at once.
 	judgeInterval = 20 * clock.Millis(1)
 	// maxEnds limits the crashes that are counted.
@@ -201,8 +205,8 @@
 }
 
 // AdmitBegun decides on a request that is quarantined itself although its caller has a part of the answer, which would
-// break off. If all crashes that name it name other requests too, all but one of them are sound: they are tested once
-// more, one after the other.
+// break off. If all crashes that name it name others that are quarantined too, all but one of them are sound: they are
+// tested once more, one after the other.
 func (g *Register) AdmitBegun(request string, keys *Keys, now clock.Millis) Finding {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -211,7 +215,7 @@
 	if s == nil || s.named > requestCrashes {
 		return Quarantined
 	}
-	tied := g.tiedWith(key)
+	tied := slices.DeleteFunc(g.tiedWith(key), func(other string) bool { return !g.isGuilty(other) })
 	if len(tied) == 0 {
 		return Quarantined
 	}
--- a/quarantine/request_test.go
+++ b/quarantine/request_test.go
@@ -89,6 +89,32 @@
 	}
 }
 
+// Two endpoints crash 70 ms after the attempts of one request began. Other requests were long under way at the first one
+// and had just moved to the second. Guards against these being refused with the one at fault, or hiding it.
+func TestRequestsThatHadLastedAreAdmittedAfterTwoCrashes(t *testing.T) {
+	is := is.New(t)
+	g, bad := New(), requestKeys("bad", "own")
+	var lasting []*Keys
+	for i := range maxAlike + 1 {
+		keys, at := requestKeys(fmt.Sprint("r-", i), fmt.Sprint("own-", i)), clock.Millis(700+20*i)
+		a := sent(g, Incarnation{Endpoint: "i-1"}, keys, false, at)
+		g.Head(a, at+10)
+		g.End(a, true, 1070)
+		lasting = append(lasting, keys)
+	}
+	crashUnder(g, "i-1", 1000, bad)
+	crashUnder(g, "i-2", 1100, append(lasting, bad)...)
+	f, because, _ := g.Admit("r", bad, false, 1200)
+	is.Equal(f, Quarantined)
+	is.Equal(because, bad.Request())
+	is.Equal(g.AdmitBegun("r", bad, 1200), Quarantined)
+	for _, keys := range lasting {
+		f, _, _ = g.Admit("r", keys, false, 1200)
+		is.True(f != Quarantined)
+		g.Release("r", keys)
+	}
+}
+
 // One request ends three endpoints and has a block that no other request has. Guards against that block being kept out.
 func TestBlockOfOneRequestIsAdmitted(t *testing.T) {
 	is := is.New(t)
--- a/relay/crash_replay_test.go
+++ b/relay/crash_replay_test.go
@@ -472,7 +472,7 @@
 			}
 		}
 		if len(at) > max(inProgress, endsToKnow) {
-			t.Errorf("%q: %d endpoints crashed, %d requests arrived before the third", own, len(at), inProgress)
+			t.Errorf("%q: %d endpoints crashed, %d requests arrived before the third; crashed at %v, arrived at %v", own, len(at), inProgress, at, p.crashingAt[own])
 		}
 	}
 }
