--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -13,8 +13,8 @@
 // crash is the crash of an endpoint.
 type crash struct {
 	at clock.Millis
-	// named holds the blocks that may be the cause, with the time at which the last attempt with the
-	// block began there.
+	// named holds the blocks that may be the cause, with the time at which the last request with the
+	// block was sent there.
 	named map[string]clock.Millis
 	// report is the report of the crash to other entries, and fresh holds what it names since the last one.
 	report news
@@ -22,7 +22,7 @@
 }
 
 // accuse records that a crash names a block, and reports whether that is news.
-func (g *Register) accuse(key string, incarnation uint64, at, began, now clock.Millis) (news bool) {
+func (g *Register) accuse(key string, incarnation uint64, at, sent, now clock.Millis) (news bool) {
 	c := g.crashes[incarnation]
 	g.noteEnd(incarnation, at)
 	if c == nil && (g.crowded(at) || !g.makeRoom(at)) {
@@ -37,14 +37,14 @@
 		c.at, g.ends[incarnation], g.stale = at, at, true
 	}
 	if known, ok := c.named[key]; ok || len(c.named) >= maxNamed {
-		if ok && began < known {
+		if ok && sent < known {
 			// All keys of a request keep the time of the same attempt, whoever reports them first.
-			c.named[key], g.stale = began, true
+			c.named[key], g.stale = sent, true
 		}
 		return false
 	}
 	s := g.suspectOf(key, now)
-	c.named[key], c.fresh[key] = began, true
+	c.named[key], c.fresh[key] = sent, true
 	s.named++
 	if s.named == 2 {
 		g.repeatCrashesOf(key)
@@ -158,11 +158,11 @@
 	g.guilty, g.judgedAt, g.stale = make(map[string]verdict), now, false
 	naming := make(map[string]map[uint64]moment)
 	for incarnation, c := range g.crashes {
-		for key, began := range c.named {
+		for key, sent := range c.named {
 			if naming[key] == nil {
 				naming[key] = make(map[uint64]moment)
 			}
-			naming[key][incarnation] = moment{c.at, began}
+			naming[key][incarnation] = moment{c.at, sent}
 		}
 	}
 	explained := make(map[uint64]bool)
@@ -249,7 +249,7 @@
 func cameAlikeSoon(by map[uint64]moment) bool {
 	shortest, longest := clock.Millis(math.MaxInt64), clock.Millis(0)
 	for _, m := range by {
-		shortest, longest = min(shortest, m.at-m.began), max(longest, m.at-m.began)
+		shortest, longest = min(shortest, m.at-m.sent), max(longest, m.at-m.sent)
 	}
 	return longest <= alikeFactor*shortest+alikeSlack
 }
@@ -328,20 +328,20 @@
 	return slices.MinFunc(tied, func(a, b string) int { return cmp.Or(cmp.Compare(order(a), order(b)), cmp.Compare(a, b)) })
 }
 
-// moment is when an endpoint crashed, and when an attempt there began.
+// moment is when an endpoint crashed, and when a request was sent there.
 type moment struct {
-	at, began clock.Millis
+	at, sent clock.Millis
 }
 
-// independent counts crashes in the order of their times without those whose attempt began before the
+// independent counts crashes in the order of their times without those whose request was sent before the
 // last one counted: a lost rack or zone takes many endpoints at once, whatever their requests.
 func independent(by map[uint64]moment) (n int) {
 	if len(by) < requestCrashes {
 		return len(by)
 	}
 	last := never
-	for _, m := range slices.SortedFunc(maps.Values(by), func(a, b moment) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.began, b.began)) }) {
-		if m.began >= last {
+	for _, m := range slices.SortedFunc(maps.Values(by), func(a, b moment) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.sent, b.sent)) }) {
+		if m.sent >= last {
 			last = m.at
 			n++
 		}
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -35,7 +35,7 @@
 	Names       []ReportedName
 }
 
-// ReportedName is a block that a crash names; an attempt with it began BeganAge ago.
+// ReportedName is a block that a crash names; a request with it was sent there BeganAge ago.
 type ReportedName struct {
 	Block    string
 	BeganAge clock.Millis
@@ -164,7 +164,7 @@
 		last := never
 		for _, incarnation := range g.inOrder() {
 			c := g.crashes[incarnation]
-			if began, ok := c.named[key]; ok && began >= last {
+			if sent, ok := c.named[key]; ok && sent >= last {
 				last = c.at
 				counted = append(counted, incarnation)
 			}
