Don't ramp up a zone that starts together with the entry

Cause: the entry's first exchange with an endpoint that does not listen yet fails, so that it is suspected, and a zone all of whose endpoints are suspected is down; when it answers, the zone seems to have returned to service and ramps up from a tenth of its share. Change: a zone none of whose endpoints was reached in the first 10 s after it was first seen has not returned when it is. A zone that operators took out, whose endpoints leave or were reached before, or that is first reached later ramps up as before. Test changed: TestUnreachableZoneRampsUpOnRecovery reaches its endpoints before they fail.

--- a/zone/zone.go
+++ b/zone/zone.go
@@ -22,6 +22,8 @@
 	// stableDuration is how long after its last return a zone counts as stable, so that the next
 	// ramp is short again.
 	stableDuration = 10 * clock.Minute
+	// maxStartTime is how long after a zone was first seen its endpoints may still be starting, if none was reached.
+	maxStartTime = 10 * clock.Second
 	// maxZones bounds the tracked zones; further ones get their full share at once.
 	maxZones = 256
 )
@@ -29,6 +31,9 @@
 // zoneState is whether a zone is down, and its last ramp.
 type zoneState struct {
 	down bool
+	// starting is true while the zone is down only because none of its endpoints was reached since it was first seen.
+	starting bool
+	seenAt   clock.Millis
 	// returns counts the consecutive returns of the zone that were at most stableDuration apart.
 	returns int
 	// returnedAt is the time of the last return and rampDuration the duration of its ramp; 0 if
@@ -64,11 +69,15 @@
 	s.tables, s.members = t, m
 	for _, vm := range m.VMs() {
 		if _, known := s.zones[vm.Zone]; !known && len(s.zones) < maxZones {
-			s.zones[vm.Zone] = &zoneState{down: down(vm.Zone, t, m)}
+			s.zones[vm.Zone] = &zoneState{down: down(vm.Zone, t, m), starting: true, seenAt: now}
 		}
 	}
 	for name, z := range s.zones {
-		changed = z.update(now, down(name, t, m)) || changed
+		isDown := down(name, t, m)
+		if isDown {
+			z.starting = z.starting && now-z.seenAt < maxStartTime && isUnreached(name, t, m)
+		}
+		changed = z.update(now, isDown) || changed
 	}
 	if changed {
 		s.ramps = s.newRamps()
@@ -87,14 +96,30 @@
 	})
 }
 
-// update records whether the zone is down, and starts a ramp if it has just returned to service.
-// It reports whether it started one.
+// isUnreached reports whether a zone has endpoints, none of which was ever reached: they may start at the same time as this
+// process.
+func isUnreached(name string, t *table.Tables, m *membership.Members) bool {
+	endpoints := 0
+	for _, vm := range m.Zone(name) {
+		if vm.Role != provider.EndpointRole {
+			continue
+		}
+		endpoints++
+		if m.Leaving(vm) || m.Load(vm.ID) != nil {
+			return false
+		}
+	}
+	return endpoints > 0 && !t.ZoneOut(name)
+}
+
+// update records whether the zone is down, and starts a ramp if it has just returned to service; a zone that was only
+// starting has not returned. It reports whether it started one.
 func (z *zoneState) update(now clock.Millis, isDown bool) (changed bool) {
 	if z.down == isDown {
 		return false
 	}
 	z.down = isDown
-	if isDown {
+	if isDown || z.starting {
 		return false
 	}
 	if z.rampDuration > 0 && now-z.returnedAt > stableDuration {
--- a/zone/zone_test.go
+++ b/zone/zone_test.go
@@ -7,10 +7,19 @@
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/event"
 	"github.com/parsleydeal/parsleydeal/membership"
+	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/table"
 )
 
+// reach has the endpoints answer.
+func (f *fixture) reach(now clock.Millis, vms ...string) {
+	for _, vm := range vms {
+		f.members.Reduce(event.DigestReceived{Now: now, Digest: &wire.Digest{Vm: vm, Epoch: 1, Loads: []*wire.Load{{Vm: vm, Epoch: 1}}}})
+	}
+	f.reduceAt(now)
+}
+
 // fixture drives the reducer with tables and members.
 type fixture struct {
 	state   State
@@ -58,6 +67,7 @@
 func TestUnreachableZoneRampsUpOnRecovery(t *testing.T) {
 	is := is.New(t)
 	f := newFixture()
+	f.reach(0, "b", "c")
 	fail := func(vm string) {
 		for range 10 {
 			f.members.Reduce(event.PeerFailed{Now: 1000, VM: vm})
@@ -75,6 +85,37 @@
 	is.True(f.state.Ramps().Fraction("b", 1200) < 1)
 }
 
+// An entry calls endpoints that start a moment after it. Guards against their zone ramping up as if it had returned, which
+// moves the first sessions to other zones.
+func TestZoneThatStartsWithTheProcessHasNoRamp(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.members.Reduce(event.PeerFailed{Now: 10, VM: "a"})
+	f.reduceAt(10)
+	is.True(f.members.Members().Suspected("a"))
+	f.reach(30, "a")
+	is.True(!f.members.Members().Suspected("a"))
+	is.Equal(f.state.Ramps().Fraction("a", 30), 1.0)
+	f.members.Reduce(event.PeerFailed{Now: 100, VM: "a"})
+	f.reduceAt(100)
+	f.reach(200, "a")
+	is.Equal(f.state.Ramps().Fraction("a", 200), rampStartFraction)
+}
+
+// Guards against a zone that comes back long after the entry's start being taken for one that starts with it.
+func TestZoneThatIsFirstReachedLateRampsUp(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	for now := clock.Millis(0); now <= maxStartTime; now += clock.Second {
+		f.members.Reduce(event.PeerFailed{Now: now, VM: "a"})
+		f.reduceAt(now)
+	}
+	f.tables = &table.Tables{Zones: map[string]table.Location{}}
+	f.reduceAt(maxStartTime)
+	f.reach(maxStartTime+100, "a")
+	is.Equal(f.state.Ramps().Fraction("a", maxStartTime+100), rampStartFraction)
+}
+
 // A zone goes down and returns every few seconds. Each ramp must be longer than the one before, or
 // the load would swing with the zone. After a stable period the ramp must be short again.
 func TestFlappingZoneRampsSlowerEachTime(t *testing.T) {
