--- a/zone/zone.go
+++ b/zone/zone.go
@@ -31,7 +31,8 @@
 // zoneState is whether a zone is down, and its last ramp.
 type zoneState struct {
 	down bool
-	// starting is true while the zone is down only because none of its endpoints was reached since it was first seen.
+	// starting is true until the zone was down for another reason than that none of its endpoints was reached since seenAt,
+	// when it was first seen.
 	starting bool
 	seenAt   clock.Millis
 	// returns counts the consecutive returns of the zone that were at most stableDuration apart.
