Have a less likely request wait for the test of one that it is tied with

Change: a request that just enough crashes for a verdict name waits while a quarantined one is tested that the same crashes name, and a begun answer waits for the test of any tied one again. Requests of mass crashes, none of which is quarantined, don't wait for each other, as before.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -184,7 +184,7 @@
 		switch {
 		case g.refuses(key, all) && (!mayTry || s.tester != "" || !g.trialDue(key, now)):
 			next = Quarantined
-		case s.tester != "":
+		case s.tester != "", g.isBesideTest(key):
 			next = Wait
 		}
 		// Of keys that are named alike the last one: requests begin with the same blocks, and one that only
@@ -215,8 +215,8 @@
 	if s == nil || s.named > requestCrashes {
 		return Quarantined
 	}
-	tied := slices.DeleteFunc(g.tiedWith(key), func(other string) bool { return !g.isGuilty(other) })
-	if len(tied) == 0 {
+	tied := g.tiedWith(key)
+	if !slices.ContainsFunc(tied, g.isGuilty) {
 		return Quarantined
 	}
 	for _, other := range append(tied, key) {
@@ -228,6 +228,14 @@
 	return Test
 }
 
+// isBesideTest reports whether a quarantined request is tested that the same crashes name as the given key, if they are
+// just enough for a verdict on a request.
+func (g *Register) isBesideTest(key string) bool {
+	return isRequest(key) && g.suspects[key].named == requestCrashes && slices.ContainsFunc(g.tiedWith(key), func(other string) bool {
+		return g.suspects[other].tester != "" && g.isGuilty(other)
+	})
+}
+
 // tiedWith returns the other requests that all crashes name which name a request.
 func (g *Register) tiedWith(key string) (tied []string) {
 	crashes, beside := 0, make(map[string]int)
--- a/quarantine/request_test.go
+++ b/quarantine/request_test.go
@@ -89,6 +89,27 @@
 	}
 }
 
+// The same two crashes name requests that are quarantined and one that is less likely. Guards against this one being tested
+// beside one of them, at the one endpoint that is left.
+func TestLessLikelyRequestWaitsForTestOfTiedOne(t *testing.T) {
+	is := is.New(t)
+	g, bad, alike, lasting := New(), requestKeys("bad", "own"), requestKeys("alike", "own-2"), requestKeys("lasting", "own-3")
+	a := sent(g, Incarnation{Endpoint: "i-1"}, lasting, false, 800)
+	g.Head(a, 810)
+	g.End(a, true, 1070)
+	crashUnder(g, "i-1", 1000, bad, alike)
+	crashUnder(g, "i-2", 1100, bad, alike, lasting)
+	f, _, _ := g.Admit("r-1", bad, false, 1172)
+	is.Equal(f, Quarantined)
+	is.Equal(g.AdmitBegun("r-1", bad, 1172), Test)
+	f, _, _ = g.Admit("r-3", lasting, false, 1173)
+	is.Equal(f, Wait)
+	g.Release("r-1", bad)
+	f, _, _ = g.Admit("r-3", lasting, false, 1174)
+	is.Equal(f, Test)
+	is.Equal(g.AdmitBegun("r-1", bad, 1175), Wait)
+}
+
 // Two endpoints crash 70 ms after the attempts of one request began. Other requests were long under way at the first one
 // and had just moved to the second. Guards against these being refused with the one at fault, or hiding it.
 func TestRequestsThatHadLastedAreAdmittedAfterTwoCrashes(t *testing.T) {
