Review case 4: a planned restart makes sessions change their version (PINNED)

A machine is stopped and started as planned in the first half of a good version's roll-out. The others forget which sessions it had kept on the old version, and send their next requests to the new one.

--- a/review/cmd/main.go
+++ b/review/cmd/main.go
@@ -14,8 +14,9 @@
 type scenario func(s *harness.Site, trouble bool) (held bool, err error)
 
 var scenarios = map[string]scenario{
-	"resume": resume,
-	"stale":  stale,
+	"resume":  resume,
+	"session": session,
+	"stale":   stale,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/harness/site.go
+++ b/review/harness/site.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -97,7 +98,7 @@
 	for _, e := range s.Entries {
 		e.Signal(syscall.SIGCONT)
 		e.Signal(syscall.SIGKILL)
-		<-e.ended
+		<-e.done()
 	}
 	for _, srv := range s.servers {
 		_ = srv.Close()
@@ -110,8 +111,11 @@
 	Name    string
 	Callers string
 	ready   string
-	cmd     *exec.Cmd
-	ended   chan struct{}
+	path    string
+	mu      sync.Mutex
+	// cmd is the entry's process, and ended is closed when it has ended.
+	cmd   *exec.Cmd
+	ended chan struct{}
 	// Store is the way of the entry to the store.
 	Store *StoreAccess
 }
@@ -144,7 +148,7 @@
 
 // StartEntry starts an entry in a zone and waits until it is ready.
 func (s *Site) StartEntry(name, zone string) (e *Entry, err error) {
-	e = &Entry{Name: name, Callers: loopback.FreeAddress(), ready: loopback.FreeAddress(), ended: make(chan struct{})}
+	e = &Entry{Name: name, Callers: loopback.FreeAddress(), ready: loopback.FreeAddress()}
 	e.Store = &StoreAccess{handler: s.Store.Handler()}
 	store, err := s.Serve(e.Store)
 	if err != nil {
@@ -155,33 +159,82 @@
 	if err = os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
-	log, err := os.Create(filepath.Join(s.dir, name+".log"))
-	if err != nil {
+	e.path = path
+	s.Entries = append(s.Entries, e)
+	if err = e.start(); err != nil {
 		return nil, err
 	}
-	e.cmd = exec.Command(program, "--settings", path)
+	return e, e.awaitReady()
+}
+
+// start starts the entry's process.
+func (e *Entry) start() (err error) {
+	log, err := os.OpenFile(strings.TrimSuffix(e.path, ".toml")+".log", os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return err
+	}
+	cmd, ended := exec.Command(program, "--settings", e.path), make(chan struct{})
 	// Machines of the platform show one core.
-	e.cmd.Env = append(os.Environ(), "GOMAXPROCS=1")
-	e.cmd.Stdout, e.cmd.Stderr = log, log
-	if err = e.cmd.Start(); err != nil {
-		return nil, err
+	cmd.Env = append(os.Environ(), "GOMAXPROCS=1")
+	cmd.Stdout, cmd.Stderr = log, log
+	if err = cmd.Start(); err != nil {
+		_ = log.Close()
+		return err
 	}
-	s.Entries = append(s.Entries, e)
+	e.mu.Lock()
+	e.cmd, e.ended = cmd, ended
+	e.mu.Unlock()
 	go func() {
-		_ = e.cmd.Wait()
+		_ = cmd.Wait()
 		_ = log.Close()
-		close(e.ended)
+		close(ended)
 	}()
-	return e, e.awaitReady()
+	return nil
+}
+
+// Restart stops an entry as the platform does for planned work, with SIGTERM and after limit with SIGKILL, and starts it
+// again.
+func (s *Site) Restart(e *Entry, limit time.Duration) {
+	s.Record.Logf("%s gets SIGTERM", e.Name)
+	e.Signal(syscall.SIGTERM)
+	select {
+	case <-e.done():
+	case <-time.After(limit):
+		e.Signal(syscall.SIGKILL)
+		<-e.done()
+	}
+	s.Record.Logf("%s has ended and is started again", e.Name)
+	if err := e.start(); err != nil {
+		s.Record.Logf("%s does not start: %v", e.Name, err)
+		return
+	}
+	if err := e.awaitReady(); err != nil {
+		s.Record.Logf("%v", err)
+		return
+	}
+	s.Record.Logf("%s is ready", e.Name)
 }
 
 // Signal sends a signal to the entry's process.
-func (e *Entry) Signal(sig syscall.Signal) { _ = e.cmd.Process.Signal(sig) }
+func (e *Entry) Signal(sig syscall.Signal) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cmd != nil {
+		_ = e.cmd.Process.Signal(sig)
+	}
+}
+
+// done returns a channel that is closed when the entry's process has ended.
+func (e *Entry) done() <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.ended
+}
 
 // Ended reports whether the process has ended.
 func (e *Entry) Ended() bool {
 	select {
-	case <-e.ended:
+	case <-e.done():
 		return true
 	default:
 		return false
