--- a/review/cmd/session.go
+++ b/review/cmd/session.go
@@ -13,16 +13,21 @@
 )
 
 const (
-	sessionCount = 160
+	sessionCount = 240
 	// rolloutTime is durationS of the roll-out.
 	rolloutTime = 24 * time.Second
-	// lastAt and nextAt are the times from the order until the last requests of the sessions at the first machine and
-	// until their next ones at another: less than sessionTtlS apart. stopAt is when the first machine is stopped.
-	lastAt = 1600 * time.Millisecond
-	stopAt = 2200 * time.Millisecond
-	nextAt = 6300 * time.Millisecond
-	// stopLimit is graceS.
-	stopLimit = 8 * time.Second
+	// probeAt is the time from the first probe of the platform to the order. lastAt and nextAt are the times from the order
+	// until the last requests of the sessions before the stop and until their next ones: less than sessionTtlS apart.
+	// stopAt is when the first machine is stopped.
+	probeAt = 500 * time.Millisecond
+	lastAt  = 1600 * time.Millisecond
+	stopAt  = 2200 * time.Millisecond
+	nextAt  = 6100 * time.Millisecond
+	// stopLimit is graceS, restartDelay the time until the platform starts a process again.
+	stopLimit    = 8 * time.Second
+	restartDelay = 500 * time.Millisecond
+	// sendGap is the time between the requests of two sessions.
+	sendGap = 1300 * time.Microsecond
 	// maxMoved is how many requests of sessions may run on another version.
 	maxMoved = 3
 )
@@ -93,19 +98,23 @@
 			return false, err
 		}
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
 	sendSessions(s, entries[0], "before")
+	rotation := s.NewRotation(ctx)
+	time.Sleep(probeAt)
 	s.Store.Put("keyed.op", "rollout/pool", fmt.Appendf(nil, `{"service":"pool","target":"v2","durationS":%g}`, rolloutTime.Seconds()))
 	ordered := time.Now()
 	s.Record.Logf("operator: roll-out of pool to v2 in %v is acknowledged", rolloutTime)
 	time.Sleep(time.Until(ordered.Add(lastAt)))
-	sendSessions(s, entries[0], "first")
+	sendSessions(s, rotation.Pick(), "last")
 	before := ran.copy()
 	time.Sleep(time.Until(ordered.Add(stopAt)))
 	if trouble {
-		go s.Restart(entries[0], stopLimit)
+		go s.Restart(entries[0], stopLimit, restartDelay)
 	}
 	time.Sleep(time.Until(ordered.Add(nextAt)))
-	sendSessions(s, entries[1], "next")
+	sendSessions(s, rotation.Pick(), "next")
 	after := ran.copy()
 	moved := 0
 	for name, version := range after {
@@ -123,7 +132,7 @@
 	var all sync.WaitGroup
 	for i := range sessionCount {
 		all.Go(func() { sendSession(s, e, what, i) })
-		time.Sleep(3 * time.Millisecond)
+		time.Sleep(sendGap)
 	}
 	all.Wait()
 }
--- a/review/harness/site.go
+++ b/review/harness/site.go
@@ -193,8 +193,8 @@
 }
 
 // Restart stops an entry as the platform does for planned work, with SIGTERM and after limit with SIGKILL, and starts it
-// again.
-func (s *Site) Restart(e *Entry, limit time.Duration) {
+// again after a delay.
+func (s *Site) Restart(e *Entry, limit, delay time.Duration) {
 	s.Record.Logf("%s gets SIGTERM", e.Name)
 	e.Signal(syscall.SIGTERM)
 	select {
@@ -203,7 +203,8 @@
 		e.Signal(syscall.SIGKILL)
 		<-e.done()
 	}
-	s.Record.Logf("%s has ended and is started again", e.Name)
+	s.Record.Logf("%s has ended", e.Name)
+	time.Sleep(delay)
 	if err := e.start(); err != nil {
 		s.Record.Logf("%s does not start: %v", e.Name, err)
 		return
