Review case 5: a machine that starts just after a zone came back floods its cold replica (FAILBACK)

A zone is emptied and taken back, and its machine is restarted as planned meanwhile. The machine starts after the zone came back, does not know that its replicas count as cold, and sends one all requests of its zone.

--- a/review/cmd/main.go
+++ b/review/cmd/main.go
@@ -14,9 +14,10 @@
 type scenario func(s *harness.Site, trouble bool) (held bool, err error)
 
 var scenarios = map[string]scenario{
-	"resume":  resume,
-	"session": session,
-	"stale":   stale,
+	"failback": failback,
+	"resume":   resume,
+	"session":  session,
+	"stale":    stale,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/harness/rotation.go
+++ b/review/harness/rotation.go
@@ -52,13 +52,16 @@
 }
 
 // Pick returns the entry for a client whose hash selects the first entry: that one, or the next one in rotation.
-func (r *Rotation) Pick() *Entry {
+func (r *Rotation) Pick() *Entry { return r.PickOf(r.site.Entries...) }
+
+// PickOf returns the first of the entries that is in rotation, or the first one if none is.
+func (r *Rotation) PickOf(entries ...*Entry) *Entry {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, e := range r.site.Entries {
+	for _, e := range entries {
 		if r.misses[e] < maxMisses {
 			return e
 		}
 	}
-	return r.site.Entries[0]
+	return entries[0]
 }
