Don't end a resumed stream with another answer

Cause: an attempt's answer below 500 that is no 200 was delivered as a whole answer, also when the caller had a part of a stream. WriteHeader then has no effect, and the body goes into the stream. A plain 200 was taken for a stream without events. Evidence: any status from 201 to 499, none with a 5xx; net/http logs a superfluous WriteHeader in deliver.

With a part delivered, an answer is now its continuation or a failure of the attempt, decided in one place. A 408 or 429 to a first attempt is a failure of the endpoint, like a 503: it no longer counts as its success, and requests that may be repeated go to another endpoint.

The soak's endpoints answer resumed streams with other statuses now.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math"
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/joomcode/errorx"
 	"github.com/parsleydeal/parsleydeal/catalog"
@@ -293,7 +295,9 @@
 		return notRun, refusal.New(refusal.Saturated, "endpoint refused the request with status "+strconv.Itoa(h.Status))
 	case !h.Signed || h.Encoded:
 		return failed, refusal.New(refusal.EngineFailed, "answer with status "+strconv.Itoa(h.Status)+" is not the endpoint's own").WithRun(refusal.Unknown)
-	case h.Status >= http.StatusInternalServerError:
+	case x.written:
+		return a.continueStream(h, answer)
+	case h.failed():
 		return a.readFailure(h, answer)
 	case h.Status == http.StatusOK && a.mayEscalate() && a.isPoor(h.Confidence) && x.takeRetry(reasonEscalated) == retryGranted:
 		x.keep(&fallback{attempt: a, head: h, answer: answer})
@@ -305,11 +309,27 @@
 	return a.readAnswer(h, answer)
 }
 
+// continueStream goes on with the stream of which the caller has a part. An answer that does not continue it is a failure
+// of this endpoint: the caller would take it for the rest of the stream.
+func (a *attempt) continueStream(h Head, answer *upstream.Answer) (r result, err error) {
+	if h.Status != http.StatusOK || mediaType(h.Header) != mediaType(a.exchange.w.Header()) {
+		a.exchange.server.notContinued.Inc()
+		return failed, refusal.New(refusal.EngineFailed, fmt.Sprintf("answer with status %d and type %q does not continue the stream", h.Status, mediaType(h.Header))).WithRun(refusal.Unknown)
+	}
+	return a.streamAnswer(h, answer)
+}
+
+// mediaType returns the type of a body without its parameters.
+func mediaType(h http.Header) string {
+	name, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // mayEscalate reports whether this answer may be dropped in favour of an attempt at a larger
 // model. A test of a suspected block is not: it would cost a second endpoint.
 func (a *attempt) mayEscalate() bool {
 	x := a.exchange
-	return !x.written && x.tested == "" && x.mayRepeat() && x.remaining() > minEscalationTime
+	return x.tested == "" && x.mayRepeat() && x.remaining() > minEscalationTime
 }
 
 // minEscalationTime is the remaining time below which a larger model is not tried, because its
--- a/relay/request.go
+++ b/relay/request.go
@@ -85,6 +85,12 @@
 	return h.Signed && !h.NotRun && !h.WrongEndpoint && h.Status >= http.StatusOK && h.Status < http.StatusMultipleChoices
 }
 
+// failed reports whether another endpoint may give a better answer to the same request: this one failed, was too slow to
+// read the request (408), or has too many (429).
+func (h Head) failed() bool {
+	return h.Status >= http.StatusInternalServerError || h.Status == http.StatusRequestTimeout || h.Status == http.StatusTooManyRequests
+}
+
 // Load is the load of an endpoint as reported by itself.
 type Load struct {
 	// Known is true if the endpoint reported its numbers of requests and slots.
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -70,6 +70,8 @@
 	proxy   *proxy
 	mu      sync.Mutex
 	fault   func() standin.Reply
+	// resumedStatus is the status with which it answers resumed streams; 0 if it continues them.
+	resumedStatus int
 	// sequence is the number of registrations so far.
 	sequence int
 	version  string
@@ -85,10 +87,19 @@
 	e.fault = f
 }
 
+func (e *endpoint) refuseResumed(status int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.resumedStatus = status
+}
+
 func (e *endpoint) reply(r *http.Request) standin.Reply {
 	e.mu.Lock()
-	f := e.fault
+	f, resumedStatus := e.fault, e.resumedStatus
 	e.mu.Unlock()
+	if resumedStatus != 0 && r.Header.Get("Last-Event-Id") != "" {
+		return standin.Reply{Status: resumedStatus, BreakAfter: -1}
+	}
 	reply := standin.Reply{BreakAfter: -1}
 	if f != nil {
 		reply = f()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -117,6 +117,8 @@
 	severs *rand.Rand
 	// endless draws which endpoints answer without an end.
 	endless *rand.Rand
+	// resumed draws which endpoints do not continue streams.
+	resumed *rand.Rand
 	// crowds draws when most connections go to one entry, crowded is that entry; nil while they don't.
 	crowds  *rand.Rand
 	crowded atomic.Pointer[process]
@@ -142,7 +144,7 @@
 
 func runSeed(t *testing.T, seed uint64, program string) {
 	fmt.Printf("starting seed %d\n", seed)
-	k := &soak{site: newSite(t, program), t: t, rng: rand.New(rand.NewPCG(seed, 0)), returns: rand.New(rand.NewPCG(seed, returnsStream)), severs: rand.New(rand.NewPCG(seed, severStream)), endless: rand.New(rand.NewPCG(seed, endlessStream)), crowds: rand.New(rand.NewPCG(seed, crowdStream)), program: program, leftAt: make(map[string]time.Time), unanswered: make(map[string]bool), startedAt: time.Now()}
+	k := &soak{site: newSite(t, program), t: t, rng: rand.New(rand.NewPCG(seed, 0)), returns: rand.New(rand.NewPCG(seed, returnsStream)), severs: rand.New(rand.NewPCG(seed, severStream)), endless: rand.New(rand.NewPCG(seed, endlessStream)), resumed: rand.New(rand.NewPCG(seed, resumedStream)), crowds: rand.New(rand.NewPCG(seed, crowdStream)), program: program, leftAt: make(map[string]time.Time), unanswered: make(map[string]bool), startedAt: time.Now()}
 	watchdog := time.AfterFunc(time.Duration(*seconds)*time.Second+hangMargin, func() { k.abortHung(seed) })
 	// The watchdog also covers the shutdown of the entries and stand-ins, which may hang.
 	k.site.finalCleanup = func() { watchdog.Stop() }
@@ -160,6 +162,7 @@
 		k.maybeRestoreStore()
 		k.maybeSever()
 		k.maybeAnswerEndlessly()
+		k.maybeRefuseResumed()
 		k.maybeCrowd()
 		time.Sleep(time.Duration(50+k.rng.IntN(700)) * time.Millisecond)
 	}
@@ -489,6 +492,7 @@
 func (k *soak) checkRecovery() {
 	for _, e := range k.allEndpoints() {
 		e.setFault(nil)
+		e.refuseResumed(0)
 		e.proxy.setMode(pass)
 	}
 	for _, p := range k.entries {
