Order changes of endpoints by their place in the store's stream

Cause: an entry that stood still in a read of the registrations took the answer in when it went on, and sent the old record to all others as news. It was compared with what they knew of the endpoint by incarnation and sequence; of a removed one they knew nothing, so that it was put back into use. With an ordinary heartbeat in the read, the woken entry first took the removal from the others' report, and then told them of a new endpoint. A removal was compared with nothing at all: a stale one took back an endpoint that had registered again.

Registrations, removals and ends of reads have a revision now, their place in the stream, which reports and states carry; what is older than what is known of its endpoint is ignored, counted and logged.

--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -22,6 +22,8 @@
 	// increases with each registration of one incarnation.
 	Incarnation int64
 	Sequence    int64
+	// Revision is that of the registration.
+	Revision Revision
 }
 
 // Change is a new registration of an endpoint or its removal.
@@ -31,4 +33,15 @@
 	Endpoint *Endpoint
 	// Reason says why a record is invalid; empty for a removed one.
 	Reason string
+	// Revision is that of the registration or the removal.
+	Revision Revision
+}
+
+// Update is what has become known of the endpoints.
+type Update struct {
+	Changes []Change
+	// Full is true if Changes lists all endpoints: the others are removed.
+	Full bool
+	// End is the end of the history that Changes completes; zero if it does not complete it.
+	End Revision
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -20,10 +20,13 @@
 	// coldUntil holds, by zone, until when the endpoints of a zone that came back into service
 	// are treated as cold.
 	coldUntil map[string]clock.Millis
-	// removed holds the last registrations of endpoints that are gone, at most maxRemoved of them,
-	// removedOrder their IDs from the oldest on.
-	removed      map[string]*Endpoint
+	// removed holds what is known of endpoints that are gone, at most maxRemoved of them, removedOrder their IDs from the
+	// oldest on. forgotten is the latest removal that is not remembered any more.
+	removed      map[string]removal
 	removedOrder []string
+	forgotten    Revision
+	// end is the end of the history up to which everything is known.
+	end Revision
 	// keepsGone is true while registrations may be older than what is known of endpoints that are gone.
 	keepsGone bool
 	// snapshot is the last copy returned; nil if anything has changed since.
@@ -32,62 +35,122 @@
 
 // New returns an empty fleet.
 func New() *Fleet {
-	return &Fleet{endpoints: make(map[string]*Endpoint), out: make(map[string]bool), coldUntil: make(map[string]clock.Millis), removed: make(map[string]*Endpoint)}
+	return &Fleet{endpoints: make(map[string]*Endpoint), out: make(map[string]bool), coldUntil: make(map[string]clock.Millis), removed: make(map[string]removal)}
+}
+
+// removal is the removal of an endpoint.
+type removal struct {
+	// last is its last registration; nil if none was known.
+	last *Endpoint
+	at   Revision
 }
 
 // maxRemoved limits the endpoints that are gone and still remembered.
 const maxRemoved = 4096
 
-// Apply applies changes. A full list of changes also removes every endpoint that it does not
-// contain. It returns the IDs of the endpoints that were added, removed or changed in a way that
-// other processes must know.
+// Apply applies changes like Update.
 func (f *Fleet) Apply(changes []Change, full bool) (changed []string) {
+	changed, _ = f.Update(Update{Changes: changes, Full: full})
+	return changed
+}
+
+// Update applies an update. Other processes may send changes late and in any order: those that are older than what is
+// known of their endpoints are left out. It returns the IDs of the endpoints that were added, removed or changed in a
+// way that other processes must know, and of those that an outdated change would have removed or brought back.
+func (f *Fleet) Update(u Update) (changed, outdated []string) {
 	f.snapshot = nil
 	named := make(map[string]bool)
-	for _, c := range changes {
+	for _, c := range u.Changes {
 		named[c.ID] = true
-		if c.Endpoint == nil {
-			changed = f.remove(c.ID, changed)
-			continue
-		}
 		old := f.endpoints[c.ID]
-		if old != nil && older(c.Endpoint, old) {
-			continue
-		}
-		if gone := f.removed[c.ID]; f.keepsGone && old == nil && gone != nil && !older(gone, c.Endpoint) {
-			continue
-		}
-		if old == nil || old.differs(c.Endpoint) {
-			changed = append(changed, c.ID)
+		switch {
+		case f.isOutdated(c, u.End):
+			if (c.Endpoint == nil) != (old == nil) {
+				outdated = append(outdated, c.ID)
+			}
+		case c.Endpoint == nil:
+			changed = f.remove(c.ID, c.Revision, changed)
+		case old != nil && older(c.Endpoint, old):
+		default:
+			if old == nil || old.differs(c.Endpoint) {
+				changed = append(changed, c.ID)
+			}
+			f.endpoints[c.ID] = c.Endpoint
 		}
-		f.endpoints[c.ID] = c.Endpoint
 	}
-	if full {
+	if u.Full {
 		for _, id := range slices.Sorted(maps.Keys(f.endpoints)) {
-			if !named[id] {
-				changed = f.remove(id, changed)
+			if !named[id] && !f.endpoints[id].Revision.after(u.End) {
+				changed = f.remove(id, u.End, changed)
 			}
 		}
 	}
-	return changed
+	f.Complete(u.End)
+	return changed, outdated
+}
+
+// isOutdated reports whether a change is older than what is known of its endpoint. An endpoint that is not in use is gone
+// if the history was known beyond its registration, unless the change is part of a history that is as long.
+func (f *Fleet) isOutdated(c Change, end Revision) bool {
+	if old := f.endpoints[c.ID]; old != nil {
+		return c.Revision.notAfter(old.Revision)
+	}
+	if gone, ok := f.removed[c.ID]; ok {
+		again := c.Endpoint == nil || f.keepsGone && gone.last != nil && !older(gone.last, c.Endpoint)
+		if c.Revision.notAfter(gone.at) || again && !c.Revision.after(gone.at) {
+			return true
+		}
+	}
+	known := latest(f.forgotten, f.end)
+	return c.Endpoint != nil && c.Revision.notAfter(known) && !known.notAfter(end)
+}
+
+// Complete sets the end of the history up to which everything is known, unless it is known further.
+func (f *Fleet) Complete(end Revision) { f.end = latest(f.end, end) }
+
+// End returns the end of the history up to which everything is known.
+func (f *Fleet) End() Revision { return f.end }
+
+// GoneSince returns the removals that are later than the given end of the history.
+func (f *Fleet) GoneSince(end Revision) (changes []Change) {
+	for _, id := range slices.Sorted(maps.Keys(f.removed)) {
+		if at := f.removed[id].at; f.endpoints[id] == nil && at.after(end) {
+			changes = append(changes, Change{ID: id, Revision: at})
+		}
+	}
+	return changes
 }
 
 // KeepGone sets whether registrations that are not newer than the last one of an endpoint that is gone
 // are ignored. Otherwise they bring it back: entries know sequences of different age.
 func (f *Fleet) KeepGone(keep bool) { f.keepsGone = keep }
 
-func (f *Fleet) remove(id string, changed []string) []string {
-	if f.endpoints[id] == nil {
+// remove removes an endpoint, if it is known, and remembers the removal.
+func (f *Fleet) remove(id string, at Revision, changed []string) []string {
+	last := f.endpoints[id]
+	gone, known := f.removed[id]
+	switch {
+	case last == nil && at.Next == 0:
 		return changed
+	case last == nil:
+		gone.at = at
+	case at.Next == 0:
+		gone = removal{last, last.Revision}
+	default:
+		gone = removal{last, at}
 	}
-	if f.removed[id] == nil {
+	if f.removed[id] = gone; !known {
 		f.removedOrder = append(f.removedOrder, id)
 	}
-	f.removed[id] = f.endpoints[id]
 	if len(f.removedOrder) > maxRemoved {
-		delete(f.removed, f.removedOrder[0])
+		oldest := f.removedOrder[0]
+		f.forgotten = latest(f.forgotten, f.removed[oldest].at)
+		delete(f.removed, oldest)
 		f.removedOrder = f.removedOrder[1:]
 	}
+	if last == nil {
+		return changed
+	}
 	delete(f.endpoints, id)
 	return append(changed, id)
 }
--- a/site/content.go
+++ b/site/content.go
@@ -34,9 +34,10 @@
 	// Settling is for how much longer the store may lack what is written again after it came back
 	// from an older copy; 0 if it did not.
 	Settling clock.Millis
-	// Changes lists all endpoints.
-	Changes []fleet.Change
-	Entries []EntryAddress
+	// Changes lists all endpoints up to the end FleetRevision of their stream, and later removals.
+	Changes       []fleet.Change
+	FleetRevision fleet.Revision
+	Entries       []EntryAddress
 	// Starts holds when entries started the upgrades that the sender has resumed, by service.
 	Starts map[string]OrderStart
 }
@@ -115,7 +116,7 @@
 	}
 	if first || e.FleetConfirmedAt > s.fleetConfirmedAt {
 		s.fleetConfirmedAt, s.divergedAt = max(s.fleetConfirmedAt, e.FleetConfirmedAt), 0
-		effects = append(effects, s.fleetChanged(s.fleet.Apply(e.Changes, true))...)
+		effects = append(effects, s.updateFleet(fleet.Update{Changes: e.Changes, Full: true, End: e.FleetRevision}, fromState)...)
 	}
 	for _, stream := range [...]Stream{OperatorStream, EndpointStream, StatusStream} {
 		s.loaded[stream] = true
@@ -185,9 +186,13 @@
 		e := all[id]
 		c.Endpoints = append(c.Endpoints, &wire.EndpointState{
 			Id: e.ID, Service: e.Service, Address: e.Address, Zone: e.Zone, Version: e.Version, Slots: int32(e.Slots), Leaving: e.Leaving,
-			ColdMillis: int64(max(e.ColdUntil-s.now, 0)), Born: e.Incarnation, Sequence: e.Sequence,
+			ColdMillis: int64(max(e.ColdUntil-s.now, 0)), Born: e.Incarnation, Sequence: e.Sequence, Revision: revisionToWire(e.Revision),
 		})
 	}
+	c.FleetRevision = revisionToWire(s.fleet.End())
+	for _, gone := range s.fleet.GoneSince(s.fleet.End()) {
+		c.Gone = append(c.Gone, &wire.EndpointRemoval{Id: gone.ID, Revision: revisionToWire(gone.Revision)})
+	}
 	c.Entries = EntriesToWire(s.liveEntries())
 	c.Starts = s.resumedToWire()
 	for _, r := range s.settling.records {
@@ -277,7 +282,10 @@
 	if slices.ContainsFunc(c.GetEndpoints(), func(x *wire.EndpointState) bool { return x.GetSlots() <= 0 || x.GetAddress() == "" }) {
 		return e, ErrTorn.New("an endpoint has no slots or no address")
 	}
-	e.Changes = endpointsFromWire(c.GetEndpoints(), answeredAt-clock.Millis(m.GetBuiltAgeMillis()), now)
+	e.Changes, e.FleetRevision = endpointsFromWire(c.GetEndpoints(), answeredAt-clock.Millis(m.GetBuiltAgeMillis()), now), revisionFromWire(c.GetFleetRevision())
+	for _, gone := range c.GetGone() {
+		e.Changes = append(e.Changes, fleet.Change{ID: gone.GetId(), Revision: revisionFromWire(gone.GetRevision())})
+	}
 	check := fleet.New()
 	check.Apply(e.Changes, true)
 	if check.Snapshot().Digest() != c.GetFleetDigest() {
@@ -292,12 +300,24 @@
 	for _, x := range all {
 		e := &fleet.Endpoint{
 			ID: x.GetId(), Service: x.GetService(), Address: x.GetAddress(), Zone: x.GetZone(), Version: x.GetVersion(), Slots: int(x.GetSlots()),
-			Leaving: x.GetLeaving(), Incarnation: x.GetBorn(), Sequence: x.GetSequence(),
+			Leaving: x.GetLeaving(), Incarnation: x.GetBorn(), Sequence: x.GetSequence(), Revision: revisionFromWire(x.GetRevision()),
 		}
 		if coldUntil := builtAt + clock.Millis(x.GetColdMillis()); x.GetColdMillis() > 0 && coldUntil > now {
 			e.ColdUntil = coldUntil
 		}
-		changes = append(changes, fleet.Change{ID: e.ID, Endpoint: e})
+		changes = append(changes, fleet.Change{ID: e.ID, Endpoint: e, Revision: e.Revision})
 	}
 	return changes
 }
+
+// revisionToWire returns the message for a revision; nil if it is unknown.
+func revisionToWire(r fleet.Revision) *wire.Revision {
+	if r.Next == 0 {
+		return nil
+	}
+	return &wire.Revision{Era: r.Era, Next: r.Next}
+}
+
+func revisionFromWire(r *wire.Revision) fleet.Revision {
+	return fleet.Revision{Era: r.GetEra(), Next: max(r.GetNext(), 0)}
+}
--- a/site/event.go
+++ b/site/event.go
@@ -56,8 +56,8 @@
 	Changes []fleet.Change
 	// Records are the records that Changes was decoded from.
 	Records []Record
-	// Era is the era of the store.
-	Era int64
+	// Next is the position up to which the stream was read.
+	Next Position
 }
 
 // VerdictsRead is the result of a read of the status stream.
--- a/site/feed.go
+++ b/site/feed.go
@@ -121,7 +121,7 @@
 }
 
 func (l *Loop) handleEndpoints(ctx context.Context, res readResult) {
-	l.post(ctx, EndpointsRead{Now: res.now, SentAt: res.sentAt, Full: res.full, Changes: l.cfg.Codec.Endpoints(res.records, res.now), Records: res.records, Era: res.next.Era})
+	l.post(ctx, EndpointsRead{Now: res.now, SentAt: res.sentAt, Full: res.full, Changes: l.cfg.Codec.Endpoints(res.records, res.now), Records: res.records, Next: res.next})
 }
 
 func (l *Loop) handleStatus(ctx context.Context, res readResult) {
--- a/site/position.go
+++ b/site/position.go
@@ -1,6 +1,10 @@
 package site
 
-import "cmp"
+import (
+	"cmp"
+
+	"github.com/parsleydeal/parsleydeal/fleet"
+)
 
 // Position is a place in a stream of the store. An offset alone does not identify one: when the store
 // comes back from an older copy, offsets are given out again.
@@ -21,6 +25,11 @@
 // After reports whether p is later than q.
 func (p Position) After(q Position) bool { return p.Compare(q) > 0 }
 
+// revision returns the end of the endpoints' stream at the position.
+func (p Position) revision() fleet.Revision {
+	return fleet.Revision{Era: p.Era, Next: max(p.Offset, 0)}
+}
+
 // later returns the later position.
 func later(p, q Position) Position {
 	if q.After(p) {
--- a/site/settle_test.go
+++ b/site/settle_test.go
@@ -46,7 +46,7 @@
 	is := is.New(t)
 	s := stateWithPeers(0)
 	read := func(at clock.Millis, era int64, text string) {
-		Reduce(s, EndpointsRead{Now: at, SentAt: at, Full: true, Era: era, Changes: parseChanges(t, text)})
+		Reduce(s, EndpointsRead{Now: at, SentAt: at, Full: true, Next: Position{Era: era}, Changes: parseChanges(t, text)})
 	}
 	read(20, 1, "i-1 v1 a ready born=1 sequence=9")
 	read(30, 1, "")
--- a/site/share.go
+++ b/site/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/parsleydeal/parsleydeal/clock"
+	"github.com/parsleydeal/parsleydeal/fleet"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 )
 
@@ -154,7 +155,7 @@
 	r := e.Report
 	effects = append(effects, s.receiveOperatorUpdate(e)...)
 	if len(e.Changes) > 0 {
-		effects = append(effects, s.fleetChanged(s.fleet.Apply(e.Changes, false))...)
+		effects = append(effects, s.updateFleet(fleet.Update{Changes: e.Changes}, r.GetName())...)
 		effects = append(effects, Publish{})
 	}
 	if r.GetReplyMillis() > 0 {
@@ -224,6 +225,7 @@
 	r.ReplyMillis, r.ReplyTo = query.GetAskMillis(), query.GetProcess()
 	r.ConfirmedAgeMillis = int64(s.now - s.confirmedAt)
 	r.FleetAgeMillis = int64(s.now - s.fleetConfirmedAt)
+	r.FleetRevision = revisionToWire(s.fleet.End())
 	return SendReport{Report: r, To: query.GetAddress()}
 }
 
@@ -245,6 +247,7 @@
 	switch {
 	case r.GetFleetDigest() == s.fleet.Snapshot().Digest():
 		s.fleetConfirmedAt, s.divergedAt = max(s.fleetConfirmedAt, queriedAt-clock.Millis(r.GetFleetAgeMillis())), 0
+		s.fleet.Complete(revisionFromWire(r.GetFleetRevision()))
 	case s.divergedAt == 0:
 		s.divergedAt = s.now
 	}
--- a/site/state.go
+++ b/site/state.go
@@ -102,9 +102,8 @@
 	// before the first.
 	storeAnsweredAt clock.Millis
 	recoveredAt     clock.Millis
-	// lapsed holds endpoints whose registrations disappeared during a store outage, with the time
-	// at which they are removed.
-	lapsed map[string]clock.Millis
+	// lapsed holds endpoints whose registrations disappeared during a store outage.
+	lapsed map[string]lapse
 	// lastReportAt, lastBroadcastAt and lastCountsAt are when reports were last sent to the first
 	// delegates, to all entries, and with traffic counts to the judges.
 	lastReportAt    clock.Millis
@@ -154,6 +153,12 @@
 	upgrades []*wire.UpgradeReport
 }
 
+// lapse is how long an endpoint stays in use after its registration disappeared, and the revision of its removal.
+type lapse struct {
+	until   clock.Millis
+	removed fleet.Revision
+}
+
 // listedEntry is an entry that another one listed as running at the time at.
 type listedEntry struct {
 	zone string
@@ -187,7 +192,7 @@
 		self: self, now: now, startedAt: now, fleet: fleet.New(), loaded: make(map[Stream]bool),
 		upgrades: make(map[string]*upgrade.Upgrade), resumed: make(map[string]resumedOrder), verdicts: make(map[string]Verdict), statusEnd: unread,
 		current: make(map[string]string), pendingVerdicts: make(map[string]pendingVerdict), peers: make(map[string]*peer),
-		addresses: make(map[string]string), listed: make(map[string]listedEntry), operatorRecords: make(map[string]Record), counts: make(map[string]upgrade.Counts), keptSessions: make(map[string][]uint64), lapsed: make(map[string]clock.Millis),
+		addresses: make(map[string]string), listed: make(map[string]listedEntry), operatorRecords: make(map[string]Record), counts: make(map[string]upgrade.Counts), keptSessions: make(map[string][]uint64), lapsed: make(map[string]lapse),
 		operator: unread, peerOperator: unread, settling: settling{since: never, until: never}, zonesOut: make(map[string]bool), fleetConfirmedAt: never, confirmedAt: never, entriesReadAt: never, overdueSince: never, unservedRoseAt: never, tookStateAt: never, newerLoggedAt: never, counted: entryCount{at: never}, wasReader: true,
 	}
 }
@@ -378,10 +383,10 @@
 func (s *State) endpointsRead(e EndpointsRead) (effects []Effect) {
 	s.loaded[EndpointStream] = true
 	s.storeAnswered()
-	if e.Era < s.era && e.Era > 0 {
+	if e.Next.Era < s.era && e.Next.Era > 0 {
 		return nil // sent before the store came back
 	}
-	effects = s.enterEra(e.Era)
+	effects = s.enterEra(e.Next.Era)
 	e = s.retainLapsed(e)
 	for _, c := range e.Changes {
 		if c.Reason != "" {
@@ -389,14 +394,29 @@
 		}
 	}
 	s.fleetConfirmedAt, s.divergedAt = max(s.fleetConfirmedAt, e.SentAt), 0
-	changed := s.fleet.Apply(e.Changes, e.Full)
+	changed, outdated := s.fleet.Update(fleet.Update{Changes: e.Changes, Full: e.Full, End: e.Next.revision()})
+	effects = append(effects, logOutdated(outdated, fromRead)...)
 	effects = append(effects, s.fleetChanged(changed)...)
 	if s.reader() && len(changed) > 0 {
-		effects = append(effects, s.pushEndpoints(recordsOf(changed, e.Records)))
+		effects = append(effects, s.pushEndpoints(recordsOf(changed, e)))
 	}
 	return append(effects, Publish{})
 }
 
+// updateFleet applies what another entry has sent of the endpoints.
+func (s *State) updateFleet(u fleet.Update, from string) (effects []Effect) {
+	changed, outdated := s.fleet.Update(u)
+	return append(logOutdated(outdated, from), s.fleetChanged(changed)...)
+}
+
+// logOutdated counts and logs changes of endpoints that came later than newer ones.
+func logOutdated(outdated []string, from string) []Effect {
+	if len(outdated) == 0 {
+		return nil
+	}
+	return []Effect{Count{"parsleydeal_endpoint_changes_outdated_total"}, LogLine{Message: "Outdated changes of endpoints are ignored", Fields: []any{"from", from, "endpoint", outdated[0], "number", len(outdated)}}}
+}
+
 // fleetChanged logs changed endpoints and selects versions again.
 func (s *State) fleetChanged(changed []string) (effects []Effect) {
 	if len(changed) == 0 {
@@ -408,14 +428,16 @@
 	return append(effects, s.selectVersions()...)
 }
 
-// recordsOf returns the newest record of each endpoint. An endpoint without a record was removed.
-func recordsOf(ids []string, records []Record) (out []Record) {
+// recordsOf returns the newest record of each endpoint in a read. An endpoint without a record was removed.
+func recordsOf(ids []string, e EndpointsRead) (out []Record) {
+	newest := make(map[string]Record, len(e.Records))
+	for _, r := range e.Records {
+		newest[r.Key] = r
+	}
 	for _, id := range ids {
-		r := Record{Key: id}
-		for _, x := range records {
-			if x.Key == id {
-				r = x
-			}
+		r, ok := newest[id]
+		if !ok {
+			r = removalOf(id, e.Next.revision())
 		}
 		out = append(out, r)
 	}
@@ -463,7 +485,7 @@
 		listed[c.ID] = true
 		endpoint := s.fleet.Find(c.ID)
 		if c.Endpoint == nil && c.Reason == "" && endpoint != nil && !endpoint.Leaving {
-			s.lapsed[c.ID] = s.recoveredAt + recoveryGrace
+			s.lapsed[c.ID] = lapse{s.recoveredAt + recoveryGrace, c.Revision}
 			continue
 		}
 		delete(s.lapsed, c.ID)
@@ -474,26 +496,26 @@
 			switch {
 			case listed[id]:
 			case endpoint.Leaving:
-				retained = append(retained, fleet.Change{ID: id})
+				retained = append(retained, fleet.Change{ID: id, Revision: e.Next.revision()})
 			default:
-				s.lapsed[id] = s.recoveredAt + recoveryGrace
+				s.lapsed[id] = lapse{s.recoveredAt + recoveryGrace, e.Next.revision()}
 			}
 		}
 	}
-	return EndpointsRead{Now: e.Now, SentAt: e.SentAt, Changes: retained, Records: e.Records}
+	e.Changes, e.Full = retained, false
+	return e
 }
 
 // dropLapsed removes retained endpoints that did not register again in time.
 func (s *State) dropLapsed() (effects []Effect) {
-	for id, at := range s.lapsed {
-		if s.now < at {
+	for id, x := range s.lapsed {
+		if s.now < x.until {
 			continue
 		}
 		delete(s.lapsed, id)
-		changed := s.fleet.Apply([]fleet.Change{{ID: id}}, false)
-		effects = append(effects, s.fleetChanged(changed)...)
-		if s.reader() {
-			effects = append(effects, s.pushEndpoints(recordsOf(changed, nil)))
+		effects = append(effects, s.updateFleet(fleet.Update{Changes: []fleet.Change{{ID: id, Revision: x.removed}}}, fromRead)...)
+		if s.reader() && s.fleet.Find(id) == nil {
+			effects = append(effects, s.pushEndpoints([]Record{removalOf(id, x.removed)}))
 		}
 		effects = append(effects, Publish{})
 	}
--- a/site/store.go
+++ b/site/store.go
@@ -57,6 +57,20 @@
 // Position returns the position of the record.
 func (r Record) Position() Position { return Position{r.Era, r.Offset} }
 
+// Revision returns the revision of an endpoint's registration or removal. A removal without a position, as entries of
+// earlier releases send it, has none.
+func (r Record) Revision() fleet.Revision {
+	if r.Offset == 0 && len(r.Value) == 0 {
+		return fleet.Revision{}
+	}
+	return fleet.Revision{Era: r.Era, Next: r.Offset + 1}
+}
+
+// removalOf returns the record of the removal of an endpoint at a revision.
+func removalOf(id string, at fleet.Revision) Record {
+	return Record{Key: id, Offset: at.Next - 1, Era: at.Era}
+}
+
 // Store is the platform's store.
 type Store struct {
 	// Newest returns the newest record of each key and the position at which Read continues.
