Read the registrations again after a standstill before endpoints are gone

After an outage of the store, endpoints have two seconds to register again. An entry that stood still meanwhile removed all of them as soon as it went on, and told the others so: up to two seconds of refusals for their callers.

Cause: the time had passed by its clock, and it had not read the store since.

An entry notices a standstill by a tick that is a second late, logs and counts it, and takes no lapsed endpoint for gone before a later read. One that has registered again after the two seconds is no longer removed either.

--- a/site/event.go
+++ b/site/event.go
@@ -13,6 +13,13 @@
 // Tick reports the current time.
 type Tick struct{ Now clock.Millis }
 
+// StoodStill reports that the process did nothing for a while: its VM was suspended, or had no processor. What it knows,
+// and what it read before, may be older than it seems.
+type StoodStill struct {
+	Now clock.Millis
+	For clock.Millis
+}
+
 // OperatorRead is the result of a read of the operators' stream. A full result lists everything
 // in force.
 type OperatorRead struct {
@@ -114,6 +121,7 @@
 }
 
 func (Tick) event()                {}
+func (StoodStill) event()          {}
 func (OperatorReadOverdue) event() {}
 func (ConfigFound) event()         {}
 func (OperatorRead) event()        {}
--- a/site/loop.go
+++ b/site/loop.go
@@ -469,8 +469,14 @@
 	l.post(ctx, WriteDone{Now: l.cfg.Clock.Now(), Verdict: w.Verdict, At: w.At, Era: era, Err: err})
 }
 
+// minStandstill is how much later than it is due a tick of a process that stood still is. On a slow VM ticks are less late.
+const minStandstill = clock.Second
+
 func (l *Loop) tick(ctx context.Context) {
-	for clock.Pause(ctx, tickInterval) {
+	for due := l.cfg.Clock.Now() + tickInterval; clock.Pause(ctx, tickInterval); due = l.cfg.Clock.Now() + tickInterval {
+		if now := l.cfg.Clock.Now(); now-due >= minStandstill {
+			l.post(ctx, StoodStill{Now: now, For: now - due})
+		}
 		if l.View().hasActiveUpgrade() {
 			c := l.cfg.Counts()
 			c.Now = l.cfg.Clock.Now()
--- a/site/state.go
+++ b/site/state.go
@@ -102,6 +102,8 @@
 	// before the first.
 	storeAnsweredAt clock.Millis
 	recoveredAt     clock.Millis
+	// awokeAt is when this process last went on after it had stood still; never if it did not.
+	awokeAt clock.Millis
 	// lapsed holds endpoints whose registrations disappeared during a store outage.
 	lapsed map[string]lapse
 	// lastReportAt, lastBroadcastAt and lastCountsAt are when reports were last sent to the first
@@ -193,7 +195,7 @@
 		upgrades: make(map[string]*upgrade.Upgrade), resumed: make(map[string]resumedOrder), verdicts: make(map[string]Verdict), statusEnd: unread,
 		current: make(map[string]string), pendingVerdicts: make(map[string]pendingVerdict), peers: make(map[string]*peer),
 		addresses: make(map[string]string), listed: make(map[string]listedEntry), operatorRecords: make(map[string]Record), counts: make(map[string]upgrade.Counts), keptSessions: make(map[string][]uint64), lapsed: make(map[string]lapse),
-		operator: unread, peerOperator: unread, settling: settling{since: never, until: never}, zonesOut: make(map[string]bool), fleetConfirmedAt: never, confirmedAt: never, entriesReadAt: never, overdueSince: never, unservedRoseAt: never, tookStateAt: never, newerLoggedAt: never, counted: entryCount{at: never}, wasReader: true,
+		operator: unread, peerOperator: unread, settling: settling{since: never, until: never}, zonesOut: make(map[string]bool), fleetConfirmedAt: never, confirmedAt: never, entriesReadAt: never, overdueSince: never, unservedRoseAt: never, tookStateAt: never, newerLoggedAt: never, awokeAt: never, counted: entryCount{at: never}, wasReader: true,
 	}
 }
 
@@ -237,6 +239,9 @@
 	case WriteDone:
 		s.now = e.Now
 		effects = s.writeDone(e)
+	case StoodStill:
+		s.now, s.awokeAt = e.Now, e.Now
+		effects = []Effect{Count{"parsleydeal_process_standstills_total"}, LogLine{Message: "Process stood still", Fields: []any{"for", e.For}, Warn: true}}
 	case StoreFailed:
 		s.now = e.Now
 		if !s.failing {
@@ -395,6 +400,7 @@
 	}
 	s.fleetConfirmedAt, s.divergedAt = max(s.fleetConfirmedAt, e.SentAt), 0
 	changed, outdated := s.fleet.Update(fleet.Update{Changes: e.Changes, Full: e.Full, End: e.Next.revision()})
+	s.endLapses(e.Changes)
 	effects = append(effects, logOutdated(outdated, fromRead)...)
 	effects = append(effects, s.fleetChanged(changed)...)
 	if s.reader() && len(changed) > 0 {
@@ -406,6 +412,7 @@
 // updateFleet applies what another entry has sent of the endpoints.
 func (s *State) updateFleet(u fleet.Update, from string) (effects []Effect) {
 	changed, outdated := s.fleet.Update(u)
+	s.endLapses(u.Changes)
 	return append(logOutdated(outdated, from), s.fleetChanged(changed)...)
 }
 
@@ -506,10 +513,20 @@
 	return e
 }
 
-// dropLapsed removes retained endpoints that did not register again in time.
+// endLapses ends the lapses of endpoints that have registered again.
+func (s *State) endLapses(changes []fleet.Change) {
+	for _, c := range changes {
+		if c.Endpoint != nil {
+			delete(s.lapsed, c.ID)
+		}
+	}
+}
+
+// dropLapsed removes retained endpoints that did not register again in time. A process that stood still first has to know
+// whether they have.
 func (s *State) dropLapsed() (effects []Effect) {
 	for id, x := range s.lapsed {
-		if s.now < x.until {
+		if s.now < x.until || s.fleetConfirmedAt < s.awokeAt {
 			continue
 		}
 		delete(s.lapsed, id)
--- a/site/state_test.go
+++ b/site/state_test.go
@@ -69,6 +69,8 @@
 		return Tick{Now: now}
 	case "failed":
 		return StoreFailed{Now: now}
+	case "stood-still":
+		return StoodStill{Now: now, For: clock.Millis(a.number("for"))}
 	case "operator":
 		return OperatorRead{Now: now, SentAt: clock.Millis(a.number("sent")), Full: a.has("whole"), Update: parseUpdate(t, d.Input), Next: Position{Era: a.number("era"), Offset: a.number("next")}, From: a.number("from")}
 	case "endpoints":
