Keep sessions on their version when their entry is restarted

Cause: an entry reports which sessions it keeps on the old version. The first report of its next process replaced that, though the callers go on at other entries; and the next process, to which they come back, got neither what the one before it nor what the others had kept.

The others retain the sessions of a process that is gone, for as long as they may be idle. An entry that starts gets them with the state, or asks for them if it starts from the store. A process reports once more when it ends, and the first sessions that it keeps at once. They end with the order, or 7 s after the last report, and are at most 8,192.

TestReplyKeepsReportedUpgrades held that a restarted process has none of the sessions: that is the fault. It now checks that they stay, and that they end 7 s after the last report, to the millisecond; what it says of requests and replies is as it was.

--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -42,6 +42,8 @@
 	// stopMargin is reserved at the end of the grace time for the process to exit by
 	// itself.
 	stopMargin = 400 * clock.Millis(1)
+	// lastReportTimeout bounds the last report to the other entries. It is part of stopMargin.
+	lastReportTimeout = 100 * clock.Millis(1)
 	// sweepInterval is the interval between two sweeps of state that is no longer
 	// needed.
 	sweepInterval = 2 * clock.Second
@@ -134,7 +136,7 @@
 	}
 	d.storeEra = store.Era
 	d.loop = site.NewLoop(site.Config{
-		Self:        site.Self{Name: s.VM, Process: d.processID(), Zone: s.Zone, Exposure: s.Direct.Exposure, KeyLease: s.Direct.KeyLease},
+		Self:        site.Self{Name: s.VM, Process: d.processID(), Zone: s.Zone, Exposure: s.Direct.Exposure, KeyLease: s.Direct.KeyLease, SessionTTL: s.Direct.SessionIdleTimeout + relay.SessionGrace},
 		Clock:       d.clock,
 		Log:         d.log,
 		Store:       site.Store{Newest: store.Newest, Sample: store.Sample, Read: store.Read, History: store.History, Append: store.Append, Renew: store.Renew, Era: store.Era},
@@ -298,6 +300,9 @@
 	if err = callers.Shutdown(ctx); err != nil {
 		d.log.Warn("Entry stops with requests still active", "active", d.server.Active())
 	}
+	last, done := context.WithTimeout(context.WithoutCancel(ctx), lastReportTimeout.Duration())
+	defer done()
+	d.loop.Stop(last)
 	return nil
 }
 
--- a/relay/sessions.go
+++ b/relay/sessions.go
@@ -29,12 +29,12 @@
 	return &sessions{idleTimeout: idleTimeout, all: make(map[uint64]*session)}
 }
 
-// idleGrace extends the idle timeout, because the next request of a session may have been in
+// SessionGrace extends the idle timeout, because the next request of a session may have been in
 // transit for that long.
-const idleGrace = 2 * clock.Second
+const SessionGrace = 2 * clock.Second
 
 func (s *sessions) active(x *session, now clock.Millis) bool {
-	return x.running > 0 || now-x.endedAt <= s.idleTimeout+idleGrace
+	return x.running > 0 || now-x.endedAt <= s.idleTimeout+SessionGrace
 }
 
 // begin records the version that a session's request is sent to; end records the end of the
--- a/site/confirm.go
+++ b/site/confirm.go
@@ -104,6 +104,11 @@
 		return provider.ErrExpired.New("store came back from an older copy")
 	}
 	l.handleOperator(ctx, res)
+	return l.sync(ctx)
+}
+
+// sync waits until the events that were posted before are applied.
+func (l *Loop) sync(ctx context.Context) (err error) {
 	applied := make(chan struct{})
 	l.post(ctx, barrier{applied})
 	select {
--- a/site/content.go
+++ b/site/content.go
@@ -40,6 +40,8 @@
 	Entries       []EntryAddress
 	// Starts holds when entries started the upgrades that the sender has resumed, by service.
 	Starts map[string]OrderStart
+	// Sessions are those that entries keep on old versions.
+	Sessions []retainedSessions
 }
 
 // EntryAddress is where another entry receives reports.
@@ -50,10 +52,12 @@
 	Zone string
 }
 
-// EntriesListed lists the entries that another one knows to be running.
+// EntriesListed lists the entries that another one knows to be running. It is empty if that one did not answer.
 type EntriesListed struct {
 	Now     clock.Millis
 	Entries []EntryAddress
+	// Sessions are those that entries keep on old versions.
+	Sessions []retainedSessions
 }
 
 func (StateReceived) event() {}
@@ -100,6 +104,7 @@
 	}
 	if first {
 		s.tookStateAt = s.now
+		s.takeSessions(e.Sessions)
 	}
 	if first || e.OperatorNext.After(s.operator) {
 		s.keepOperatorRecords(e.Update, true)
@@ -195,6 +200,7 @@
 	}
 	c.Entries = EntriesToWire(s.liveEntries())
 	c.Starts = s.resumedToWire()
+	c.Sessions = s.sessionsToWire()
 	for _, r := range s.settling.records {
 		c.Deferred = append(c.Deferred, recordsToWire(OperatorStream, []Record{r})...)
 	}
@@ -282,7 +288,9 @@
 	if slices.ContainsFunc(c.GetEndpoints(), func(x *wire.EndpointState) bool { return x.GetSlots() <= 0 || x.GetAddress() == "" }) {
 		return e, ErrTorn.New("an endpoint has no slots or no address")
 	}
-	e.Changes, e.FleetRevision = endpointsFromWire(c.GetEndpoints(), answeredAt-clock.Millis(m.GetBuiltAgeMillis()), now), revisionFromWire(c.GetFleetRevision())
+	builtAt := answeredAt - clock.Millis(m.GetBuiltAgeMillis())
+	e.Changes, e.FleetRevision = endpointsFromWire(c.GetEndpoints(), builtAt, now), revisionFromWire(c.GetFleetRevision())
+	e.Sessions = sessionsFromWire(c.GetSessions(), builtAt)
 	for _, gone := range c.GetGone() {
 		e.Changes = append(e.Changes, fleet.Change{ID: gone.GetId(), Revision: revisionFromWire(gone.GetRevision())})
 	}
--- a/site/event.go
+++ b/site/event.go
@@ -110,6 +110,9 @@
 // Leave reports that the process was asked to stop.
 type Leave struct{}
 
+// Stop reports that the process has answered its last request.
+type Stop struct{ Now clock.Millis }
+
 // WriteDone reports that an append of a verdict at the position At ended. Era is the era of the store
 // in which the record was added. Err is ErrMoved if the stream ended at another offset.
 type WriteDone struct {
@@ -132,6 +135,7 @@
 func (TrafficCounts) event()       {}
 func (WriteDone) event()           {}
 func (Leave) event()               {}
+func (Stop) event()                {}
 func (StoreFailed) event()         {}
 
 // Effect is an action that the reducer requests.
--- a/site/loop.go
+++ b/site/loop.go
@@ -114,6 +114,17 @@
 // Leave reports to the other entries that this one is stopping.
 func (l *Loop) Leave(ctx context.Context) { l.post(ctx, Leave{}) }
 
+// Stop reports to the other entries what this one has counted last, and returns when that was sent.
+func (l *Loop) Stop(ctx context.Context) {
+	if l.View().hasActiveUpgrade() {
+		c := l.cfg.Counts()
+		c.Now = l.cfg.Clock.Now()
+		l.post(ctx, c)
+	}
+	l.post(ctx, Stop{Now: l.cfg.Clock.Now()})
+	_ = l.sync(ctx)
+}
+
 // Receive queues a report from another entry. It drops and counts the report if its records cannot
 // be unpacked or the queue is full, since the next report repeats the content.
 func (l *Loop) Receive(r *wire.EntryReport) {
@@ -267,38 +278,47 @@
 )
 
 // completeEntries asks an entry that knows more of the running entries for their list. An entry that
-// starts together with others gets a list that lacks some.
+// starts together with others gets a list that lacks some. An entry that started from the store asks any other one which
+// sessions are on old versions.
 func (l *Loop) completeEntries(ctx context.Context) {
 	for pause := entriesCheckInterval; clock.Pause(ctx, pause); {
 		v := l.View()
-		if pause = entriesCheckInterval; v.fullerList.Address == "" || l.cfg.TakeEntries == nil {
+		from := v.fullerList
+		if from.Address == "" && v.lacksSessions {
+			from = v.anyOther()
+		}
+		if pause = entriesCheckInterval; from.Address == "" || l.cfg.TakeEntries == nil {
 			continue
 		}
 		pause = entriesInterval
-		entries, err := l.takeEntries(ctx, v.fullerList)
+		e, err := l.takeEntries(ctx, from)
 		if err != nil {
-			l.cfg.Log.Warn("List of entries was not taken", "from", v.fullerList.Name, "error", logbook.Text(err))
+			l.cfg.Log.Warn("List of entries was not taken", "from", from.Name, "error", logbook.Text(err))
 		}
-		l.post(ctx, EntriesListed{Now: l.cfg.Clock.Now(), Entries: entries})
+		l.post(ctx, e)
 	}
 }
 
-func (l *Loop) takeEntries(ctx context.Context, from EntryAddress) (entries []EntryAddress, err error) {
+func (l *Loop) takeEntries(ctx context.Context, from EntryAddress) (e EntriesListed, err error) {
+	e.Now = l.cfg.Clock.Now()
 	m, err := l.cfg.TakeEntries(ctx, from)
 	if err != nil {
-		return nil, err
+		return e, err
 	}
 	c, err := unpackContent(m.GetPacked())
 	if err != nil {
-		return nil, err
+		return e, err
 	}
-	return EntriesFromWire(c.GetEntries()), nil
+	// The answer is no older than builtStateTTL.
+	e.Entries, e.Sessions = EntriesFromWire(c.GetEntries()), sessionsFromWire(c.GetSessions(), e.Now)
+	e.Now = l.cfg.Clock.Now()
+	return e, nil
 }
 
 // builtState is this entry's state for others. The times are on this process's clock.
 type builtState struct {
 	packed []byte
-	// entries is a content with nothing but the entries.
+	// entries is a content with nothing but the entries and the sessions on old versions.
 	entries          []byte
 	builtAt          clock.Millis
 	confirmedAt      clock.Millis
@@ -325,7 +345,7 @@
 	}
 	b := builtState{builtAt: now, confirmedAt: l.state.confirmedAt, fleetConfirmedAt: l.state.fleetConfirmedAt, settledAt: l.state.settling.until}
 	if b.packed, b.err = packContent(c); b.err == nil {
-		b.entries, b.err = packContent(&wire.SiteContent{Entries: c.GetEntries()})
+		b.entries, b.err = packContent(&wire.SiteContent{Entries: c.GetEntries(), Sessions: c.GetSessions()})
 	}
 	l.lastBuilt = b
 	return b
--- a/site/state.go
+++ b/site/state.go
@@ -23,6 +23,8 @@
 	Exposure float64
 	// KeyLease is how long a revoked key may be used.
 	KeyLease clock.Millis
+	// SessionTTL is how long a session keeps its version after its last request; 0 means the default.
+	SessionTTL clock.Millis
 }
 
 // State is a process's state of its site. Only Reduce changes it; it is not safe for concurrent
@@ -97,7 +99,11 @@
 	// keptSessions holds by service this process's sessions that stay on the old version although
 	// their hash is in the new version's share.
 	keptSessions map[string][]uint64
-	leaving      bool
+	// retained holds sessions on old versions whose process is gone. sessionsTaken is true once another entry told which it
+	// knows.
+	retained      []retainedSessions
+	sessionsTaken bool
+	leaving       bool
 	// storeAnsweredAt is when the store last answered, recoveredAt when its last outage ended; 0
 	// before the first.
 	storeAnsweredAt clock.Millis
@@ -232,6 +238,9 @@
 	case EntriesListed:
 		s.now = e.Now
 		effects = s.entriesReceived(e.Entries)
+		if len(e.Entries) > 0 {
+			s.takeSessions(e.Sessions)
+		}
 	case ReportReceived:
 		s.now = e.Now
 		effects = s.reportReceived(e)
@@ -252,6 +261,9 @@
 	case Leave:
 		s.leaving = true
 		effects = []Effect{Publish{}, s.broadcast()}
+	case Stop:
+		s.now = e.Now
+		effects = []Effect{s.broadcast()}
 	}
 	return effects
 }
@@ -581,6 +593,9 @@
 		s.peers[r.GetName()] = p
 	}
 	before := p.upgrades
+	if p.report.GetProcess() != r.GetProcess() {
+		effects = append(effects, s.retainSessions(p)...)
+	}
 	if p.changesEligibility(r) {
 		s.delegateOrder = delegateOrder{}
 	}
@@ -661,7 +676,7 @@
 	v := &View{
 		config: s.config, confirmedAt: s.confirmedAt, confirmedBy: s.confirmedBy, fleet: s.fleet.Snapshot(), entries: len(sharers), shares: s.shares(sharers),
 		started: s.started(), lacksConfig: s.loaded[OperatorStream] && s.config == nil, leaving: s.leaving, versions: make(map[string]versionState), addresses: maps.Clone(s.addresses),
-		upgradeActive: s.hasActiveUpgrade(), checksVerdicts: len(s.verdictsToCheck) > 0 && s.rank() < judgeCount, mayWriteVerdict: len(s.pendingVerdicts) > 0 && s.rank() < judgeCount, reader: s.reader(), operator: s.operator, statusEnd: s.statusEnd, era: s.era, settledAt: s.settling.until, listDue: s.listDue(), registeredAt: s.registeredAt, entriesKnown: s.loaded[EntryStream], fullerList: s.fullerList, delegates: s.delegateAddresses(), ahead: s.ahead(), others: s.neighbours(true), peerOperator: s.peerOperator, newerVersionAt: s.newerVersionAt(),
+		upgradeActive: s.hasActiveUpgrade(), checksVerdicts: len(s.verdictsToCheck) > 0 && s.rank() < judgeCount, mayWriteVerdict: len(s.pendingVerdicts) > 0 && s.rank() < judgeCount, reader: s.reader(), operator: s.operator, statusEnd: s.statusEnd, era: s.era, settledAt: s.settling.until, listDue: s.listDue(), lacksSessions: s.lacksSessions(), registeredAt: s.registeredAt, entriesKnown: s.loaded[EntryStream], fullerList: s.fullerList, delegates: s.delegateAddresses(), ahead: s.ahead(), others: s.neighbours(true), peerOperator: s.peerOperator, newerVersionAt: s.newerVersionAt(),
 		fleetConfirmedAt: s.fleetConfirmedAt, divergedAt: s.divergedAt, probedByPeers: s.probedByPeers(), storeServesPeers: s.storeServesPeers(), neighbours: s.neighbours(s.fullMesh()), zoneAddresses: s.neighbours(false), fullMesh: s.fullMesh(),
 	}
 	v.spreaders, v.spreaderRank = s.spreaders()
@@ -672,7 +687,7 @@
 		vs := v.versions[service]
 		switch u.Phase() {
 		case upgrade.Running:
-			vs.upgrade, vs.schedule, vs.exposure, vs.kept = u.Order(), u.Schedule(), s.self.Exposure, s.keptByPeers(service, u.Order())
+			vs.upgrade, vs.schedule, vs.exposure, vs.kept = u.Order(), u.Schedule(), s.self.Exposure, s.keptByOthers(u.Order())
 			vs.running = true
 		case upgrade.RolledBack:
 			vs.rule.Banned = u.Order().Target
@@ -700,19 +715,3 @@
 	}
 	return out
 }
-
-// keptByPeers returns the sessions that other entries keep on the old version.
-func (s *State) keptByPeers(service string, o upgrade.Order) map[uint64]bool {
-	kept := make(map[uint64]bool)
-	for _, p := range s.peers {
-		for _, u := range p.upgrades {
-			if u.GetService() != service || !reportsOrder(u, o) {
-				continue
-			}
-			for _, h := range u.GetKept() {
-				kept[h] = true
-			}
-		}
-	}
-	return kept
-}
--- a/site/upgrade.go
+++ b/site/upgrade.go
@@ -63,8 +63,13 @@
 
 // reportsOrder reports whether another entry's report of an upgrade is about the given order.
 func reportsOrder(r *wire.UpgradeReport, o upgrade.Order) bool {
+	return sameOrderAt(Position{r.GetEra(), r.GetNumber()}, o)
+}
+
+// sameOrderAt reports whether an order has the given position. An era of 0 is unknown.
+func sameOrderAt(p Position, o upgrade.Order) bool {
 	at := positionOf(o.Number)
-	return r.GetNumber() == at.Offset && (r.GetEra() == at.Era || r.GetEra() == 0 || at.Era == 0)
+	return p.Offset == at.Offset && (p.Era == at.Era || p.Era == 0 || at.Era == 0)
 }
 
 // scheduleVerdict schedules a verdict to be written after the delay for this entry's rank.
@@ -248,7 +253,8 @@
 			dropTarget(e.Counts[service], e.Latencies[service])
 		}
 	}
-	s.counts, s.latencies, s.running, s.keptSessions = e.Counts, e.Latencies, e.Running, e.KeptSessions
+	s.counts, s.latencies, s.running = e.Counts, e.Latencies, e.Running
+	effects = s.noteKept(e.KeptSessions)
 	for service, counts := range e.Counts {
 		u := s.upgrades[service]
 		if u == nil || u.Phase() != upgrade.Running {
@@ -329,6 +335,7 @@
 	effects = append(effects, s.settled()...)
 	effects = append(effects, s.logHeardCount()...)
 	effects = append(effects, s.dropLapsed()...)
+	effects = append(effects, s.endRetained()...)
 	if isJudge := s.rank() < judgeCount; isJudge != s.wasJudge {
 		// The view contains whether this entry reads the status stream to write verdicts.
 		s.wasJudge = isJudge
--- a/site/upgrade_report_test.go
+++ b/site/upgrade_report_test.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -23,10 +24,32 @@
 	Reduce(s, ReportReceived{Now: 1100, Report: &wire.EntryReport{Name: "entry-a", Process: "a/1", Zone: "a", ReplyMillis: 5}})
 	is.True(s.View().KeptByPeer("pool", 42))
 	is.Equal(s.oldRequests(s.upgrades["pool"].Order()), 3)
-	// A restarted process has none of the sessions or requests of the previous one.
+	// The sessions of a process that was restarted go on at other entries, its requests do not.
 	Reduce(s, ReportReceived{Now: 1200, Report: &wire.EntryReport{Name: "entry-a", Process: "a/2", Zone: "a"}})
-	is.True(!s.View().KeptByPeer("pool", 42))
+	is.True(s.View().KeptByPeer("pool", 42))
 	is.Equal(s.oldRequests(s.upgrades["pool"].Order()), 0)
+	Reduce(s, Tick{Now: 1100 + defaultSessionTTL - 1})
+	is.True(s.View().KeptByPeer("pool", 42))
+	Reduce(s, Tick{Now: 1100 + defaultSessionTTL})
+	is.True(!s.View().KeptByPeer("pool", 42))
+	is.Equal(len(s.retained), 0)
+}
+
+// Each entry is restarted again and again. Guards against sessions of processes that are gone without a bound.
+func TestRetainedSessionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	s := upgradingState()
+	kept := make([]uint64, 1000)
+	for i := range 20 {
+		Reduce(s, ReportReceived{Now: 1000, Report: &wire.EntryReport{
+			Name: "entry-a", Process: fmt.Sprint("a/", i), Zone: "a", Upgrades: []*wire.UpgradeReport{{Service: "pool", Target: "v2", Number: 7, Kept: kept}},
+		}})
+	}
+	n := 0
+	for _, r := range s.retained {
+		n += len(r.hashes)
+	}
+	is.True(n > maxRetainedSessions/2 && n <= maxRetainedSessions)
 }
 
 // The last version was bad, and this entry has not counted anything of the new one yet. Guards against
--- a/site/view.go
+++ b/site/view.go
@@ -66,6 +66,8 @@
 	fullerList       EntryAddress
 	fleetConfirmedAt clock.Millis
 	divergedAt       clock.Millis
+	// lacksSessions is true if this process has to ask which sessions are on old versions.
+	lacksSessions bool
 	// listDue is true if this process has to read all registrations again.
 	listDue bool
 	// storeServesPeers is true while the store serves the entries that read it on behalf of all.
@@ -197,6 +199,14 @@
 	return v.delegates
 }
 
+// anyOther returns an entry that may be asked for what it knows; without an address if there is none.
+func (v *View) anyOther() EntryAddress {
+	if len(v.delegates) > 0 {
+		return v.delegates[0]
+	}
+	return EntryAddress{}
+}
+
 // otherEntries returns the entries that may be asked for their state.
 func (v *View) otherEntries() (out []EntryAddress) {
 	for name, address := range v.addresses {
