Tell entries that start which zones have just come back

Cause: entries treat the endpoints of a zone that comes back as cold for 2.5 s, until these have registered that they are. An entry that starts gets the state of another one, in which the zone is in service, and nothing of its return.

What an entry that starts has to know of the last seconds is one handover now, the sessions on old versions and the zones that count as cold. It comes with the state; an entry that starts from the store asks up to three others for it.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -196,6 +196,19 @@
 	return changed
 }
 
+// SetZoneCold treats the endpoints of a zone as cold until the given time at least.
+func (f *Fleet) SetZoneCold(zone string, until clock.Millis) {
+	f.snapshot = nil
+	f.coldUntil[zone] = max(f.coldUntil[zone], until)
+}
+
+// ColdZones returns until when the endpoints of zones that came back into service are treated as cold.
+func (f *Fleet) ColdZones(now clock.Millis) map[string]clock.Millis {
+	out := maps.Clone(f.coldUntil)
+	maps.DeleteFunc(out, func(_ string, until clock.Millis) bool { return until <= now })
+	return out
+}
+
 // ZonesOut returns the zones out of service.
 func (f *Fleet) ZonesOut() []string { return slices.Sorted(maps.Keys(f.out)) }
 
--- a/site/content.go
+++ b/site/content.go
@@ -39,9 +39,8 @@
 	FleetRevision fleet.Revision
 	Entries       []EntryAddress
 	// Starts holds when entries started the upgrades that the sender has resumed, by service.
-	Starts map[string]OrderStart
-	// Sessions are those that entries keep on old versions.
-	Sessions []retainedSessions
+	Starts   map[string]OrderStart
+	Handover handover
 }
 
 // EntryAddress is where another entry receives reports.
@@ -54,10 +53,9 @@
 
 // EntriesListed lists the entries that another one knows to be running. It is empty if that one did not answer.
 type EntriesListed struct {
-	Now     clock.Millis
-	Entries []EntryAddress
-	// Sessions are those that entries keep on old versions.
-	Sessions []retainedSessions
+	Now      clock.Millis
+	Entries  []EntryAddress
+	Handover handover
 }
 
 func (StateReceived) event() {}
@@ -104,7 +102,7 @@
 	}
 	if first {
 		s.tookStateAt = s.now
-		s.takeSessions(e.Sessions)
+		s.takeHandover(e.Handover)
 	}
 	if first || e.OperatorNext.After(s.operator) {
 		s.keepOperatorRecords(e.Update, true)
@@ -200,7 +198,7 @@
 	}
 	c.Entries = EntriesToWire(s.liveEntries())
 	c.Starts = s.resumedToWire()
-	c.Sessions = s.sessionsToWire()
+	s.addHandover(c)
 	for _, r := range s.settling.records {
 		c.Deferred = append(c.Deferred, recordsToWire(OperatorStream, []Record{r})...)
 	}
@@ -290,7 +288,7 @@
 	}
 	builtAt := answeredAt - clock.Millis(m.GetBuiltAgeMillis())
 	e.Changes, e.FleetRevision = endpointsFromWire(c.GetEndpoints(), builtAt, now), revisionFromWire(c.GetFleetRevision())
-	e.Sessions = sessionsFromWire(c.GetSessions(), builtAt)
+	e.Handover = handoverFromWire(c, builtAt)
 	for _, gone := range c.GetGone() {
 		e.Changes = append(e.Changes, fleet.Change{ID: gone.GetId(), Revision: revisionFromWire(gone.GetRevision())})
 	}
--- a/site/kept.go
+++ b/site/kept.go
@@ -127,21 +127,6 @@
 	return out
 }
 
-// takeSessions takes the sessions that another entry knows when this one starts.
-func (s *State) takeSessions(sessions []retainedSessions) {
-	if !s.sessionsTaken {
-		s.retained = append(s.retained, sessions...)
-		s.limitRetained()
-	}
-	s.sessionsTaken = true
-}
-
-// lacksSessions reports whether this entry has started without another one's state and has to ask which sessions are on old
-// versions. Later on their own entries have told.
-func (s *State) lacksSessions() bool {
-	return !s.sessionsTaken && s.started() && s.hasActiveUpgrade() && s.now-s.startedAt < s.sessionTTL()
-}
-
 // noteKept takes what this process keeps on old versions. The first sessions are reported at once: they may come to
 // another entry with their next request.
 func (s *State) noteKept(kept map[string][]uint64) (effects []Effect) {
--- a/site/loop.go
+++ b/site/loop.go
@@ -275,22 +275,28 @@
 	entriesInterval = 1500 * clock.Millis(1)
 	// entriesCheckInterval is the interval at which an entry checks whether another one knows more.
 	entriesCheckInterval = 100 * clock.Millis(1)
+	// maxHandovers is how many entries one that started from the store asks for a handover: some may have just started too.
+	maxHandovers = 3
 )
 
 // completeEntries asks an entry that knows more of the running entries for their list. An entry that
-// starts together with others gets a list that lacks some. An entry that started from the store asks any other one which
-// sessions are on old versions.
+// starts together with others gets a list that lacks some. An entry that started from the store asks any other one for a
+// handover.
 func (l *Loop) completeEntries(ctx context.Context) {
+	handovers := 0
 	for pause := entriesCheckInterval; clock.Pause(ctx, pause); {
 		v := l.View()
 		from := v.fullerList
-		if from.Address == "" && v.lacksSessions {
-			from = v.anyOther()
+		if from.Address == "" && v.lacksHandover && handovers < maxHandovers {
+			from = v.anyOther(l.spread, handovers)
+			handovers++
 		}
 		if pause = entriesCheckInterval; from.Address == "" || l.cfg.TakeEntries == nil {
 			continue
 		}
-		pause = entriesInterval
+		if v.fullerList.Address != "" {
+			pause = entriesInterval
+		}
 		e, err := l.takeEntries(ctx, from)
 		if err != nil {
 			l.cfg.Log.Warn("List of entries was not taken", "from", from.Name, "error", logbook.Text(err))
@@ -310,7 +316,7 @@
 		return e, err
 	}
 	// The answer is no older than builtStateTTL.
-	e.Entries, e.Sessions = EntriesFromWire(c.GetEntries()), sessionsFromWire(c.GetSessions(), e.Now)
+	e.Entries, e.Handover = EntriesFromWire(c.GetEntries()), handoverFromWire(c, e.Now)
 	e.Now = l.cfg.Clock.Now()
 	return e, nil
 }
@@ -318,7 +324,7 @@
 // builtState is this entry's state for others. The times are on this process's clock.
 type builtState struct {
 	packed []byte
-	// entries is a content with nothing but the entries and the sessions on old versions.
+	// entries is a content with nothing but the entries and the handover.
 	entries          []byte
 	builtAt          clock.Millis
 	confirmedAt      clock.Millis
@@ -345,7 +351,7 @@
 	}
 	b := builtState{builtAt: now, confirmedAt: l.state.confirmedAt, fleetConfirmedAt: l.state.fleetConfirmedAt, settledAt: l.state.settling.until}
 	if b.packed, b.err = packContent(c); b.err == nil {
-		b.entries, b.err = packContent(&wire.SiteContent{Entries: c.GetEntries(), Sessions: c.GetSessions()})
+		b.entries, b.err = packContent(&wire.SiteContent{Entries: c.GetEntries(), Sessions: c.GetSessions(), ColdZones: c.GetColdZones()})
 	}
 	l.lastBuilt = b
 	return b
--- a/site/state.go
+++ b/site/state.go
@@ -99,11 +99,11 @@
 	// keptSessions holds by service this process's sessions that stay on the old version although
 	// their hash is in the new version's share.
 	keptSessions map[string][]uint64
-	// retained holds sessions on old versions whose process is gone. sessionsTaken is true once another entry told which it
-	// knows.
-	retained      []retainedSessions
-	sessionsTaken bool
-	leaving       bool
+	// retained holds sessions on old versions whose process is gone.
+	retained []retainedSessions
+	// handedOver is true once another entry has handed on what happened before this process started.
+	handedOver bool
+	leaving    bool
 	// storeAnsweredAt is when the store last answered, recoveredAt when its last outage ended; 0
 	// before the first.
 	storeAnsweredAt clock.Millis
@@ -239,7 +239,7 @@
 		s.now = e.Now
 		effects = s.entriesReceived(e.Entries)
 		if len(e.Entries) > 0 {
-			s.takeSessions(e.Sessions)
+			s.takeHandover(e.Handover)
 		}
 	case ReportReceived:
 		s.now = e.Now
@@ -676,7 +676,7 @@
 	v := &View{
 		config: s.config, confirmedAt: s.confirmedAt, confirmedBy: s.confirmedBy, fleet: s.fleet.Snapshot(), entries: len(sharers), shares: s.shares(sharers),
 		started: s.started(), lacksConfig: s.loaded[OperatorStream] && s.config == nil, leaving: s.leaving, versions: make(map[string]versionState), addresses: maps.Clone(s.addresses),
-		upgradeActive: s.hasActiveUpgrade(), checksVerdicts: len(s.verdictsToCheck) > 0 && s.rank() < judgeCount, mayWriteVerdict: len(s.pendingVerdicts) > 0 && s.rank() < judgeCount, reader: s.reader(), operator: s.operator, statusEnd: s.statusEnd, era: s.era, settledAt: s.settling.until, listDue: s.listDue(), lacksSessions: s.lacksSessions(), registeredAt: s.registeredAt, entriesKnown: s.loaded[EntryStream], fullerList: s.fullerList, delegates: s.delegateAddresses(), ahead: s.ahead(), others: s.neighbours(true), peerOperator: s.peerOperator, newerVersionAt: s.newerVersionAt(),
+		upgradeActive: s.hasActiveUpgrade(), checksVerdicts: len(s.verdictsToCheck) > 0 && s.rank() < judgeCount, mayWriteVerdict: len(s.pendingVerdicts) > 0 && s.rank() < judgeCount, reader: s.reader(), operator: s.operator, statusEnd: s.statusEnd, era: s.era, settledAt: s.settling.until, listDue: s.listDue(), lacksHandover: s.lacksHandover(), registeredAt: s.registeredAt, entriesKnown: s.loaded[EntryStream], fullerList: s.fullerList, delegates: s.delegateAddresses(), ahead: s.ahead(), others: s.neighbours(true), peerOperator: s.peerOperator, newerVersionAt: s.newerVersionAt(),
 		fleetConfirmedAt: s.fleetConfirmedAt, divergedAt: s.divergedAt, probedByPeers: s.probedByPeers(), storeServesPeers: s.storeServesPeers(), neighbours: s.neighbours(s.fullMesh()), zoneAddresses: s.neighbours(false), fullMesh: s.fullMesh(),
 	}
 	v.spreaders, v.spreaderRank = s.spreaders()
--- a/site/view.go
+++ b/site/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"github.com/parsleydeal/parsleydeal/catalog"
 	"github.com/parsleydeal/parsleydeal/clock"
@@ -66,8 +67,8 @@
 	fullerList       EntryAddress
 	fleetConfirmedAt clock.Millis
 	divergedAt       clock.Millis
-	// lacksSessions is true if this process has to ask which sessions are on old versions.
-	lacksSessions bool
+	// lacksHandover is true if this process has to ask what happened before it started.
+	lacksHandover bool
 	// listDue is true if this process has to read all registrations again.
 	listDue bool
 	// storeServesPeers is true while the store serves the entries that read it on behalf of all.
@@ -199,12 +200,15 @@
 	return v.delegates
 }
 
-// anyOther returns an entry that may be asked for what it knows; without an address if there is none.
-func (v *View) anyOther() EntryAddress {
-	if len(v.delegates) > 0 {
-		return v.delegates[0]
+// anyOther returns an entry that may be asked for what it knows, another one for each attempt; without an address if there
+// is none. spread, from 0 to 1, divides the entries that ask.
+func (v *View) anyOther(spread float64, attempt int) (other EntryAddress) {
+	all := v.otherEntries()
+	if len(all) == 0 {
+		return other
 	}
-	return EntryAddress{}
+	slices.SortFunc(all, func(a, b EntryAddress) int { return strings.Compare(a.Name, b.Name) })
+	return all[(int(spread*float64(len(all)))+attempt)%len(all)]
 }
 
 // otherEntries returns the entries that may be asked for their state.
