Don't let SIGHUP end an entry that starts

An entry that got SIGHUP just after its start was ended by it, and started again by the platform: its callers found it gone for longer.

Cause: the signal was handled only once the settings were read and the entry was set up; until then it has its default action. SIGHUP is taken before the settings are read now, and handled once the entry serves. SIGTERM still ends a process that does not serve yet at once.

What remains is the time until the process runs at all.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -100,6 +100,9 @@
 	return l, nil
 }
 
+// maxSignals is how many signals wait until the process handles them.
+const maxSignals = 4
+
 type runFunc func(ctx context.Context, s settings.Settings, l *log.Logger) error
 
 func start(name string, kind settings.Program, args []string, run runFunc) (err error) {
@@ -118,13 +121,17 @@
 	if o.Settings == "" {
 		return fmt.Errorf("%s: --settings is required: %w", name, errUsage)
 	}
+	// The settings may change while they are read: SIGHUP must not end the process then.
+	signals := make(chan os.Signal, maxSignals)
+	signal.Notify(signals, syscall.SIGHUP)
 	s, err := settings.ReadFor(o.Settings, kind)
 	if err != nil || o.Check {
 		return err
 	}
 	if s.Direct.Store != "" {
-		return runDirect(context.Background(), o.Settings, s)
+		return runDirect(context.Background(), o.Settings, s, signals)
 	}
+	signal.Reset(syscall.SIGHUP)
 	l, err := newLogger(s.Log, os.Stderr)
 	if err != nil {
 		return err
--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -81,8 +81,8 @@
 }
 
 // runDirect serves callers until SIGTERM or SIGINT, then stops without interrupting requests.
-// SIGHUP checks the settings file again.
-func runDirect(ctx context.Context, path string, s settings.Settings) (err error) {
+// SIGHUP checks the settings file again; signals has those that came before.
+func runDirect(ctx context.Context, path string, s settings.Settings, signals chan os.Signal) (err error) {
 	d, err := newDirect(path, s, os.Stdout)
 	if err != nil {
 		return err
@@ -95,8 +95,7 @@
 		d.logWriter.Run(inner)
 	}()
 	d.log.Info("Entry starts", "zone", s.Zone, "process", d.processID(), "callers", s.Entry.Callers, "store", s.Direct.Store, "key-lease", s.Direct.KeyLease, "version", Version())
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	err = d.serve(inner, signals)
 	d.log.Info("Entry stops", "error", logbook.Text(err))
 	cancel()
