Ask for a handover apart from the list of entries

Cause: an entry that asked for a handover took it as a list of entries too, and so took others for running before these had reported.

--- a/site/content.go
+++ b/site/content.go
@@ -51,11 +51,10 @@
 	Zone string
 }
 
-// EntriesListed lists the entries that another one knows to be running. It is empty if that one did not answer.
+// EntriesListed lists the entries that another one knows to be running.
 type EntriesListed struct {
-	Now      clock.Millis
-	Entries  []EntryAddress
-	Handover handover
+	Now     clock.Millis
+	Entries []EntryAddress
 }
 
 func (StateReceived) event() {}
--- a/site/handover.go
+++ b/site/handover.go
@@ -15,6 +15,14 @@
 	complete bool
 }
 
+// HandoverReceived is what another entry hands on to this one, which has started from the store.
+type HandoverReceived struct {
+	Now      clock.Millis
+	Handover handover
+}
+
+func (HandoverReceived) event() {}
+
 // addHandover adds what an entry that starts has to know to a content.
 func (s *State) addHandover(c *wire.SiteContent) {
 	c.Sessions, c.KnowsPast = s.sessionsToWire(), !s.lacksHandover()
--- a/site/loop.go
+++ b/site/loop.go
@@ -185,6 +185,7 @@
 		go f.run(ctx)
 	}
 	go l.completeEntries(ctx)
+	go l.requestHandover(ctx)
 	l.register(ctx, written)
 }
 
@@ -280,45 +281,51 @@
 )
 
 // completeEntries asks an entry that knows more of the running entries for their list. An entry that
-// starts together with others gets a list that lacks some. An entry that started from the store asks any other one for a
-// handover.
+// starts together with others gets a list that lacks some.
 func (l *Loop) completeEntries(ctx context.Context) {
-	handovers := 0
 	for pause := entriesCheckInterval; clock.Pause(ctx, pause); {
 		v := l.View()
-		from := v.fullerList
-		if from.Address == "" && v.lacksHandover && handovers < maxHandovers {
-			from = v.anyOther(l.spread, handovers)
-			handovers++
-		}
-		if pause = entriesCheckInterval; from.Address == "" || l.cfg.TakeEntries == nil {
+		if pause = entriesCheckInterval; v.fullerList.Address == "" || l.cfg.TakeEntries == nil {
 			continue
 		}
-		if v.fullerList.Address != "" {
-			pause = entriesInterval
+		pause = entriesInterval
+		c, err := l.takeEntries(ctx, v.fullerList)
+		if err != nil {
+			l.cfg.Log.Warn("List of entries was not taken", "from", v.fullerList.Name, "error", logbook.Text(err))
 		}
-		e, err := l.takeEntries(ctx, from)
+		l.post(ctx, EntriesListed{Now: l.cfg.Clock.Now(), Entries: EntriesFromWire(c.GetEntries())})
+	}
+}
+
+// requestHandover asks up to maxHandovers other entries for a handover if this one has started without it, and ends.
+func (l *Loop) requestHandover(ctx context.Context) {
+	for asked := 0; asked < maxHandovers && l.cfg.TakeEntries != nil && clock.Pause(ctx, entriesCheckInterval); {
+		v := l.View()
+		from := v.anyOther(l.spread, asked)
+		switch {
+		case v.Started() && !v.lacksHandover:
+			return
+		case !v.Started(), from.Address == "":
+			continue
+		}
+		asked++
+		c, err := l.takeEntries(ctx, from)
 		if err != nil {
-			l.cfg.Log.Warn("List of entries was not taken", "from", from.Name, "error", logbook.Text(err))
+			l.cfg.Log.Warn("Handover was not taken", "from", from.Name, "error", logbook.Text(err))
+			continue
 		}
-		l.post(ctx, e)
+		// The answer is at most builtStateTTL old.
+		now := l.cfg.Clock.Now()
+		l.post(ctx, HandoverReceived{Now: now, Handover: handoverFromWire(c, now)})
 	}
 }
 
-func (l *Loop) takeEntries(ctx context.Context, from EntryAddress) (e EntriesListed, err error) {
-	e.Now = l.cfg.Clock.Now()
+func (l *Loop) takeEntries(ctx context.Context, from EntryAddress) (c *wire.SiteContent, err error) {
 	m, err := l.cfg.TakeEntries(ctx, from)
 	if err != nil {
-		return e, err
-	}
-	c, err := unpackContent(m.GetPacked())
-	if err != nil {
-		return e, err
+		return nil, err
 	}
-	// The answer is no older than builtStateTTL.
-	e.Entries, e.Handover = EntriesFromWire(c.GetEntries()), handoverFromWire(c, e.Now)
-	e.Now = l.cfg.Clock.Now()
-	return e, nil
+	return unpackContent(m.GetPacked())
 }
 
 // builtState is this entry's state for others. The times are on this process's clock.
--- a/site/state.go
+++ b/site/state.go
@@ -238,9 +238,10 @@
 	case EntriesListed:
 		s.now = e.Now
 		effects = s.entriesReceived(e.Entries)
-		if len(e.Entries) > 0 {
-			s.takeHandover(e.Handover)
-		}
+	case HandoverReceived:
+		s.now = e.Now
+		s.takeHandover(e.Handover)
+		effects = []Effect{Publish{}}
 	case ReportReceived:
 		s.now = e.Now
 		effects = s.reportReceived(e)
