Name each session once in a handover

An entry that starts got the sessions of the last seconds as often as they had been handed on: 15 for three sessions after five starts, and in a roll through many entries the bound of 8,192 would have cut off others.

Found by reading the change. TestHandoverNamesSessionsOnce failed before (15, not 3).

--- a/site/kept.go
+++ b/site/kept.go
@@ -101,7 +101,7 @@
 }
 
 // sessionsToWire returns the sessions on old versions for an entry that starts: its callers come back to it with sessions
-// that its predecessor or another process kept.
+// that its predecessor or another process kept. Each session is named once, however often it was handed on.
 func (s *State) sessionsToWire() (out []*wire.KeptSessions) {
 	all := s.sessionsByOthers()
 	for service, hashes := range s.keptSessions {
@@ -109,12 +109,23 @@
 			all = append(all, retainedSessions{service, positionOf(u.Order().Number), hashes, s.now + s.sessionTTL()})
 		}
 	}
-	n := 0
+	slices.SortStableFunc(all, func(a, b retainedSessions) int { return cmp.Compare(b.until, a.until) })
+	type session struct {
+		service string
+		hash    uint64
+	}
+	seen := make(map[session]bool)
 	for _, r := range all {
-		if n += len(r.hashes); n > maxRetainedSessions {
-			break
+		k := &wire.KeptSessions{Service: r.service, Number: r.order.Offset, Era: r.order.Era, RemainingMillis: int64(r.until - s.now)}
+		for _, h := range r.hashes {
+			if x := (session{r.service, h}); !seen[x] && len(seen) < maxRetainedSessions {
+				seen[x] = true
+				k.Hashes = append(k.Hashes, h)
+			}
+		}
+		if len(k.Hashes) > 0 {
+			out = append(out, k)
 		}
-		out = append(out, &wire.KeptSessions{Service: r.service, Number: r.order.Offset, Era: r.order.Era, Hashes: r.hashes, RemainingMillis: int64(r.until - s.now)})
 	}
 	return out
 }
--- a/site/upgrade_report_test.go
+++ b/site/upgrade_report_test.go
@@ -52,6 +52,26 @@
 	is.True(n > maxRetainedSessions/2 && n <= maxRetainedSessions)
 }
 
+// Entries start one after another, each with the handover of the one before. Guards against a handover that grows with
+// each start.
+func TestHandoverNamesSessionsOnce(t *testing.T) {
+	is := is.New(t)
+	var handed []*wire.KeptSessions
+	for range 5 {
+		s := upgradingState()
+		s.takeHandover(handoverFromWire(&wire.SiteContent{Sessions: handed}, 1000))
+		Reduce(s, ReportReceived{Now: 1000, Report: &wire.EntryReport{
+			Name: "entry-a", Process: "a/1", Zone: "a", Upgrades: []*wire.UpgradeReport{{Service: "pool", Target: "v2", Number: 7, Kept: []uint64{1, 2, 3}}},
+		}})
+		handed = s.sessionsToWire()
+	}
+	n := 0
+	for _, x := range handed {
+		n += len(x.GetHashes())
+	}
+	is.Equal(n, 3)
+}
+
 // The last version was bad, and this entry has not counted anything of the new one yet. Guards against
 // the last version's failures counting as those of the new one.
 func TestCountsOfEarlierOrderRollNothingBack(t *testing.T) {
