--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -48,7 +48,7 @@
 // maxRemoved limits the endpoints that are gone and still remembered.
 const maxRemoved = 4096
 
-// Apply applies changes like Update.
+// Apply is Update with changes that complete no history.
 func (f *Fleet) Apply(changes []Change, full bool) (changed []string) {
 	changed, _ = f.Update(Update{Changes: changes, Full: full})
 	return changed
--- a/relay/continuation_test.go
+++ b/relay/continuation_test.go
@@ -67,9 +67,9 @@
 	return b.String()
 }
 
-// askSigned sends a request to a server whose endpoints answer in turn, and returns the answer. The body is
+// requestInTurn sends a request to a server whose endpoints answer in turn, and returns the answer. The body is
 // "broken" if it breaks off.
-func askSigned(is *is.I, route *catalog.Route, id string, answers []continuationAnswer) (status int, body string, sends int) {
+func requestInTurn(is *is.I, route *catalog.Route, id string, answers []continuationAnswer) (status int, body string, sends int) {
 	var changes []fleet.Change
 	var next atomic.Int64
 	for i := range 4 {
@@ -129,7 +129,7 @@
 	for _, s := range scripts.Script {
 		t.Run(s.Name, func(t *testing.T) {
 			is := is.New(t)
-			status, body, sends := askSigned(is, continuationRoute(kinds[s.Kind], s.Resumable), "r-1", s.Answer)
+			status, body, sends := requestInTurn(is, continuationRoute(kinds[s.Kind], s.Resumable), "r-1", s.Answer)
 			if s.Body == "whole" {
 				s.Body = wholeStream("r-1")
 			}
@@ -152,7 +152,7 @@
 			}
 		}), 1, 5).Draw(rt, "answers")
 		resumable := rapid.Bool().Draw(rt, "resumable")
-		status, body, _ := askSigned(is, continuationRoute(catalog.Streaming, resumable), "r-1", answers)
+		status, body, _ := requestInTurn(is, continuationRoute(catalog.Streaming, resumable), "r-1", answers)
 		first := answers[0]
 		switch {
 		case status != http.StatusOK, body == "broken", body == wholeStream("r-1"):
--- a/site/handover.go
+++ b/site/handover.go
@@ -8,7 +8,7 @@
 // handover is what an entry that starts has to know of the last seconds, and cannot read from the store.
 type handover struct {
 	// sessions are those that entries keep on old versions.
-	sessions []retainedSessions
+	sessions []keptSessions
 	// coldZones holds until when the endpoints of zones that came back into service are treated as cold.
 	coldZones map[string]clock.Millis
 	// complete is true if the sender knows what happened before it started.
--- a/site/kept.go
+++ b/site/kept.go
@@ -16,9 +16,9 @@
 	maxRetainedSessions = 8192
 )
 
-// retainedSessions are sessions on the old version of a service that nothing reports any more: the process that had
-// them is gone, but its callers go on at other entries.
-type retainedSessions struct {
+// keptSessions are sessions that stay on the old version of a service until a time. They outlive the process that reported
+// them: its callers go on at other entries.
+type keptSessions struct {
 	service string
 	// order is the position of the order.
 	order  Position
@@ -35,7 +35,7 @@
 	n := 0
 	for _, u := range p.upgrades {
 		if len(u.GetKept()) > 0 {
-			s.retained = append(s.retained, retainedSessions{u.GetService(), Position{u.GetEra(), u.GetNumber()}, u.GetKept(), p.lastSeenAt + s.sessionTTL()})
+			s.retained = append(s.retained, keptSessions{u.GetService(), Position{u.GetEra(), u.GetNumber()}, u.GetKept(), p.lastSeenAt + s.sessionTTL()})
 			n += len(u.GetKept())
 		}
 	}
@@ -60,7 +60,7 @@
 // endRetained forgets sessions whose time is over.
 func (s *State) endRetained() (effects []Effect) {
 	n := len(s.retained)
-	s.retained = slices.DeleteFunc(s.retained, func(r retainedSessions) bool { return s.now >= r.until })
+	s.retained = slices.DeleteFunc(s.retained, func(r keptSessions) bool { return s.now >= r.until })
 	if len(s.retained) < n {
 		effects = append(effects, Publish{})
 	}
@@ -83,12 +83,12 @@
 
 // sessionsByOthers returns what other processes keep or kept on old versions. A process that reports nothing any more
 // may be gone.
-func (s *State) sessionsByOthers() (all []retainedSessions) {
+func (s *State) sessionsByOthers() (all []keptSessions) {
 	for _, p := range s.peers {
 		until := p.lastSeenAt + s.sessionTTL()
 		for _, u := range p.upgrades {
 			if len(u.GetKept()) > 0 && s.now < until {
-				all = append(all, retainedSessions{u.GetService(), Position{u.GetEra(), u.GetNumber()}, u.GetKept(), until})
+				all = append(all, keptSessions{u.GetService(), Position{u.GetEra(), u.GetNumber()}, u.GetKept(), until})
 			}
 		}
 	}
@@ -106,10 +106,10 @@
 	all := s.sessionsByOthers()
 	for service, hashes := range s.keptSessions {
 		if u := s.upgrades[service]; u != nil && len(hashes) > 0 {
-			all = append(all, retainedSessions{service, positionOf(u.Order().Number), hashes, s.now + s.sessionTTL()})
+			all = append(all, keptSessions{service, positionOf(u.Order().Number), hashes, s.now + s.sessionTTL()})
 		}
 	}
-	slices.SortStableFunc(all, func(a, b retainedSessions) int { return cmp.Compare(b.until, a.until) })
+	slices.SortStableFunc(all, func(a, b keptSessions) int { return cmp.Compare(b.until, a.until) })
 	type session struct {
 		service string
 		hash    uint64
@@ -131,9 +131,9 @@
 }
 
 // sessionsFromWire returns the sessions of a state that was built at the time builtAt.
-func sessionsFromWire(all []*wire.KeptSessions, builtAt clock.Millis) (out []retainedSessions) {
+func sessionsFromWire(all []*wire.KeptSessions, builtAt clock.Millis) (out []keptSessions) {
 	for _, x := range all {
-		out = append(out, retainedSessions{x.GetService(), Position{x.GetEra(), x.GetNumber()}, x.GetHashes(), builtAt + clock.Millis(x.GetRemainingMillis())})
+		out = append(out, keptSessions{x.GetService(), Position{x.GetEra(), x.GetNumber()}, x.GetHashes(), builtAt + clock.Millis(x.GetRemainingMillis())})
 	}
 	return out
 }
--- a/site/state.go
+++ b/site/state.go
@@ -100,7 +100,7 @@
 	// their hash is in the new version's share.
 	keptSessions map[string][]uint64
 	// retained holds sessions on old versions whose process is gone.
-	retained []retainedSessions
+	retained []keptSessions
 	// handedOver is true once another entry has handed on what happened before this process started.
 	handedOver bool
 	leaving    bool
