Log how answers are framed and where streams are continued

No decision changes, but that the answer to a HEAD request without a length no longer counts as unframed: it has no body, and its connection can be used again.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -55,8 +55,8 @@
 	tooLong bool
 	// abandoned is true when nothing was sent because nobody waits for the answer any more.
 	abandoned bool
-	// unframed is true for an answer that ends with its connection.
-	unframed bool
+	// framing is how the end of the answer is known; empty before its head arrived.
+	framing upstream.Framing
 	// watch is the attempt in the register of what endpoints crash on.
 	watch *quarantine.Attempt
 	// wrongEndpoint is true when the address now belongs to another endpoint.
@@ -122,7 +122,7 @@
 		s.quarantine.Cancel(a.watch)
 	}
 	a.recordAlive(s.cfg.Clock.Now())
-	a.unframed = answer.Unframed()
+	a.framing = answer.Framing()
 	a.status, a.confidence = h.Status, h.Confidence
 	a.recordHead(h)
 	return a.classify(h, answer)
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -9,6 +9,7 @@
 	"github.com/parsleydeal/parsleydeal/fleet"
 	"github.com/parsleydeal/parsleydeal/quarantine"
 	"github.com/parsleydeal/parsleydeal/refusal"
+	"github.com/parsleydeal/parsleydeal/upstream"
 )
 
 const (
@@ -146,7 +147,7 @@
 		// Another attempt has found out.
 		s.quarantine.End(a.watch, true, now)
 		s.recordCrash(a, now)
-	case brokeOff, r == done && a.unframed && s.quarantine.HasUncleared(a.watch):
+	case brokeOff, r == done && a.framing == upstream.Unframed && s.quarantine.HasUncleared(a.watch):
 		accepted, refused := s.cfg.Pool.Probe(ctx, a.endpoint.Address)
 		s.quarantine.End(a.watch, refused || brokeOff, s.cfg.Clock.Now())
 		switch {
--- a/relay/run.go
+++ b/relay/run.go
@@ -236,6 +236,7 @@
 	s := x.server
 	now := s.cfg.Clock.Now()
 	x.endpoint, x.version, x.model = a.endpoint.ID, a.endpoint.Version, a.plan.model()
+	x.recordEnd(a, r)
 	callerLeft := x.hasLeft()
 	switch {
 	case callerLeft, a.abandoned, a.delayed:
@@ -269,7 +270,7 @@
 	used, limit := x.budget().State(now)
 	s.countUnanswered(a, r)
 	s.cfg.Log.Info("Attempt did not answer", "request", x.req.ID, "route", x.route.Name, "organisation", x.organisation, "blocks", listed(x.keys.Shared()), "key", x.keyOf(r), "endpoint", a.endpoint.ID, "address", a.endpoint.Address, "zone", a.endpoint.Zone,
-		"version", a.endpoint.Version, "model", a.plan.model(), "result", r, "phase", a.phase(now), "status", a.status, "confidence", a.confidence, "silent", a.silent, "delayed", a.delayed, "too-long", a.tooLong,
+		"version", a.endpoint.Version, "model", a.plan.model(), "result", r, "phase", a.phase(now), "status", a.status, "confidence", a.confidence, "silent", a.silent, "delayed", a.delayed, "too-long", a.tooLong, "framing", a.framing, "events", a.events,
 		"after", now-a.startedAt, "expected", a.expectedFirstByte, "first", a.timeToFirstByte, "left", x.remaining(),
 		"retry", x.retry, "retries-used", used, "retries-allowed", int(limit), "error", logbook.Text(err))
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -51,6 +51,7 @@
 		a.lastEventAt = e.at
 		if a.events == 0 {
 			a.firstEventAt = a.lastEventAt
+			x.noteJoint(e)
 		}
 		a.events++
 		if a.events == sampledEvents {
@@ -145,6 +146,7 @@
 		err = control.Flush()
 	}
 	if err == nil {
+		x.bytes += len(data)
 		return nil
 	}
 	if upstream.TimedOut(err) && !x.cutOff.Load() {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -95,8 +95,7 @@
 	delayed   atomic.Bool
 	// connectTime is how long it took to get a connection.
 	connectTime clock.Millis
-	// framed is true if the body has a length or chunks.
-	framed bool
+	framing     Framing
 	// complete is true once the body has been read to its end.
 	complete bool
 	// reusable is true if the connection may be used again after the answer.
@@ -155,9 +154,18 @@
 	return nil, ErrLost.Wrap(err, "no answer from %s", call.Address)
 }
 
-// Unframed reports whether the answer has neither a length nor chunks, so that it ends with its
-// connection.
-func (a *Answer) Unframed() bool { return !a.framed }
+// Framing is how the end of a body is known.
+type Framing string
+
+// The framings. An Unframed body ends with its connection.
+const (
+	ByLength Framing = "length"
+	ByChunks Framing = "chunks"
+	Unframed Framing = "none"
+)
+
+// Framing returns how the end of the body is known.
+func (a *Answer) Framing() Framing { return a.framing }
 
 // ConnectTime returns how long it took to get a connection; about 0 for an idle one.
 func (a *Answer) ConnectTime() clock.Millis { return a.connectTime }
@@ -302,12 +310,22 @@
 
 func (a *Answer) setHead(resp *http.Response) {
 	a.Status, a.Header, a.Length, a.body = resp.StatusCode, resp.Header, resp.ContentLength, resp.Body
-	// An answer without a length ends when its connection is closed.
-	a.framed = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	a.reusable = a.framed && !resp.Close
+	a.framing = framingOf(resp)
+	a.reusable = a.framing != Unframed && !resp.Close
 	a.conn.setIdleTimeout(resp.Header.Get("Keep-Alive"))
 }
 
+// framingOf returns how the end of the body of an answer is known. The answer to a HEAD request has no body.
+func framingOf(resp *http.Response) Framing {
+	switch {
+	case len(resp.TransferEncoding) > 0:
+		return ByChunks
+	case resp.ContentLength >= 0, resp.Request.Method == http.MethodHead:
+		return ByLength
+	}
+	return Unframed
+}
+
 // Read reads the body, within the read timeout that was set last.
 func (a *Answer) Read(buf []byte) (n int, err error) {
 	n, err = a.body.Read(buf)
