Read lines of events whole

Callers saw an event without its empty line run into the next one, and a stream that was resumed after an event 9 that nobody had sent: eventReader took each part of a line that is longer than its buffer for a line, so that the line feed behind 4,096 bytes of data was an empty line, and data that goes on there with 'id: 9' an ID.

A line is looked at once it is whole. The other readers of lines (bufio.Scanner in engine, account, explain, client and cli) get whole lines.

--- a/relay/stream.go
+++ b/relay/stream.go
@@ -28,6 +28,8 @@
 	maxWriteBytes = 64 << 10
 	// maxEventBytes bounds the size of an event.
 	maxEventBytes = 1 << 20
+	// readBufferBytes is the size of the buffer from which events are read.
+	readBufferBytes = 4 << 10
 )
 
 // streamAnswer forwards events as they arrive. Only complete events are forwarded: an endpoint
@@ -66,7 +68,7 @@
 
 // readAhead returns a reader of the events of an answer.
 func (a *attempt) readAhead(answer *upstream.Answer) *readAhead {
-	x, events := a.exchange, &eventReader{r: bufio.NewReader(answer)}
+	x, events := a.exchange, &eventReader{r: bufio.NewReaderSize(answer, readBufferBytes)}
 	r := &readAhead{
 		prepare: func() error { return answer.SetReadTimeout(x.eventTimeout()) },
 		read: func() (e event, err error) {
@@ -191,9 +193,11 @@
 
 // next returns the next complete event, or io.EOF after the last one.
 func (s *eventReader) next() (e event, err error) {
+	lineStart := 0
 	for {
-		line, err := s.r.ReadSlice('\n')
-		e.raw = append(e.raw, line...)
+		// A line that is longer than the buffer comes in several parts.
+		part, err := s.r.ReadSlice('\n')
+		e.raw = append(e.raw, part...)
 		switch {
 		case err == io.EOF && len(e.raw) > 0:
 			return e, errIncompleteEvent
@@ -204,11 +208,12 @@
 		case err != nil:
 			continue
 		}
-		text := bytes.TrimRight(line, "\r\n")
-		if id, ok := bytes.CutPrefix(text, []byte("id:")); ok {
+		line := bytes.TrimRight(e.raw[lineStart:], "\r\n")
+		lineStart = len(e.raw)
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			e.id = string(bytes.TrimSpace(id))
 		}
-		if len(text) == 0 {
+		if len(line) == 0 {
 			return e, nil
 		}
 	}
