Continue a stream only behind the last event that its caller has

Callers saw events twice, events left out, and pieces of two runs in one stream that ended as complete: after an attempt that broke off, whatever the next endpoint sent was passed on, from the first event, from the last one that the caller has, or from a later one. Nothing compared the first ID of a continuation with the last one of the stream.

A stream has a position now. IDs of events increase: one that is not above the last ends the attempt, within an answer too. Where the IDs have increased by one so far, a continuation that leaves one out does as well. A continuation without IDs is not taken, and a stream whose last event had none breaks off and is no longer moved to another endpoint when it is silent. The attempt failed then: another endpoint is asked, where the route allows it. Events that the caller has are not skipped instead, since an endpoint that begins anew generates another text. The head is sent with the first event, which is when it left the process before.

--- a/relay/ending_test.go
+++ b/relay/ending_test.go
@@ -46,8 +46,9 @@
 // events returns the events after the given one.
 func (s endingScript) events(after int) string {
 	var b strings.Builder
+	first := s.Answer[0]
 	for i := after + 1; i <= continuationEvents; i++ {
-		b.WriteString(standin.Ending{DataBytes: s.Answer[0].DataBytes, LateField: s.Answer[0].LateField}.Event(i, "r-1"))
+		b.WriteString(standin.Ending{IDStep: first.IDStep, DataBytes: first.DataBytes, LateField: first.LateField}.Event(i, "r-1"))
 	}
 	return b.String()
 }
--- a/relay/replay_test.go
+++ b/relay/replay_test.go
@@ -170,7 +170,8 @@
 		time.Sleep(crashDelay)
 		e.crashBy(p.blockOf(r))
 	}
-	for i := range replayEvents {
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for i := last; i < replayEvents; i++ {
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i+1)
 		_ = http.NewResponseController(w).Flush()
 		select {
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -98,7 +98,7 @@
 	if r == notRun {
 		return x.sends-x.unsent < x.route.MaxAttempts+maxRefusals && x.unsent < maxUnsent
 	}
-	return x.route.Repeatable() && x.runs < x.route.MaxAttempts
+	return x.mayRepeat()
 }
 
 // mayRepeat reports whether an attempt in flight may be repeated elsewhere, so that it can be
@@ -107,7 +107,7 @@
 
 // mayRepeatAfter is like mayRepeat, but assumes that the given number of further attempts have run.
 func (x *exchange) mayRepeatAfter(more int) bool {
-	return x.route.Repeatable() && x.runs+more < x.route.MaxAttempts
+	return x.route.Repeatable() && !x.position.lost && x.runs+more < x.route.MaxAttempts
 }
 
 // budget returns the retry budget of the request's service.
--- a/relay/run.go
+++ b/relay/run.go
@@ -56,6 +56,7 @@
 	defer x.returnUnusedRetry()
 	defer x.dropFallback()
 	defer x.endTest()
+	x.position = positionAfter(x.req.LastEventID)
 	p := x.plan()
 	var failure *bufferedAnswer
 	for {
--- a/relay/server.go
+++ b/relay/server.go
@@ -206,6 +206,8 @@
 	model           string
 	events          int
 	timeToFirstByte clock.Millis
+	// position is how far the caller has the stream.
+	position position
 	// framing is that of the last attempt's answer, bytes what the caller was sent of the body, and joints where its
 	// stream was continued, for the log.
 	framing upstream.Framing
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -38,23 +38,26 @@
 	x := a.exchange
 	events := a.readAhead(answer)
 	defer events.close()
-	if !x.written {
-		x.writeHead(h)
-	}
+	x.position.join()
 	for {
 		e, err := events.next()
 		if err == io.EOF {
+			x.beginStream(h)
 			return done, nil
 		}
 		if err != nil {
 			a.silent, a.delayed, a.tooLong, a.cause = upstream.TimedOut(err), answer.Delayed(), errors.Is(err, errEventTooLarge), err
-			return broken, interrupted(err)
+			return a.interruptedResult(), interrupted(err)
 		}
 		a.lastEventAt = e.at
 		if a.events == 0 {
 			a.firstEventAt = a.lastEventAt
 			x.noteJoint(e)
 		}
+		if err = x.position.advance(e); err != nil {
+			return a.outOfOrder(err)
+		}
+		x.beginStream(h)
 		a.events++
 		if a.events == sampledEvents {
 			a.recordLatency()
@@ -109,6 +112,13 @@
 	return max(min(max(eventTimeoutFactor*x.route.TargetGap, minEventTimeout), x.remaining()), 1)
 }
 
+// beginStream sends the head of the answer, unless the caller has that of an earlier attempt.
+func (x *exchange) beginStream(h Head) {
+	if !x.written {
+		x.writeHead(h)
+	}
+}
+
 // writeHead sends the head of the answer to the caller. The length is omitted because part of the
 // answer may come from another endpoint.
 func (x *exchange) writeHead(h Head) {
@@ -177,8 +187,10 @@
 // event is one event of a stream, as received at the time at.
 type event struct {
 	raw []byte
-	id  string
-	at  clock.Millis
+	// data is true if the event has data; one without data and ID is a comment.
+	data bool
+	id   string
+	at   clock.Millis
 }
 
 // eventReader splits a stream into events.
@@ -213,6 +225,7 @@
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			e.id = string(bytes.TrimSpace(id))
 		}
+		e.data = e.data || bytes.HasPrefix(line, []byte("data"))
 		if len(line) == 0 {
 			return e, nil
 		}
