Don't take an answer that ends behind its head for a whole one

Callers got a 200 with 'Content-Length: 0' for an answer of which only the head came: streamAnswer and readAnswer took the end of the connection, of the chunks or of a length of 0 for the end of a whole answer, without a look at whether anything had come, and the entry framed the nothing as whole.

One place says now what a whole answer is (checkWhole). A stream has an event, unless its caller resumes it: callers wait for a first one. A success without a byte whose end only the connection tells is the same as one that was cut off behind its head. Such an attempt failed: another endpoint where the request may be repeated, else a 502. An endpoint has to frame an empty answer with a length, as 204, or as the answer to HEAD; a run that goes on behind the last event of all may be empty.

A head that is cut off is not the cause: cut at each byte, by itself, behind an interim answer, behind a late answer of another request and on a kept connection, for GET and HEAD, it never counted as an answer, before this change either.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -302,13 +302,18 @@
 	case h.Status == http.StatusOK && a.mayEscalate() && a.isPoor(h.Confidence) && x.takeRetry(reasonEscalated) == retryGranted:
 		x.keep(&fallback{attempt: a, head: h, answer: answer})
 		return poor, refusal.New(refusal.EngineFailed, "answer is probably poor").WithRun(refusal.Ran)
-	case x.route.Kind == catalog.Streaming && h.Status == http.StatusOK:
+	case a.isStream():
 		x.dropFallback()
 		return a.streamAnswer(h, answer)
 	}
 	return a.readAnswer(h, answer)
 }
 
+// isStream reports whether the answer is a stream of events.
+func (a *attempt) isStream() bool {
+	return a.exchange.route.Kind == catalog.Streaming && a.status == http.StatusOK
+}
+
 // continueStream goes on with the stream of which the caller has a part. An answer that does not continue it is a failure
 // of this endpoint: the caller would take it for the rest of the stream.
 func (a *attempt) continueStream(h Head, answer *upstream.Answer) (r result, err error) {
@@ -354,6 +359,9 @@
 		a.silent, a.delayed, a.cause = upstream.TimedOut(err), answer.Delayed(), err
 		return failed, interrupted(err)
 	}
+	if err = a.checkWhole(len(body) > 0); err != nil {
+		return a.notWhole(err)
+	}
 	answer.Close()
 	return done, x.deliver(&bufferedAnswer{head: h, body: body})
 }
--- a/relay/position.go
+++ b/relay/position.go
@@ -39,6 +39,9 @@
 	return position{last: n, known: true}
 }
 
+// begun reports whether the caller has an event.
+func (p *position) begun() bool { return p.known || p.lost }
+
 // join notes that the next event is the first one of an answer.
 func (p *position) join() { p.joining = p.known }
 
@@ -75,11 +78,3 @@
 	x.server.metrics.GetOrCreateCounter(fmt.Sprintf("parsleydeal_events_out_of_order_total{fault=%q}", fault)).Inc()
 	return a.interruptedResult(), refusal.New(refusal.EngineFailed, fmt.Sprintf("stream is out of order behind event %d: %v", x.position.last, fault)).WithRun(refusal.Unknown)
 }
-
-// interruptedResult returns the result of an attempt whose answer is not whole.
-func (a *attempt) interruptedResult() result {
-	if a.exchange.written {
-		return broken
-	}
-	return failed
-}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -42,6 +42,9 @@
 	for {
 		e, err := events.next()
 		if err == io.EOF {
+			if err = a.checkWhole(x.position.begun() || x.req.Resumes); err != nil {
+				return a.notWhole(err)
+			}
 			x.beginStream(h)
 			return done, nil
 		}
