Don't take an unframed answer for whole whose endpoint ended with it

Callers saw three of six events of a stream that ended as complete, and cut off plain answers with a length that the entry had made up: an answer without length and chunks ends with its connection, and the operating system closes the connections of a process that was killed as it closes those of whole answers (FIN, if the process had read all that came).

Before such an answer counts as whole its endpoint is asked for a connection. Nothing listens there: the answer broke off, and goes on at another endpoint where the request may be repeated. An endpoint that is leaving closes its listener before its last answers have ended; without another attempt its answer counts as whole. No reply tells nothing, and the answer counts as whole as before. That replaces the probe after the end of unframed answers with suspected blocks.

It costs an unframed answer one connection and 30 ms before its end, events are not delayed.

--- a/quarantine/attempt.go
+++ b/quarantine/attempt.go
@@ -251,9 +251,6 @@
 	return a != nil && !a.over
 }
 
-// HasUncleared reports whether an attempt has blocks that were not cleared not long ago.
-func (g *Register) HasUncleared(a *Attempt) bool { return len(a.uncleared) > 0 }
-
 // IsCrashed reports whether an incarnation is known to have crashed not long ago.
 func (g *Register) IsCrashed(i Incarnation) bool {
 	g.mu.Lock()
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -386,7 +386,9 @@
 			}
 		}
 		if err == io.EOF {
-			return done, nil
+			if err = a.checkWhole(true); err == nil {
+				return done, nil
+			}
 		}
 		if err != nil {
 			a.cause = err
@@ -461,6 +463,9 @@
 		a.cause, a.tooLong = err, errors.Is(err, errAnswerTooLarge)
 		return failed, interrupted(err)
 	}
+	if err = a.checkWhole(len(body) > 0); err != nil {
+		return a.notWhole(err)
+	}
 	a.failureAnswer = &bufferedAnswer{head: h, body: body}
 	return failed, refusal.New(refusal.EngineFailed, "endpoint failed with status "+strconv.Itoa(h.Status)).WithRun(refusal.Ran)
 }
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -9,7 +9,6 @@
 	"github.com/parsleydeal/parsleydeal/fleet"
 	"github.com/parsleydeal/parsleydeal/quarantine"
 	"github.com/parsleydeal/parsleydeal/refusal"
-	"github.com/parsleydeal/parsleydeal/upstream"
 )
 
 const (
@@ -29,7 +28,8 @@
 	// runs, if nothing else has shown that.
 	proofDelay = 600 * clock.Millis(1)
 	// firstLookDelay and lastLookDelay are the times after an answer has broken off at which an endpoint that accepted a
-	// connection is asked again: a process that ends may close its connections before it stops listening.
+	// connection is asked again: a process that ends may close its connections before it stops listening. An endpoint whose
+	// answer ended with its connection is asked after the first one.
 	firstLookDelay = 30 * clock.Millis(1)
 	lastLookDelay  = 200 * clock.Millis(1)
 )
@@ -147,13 +147,13 @@
 		// Another attempt has found out.
 		s.quarantine.End(a.watch, true, now)
 		s.recordCrash(a, now)
-	case brokeOff, r == done && a.framing == upstream.Unframed && s.quarantine.HasUncleared(a.watch):
+	case brokeOff:
 		accepted, refused := s.cfg.Pool.Probe(ctx, a.endpoint.Address)
-		s.quarantine.End(a.watch, refused || brokeOff, s.cfg.Clock.Now())
+		s.quarantine.End(a.watch, true, s.cfg.Clock.Now())
 		switch {
 		case refused:
 			s.recordCrash(a, now)
-		case brokeOff && accepted:
+		case accepted:
 			a.lookAgain(ctx)
 		}
 	case r == done && x.tested != "":
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -4,11 +4,15 @@
 	"errors"
 	"net/http"
 
+	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/upstream"
 )
 
-// errNoContent is the cause of an attempt whose answer ended behind its head.
-var errNoContent = errors.New("relay: answer ends behind its head")
+// Causes of attempts whose answers ended and are not whole.
+var (
+	errNoContent     = errors.New("relay: answer ends behind its head")
+	errEndpointEnded = errors.New("relay: endpoint ended with its answer")
+)
 
 // checkWhole returns why an answer that has ended is not whole. hasContent tells whether the caller has, or would get, any
 // of its events or of its body.
@@ -16,15 +20,49 @@
 // A stream has at least one event, unless the caller resumes it and has them all. A success without a byte that ends with
 // its connection is the same as one that was cut off behind its head.
 func (a *attempt) checkWhole(hasContent bool) (err error) {
-	if hasContent || a.exchange.r.Method == http.MethodHead {
+	switch {
+	case a.exchange.r.Method == http.MethodHead:
 		return nil
-	}
-	if a.isStream() || a.framing == upstream.Unframed && a.status < http.StatusMultipleChoices {
+	case !hasContent && (a.isStream() || a.framing == upstream.Unframed && a.status < http.StatusMultipleChoices):
 		return errNoContent
+	case a.framing == upstream.Unframed:
+		return a.checkOutlived()
 	}
 	return nil
 }
 
+// checkOutlived returns an error if the endpoint ended with its answer, which ended with its connection: the operating
+// system closes the connections of a process that was killed as if their answers were whole.
+func (a *attempt) checkOutlived() (err error) {
+	x := a.exchange
+	s := x.server
+	ctx := x.r.Context()
+	clock.Pause(ctx, min(firstLookDelay, x.remaining()/2))
+	accepted, refused := s.cfg.Pool.Probe(ctx, a.endpoint.Address)
+	found := "silent"
+	switch {
+	case accepted:
+		found = "running"
+	case refused && a.isLeaving() && !x.mayRepeat():
+		// It stops listening before its last answers have ended.
+		found = "left"
+	case refused:
+		found, err = "ended", errEndpointEnded
+	}
+	s.metrics.GetOrCreateCounter(`parsleydeal_unframed_ends_total{endpoint="` + found + `"}`).Inc()
+	if found != "running" {
+		s.cfg.Log.Info("Answer ended with its connection", "request", x.req.ID, "endpoint", a.endpoint.ID, "address", a.endpoint.Address, "found", found, "events", a.events, "whole", err == nil)
+	}
+	return err
+}
+
+// isLeaving reports whether the endpoint is leaving or has left as planned.
+func (a *attempt) isLeaving() bool {
+	s := a.exchange.server
+	e := s.cfg.View().Fleet().Find(a.endpoint.ID)
+	return e == nil || e.Leaving || s.selector.Advertised(e).Leaving
+}
+
 // notWhole ends an attempt whose answer is not whole.
 func (a *attempt) notWhole(cause error) (r result, err error) {
 	if a.framing == upstream.Unframed {
