Don't take an unframed answer of a service for whole that ended with it

The other request path had the same fault: the gate on an endpoint's VM passed an answer of its service without length and chunks on as whole when the process of the service was killed in the middle of it, and billed it so.

The service is asked for a connection 30 ms after the end, as by the direct entry; if nothing listens the answer broke off, and has run. Streams of engines have an end mark, and answers between gate and entry messages of their own. Of the other readers, by reading: records of the store have lengths and go on behind the last whole one, pages are JSON, packed states flate and protobuf messages; a cut one of these is an error.

--- a/endpoint/plain.go
+++ b/endpoint/plain.go
@@ -9,6 +9,7 @@
 
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/refusal"
+	"github.com/parsleydeal/parsleydeal/upstream"
 )
 
 // plainPieceBytes is the maximum number of bytes of a service's answer in one piece.
@@ -41,7 +42,10 @@
 	if err = a.send(&wire.Piece{Status: int32(resp.StatusCode), Headers: headersOf(resp.Header)}); err != nil {
 		return err
 	}
-	if err = a.sendBody(resp.Body); err != nil {
+	if err = a.sendBody(resp.Body); err == nil && upstream.HasEnded(ctx, resp) {
+		err = errServiceEnded
+	}
+	if err != nil {
 		// The service responded, so the call took effect and its fee is due.
 		a.step = a.feeStep(false)
 		return a.interruptedAnswer(ctx, err)
@@ -49,6 +53,8 @@
 	return a.sendLastOfPlain()
 }
 
+var errServiceEnded = errors.New("service ended with its answer")
+
 // plainRefusal reports a call as not run only if no connection to the service was obtained:
 // then no byte of the call can have been sent.
 func (a *attempt) plainRefusal(ctx context.Context, err error, connected bool) error {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -6,6 +6,7 @@
 	"errors"
 	"maps"
 	"net"
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -30,7 +31,7 @@
 // Pool keeps idle connections to endpoints. It is safe for concurrent use.
 type Pool struct {
 	clock clock.Clock
-	dial  func(ctx context.Context, network, address string) (net.Conn, error)
+	dial  dialFunc
 	mu    sync.Mutex
 	// idle holds the idle connections by address, the most recently used last. There are at most
 	// as many as the last call to the address allowed.
@@ -42,6 +43,8 @@
 	droppedConns atomic.Int64
 }
 
+type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewPool returns an empty pool.
 func NewPool(c clock.Clock) *Pool {
 	dialer := net.Dialer{Timeout: connectTimeout.Duration(), KeepAlive: -1}
@@ -50,7 +53,7 @@
 
 // NewPoolWith returns an empty pool that opens connections with dial. Connections that are not TCP
 // connections are used for one request only.
-func NewPoolWith(c clock.Clock, dial func(ctx context.Context, network, address string) (net.Conn, error)) *Pool {
+func NewPoolWith(c clock.Clock, dial dialFunc) *Pool {
 	return &Pool{clock: c, dial: dial, idle: make(map[string][]*conn)}
 }
 
@@ -119,17 +122,38 @@
 // Probe opens a connection to an address and closes it again. accepted means that something listens
 // there, refused that nothing does. Neither is known if there was no reply in time.
 func (p *Pool) Probe(ctx context.Context, address string) (accepted, refused bool) {
+	if accepted, refused = probe(ctx, p.dial, address); accepted {
+		p.totalConns.Add(1)
+	}
+	return accepted, refused
+}
+
+func probe(ctx context.Context, dial dialFunc, address string) (accepted, refused bool) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
 	defer cancel()
-	c, err := p.dial(ctx, "tcp4", address)
+	c, err := dial(ctx, "tcp4", address)
 	if err != nil {
 		return false, errors.Is(err, syscall.ECONNREFUSED)
 	}
-	p.totalConns.Add(1)
 	_ = c.Close()
 	return true, false
 }
 
+// endLookDelay is how long after its answer a process may go on to listen that ended with it.
+const endLookDelay = 30 * clock.Millis(1)
+
+// HasEnded reports whether the server of an answer that was read to its end has ended with it, which only an answer without
+// length and chunks leaves open: the operating system closes the connections of a process that was killed as if their
+// answers were whole.
+func HasEnded(ctx context.Context, resp *http.Response) bool {
+	if resp.Uncompressed || framingOf(resp) != Unframed {
+		return false
+	}
+	clock.Pause(ctx, endLookDelay)
+	_, refused := probe(ctx, new(net.Dialer).DialContext, resp.Request.URL.Host)
+	return refused
+}
+
 func (p *Pool) pop(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
