Soak: endpoints that end and continue streams in other ways, old callers

Endpoints frame, begin and end their streams as drawn, and now and then end themselves between two events of one without a frame; a quarter of the streams is requested with HTTP/1.0 or Connection: close. The soak's crashing endpoints framed their streams, began each continuation where they should, and its callers all had HTTP/1.1, so that none of the five faults could show.

--- a/caller/broken_test.go
+++ b/caller/broken_test.go
@@ -26,10 +26,10 @@
 	srv.Start()
 	defer srv.Close()
 	for _, protocol := range standin.Protocols {
-		_, body, err := standin.Fetch(srv.Listener.Addr().String(), protocol, http.MethodGet, "/whole", nil)
+		_, body, err := standin.Fetch(srv.Listener.Addr().String(), protocol, http.MethodGet, "/whole", nil, "")
 		is.NoErr(err)
 		is.Equal(body, "part and rest")
-		_, _, err = standin.Fetch(srv.Listener.Addr().String(), protocol, http.MethodGet, "/broken", nil)
+		_, _, err = standin.Fetch(srv.Listener.Addr().String(), protocol, http.MethodGet, "/broken", nil, "")
 		is.True(err != nil)
 	}
 }
--- a/relay/ending_test.go
+++ b/relay/ending_test.go
@@ -85,7 +85,7 @@
 	if s.LastEvent > 0 {
 		h.Set("Last-Event-Id", fmt.Sprint(s.LastEvent))
 	}
-	status, body, err := standin.Fetch(entry.Listener.Addr().String(), protocol, method, "/x", h)
+	status, body, err := standin.Fetch(entry.Listener.Addr().String(), protocol, method, "/x", h, "")
 	if err != nil {
 		body = "broken"
 	}
--- a/relay/killed_test.go
+++ b/relay/killed_test.go
@@ -87,7 +87,7 @@
 	server.cfg.Dialect = Dialect{Read: readEnding, Call: callEnding, Head: signedHead, SetRefusalHeaders: func(http.Header, string) {}}
 	entry := httptest.NewServer(server)
 	defer entry.Close()
-	_, body, err := standin.Fetch(entry.Listener.Addr().String(), "1.1", http.MethodPost, "/x", http.Header{"Request-Id": {"r-1"}})
+	_, body, err := standin.Fetch(entry.Listener.Addr().String(), "1.1", http.MethodPost, "/x", http.Header{"Request-Id": {"r-1"}}, "")
 	if resumable {
 		is.NoErr(err)
 		is.Equal(body, wholeStream("r-1"))
--- a/soak/resumed_test.go
+++ b/soak/resumed_test.go
@@ -19,12 +19,7 @@
 	if k.resumed.IntN(severRarity) > 0 {
 		return
 	}
-	var pool []*endpoint
-	for _, e := range k.allEndpoints() {
-		if e.service == "pool" {
-			pool = append(pool, e)
-		}
-	}
+	pool := k.poolEndpoints()
 	k.resumed.Shuffle(len(pool), func(i, j int) { pool[i], pool[j] = pool[j], pool[i] })
 	refuses, breaks, status := pool[0], pool[len(pool)-1], resumedStatuses[k.resumed.IntN(len(resumedStatuses))]
 	d, ratio := time.Duration(k.resumed.IntN(2000))*time.Millisecond, k.resumed.Float64()
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -110,7 +110,7 @@
 	if strings.HasPrefix(r.URL.Path, "/chat/") {
 		reply.Events, reply.EventDelay, reply.Confidence = e.events, 15*time.Millisecond, 90
 		if prefix := r.Header.Get("Prompt-Prefix"); strings.Contains(prefix, crashBlock+":") || strings.Contains(prefix, lonePrefix) {
-			reply.CrashAfter = crashDelay
+			reply.CrashAfter, reply.Ending = crashDelay, nil
 		}
 	}
 	return reply
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -119,6 +119,8 @@
 	endless *rand.Rand
 	// resumed draws which endpoints do not continue streams.
 	resumed *rand.Rand
+	// endings draws how endpoints end and continue streams.
+	endings *rand.Rand
 	// crowds draws when most connections go to one entry, crowded is that entry; nil while they don't.
 	crowds  *rand.Rand
 	crowded atomic.Pointer[process]
@@ -144,7 +146,7 @@
 
 func runSeed(t *testing.T, seed uint64, program string) {
 	fmt.Printf("starting seed %d\n", seed)
-	k := &soak{site: newSite(t, program), t: t, rng: rand.New(rand.NewPCG(seed, 0)), returns: rand.New(rand.NewPCG(seed, returnsStream)), severs: rand.New(rand.NewPCG(seed, severStream)), endless: rand.New(rand.NewPCG(seed, endlessStream)), resumed: rand.New(rand.NewPCG(seed, resumedStream)), crowds: rand.New(rand.NewPCG(seed, crowdStream)), program: program, leftAt: make(map[string]time.Time), unanswered: make(map[string]bool), startedAt: time.Now()}
+	k := &soak{site: newSite(t, program), t: t, rng: rand.New(rand.NewPCG(seed, 0)), returns: rand.New(rand.NewPCG(seed, returnsStream)), severs: rand.New(rand.NewPCG(seed, severStream)), endless: rand.New(rand.NewPCG(seed, endlessStream)), resumed: rand.New(rand.NewPCG(seed, resumedStream)), endings: rand.New(rand.NewPCG(seed, endingStream)), crowds: rand.New(rand.NewPCG(seed, crowdStream)), program: program, leftAt: make(map[string]time.Time), unanswered: make(map[string]bool), startedAt: time.Now()}
 	watchdog := time.AfterFunc(time.Duration(*seconds)*time.Second+hangMargin, func() { k.abortHung(seed) })
 	// The watchdog also covers the shutdown of the entries and stand-ins, which may hang.
 	k.site.finalCleanup = func() { watchdog.Stop() }
@@ -163,6 +165,7 @@
 		k.maybeSever()
 		k.maybeAnswerEndlessly()
 		k.maybeRefuseResumed()
+		k.maybeEndStreams()
 		k.maybeCrowd()
 		time.Sleep(time.Duration(50+k.rng.IntN(700)) * time.Millisecond)
 	}
@@ -247,7 +250,12 @@
 		k.mu.Lock()
 		key := k.keys[rng.IntN(len(k.keys))]
 		k.mu.Unlock()
-		k.record(k.send(client, p, kind, key, fmt.Sprintf("r-%d-%d", n, i)))
+		id := fmt.Sprintf("r-%d-%d", n, i)
+		if kind == "chat" && i%oldCallers == 0 {
+			k.record(k.sendStream(p, key, id, i/oldCallers))
+		} else {
+			k.record(k.send(client, p, kind, key, id))
+		}
 		time.Sleep(time.Duration(rng.IntN(30)) * time.Millisecond)
 	}
 }
@@ -271,14 +279,7 @@
 		return out
 	}
 	r.Host = "h.example"
-	r.Header.Set("Request-Id", id)
-	r.Header.Set("Api-Key", key)
-	r.Header.Set("Request-Timeout-Ms", "4000")
-	if kind == "chat" {
-		r.Header.Set("Model", "*")
-		r.Header.Set("Session", "s-"+id[:3])
-		r.Header.Set("Prompt-Prefix", "aa:100,"+blockOf(id)+":200,"+contentOf(id)+":50")
-	}
+	r.Header = k.headers(kind, key, id)
 	resp, err := client.Do(r)
 	if err != nil {
 		out.err = err
@@ -290,6 +291,20 @@
 	return out
 }
 
+// headers returns the headers of a request.
+func (k *soak) headers(kind, key, id string) http.Header {
+	h := http.Header{}
+	h.Set("Request-Id", id)
+	h.Set("Api-Key", key)
+	h.Set("Request-Timeout-Ms", "4000")
+	if kind == "chat" {
+		h.Set("Model", "*")
+		h.Set("Session", "s-"+id[:3])
+		h.Set("Prompt-Prefix", "aa:100,"+blockOf(id)+":200,"+contentOf(id)+":50")
+	}
+	return h
+}
+
 func (k *soak) record(s sent) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
