Show callers with HTTP/1.0 that their entry was killed

The handler set the reset only when it saw the abort.

The connection is set to end with a reset before the answer begins, and to end as usual once it is whole: whoever closes it between, it is a reset. TestAnswerOfKilledProcessLooksBroken failed before with HTTP/1.0, with and without keep-alive, and held with HTTP/1.1.

--- a/caller/broken.go
+++ b/caller/broken.go
@@ -6,30 +6,31 @@
 	"golang.org/x/sys/unix"
 )
 
-// ShowBroken returns a handler that calls next. An answer that next aborts ends with a reset where the protocol of its
-// caller has no other sign for that: with HTTP/1.0 the end of the connection is that of a whole answer.
+// ShowBroken returns a handler that calls next. With HTTP/1.0 the end of the connection is that of a whole answer, so that
+// an answer that is aborted has to end with a reset, also when it ends with this process.
 func ShowBroken(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		defer func() {
-			p := recover()
-			if p == nil {
-				return
-			}
-			if !r.ProtoAtLeast(1, 1) {
-				Of(r.Context()).resetOnClose()
-			}
-			panic(p)
-		}()
+		if r.ProtoAtLeast(1, 1) {
+			next.ServeHTTP(w, r)
+			return
+		}
+		c := Of(r.Context())
+		c.setResetOnClose(true)
 		next.ServeHTTP(w, r)
+		c.setResetOnClose(false)
 	})
 }
 
-// resetOnClose makes the end of the connection a reset.
-func (c *Conn) resetOnClose() {
+// setResetOnClose sets whether the connection ends with a reset when it is closed, whoever closes it.
+func (c *Conn) setResetOnClose(reset bool) {
 	if c == nil {
 		return
 	}
+	linger := unix.Linger{}
+	if reset {
+		linger.Onoff = 1
+	}
 	_ = c.raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+		_ = unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &linger)
 	})
 }
