Compare IDs of events across one without an ID

An event without an ID made the position forget the last number, so that an ID that goes back behind it was passed on. Found by reading; TestEventsAreTakenInOrderOnly failed on '1 2 - 2' before.

--- a/relay/position.go
+++ b/relay/position.go
@@ -11,8 +11,8 @@
 // position is how far the caller has a stream. The IDs of its events are numbers that increase. An answer may go on with
 // the stream only behind the last event, and only if that had a number.
 type position struct {
-	// last is the number of the last event. known is false if the caller has no event, or if the last one had no number; lost
-	// tells the latter.
+	// last is the number of the last event that had one. known is false if the caller has no event, or if the last one had no
+	// number; lost tells the latter.
 	last  uint64
 	known bool
 	lost  bool
@@ -59,7 +59,7 @@
 	case err != nil:
 		p.known, p.lost = false, true
 		return nil
-	case p.known && n <= p.last:
+	case (p.known || p.last > 0) && n <= p.last:
 		return errRepeatedEvent
 	case joining && p.byOne && n > p.last+1:
 		return errMissingEvent
