--- a/caller/killed_test.go
+++ b/caller/killed_test.go
@@ -1,14 +1,11 @@
 package caller_test
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"os/exec"
-	"strings"
 	"testing"
 	"time"
 
@@ -40,16 +37,10 @@
 	for _, protocol := range standin.Protocols {
 		t.Run(protocol, func(t *testing.T) {
 			is := is.New(t)
-			cmd := exec.Command(os.Args[0])
-			cmd.Env = append(os.Environ(), killedServer+"=1")
-			out, err := cmd.StdoutPipe()
+			server, err := standin.StartProcess(killedServer)
 			is.NoErr(err)
-			is.NoErr(cmd.Start())
-			defer func() { _ = cmd.Wait() }()
-			address, err := bufio.NewReader(out).ReadString('\n')
-			is.NoErr(err)
-			defer time.AfterFunc(100*time.Millisecond, func() { _ = cmd.Process.Kill() }).Stop()
-			_, body, err := standin.Fetch(strings.TrimSpace(address), protocol, http.MethodGet, "/x", nil, "")
+			time.AfterFunc(100*time.Millisecond, server.Kill)
+			_, body, err := standin.Fetch(server.Address(), protocol, http.MethodGet, "/x", nil, "")
 			is.Equal(body, "part")
 			is.True(err != nil)
 		})
--- a/relay/killed_test.go
+++ b/relay/killed_test.go
@@ -8,8 +8,6 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"os/exec"
-	"strings"
 	"testing"
 	"time"
 
@@ -66,23 +64,16 @@
 func killDuringStream(t *testing.T, resumable bool) {
 	t.Helper()
 	is := is.New(t)
-	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), killedEndpoint+"=1")
-	out, err := cmd.StdoutPipe()
+	killed, err := standin.StartProcess(killedEndpoint)
 	is.NoErr(err)
-	is.NoErr(cmd.Start())
-	defer func() { _ = cmd.Wait() }()
-	line, err := bufio.NewReader(out).ReadString('\n')
-	is.NoErr(err)
-	kill := time.AfterFunc(200*time.Millisecond, func() { _ = cmd.Process.Kill() })
-	defer kill.Stop()
+	time.AfterFunc(200*time.Millisecond, killed.Kill)
 	// The other endpoint takes only what has begun elsewhere.
 	other, err := standin.StartEndpoint("other", func(r *http.Request) standin.Reply {
 		return standin.Reply{Events: continuationEvents, BreakAfter: -1, NotRun: r.Header.Get("Last-Event-Id") == ""}
 	})
 	is.NoErr(err)
 	defer other.Close()
-	view := viewOf(continuationRoute(catalog.Streaming, resumable), []fleet.Change{slotsOf("killed", strings.TrimSpace(line)), slotsOf("other", other.Address())})
+	view := viewOf(continuationRoute(catalog.Streaming, resumable), []fleet.Change{slotsOf("killed", killed.Address()), slotsOf("other", other.Address())})
 	server := serverOn(clock.Boot(), view)
 	server.cfg.Dialect = Dialect{Read: readEnding, Call: callEnding, Head: signedHead, SetRefusalHeaders: func(http.Header, string) {}}
 	entry := httptest.NewServer(server)
