--- a/caller/killed_test.go
+++ b/caller/killed_test.go
@@ -21,7 +21,7 @@
 	if os.Getenv(killedServer) == "" {
 		os.Exit(m.Run())
 	}
-	srv := httptest.NewUnstartedServer(caller.ShowBroken(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	srv := httptest.NewUnstartedServer(caller.ResetUnlessWhole(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, "part")
 		_ = http.NewResponseController(w).Flush()
 		select {}
--- a/caller/broken.go
+++ b/caller/reset.go
@@ -6,9 +6,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// ShowBroken returns a handler that calls next. With HTTP/1.0 the end of the connection is that of a whole answer, so that
-// an answer that is aborted has to end with a reset, also when it ends with this process.
-func ShowBroken(next http.Handler) http.Handler {
+// ResetUnlessWhole returns a handler that calls next. With HTTP/1.0 the end of the connection is that of a whole answer, so
+// that an aborted answer has to end with a reset, also when it ends with this process.
+func ResetUnlessWhole(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ProtoAtLeast(1, 1) {
 			next.ServeHTTP(w, r)
--- a/caller/broken_test.go
+++ b/caller/reset_test.go
@@ -14,7 +14,7 @@
 // Guards against an answer that breaks off and looks whole, with any protocol, and against whole ones that look broken.
 func TestAnswerLooksWholeOnlyIfItIs(t *testing.T) {
 	is := is.New(t)
-	srv := httptest.NewUnstartedServer(caller.ShowBroken(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	srv := httptest.NewUnstartedServer(caller.ResetUnlessWhole(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.WriteString(w, "part")
 		_ = http.NewResponseController(w).Flush()
 		if r.URL.Path == "/broken" {
--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -176,7 +176,7 @@
 	const headerSlack = 2
 	limiter := d.limiter
 	callers := &http.Server{
-		Handler: limiter.Handler(caller.ShowBroken(new(caller.Watcher).Handler(d.server))), ReadHeaderTimeout: s.Entry.HeaderTimeout.Duration(), IdleTimeout: s.Entry.IdleTimeout.Duration(),
+		Handler: limiter.Handler(caller.ResetUnlessWhole(new(caller.Watcher).Handler(d.server))), ReadHeaderTimeout: s.Entry.HeaderTimeout.Duration(), IdleTimeout: s.Entry.IdleTimeout.Duration(),
 		MaxHeaderBytes: headerSlack * s.Entry.MaxHeaders, ErrorLog: d.log.StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel}),
 	}
 	idle := newIdleConns(d.clock)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -76,7 +76,7 @@
 	limiter := overload.NewLimiter(e.node.Clock(), overload.LogChange(e.node.Log()))
 	limiter.Register(e.node.Metrics())
 	srv := &http.Server{
-		Handler:           limiter.Handler(caller.ShowBroken(new(caller.Watcher).Handler(e.Handler()))),
+		Handler:           limiter.Handler(caller.ResetUnlessWhole(new(caller.Watcher).Handler(e.Handler()))),
 		ReadHeaderTimeout: s.HeaderTimeout.Duration(),
 		IdleTimeout:       s.IdleTimeout.Duration(),
 		MaxHeaderBytes:    slack * s.MaxHeaders,
--- a/relay/ending_test.go
+++ b/relay/ending_test.go
@@ -70,7 +70,7 @@
 	}
 	server := serverOn(clock.Boot(), viewOf(s.route(), changes))
 	server.cfg.Dialect = Dialect{Read: readEnding, Call: callEnding, Head: signedHead, SetRefusalHeaders: func(http.Header, string) {}}
-	entry := httptest.NewUnstartedServer(caller.ShowBroken(server))
+	entry := httptest.NewUnstartedServer(caller.ResetUnlessWhole(server))
 	entry.Config.ConnContext = caller.WithConn
 	entry.Start()
 	defer entry.Close()
@@ -169,11 +169,11 @@
 func TestWholeAnswersAreDelivered(t *testing.T) { playEndings(t, "whole") }
 
 // Guards against a success without a body of which the endpoint sent nothing but the head.
-func TestAnswerThatEndsBehindItsHeadIsNoSuccess(t *testing.T) { playEndings(t, "no-events") }
+func TestAnswerThatEndsAfterItsHeadIsNoSuccess(t *testing.T) { playEndings(t, "no-events") }
 
-// Guards against streams in which events come twice or are missing because a resumed one did not begin behind the
+// Guards against streams in which events come twice or are missing because a resumed one did not begin after the
 // caller's last event.
-func TestStreamGoesOnBehindItsLastEvent(t *testing.T) { playEndings(t, "joined") }
+func TestStreamGoesOnAfterItsLastEvent(t *testing.T) { playEndings(t, "joined") }
 
 // Guards against a part of a long line that is taken for a line of its own.
 func TestLongLinesOfEventsAreReadWhole(t *testing.T) { playEndings(t, "parts") }
@@ -201,7 +201,7 @@
 			a := standin.Ending{
 				Framing: draw("framing", "chunks", "length", "none"), ClosesConnection: rapid.Bool().Draw(rt, "closes connection"),
 				Start: draw("start", "", "", "from-start", "overlap", "gap"), NoIDs: rapid.IntRange(0, 4).Draw(rt, "no IDs") == 0, RepeatsID: rapid.IntRange(0, 4).Draw(rt, "repeats ID") == 0,
-				DataBytes: size, At: draw("at", "", "", "in-head", "behind-head", "in-event", "behind-data", "between"), Sent: rapid.IntRange(0, continuationEvents).Draw(rt, "sent"),
+				DataBytes: size, At: draw("at", "", "", "in-head", "after-head", "in-event", "after-data", "between"), Sent: rapid.IntRange(0, continuationEvents).Draw(rt, "sent"),
 				End: draw("end", "fin", "reset"),
 			}
 			// A mark of the framing, or the end of an unframed answer while its endpoint lives, is the endpoint's own claim.
@@ -209,7 +209,7 @@
 			if a.At == "" {
 				a.End = ""
 			}
-			// Nothing shows what is left out behind an event that only the caller knows: IDs need not increase by one.
+			// Nothing shows what is left out after an event that only the caller knows: IDs need not increase by one.
 			if a.Start == "gap" && s.LastEvent > 0 {
 				a.Start = ""
 			}
--- a/relay/position.go
+++ b/relay/position.go
@@ -9,13 +9,13 @@
 )
 
 // position is how far the caller has a stream. The IDs of its events are numbers that increase. An answer may go on with
-// the stream only behind the last event, and only if that had a number.
+// the stream only after the last event, and only if that had a number.
 type position struct {
 	// last is the number of the last event that had one. known is false if the caller has no event, or if the last one had no
-	// number; lost tells the latter.
-	last  uint64
-	known bool
-	lost  bool
+	// number; unnumbered tells the latter.
+	last       uint64
+	known      bool
+	unnumbered bool
 	// byOne is true if the numbers have increased by one, and irregular if they have not always.
 	byOne     bool
 	irregular bool
@@ -40,12 +40,12 @@
 }
 
 // begun reports whether the caller has an event.
-func (p *position) begun() bool { return p.known || p.lost }
+func (p *position) begun() bool { return p.known || p.unnumbered }
 
 // join notes that the next event is the first one of an answer.
 func (p *position) join() { p.joining = p.known }
 
-// advance moves the position behind an event of the answer, or returns why that does not go on with the stream.
+// advance moves the position after an event of the answer, or returns why that does not go on with the stream.
 func (p *position) advance(e event) (err error) {
 	if !e.data && e.id == "" {
 		// A comment.
@@ -57,7 +57,7 @@
 	case err != nil && joining:
 		return errUnnumberedEvent
 	case err != nil:
-		p.known, p.lost = false, true
+		p.known, p.unnumbered = false, true
 		return nil
 	case (p.known || p.last > 0) && n <= p.last:
 		return errRepeatedEvent
@@ -68,7 +68,7 @@
 		p.irregular = p.irregular || n != p.last+1
 		p.byOne = !p.irregular
 	}
-	p.last, p.known, p.lost, p.joining = n, true, false, false
+	p.last, p.known, p.unnumbered, p.joining = n, true, false, false
 	return nil
 }
 
@@ -76,5 +76,5 @@
 func (a *attempt) outOfOrder(fault error) (r result, err error) {
 	x := a.exchange
 	x.server.metrics.GetOrCreateCounter(fmt.Sprintf("parsleydeal_events_out_of_order_total{fault=%q}", fault)).Inc()
-	return a.interruptedResult(), refusal.New(refusal.EngineFailed, fmt.Sprintf("stream is out of order behind event %d: %v", x.position.last, fault)).WithRun(refusal.Unknown)
+	return a.interruptedResult(), refusal.New(refusal.EngineFailed, fmt.Sprintf("stream is out of order after event %d: %v", x.position.last, fault)).WithRun(refusal.Unknown)
 }
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -107,7 +107,7 @@
 
 // mayRepeatAfter is like mayRepeat, but assumes that the given number of further attempts have run.
 func (x *exchange) mayRepeatAfter(more int) bool {
-	return x.route.Repeatable() && !x.position.lost && x.runs+more < x.route.MaxAttempts
+	return x.route.Repeatable() && !x.position.unnumbered && x.runs+more < x.route.MaxAttempts
 }
 
 // budget returns the retry budget of the request's service.
--- a/relay/server.go
+++ b/relay/server.go
@@ -208,11 +208,11 @@
 	timeToFirstByte clock.Millis
 	// position is how far the caller has the stream.
 	position position
-	// framing is that of the last attempt's answer, bytes what the caller was sent of the body, and joints where its
+	// framing is that of the last attempt's answer, bytes what the caller was sent of the body, and resumptions where its
 	// stream was continued, for the log.
-	framing upstream.Framing
-	bytes   int
-	joints  []string
+	framing     upstream.Framing
+	bytes       int
+	resumptions []string
 	// unread is how long the request lay unread before this entry got to it, leftAt the step at which the entry
 	// noticed that the caller had left, and leftBy whether the context or the socket told; both are empty if it did
 	// not leave.
@@ -284,7 +284,7 @@
 func (x *exchange) logRequest(err error, took clock.Millis, callerLeft bool) {
 	fields := []any{
 		"request", x.id(), "route", x.routeName(), "organisation", x.organisation, "status", x.status, "endpoint", x.endpoint, "version", x.version, "model", x.model,
-		"sends", x.sends, "retry", x.retry, "refused-for", x.refusedFor, "events", x.events, "bytes", x.bytes, "protocol", x.r.Proto, "framing", x.framing, "joints", strings.Join(x.joints, ","), "unread", x.unread, "waited", x.startWait, "took", took, "body", x.bodyTook, "placed", x.firstAttemptAfter(), "connect", x.connectTook, "first", x.timeToFirstByte, "pace", x.pace, "late", x.late(took), "config", x.configVersion(), "config-age", x.configAge(), "config-by", x.view.ConfirmedBy(), "left-by-caller", callerLeft, "left-at", x.leftAt, "left-by", x.leftBy,
+		"sends", x.sends, "retry", x.retry, "refused-for", x.refusedFor, "events", x.events, "bytes", x.bytes, "protocol", x.r.Proto, "framing", x.framing, "resumed", strings.Join(x.resumptions, ","), "unread", x.unread, "waited", x.startWait, "took", took, "body", x.bodyTook, "placed", x.firstAttemptAfter(), "connect", x.connectTook, "first", x.timeToFirstByte, "pace", x.pace, "late", x.late(took), "config", x.configVersion(), "config-age", x.configAge(), "config-by", x.view.ConfirmedBy(), "left-by-caller", callerLeft, "left-at", x.leftAt, "left-by", x.leftBy,
 	}
 	if err != nil {
 		x.server.cfg.Log.Warn("Request failed", append(fields, "error", logbook.Text(err))...)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -55,7 +55,7 @@
 		a.lastEventAt = e.at
 		if a.events == 0 {
 			a.firstEventAt = a.lastEventAt
-			x.noteJoint(e)
+			x.noteResumption(e)
 		}
 		if err = x.position.advance(e); err != nil {
 			return a.outOfOrder(err)
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -10,7 +10,7 @@
 
 // Causes of attempts whose answers ended and are not whole.
 var (
-	errNoContent     = errors.New("relay: answer ends behind its head")
+	errNoContent     = errors.New("relay: answer ends after its head")
 	errEndpointEnded = errors.New("relay: endpoint ended with its answer")
 )
 
@@ -18,7 +18,7 @@
 // of its events or of its body.
 //
 // A stream has at least one event, unless the caller resumes it and has them all. A success without a byte that ends with
-// its connection is the same as one that was cut off behind its head.
+// its connection is the same as one that was cut off after its head.
 func (a *attempt) checkWhole(hasContent bool) (err error) {
 	switch {
 	case a.exchange.r.Method == http.MethodHead:
--- a/soak/endings_test.go
+++ b/soak/endings_test.go
@@ -23,7 +23,7 @@
 	draw := func(of ...string) string { return of[rng.IntN(len(of))] }
 	a = standin.Ending{
 		Framing: draw("chunks", "length", "none"), ClosesConnection: rng.IntN(2) == 0, Start: draw("", "from-start", "overlap", "gap"),
-		At: draw("", "in-head", "behind-head", "in-event", "between"), Sent: rng.IntN(streamEvents), End: draw("fin", "reset"),
+		At: draw("", "in-head", "after-head", "in-event", "between"), Sent: rng.IntN(streamEvents), End: draw("fin", "reset"),
 	}
 	switch {
 	case a.At == "":
--- a/upstream/cut_test.go
+++ b/upstream/cut_test.go
@@ -22,7 +22,7 @@
 
 func (c *cutConn) Read(buf []byte) (n int, err error) { return c.text.Read(buf) }
 
-// Guards against a head that was cut off, by itself or behind others on its connection, and is taken for a whole one.
+// Guards against a head that was cut off, by itself or after others on its connection, and is taken for a whole one.
 func TestHeadCutShortIsNoAnswer(t *testing.T) {
 	const late, interim = "HTTP/1.1 200 OK\r\nId: 9\r\nContent-Length: 4\r\n\r\nlate", "HTTP/1.1 100 Continue\r\nId: 1\r\n\r\n"
 	head := func(fields string) string { return "HTTP/1.1 200 OK\r\nId: 1\r\n" + fields + "\r\n" }
