Don't take a service's answer that ends after its head for a whole one

The other request path had this fault of the direct entry too: the gate passed a success without length, chunks and a byte on as whole, and billed it so. It was left out when the gate began to ask about the ends of unframed answers.

One function checks both for answers of plain services, and the direct entry uses its delay and its causes in place of copies. Answers of 204, with a length of 0 and without success stay whole.

--- a/endpoint/plain.go
+++ b/endpoint/plain.go
@@ -42,8 +42,9 @@
 	if err = a.send(&wire.Piece{Status: int32(resp.StatusCode), Headers: headersOf(resp.Header)}); err != nil {
 		return err
 	}
-	if err = a.sendBody(resp.Body); err == nil && upstream.HasEnded(ctx, resp) {
-		err = errServiceEnded
+	size, err := a.sendBody(resp.Body)
+	if err == nil {
+		err = upstream.CheckWhole(ctx, resp, size)
 	}
 	if err != nil {
 		// The service responded, so the call took effect and its fee is due.
@@ -53,8 +54,6 @@
 	return a.sendLastOfPlain()
 }
 
-var errServiceEnded = errors.New("service ended with its answer")
-
 // plainRefusal reports a call as not run only if no connection to the service was obtained:
 // then no byte of the call can have been sent.
 func (a *attempt) plainRefusal(ctx context.Context, err error, connected bool) error {
@@ -86,20 +85,22 @@
 	return out
 }
 
-func (a *attempt) sendBody(r io.Reader) (err error) {
+// sendBody sends a body in pieces and returns its size in bytes.
+func (a *attempt) sendBody(r io.Reader) (size int, err error) {
 	buf := make([]byte, plainPieceBytes)
 	for {
 		n, err := r.Read(buf)
+		size += n
 		if n > 0 {
 			if sendErr := a.send(&wire.Piece{Data: buf[:n]}); sendErr != nil {
-				return sendErr
+				return size, sendErr
 			}
 		}
 		if err == io.EOF {
-			return nil
+			return size, nil
 		}
 		if err != nil {
-			return err
+			return size, err
 		}
 	}
 }
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -28,8 +28,7 @@
 	// runs, if nothing else has shown that.
 	proofDelay = 600 * clock.Millis(1)
 	// firstLookDelay and lastLookDelay are the times after an answer has broken off at which an endpoint that accepted a
-	// connection is asked again: a process that ends may close its connections before it stops listening. An endpoint whose
-	// answer ended with its connection is asked after the first one.
+	// connection is asked again: a process that ends may close its connections before it stops listening.
 	firstLookDelay = 30 * clock.Millis(1)
 	lastLookDelay  = 200 * clock.Millis(1)
 )
--- a/relay/whole.go
+++ b/relay/whole.go
@@ -1,19 +1,12 @@
 package relay
 
 import (
-	"errors"
 	"net/http"
 
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/upstream"
 )
 
-// Causes of attempts whose answers ended and are not whole.
-var (
-	errNoContent     = errors.New("relay: answer ends after its head")
-	errEndpointEnded = errors.New("relay: endpoint ended with its answer")
-)
-
 // checkWhole returns why an answer that has ended is not whole. hasContent tells whether the caller has, or would get, any
 // of its events or of its body.
 //
@@ -24,7 +17,7 @@
 	case a.exchange.r.Method == http.MethodHead:
 		return nil
 	case !hasContent && (a.isStream() || a.framing == upstream.Unframed && a.status < http.StatusMultipleChoices):
-		return errNoContent
+		return upstream.ErrNoContent
 	case a.framing == upstream.Unframed:
 		return a.checkOutlived()
 	}
@@ -37,7 +30,7 @@
 	x := a.exchange
 	s := x.server
 	ctx := x.r.Context()
-	clock.Pause(ctx, min(firstLookDelay, x.remaining()/2))
+	clock.Pause(ctx, min(upstream.EndLookDelay, x.remaining()/2))
 	accepted, refused := s.cfg.Pool.Probe(ctx, a.endpoint.Address)
 	found := "silent"
 	switch {
@@ -47,7 +40,7 @@
 		// It stops listening before its last answers have ended.
 		found = "left"
 	case refused:
-		found, err = "ended", errEndpointEnded
+		found, err = "ended", upstream.ErrServerEnded
 	}
 	s.metrics.GetOrCreateCounter(`parsleydeal_unframed_ends_total{endpoint="` + found + `"}`).Inc()
 	if found != "running" {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -139,19 +139,31 @@
 	return true, false
 }
 
-// endLookDelay is how long after its answer a process may go on to listen that ended with it.
-const endLookDelay = 30 * clock.Millis(1)
+// EndLookDelay is how long after its answer a process may go on to listen that ended with it: the operating system closes
+// its connections one after the other.
+const EndLookDelay = 30 * clock.Millis(1)
 
-// HasEnded reports whether the server of an answer that was read to its end has ended with it, which only an answer without
-// length and chunks leaves open: the operating system closes the connections of a process that was killed as if their
-// answers were whole.
-func HasEnded(ctx context.Context, resp *http.Response) bool {
-	if resp.Uncompressed || framingOf(resp) != Unframed {
-		return false
+// Causes for which an answer that ends with its connection is not whole.
+var (
+	ErrNoContent   = errors.New("answer ends after its head")
+	ErrServerEnded = errors.New("server ended with its answer")
+)
+
+// CheckWhole returns why an answer whose body was read to its end, with the given size in bytes, is not whole. Only one
+// without length and chunks leaves that open: the operating system closes the connections of a process that was killed as
+// if their answers were whole, and a success without a byte is the same as one that was cut off after its head.
+func CheckWhole(ctx context.Context, resp *http.Response, size int) (err error) {
+	switch {
+	case resp.Uncompressed || framingOf(resp) != Unframed:
+		return nil
+	case size == 0 && resp.StatusCode < http.StatusMultipleChoices:
+		return ErrNoContent
+	}
+	clock.Pause(ctx, EndLookDelay)
+	if _, refused := probe(ctx, new(net.Dialer).DialContext, resp.Request.URL.Host); refused {
+		return ErrServerEnded
 	}
-	clock.Pause(ctx, endLookDelay)
-	_, refused := probe(ctx, new(net.Dialer).DialContext, resp.Request.URL.Host)
-	return refused
+	return nil
 }
 
 func (p *Pool) pop(address string) *conn {
