--- a/review/run2/main.go
+++ b/review/run2/main.go
@@ -35,6 +35,7 @@
 type script func(s *site, trouble bool) (broken string, err error)
 
 var scripts = map[string]script{
+	"cold-roll":    coldRoll,
 	"late-version": lateVersion,
 }
 
--- a/review/run2/site.go
+++ b/review/run2/site.go
@@ -81,8 +81,13 @@
 	zone    string
 	callers string
 	ready   string
-	cmd     *exec.Cmd
-	log     *os.File
+	// settings is the path of the settings file.
+	settings string
+	log      *os.File
+	mu       sync.Mutex
+	cmd      *exec.Cmd
+	// ended is closed when the process has ended.
+	ended chan struct{}
 }
 
 // startEntry starts an entry with the settings that the template of the deploy file gives.
@@ -112,29 +117,58 @@
 cold-slack = 5
 session-life = "5s"
 `, name, zone, loopback.FreeAddress(), loopback.FreeAddress(), e.callers, strings.TrimPrefix(s.srv.URL, "http://"), e.ready)
-	path := filepath.Join(s.dir, name+".toml")
-	if err = os.WriteFile(path, []byte(text), 0o600); err != nil {
+	e.settings = filepath.Join(s.dir, name+".toml")
+	if err = os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
 		return err
 	}
 	if e.log, err = os.Create(filepath.Join(s.dir, name+".log")); err != nil {
 		return err
 	}
-	e.cmd = exec.Command(program, "--settings", path)
-	e.cmd.Stdout, e.cmd.Stderr = e.log, e.log
-	e.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err = e.cmd.Start(); err != nil {
+	s.entries = append(s.entries, e)
+	return e.start()
+}
+
+// start starts the process with the deployed command.
+func (e *entry) start() error {
+	cmd := exec.Command(program, "--settings", e.settings)
+	cmd.Stdout, cmd.Stderr = e.log, e.log
+	if err := cmd.Start(); err != nil {
 		return err
 	}
-	s.entries = append(s.entries, e)
+	ended := make(chan struct{})
+	go func() {
+		_ = cmd.Wait()
+		close(ended)
+	}()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cmd, e.ended = cmd, ended
 	return nil
 }
 
-func (e *entry) signal(sig syscall.Signal) { _ = e.cmd.Process.Signal(sig) }
+// process returns the current process, and a channel that is closed when it has ended.
+func (e *entry) process() (p *os.Process, ended chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cmd == nil {
+		ended = make(chan struct{})
+		close(ended)
+		return nil, ended
+	}
+	return e.cmd.Process, e.ended
+}
+
+func (e *entry) signal(sig syscall.Signal) {
+	if p, _ := e.process(); p != nil {
+		_ = p.Signal(sig)
+	}
+}
 
 func (e *entry) end() {
 	e.signal(syscall.SIGCONT)
 	e.signal(syscall.SIGKILL)
-	_ = e.cmd.Wait()
+	_, ended := e.process()
+	<-ended
 	_ = e.log.Close()
 }
 
@@ -200,15 +234,22 @@
 	mu       sync.Mutex
 	state    string
 	sequence int
+	// coldUntil is when the replica is warm.
+	coldUntil time.Time
 }
 
-// addServer starts a replica and registers it.
+// addServer starts a warm replica and registers it.
 func (s *site) addServer(id, service, zone, version string, respond func(r *http.Request) standin.Reply) (*server, error) {
+	return s.addColdServer(id, service, zone, version, 0, respond)
+}
+
+// addColdServer starts a replica that is cold for a time and registers it.
+func (s *site) addColdServer(id, service, zone, version string, cold time.Duration, respond func(r *http.Request) standin.Reply) (*server, error) {
 	e, err := standin.StartEndpoint(id, respond)
 	if err != nil {
 		return nil, err
 	}
-	r := &server{Endpoint: e, id: id, service: service, zone: zone, version: version, state: "ready"}
+	r := &server{Endpoint: e, id: id, service: service, zone: zone, version: version, state: "ready", coldUntil: time.Now().Add(cold)}
 	s.mu.Lock()
 	s.servers = append(s.servers, r)
 	s.mu.Unlock()
@@ -230,7 +271,11 @@
 		return
 	}
 	r.sequence++
-	s.store.Put("keyed.servers", r.id, r.Registration(r.service, r.zone, r.version, r.state, r.sequence))
+	text := string(r.Registration(r.service, r.zone, r.version, r.state, r.sequence))
+	if left := time.Until(r.coldUntil).Milliseconds(); left > 0 {
+		text = strings.Replace(text, `"coldRemainingMs":0`, fmt.Sprintf(`"coldRemainingMs":%d`, left), 1)
+	}
+	s.store.Put("keyed.servers", r.id, []byte(text))
 }
 
 // setState changes the state that a replica registers; with an empty one its entry is removed.
