--- a/review/run2/main.go
+++ b/review/run2/main.go
@@ -37,6 +37,7 @@
 var scripts = map[string]script{
 	"cold-roll":    coldRoll,
 	"late-version": lateVersion,
+	"power-loss":   powerLoss,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/run2/rollout.go
+++ b/review/run2/rollout.go
@@ -7,23 +7,19 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/parsleydeal/parsleydeal/platform/standin"
 )
 
-// A roll-out of 16 s whose version turns bad after it has got all new requests. The times count from its order.
+// A roll-out of 16 s. The times count from its order.
 const (
 	orderDuration = 16 * time.Second
-	turnsBadAt    = 11800 * time.Millisecond
-	rolloutEnd    = 34 * time.Second
 	// leavesAfter is the time from the end of a roll-out that was rolled back until its replicas drain.
 	leavesAfter = 3 * time.Second
-	// feeRate is the rate of the short requests in requests a second.
-	feeRate = 50
 	// Streams that begin on the old version shortly before its end last streamEvents times eventPause.
 	streamsFrom  = 8 * time.Second
-	streamCount  = 8
 	streamEvents = 40
 	eventPause   = 250 * time.Millisecond
 	// rollbackBound and badAnswers are the bounds of the rule, badEach of how many answers of the bad version one fails.
@@ -40,23 +36,52 @@
 	at         time.Time
 }
 
+// rolloutPlan is what happens in a roll-out.
+type rolloutPlan struct {
+	// rate is the rate of the short requests in requests a second, streams the number of long streams.
+	rate    int
+	streams int
+	end     time.Duration
+	// bad is false for a good version. A bad one fails requests from turnsBadAt on.
+	bad        bool
+	turnsBadAt time.Duration
+	// All entries lose power at powerLossAt and are started again powerLossFor later; 0 for never.
+	powerLossAt  time.Duration
+	powerLossFor time.Duration
+}
+
 // rollout is a roll-out with its arrivals and requests.
 type rollout struct {
 	*site
-	// turnsBad is false for a good version.
-	turnsBad bool
-	mu       sync.Mutex
-	orderAt  time.Time
+	plan    rolloutPlan
+	mu      sync.Mutex
+	orderAt time.Time
 	// completedAt is when the status said so first; zero if it did not.
 	completedAt time.Time
 	arrivals    []arrival
+	// newArrivals counts those at the new version.
+	newArrivals int
 	sent        map[string]result
 }
 
 // lateVersion rolls out a version that fails half of its requests once it has got all of them. Without the trouble the
 // version is good.
 func lateVersion(s *site, trouble bool) (broken string, err error) {
-	x := &rollout{site: s, turnsBad: trouble, sent: make(map[string]result)}
+	return play(s, rolloutPlan{rate: 50, streams: 8, end: 34 * time.Second, bad: trouble, turnsBadAt: 11800 * time.Millisecond})
+}
+
+// powerLoss rolls out a version that fails half of its requests from the start. The trouble is that all entries lose power
+// meanwhile.
+func powerLoss(s *site, trouble bool) (broken string, err error) {
+	p := rolloutPlan{rate: 5, end: 70 * time.Second, bad: true}
+	if trouble {
+		p.powerLossAt, p.powerLossFor = 9*time.Second, 1500*time.Millisecond
+	}
+	return play(s, p)
+}
+
+func play(s *site, p rolloutPlan) (broken string, err error) {
+	x := &rollout{site: s, plan: p, sent: make(map[string]result)}
 	if err = x.start(); err != nil {
 		return "", err
 	}
@@ -64,11 +89,34 @@
 		return "", err
 	}
 	go x.platform()
+	if p.powerLossAt > 0 {
+		go x.losePower()
+	}
 	x.traffic()
-	s.lines("Upgrade ended", "Verdict ")
+	s.lines("Upgrade ordered", "Upgrade ended", "Verdict ")
 	return x.judge(), nil
 }
 
+// losePower kills all entries at once and starts them again later.
+func (x *rollout) losePower() {
+	x.pause(time.Until(x.orderAt.Add(x.plan.powerLossAt)))
+	x.rec.printf("all entries lose power")
+	for _, e := range x.entries {
+		e.signal(syscall.SIGKILL)
+	}
+	if !x.pause(x.plan.powerLossFor) {
+		return
+	}
+	for _, e := range x.entries {
+		_, ended := e.process()
+		<-ended
+		if err := e.start(); err != nil {
+			x.rec.printf("%s: %v", e.name, err)
+		}
+	}
+	x.rec.printf("all entries are started again")
+}
+
 // start starts three entries and three replicas of the old version.
 func (x *rollout) start() error {
 	x.publish(map[string]any{
@@ -117,10 +165,13 @@
 		x.mu.Lock()
 		defer x.mu.Unlock()
 		a := arrival{id: id, newVersion: version != "v1", at: now}
-		a.bad = x.turnsBad && a.newVersion && now.After(x.orderAt.Add(turnsBadAt)) && len(x.arrivals)%badEach == 0
+		a.bad = x.plan.bad && a.newVersion && now.After(x.orderAt.Add(x.plan.turnsBadAt)) && x.newArrivals%badEach == 0
 		if a.bad {
 			reply.Status, reply.Events = http.StatusInternalServerError, 0
 		}
+		if a.newVersion {
+			x.newArrivals++
+		}
 		x.arrivals = append(x.arrivals, a)
 		x.rec.printf("%s runs on %s, fails: %t", id, version, a.bad)
 		return reply
@@ -198,19 +249,19 @@
 		})
 	}
 	streams := 0
-	for n := 0; time.Since(x.orderAt) < rolloutEnd; n++ {
+	for n := 0; time.Since(x.orderAt) < x.plan.end; n++ {
 		begin(x.entries[n%len(x.entries)], "/fee/x", fmt.Sprintf("fee%05d", n), 2*time.Second)
-		if age := time.Since(x.orderAt); streams < streamCount && age > streamsFrom+time.Duration(streams)*eventPause {
+		if age := time.Since(x.orderAt); streams < x.plan.streams && age > streamsFrom+time.Duration(streams)*eventPause {
 			begin(x.entries[streams%len(x.entries)], "/chat/x", fmt.Sprintf("chat%04d", streams), 25*time.Second)
 			streams++
 		}
-		x.pause(time.Second / feeRate)
+		x.pause(time.Second / time.Duration(x.plan.rate))
 	}
 	wg.Wait()
 }
 
 // judge applies the second part of the rule EXPOSURE: no request that is sent later than rollbackBound after the 50th bad
-// answer reaches the version. All entries are in touch all the while.
+// answer reaches the version. All entries are in touch by then.
 func (x *rollout) judge() (broken string) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
