Don't take a reset for the end of an answer while its request is being sent

Callers got a part of a body as a complete answer: an endpoint answered a long upload at once without a length, sent the part and reset the connection while the upload was still being written.

The kernel reports the failure of a connection once, to the read or write that asks first. Where the goroutine that sends the upload took the reset, the read that followed the part returned the same as at an end in order, and that is the end of an unframed body.

Reads of connections to endpoints return io.EOF now only if the peer has ended its side: the kernel says so (CLOSE_WAIT), or the connection failed later than that (EPIPE), or nothing failed. A write in progress is waited for, since it may have the reset already and not returned yet; the socket is closed then, so that it returns at once. Answers that end in order while the endpoint reads the rest of the upload, or leaves it, are delivered as before, without a wait.

--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -80,10 +80,11 @@
 		}
 		c.release(false)
 	}
-	netConn, err := p.dial(ctx, "tcp4", call.Address)
+	dialled, err := p.dial(ctx, "tcp4", call.Address)
 	if err != nil {
 		return nil, false, err
 	}
+	netConn := newCheckedConn(dialled)
 	p.openConns.Add(1)
 	p.totalConns.Add(1)
 	setUnackedTimeout(netConn)
@@ -268,11 +269,11 @@
 	})
 }
 
-// rawConn returns the socket of a TCP connection.
+// rawConn returns the socket of a connection.
 func rawConn(c net.Conn) (raw syscall.RawConn, err error) {
-	tcp, ok := c.(*net.TCPConn)
+	socket, ok := c.(syscall.Conn)
 	if !ok {
 		return nil, errors.ErrUnsupported
 	}
-	return tcp.SyscallConn()
+	return socket.SyscallConn()
 }
