Check the ends of connections in all clients of net/http

The other request path had the same fault: a gate passed a part of its service's answer on as whole when the service reset the connection while the upload was being sent. net/http writes a request in one goroutine and reads the answer in another, on the same socket.

upstream.NewTransport returns a transport over connections that check their end. The gate, the clients of the store, of the platform's log and lists, and of other entries' states use it.

--- a/bootstrap/http.go
+++ b/bootstrap/http.go
@@ -17,6 +17,7 @@
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/site"
+	"github.com/parsleydeal/parsleydeal/upstream"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -195,9 +196,9 @@
 
 // NewClient returns a client without open connections.
 func NewClient(cfg ClientConfig) *Client {
-	return &Client{cfg: cfg, http: &http.Client{Transport: &http.Transport{
+	return &Client{cfg: cfg, http: &http.Client{Transport: upstream.NewTransport(&http.Transport{
 		DialContext: (&net.Dialer{Timeout: connectTimeout.Duration(), KeepAlive: -1}).DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxAnswerHead,
-	}}}
+	})}}
 }
 
 // maxAnswerHead bounds the head of an answer, in bytes.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -30,6 +30,7 @@
 	"github.com/parsleydeal/parsleydeal/peer"
 	"github.com/parsleydeal/parsleydeal/provider"
 	"github.com/parsleydeal/parsleydeal/settings"
+	"github.com/parsleydeal/parsleydeal/upstream"
 )
 
 type daemonOptions struct {
@@ -143,7 +144,7 @@
 
 // newNode returns a node that uses the platform named in the settings.
 func newNode(s settings.Settings, l *log.Logger, peers *peer.Pool) *node.Node {
-	h := provider.NewHTTP(s.Platform, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}})
+	h := provider.NewHTTP(s.Platform, &http.Client{Transport: upstream.NewTransport(&http.Transport{MaxIdleConnsPerHost: 16})})
 	return node.New(node.Config{
 		Settings: s,
 		Clock:    clock.System(),
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -16,6 +16,7 @@
 	"github.com/parsleydeal/parsleydeal/peer"
 	"github.com/parsleydeal/parsleydeal/peer/wire"
 	"github.com/parsleydeal/parsleydeal/table"
+	"github.com/parsleydeal/parsleydeal/upstream"
 )
 
 const (
@@ -55,7 +56,7 @@
 // New creates the endpoint of a node; Serve runs it.
 func New(n *node.Node) *Endpoint {
 	client := &http.Client{
-		Transport:     &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true},
+		Transport:     upstream.NewTransport(&http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	e := &Endpoint{
--- a/endpoint/plain_test.go
+++ b/endpoint/plain_test.go
@@ -1,13 +1,17 @@
 package endpoint
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 
 	"github.com/matryer/is"
 	"github.com/parsleydeal/parsleydeal/peer"
+	"github.com/parsleydeal/parsleydeal/peer/wire"
+	"github.com/parsleydeal/parsleydeal/platform/standin"
 	"github.com/parsleydeal/parsleydeal/refusal"
 )
 
@@ -73,3 +77,52 @@
 		}
 	}
 }
+
+// Guards against a part of an answer that counts as whole because its service reset the connection while the upload was
+// being sent.
+func TestAnswerOfServiceThatIsResetIsNotWhole(t *testing.T) {
+	for _, x := range []struct {
+		end   string
+		whole bool
+	}{{end: "reset"}, {end: "", whole: true}, {end: "half-close", whole: true}} {
+		t.Run(x.end, func(t *testing.T) {
+			r := &rig{t: t, is: is.New(t), peers: peer.NewPool()}
+			service, err := standin.StartEndpoint("s", func(*http.Request) standin.Reply {
+				return standin.Reply{Raw: &standin.Raw{Body: "answer", Early: true, End: x.end, EndDelay: 5}}
+			})
+			r.is.NoErr(err)
+			t.Cleanup(service.Close)
+			r.start("http://"+service.Address(), true)
+			res := r.upload(t.Context(), r.serviceHead("r1", "POST", "fees"), 8)
+			if x.whole {
+				r.is.NoErr(res.err)
+				r.is.Equal(res.data, "answer")
+			} else {
+				r.is.True(res.refusal != nil)
+				r.is.Equal(res.refusal.Code(), refusal.EngineFailed)
+				r.is.True(res.refusal.Run() != refusal.NotRun)
+			}
+		})
+	}
+}
+
+// upload runs an attempt with a body of the given size in MiB.
+func (r *rig) upload(ctx context.Context, head *wire.RunHead, size int) (res result) {
+	ctx, cancel := context.WithCancel(ctx)
+	stream, err := r.gate().Run(ctx)
+	r.is.NoErr(err)
+	part := make([]byte, 1<<20)
+	var sending sync.WaitGroup
+	sending.Go(func() {
+		err := stream.Send(&wire.RunFrame{Head: head})
+		for i := 0; i < size && err == nil; i++ {
+			err = stream.Send(&wire.RunFrame{Body: part, Last: i == size-1})
+		}
+	})
+	res = collect(stream.Recv)
+	// The gate may have ended without reading the rest.
+	cancel()
+	sending.Wait()
+	_ = stream.Close()
+	return res
+}
