Check the heads of answers in all clients of net/http

The other request path passed on statuses 000, 099 and 600, and answers with a blank in the name of a field, without that field or with another end than its service meant; the store's client took such an answer for the acknowledgement of a record.

upstream.Transport returns an error in place of such an answer: outcome unknown. It sees a parsed head, so that a length beside chunks, a length given twice and chunks in HTTP/1.0 stay what net/http makes of them.

--- a/endpoint/plain_test.go
+++ b/endpoint/plain_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 
@@ -126,3 +127,25 @@
 	_ = stream.Close()
 	return res
 }
+
+// Guards against bytes with an invalid head that are passed on as the answer of a service.
+func TestInvalidHeadOfServiceIsNoAnswer(t *testing.T) {
+	for _, a := range []standin.Raw{
+		{StatusLine: "HTTP/1.1 000 Trouble", Fields: []string{"Content-Length: 2"}},
+		{StatusLine: "HTTP/1.1 099 Trouble", Fields: []string{"Content-Length: 2"}},
+		{StatusLine: "HTTP/1.1 600 Trouble", Fields: []string{"Content-Length: 2"}},
+		{Fields: []string{"Bad Name: x", "Content-Length: 2"}},
+		{Fields: []string{"Content-Length : 2"}},
+		{Fields: []string{"Bad\x01Name: x", "Content-Length: 2"}},
+	} {
+		t.Run(a.StatusLine+strings.Join(a.Fields, ","), func(t *testing.T) {
+			r := &rig{t: t, is: is.New(t), peers: peer.NewPool()}
+			a.Body = "no"
+			service, err := standin.StartEndpoint("s", func(*http.Request) standin.Reply { return standin.Reply{Raw: &a} })
+			r.is.NoErr(err)
+			t.Cleanup(service.Close)
+			r.start("http://"+service.Address(), true)
+			r.expectRefusal(r.run(t.Context(), r.serviceHead("r1", "POST", "fees"), "fee"), refusal.EngineFailed, refusal.Unknown)
+		})
+	}
+}
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -6,8 +6,8 @@
 	"net/http"
 )
 
-// Transport is a transport for clients of net/http whose connections return io.EOF only if the server has ended them in
-// order.
+// Transport is a transport for clients of net/http. It returns no answer whose head is not valid, and its connections
+// return io.EOF only if the server has ended them in order.
 type Transport struct {
 	*http.Transport
 }
@@ -29,3 +29,16 @@
 	}
 	return &Transport{base}
 }
+
+// RoundTrip sends a request. Of a framing that is told twice or in two ways it sees only what net/http chose.
+func (t *Transport) RoundTrip(r *http.Request) (resp *http.Response, err error) {
+	resp, err = t.Transport.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if err = checkHead(resp.StatusCode, resp.Header); err != nil {
+		_ = resp.Body.Close()
+		return nil, ErrInvalidHead.Wrap(err, "answer from %s", r.URL.Host)
+	}
+	return resp, nil
+}
