Answer requests whose handler panics

A status that net/http does not write ended in a panic of the handler. The caller's connection was closed without an answer, the line of net/http had neither the request's ID nor its endpoint, nothing counted it, and the memory reserved for the request's body stayed reserved.

The relay recovers: the caller gets a complete 500 whose outcome is unknown, without the fields of an endpoint's answer, or an answer that breaks off if a part was sent. `Request handler panicked` has the request and the stack, parsleydeal_handler_panics_total counts. No input is known that still leads to a panic.

--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -60,6 +60,8 @@
 	Restarted Code = "restarted"
 	// Quarantined means that endpoints crashed on a block of the request's prompt.
 	Quarantined Code = "quarantined"
+	// Internal means that the handler of the request failed because of a fault in this program.
+	Internal Code = "internal"
 	// NotKept means that the endpoint does not store the requested answer.
 	NotKept Code = "not-kept"
 )
@@ -84,6 +86,7 @@
 	EndpointLost:    http.StatusBadGateway,
 
 	EngineUnreachable: http.StatusBadGateway,
+	Internal:          http.StatusInternalServerError,
 }
 
 // Refusal is an error with a cause, a run state and a retry delay.
--- a/relay/server.go
+++ b/relay/server.go
@@ -78,6 +78,8 @@
 	limitedFurther *metrics.Counter
 	// notContinued counts answers to resumed streams that do not continue these.
 	notContinued *metrics.Counter
+	// panics counts requests whose handler panicked.
+	panics *metrics.Counter
 	// invalidHeads counts answers whose head is not valid.
 	invalidHeads *metrics.Counter
 	// unread is how long requests lay unread before this entry got to them, in seconds.
@@ -114,6 +116,7 @@
 		cfg: cfg, startedAt: cfg.Clock.Now(), meter: meter.New(set), metrics: set, advertisementChanges: set.NewCounter("parsleydeal_endpoint_statements_total"),
 		unread:       set.NewHistogram("parsleydeal_request_unread_seconds"),
 		notContinued: set.NewCounter("parsleydeal_streams_not_continued_total"),
+		panics:       set.NewCounter("parsleydeal_handler_panics_total"),
 		invalidHeads: set.NewCounter("parsleydeal_endpoint_heads_invalid_total"),
 		limitedFirst: set.NewCounter(`parsleydeal_limited_sends_total{attempt="first"}`), limitedFurther: set.NewCounter(`parsleydeal_limited_sends_total{attempt="further"}`), selector: placement.NewSelectorWith(cfg.Strategies), sessions: newSessions(cfg.SessionIdleTimeout), counts: newVersionCounts(cfg.Clock, set.NewCounter("parsleydeal_latency_samples_dropped_total")),
 		snapshotRequests: make(chan string, maxSnapshotQueue), latency: newLatencyTracker(), escalator: cascade.NewEscalator(cfg.Strategies), quarantine: quarantine.New(), budgets: make(map[string]*limit.Share), loadDefectLoggedAt: make(map[LoadDefect]clock.Millis),
@@ -155,7 +158,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	end := s.meter.Begin()
-	err := x.serve()
+	err := x.serveRecovered()
 	end(x.routeName(), uint32(x.sends), err)
 	s.bodies.release(x.reserved)
 	s.buffered.release(x.buffered)
