Soak with invalid heads, resets during uploads and long uploads

Proxies of the soak pass a reset on as one: they had the fault of the entries, a reset read as an end.

--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -40,10 +40,11 @@
 var refusals = map[int]bool{408: true, 421: true, 429: true, 503: true}
 
 func (k *soak) checkRuns(s sent, runs []standin.Run) {
-	if s.kind == "fee" && len(runs) > 1 {
+	once := s.kind == "fee" || s.kind == "upload"
+	if once && len(runs) > 1 {
 		k.t.Errorf("%s ran %d times", s.id, len(runs))
 	}
-	if s.kind == "fee" && s.err == nil && refusals[s.status] && len(runs) > 0 {
+	if once && s.err == nil && refusals[s.status] && len(runs) > 0 {
 		k.t.Errorf("%s was refused with %d and ran", s.id, s.status)
 	}
 	revoked, isRevoked := k.revokedAt[s.key]
@@ -54,7 +55,7 @@
 		if r.Organisation != "org" || r.Header.Get("Api-Key") != "" {
 			k.t.Errorf("%s ran for organisation %q with key %q", s.id, r.Organisation, r.Header.Get("Api-Key"))
 		}
-		if s.kind != "read" && r.Body != "body of "+contentOf(s.id) {
+		if s.kind != "read" && s.kind != "upload" && r.Body != "body of "+contentOf(s.id) {
 			k.t.Errorf("%s ran with body %q", s.id, r.Body)
 		}
 	}
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/parsleydeal/parsleydeal/upstream"
 )
 
 // mode is what a proxy does with the data of its connections.
@@ -163,16 +165,22 @@
 	p.track(t, x)
 	defer p.track(t, nil)
 	defer t.Close()
-	done := make(chan struct{}, 2)
-	go func() { p.copy(x, t, c, false); done <- struct{}{} }()
-	go func() { p.copy(x, c, t, true); done <- struct{}{} }()
-	<-done
+	done := make(chan error, 2)
+	target := upstream.Checked(t)
+	go func() { done <- p.copy(x, target, c, t.(*net.TCPConn), false) }()
+	go func() { done <- p.copy(x, c, target, c.(*net.TCPConn), true) }()
+	if err := <-done; err != nil {
+		// A reset is passed on as one, in both directions.
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = t.(*net.TCPConn).SetLinger(0)
+	}
 }
 
 // slowDelay is the delay of each read in mode slow.
 const slowDelay = 150 * time.Millisecond
 
-func (p *proxy) copy(x *pair, to, from net.Conn, toOpener bool) {
+// copy passes on what is read from one side until its end, which it passes on to the socket of the other one.
+func (p *proxy) copy(x *pair, to, from net.Conn, socket *net.TCPConn, toOpener bool) (err error) {
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
@@ -183,15 +191,15 @@
 			time.Sleep(slowDelay)
 		}
 		if n > 0 {
-			if _, werr := to.Write(buf[:n]); werr != nil {
-				return
+			if _, err := to.Write(buf[:n]); err != nil {
+				return err
 			}
 		}
+		if err == io.EOF {
+			return socket.CloseWrite()
+		}
 		if err != nil {
-			if err == io.EOF {
-				_ = to.(*net.TCPConn).CloseWrite()
-			}
-			return
+			return err
 		}
 	}
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -121,6 +121,8 @@
 	resumed *rand.Rand
 	// endings draws how endpoints end and continue streams.
 	endings *rand.Rand
+	// raw draws which endpoints send invalid and incomplete answers.
+	raw *rand.Rand
 	// crowds draws when most connections go to one entry, crowded is that entry; nil while they don't.
 	crowds  *rand.Rand
 	crowded atomic.Pointer[process]
@@ -146,7 +148,7 @@
 
 func runSeed(t *testing.T, seed uint64, program string) {
 	fmt.Printf("starting seed %d\n", seed)
-	k := &soak{site: newSite(t, program), t: t, rng: rand.New(rand.NewPCG(seed, 0)), returns: rand.New(rand.NewPCG(seed, returnsStream)), severs: rand.New(rand.NewPCG(seed, severStream)), endless: rand.New(rand.NewPCG(seed, endlessStream)), resumed: rand.New(rand.NewPCG(seed, resumedStream)), endings: rand.New(rand.NewPCG(seed, endingStream)), crowds: rand.New(rand.NewPCG(seed, crowdStream)), program: program, leftAt: make(map[string]time.Time), unanswered: make(map[string]bool), startedAt: time.Now()}
+	k := &soak{site: newSite(t, program), t: t, rng: rand.New(rand.NewPCG(seed, 0)), returns: rand.New(rand.NewPCG(seed, returnsStream)), severs: rand.New(rand.NewPCG(seed, severStream)), endless: rand.New(rand.NewPCG(seed, endlessStream)), resumed: rand.New(rand.NewPCG(seed, resumedStream)), endings: rand.New(rand.NewPCG(seed, endingStream)), raw: rand.New(rand.NewPCG(seed, rawStream)), crowds: rand.New(rand.NewPCG(seed, crowdStream)), program: program, leftAt: make(map[string]time.Time), unanswered: make(map[string]bool), startedAt: time.Now()}
 	watchdog := time.AfterFunc(time.Duration(*seconds)*time.Second+hangMargin, func() { k.abortHung(seed) })
 	// The watchdog also covers the shutdown of the entries and stand-ins, which may hang.
 	k.site.finalCleanup = func() { watchdog.Stop() }
@@ -156,6 +158,7 @@
 	for n := range 12 {
 		callers.Go(func() { k.sendRequests(ctx, n, rand.New(rand.NewPCG(seed, uint64(n)+1))) })
 	}
+	k.sendUploads(ctx, &callers, rand.New(rand.NewPCG(seed, rawStream+1)))
 	crashes := k.maybeSendCrashes(ctx, &callers, rand.New(rand.NewPCG(seed, crashStream)))
 	k.sendLeaving(ctx, &callers, rand.New(rand.NewPCG(seed, leavingStream)))
 	lone := k.maybeSendLoneCrashes(ctx, &callers, rand.New(rand.NewPCG(seed, loneStream)))
@@ -166,6 +169,7 @@
 		k.maybeAnswerEndlessly()
 		k.maybeRefuseResumed()
 		k.maybeEndStreams()
+		k.maybeAnswerRaw()
 		k.maybeCrowd()
 		time.Sleep(time.Duration(50+k.rng.IntN(700)) * time.Millisecond)
 	}
@@ -265,15 +269,18 @@
 	p.mu.Lock()
 	out.undisturbed = time.Since(p.undisturbedSince)
 	p.mu.Unlock()
-	method := map[string]string{"chat": "POST", "read": "GET", "fee": "POST"}[kind]
+	method, path := map[string]string{"chat": "POST", "read": "GET", "fee": "POST", "upload": "POST"}[kind], kind
 	var body io.Reader
-	if method == "POST" {
+	switch {
+	case kind == "upload":
+		path, body = "fee", uploadBody()
+	case method == "POST":
 		// net/http cannot rewind a MultiReader, so it never sends the request again by itself.
 		// Otherwise one request could reach the endpoints twice and look as if the entry had run it
 		// twice.
 		body = io.MultiReader(strings.NewReader("body of " + contentOf(id)))
 	}
-	r, err := http.NewRequest(method, p.base+"/"+kind+"/x", body)
+	r, err := http.NewRequest(method, p.base+"/"+path+"/x", body)
 	if err != nil {
 		out.err = err
 		return out
--- a/upstream/checked.go
+++ b/upstream/checked.go
@@ -25,9 +25,9 @@
 	failure atomic.Pointer[error]
 }
 
-func newCheckedConn(c net.Conn) *checkedConn {
-	return &checkedConn{Conn: c, writing: make(chan struct{}, 1)}
-}
+// Checked returns a connection that reads from c and writes to it, and whose reads return io.EOF only if the peer has
+// ended it in order. All reads and writes must go through it.
+func Checked(c net.Conn) net.Conn { return &checkedConn{Conn: c, writing: make(chan struct{}, 1)} }
 
 // Read reads from the connection.
 func (c *checkedConn) Read(buf []byte) (n int, err error) {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -80,11 +80,11 @@
 		}
 		c.release(false)
 	}
-	dialled, err := p.dial(ctx, "tcp4", call.Address)
+	netConn, err := p.dial(ctx, "tcp4", call.Address)
 	if err != nil {
 		return nil, false, err
 	}
-	netConn := newCheckedConn(dialled)
+	netConn = Checked(netConn)
 	p.openConns.Add(1)
 	p.totalConns.Add(1)
 	setUnackedTimeout(netConn)
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -25,7 +25,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return newCheckedConn(c), nil
+		return Checked(c), nil
 	}
 	return &Transport{base}
 }
