Don't cut requests at the end of a planned stop

In a planned stop, requests that came late were passed on and cut at the end of the grace without an answer, among them calls that may not be repeated: all requests were taken for 3 s, whatever they need, and the process ended with what still ran (timeline in the postmortem).

A stopping entry compares what the requests of a route usually take (smoothed mean and twice the mean deviation) with what is left of its grace. A request that does not fit is refused at once, as not run, to come back after 50 ms: other entries serve. What still runs 100 ms before the end, with nothing of its answer sent, is cancelled and gets a complete 502 that says its outcome is unknown, or a 503 if it was not run. Neither counts against its endpoint or its version. Streams of which a part was sent go on to the end. Requests of routes of which nothing is known are taken, as before.

--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -289,7 +289,7 @@
 // is nearly over.
 func (d *direct) leave(ctx context.Context, callers *http.Server) (err error) {
 	startedAt := d.clock.Now()
-	d.server.Leave()
+	d.server.Leave(d.settings.Direct.Grace - stopMargin)
 	d.loop.Leave(ctx)
 	d.log.Info("Entry leaves", "active", d.server.Active(), "grace", d.settings.Direct.Grace)
 	clock.Pause(ctx, leaveDelay)
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -40,6 +40,9 @@
 		return err
 	}
 	x.setDeadline()
+	if err = x.checkTime(); err != nil {
+		return err
+	}
 	if x.remaining() < minRemaining {
 		return refusal.New(refusal.DeadlinePassed, fmt.Sprintf("request was read %s after it arrived", x.unread))
 	}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -475,6 +475,7 @@
 
 // deliver sends a buffered answer to the caller.
 func (x *exchange) deliver(answer *bufferedAnswer) (err error) {
+	x.begun.Store(true)
 	copyHeader(x.w.Header(), answer.head.Header)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(answer.body)))
 	x.w.WriteHeader(answer.head.Status)
--- a/relay/run.go
+++ b/relay/run.go
@@ -176,6 +176,10 @@
 	if x.hasLeft() {
 		return errLeft()
 	}
+	if x.endsWithServer() {
+		x.server.countStopped("ended")
+		return refusal.New(refusal.Leaving, "entry stops: "+messageOf(err)).WithRetryAfter(leavingRetryAfter)
+	}
 	return refusal.New(refusal.DeadlinePassed, "time is up: "+messageOf(err))
 }
 
@@ -238,9 +242,10 @@
 	now := s.cfg.Clock.Now()
 	x.endpoint, x.version, x.model = a.endpoint.ID, a.endpoint.Version, a.plan.model()
 	x.recordEnd(a, r)
-	callerLeft := x.hasLeft()
+	// Neither a caller that left nor the end of this process tells anything of the endpoint.
+	cutShort := x.hasLeft() || x.endsWithServer()
 	switch {
-	case callerLeft, a.abandoned, a.delayed:
+	case cutShort, a.abandoned, a.delayed:
 	case r == done || r == poor:
 		s.selector.RecordOutcome(a.endpoint.ID, false, now)
 	case a.status == 0 && r == notRun, a.wrongEndpoint, a.tooLong:
@@ -256,7 +261,7 @@
 	default:
 		s.selector.RecordOutcome(a.endpoint.ID, true, now)
 	}
-	if !callerLeft && !a.delayed && r != notRun {
+	if !cutShort && !a.delayed && r != notRun {
 		s.recordOutcome(x, a, r)
 	}
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -90,6 +90,8 @@
 	// evidence reports what the register has found; nil before SendEvidence is called.
 	evidence  atomic.Pointer[evidenceReporter]
 	leaving   atomic.Bool
+	stop      *plannedStop
+	durations *durations
 	startedAt clock.Millis
 	// snapshotRequests holds the addresses of entries that wait for a snapshot; awaitingSnapshot
 	// is true while this entry waits for its own.
@@ -113,6 +115,7 @@
 	set := metrics.NewSet()
 	memory := float64(cmp.Or(cfg.Memory, defaultMemory))
 	return &Server{
+		stop: newPlannedStop(), durations: newDurations(),
 		cfg: cfg, startedAt: cfg.Clock.Now(), meter: meter.New(set), metrics: set, advertisementChanges: set.NewCounter("parsleydeal_endpoint_statements_total"),
 		unread:       set.NewHistogram("parsleydeal_request_unread_seconds"),
 		notContinued: set.NewCounter("parsleydeal_streams_not_continued_total"),
@@ -124,10 +127,6 @@
 	}
 }
 
-// Leave makes every response from now on close its connection, so that callers move to other
-// entries.
-func (s *Server) Leave() { s.leaving.Store(true) }
-
 // Active returns the number of requests in flight.
 func (s *Server) Active() int64 { return s.active.Load() }
 
@@ -144,6 +143,7 @@
 func (s *Server) Sweep() {
 	s.sessions.sweep(s.cfg.Clock.Now())
 	s.quarantine.Sweep(s.cfg.Clock.Now())
+	s.durations.sweep(s.cfg.Clock.Now())
 	s.selector.Prune(s.cfg.View().Fleet(), s.cfg.Clock.Now())
 	s.cfg.Pool.Sweep()
 }
@@ -203,8 +203,9 @@
 	unusedRetryAt clock.Millis
 	// fallback is the answer to deliver if no endpoint takes the request; nil if there is none.
 	fallback *fallback
-	// written is true once the head of the answer was sent to the caller.
+	// written is true once the head of the answer was sent to the caller; begun is the same for other goroutines.
 	written bool
+	begun   atomic.Bool
 	// status, endpoint, version and model are those of the answer, for the log.
 	status          int
 	endpoint        string
@@ -263,16 +264,27 @@
 	x.bodyTook = s.cfg.Clock.Since(bodyStartedAt)
 	ctx, cancel := context.WithTimeout(x.r.Context(), x.remaining().Duration())
 	defer cancel()
+	defer x.endWithServer(cancel)()
 	return x.run(ctx)
 }
 
-// remaining returns the time until the deadline.
-func (x *exchange) remaining() clock.Millis { return x.deadline - x.server.cfg.Clock.Now() }
+// remaining returns the time until the deadline, or until the server ends if that is sooner and nothing was sent to the
+// caller.
+func (x *exchange) remaining() clock.Millis {
+	until := x.deadline
+	if !x.begun.Load() {
+		until = min(until, x.server.stop.endsAt())
+	}
+	return until - x.server.cfg.Clock.Now()
+}
 
 // finish logs the request, and sends a refusal if it got no complete answer.
 func (x *exchange) finish(err error) {
 	s := x.server
 	took := s.cfg.Clock.Since(x.startedAt)
+	if err == nil {
+		s.durations.add(x.route.Name, took, s.cfg.Clock.Now())
+	}
 	callerLeft := err != nil && x.callerLeft(leftDuringAnswer)
 	x.logRequest(err, took, callerLeft)
 	switch {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -125,6 +125,7 @@
 // writeHead sends the head of the answer to the caller. The length is omitted because part of the
 // answer may come from another endpoint.
 func (x *exchange) writeHead(h Head) {
+	x.begun.Store(true)
 	copyHeader(x.w.Header(), h.Header)
 	x.w.Header().Del("Content-Length")
 	x.w.WriteHeader(h.Status)
