Let streams that have begun go on at the end of a planned stop

And what a route usually takes says little of one long stream: load balancers send nothing new after their second failed probe, so that few requests come later, and these had better not be cut.

The context and the endpoint get the request's own deadline; the server's end cancels only what has not begun. From 2.8 s after the entry noticed the signal, which it may do 200 ms late, a request is taken only if its own deadline is before the end.

TestStreamThatHasBegunGoesOnAtEndOfStop and TestLateRequestIsTakenOnlyIfItsDeadlineIsBeforeTheEnd failed before.

--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -39,6 +39,8 @@
 	// connections. Load balancers probe once a second and act on the second failed
 	// probe.
 	leaveDelay = 3 * clock.Second
+	// signalDelay is by how much a process that waits for its processor may notice a signal late.
+	signalDelay = 200 * clock.Millis(1)
 	// stopMargin is reserved at the end of the grace time for the process to exit by
 	// itself.
 	stopMargin = 400 * clock.Millis(1)
@@ -289,7 +291,7 @@
 // is nearly over.
 func (d *direct) leave(ctx context.Context, callers *http.Server) (err error) {
 	startedAt := d.clock.Now()
-	d.server.Leave(d.settings.Direct.Grace - stopMargin)
+	d.server.Leave(leaveDelay-signalDelay, d.settings.Direct.Grace-stopMargin)
 	d.loop.Leave(ctx)
 	d.log.Info("Entry leaves", "active", d.server.Active(), "grace", d.settings.Direct.Grace)
 	clock.Pause(ctx, leaveDelay)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -155,7 +155,7 @@
 	x := a.exchange
 	params := AttemptParams{
 		Endpoint: a.endpoint.ID, Address: a.endpoint.Address, Organisation: x.organisation, Model: a.plan.model(),
-		Remaining: max(x.remaining(), 1), Priority: x.priority, LastEventID: x.req.LastEventID, Resumes: x.req.Resumes,
+		Remaining: max(x.untilDeadline(), 1), Priority: x.priority, LastEventID: x.req.LastEventID, Resumes: x.req.Resumes,
 		// A reused connection may be dead, and only a request sent on it reveals that. A request
 		// that must not be repeated would be lost.
 		NewConnection: !x.route.Repeatable(),
--- a/relay/server.go
+++ b/relay/server.go
@@ -262,20 +262,22 @@
 		return err
 	}
 	x.bodyTook = s.cfg.Clock.Since(bodyStartedAt)
-	ctx, cancel := context.WithTimeout(x.r.Context(), x.remaining().Duration())
+	ctx, cancel := context.WithTimeout(x.r.Context(), x.untilDeadline().Duration())
 	defer cancel()
 	defer x.endWithServer(cancel)()
 	return x.run(ctx)
 }
 
+// untilDeadline returns the time until the deadline.
+func (x *exchange) untilDeadline() clock.Millis { return x.deadline - x.server.cfg.Clock.Now() }
+
 // remaining returns the time until the deadline, or until the server ends if that is sooner and nothing was sent to the
 // caller.
 func (x *exchange) remaining() clock.Millis {
-	until := x.deadline
-	if !x.begun.Load() {
-		until = min(until, x.server.stop.endsAt())
+	if x.begun.Load() {
+		return x.untilDeadline()
 	}
-	return until - x.server.cfg.Clock.Now()
+	return min(x.untilDeadline(), x.server.stop.endsAt()-x.server.cfg.Clock.Now())
 }
 
 // finish logs the request, and sends a refusal if it got no complete answer.
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -13,8 +13,10 @@
 
 // plannedStop is the planned stop of a server.
 type plannedStop struct {
-	// at is when all requests must have been answered, on the server's clock; neverStops before a stop was planned.
-	at atomic.Int64
+	// at is when all requests must have been answered, on the server's clock; neverStops before a stop was planned. lateAt is
+	// when only requests are taken whose own deadline is before that.
+	at     atomic.Int64
+	lateAt atomic.Int64
 	// ended is cancelled at that time.
 	ended context.Context
 	end   context.CancelFunc
@@ -42,10 +44,13 @@
 
 // Leave makes every response from now on close its connection, so that callers move to other entries. Requests that
 // usually take longer than what is left of the given time are refused, and those that still run at its end are answered
-// as unknown, unless a part of the answer was sent. It must be called once.
-func (s *Server) Leave(left clock.Millis) {
+// as unknown, unless a part of the answer was sent. Load balancers send nothing new after noticedAfter; what comes then is
+// taken only if its deadline is before the end. Leave must be called once.
+func (s *Server) Leave(noticedAfter, left clock.Millis) {
 	left = max(left-answerMargin, 0)
-	s.stop.at.Store(int64(s.cfg.Clock.Now() + left))
+	now := s.cfg.Clock.Now()
+	s.stop.lateAt.Store(int64(now + noticedAfter))
+	s.stop.at.Store(int64(now + left))
 	time.AfterFunc(left.Duration(), s.stop.end)
 	s.leaving.Store(true)
 }
@@ -55,14 +60,18 @@
 	s.metrics.GetOrCreateCounter(`parsleydeal_stop_unanswered_total{outcome="` + outcome + `"}`).Inc()
 }
 
-// checkTime refuses a request that usually takes longer than this process still runs.
+// checkTime refuses a request that may take longer than this process still runs.
 func (x *exchange) checkTime() error {
 	s := x.server
 	if !s.leaving.Load() {
 		return nil
 	}
+	now := s.cfg.Clock.Now()
 	needed := max(s.durations.usual(x.route.Name), minRemaining)
-	if s.stop.endsAt()-s.cfg.Clock.Now() >= needed {
+	if now >= clock.Millis(s.stop.lateAt.Load()) {
+		needed = x.untilDeadline()
+	}
+	if s.stop.endsAt()-now >= needed {
 		return nil
 	}
 	s.countStopped("refused")
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -13,6 +13,7 @@
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/fleet"
 	"github.com/parsleydeal/parsleydeal/platform/standin"
+	"github.com/parsleydeal/parsleydeal/site"
 )
 
 // stopSite is a server with one endpoint, and callers in front of it.
@@ -23,6 +24,33 @@
 	url      string
 }
 
+// Guards against a stream of which a part was sent and that is cut before its entry ends.
+func TestStreamThatHasBegunGoesOnAtEndOfStop(t *testing.T) {
+	s := newStopSite(t, 0)
+	s.endpoint.Respond = func(*http.Request) standin.Reply {
+		return standin.Reply{BreakAfter: -1, Events: continuationEvents, EventDelay: 50 * time.Millisecond}
+	}
+	s.server.cfg.View = func() *site.View {
+		return viewOf(continuationRoute(catalog.Streaming, false), []fleet.Change{slotsOf("i", s.endpoint.Address())})
+	}
+	s.server.Leave(1000, 200)
+	resp, body := s.send()
+	s.is.Equal(resp.StatusCode, http.StatusOK)
+	s.is.Equal(body, wholeStream("r-1"))
+}
+
+// Guards against a request that comes after load balancers have noticed the stop, and is cut because it takes longer than
+// usual.
+func TestLateRequestIsTakenOnlyIfItsDeadlineIsBeforeTheEnd(t *testing.T) {
+	for left, status := range map[clock.Millis]int{3000: http.StatusServiceUnavailable, 6000: http.StatusOK} {
+		s := newStopSite(t, 0)
+		s.server.Leave(0, left)
+		resp, _ := s.send()
+		s.is.Equal(resp.StatusCode, status)
+		s.is.Equal(s.endpoint.Received() > 0, status == http.StatusOK)
+	}
+}
+
 // newStopSite returns a site whose endpoint works for a time on each request.
 func newStopSite(t *testing.T, work time.Duration) *stopSite {
 	t.Helper()
@@ -56,7 +84,7 @@
 // that being held against its endpoint.
 func TestRequestThatStillRunsAtEndOfStopIsAnswered(t *testing.T) {
 	s := newStopSite(t, 2*time.Second)
-	time.AfterFunc(50*time.Millisecond, func() { s.server.Leave(500) })
+	time.AfterFunc(50*time.Millisecond, func() { s.server.Leave(500, 500) })
 	start := time.Now()
 	resp, body := s.send()
 	s.is.Equal(resp.StatusCode, http.StatusBadGateway)
@@ -75,7 +103,7 @@
 			resp, _ := s.send()
 			s.is.Equal(resp.StatusCode, http.StatusOK)
 		}
-		s.server.Leave(left)
+		s.server.Leave(left, left)
 		received := s.endpoint.Received()
 		resp, body := s.send()
 		s.is.Equal(resp.StatusCode, status)
