Follow the VM list although one of its entries cannot be decoded

On the other request path a list of VMs with one entry that cannot be decoded, with a number too large or of another type, was refused whole, on each read: nodes no longer followed it, and said so on the debug level only.

Entries are decoded one by one; those that cannot be are left out, and a warning says how many there are when that number rises. A list that is nested more than 10,000 deep is still refused whole by encoding/json.

TestOddEntriesOfTheVMListAreLeftOut failed before.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -145,6 +145,13 @@
 // newNode returns a node that uses the platform named in the settings.
 func newNode(s settings.Settings, l *log.Logger, peers *peer.Pool) *node.Node {
 	h := provider.NewHTTP(s.Platform, &http.Client{Transport: upstream.NewTransport(&http.Transport{MaxIdleConnsPerHost: 16})})
+	last := 0
+	h.OnInvalidVMs(func(n int, err error) {
+		if n > last {
+			l.Warn("Entries of the VM list cannot be used", "vm", s.VM, "count", n, "error", err)
+		}
+		last = n
+	})
 	return node.New(node.Config{
 		Settings: s,
 		Clock:    clock.System(),
--- a/provider/http.go
+++ b/provider/http.go
@@ -22,26 +22,50 @@
 type HTTP struct {
 	base   string
 	client *http.Client
+	// onInvalidVMs is called for each VM list that was read.
+	onInvalidVMs func(n int, err error)
 }
 
 // NewHTTP returns an adapter for a base URL such as "http://10.0.0.1:7000".
 func NewHTTP(base string, client *http.Client) *HTTP {
-	return &HTTP{base: base, client: client}
+	return &HTTP{base: base, client: client, onInvalidVMs: func(int, error) {}}
 }
 
+// OnInvalidVMs sets a function that is called for each VM list that was read, with the number of its entries that cannot be
+// used and the reason for the last one. It must be called before the list is read.
+func (h *HTTP) OnInvalidVMs(f func(n int, err error)) { h.onInvalidVMs = f }
+
 // Log returns the client of the log.
 func (h *HTTP) Log() Log {
 	return Log{Append: h.append, Read: h.read}
 }
 
-// VMList returns the client of the VM list.
+// VMList returns the client of the VM list. Entries that cannot be decoded are left out.
 func (h *HTTP) VMList() VMList {
 	return VMList{List: func(ctx context.Context) (vms []VM, err error) {
-		err = h.call(ctx, http.MethodGet, "/vms", nil, &vms)
-		return vms, err
+		var entries []json.RawMessage
+		if err = h.call(ctx, http.MethodGet, "/vms", nil, &entries); err != nil {
+			return nil, err
+		}
+		vms, invalid, reason := decodeVMs(entries)
+		h.onInvalidVMs(invalid, reason)
+		return vms, nil
 	}}
 }
 
+// decodeVMs returns the VMs of a list, and how many of its entries are invalid.
+func decodeVMs(entries []json.RawMessage) (vms []VM, invalid int, reason error) {
+	for _, data := range entries {
+		var vm VM
+		if err := json.Unmarshal(data, &vm); err != nil {
+			invalid, reason = invalid+1, err
+			continue
+		}
+		vms = append(vms, vm)
+	}
+	return vms, invalid, reason
+}
+
 // WeightStore returns the client of the weight store.
 func (h *HTTP) WeightStore() WeightStore {
 	return WeightStore{Fetch: func(ctx context.Context, version string) error {
--- a/provider/http_test.go
+++ b/provider/http_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/joomcode/errorx"
@@ -38,3 +39,20 @@
 	_, err := NewHTTP(closed.URL, http.DefaultClient).Log().Append(t.Context(), "s", []byte("x"))
 	is.True(errorx.IsOfType(err, ErrUnavailable)) // no server received it
 }
+
+// Guards against a list of VMs that is not followed because another writer left an odd entry in it.
+func TestOddEntriesOfTheVMListAreLeftOut(t *testing.T) {
+	is := is.New(t)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`[{"id":"vm-1"},{"id":7},{"id":1e400},[[[]]],{"id":"vm-2","address":"10.0.0.1:70000"},"vm-3",{"address":` + strings.Repeat("[", 5000) + strings.Repeat("]", 5000) + `},{"id":"vm-4"}]`))
+	}))
+	defer srv.Close()
+	h := NewHTTP(srv.URL, srv.Client())
+	var invalid int
+	h.OnInvalidVMs(func(n int, _ error) { invalid = n })
+	vms, err := h.VMList().List(t.Context())
+	is.NoErr(err)
+	is.Equal(len(vms), 3)
+	is.Equal(vms[2].ID, "vm-4")
+	is.Equal(invalid, 5)
+}
