--- a/relay/continuation_test.go
+++ b/relay/continuation_test.go
@@ -58,6 +58,18 @@
 	return r
 }
 
+// readScripts reads the scripts of a file of test data.
+func readScripts[S any](t *testing.T, file string) []S {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join("testdata", file))
+	is.New(t).NoErr(err)
+	var scripts struct {
+		Script []S `toml:"script"`
+	}
+	is.New(t).NoErr(toml.Unmarshal(text, &scripts))
+	return scripts.Script
+}
+
 // wholeStream returns the body of a stream that is whole.
 func wholeStream(id string) string {
 	var b strings.Builder
@@ -119,14 +131,8 @@
 // Guards against streams that end as complete with the text of another answer, and against promises of one endpoint that
 // keep a request from the others.
 func TestAnswersOfEndpointsInTurn(t *testing.T) {
-	text, err := os.ReadFile(filepath.Join("testdata", "continuations.toml"))
-	is.New(t).NoErr(err)
-	var scripts struct {
-		Script []continuationScript `toml:"script"`
-	}
-	is.New(t).NoErr(toml.Unmarshal(text, &scripts))
 	kinds := map[string]catalog.Kind{"streaming": catalog.Streaming, "idempotent": catalog.Idempotent, "non-idempotent": catalog.NonIdempotent}
-	for _, s := range scripts.Script {
+	for _, s := range readScripts[continuationScript](t, "continuations.toml") {
 		t.Run(s.Name, func(t *testing.T) {
 			is := is.New(t)
 			status, body, sends := requestInTurn(is, continuationRoute(kinds[s.Kind], s.Resumable), "r-1", s.Answer)
--- a/relay/ending_test.go
+++ b/relay/ending_test.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
-	"os"
-	"path/filepath"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -17,7 +15,6 @@
 	"github.com/parsleydeal/parsleydeal/fleet"
 	"github.com/parsleydeal/parsleydeal/platform/standin"
 	"github.com/parsleydeal/parsleydeal/upstream"
-	"github.com/pelletier/go-toml/v2"
 	"pgregory.net/rapid"
 )
 
@@ -70,9 +67,7 @@
 	}
 	server := serverOn(clock.Boot(), viewOf(s.route(), changes))
 	server.cfg.Dialect = Dialect{Read: readEnding, Call: callEnding, Head: signedHead, SetRefusalHeaders: func(http.Header, string) {}}
-	entry := httptest.NewUnstartedServer(caller.ResetUnlessWhole(server))
-	entry.Config.ConnContext = caller.WithConn
-	entry.Start()
+	entry := serveCallers(server)
 	defer entry.Close()
 	protocol, method := "1.1", http.MethodPost
 	if s.Protocol != "" {
@@ -92,6 +87,14 @@
 	return status, body, int(next.Load())
 }
 
+// serveCallers serves callers as an entry does.
+func serveCallers(server *Server) (entry *httptest.Server) {
+	entry = httptest.NewUnstartedServer(caller.ResetUnlessWhole(server))
+	entry.Config.ConnContext = caller.WithConn
+	entry.Start()
+	return entry
+}
+
 func readEnding(r *http.Request) (*Request, error) {
 	req, err := readReplayRequest(r)
 	req.LastEventID = r.Header.Get("Last-Event-Id")
@@ -134,14 +137,8 @@
 // playEndings plays the scripts of one fault.
 func playEndings(t *testing.T, fault string) {
 	t.Helper()
-	text, err := os.ReadFile(filepath.Join("testdata", "endings.toml"))
-	is.New(t).NoErr(err)
-	var scripts struct {
-		Script []endingScript `toml:"script"`
-	}
-	is.New(t).NoErr(toml.Unmarshal(text, &scripts))
 	played := 0
-	for _, s := range scripts.Script {
+	for _, s := range readScripts[endingScript](t, "endings.toml") {
 		if s.Fault != fault {
 			continue
 		}
--- a/relay/raw_answer_test.go
+++ b/relay/raw_answer_test.go
@@ -3,21 +3,16 @@
 import (
 	"fmt"
 	"net/http"
-	"net/http/httptest"
-	"os"
-	"path/filepath"
 	"strings"
 	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
-	"github.com/parsleydeal/parsleydeal/caller"
 	"github.com/parsleydeal/parsleydeal/catalog"
 	"github.com/parsleydeal/parsleydeal/clock"
 	"github.com/parsleydeal/parsleydeal/fleet"
 	"github.com/parsleydeal/parsleydeal/platform/standin"
 	"github.com/parsleydeal/parsleydeal/upstream"
-	"github.com/pelletier/go-toml/v2"
 )
 
 // rawScript is a request whose endpoints write their answers byte by byte, in turn.
@@ -52,9 +47,7 @@
 	}
 	server := serverOn(clock.Boot(), viewOf(continuationRoute(kinds[s.Kind], s.Resumable), changes))
 	server.cfg.Dialect = Dialect{Read: readEnding, Call: callWithBody, Head: headOfRaw, SetRefusalHeaders: func(http.Header, string) {}}
-	entry := httptest.NewUnstartedServer(caller.ResetUnlessWhole(server))
-	entry.Config.ConnContext = caller.WithConn
-	entry.Start()
+	entry := serveCallers(server)
 	defer entry.Close()
 	upload := strings.Repeat("x", s.Upload<<20)
 	h := http.Header{"Request-Id": {"r-1"}, "Content-Length": {fmt.Sprint(len(upload))}}
@@ -80,14 +73,8 @@
 // playRawAnswers plays the scripts of one fault.
 func playRawAnswers(t *testing.T, fault string) {
 	t.Helper()
-	text, err := os.ReadFile(filepath.Join("testdata", "raw-answers.toml"))
-	is.New(t).NoErr(err)
-	var scripts struct {
-		Script []rawScript `toml:"script"`
-	}
-	is.New(t).NoErr(toml.Unmarshal(text, &scripts))
 	played := 0
-	for _, s := range scripts.Script {
+	for _, s := range readScripts[rawScript](t, "raw-answers.toml") {
 		if s.Fault != fault {
 			continue
 		}
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -11,12 +11,7 @@
 
 // check verifies the guarantees from the records of callers and endpoints.
 func (k *soak) check() {
-	runs := make(map[string][]standin.Run)
-	for _, e := range k.allEndpoints() {
-		for _, r := range e.Runs() {
-			runs[r.ID] = append(runs[r.ID], r)
-		}
-	}
+	runs := k.runs()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	complete := 0
@@ -36,6 +31,17 @@
 	k.t.Logf("%d requests, %d answered completely, %d faults", len(k.sent), complete, len(k.faultLog))
 }
 
+// runs returns what the endpoints ran, by the IDs of the requests.
+func (s *site) runs() map[string][]standin.Run {
+	runs := make(map[string][]standin.Run)
+	for _, e := range s.allEndpoints() {
+		for _, r := range e.Runs() {
+			runs[r.ID] = append(runs[r.ID], r)
+		}
+	}
+	return runs
+}
+
 // refusals are the statuses that guarantee that a request has not run.
 var refusals = map[int]bool{408: true, 421: true, 429: true, 503: true}
 
--- a/soak/raw_test.go
+++ b/soak/raw_test.go
@@ -86,12 +86,7 @@
 		}
 		all.Wait()
 	}
-	runs := make(map[string][]standin.Run)
-	for _, e := range k.allEndpoints() {
-		for _, r := range e.Runs() {
-			runs[r.ID] = append(runs[r.ID], r)
-		}
-	}
+	runs := k.runs()
 	answered := 0
 	for _, s := range k.sent {
 		k.checkRuns(s, runs[s.id])
--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -49,12 +49,7 @@
 		})
 	}
 	all.Wait()
-	runs := make(map[string][]standin.Run)
-	for _, e := range k.allEndpoints() {
-		for _, r := range e.Runs() {
-			runs[r.ID] = append(runs[r.ID], r)
-		}
-	}
+	runs := k.runs()
 	statuses := make(map[int]int)
 	for _, s := range k.sent {
 		k.checkRuns(s, runs[s.id])
