Keep the reset of a connection over a later EPIPE

A read may return the reset while a write, which fails with EPIPE then, is recorded first. A read after that one would have returned the end of the connection as one in order.

--- a/upstream/checked.go
+++ b/upstream/checked.go
@@ -21,7 +21,8 @@
 	net.Conn
 	// writing has one element while a write is in progress.
 	writing chan struct{}
-	// failure is the first error of a read or write; nil if there was none. Timeouts of deadlines do not count.
+	// failure is an error of a read or write, EPIPE only if there was no other one; nil if there was none. Timeouts of
+	// deadlines do not count.
 	failure atomic.Pointer[error]
 }
 
@@ -49,8 +50,12 @@
 }
 
 func (c *checkedConn) recordFailure(err error) {
-	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+	switch {
+	case err == nil, errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(err, syscall.EPIPE):
 		c.failure.CompareAndSwap(nil, &err)
+	default:
+		c.failure.Store(&err)
 	}
 }
 
@@ -75,7 +80,8 @@
 		return errEndUnknown
 	}
 	failure := c.failure.Load()
-	// A write fails with EPIPE if the reset came after an end in order, and with ECONNRESET if it came before.
+	// Writes fail with EPIPE alone if the reset came after an end in order; else a read or a write has failed with
+	// ECONNRESET.
 	if failure == nil || state == unix.BPF_TCP_CLOSE && errors.Is(*failure, syscall.EPIPE) {
 		return io.EOF
 	}
